--- /dev/null
+++ b/libraries/base/include/cranberryshunt/base/log.h
@@ -0,0 +1,43 @@
+// Structured logs.
+#ifndef CRANBERRYSHUNT_BASE_LOG_H_
+#define CRANBERRYSHUNT_BASE_LOG_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "cranberryshunt/base/result.h"
+
+namespace cranberryshunt {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+// A named value of a log line. Secrets must never be passed.
+struct LogField {
+  LogField(std::string_view name, std::string_view value);
+  LogField(std::string_view name, const char* value);
+  LogField(std::string_view name, long long value);
+  LogField(std::string_view name, long value);
+  LogField(std::string_view name, int value);
+  LogField(std::string_view name, unsigned long value);
+  LogField(std::string_view name, double value);
+
+  std::string name;
+  std::string value;
+};
+
+// Sets up logs on standard error. `level` is "debug", "info", "warning" or
+// "error"; `process` names this process in each line. Fails with
+// kInvalidSettings for another level.
+Result<void> ConfigureLogging(std::string_view level, std::string_view process);
+
+// Writes one line: time, level, process, component, message and `name=value`
+// fields.
+void Log(LogLevel level,
+         std::string_view component,
+         std::string_view message,
+         std::initializer_list<LogField> fields = {});
+
+}  // namespace cranberryshunt
+
+#endif  // CRANBERRYSHUNT_BASE_LOG_H_
--- /dev/null
+++ b/libraries/base/include/cranberryshunt/base/resources.h
@@ -0,0 +1,47 @@
+// Amounts of the resources that workers have and tasks need.
+#ifndef CRANBERRYSHUNT_BASE_RESOURCES_H_
+#define CRANBERRYSHUNT_BASE_RESOURCES_H_
+
+#include <cstdint>
+
+namespace cranberryshunt {
+
+// An immutable amount of every resource. Integers, so that sums are exact.
+struct Resources {
+  std::int64_t milli_cpus = 0;
+  std::int64_t memory_bytes = 0;
+  std::int64_t accelerators = 0;
+  std::int64_t slots = 0;
+
+  bool operator==(const Resources&) const = default;
+
+  // Returns whether every component is at most that of `capacity`.
+  constexpr bool FitsIn(const Resources& capacity) const {
+    return milli_cpus <= capacity.milli_cpus &&
+           memory_bytes <= capacity.memory_bytes &&
+           accelerators <= capacity.accelerators && slots <= capacity.slots;
+  }
+
+  constexpr Resources operator+(const Resources& other) const {
+    return {milli_cpus + other.milli_cpus, memory_bytes + other.memory_bytes,
+            accelerators + other.accelerators, slots + other.slots};
+  }
+
+  constexpr Resources operator-(const Resources& other) const {
+    return {milli_cpus - other.milli_cpus, memory_bytes - other.memory_bytes,
+            accelerators - other.accelerators, slots - other.slots};
+  }
+
+  constexpr Resources operator*(std::int64_t factor) const {
+    return {milli_cpus * factor, memory_bytes * factor, accelerators * factor,
+            slots * factor};
+  }
+};
+
+// Returns the largest of the four fractions of `total` that `part` takes;
+// components that `total` lacks count as 0.
+double DominantShare(const Resources& part, const Resources& total);
+
+}  // namespace cranberryshunt
+
+#endif  // CRANBERRYSHUNT_BASE_RESOURCES_H_
--- /dev/null
+++ b/libraries/wire/src/controller_client.cc
@@ -0,0 +1,230 @@
+#include "cranberryshunt/wire/controller_client.h"
+
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "ControllerService.h"
+#include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/base/log.h"
+#include "cranberryshunt/wire/authentication.h"
+
+namespace cranberryshunt::wire {
+
+namespace {
+
+using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TSocket;
+using apache::thrift::transport::TTransportException;
+
+// Frames larger than this are refused; the largest are snapshot chunks and
+// batches of log entries.
+constexpr std::uint32_t kMaxFrameBytes = 64U << 20;
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+constexpr std::chrono::milliseconds kRetryPause{25};
+constexpr std::size_t kMaxIdleConnections = 64;
+
+Result<std::pair<std::string, int>> SplitAddress(const std::string& address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return Fail(ResultCode::kInvalidSettings, "address is not ip:port",
+                address);
+  }
+  return std::pair(address.substr(0, colon),
+                   std::atoi(address.c_str() + colon + 1));
+}
+
+ResultCode ToCode(const TTransportException& error) {
+  return error.getType() == TTransportException::TIMED_OUT
+             ? ResultCode::kTimeout
+             : ResultCode::kUnavailable;
+}
+
+}  // namespace
+
+struct ControllerChannel::Connection {
+  std::uint64_t sequence = 0;
+  std::shared_ptr<TSocket> socket;
+  std::unique_ptr<ControllerServiceClient> client;
+};
+
+ControllerChannel::ControllerChannel(std::string address,
+                                     std::string own_id,
+                                     std::string cluster_secret)
+    : address_(std::move(address)),
+      own_id_(std::move(own_id)),
+      cluster_secret_(std::move(cluster_secret)) {}
+
+ControllerChannel::~ControllerChannel() = default;
+
+std::unique_ptr<ControllerChannel::Connection> ControllerChannel::TakeIdle() {
+  std::lock_guard lock(mutex_);
+  if (idle_.empty()) {
+    return nullptr;
+  }
+  auto connection = std::move(idle_.back());
+  idle_.pop_back();
+  return connection;
+}
+
+void ControllerChannel::RetireUpTo(std::uint64_t sequence) {
+  std::lock_guard lock(mutex_);
+  retired_up_to_ = std::max(retired_up_to_, sequence);
+  std::erase_if(idle_, [&](const auto& connection) {
+    return connection->sequence <= retired_up_to_;
+  });
+}
+
+Result<std::unique_ptr<ControllerChannel::Connection>> ControllerChannel::Open(
+    std::chrono::milliseconds timeout) {
+  const auto host_port = SplitAddress(address_);
+  if (!host_port) {
+    return tl::unexpected(host_port.error());
+  }
+  auto connection = std::make_unique<Connection>();
+  {
+    std::lock_guard lock(mutex_);
+    connection->sequence = next_sequence_++;
+  }
+  connection->socket =
+      std::make_shared<TSocket>(host_port->first, host_port->second);
+  connection->socket->setConnTimeout(
+      static_cast<int>(std::min(timeout, kConnectTimeout).count()));
+  connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
+  connection->socket->setSendTimeout(static_cast<int>(timeout.count()));
+  connection->socket->setNoDelay(true);
+  auto framed =
+      std::make_shared<TFramedTransport>(connection->socket, kMaxFrameBytes);
+  connection->client = std::make_unique<ControllerServiceClient>(
+      std::make_shared<TBinaryProtocol>(framed));
+  try {
+    connection->socket->open();
+    const std::string client_nonce = RandomBytes(kNonceBytes);
+    std::string challenge;
+    connection->client->Challenge(challenge, own_id_, client_nonce);
+    if (challenge.size() <= kNonceBytes) {
+      return Fail(ResultCode::kNotAuthenticated, "challenge is too short");
+    }
+    const std::string server_nonce = challenge.substr(0, kNonceBytes);
+    if (!ConstantTimeEquals(challenge.substr(kNonceBytes),
+                            ServerProof(cluster_secret_, own_id_, client_nonce,
+                                        server_nonce))) {
+      return Fail(ResultCode::kNotAuthenticated,
+                  "controller does not know the cluster secret");
+    }
+    std::string ignored;
+    connection->client->Authenticate(
+        ignored,
+        ClientProof(cluster_secret_, own_id_, client_nonce, server_nonce));
+  } catch (const NotAuthenticated& error) {
+    return Fail(ResultCode::kNotAuthenticated, error.message);
+  } catch (const TTransportException& error) {
+    return Fail(ToCode(error), error.what());
+  } catch (const apache::thrift::TException& error) {
+    return Fail(ResultCode::kUnavailable, error.what());
+  }
+  return connection;
+}
+
+Result<void> ControllerChannel::Run(std::chrono::milliseconds timeout,
+                                    const Call& call) {
+  auto connection = TakeIdle();
+  const bool reused = connection != nullptr;
+  if (!reused) {
+    auto opened = Open(timeout);
+    if (!opened) {
+      return tl::unexpected(opened.error());
+    }
+    connection = std::move(*opened);
+  }
+  connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
+  connection->socket->setSendTimeout(static_cast<int>(timeout.count()));
+  try {
+    call(*connection->client);
+  } catch (const TTransportException& error) {
+    RetireUpTo(connection->sequence);
+    return Fail(ToCode(error), error.what());
+  } catch (const apache::thrift::TException& error) {
+    return Fail(ResultCode::kUnavailable, error.what());
+  }
+  std::lock_guard lock(mutex_);
+  if (connection->sequence > retired_up_to_ &&
+      idle_.size() < kMaxIdleConnections) {
+    idle_.push_back(std::move(connection));
+  }
+  return {};
+}
+
+LeaderClient::LeaderClient(const std::vector<std::string>& addresses,
+                           const std::string& own_id,
+                           const std::string& cluster_secret)
+    : own_id_(own_id), cluster_secret_(cluster_secret) {
+  for (const auto& address : addresses) {
+    channels_.push_back(
+        std::make_shared<ControllerChannel>(address, own_id, cluster_secret));
+  }
+}
+
+LeaderClient::~LeaderClient() = default;
+
+std::size_t LeaderClient::IndexOf(const std::string& address) {
+  for (std::size_t i = 0; i < channels_.size(); ++i) {
+    if (channels_[i]->address() == address) {
+      return i;
+    }
+  }
+  // A controller that joined after this process started is not in its settings.
+  channels_.push_back(
+      std::make_shared<ControllerChannel>(address, own_id_, cluster_secret_));
+  return channels_.size() - 1;
+}
+
+Result<void> LeaderClient::Run(std::chrono::milliseconds deadline,
+                               std::chrono::milliseconds attempt_timeout,
+                               const Call& call) {
+  const auto give_up = std::chrono::steady_clock::now() + deadline;
+  Error last(ResultCode::kNoLeader, "no controller answered as leader");
+  for (;;) {
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            give_up - std::chrono::steady_clock::now());
+    if (remaining <= std::chrono::milliseconds::zero()) {
+      return tl::unexpected(last);
+    }
+    std::shared_ptr<ControllerChannel> channel;
+    std::size_t index = 0;
+    {
+      std::lock_guard lock(mutex_);
+      index = leader_ % channels_.size();
+      channel = channels_[index];
+    }
+    CallStatus status;
+    const auto ran = channel->Run(std::min(remaining, attempt_timeout),
+                                  [&](auto& client) { status = call(client); });
+    const auto code = static_cast<ResultCode>(status.code);
+    if (ran && code != ResultCode::kNotLeader) {
+      return {};
+    }
+    last = ran ? Error(ResultCode::kNoLeader, "controller is not the leader")
+               : ran.error();
+    const bool hinted = ran && !status.leader.empty();
+    {
+      std::lock_guard lock(mutex_);
+      if (hinted) {
+        leader_ = IndexOf(status.leader);
+      } else if (leader_ % channels_.size() == index) {
+        leader_ = (index + 1) % channels_.size();
+      }
+    }
+    if (!hinted) {
+      std::this_thread::sleep_for(std::min(remaining, kRetryPause));
+    }
+  }
+}
+
+}  // namespace cranberryshunt::wire
--- /dev/null
+++ b/libraries/wire/src/controller_server.cc
@@ -0,0 +1,253 @@
+#include "cranberryshunt/wire/controller_server.h"
+
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "ControllerService.h"
+#include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/wire/authentication.h"
+
+namespace cranberryshunt::wire {
+
+namespace {
+
+using apache::thrift::TConnectionInfo;
+using apache::thrift::protocol::TBinaryProtocolFactory;
+using apache::thrift::server::TServerEventHandler;
+using apache::thrift::server::TThreadedServer;
+using apache::thrift::transport::TFramedTransportFactory;
+using apache::thrift::transport::TServerSocket;
+using apache::thrift::transport::TTransport;
+using apache::thrift::transport::TTransportException;
+
+// The handler of one connection. It keeps the state of the authentication and
+// forwards everything else.
+class ConnectionHandler final : public ControllerServiceIf {
+ public:
+  ConnectionHandler(ControllerServiceIf& handler,
+                    const std::string& cluster_secret,
+                    const ControllerServer::OnRefused& on_refused,
+                    std::shared_ptr<TTransport> transport)
+      : handler_(handler),
+        cluster_secret_(cluster_secret),
+        on_refused_(on_refused),
+        transport_(std::move(transport)) {}
+
+  void Challenge(std::string& reply,
+                 const std::string& client_id,
+                 const std::string& client_nonce) override {
+    client_id_ = client_id;
+    client_nonce_ = client_nonce;
+    server_nonce_ = RandomBytes(kNonceBytes);
+    reply = server_nonce_ + ServerProof(cluster_secret_, client_id,
+                                        client_nonce, server_nonce_);
+  }
+
+  void Authenticate(std::string& reply,
+                    const std::string& client_proof) override {
+    reply.clear();
+    // Without a challenge the nonce would be empty and the proof could be
+    // replayed.
+    const bool challenged = !server_nonce_.empty();
+    authenticated_ =
+        challenged &&
+        ConstantTimeEquals(client_proof,
+                           ClientProof(cluster_secret_, client_id_,
+                                       client_nonce_, server_nonce_));
+    server_nonce_.clear();
+    if (!authenticated_) {
+      on_refused_(client_id_);
+      NotAuthenticated error;
+      error.message = "proof does not match the cluster secret";
+      throw error;
+    }
+  }
+
+  void Submit(SubmitReply& reply, const SubmitRequest& request) override {
+    RequireAuthentication();
+    handler_.Submit(reply, request);
+  }
+  void Report(ReportReply& reply, const EntryReport& report) override {
+    RequireAuthentication();
+    handler_.Report(reply, report);
+  }
+  void Poll(PollReply& reply, const PollRequest& request) override {
+    RequireAuthentication();
+    handler_.Poll(reply, request);
+  }
+  void GetJob(GetJobReply& reply, const GetJobRequest& request) override {
+    RequireAuthentication();
+    handler_.GetJob(reply, request);
+  }
+  void CancelJobs(CancelReply& reply,
+                  const std::string& entry_id,
+                  const std::vector<std::string>& job_ids,
+                  const std::string& reason) override {
+    RequireAuthentication();
+    handler_.CancelJobs(reply, entry_id, job_ids, reason);
+  }
+  void Publish(PublishReply& reply,
+               const PublishRequest& request,
+               const std::int32_t wait_ms) override {
+    RequireAuthentication();
+    handler_.Publish(reply, request, wait_ms);
+  }
+  void GetRules(RulesReply& reply, const std::int64_t if_newer_than) override {
+    RequireAuthentication();
+    handler_.GetRules(reply, if_newer_than);
+  }
+  void GetAudit(AuditReply& reply,
+                const std::int64_t after_sequence,
+                const std::int32_t limit) override {
+    RequireAuthentication();
+    handler_.GetAudit(reply, after_sequence, limit);
+  }
+  void GetCluster(ClusterReply& reply) override {
+    RequireAuthentication();
+    handler_.GetCluster(reply);
+  }
+  void Drain(Status& reply, const DrainWorker& request) override {
+    RequireAuthentication();
+    handler_.Drain(reply, request);
+  }
+  void ChangeMembership(Status& reply,
+                        const MembershipChange& change) override {
+    RequireAuthentication();
+    handler_.ChangeMembership(reply, change);
+  }
+  void DeliverRaft(const std::vector<RaftMessage>& messages) override {
+    RequireAuthentication();
+    handler_.DeliverRaft(messages);
+  }
+
+ private:
+  void RequireAuthentication() const {
+    if (!authenticated_) {
+      transport_->close();
+      throw TTransportException(TTransportException::NOT_OPEN,
+                                "call before authentication");
+    }
+  }
+
+  ControllerServiceIf& handler_;
+  const std::string& cluster_secret_;
+  const ControllerServer::OnRefused& on_refused_;
+  std::shared_ptr<TTransport> transport_;
+  std::string client_id_;
+  std::string client_nonce_;
+  std::string server_nonce_;
+  bool authenticated_ = false;
+};
+
+class HandlerFactory final : public ControllerServiceIfFactory {
+ public:
+  HandlerFactory(ControllerServiceIf& handler,
+                 std::string cluster_secret,
+                 ControllerServer::OnRefused on_refused)
+      : handler_(handler),
+        cluster_secret_(std::move(cluster_secret)),
+        on_refused_(std::move(on_refused)) {}
+
+  ControllerServiceIf* getHandler(const TConnectionInfo& info) override {
+    return new ConnectionHandler(handler_, cluster_secret_, on_refused_,
+                                 info.transport);
+  }
+  void releaseHandler(ControllerServiceIf* handler) override { delete handler; }
+
+ private:
+  ControllerServiceIf& handler_;
+  std::string cluster_secret_;
+  ControllerServer::OnRefused on_refused_;
+};
+
+// Tells the starting thread that the socket listens.
+class ReadySignal final : public TServerEventHandler {
+ public:
+  void preServe() override { Set(true); }
+
+  void Set(bool listening) {
+    std::lock_guard lock(mutex_);
+    done_ = true;
+    listening_ = listening_ || listening;
+    changed_.notify_all();
+  }
+
+  bool Wait() {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [&] { return done_; });
+    return listening_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool done_ = false;
+  bool listening_ = false;
+};
+
+}  // namespace
+
+struct ControllerServer::Implementation {
+  std::shared_ptr<ReadySignal> ready;
+  std::shared_ptr<TThreadedServer> server;
+  std::string failure;
+  std::thread thread;
+};
+
+ControllerServer::ControllerServer(
+    std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+Result<std::unique_ptr<ControllerServer>> ControllerServer::Start(
+    const std::string& listen_address,
+    std::string cluster_secret,
+    ControllerServiceIf& handler,
+    OnRefused on_refused) {
+  const auto colon = listen_address.rfind(':');
+  if (colon == std::string::npos) {
+    return Fail(ResultCode::kInvalidSettings, "address is not ip:port",
+                listen_address);
+  }
+  auto factory = std::make_shared<HandlerFactory>(
+      handler, std::move(cluster_secret), std::move(on_refused));
+  auto socket = std::make_shared<TServerSocket>(
+      listen_address.substr(0, colon),
+      std::atoi(listen_address.c_str() + colon + 1));
+  auto implementation = std::make_unique<Implementation>();
+  implementation->ready = std::make_shared<ReadySignal>();
+  implementation->server = std::make_shared<TThreadedServer>(
+      std::make_shared<ControllerServiceProcessorFactory>(factory), socket,
+      std::make_shared<TFramedTransportFactory>(),
+      std::make_shared<TBinaryProtocolFactory>());
+  implementation->server->setServerEventHandler(implementation->ready);
+  implementation->thread = std::thread([raw = implementation.get()] {
+    try {
+      raw->server->serve();
+    } catch (const apache::thrift::TException& error) {
+      raw->failure = error.what();
+    }
+    raw->ready->Set(false);
+  });
+  if (!implementation->ready->Wait()) {
+    implementation->thread.join();
+    return Fail(ResultCode::kUnavailable, "cannot listen on " + listen_address +
+                                              ": " + implementation->failure);
+  }
+  return std::unique_ptr<ControllerServer>(
+      new ControllerServer(std::move(implementation)));
+}
+
+ControllerServer::~ControllerServer() {
+  implementation_->server->stop();
+  implementation_->thread.join();
+}
+
+}  // namespace cranberryshunt::wire
--- /dev/null
+++ b/libraries/wire/wire.thrift
@@ -0,0 +1,516 @@
+// Messages between the processes of a cell, and the commands of the replicated log.
+// Regenerate with: thrift --gen cpp:no_skeleton -out libraries/wire/generated libraries/wire/wire.thrift
+namespace cpp cranberryshunt.wire
+
+enum JobKind { kService = 1, kBatch = 2, kGang = 3, kInteractive = 4 }
+
+// Final outcomes as callers see them; kPending is the only one that is not final.
+enum Outcome { kPending = 0, kDone = 1, kFailed = 2, kNotRun = 3, kCancelled = 4, kUnknown = 5 }
+
+enum TaskState { kQueued = 1, kPlaced = 2, kRunning = 3, kFinal = 4 }
+
+// State of an attempt as a target reports it.
+enum AttemptState { kRunning = 1, kDone = 2, kFailed = 3, kStopped = 4, kRefused = 5, kNeverStarted = 6, kUnknown = 7 }
+
+struct Resources {
+  1: i64 milli_cpus
+  2: i64 memory_bytes
+  3: i64 accelerators
+  4: i64 slots
+}
+
+struct Status {
+  1: i32 code            // ResultCode; 0 is success.
+  2: string message
+  3: string field        // Offending field of the request, if any.
+  4: string leader       // "ip:port" of the leader with code not_leader, if known.
+  5: i64 retry_after_ms
+}
+
+struct JobSpec {
+  1: string team
+  2: JobKind kind
+  3: string service_name // Name that rules match.
+  4: i32 task_count
+  5: Resources task_resources
+  6: i64 expected_run_ms // 0: not declared.
+  7: i64 deadline_ms     // Relative to submission; 0: none.
+  8: string region
+  9: string availability_zone
+  10: bool exclusive
+  11: bool idempotent
+  12: string idempotency_key
+  13: string family      // Job family for learned estimates.
+  14: binary payload     // Empty for an interactive job; its payload stays at the entry.
+}
+
+struct TaskKey {
+  1: string job_id
+  2: i32 index
+}
+
+struct AttemptKey {
+  1: string job_id
+  2: i32 index
+  3: i32 attempt
+}
+
+struct Answer {
+  1: binary bytes
+  2: i64 length
+  3: i64 crc32
+  4: bool stored         // False: relayed on the caller's connection and not kept.
+}
+
+// ---- Commands of the replicated log ----
+
+struct SubmitJob {
+  1: string job_id
+  2: JobSpec spec
+  3: i64 spec_digest
+  4: string entry_id
+  5: i64 submitted_ms    // Leader's wall clock, for display and key expiry only.
+}
+
+struct Placement {
+  1: AttemptKey attempt
+  2: string worker
+  3: string incarnation
+  4: i64 fence
+}
+
+struct PlaceTasks {
+  1: list<Placement> placements
+  2: i64 placed_ms
+}
+
+struct TaskResult {
+  1: AttemptKey attempt
+  2: Outcome outcome
+  3: i32 code
+  4: string reason
+  5: Answer answer
+}
+
+struct FinishTasks {
+  1: list<TaskResult> results
+  2: i64 finished_ms
+}
+
+// Returns placed tasks to the queue; the attempt is over and its fence is dead.
+struct RequeueTasks {
+  1: list<AttemptKey> attempts
+  2: string reason
+}
+
+struct MarkRunning {
+  1: list<AttemptKey> attempts
+}
+
+struct CancelJobs {
+  1: list<string> job_ids
+  2: string reason
+  3: i64 cancelled_ms
+}
+
+struct Worker {
+  1: string identity
+  2: string incarnation
+  3: string address      // "ip:port".
+  4: string region
+  5: string availability_zone
+  6: string rack
+  7: Resources capacity
+  8: i32 connections
+  9: bool leaving
+  10: bool draining      // Set by an operator; kept over incarnations.
+}
+
+struct UpsertWorkers {
+  1: list<Worker> workers
+}
+
+struct RemoveWorkers {
+  1: list<string> identities
+}
+
+struct DrainWorker {
+  1: string identity
+  2: bool draining
+  3: string operator_name
+  4: i64 at_ms
+}
+
+struct RulesFile {
+  1: string path
+  2: string content
+}
+
+struct PublishRules {
+  1: string publication_id
+  2: i64 base_revision
+  3: string version      // Operator's own version label.
+  4: string operator_name
+  5: list<RulesFile> files
+  6: i64 at_ms
+}
+
+struct AuditRecord {
+  1: i64 sequence
+  2: i64 at_ms
+  3: string actor
+  4: string action
+  5: string detail
+}
+
+struct RecordAudit {
+  1: list<AuditRecord> records // The sequence is assigned on apply.
+}
+
+struct ExpireKeys {
+  1: i64 finished_before_ms
+}
+
+// Raises the fence counter and marks the start of a leader's term in the log.
+struct BeginTerm {
+  1: i64 term
+  2: string leader_id
+  3: i64 at_ms
+}
+
+union Command {
+  1: SubmitJob submit_job
+  2: PlaceTasks place_tasks
+  3: FinishTasks finish_tasks
+  4: RequeueTasks requeue_tasks
+  5: MarkRunning mark_running
+  6: CancelJobs cancel_jobs
+  7: UpsertWorkers upsert_workers
+  8: RemoveWorkers remove_workers
+  9: DrainWorker drain_worker
+  10: PublishRules publish_rules
+  11: RecordAudit record_audit
+  12: ExpireKeys expire_keys
+  13: BeginTerm begin_term
+}
+
+struct CommandBatch {
+  1: list<Command> commands
+}
+
+// ---- State as read by entries ----
+
+struct TaskStatus {
+  1: i32 index
+  2: TaskState state
+  3: Outcome outcome
+  4: i32 code
+  5: string reason
+  6: i32 attempt
+  7: string worker
+  8: Answer answer
+}
+
+struct JobStatus {
+  1: string job_id
+  2: Outcome outcome
+  3: i32 code
+  4: string reason
+  5: bool retryable
+  6: list<TaskStatus> tasks
+}
+
+// ---- Entry to controller ----
+
+struct SubmitRequest {
+  1: string entry_id
+  2: string region       // Region of the caller, that is, of the entry.
+  3: string availability_zone
+  4: string job_id       // Chosen by the entry, so that a resend of the call is idempotent.
+  5: JobSpec spec
+  6: bool watch          // Send a JobUpdate by Poll when the job is final.
+}
+
+struct SubmitReply {
+  1: Status status
+  2: JobStatus job       // The first job when the idempotency key is known.
+}
+
+struct GetJobRequest {
+  1: string entry_id
+  2: string job_id       // Either job_id, or team and key.
+  3: string team
+  4: string idempotency_key
+  5: bool watch
+}
+
+struct GetJobReply {
+  1: Status status
+  2: JobStatus job
+}
+
+struct CancelReply {
+  1: Status status
+  2: list<JobStatus> jobs
+}
+
+struct AttemptReport {
+  1: AttemptKey attempt
+  2: i64 fence
+  3: AttemptState state
+  4: string reason
+  5: Answer answer
+}
+
+struct WorkerAnnouncement {
+  1: Worker worker
+  2: i64 clock_ms        // The worker's monotonic clock when it sent the announcement.
+  3: i64 used_milli_cpus
+  4: i64 used_memory_bytes
+  5: list<AttemptReport> attempts
+}
+
+struct AnnouncementReply {
+  1: Status status
+  2: string identity
+  3: i64 clock_ms
+  4: i64 lease_ms
+  5: list<AttemptKey> stop
+  6: list<AttemptKey> acknowledge
+}
+
+struct EntryReport {
+  1: string entry_id
+  2: list<WorkerAnnouncement> announcements
+  3: list<AttemptReport> results     // Results that the entry got from targets itself.
+  4: list<AuditRecord> audit         // For example refused tokens.
+}
+
+struct ReportReply {
+  1: Status status
+  2: list<AnnouncementReply> announcements // Same order as in the report.
+}
+
+struct StartOrder {
+  1: AttemptKey attempt
+  2: i64 fence
+  3: string worker
+  4: string incarnation
+  5: string address
+  6: i64 start_expiry_clock_ms
+  7: i64 lease_until_clock_ms
+  8: i64 valid_ms        // How long after receipt the entry may still deliver it.
+  9: JobKind kind
+  10: Resources resources
+  11: binary payload
+  12: bool payload_at_entry
+  13: bool idempotent
+}
+
+struct StopOrder {
+  1: AttemptKey attempt
+  2: string worker
+  3: string address
+  4: bool checkpoint
+}
+
+struct ThrottleOrder {
+  1: AttemptKey attempt
+  2: string worker
+  3: string address
+  4: i32 percent
+}
+
+// Asks an entry to find out what became of an attempt.
+struct LookupOrder {
+  1: AttemptKey attempt
+  2: string worker
+  3: string address
+  4: bool bar
+}
+
+union Order {
+  1: StartOrder start
+  2: StopOrder stop
+  3: ThrottleOrder throttle
+  4: LookupOrder lookup
+}
+
+struct SequencedOrder {
+  1: i64 sequence
+  2: Order order
+}
+
+struct KindPressure {
+  1: JobKind kind
+  2: i64 queued
+  3: bool full           // The entry refuses this kind itself until the next poll.
+  4: i64 retry_after_ms
+}
+
+struct PollRequest {
+  1: string entry_id
+  2: string address      // HTTP address of the entry, for display.
+  3: string region
+  4: string availability_zone
+  5: string incarnation  // New at each start of the entry.
+  6: i64 rules_revision  // Revision in force at the entry; 0 before the first.
+  7: i64 order_ack       // Every order up to this sequence was received.
+  8: i64 update_ack      // Every job update up to this sequence was received.
+  9: i32 wait_ms
+  10: bool draining
+}
+
+struct SequencedUpdate {
+  1: i64 sequence
+  2: JobStatus job
+}
+
+struct PollReply {
+  1: Status status
+  2: i64 rules_lease_ms  // Counted from the moment the entry sent the request.
+  3: i64 rules_revision
+  4: list<SequencedOrder> orders
+  5: list<SequencedUpdate> updates
+  6: list<KindPressure> pressure
+  7: i64 session         // Changes with the leader; acknowledgements of another session are void.
+  8: string leader_id
+}
+
+struct PublishRequest {
+  1: PublishRules publication
+}
+
+struct PublishReply {
+  1: Status status
+  2: i64 revision
+  3: bool in_force
+  4: string winner       // Operator and publication that hold the revision, on a conflict.
+}
+
+struct RulesReply {
+  1: Status status
+  2: i64 revision
+  3: PublishRules publication
+}
+
+struct AuditReply {
+  1: Status status
+  2: list<AuditRecord> records
+}
+
+struct Alert {
+  1: string name
+  2: string metric
+  3: double value
+  4: double threshold
+  5: i64 firing_since_ms
+}
+
+struct KindStats {
+  1: JobKind kind
+  2: i64 queued
+  3: i64 running
+  4: double wait_p50_ms
+  5: double wait_p99_ms
+  6: double share         // Dominant share of the fleet in use, 0 to 1.
+  7: i64 refused
+  8: i64 preempted
+  9: i64 preempted_run_ms // Work time lost to preemption.
+}
+
+struct WorkerStats {
+  1: Worker worker
+  2: Resources reserved
+  3: bool live
+  4: bool quarantined
+  5: string reason
+}
+
+struct ClusterReply {
+  1: Status status
+  2: string leader_id
+  3: i64 term
+  4: i64 commit_index
+  5: list<string> voters
+  6: list<string> learners
+  7: list<string> entries
+  8: list<WorkerStats> workers
+  9: list<KindStats> kinds
+  10: double packing       // Dominant share reserved on workers that hold any task, 0 to 1.
+  11: list<Alert> alerts
+  12: map<string, i64> bytes_between_regions
+  13: i64 rules_revision
+  14: list<string> culprits // Families and workers that fail more than the fleet.
+}
+
+// ---- Between controllers ----
+
+enum RaftMessageType {
+  kPreVote = 1, kPreVoteReply = 2, kVote = 3, kVoteReply = 4, kAppend = 5, kAppendReply = 6,
+  kSnapshotChunk = 7, kSnapshotReply = 8, kTimeoutNow = 9
+}
+
+struct LogEntry {
+  1: i64 index
+  2: i64 term
+  3: i32 type            // 1: command batch, 2: membership, 3: empty.
+  4: binary data
+}
+
+struct Member {
+  1: string id
+  2: string disk_identity
+  3: string address       // "ip:port" of its Thrift server.
+  4: bool voter
+}
+
+struct Membership {
+  1: list<Member> members
+}
+
+struct RaftMessage {
+  1: RaftMessageType type
+  2: string sender
+  3: string sender_disk
+  4: string receiver
+  5: i64 term
+  6: i64 log_index        // Previous index of an append, last index of a vote.
+  7: i64 log_term
+  8: i64 commit
+  9: bool accepted
+  10: i64 hint_index      // Where to continue after a rejected append.
+  11: list<LogEntry> entries
+  12: i64 sent_at_ms      // Sender's own clock, echoed in replies for the leader lease.
+  13: binary data         // Snapshot chunk.
+  14: i64 offset
+  15: bool last
+  16: Membership membership // Of a snapshot.
+}
+
+struct MembershipChange {
+  1: string operator_name
+  2: Member member
+  3: bool remove
+}
+
+exception NotAuthenticated { 1: string message }
+
+service ControllerService {
+  // Mutual authentication; see the design page, section 7. Any other call first closes the connection.
+  binary Challenge(1: string client_id, 2: binary client_nonce)
+  binary Authenticate(1: binary client_proof) throws (1: NotAuthenticated error)
+
+  SubmitReply Submit(1: SubmitRequest request)
+  ReportReply Report(1: EntryReport report)
+  PollReply Poll(1: PollRequest request)
+  GetJobReply GetJob(1: GetJobRequest request)
+  CancelReply CancelJobs(1: string entry_id, 2: list<string> job_ids, 3: string reason)
+  PublishReply Publish(1: PublishRequest request, 2: i32 wait_ms)
+  RulesReply GetRules(1: i64 if_newer_than)
+  AuditReply GetAudit(1: i64 after_sequence, 2: i32 limit)
+  ClusterReply GetCluster()
+  Status Drain(1: DrainWorker request)
+  Status ChangeMembership(1: MembershipChange change)
+  void DeliverRaft(1: list<RaftMessage> messages)
+}
--- /dev/null
+++ b/meta/cmake/targets.cmake
@@ -0,0 +1,22 @@
+# Declares a library from every source in its src/ folder.
+# cranberryshunt_library(NAME DEPENDS target...)
+function(cranberryshunt_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS;PRIVATE_DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cc)
+  add_library(cranberryshunt_${name} STATIC ${sources})
+  target_include_directories(cranberryshunt_${name} PUBLIC include PRIVATE src)
+  target_link_libraries(cranberryshunt_${name} PUBLIC ${ARG_DEPENDS} PRIVATE ${ARG_PRIVATE_DEPENDS} project_options)
+endfunction()
+
+# Declares a Criterion test program from every *_test.cc in the current folder and registers it with CTest.
+# cranberryshunt_test(NAME DEPENDS target... [TIMEOUT seconds])
+function(cranberryshunt_test name)
+  cmake_parse_arguments(ARG "" "TIMEOUT" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cc)
+  add_executable(${name}_test ${sources})
+  target_link_libraries(${name}_test PRIVATE ${ARG_DEPENDS} PkgConfig::criterion project_options)
+  add_test(NAME ${name} COMMAND ${name}_test --jobs 2)
+  if(ARG_TIMEOUT)
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+  endif()
+endfunction()
--- /dev/null
+++ b/tests/base/base_test.cc
@@ -0,0 +1,97 @@
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include "cranberryshunt/base/bounded_ring.h"
+#include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/base/metrics.h"
+#include "cranberryshunt/base/resources.h"
+#include "cranberryshunt/base/timer_service.h"
+
+namespace cranberryshunt {
+
+// Guards against a ring that grows or loses items when producers are faster
+// than the consumer.
+Test(bounded_ring, refuses_when_full_and_keeps_order) {
+  BoundedRing<int> ring(2);
+  cr_assert(ring.TryPush(1));
+  cr_assert(ring.TryPush(2));
+  cr_assert_not(ring.TryPush(3));
+  std::vector<int> out;
+  cr_assert(ring.PopMany(out, 10, std::chrono::microseconds(0)));
+  cr_assert_eq(out.size(), 2U);
+  cr_assert_eq(out[0], 1);
+  cr_assert_eq(out[1], 2);
+}
+
+// Guards against items that are dropped when the ring is closed before the
+// consumer has taken them.
+Test(bounded_ring, drains_after_close) {
+  BoundedRing<int> ring(4);
+  cr_assert(ring.Push(7));
+  ring.Close();
+  cr_assert_not(ring.TryPush(8));
+  std::vector<int> out;
+  cr_assert(ring.PopMany(out, 10, std::chrono::microseconds(0)));
+  out.clear();
+  cr_assert_not(ring.PopMany(out, 10, std::chrono::microseconds(0)));
+}
+
+// Guards against a callback that runs after its subscription ended.
+Test(timer_service, ends_with_the_subscription) {
+  TimerService timers;
+  std::atomic<int> calls = 0;
+  {
+    auto subscription =
+        timers.Every(std::chrono::milliseconds(1), [&] { ++calls; });
+    while (calls < 3) {
+      std::this_thread::yield();
+    }
+  }
+  const int after = calls;
+  auto marker = std::atomic<bool>(false);
+  auto later =
+      timers.After(std::chrono::milliseconds(10), [&] { marker = true; });
+  while (!marker) {
+    std::this_thread::yield();
+  }
+  cr_assert_eq(calls, after);
+}
+
+// Guards against a fit check that ignores one of the resources.
+Test(resources, fit_needs_every_component) {
+  const Resources capacity{1000, 1000, 1, 1};
+  cr_assert(capacity.FitsIn(capacity));
+  cr_assert_not((Resources{1001, 0, 0, 0}).FitsIn(capacity));
+  cr_assert_not((Resources{0, 1001, 0, 0}).FitsIn(capacity));
+  cr_assert_not((Resources{0, 0, 2, 0}).FitsIn(capacity));
+  cr_assert_not((Resources{0, 0, 0, 2}).FitsIn(capacity));
+}
+
+// Guards against quantiles that come from a tail that does not reach them.
+Test(metrics, quantiles_of_a_known_distribution) {
+  Distribution distribution;
+  const TimePoint now{std::chrono::seconds(100)};
+  for (int i = 1; i <= 1000; ++i) {
+    distribution.Record(i, now);
+  }
+  const auto summary = distribution.Summary(now);
+  cr_assert_eq(summary.count, 1000U);
+  cr_assert_float_eq(summary.p50, 500, 2);
+  cr_assert_float_eq(summary.p99, 990, 2);
+  cr_assert_eq(summary.max, 1000);
+}
+
+// Guards against a changed checksum or digest, which would make existing data
+// folders unreadable.
+Test(bytes, known_values) {
+  cr_assert_eq(Crc32("123456789"), 0xCBF43926U);
+  cr_assert(Sha256Hex("abc") ==
+            "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  cr_assert(ConstantTimeEquals("a", "a"));
+  cr_assert_not(ConstantTimeEquals("a", "ab"));
+}
+
+}  // namespace cranberryshunt
--- /dev/null
+++ b/tests/wire/wire_test.cc
@@ -0,0 +1,98 @@
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "ControllerService.h"
+#include "cranberryshunt/wire/codec.h"
+#include "cranberryshunt/wire/controller_client.h"
+#include "cranberryshunt/wire/controller_server.h"
+
+namespace cranberryshunt::wire {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTimeout{2000};
+
+class CountingHandler final : public ControllerServiceNull {
+ public:
+  void GetCluster(ClusterReply& reply) override {
+    ++calls;
+    reply.term = 7;
+  }
+
+  std::atomic<int> calls = 0;
+};
+
+struct RunningServer {
+  CountingHandler handler;
+  std::vector<std::string> refused;
+  std::unique_ptr<ControllerServer> server;
+  std::string address;
+};
+
+std::unique_ptr<RunningServer> StartServer() {
+  auto running = std::make_unique<RunningServer>();
+  // Tests run at the same time, so a port that is taken is skipped.
+  for (int port = 21000; port < 21100; ++port) {
+    running->address = "127.0.0.1:" + std::to_string(port);
+    auto server =
+        ControllerServer::Start(running->address, "secret", running->handler,
+                                [raw = running.get()](const std::string& peer) {
+                                  raw->refused.push_back(peer);
+                                });
+    if (server) {
+      running->server = std::move(*server);
+      return running;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+// Guards against commands that change on their way through the log.
+Test(codec, round_trip_and_truncation) {
+  CommandBatch batch;
+  batch.commands.resize(1);
+  SubmitJob submit;
+  submit.job_id = "j1";
+  submit.spec.payload = std::string("\0x", 2);
+  batch.commands[0].__set_submit_job(submit);
+  const std::string bytes = Encode(batch);
+  const auto decoded = Decode<CommandBatch>(bytes);
+  cr_assert(decoded.has_value());
+  cr_assert(*decoded == batch);
+  cr_assert_not(Decode<CommandBatch>(bytes.substr(0, 5)).has_value());
+}
+
+// Guards against a peer with the right secret being refused.
+Test(authentication, accepts_the_right_secret) {
+  auto running = StartServer();
+  cr_assert_not_null(running.get());
+  ControllerChannel channel(running->address, "e1", "secret");
+  ClusterReply reply;
+  const auto result =
+      channel.Run(kTimeout, [&](auto& client) { client.GetCluster(reply); });
+  cr_assert(result.has_value());
+  cr_assert_eq(reply.term, 7);
+}
+
+// Guards against a process without the secret being obeyed.
+Test(authentication, refuses_a_wrong_secret) {
+  auto running = StartServer();
+  cr_assert_not_null(running.get());
+  ControllerChannel channel(running->address, "e1", "guess");
+  const auto result = channel.Run(kTimeout, [](auto& client) {
+    ClusterReply reply;
+    client.GetCluster(reply);
+  });
+  cr_assert_not(result.has_value());
+  cr_assert_eq(static_cast<int>(result.error().code()),
+               static_cast<int>(ResultCode::kNotAuthenticated));
+  cr_assert_eq(running->handler.calls, 0);
+}
+
+}  // namespace cranberryshunt::wire
