wire: Pause between contradicting leader hints

During an election two controllers may name each other as leader; the client followed the hints without a pause and spun. It now pauses after two hints. The new test counts the calls in 300 ms: below 30.

--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -28,6 +28,7 @@
 constexpr std::chrono::milliseconds kConnectTimeout{1000};
 constexpr std::chrono::milliseconds kRetryPause{25};
 constexpr std::size_t kMaxIdleConnections = 64;
+constexpr std::size_t kHintsBeforePause = 2;
 
 Result<std::pair<std::string, int>> SplitAddress(const std::string& address) {
   const auto colon = address.rfind(':');
@@ -189,7 +190,7 @@
                                const Call& call) {
   const auto give_up = std::chrono::steady_clock::now() + deadline;
   Error last(ResultCode::kNoLeader, "no controller answered as leader");
-  for (;;) {
+  for (std::size_t hops = 0;; ++hops) {
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(
             give_up - std::chrono::steady_clock::now());
@@ -221,7 +222,9 @@
         leader_ = (index + 1) % channels_.size();
       }
     }
-    if (!hinted) {
+    // During an election, controllers may name each other as leader; following
+    // the hints without a pause would spin.
+    if (!hinted || hops >= kHintsBeforePause) {
       std::this_thread::sleep_for(std::min(remaining, kRetryPause));
     }
   }
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -95,4 +95,25 @@
   cr_assert_eq(running->handler.calls, 0);
 }
 
+// Guards against a busy loop while two controllers name each other as leader.
+Test(leader_client, pauses_between_contradicting_hints) {
+  auto first = StartServer();
+  auto second = StartServer();
+  cr_assert_not_null(first.get());
+  cr_assert_not_null(second.get());
+  LeaderClient leader({first->address, second->address}, "e1", "secret");
+  int calls = 0;
+  const auto result =
+      leader.Run(std::chrono::milliseconds(300), kTimeout, [&](auto& client) {
+        ClusterReply reply;
+        client.GetCluster(reply);
+        ++calls;
+        const auto& other = calls % 2 == 0 ? first : second;
+        return CallStatus{static_cast<int>(ResultCode::kNotLeader),
+                          other->address};
+      });
+  cr_assert_not(result.has_value());
+  cr_assert_lt(calls, 30);
+}
+
 }  // namespace cranberryshunt::wire
