wire: Generate movable types and add Member.promote

Without move constructors each hand-over of a Raft message copied all of its entries. Member.promote keeps the wish that a learner becomes a voter in the log, so that it survives a change of leader.

--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -1,5 +1,5 @@
 // Messages between the processes of a cell, and the commands of the replicated log.
-// Regenerate with: thrift --gen cpp:no_skeleton -out libraries/wire/generated libraries/wire/wire.thrift
+// Regenerate with: thrift --gen cpp:no_skeleton,moveable_types -out libraries/wire/generated libraries/wire/wire.thrift
 namespace cpp cranberryshunt.wire
 
 enum JobKind { kService = 1, kBatch = 2, kGang = 3, kInteractive = 4 }
@@ -463,6 +463,7 @@
   2: string disk_identity
   3: string address       // "ip:port" of its Thrift server.
   4: bool voter
+  5: bool promote        // A learner that becomes a voter once it has caught up.
 }
 
 struct Membership {
@@ -485,7 +486,7 @@
   13: binary data         // Snapshot chunk.
   14: i64 offset
   15: bool last
-  16: Membership membership // Of a snapshot.
+  16: Membership membership // Of a snapshot; the sender's own in votes and probing appends.
 }
 
 struct MembershipChange {
