--- /dev/null
+++ b/libraries/storage/include/cranberryshunt/storage/log.h
@@ -0,0 +1,107 @@
+// The append log: checksummed entries in segment files.
+#ifndef CRANBERRYSHUNT_STORAGE_LOG_H_
+#define CRANBERRYSHUNT_STORAGE_LOG_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "cranberryshunt/base/result.h"
+#include "cranberryshunt/storage/file_system.h"
+
+namespace cranberryshunt::storage {
+
+struct LogEntry {
+  std::int64_t index = 0;
+  std::int64_t term = 0;
+  std::int32_t type = 0;
+  std::string data;
+
+  bool operator==(const LogEntry&) const = default;
+};
+
+struct LogOptions {
+  // A new segment starts once the current one has this size.
+  std::int64_t segment_bytes = 8 << 20;
+};
+
+// Entries with consecutive indexes. Each record also states up to which index
+// the log was durable when the record was written, so that a damaged record
+// that had been durable is told apart from a torn write at the end.
+class Log {
+ public:
+  // Reads all entries into `entries` and makes them durable. A torn write at
+  // the end is truncated. Fails with kCorrupt, naming file and offset, when an
+  // entry that was durable or that is at most `committed` cannot be read,
+  // unless `covered` (the index of the snapshot) is at least as high.
+  static Result<std::unique_ptr<Log>> Open(FileSystem& file_system,
+                                           std::string directory,
+                                           const LogOptions& options,
+                                           std::int64_t covered,
+                                           std::int64_t committed,
+                                           std::vector<LogEntry>& entries);
+
+  // Writes entries without making them durable. The first index must be
+  // last_index() + 1. On kStorageFull nothing of the batch is kept.
+  Result<void> Append(std::span<const LogEntry> entries);
+  // Makes everything appended durable.
+  Result<void> Sync();
+  // Removes the entries from `from` on, durably.
+  Result<void> TruncateSuffix(std::int64_t from);
+  // Removes whole segments that hold only entries up to `through`.
+  Result<void> DropPrefix(std::int64_t through);
+  // Removes all entries; the next one will have index `next`.
+  Result<void> Reset(std::int64_t next);
+  // Removes what was appended since the last Sync. For use after a failure of
+  // Append or Sync.
+  Result<void> RollBack();
+
+  std::int64_t last_index() const { return next_ - 1; }
+  std::int64_t durable_index() const { return durable_; }
+
+ private:
+  struct Segment {
+    std::int64_t first = 0;
+    std::string path;
+    std::vector<std::int64_t> offsets;
+    std::int64_t size = 0;
+
+    std::int64_t next() const {
+      return first + static_cast<std::int64_t>(offsets.size());
+    }
+  };
+
+  Log(FileSystem& file_system,
+      std::string directory,
+      const LogOptions& options);
+
+  Result<void> ReadSegments(std::int64_t committed,
+                            std::vector<LogEntry>& entries);
+  Result<void> ReadSegment(Segment& segment,
+                           bool newest,
+                           std::int64_t committed,
+                           std::vector<LogEntry>& entries);
+  Result<void> HandleDamage(const Segment& segment,
+                            const std::string& bytes,
+                            std::int64_t offset,
+                            bool newest,
+                            std::int64_t committed);
+  Result<void> OpenCurrent();
+  Result<void> StartSegment();
+  Result<void> CutCurrent(std::int64_t from);
+
+  FileSystem& file_system_;
+  const std::string directory_;
+  const LogOptions options_;
+  std::vector<Segment> segments_;
+  std::unique_ptr<File> current_;
+  bool directory_changed_ = false;
+  std::int64_t next_ = 1;
+  std::int64_t durable_ = 0;
+};
+
+}  // namespace cranberryshunt::storage
+
+#endif  // CRANBERRYSHUNT_STORAGE_LOG_H_
--- /dev/null
+++ b/libraries/storage/src/encoding.h
@@ -0,0 +1,36 @@
+// Fixed-width little-endian fields of the files.
+#ifndef CRANBERRYSHUNT_STORAGE_ENCODING_H_
+#define CRANBERRYSHUNT_STORAGE_ENCODING_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cranberryshunt::storage {
+
+void PutUint32(std::string& out, std::uint32_t value);
+void PutInt64(std::string& out, std::int64_t value);
+void PutString(std::string& out, std::string_view value);
+
+std::uint32_t GetUint32(std::string_view bytes, std::size_t offset);
+std::int64_t GetInt64(std::string_view bytes, std::size_t offset);
+
+// Reads fields in order; after the end it returns zeros and ok() is false.
+class FieldReader {
+ public:
+  explicit FieldReader(std::string_view bytes) : bytes_(bytes) {}
+
+  std::int64_t Int64();
+  std::string String();
+  bool ok() const { return ok_; }
+  bool at_end() const { return ok_ && bytes_.empty(); }
+
+ private:
+  std::string_view bytes_;
+  bool ok_ = true;
+};
+
+}  // namespace cranberryshunt::storage
+
+#endif  // CRANBERRYSHUNT_STORAGE_ENCODING_H_
--- /dev/null
+++ b/libraries/storage/src/log.cc
@@ -0,0 +1,363 @@
+#include "cranberryshunt/storage/log.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstdio>
+#include <utility>
+
+#include "log_record.h"
+
+namespace cranberryshunt::storage {
+
+namespace {
+
+constexpr std::string_view kSuffix = ".log";
+
+std::string PathOf(const std::string& directory, std::int64_t first) {
+  std::array<char, 32> buf{};
+  const int n = std::snprintf(buf.data(), buf.size(), "%020lld",
+                              static_cast<long long>(first));
+  return directory + "/" +
+         std::string(buf.data(), static_cast<std::size_t>(n)) +
+         std::string(kSuffix);
+}
+
+std::string At(const std::string& path, std::int64_t offset) {
+  return path + " at offset " + std::to_string(offset);
+}
+
+// Returns whether a record after `offset` shows that `index` was durable.
+bool WasDurable(const std::string& bytes,
+                std::int64_t offset,
+                std::int64_t index) {
+  for (auto it = static_cast<std::size_t>(offset) + 1; it < bytes.size();
+       ++it) {
+    const auto record = DecodeRecord(bytes, it);
+    if (record && record->entry.index > index && record->durable >= index) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+Log::Log(FileSystem& file_system,
+         std::string directory,
+         const LogOptions& options)
+    : file_system_(file_system),
+      directory_(std::move(directory)),
+      options_(options) {}
+
+Result<std::unique_ptr<Log>> Log::Open(FileSystem& file_system,
+                                       std::string directory,
+                                       const LogOptions& options,
+                                       std::int64_t covered,
+                                       std::int64_t committed,
+                                       std::vector<LogEntry>& entries) {
+  if (auto made = file_system.CreateDirectories(directory); !made) {
+    return tl::unexpected(made.error());
+  }
+  std::unique_ptr<Log> log(new Log(file_system, std::move(directory), options));
+  log->next_ = covered + 1;
+  // Entries that the snapshot covers need not be readable.
+  const std::int64_t needed = committed > covered ? committed : 0;
+  if (auto read = log->ReadSegments(needed, entries); !read) {
+    return tl::unexpected(read.error());
+  }
+  if (!log->segments_.empty() && log->segments_.front().first > covered + 1) {
+    return Fail(ResultCode::kCorrupt, At(log->segments_.front().path, 0) +
+                                          ": the log starts after index " +
+                                          std::to_string(covered + 1));
+  }
+  if (needed > log->last_index()) {
+    const auto& segments = log->segments_;
+    return Fail(
+        ResultCode::kCorrupt,
+        (segments.empty() ? log->directory_ + ": no segments"
+                          : At(segments.back().path, segments.back().size)) +
+            ": the log ends before the committed index " +
+            std::to_string(needed));
+  }
+  if (auto opened = log->OpenCurrent(); !opened) {
+    return tl::unexpected(opened.error());
+  }
+  log->durable_ = log->last_index();
+  return log;
+}
+
+Result<void> Log::ReadSegments(std::int64_t committed,
+                               std::vector<LogEntry>& entries) {
+  const auto names = file_system_.List(directory_);
+  if (!names) {
+    return tl::unexpected(names.error());
+  }
+  for (const auto& name : *names) {
+    if (name.ends_with(kSuffix)) {
+      Segment segment;
+      segment.first = std::atoll(name.c_str());
+      segment.path = directory_ + "/" + name;
+      segments_.push_back(std::move(segment));
+    }
+  }
+  std::sort(segments_.begin(), segments_.end(),
+            [](const auto& left, const auto& right) {
+              return left.first < right.first;
+            });
+  for (std::size_t i = 0; i < segments_.size(); ++i) {
+    auto& segment = segments_[i];
+    if (i > 0 && segment.first != next_) {
+      return Fail(ResultCode::kCorrupt,
+                  At(segment.path, 0) + ": expected index " +
+                      std::to_string(next_) + "; a segment is missing");
+    }
+    next_ = segment.first;
+    if (auto read =
+            ReadSegment(segment, i + 1 == segments_.size(), committed, entries);
+        !read) {
+      return read;
+    }
+  }
+  return {};
+}
+
+Result<void> Log::ReadSegment(Segment& segment,
+                              bool newest,
+                              std::int64_t committed,
+                              std::vector<LogEntry>& entries) {
+  const auto bytes = file_system_.Read(segment.path);
+  if (!bytes) {
+    return tl::unexpected(bytes.error());
+  }
+  if (!IsSegmentHeader(*bytes, segment.first)) {
+    return HandleDamage(segment, *bytes, 0, newest, committed);
+  }
+  segment.size = kSegmentHeaderBytes;
+  while (segment.size < static_cast<std::int64_t>(bytes->size())) {
+    auto record = DecodeRecord(*bytes, static_cast<std::size_t>(segment.size));
+    if (!record || record->entry.index != next_) {
+      return HandleDamage(segment, *bytes, segment.size, newest, committed);
+    }
+    segment.offsets.push_back(segment.size);
+    segment.size += static_cast<std::int64_t>(record->size);
+    entries.push_back(std::move(record->entry));
+    ++next_;
+  }
+  return {};
+}
+
+Result<void> Log::HandleDamage(const Segment& segment,
+                               const std::string& bytes,
+                               std::int64_t offset,
+                               bool newest,
+                               std::int64_t committed) {
+  // A segment is durable before the next one is created.
+  if (!newest || next_ <= committed || WasDurable(bytes, offset, next_)) {
+    return Fail(ResultCode::kCorrupt, At(segment.path, offset) + ": entry " +
+                                          std::to_string(next_) +
+                                          " is damaged, but was durable");
+  }
+  return {};
+}
+
+Result<void> Log::OpenCurrent() {
+  if (segments_.empty()) {
+    return {};
+  }
+  auto& segment = segments_.back();
+  auto file = file_system_.OpenForAppend(segment.path);
+  if (!file) {
+    return tl::unexpected(file.error());
+  }
+  current_ = std::move(*file);
+  if (segment.size == 0) {
+    // The header is torn, so the file never held a durable entry.
+    const auto path = segment.path;
+    segments_.pop_back();
+    current_.reset();
+    if (auto removed = file_system_.Remove(path); !removed) {
+      return removed;
+    }
+    if (auto synced = file_system_.SyncDirectory(directory_); !synced) {
+      return synced;
+    }
+    return OpenCurrent();
+  }
+  if (current_->size() > segment.size) {
+    if (auto cut = current_->Truncate(segment.size); !cut) {
+      return cut;
+    }
+  }
+  // What was read may still be only in the page cache after a process crash.
+  if (auto synced = current_->Sync(); !synced) {
+    return synced;
+  }
+  return file_system_.SyncDirectory(directory_);
+}
+
+Result<void> Log::StartSegment() {
+  if (auto synced = Sync(); !synced) {
+    return synced;
+  }
+  Segment segment;
+  segment.first = next_;
+  segment.path = PathOf(directory_, next_);
+  auto file = file_system_.OpenForAppend(segment.path);
+  if (!file) {
+    return tl::unexpected(file.error());
+  }
+  // An earlier attempt may have failed when the disk was full.
+  if (auto cut = (*file)->Truncate(0); !cut) {
+    return cut;
+  }
+  if (auto written = (*file)->Append(EncodeSegmentHeader(next_)); !written) {
+    (void)file_system_.Remove(segment.path);
+    return written;
+  }
+  segment.size = kSegmentHeaderBytes;
+  current_ = std::move(*file);
+  segments_.push_back(std::move(segment));
+  directory_changed_ = true;
+  return {};
+}
+
+Result<void> Log::Append(std::span<const LogEntry> entries) {
+  if (entries.empty()) {
+    return {};
+  }
+  assert(entries.front().index == next_);
+  if (!current_ || segments_.back().size >= options_.segment_bytes) {
+    if (auto started = StartSegment(); !started) {
+      return started;
+    }
+  }
+  auto& segment = segments_.back();
+  std::string buf;
+  std::vector<std::int64_t> offsets;
+  offsets.reserve(entries.size());
+  for (const auto& it : entries) {
+    offsets.push_back(segment.size + static_cast<std::int64_t>(buf.size()));
+    AppendRecord(buf, it, durable_);
+  }
+  if (auto written = current_->Append(buf); !written) {
+    if (auto cut = current_->Truncate(segment.size); !cut) {
+      return cut;
+    }
+    return written;
+  }
+  segment.size += static_cast<std::int64_t>(buf.size());
+  segment.offsets.insert(segment.offsets.end(), offsets.begin(), offsets.end());
+  next_ += static_cast<std::int64_t>(entries.size());
+  return {};
+}
+
+Result<void> Log::Sync() {
+  if (current_ && durable_ < last_index()) {
+    if (auto synced = current_->Sync(); !synced) {
+      return synced;
+    }
+  }
+  if (directory_changed_) {
+    if (auto synced = file_system_.SyncDirectory(directory_); !synced) {
+      return synced;
+    }
+    directory_changed_ = false;
+  }
+  durable_ = last_index();
+  return {};
+}
+
+Result<void> Log::CutCurrent(std::int64_t from) {
+  auto& segment = segments_.back();
+  const auto keep = static_cast<std::size_t>(from - segment.first);
+  if (keep >= segment.offsets.size()) {
+    return {};
+  }
+  if (auto cut = current_->Truncate(segment.offsets[keep]); !cut) {
+    return cut;
+  }
+  segment.size = segment.offsets[keep];
+  segment.offsets.resize(keep);
+  return current_->Sync();
+}
+
+Result<void> Log::TruncateSuffix(std::int64_t from) {
+  if (from >= next_) {
+    return {};
+  }
+  // Newest first and each removal synced, so that a crash leaves consecutive
+  // entries.
+  while (!segments_.empty() && segments_.back().first >= from) {
+    if (auto removed = file_system_.Remove(segments_.back().path); !removed) {
+      return removed;
+    }
+    segments_.pop_back();
+    current_.reset();
+    if (auto synced = file_system_.SyncDirectory(directory_); !synced) {
+      return synced;
+    }
+  }
+  if (!segments_.empty()) {
+    if (!current_) {
+      auto file = file_system_.OpenForAppend(segments_.back().path);
+      if (!file) {
+        return tl::unexpected(file.error());
+      }
+      current_ = std::move(*file);
+    }
+    if (auto cut = CutCurrent(from); !cut) {
+      return cut;
+    }
+  }
+  next_ = from;
+  durable_ = std::min(durable_, from - 1);
+  return {};
+}
+
+Result<void> Log::DropPrefix(std::int64_t through) {
+  // Oldest first and each removal synced, so that a crash leaves consecutive
+  // entries.
+  while (segments_.size() > 1 && segments_.front().next() <= through + 1) {
+    if (auto removed = file_system_.Remove(segments_.front().path); !removed) {
+      return removed;
+    }
+    if (auto synced = file_system_.SyncDirectory(directory_); !synced) {
+      return synced;
+    }
+    segments_.erase(segments_.begin());
+  }
+  return {};
+}
+
+Result<void> Log::Reset(std::int64_t next) {
+  if (!segments_.empty()) {
+    if (auto cut = TruncateSuffix(segments_.front().first); !cut) {
+      return cut;
+    }
+    // A segment without entries is not reached by the truncation.
+    for (; !segments_.empty(); segments_.pop_back()) {
+      current_.reset();
+      if (auto removed = file_system_.Remove(segments_.back().path); !removed) {
+        return removed;
+      }
+    }
+  }
+  next_ = next;
+  durable_ = next - 1;
+  return file_system_.SyncDirectory(directory_);
+}
+
+Result<void> Log::RollBack() {
+  if (current_ && current_->size() > segments_.back().size) {
+    if (auto cut = current_->Truncate(segments_.back().size); !cut) {
+      return cut;
+    }
+  }
+  if (auto cut = TruncateSuffix(durable_ + 1); !cut) {
+    return cut;
+  }
+  return current_ ? current_->Sync() : Result<void>();
+}
+
+}  // namespace cranberryshunt::storage
