--- /dev/null
+++ b/libraries/consensus/include/cranberryshunt/consensus/raft.h
@@ -0,0 +1,275 @@
+// The Raft algorithm without I/O, threads or a clock.
+//
+// Identity of members. A member is an id together with the identity of its
+// disk. Votes and acknowledgements count only when they come from the disk that
+// the current membership names, so that a replica whose disk was replaced can
+// never take part under the old one.
+//
+// Bootstrap. The replicas of a new cluster do not know each other's disks, so
+// the bootstrap membership lists voters without disk identities. As long as a
+// candidate's membership has such voters, it needs the votes of all of them.
+// The first leader takes the identities from these votes and writes the bound
+// membership as the first entry of the log; from then on a majority of the
+// bound disks decides. Once that entry is committed, a majority holds it and
+// refuses every candidate without it, so no second bootstrap can succeed, even
+// when hosts are emptied and started with the bootstrap setting again. The
+// price is that a new cluster starts only when all its voters are up.
+//
+// A replica whose disk the membership does not name is a learner in waiting. It
+// accepts entries, and neither campaigns nor votes. It may vote when a
+// membership that names its disk as a voter reaches it, in its log or with the
+// candidate's request for a vote; without the latter, a cluster that loses a
+// host right after a promotion could not elect a leader.
+#ifndef CRANBERRYSHUNT_CONSENSUS_RAFT_H_
+#define CRANBERRYSHUNT_CONSENSUS_RAFT_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cranberryshunt/base/result.h"
+#include "cranberryshunt/consensus/raft_log.h"
+#include "cranberryshunt/storage/hard_state.h"
+#include "wire_types.h"
+
+namespace cranberryshunt::consensus {
+
+enum class Role { kFollower, kCandidate, kLeader, kLearner };
+
+struct RaftOptions {
+  std::string id;
+  std::string disk_identity;
+  std::int64_t heartbeat_ms = 50;
+  std::int64_t election_timeout_ms = 500;
+  std::size_t max_batch_bytes = 1 << 20;
+  // Entries sent to a follower and not yet acknowledged.
+  std::size_t max_inflight_bytes = 2 << 20;
+  std::size_t snapshot_chunk_bytes = 256 << 10;
+  // Entries kept before a snapshot, so that a follower that is a little behind
+  // does not need the whole snapshot.
+  std::int64_t trailing_entries = 4096;
+  std::uint64_t seed = 1;
+};
+
+struct SnapshotState {
+  std::int64_t index = 0;
+  std::int64_t term = 0;
+  wire::Membership membership;
+  std::string data;
+};
+
+// What a replica finds in its folder.
+struct RaftStart {
+  storage::HardState hard_state;
+  std::shared_ptr<const SnapshotState> snapshot;  // May be null.
+  std::vector<storage::LogEntry> entries;
+  // Membership of a new cluster; without members when the replica waits to be
+  // added.
+  wire::Membership bootstrap;
+  // Entries up to this index were already delivered.
+  std::int64_t applied = 0;
+};
+
+// What is to be done after input was handled, in this order: send `early`
+// (after writing and before syncing the entries), make everything durable, call
+// Raft::Persisted and send `late`.
+struct RaftOutput {
+  std::optional<storage::HardState> hard_state;
+  std::shared_ptr<const SnapshotState> snapshot;  // Received; may be null.
+  // The log does not continue the snapshot and is to be emptied.
+  bool reset_log = false;
+  std::optional<std::int64_t> truncate_from;
+  std::vector<storage::LogEntry> entries;
+  std::vector<wire::RaftMessage> early;
+  std::vector<wire::RaftMessage> late;
+};
+
+// All times are milliseconds of the replica's own boot clock.
+class Raft {
+ public:
+  Raft(RaftOptions options, RaftStart start, std::int64_t now_ms);
+
+  void Tick(std::int64_t now_ms);
+  void Step(wire::RaftMessage message, std::int64_t now_ms);
+
+  // Returns the index of the new entry, or kNotLeader.
+  Result<std::int64_t> Propose(std::string data);
+  // Returns the index of the membership entry, 0 when there is nothing to
+  // change, or kNotLeader, kNotReady (a change is in progress) or
+  // kInvalidField.
+  Result<std::int64_t> ChangeMembership(const wire::MembershipChange& change);
+  // Hands leadership to the most advanced voter, or gives it up when that takes
+  // longer than `timeout_ms`.
+  Result<void> TransferLeadership(std::int64_t timeout_ms);
+  // Returns the snapshot at `index` for the given state, or nothing when there
+  // already is one or the index was not delivered yet. Compact() is called once
+  // it is stored.
+  std::shared_ptr<const SnapshotState> MakeSnapshot(std::int64_t index,
+                                                    std::string data) const;
+  void Compact(std::shared_ptr<const SnapshotState> snapshot);
+
+  RaftOutput TakeOutput();
+  // Everything in the last output is durable.
+  void Persisted();
+  // Entries that are committed and durable here and were not returned before.
+  std::vector<storage::LogEntry> TakeCommitted();
+  bool HasOutput() const;
+
+  Role role() const { return role_; }
+  std::int64_t term() const { return hard_state_.term; }
+  const std::string& leader_id() const { return leader_id_; }
+  std::string LeaderAddress() const;
+  // Whether this is the leader and an entry of its own term is committed.
+  bool IsReadyLeader() const;
+  // End of the leader lease; 0 without one.
+  std::int64_t LeaseUntil() const;
+  std::int64_t commit_index() const { return commit_; }
+  std::int64_t applied_index() const { return applied_; }
+  std::int64_t durable_index() const { return durable_; }
+  const RaftLog& log() const { return log_; }
+  const std::shared_ptr<const SnapshotState>& snapshot() const {
+    return snapshot_;
+  }
+  // With a commit hint that is true now.
+  storage::HardState CurrentHardState() const;
+  const wire::Membership& membership() const;
+  // Members by the log and, where these lack the leader, those it told of.
+  wire::Membership Contacts() const;
+
+ private:
+  enum class ProgressState { kProbe, kReplicate, kSnapshot };
+
+  struct Inflight {
+    std::int64_t last = 0;
+    std::size_t bytes = 0;
+  };
+
+  // What the leader knows of a peer.
+  struct Progress {
+    std::string disk;
+    ProgressState state = ProgressState::kProbe;
+    std::int64_t match = 0;
+    std::int64_t next = 1;
+    std::vector<Inflight> inflight;
+    std::size_t inflight_bytes = 0;
+    std::int64_t sent_at = 0;   // Last append or chunk of any kind.
+    std::int64_t chunk_at = 0;  // Last chunk of a snapshot.
+    std::int64_t ack_sent = 0;  // Sending time of the last acknowledged one.
+    bool waiting = false;       // A probe or a chunk is not answered yet.
+    std::shared_ptr<const SnapshotState> snapshot;
+    std::size_t offset = 0;
+    std::int64_t round_target = 0;  // Of the catch-up of a learner.
+    std::int64_t round_start = 0;
+  };
+
+  struct Config {
+    std::int64_t index = 0;
+    wire::Membership membership;
+  };
+
+  struct IncomingSnapshot {
+    std::int64_t index = 0;
+    std::int64_t term = 0;
+    std::string data;
+  };
+
+  // raft.cc
+  void Restore(RaftStart start);
+  bool IsStale(const wire::RaftMessage& message);
+  bool AdoptsTerm(const wire::RaftMessage& message) const;
+  void Dispatch(wire::RaftMessage& message);
+  wire::RaftMessage MakeMessage(wire::RaftMessageType::type type,
+                                const std::string& receiver) const;
+  wire::RaftMessage MakeReply(wire::RaftMessageType::type type,
+                              const wire::RaftMessage& message) const;
+  void AppendEntry(std::int32_t type, std::string data);
+  void AddConfig(const storage::LogEntry& entry);
+  void TruncateFrom(std::int64_t index);
+
+  // raft_election.cc
+  void BecomeFollower(std::int64_t term, const std::string& leader);
+  void UpdateFollowerRole();
+  void ResetElectionTimer();
+  void StartPreVote();
+  void StartVote(bool forced);
+  void BecomeLeader();
+  void RequestVotes(wire::RaftMessageType::type type, bool forced);
+  void CountVote(const std::string& voter, const std::string& disk);
+  bool HeardLeader() const;
+  bool MayVoteFor(const wire::RaftMessage& message) const;
+  bool IsUpToDate(const wire::RaftMessage& message) const;
+  void OnPreVote(const wire::RaftMessage& message);
+  void OnVote(const wire::RaftMessage& message);
+  void OnVoteReply(const wire::RaftMessage& message);
+  void OnTimeoutNow(const wire::RaftMessage& message);
+  void TickTransfer();
+  std::int64_t QuorumAckTime(std::int64_t unknown) const;
+
+  // raft_replication.cc
+  void SendHeartbeats();
+  void SendAppends();
+  void SendAppend(const std::string& id, Progress& progress, bool heartbeat);
+  void SendToPeer(const std::string& id, Progress& progress);
+  void Acknowledge(Progress& progress, std::int64_t match);
+  void ToProbe(Progress& progress);
+  void OnAppend(wire::RaftMessage& message);
+  void AppendFrom(std::vector<wire::LogEntry>& entries, std::size_t first);
+  void OnAppendReply(const wire::RaftMessage& message);
+  void MaybeCommit();
+
+  // raft_snapshot.cc
+  void StartSnapshot(Progress& progress);
+  void SendChunk(const std::string& id, Progress& progress);
+  void OnSnapshotChunk(wire::RaftMessage& message);
+  void OnSnapshotReply(const wire::RaftMessage& message);
+  void Install(std::shared_ptr<const SnapshotState> snapshot);
+
+  // raft_membership.cc
+  Result<void> CheckMembershipChange() const;
+  Result<wire::Membership> Changed(const wire::MembershipChange& change) const;
+  void SyncProgress();
+  void OnOtherDisk(const wire::RaftMessage& message,
+                   const wire::Member& member);
+  void PromoteLearners();
+  bool HasCaughtUp(Progress& progress);
+  Progress* FindProgress(const wire::RaftMessage& message);
+
+  const RaftOptions options_;
+  std::mt19937_64 random_;
+  std::int64_t now_ = 0;
+
+  storage::HardState hard_state_;
+  RaftLog log_;
+  std::vector<Config> configs_;
+  std::shared_ptr<const SnapshotState> snapshot_;
+  std::int64_t commit_ = 0;
+  std::int64_t applied_ = 0;
+  std::int64_t durable_ = 0;     // In storage, synced.
+  std::int64_t handed_out_ = 0;  // Given out with TakeOutput().
+
+  Role role_ = Role::kFollower;
+  std::string leader_id_;
+  wire::Membership leader_membership_;
+  std::int64_t heard_at_ = 0;  // When a leader was last heard.
+  std::int64_t election_at_ = 0;
+  bool pre_voting_ = false;
+  std::map<std::string, std::string> votes_;  // Disk identities by id.
+
+  std::map<std::string, Progress> progress_;
+  std::int64_t leader_since_ = 0;
+  std::int64_t term_start_ = 0;      // First index of the leader's term.
+  std::int64_t transfer_until_ = 0;  // 0 without a transfer.
+  bool transfer_sent_ = false;
+  IncomingSnapshot incoming_;
+
+  RaftOutput output_;
+  bool hard_state_changed_ = false;
+};
+
+}  // namespace cranberryshunt::consensus
+
+#endif  // CRANBERRYSHUNT_CONSENSUS_RAFT_H_
--- a/libraries/consensus/include/cranberryshunt/consensus/replica.h
+++ b/libraries/consensus/include/cranberryshunt/consensus/replica.h
@@ -11,6 +11,7 @@
 
 #include "cranberryshunt/base/clock.h"
 #include "cranberryshunt/base/result.h"
+#include "cranberryshunt/consensus/raft.h"
 #include "wire_types.h"
 
 namespace cranberryshunt::storage {
@@ -19,8 +20,6 @@
 
 namespace cranberryshunt::consensus {
 
-enum class Role { kFollower, kCandidate, kLeader, kLearner };
-
 struct RoleChange {
   Role role = Role::kFollower;
   std::int64_t term = 0;
@@ -44,14 +43,18 @@
  public:
   virtual ~ReplicaObserver() = default;
 
+  // Only commands are delivered; membership and empty entries leave gaps in the
+  // indexes. After a restart delivery starts after the snapshot.
   virtual void OnCommitted(std::vector<CommittedEntry> entries) = 0;
   // The state is to be replaced by a snapshot that covers the log up to and
-  // including `index`.
+  // including `index`. Also called at the start when the folder has one.
   virtual void OnSnapshot(std::int64_t index, std::string data) = 0;
   // A new leader is announced only after an entry of its own term was
   // committed, so that its state is complete.
   virtual void OnRoleChange(const RoleChange& change) = 0;
-  // The data folder failed; the replica has stopped voting and proposing.
+  // The data folder failed; the replica has stopped voting and proposing. After
+  // kStorageFull it continues by itself once there is space again, which a
+  // later OnRoleChange() tells; other failures need a restart.
   virtual void OnStorageFailure(const Error& error) = 0;
 };
 
@@ -63,6 +66,8 @@
   virtual void Send(std::vector<wire::RaftMessage> messages) = 0;
   // Tells the transport the addresses of the current members.
   virtual void SetMembers(const wire::Membership& membership) = 0;
+  // Bytes of the messages that were handed to the network.
+  virtual std::int64_t bytes_sent() const { return 0; }
 };
 
 struct ReplicaOptions {
@@ -80,6 +85,9 @@
   std::chrono::milliseconds election_timeout{500};
   std::size_t max_batch_bytes = 1 << 20;
   std::size_t max_proposals_in_flight = 16'384;
+  std::size_t max_proposal_bytes_in_flight = 64 << 20;
+  // Proposals and messages that one sync covers.
+  std::size_t max_batch_items = 4'096;
 };
 
 struct ReplicaStats {
@@ -93,9 +101,11 @@
 
 class Replica {
  public:
-  // Called once, on the consensus thread: the index of the committed entry, or
-  // an error. With kTimeout or kNotLeader the entry may still be committed
-  // later.
+  // Called once, on the consensus thread, after OnCommitted() of the entry: its
+  // index, or an error. With kTimeout, kNotLeader, kIoError or kShuttingDown
+  // the entry may still be committed later; with kStorageFull or kQueueFull it
+  // never will. kQueueFull, and kShuttingDown after the end of the thread, are
+  // reported on the calling thread.
   using ProposalCallback = std::function<void(Result<std::int64_t>)>;
 
   // Opens the data folder and starts the consensus thread. Fails with kCorrupt,
--- /dev/null
+++ b/libraries/consensus/src/raft.cc
@@ -0,0 +1,334 @@
+#include "cranberryshunt/consensus/raft.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "cranberryshunt/wire/codec.h"
+#include "membership.h"
+
+namespace cranberryshunt::consensus {
+
+using wire::RaftMessageType;
+
+Raft::Raft(RaftOptions options, RaftStart start, std::int64_t now_ms)
+    : options_(std::move(options)), random_(options_.seed), now_(now_ms) {
+  Restore(std::move(start));
+  ResetElectionTimer();
+  // The replica may have heard a leader right before it stopped, and that
+  // leader may count on its lease.
+  heard_at_ = hard_state_.term > 0 ? now_ : now_ - options_.election_timeout_ms;
+  UpdateFollowerRole();
+}
+
+void Raft::Restore(RaftStart start) {
+  hard_state_ = std::move(start.hard_state);
+  snapshot_ = std::move(start.snapshot);
+  if (snapshot_) {
+    log_.Reset(snapshot_->index, snapshot_->term);
+    configs_.push_back({snapshot_->index, snapshot_->membership});
+  } else {
+    configs_.push_back({0, std::move(start.bootstrap)});
+  }
+  for (auto& it : start.entries) {
+    if (it.index > log_.last_index()) {
+      AddConfig(it);
+      log_.Append(std::move(it));
+    }
+  }
+  durable_ = log_.last_index();
+  handed_out_ = durable_;
+  applied_ = std::max(start.applied, log_.base_index());
+  commit_ = std::max(applied_, std::min(hard_state_.commit_hint, durable_));
+}
+
+const wire::Membership& Raft::membership() const {
+  return configs_.back().membership;
+}
+
+wire::Membership Raft::Contacts() const {
+  wire::Membership contacts = membership();
+  for (const auto& it : leader_membership_.members) {
+    if (FindMember(contacts, it.id) == nullptr) {
+      contacts.members.push_back(it);
+    }
+  }
+  return contacts;
+}
+
+std::string Raft::LeaderAddress() const {
+  const auto contacts = Contacts();
+  const auto* member = FindMember(contacts, leader_id_);
+  return member == nullptr ? std::string() : member->address;
+}
+
+bool Raft::IsReadyLeader() const {
+  return role_ == Role::kLeader && commit_ >= term_start_;
+}
+
+std::int64_t Raft::LeaseUntil() const {
+  // Once it told another replica to start an election, this leader can be
+  // replaced at any time.
+  if (!IsReadyLeader() || transfer_sent_) {
+    return 0;
+  }
+  const auto acknowledged = QuorumAckTime(0);
+  const auto drift = options_.election_timeout_ms / 10;
+  return acknowledged == 0
+             ? 0
+             : acknowledged + options_.election_timeout_ms - drift;
+}
+
+void Raft::Tick(std::int64_t now_ms) {
+  now_ = std::max(now_, now_ms);
+  if (role_ == Role::kLeader) {
+    if (QuorumAckTime(leader_since_) + options_.election_timeout_ms < now_) {
+      BecomeFollower(hard_state_.term, {});
+      return;
+    }
+    TickTransfer();
+    if (role_ == Role::kLeader) {
+      PromoteLearners();
+      SendHeartbeats();
+    }
+    return;
+  }
+  if (!leader_id_.empty() &&
+      now_ - heard_at_ > 2 * options_.election_timeout_ms) {
+    leader_id_.clear();
+  }
+  UpdateFollowerRole();
+  const bool alone = CountVoters(membership()) == 1;
+  if (role_ != Role::kLearner && (alone || now_ >= election_at_)) {
+    StartPreVote();
+  }
+}
+
+// Returns whether a message is from an older term; the sender of a request is
+// told of the current one.
+bool Raft::IsStale(const wire::RaftMessage& message) {
+  if (message.term >= hard_state_.term) {
+    return false;
+  }
+  switch (message.type) {
+    case RaftMessageType::kAppend:
+    case RaftMessageType::kSnapshotChunk:
+      output_.late.push_back(MakeReply(RaftMessageType::kAppendReply, message));
+      break;
+    case RaftMessageType::kPreVote:
+      output_.late.push_back(
+          MakeReply(RaftMessageType::kPreVoteReply, message));
+      break;
+    case RaftMessageType::kVote:
+      output_.late.push_back(MakeReply(RaftMessageType::kVoteReply, message));
+      break;
+    default:
+      break;
+  }
+  return true;
+}
+
+// Returns whether the higher term of `message` is adopted before it is handled.
+bool Raft::AdoptsTerm(const wire::RaftMessage& message) const {
+  switch (message.type) {
+    case RaftMessageType::kAppend:
+    case RaftMessageType::kSnapshotChunk:
+      return true;
+    case RaftMessageType::kPreVoteReply:
+      if (message.accepted) {
+        return false;
+      }
+      break;
+    case RaftMessageType::kVoteReply:
+    case RaftMessageType::kAppendReply:
+    case RaftMessageType::kSnapshotReply:
+      break;
+    default:
+      return false;
+  }
+  const auto* member = FindMember(membership(), message.sender);
+  return member != nullptr && (member->disk_identity.empty() ||
+                               member->disk_identity == message.sender_disk);
+}
+
+void Raft::Step(wire::RaftMessage message, std::int64_t now_ms) {
+  now_ = std::max(now_, now_ms);
+  if (message.receiver != options_.id || IsStale(message)) {
+    return;
+  }
+  if (message.term > hard_state_.term && AdoptsTerm(message)) {
+    BecomeFollower(message.term, {});
+  }
+  Dispatch(message);
+}
+
+void Raft::Dispatch(wire::RaftMessage& message) {
+  switch (message.type) {
+    case RaftMessageType::kPreVote:
+      return OnPreVote(message);
+    case RaftMessageType::kVote:
+      return OnVote(message);
+    case RaftMessageType::kPreVoteReply:
+    case RaftMessageType::kVoteReply:
+      return OnVoteReply(message);
+    case RaftMessageType::kAppend:
+      return OnAppend(message);
+    case RaftMessageType::kAppendReply:
+      return OnAppendReply(message);
+    case RaftMessageType::kSnapshotChunk:
+      return OnSnapshotChunk(message);
+    case RaftMessageType::kSnapshotReply:
+      return OnSnapshotReply(message);
+    case RaftMessageType::kTimeoutNow:
+      return OnTimeoutNow(message);
+  }
+}
+
+wire::RaftMessage Raft::MakeMessage(RaftMessageType::type type,
+                                    const std::string& receiver) const {
+  wire::RaftMessage message;
+  message.type = type;
+  message.sender = options_.id;
+  message.sender_disk = options_.disk_identity;
+  message.receiver = receiver;
+  message.term = hard_state_.term;
+  message.sent_at_ms = now_;
+  return message;
+}
+
+wire::RaftMessage Raft::MakeReply(RaftMessageType::type type,
+                                  const wire::RaftMessage& message) const {
+  auto reply = MakeMessage(type, message.sender);
+  reply.sent_at_ms = message.sent_at_ms;
+  reply.log_index = message.log_index;
+  // Asks the leader to replace another disk identity of this replica.
+  const auto& known =
+      leader_membership_.members.empty() ? membership() : leader_membership_;
+  const auto* self = FindMember(known, options_.id);
+  reply.last =
+      self == nullptr || (!self->disk_identity.empty() &&
+                          self->disk_identity != options_.disk_identity);
+  return reply;
+}
+
+Result<std::int64_t> Raft::Propose(std::string data) {
+  if (role_ != Role::kLeader || transfer_until_ != 0) {
+    return Fail(ResultCode::kNotLeader, "this controller is not the leader");
+  }
+  AppendEntry(kCommandEntry, std::move(data));
+  return log_.last_index();
+}
+
+void Raft::AppendEntry(std::int32_t type, std::string data) {
+  storage::LogEntry entry;
+  entry.index = log_.last_index() + 1;
+  entry.term = hard_state_.term;
+  entry.type = type;
+  entry.data = std::move(data);
+  AddConfig(entry);
+  log_.Append(std::move(entry));
+}
+
+void Raft::AddConfig(const storage::LogEntry& entry) {
+  if (entry.type != kMembershipEntry) {
+    return;
+  }
+  auto membership = wire::Decode<wire::Membership>(entry.data);
+  // The entry was checked against its checksum, so this is an invariant.
+  assert(membership.has_value());
+  configs_.push_back({entry.index, std::move(*membership)});
+}
+
+void Raft::TruncateFrom(std::int64_t index) {
+  assert(index > commit_);
+  log_.TruncateFrom(index);
+  while (configs_.back().index >= index) {
+    configs_.pop_back();
+  }
+  if (index <= handed_out_) {
+    output_.truncate_from =
+        std::min(output_.truncate_from.value_or(index), index);
+    handed_out_ = index - 1;
+    durable_ = std::min(durable_, handed_out_);
+  }
+}
+
+std::shared_ptr<const SnapshotState> Raft::MakeSnapshot(
+    std::int64_t index,
+    std::string data) const {
+  const bool exists = snapshot_ && snapshot_->index >= index;
+  if (exists || index > applied_ || !log_.TermAt(index)) {
+    return nullptr;
+  }
+  auto snapshot = std::make_shared<SnapshotState>();
+  snapshot->index = index;
+  snapshot->term = *log_.TermAt(index);
+  snapshot->data = std::move(data);
+  for (const auto& it : configs_) {
+    if (it.index <= index) {
+      snapshot->membership = it.membership;
+    }
+  }
+  return snapshot;
+}
+
+void Raft::Compact(std::shared_ptr<const SnapshotState> snapshot) {
+  snapshot_ = std::move(snapshot);
+  const auto through = snapshot_->index - options_.trailing_entries;
+  if (through > log_.base_index()) {
+    log_.DropThrough(through);
+  }
+  while (configs_.size() > 1 && configs_[1].index <= snapshot_->index) {
+    configs_.erase(configs_.begin());
+  }
+}
+
+RaftOutput Raft::TakeOutput() {
+  if (role_ == Role::kLeader) {
+    SendAppends();
+  }
+  if (hard_state_changed_) {
+    output_.hard_state = CurrentHardState();
+    hard_state_changed_ = false;
+    // A leader that was elected by itself alone must not be heard of before its
+    // term is durable.
+    std::move(output_.early.begin(), output_.early.end(),
+              std::back_inserter(output_.late));
+    output_.early.clear();
+  }
+  if (handed_out_ < log_.last_index()) {
+    output_.entries = log_.Slice(handed_out_ + 1, SIZE_MAX);
+    handed_out_ = log_.last_index();
+  }
+  return std::exchange(output_, {});
+}
+
+storage::HardState Raft::CurrentHardState() const {
+  auto state = hard_state_;
+  state.commit_hint = std::min(commit_, durable_);
+  return state;
+}
+
+bool Raft::HasOutput() const {
+  return hard_state_changed_ || handed_out_ < log_.last_index() ||
+         output_.snapshot || output_.truncate_from || !output_.early.empty() ||
+         !output_.late.empty();
+}
+
+void Raft::Persisted() {
+  durable_ = handed_out_;
+  if (role_ == Role::kLeader) {
+    MaybeCommit();
+  }
+}
+
+std::vector<storage::LogEntry> Raft::TakeCommitted() {
+  std::vector<storage::LogEntry> entries;
+  const auto through = std::min(commit_, durable_);
+  while (applied_ < through) {
+    entries.push_back(log_.At(++applied_));
+  }
+  return entries;
+}
+
+}  // namespace cranberryshunt::consensus
--- /dev/null
+++ b/libraries/consensus/src/raft_membership.cc
@@ -0,0 +1,176 @@
+#include <algorithm>
+#include <utility>
+
+#include "cranberryshunt/consensus/raft.h"
+#include "cranberryshunt/wire/codec.h"
+#include "membership.h"
+
+namespace cranberryshunt::consensus {
+
+Result<void> Raft::CheckMembershipChange() const {
+  if (role_ != Role::kLeader) {
+    return Fail(ResultCode::kNotLeader, "this controller is not the leader");
+  }
+  // Before an entry of its own term is committed, a leader may not know of the
+  // change that its predecessor committed last.
+  if (!IsReadyLeader() || transfer_until_ != 0) {
+    return Fail(ResultCode::kNotReady, "the leader is not ready yet");
+  }
+  if (configs_.back().index > commit_) {
+    return Fail(ResultCode::kNotReady,
+                "another membership change is not committed yet");
+  }
+  return {};
+}
+
+Result<wire::Membership> Raft::Changed(
+    const wire::MembershipChange& change) const {
+  auto next = membership();
+  auto* old = FindMember(next, change.member.id);
+  if (change.member.id.empty()) {
+    return Fail(ResultCode::kInvalidField, "the member has no id", "member.id");
+  }
+  const bool same_disk =
+      old != nullptr && (change.member.disk_identity.empty() ||
+                         change.member.disk_identity == old->disk_identity);
+  const bool keeps_vote =
+      same_disk && !change.remove && (change.member.voter || !old->voter);
+  if (change.member.id == options_.id && !keeps_vote) {
+    return Fail(ResultCode::kInvalidField,
+                "transfer leadership before changing the leader", "member.id");
+  }
+  if (change.remove) {
+    std::erase_if(next.members,
+                  [&](const auto& it) { return it.id == change.member.id; });
+    return next;
+  }
+  if (change.member.address.empty()) {
+    return Fail(ResultCode::kInvalidField, "the member has no address",
+                "member.address");
+  }
+  if (old == nullptr) {
+    next.members.emplace_back();
+    old = &next.members.back();
+  }
+  const std::string disk = old->disk_identity;
+  const bool was_voter = old->voter;
+  *old = change.member;
+  old->disk_identity = same_disk ? disk : change.member.disk_identity;
+  // A new disk starts as a learner and is promoted once it has caught up.
+  old->voter = change.member.voter && was_voter && same_disk;
+  old->promote = change.member.voter && !old->voter;
+  return next;
+}
+
+Result<std::int64_t> Raft::ChangeMembership(
+    const wire::MembershipChange& change) {
+  if (auto ready = CheckMembershipChange(); !ready) {
+    return tl::unexpected(ready.error());
+  }
+  auto next = Changed(change);
+  if (!next) {
+    return tl::unexpected(next.error());
+  }
+  if (*next == membership()) {
+    return 0;
+  }
+  AppendEntry(kMembershipEntry, wire::Encode(*next));
+  SyncProgress();
+  return log_.last_index();
+}
+
+void Raft::SyncProgress() {
+  std::map<std::string, Progress> next;
+  for (const auto& it : membership().members) {
+    if (it.id == options_.id) {
+      continue;
+    }
+    const auto old = progress_.find(it.id);
+    if (old != progress_.end() && old->second.disk == it.disk_identity) {
+      next[it.id] = std::move(old->second);
+      continue;
+    }
+    auto& progress = next[it.id];
+    progress.disk = it.disk_identity;
+    progress.next = log_.last_index() + 1;
+  }
+  progress_ = std::move(next);
+}
+
+// Returns what the leader knows of the sender of a reply in this term, or
+// nothing when the reply does not count.
+Raft::Progress* Raft::FindProgress(const wire::RaftMessage& message) {
+  if (role_ != Role::kLeader || message.term != hard_state_.term) {
+    return nullptr;
+  }
+  const auto* member = FindMember(membership(), message.sender);
+  const auto progress = progress_.find(message.sender);
+  if (member == nullptr || progress == progress_.end()) {
+    return nullptr;
+  }
+  if (member->disk_identity != message.sender_disk) {
+    OnOtherDisk(message, *member);
+    return nullptr;
+  }
+  return &progress->second;
+}
+
+// Binds the disk of a new member at first contact, and replaces a disk that is
+// no longer heard of when its host comes back with another one.
+void Raft::OnOtherDisk(const wire::RaftMessage& message,
+                       const wire::Member& member) {
+  const auto& progress = progress_.at(member.id);
+  const bool unbound = member.disk_identity.empty();
+  const bool gone =
+      message.last && now_ - std::max(leader_since_, progress.ack_sent) >
+                          options_.election_timeout_ms;
+  const bool last_voter = member.voter && CountVoters(membership()) == 1;
+  if ((!unbound && !gone) || last_voter || !CheckMembershipChange()) {
+    return;
+  }
+  auto next = membership();
+  auto* changed = FindMember(next, member.id);
+  changed->disk_identity = message.sender_disk;
+  changed->promote = member.voter || member.promote;
+  changed->voter = false;
+  AppendEntry(kMembershipEntry, wire::Encode(next));
+  SyncProgress();
+}
+
+// A learner has caught up when it received, within an election timeout, all
+// entries that were in the log when it started to.
+bool Raft::HasCaughtUp(Progress& progress) {
+  if (progress.round_target == 0) {
+    progress.round_target = log_.last_index();
+    progress.round_start = now_;
+  }
+  if (progress.match < progress.round_target) {
+    return false;
+  }
+  const bool fast = now_ - progress.round_start <= options_.election_timeout_ms;
+  progress.round_target = 0;
+  return fast;
+}
+
+void Raft::PromoteLearners() {
+  for (const auto& it : membership().members) {
+    if (!it.promote || it.voter || it.disk_identity.empty()) {
+      continue;
+    }
+    const auto progress = progress_.find(it.id);
+    if (progress == progress_.end() || !CheckMembershipChange() ||
+        now_ - progress->second.ack_sent > options_.election_timeout_ms ||
+        !HasCaughtUp(progress->second)) {
+      continue;
+    }
+    auto next = membership();
+    auto* member = FindMember(next, it.id);
+    member->voter = true;
+    member->promote = false;
+    AppendEntry(kMembershipEntry, wire::Encode(next));
+    SyncProgress();
+    return;
+  }
+}
+
+}  // namespace cranberryshunt::consensus
--- /dev/null
+++ b/libraries/consensus/src/raft_replication.cc
@@ -0,0 +1,243 @@
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "cranberryshunt/consensus/raft.h"
+#include "membership.h"
+
+namespace cranberryshunt::consensus {
+
+using wire::RaftMessageType;
+
+namespace {
+
+wire::LogEntry ToWire(storage::LogEntry entry) {
+  wire::LogEntry out;
+  out.index = entry.index;
+  out.term = entry.term;
+  out.type = entry.type;
+  out.data = std::move(entry.data);
+  return out;
+}
+
+storage::LogEntry FromWire(wire::LogEntry entry) {
+  return {entry.index, entry.term, entry.type, std::move(entry.data)};
+}
+
+}  // namespace
+
+void Raft::SendHeartbeats() {
+  for (auto& [id, progress] : progress_) {
+    if (now_ - progress.sent_at < options_.heartbeat_ms) {
+      continue;
+    }
+    const bool lost = now_ - progress.chunk_at >= options_.election_timeout_ms;
+    if (progress.state == ProgressState::kSnapshot && lost) {
+      progress.waiting = false;
+      SendToPeer(id, progress);
+    } else {
+      SendAppend(id, progress, true);
+    }
+  }
+}
+
+void Raft::SendAppends() {
+  for (auto& [id, progress] : progress_) {
+    SendToPeer(id, progress);
+  }
+}
+
+void Raft::SendToPeer(const std::string& id, Progress& progress) {
+  if (progress.state != ProgressState::kSnapshot &&
+      progress.next <= log_.base_index()) {
+    StartSnapshot(progress);
+  }
+  switch (progress.state) {
+    case ProgressState::kSnapshot:
+      if (!progress.waiting) {
+        SendChunk(id, progress);
+      }
+      return;
+    case ProgressState::kProbe:
+      if (!progress.waiting) {
+        SendAppend(id, progress, true);
+      }
+      return;
+    case ProgressState::kReplicate:
+      while (progress.next <= log_.last_index() &&
+             progress.inflight_bytes < options_.max_inflight_bytes) {
+        SendAppend(id, progress, false);
+      }
+      return;
+  }
+}
+
+void Raft::SendAppend(const std::string& id,
+                      Progress& progress,
+                      bool heartbeat) {
+  auto message = MakeMessage(RaftMessageType::kAppend, id);
+  // While a snapshot is sent, heartbeats ask for an entry that the follower has
+  // only once it has installed the snapshot.
+  message.log_index = progress.state == ProgressState::kSnapshot
+                          ? progress.snapshot->index
+                          : progress.next - 1;
+  message.log_term = progress.state == ProgressState::kSnapshot
+                         ? progress.snapshot->term
+                         : log_.TermAt(message.log_index).value_or(0);
+  message.commit = commit_;
+  progress.sent_at = now_;
+  if (progress.state == ProgressState::kProbe) {
+    // The receiver may not know any member yet, nor that its disk identity is
+    // not that of a member.
+    message.membership = membership();
+    progress.waiting = true;
+  }
+  if (!heartbeat) {
+    std::size_t n = 0;
+    for (auto& it : log_.Slice(progress.next, options_.max_batch_bytes)) {
+      n += it.data.size();
+      message.entries.push_back(ToWire(std::move(it)));
+    }
+    progress.next = message.entries.back().index + 1;
+    progress.inflight.push_back({progress.next - 1, n});
+    progress.inflight_bytes += n;
+  }
+  output_.early.push_back(std::move(message));
+}
+
+void Raft::ToProbe(Progress& progress) {
+  progress.state = ProgressState::kProbe;
+  progress.waiting = false;
+  progress.snapshot = nullptr;
+  progress.inflight.clear();
+  progress.inflight_bytes = 0;
+}
+
+void Raft::Acknowledge(Progress& progress, std::int64_t match) {
+  progress.match = std::max(progress.match, match);
+  progress.next = std::max(progress.next, progress.match + 1);
+  if (progress.state == ProgressState::kProbe ||
+      (progress.state == ProgressState::kSnapshot &&
+       progress.match >= progress.snapshot->index)) {
+    ToProbe(progress);
+    progress.next = progress.match + 1;
+    progress.state = ProgressState::kReplicate;
+  }
+  std::erase_if(progress.inflight, [&](const Inflight& it) {
+    if (it.last > progress.match) {
+      return false;
+    }
+    progress.inflight_bytes -= it.bytes;
+    return true;
+  });
+}
+
+void Raft::OnAppend(wire::RaftMessage& message) {
+  if (role_ == Role::kLeader) {
+    return;
+  }
+  if (role_ == Role::kCandidate) {
+    BecomeFollower(hard_state_.term, message.sender);
+  }
+  leader_id_ = message.sender;
+  heard_at_ = now_;
+  ResetElectionTimer();
+  if (!message.membership.members.empty()) {
+    leader_membership_ = message.membership;
+  }
+  auto reply = MakeReply(RaftMessageType::kAppendReply, message);
+  const auto last =
+      message.log_index + static_cast<std::int64_t>(message.entries.size());
+  if (message.log_index > log_.last_index()) {
+    reply.hint_index = log_.last_index();
+    output_.late.push_back(std::move(reply));
+    return;
+  }
+  const auto term = log_.TermAt(message.log_index);
+  // Entries up to the commit index are the same in every log.
+  if (message.log_index > commit_ && term != message.log_term) {
+    auto hint = message.log_index - 1;
+    while (hint > commit_ && log_.TermAt(hint) == term) {
+      --hint;
+    }
+    reply.hint_index = hint;
+    output_.late.push_back(std::move(reply));
+    return;
+  }
+  const auto known = std::max<std::int64_t>(0, commit_ - message.log_index);
+  AppendFrom(message.entries, static_cast<std::size_t>(known));
+  commit_ = std::max(commit_, std::min(message.commit, last));
+  reply.accepted = true;
+  reply.log_index = last;
+  output_.late.push_back(std::move(reply));
+}
+
+void Raft::AppendFrom(std::vector<wire::LogEntry>& entries, std::size_t first) {
+  for (auto i = first; i < entries.size(); ++i) {
+    auto& entry = entries[i];
+    if (log_.TermAt(entry.index) == entry.term) {
+      continue;
+    }
+    if (entry.index <= log_.last_index()) {
+      TruncateFrom(entry.index);
+    }
+    auto stored = FromWire(std::move(entry));
+    AddConfig(stored);
+    log_.Append(std::move(stored));
+  }
+  UpdateFollowerRole();
+}
+
+void Raft::OnAppendReply(const wire::RaftMessage& message) {
+  auto* progress = FindProgress(message);
+  if (progress == nullptr) {
+    return;
+  }
+  progress->ack_sent =
+      std::max(progress->ack_sent, std::min(message.sent_at_ms, now_));
+  if (message.accepted) {
+    Acknowledge(*progress, std::min(message.log_index, log_.last_index()));
+    MaybeCommit();
+    TickTransfer();
+    return;
+  }
+  // Replies to older messages than the last one are not followed.
+  const bool current = progress->state == ProgressState::kProbe
+                           ? message.log_index == progress->next - 1
+                           : progress->state == ProgressState::kReplicate &&
+                                 message.log_index > progress->match;
+  if (!current) {
+    return;
+  }
+  ToProbe(*progress);
+  progress->next = std::max(
+      progress->match + 1, std::min(message.log_index, message.hint_index + 1));
+}
+
+void Raft::MaybeCommit() {
+  std::vector<std::int64_t> matches;
+  for (const auto& it : membership().members) {
+    if (!it.voter) {
+      continue;
+    }
+    const auto progress = progress_.find(it.id);
+    if (it.id == options_.id) {
+      matches.push_back(durable_);
+    } else {
+      matches.push_back(progress == progress_.end() ? 0
+                                                    : progress->second.match);
+    }
+  }
+  if (matches.empty()) {
+    return;
+  }
+  const auto quorum = matches.size() / 2;
+  std::nth_element(matches.begin(), matches.begin() + static_cast<long>(quorum),
+                   matches.end(), std::greater<>());
+  const auto index = matches[quorum];
+  if (index > commit_ && log_.TermAt(index) == hard_state_.term) {
+    commit_ = index;
+  }
+}
+
+}  // namespace cranberryshunt::consensus
--- /dev/null
+++ b/libraries/consensus/src/raft_snapshot.cc
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <utility>
+
+#include "cranberryshunt/consensus/raft.h"
+
+namespace cranberryshunt::consensus {
+
+using wire::RaftMessageType;
+
+void Raft::StartSnapshot(Progress& progress) {
+  ToProbe(progress);
+  progress.state = ProgressState::kSnapshot;
+  progress.snapshot = snapshot_;
+  progress.offset = 0;
+}
+
+void Raft::SendChunk(const std::string& id, Progress& progress) {
+  const auto& snapshot = *progress.snapshot;
+  auto message = MakeMessage(RaftMessageType::kSnapshotChunk, id);
+  message.log_index = snapshot.index;
+  message.log_term = snapshot.term;
+  message.membership = snapshot.membership;
+  message.commit = commit_;
+  message.offset = static_cast<std::int64_t>(progress.offset);
+  message.data =
+      snapshot.data.substr(progress.offset, options_.snapshot_chunk_bytes);
+  message.last = progress.offset + message.data.size() == snapshot.data.size();
+  progress.waiting = true;
+  progress.sent_at = now_;
+  progress.chunk_at = now_;
+  output_.early.push_back(std::move(message));
+}
+
+void Raft::OnSnapshotChunk(wire::RaftMessage& message) {
+  if (role_ == Role::kLeader) {
+    return;
+  }
+  if (role_ == Role::kCandidate) {
+    BecomeFollower(hard_state_.term, message.sender);
+  }
+  leader_id_ = message.sender;
+  heard_at_ = now_;
+  ResetElectionTimer();
+  auto reply = MakeReply(RaftMessageType::kSnapshotReply, message);
+  if (message.log_index <= commit_) {
+    reply.accepted = true;
+    output_.late.push_back(std::move(reply));
+    return;
+  }
+  if (message.offset == 0 || incoming_.index != message.log_index ||
+      incoming_.term != message.log_term) {
+    incoming_ = {message.log_index, message.log_term, {}};
+  }
+  if (message.offset == static_cast<std::int64_t>(incoming_.data.size())) {
+    incoming_.data += message.data;
+    if (message.last) {
+      auto snapshot = std::make_shared<SnapshotState>();
+      snapshot->index = incoming_.index;
+      snapshot->term = incoming_.term;
+      snapshot->membership = std::move(message.membership);
+      snapshot->data = std::move(incoming_.data);
+      incoming_ = {};
+      Install(std::move(snapshot));
+      reply.accepted = true;
+    }
+  }
+  reply.offset = static_cast<std::int64_t>(incoming_.data.size());
+  output_.late.push_back(std::move(reply));
+}
+
+void Raft::Install(std::shared_ptr<const SnapshotState> snapshot) {
+  const auto index = snapshot->index;
+  const bool continues = log_.TermAt(index) == snapshot->term;
+  if (continues) {
+    std::erase_if(configs_,
+                  [&](const Config& it) { return it.index <= index; });
+  } else {
+    log_.Reset(index, snapshot->term);
+    configs_.clear();
+    output_.reset_log = true;
+    output_.truncate_from.reset();
+    handed_out_ = index;
+    durable_ = index;
+  }
+  configs_.insert(configs_.begin(), {index, snapshot->membership});
+  commit_ = index;
+  applied_ = index;
+  snapshot_ = snapshot;
+  output_.snapshot = std::move(snapshot);
+  UpdateFollowerRole();
+}
+
+void Raft::OnSnapshotReply(const wire::RaftMessage& message) {
+  auto* progress = FindProgress(message);
+  if (progress == nullptr) {
+    return;
+  }
+  progress->ack_sent =
+      std::max(progress->ack_sent, std::min(message.sent_at_ms, now_));
+  if (progress->state != ProgressState::kSnapshot ||
+      progress->snapshot->index != message.log_index) {
+    return;
+  }
+  if (message.accepted) {
+    Acknowledge(*progress, message.log_index);
+    MaybeCommit();
+    return;
+  }
+  progress->offset = std::min(static_cast<std::size_t>(message.offset),
+                              progress->snapshot->data.size());
+  progress->waiting = false;
+}
+
+}  // namespace cranberryshunt::consensus
--- /dev/null
+++ b/libraries/consensus/src/replica_thread.cc
@@ -0,0 +1,281 @@
+#include "replica_thread.h"
+
+#include <algorithm>
+#include <cstring>
+#include <type_traits>
+#include <utility>
+
+#include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/base/log.h"
+
+namespace cranberryshunt::consensus {
+
+namespace {
+
+// Room for messages and requests beside the proposals, so that a flood of
+// proposals does not keep heartbeats out.
+constexpr std::size_t kMessageRoom = 4'096;
+
+std::uint64_t RandomSeed() {
+  std::uint64_t seed = 0;
+  std::memcpy(&seed, RandomBytes(sizeof(seed)).data(), sizeof(seed));
+  return seed;
+}
+
+}  // namespace
+
+ReplicaThread::ReplicaThread(const ReplicaOptions& options,
+                             std::unique_ptr<ReplicaStorage> storage,
+                             const Clock& clock,
+                             PeerTransport& transport,
+                             ReplicaObserver& observer)
+    : options_(options),
+      storage_(std::move(storage)),
+      clock_(clock),
+      transport_(transport),
+      observer_(observer),
+      disk_identity_(storage_->disk_identity()),
+      ring_(options.max_proposals_in_flight + kMessageRoom) {
+  StartRaft(0);
+  PublishStatus();
+  thread_ = std::thread([this] { Run(); });
+}
+
+ReplicaThread::~ReplicaThread() {
+  stopping_ = true;
+  ring_.Close();
+  thread_.join();
+}
+
+std::int64_t ReplicaThread::NowMs() const {
+  return ToMilliseconds(clock_.Now().time_since_epoch());
+}
+
+void ReplicaThread::StartRaft(std::int64_t applied) {
+  RaftOptions options;
+  options.id = options_.id;
+  options.disk_identity = disk_identity_;
+  options.heartbeat_ms = options_.heartbeat_interval.count();
+  options.election_timeout_ms = options_.election_timeout.count();
+  options.max_batch_bytes = options_.max_batch_bytes;
+  options.seed = RandomSeed();
+  auto start = storage_->TakeStart();
+  start.applied = applied;
+  raft_.emplace(std::move(options), std::move(start), NowMs());
+}
+
+void ReplicaThread::Propose(Proposal proposal) {
+  const auto bytes = proposal.data.size();
+  const auto proposals = open_proposals_.fetch_add(1) + 1;
+  const auto total_bytes = open_bytes_.fetch_add(bytes) + bytes;
+  const bool room = proposals <= options_.max_proposals_in_flight &&
+                    total_bytes <= options_.max_proposal_bytes_in_flight;
+  Item item(std::move(proposal));
+  if (room && Post(std::move(item))) {
+    return;
+  }
+  // A failed post leaves the item as it was.
+  // NOLINTNEXTLINE(bugprone-use-after-move)
+  Refuse(item, stopping_ ? Error(ResultCode::kShuttingDown, "shutting down")
+                         : Error(ResultCode::kQueueFull,
+                                 "too many proposals are open"));
+}
+
+bool ReplicaThread::HasLease() const {
+  const auto now = clock_.Now().time_since_epoch().count();
+  return now < lease_until_us_.load();
+}
+
+RoleChange ReplicaThread::role() const {
+  std::lock_guard lock(mutex_);
+  return role_;
+}
+
+wire::Membership ReplicaThread::membership() const {
+  std::lock_guard lock(mutex_);
+  return membership_;
+}
+
+ReplicaStats ReplicaThread::stats() const {
+  std::lock_guard lock(mutex_);
+  return stats_;
+}
+
+bool ReplicaThread::WaitForOtherLeader(
+    std::chrono::milliseconds timeout) const {
+  std::unique_lock lock(mutex_);
+  return role_changed_.wait_until(
+      lock, std::chrono::steady_clock::now() + timeout, [&] {
+        return !role_.leader_id.empty() && role_.leader_id != options_.id;
+      });
+}
+
+void ReplicaThread::Run() {
+  if (raft_->snapshot()) {
+    observer_.OnSnapshot(raft_->snapshot()->index, raft_->snapshot()->data);
+  }
+  transport_.SetMembers(raft_->Contacts());
+  contacts_ = raft_->Contacts();
+  std::vector<Item> items;
+  while (!stopping_) {
+    items.clear();
+    ring_.PopMany(items, options_.max_batch_items,
+                  options_.heartbeat_interval / 2);
+    if (failure_) {
+      for (auto& it : items) {
+        Refuse(it, *failure_);
+      }
+      TryRecover();
+      continue;
+    }
+    for (auto& it : items) {
+      Handle(it);
+    }
+    raft_->Tick(NowMs());
+    Flush();
+  }
+  lease_until_us_ = 0;
+  const Error error(ResultCode::kShuttingDown, "shutting down");
+  FailAll(error);
+  for (items.clear(); ring_.PopMany(items, SIZE_MAX, Duration(0));
+       items.clear()) {
+    for (auto& it : items) {
+      Refuse(it, error);
+    }
+  }
+  if (!failure_) {
+    // Lets the next start check that the log is whole. Without it the start
+    // knows only what the log itself tells.
+    (void)storage_->SaveHardState(raft_->CurrentHardState());
+  }
+}
+
+void ReplicaThread::Handle(Item& item) {
+  if (auto* messages = std::get_if<Messages>(&item)) {
+    const auto now = NowMs();
+    for (auto& it : *messages) {
+      raft_->Step(std::move(it), now);
+    }
+  } else if (auto* proposal = std::get_if<Proposal>(&item)) {
+    HandleProposal(*proposal);
+  } else if (auto* change = std::get_if<ChangeRequest>(&item)) {
+    HandleChange(*change);
+  } else if (auto* transfer = std::get_if<TransferRequest>(&item)) {
+    (void)raft_->TransferLeadership(transfer->timeout_ms);
+  } else if (auto* compact = std::get_if<CompactRequest>(&item)) {
+    HandleCompact(*compact);
+  }
+}
+
+void ReplicaThread::HandleProposal(Proposal& proposal) {
+  Pending pending;
+  pending.term = raft_->term();
+  pending.bytes = proposal.data.size();
+  pending.counted = true;
+  pending.callback = std::move(proposal.callback);
+  const auto index = raft_->Propose(std::move(proposal.data));
+  if (!index) {
+    Finish(pending, index);
+    return;
+  }
+  pending_[*index] = std::move(pending);
+}
+
+void ReplicaThread::HandleChange(ChangeRequest& request) {
+  Pending pending;
+  pending.term = raft_->term();
+  pending.callback = std::move(request.callback);
+  const auto index = raft_->ChangeMembership(request.change);
+  if (!index || *index == 0) {
+    Finish(pending, index);
+    return;
+  }
+  pending_[*index] = std::move(pending);
+}
+
+void ReplicaThread::HandleCompact(CompactRequest& request) {
+  auto snapshot =
+      raft_->MakeSnapshot(request.index, std::move(request.snapshot));
+  if (!snapshot) {
+    return;
+  }
+  auto saved = storage_->SaveSnapshot(*snapshot);
+  if (saved) {
+    raft_->Compact(std::move(snapshot));
+    saved = storage_->DropPrefix(raft_->log().base_index());
+  }
+  if (!saved) {
+    // The older snapshot and the log are still whole.
+    Log(LogLevel::kWarning, "consensus", "cannot store a snapshot",
+        {{"error", saved.error().message()}});
+  }
+}
+
+void ReplicaThread::Flush() {
+  do {
+    if (!FlushOnce()) {
+      return;
+    }
+  } while (raft_->HasOutput());
+  PublishStatus();
+  PublishRole();
+}
+
+bool ReplicaThread::FlushOnce() {
+  auto output = raft_->TakeOutput();
+  // A lease that was given up must not be seen once the messages are out.
+  PublishStatus();
+  if (auto written = storage_->Write(output); !written) {
+    OnFailure(written.error(), &output);
+    return false;
+  }
+  if (!output.early.empty()) {
+    transport_.Send(std::move(output.early));
+  }
+  if (auto synced = storage_->Sync(); !synced) {
+    OnFailure(synced.error(), nullptr);
+    return false;
+  }
+  raft_->Persisted();
+  if (!output.late.empty()) {
+    transport_.Send(std::move(output.late));
+  }
+  if (output.snapshot) {
+    observer_.OnSnapshot(output.snapshot->index, output.snapshot->data);
+  }
+  Deliver();
+  FailStale();
+  return true;
+}
+
+void ReplicaThread::Deliver() {
+  auto entries = raft_->TakeCommitted();
+  if (entries.empty()) {
+    return;
+  }
+  std::vector<std::pair<std::int64_t, std::int64_t>> committed;
+  std::vector<CommittedEntry> commands;
+  for (auto& it : entries) {
+    committed.emplace_back(it.index, it.term);
+    if (it.type == kCommandEntry) {
+      commands.push_back({it.index, it.term, std::move(it.data)});
+    }
+  }
+  if (!commands.empty()) {
+    observer_.OnCommitted(std::move(commands));
+  }
+  for (const auto& [index, term] : committed) {
+    auto node = pending_.extract(index);
+    if (node.empty()) {
+      continue;
+    }
+    if (node.mapped().term == term) {
+      Finish(node.mapped(), index);
+    } else {
+      Finish(node.mapped(),
+             Fail(ResultCode::kNotLeader, "another leader took over"));
+    }
+  }
+}
+
+}  // namespace cranberryshunt::consensus
--- /dev/null
+++ b/libraries/consensus/src/replica_thread.h
@@ -0,0 +1,129 @@
+// The consensus thread.
+#ifndef CRANBERRYSHUNT_CONSENSUS_REPLICA_THREAD_H_
+#define CRANBERRYSHUNT_CONSENSUS_REPLICA_THREAD_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "cranberryshunt/base/bounded_ring.h"
+#include "cranberryshunt/consensus/raft.h"
+#include "cranberryshunt/consensus/replica.h"
+#include "replica_storage.h"
+
+namespace cranberryshunt::consensus {
+
+struct Proposal {
+  std::string data;
+  Replica::ProposalCallback callback;
+};
+
+struct ChangeRequest {
+  wire::MembershipChange change;
+  Replica::ProposalCallback callback;
+};
+
+struct TransferRequest {
+  std::int64_t timeout_ms = 0;
+};
+
+struct CompactRequest {
+  std::int64_t index = 0;
+  std::string snapshot;
+};
+
+using Messages = std::vector<wire::RaftMessage>;
+using Item = std::variant<std::monostate,
+                          Messages,
+                          Proposal,
+                          ChangeRequest,
+                          TransferRequest,
+                          CompactRequest>;
+
+class ReplicaThread {
+ public:
+  ReplicaThread(const ReplicaOptions& options,
+                std::unique_ptr<ReplicaStorage> storage,
+                const Clock& clock,
+                PeerTransport& transport,
+                ReplicaObserver& observer);
+  ~ReplicaThread();
+
+  void Propose(Proposal proposal);
+  // Returns false, with `item` as it was, when the ring is full or closed.
+  bool Post(Item&& item) { return ring_.TryPush(std::move(item)); }
+
+  bool HasLease() const;
+  RoleChange role() const;
+  wire::Membership membership() const;
+  ReplicaStats stats() const;
+  const std::string& disk_identity() const { return disk_identity_; }
+  bool WaitForOtherLeader(std::chrono::milliseconds timeout) const;
+
+ private:
+  struct Pending {
+    std::int64_t term = 0;
+    std::size_t bytes = 0;
+    bool counted = false;  // Towards the limits of open proposals.
+    Replica::ProposalCallback callback;
+  };
+
+  void Run();
+  void StartRaft(std::int64_t applied);
+  void Handle(Item& item);
+  void HandleProposal(Proposal& proposal);
+  void HandleChange(ChangeRequest& request);
+  void HandleCompact(CompactRequest& request);
+  void Flush();
+  bool FlushOnce();
+  void Deliver();
+  void Finish(Pending& pending, Result<std::int64_t> result);
+  void FailStale();
+  void FailAll(const Error& error);
+  void OnFailure(const Error& error, const RaftOutput* unwritten);
+  void Refuse(Item& item, const Error& error);
+  void TryRecover();
+  void PublishStatus();
+  void PublishRole();
+  void SetRole(const RoleChange& change);
+  std::int64_t NowMs() const;
+
+  const ReplicaOptions options_;
+  const std::unique_ptr<ReplicaStorage> storage_;
+  const Clock& clock_;
+  PeerTransport& transport_;
+  ReplicaObserver& observer_;
+  const std::string disk_identity_;
+  BoundedRing<Item> ring_;
+  std::atomic<std::size_t> open_proposals_ = 0;
+  std::atomic<std::size_t> open_bytes_ = 0;
+  std::atomic<std::int64_t> lease_until_us_ = 0;
+
+  // Used on the consensus thread only.
+  std::optional<Raft> raft_;
+  std::map<std::int64_t, Pending> pending_;
+  std::optional<Error> failure_;
+  TimePoint next_recovery_{};
+  wire::Membership contacts_;
+
+  mutable std::mutex mutex_;
+  mutable std::condition_variable role_changed_;
+  RoleChange role_;
+  wire::Membership membership_;
+  ReplicaStats stats_;
+
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace cranberryshunt::consensus
+
+#endif  // CRANBERRYSHUNT_CONSENSUS_REPLICA_THREAD_H_
--- /dev/null
+++ b/tests/consensus/cluster.h
@@ -0,0 +1,220 @@
+// Replicas in one process that talk over Thrift on the loopback address.
+#ifndef CRANBERRYSHUNT_TESTS_CONSENSUS_CLUSTER_H_
+#define CRANBERRYSHUNT_TESTS_CONSENSUS_CLUSTER_H_
+
+#include <atomic>
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "ControllerService.h"
+#include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/consensus/replica.h"
+#include "cranberryshunt/consensus/thrift_peer_transport.h"
+#include "cranberryshunt/storage/file_system.h"
+#include "cranberryshunt/wire/controller_server.h"
+
+namespace cranberryshunt::consensus {
+
+inline constexpr std::chrono::seconds kPatience{10};
+
+// Waits until `condition` holds; false when it does not within the patience.
+inline bool Eventually(const std::function<bool()>& condition) {
+  const auto give_up = std::chrono::steady_clock::now() + kPatience;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > give_up) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+// Keeps the data of all entries; a snapshot replaces them.
+class RecordingObserver final : public ReplicaObserver {
+ public:
+  void OnCommitted(std::vector<CommittedEntry> entries) override {
+    std::lock_guard lock(mutex_);
+    for (auto& it : entries) {
+      state_ += it.data + ";";
+      applied_ = it.index;
+    }
+  }
+  void OnSnapshot(std::int64_t index, std::string data) override {
+    std::lock_guard lock(mutex_);
+    state_ = std::move(data);
+    applied_ = index;
+  }
+  void OnRoleChange(const RoleChange& /*change*/) override {}
+  void OnStorageFailure(const Error& /*error*/) override { ++failures; }
+
+  std::string state() const {
+    std::lock_guard lock(mutex_);
+    return state_;
+  }
+  std::int64_t applied() const {
+    std::lock_guard lock(mutex_);
+    return applied_;
+  }
+
+  std::atomic<int> failures = 0;
+
+ private:
+  mutable std::mutex mutex_;
+  std::string state_;
+  std::int64_t applied_ = 0;
+};
+
+class RaftHandler final : public wire::ControllerServiceNull {
+ public:
+  void DeliverRaft(const std::vector<wire::RaftMessage>& messages) override {
+    std::lock_guard lock(mutex_);
+    if (replica_ != nullptr) {
+      replica_->Receive(messages);
+    }
+  }
+  void set_replica(Replica* replica) {
+    std::lock_guard lock(mutex_);
+    replica_ = replica;
+  }
+
+ private:
+  std::mutex mutex_;
+  Replica* replica_ = nullptr;
+};
+
+// One controller. The server outlives its replicas, so that the address stays.
+struct Node {
+  std::string id;
+  std::string address;
+  std::string directory;
+  RaftHandler handler;
+  std::unique_ptr<wire::ControllerServer> server;
+  std::unique_ptr<RecordingObserver> observer;
+  std::unique_ptr<ThriftPeerTransport> transport;
+  std::unique_ptr<Replica> replica;
+};
+
+class Cluster {
+ public:
+  explicit Cluster(int size, storage::FileSystem* file_system = nullptr)
+      : directory_(file_system == nullptr
+                       ? std::filesystem::temp_directory_path() /
+                             RandomId("consensus-test-")
+                       : std::filesystem::path("/data")),
+        system_(storage::CreateSystemFileSystem()),
+        file_system_(file_system == nullptr ? *system_ : *file_system) {
+    for (int i = 0; i < size; ++i) {
+      AddNode();
+      wire::Member member;
+      member.id = nodes.back()->id;
+      member.address = nodes.back()->address;
+      member.voter = true;
+      members_.members.push_back(member);
+    }
+  }
+  ~Cluster() {
+    for (auto& it : nodes) {
+      Stop(*it);
+    }
+    std::filesystem::remove_all(directory_);
+  }
+
+  Node& AddNode() {
+    auto node = std::make_unique<Node>();
+    node->id = "c" + std::to_string(nodes.size());
+    node->directory = (directory_ / node->id).string();
+    // Tests run at the same time, so a port that is taken is skipped.
+    for (int port = 22000 + static_cast<int>(nodes.size());
+         port < 23000 && !node->server; ++port) {
+      node->address = "127.0.0.1:" + std::to_string(port);
+      auto server = wire::ControllerServer::Start(
+          node->address, "secret", node->handler, [](const auto&) {});
+      if (server) {
+        node->server = std::move(*server);
+      }
+    }
+    nodes.push_back(std::move(node));
+    return *nodes.back();
+  }
+
+  Result<void> Start(Node& node, bool bootstrap = true) {
+    ReplicaOptions options;
+    options.id = node.id;
+    options.address = node.address;
+    options.data_directory = node.directory;
+    options.initial_members = members_;
+    options.bootstrap = bootstrap;
+    options.election_timeout = std::chrono::milliseconds(250);
+    node.observer = std::make_unique<RecordingObserver>();
+    node.transport =
+        std::make_unique<ThriftPeerTransport>(ThriftPeerTransportOptions{
+            .own_id = node.id, .cluster_secret = "secret"});
+    auto replica = Replica::Start(options, file_system_, clock_,
+                                  *node.transport, *node.observer);
+    if (!replica) {
+      return tl::unexpected(replica.error());
+    }
+    node.replica = std::move(*replica);
+    node.handler.set_replica(node.replica.get());
+    return {};
+  }
+  void StartAll() {
+    for (auto& it : nodes) {
+      (void)Start(*it);
+    }
+  }
+  void Stop(Node& node) {
+    node.handler.set_replica(nullptr);
+    node.replica.reset();
+    node.transport.reset();
+  }
+  void Empty(Node& node) { std::filesystem::remove_all(node.directory); }
+
+  // The leader with a lease, or null when there is none in time.
+  Node* Leader() {
+    Node* leader = nullptr;
+    Eventually([&] {
+      for (auto& it : nodes) {
+        if (it->replica && it->replica->HasLease()) {
+          leader = it.get();
+        }
+      }
+      return leader != nullptr;
+    });
+    return leader;
+  }
+
+  // Proposes at the leader until it is committed. Data may be committed twice.
+  bool Commit(const std::string& data) {
+    return Eventually([&] {
+      auto* leader = Leader();
+      if (leader == nullptr) {
+        return false;
+      }
+      std::promise<bool> done;
+      leader->replica->Propose(
+          data, [&](const auto& it) { done.set_value(it.has_value()); });
+      return done.get_future().get();
+    });
+  }
+
+  std::vector<std::unique_ptr<Node>> nodes;
+
+ private:
+  const std::filesystem::path directory_;
+  const std::unique_ptr<storage::FileSystem> system_;
+  storage::FileSystem& file_system_;
+  SystemClock clock_;
+  wire::Membership members_;
+};
+
+}  // namespace cranberryshunt::consensus
+
+#endif  // CRANBERRYSHUNT_TESTS_CONSENSUS_CLUSTER_H_
