--- /dev/null
+++ b/libraries/policy/src/admission.cc
@@ -0,0 +1,277 @@
+// Submission, restoring and cancellation of jobs.
+#include <algorithm>
+
+#include "implementation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(30);
+// A refused caller comes back when about this part of the queue has drained.
+constexpr double kDrainedPart = 0.1;
+// Tasks that end sooner than this return lent capacity without preemption.
+constexpr Duration kShortRun = std::chrono::seconds(1);
+constexpr std::size_t kLeastHeapToPrune = 1024;
+
+bool IsNegative(const Resources& amount) {
+  return amount.milli_cpus < 0 || amount.memory_bytes < 0 ||
+         amount.accelerators < 0 || amount.slots < 0;
+}
+
+Refused Refuse(ResultCode code, std::string reason) {
+  return {code, std::move(reason), Duration::zero()};
+}
+
+}  // namespace
+
+Duration Scheduler::Implementation::RetryAfter(Kind kind) const {
+  const double rate = kinds[IndexOf(kind)].drain.PerSecond(now);
+  const auto queued = static_cast<double>(queues[IndexOf(kind)].queued_tasks());
+  if (rate * std::chrono::duration<double>(kMostRetryAfter).count() <=
+      queued * kDrainedPart) {
+    return kMostRetryAfter;
+  }
+  const double seconds = queued * kDrainedPart / rate;
+  return std::clamp(std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double>(seconds)),
+                    kLeastRetryAfter, kMostRetryAfter);
+}
+
+std::optional<Refused> Scheduler::Implementation::CheckBounds(
+    const JobRequest& request) {
+  const std::int32_t team = teams.Find(request.team);
+  const FairQueue& its_queue = queue(request.kind);
+  if (request.task_count > options.max_queued_tasks_per_team_and_kind) {
+    return Refuse(ResultCode::kImpossible,
+                  "the job has more tasks than the queue of a team may hold");
+  }
+  const std::int64_t in_team =
+      request.task_count + (team == kNone ? 0 : its_queue.team_tasks(team));
+  const std::int64_t in_kind = request.task_count + its_queue.queued_tasks();
+  if (in_team > options.max_queued_tasks_per_team_and_kind) {
+    return Refused{ResultCode::kQueueFull,
+                   "the queue of the team for this kind is full",
+                   RetryAfter(request.kind)};
+  }
+  if (in_kind > options.max_queued_tasks_per_kind) {
+    return Refused{ResultCode::kQueueFull, "the queue of this kind is full",
+                   RetryAfter(request.kind)};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refused> Scheduler::Implementation::Check(
+    const JobRequest& request) {
+  if (request.task_count < 1 || IsNegative(request.task_resources)) {
+    return Refuse(ResultCode::kInvalidField,
+                  "a job needs at least one task and no negative resources");
+  }
+  if (auto refused = CheckBounds(request)) {
+    return refused;
+  }
+  const bool is_gang = request.kind == Kind::kGang;
+  const std::int32_t at_once = is_gang ? request.task_count : 1;
+  if (const std::int32_t team = teams.Find(request.team);
+      team != kNone &&
+      !ledger.QuotaAllows(team, request.task_resources * at_once)) {
+    return Refuse(ResultCode::kQuotaExceeded,
+                  is_gang ? "the gang exceeds the quota of the team"
+                          : "a single task exceeds the quota of the team");
+  }
+  if (workers.capabilities().empty()) {
+    return std::nullopt;
+  }
+  const auto& constraint = request.constraint;
+  const std::int32_t region = workers.regions().Find(constraint.require_region);
+  const std::int32_t zone =
+      workers.zones().Find(constraint.require_availability_zone);
+  if ((region == kNone && !constraint.require_region.empty()) ||
+      (zone == kNone && !constraint.require_availability_zone.empty())) {
+    return Refuse(
+        ResultCode::kImpossible,
+        "no worker was ever in the required region or availability zone");
+  }
+  if (!workers.capabilities().CanEverFit(request.task_resources, at_once,
+                                         region, zone)) {
+    return Refuse(ResultCode::kImpossible,
+                  is_gang ? "the gang is larger than the fleet ever was"
+                          : "a task is larger than any worker ever seen");
+  }
+  return std::nullopt;
+}
+
+Job Scheduler::Implementation::MakeJob(const JobRequest& request) {
+  Job job;
+  job.id = request.job_id;
+  job.team = teams.Add(request.team.empty() ? "-" : request.team);
+  job.family = families.Add(request.family);
+  job.kind = request.kind;
+  job.spread = request.constraint.spread;
+  job.idempotent = request.idempotent;
+  job.prefer_region = workers.regions().Add(request.constraint.prefer_region);
+  job.require_region = workers.regions().Add(request.constraint.require_region);
+  job.require_zone =
+      workers.zones().Add(request.constraint.require_availability_zone);
+  job.need = request.task_resources;
+  job.expected_run = request.expected_run;
+  job.deadline = request.deadline;
+  job.submitted_at = now;
+  job.unfinished = request.task_count;
+  job.tasks.resize(static_cast<std::size_t>(request.task_count));
+  for (Task& task : job.tasks) {
+    task.queued_at = now;
+  }
+  const auto estimate = RunEstimate(job);
+  const bool is_short =
+      estimate ? *estimate <= kShortRun : job.kind == Kind::kInteractive;
+  job.unreclaimable = !job.idempotent && !is_short;
+  return job;
+}
+
+void Scheduler::Implementation::AddDeadline(JobRef ref) {
+  const Job& job = jobs.at(ref);
+  if (!job.deadline) {
+    return;
+  }
+  deadlines.Add(*job.deadline, ref);
+  if (deadlines.size() > kLeastHeapToPrune &&
+      deadlines.size() > 2 * jobs.size()) {
+    deadlines.Prune([this](JobRef it) { return jobs.IsLive(it); });
+  }
+}
+
+void Scheduler::Implementation::Enqueue(JobRef ref, bool front) {
+  Job& job = jobs.at(ref);
+  if (job.enqueued || job.queued() == 0) {
+    return;
+  }
+  job.enqueued = true;
+  const double share = ledger.TeamShare(job.kind, job.team);
+  if (front) {
+    queue(job.kind).PushFront(job.team, ref, share);
+  } else {
+    queue(job.kind).PushBack(job.team, ref, share);
+  }
+}
+
+Admission Scheduler::Implementation::Submit(const JobRequest& request,
+                                            TimePoint time) {
+  SetNow(time);
+  if (jobs.Find(request.job_id)) {
+    return Queued();
+  }
+  if (auto refused = Check(request)) {
+    ++state(request.kind).refused;
+    return *std::move(refused);
+  }
+  const JobRef ref = jobs.Add(MakeJob(request));
+  Job& job = jobs.at(ref);
+  job.unchecked = workers.capabilities().empty();
+  queue(job.kind).AddTasks(job.team, job.queued());
+  AddDeadline(ref);
+  Enqueue(ref, false);
+  return Queued();
+}
+
+void Scheduler::Implementation::Restore(
+    const JobRequest& request,
+    const std::vector<RestoredTask>& restored,
+    TimePoint time) {
+  SetNow(time);
+  if (jobs.Find(request.job_id)) {
+    return;
+  }
+  const JobRef ref = jobs.Add(MakeJob(request));
+  Job& job = jobs.at(ref);
+  job.unchecked = true;
+  std::vector<bool> settled(job.tasks.size());
+  for (const RestoredTask& it : restored) {
+    const auto n = static_cast<std::size_t>(it.index);
+    if (it.index < 0 || n >= job.tasks.size() || settled[n]) {
+      continue;
+    }
+    job.tasks[n].attempts = it.attempts;
+    job.ran = job.ran || it.attempts > 0 || it.finished;
+    if (it.finished) {
+      job.tasks[n].state = TaskState::kFinished;
+      --job.unfinished;
+    }
+    settled[n] = it.finished || it.worker;
+  }
+  job.next_fresh = static_cast<std::int32_t>(job.tasks.size());
+  for (std::size_t n = job.tasks.size(); n-- > 0;) {
+    if (!settled[n]) {
+      job.requeued.push_back(static_cast<std::int32_t>(n));
+    }
+  }
+  queue(job.kind).AddTasks(job.team, job.queued());
+  for (const RestoredTask& it : restored) {
+    const auto n = static_cast<std::size_t>(it.index);
+    if (n >= job.tasks.size() || !it.worker || it.finished ||
+        job.tasks[n].worker != kNone) {
+      continue;
+    }
+    const std::int32_t number = workers.Add(*it.worker);
+    // StartTask() takes one task from the queue and counts an attempt.
+    queue(job.kind).AddTasks(job.team, 1);
+    failures.SetProven(number);
+    StartTask(ref, it.index, number);
+    job.tasks[n].attempts = it.attempts;
+  }
+  AddDeadline(ref);
+  Enqueue(ref, false);
+  RemoveIfFinished(ref);
+}
+
+void Scheduler::Implementation::Withdraw(JobRef ref) {
+  Job& job = jobs.at(ref);
+  std::int32_t removed = 0;
+  for (Task& task : job.tasks) {
+    if (task.state == TaskState::kQueued ||
+        task.state == TaskState::kBackingOff) {
+      task.state = TaskState::kFinished;
+      ++removed;
+    }
+  }
+  job.next_fresh = static_cast<std::int32_t>(job.tasks.size());
+  job.requeued.clear();
+  job.backing_off = 0;
+  job.unfinished -= removed;
+  queue(job.kind).AddTasks(job.team, -removed);
+  if (job.enqueued) {
+    job.enqueued = false;
+    queue(job.kind).MarkStale(job.team);
+  }
+}
+
+void Scheduler::Implementation::RemoveIfFinished(JobRef ref) {
+  if (jobs.at(ref).unfinished == 0) {
+    jobs.Remove(ref);
+  }
+}
+
+std::vector<Assignment> Scheduler::Implementation::Cancel(
+    const std::string& job_id) {
+  const auto ref = jobs.Find(job_id);
+  if (!ref) {
+    return {};
+  }
+  Job& job = jobs.at(*ref);
+  job.cancelled = true;
+  Withdraw(*ref);
+  std::vector<Assignment> held;
+  if (job.held > 0) {
+    for (std::size_t n = 0; n < job.tasks.size(); ++n) {
+      if (job.tasks[n].worker != kNone) {
+        held.push_back({{job.id, static_cast<std::int32_t>(n)},
+                        workers.at(job.tasks[n].worker).id});
+      }
+    }
+  }
+  RemoveIfFinished(*ref);
+  return held;
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/capability_ledger.cc
@@ -0,0 +1,95 @@
+#include "capability_ledger.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "interner.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+// Bounds the check of a submission. Beyond it, shapes that another one of the
+// same availability zone covers are merged into that one.
+constexpr std::size_t kMostShapes = 512;
+
+std::int64_t Times(std::int64_t capacity, std::int64_t need) {
+  return need > 0 ? capacity / need : std::numeric_limits<std::int64_t>::max();
+}
+
+std::int64_t TasksThatFit(const Resources& capacity, const Resources& need) {
+  return std::min({Times(capacity.milli_cpus, need.milli_cpus),
+                   Times(capacity.memory_bytes, need.memory_bytes),
+                   Times(capacity.accelerators, need.accelerators),
+                   Times(capacity.slots, need.slots)});
+}
+
+}  // namespace
+
+CapabilityLedger::Shape* CapabilityLedger::Find(std::int32_t zone,
+                                                const Resources& capacity) {
+  const auto it = std::ranges::find_if(shapes_, [&](const Shape& shape) {
+    return shape.zone == zone && shape.capacity == capacity;
+  });
+  return it == shapes_.end() ? nullptr : &*it;
+}
+
+void CapabilityLedger::AddWorker(std::int32_t region,
+                                 std::int32_t zone,
+                                 const Resources& capacity) {
+  Shape* shape = Find(zone, capacity);
+  if (shape == nullptr) {
+    if (shapes_.size() >= kMostShapes) {
+      DropDominated();
+    }
+    shape = &shapes_.emplace_back(Shape{region, zone, capacity, 0, 0});
+  }
+  ++shape->present;
+  shape->most = std::max(shape->most, shape->present);
+}
+
+void CapabilityLedger::RemoveWorker(std::int32_t zone,
+                                    const Resources& capacity) {
+  if (Shape* shape = Find(zone, capacity); shape != nullptr) {
+    --shape->present;
+  }
+}
+
+void CapabilityLedger::DropDominated() {
+  for (std::size_t n = shapes_.size(); n-- > 0;) {
+    const Shape shape = shapes_[n];
+    const auto larger = std::ranges::find_if(shapes_, [&](const Shape& other) {
+      return other.zone == shape.zone && other.capacity != shape.capacity &&
+             shape.capacity.FitsIn(other.capacity);
+    });
+    if (larger != shapes_.end()) {
+      larger->present += shape.present;
+      larger->most += shape.most;
+      shapes_.erase(shapes_.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+  }
+}
+
+bool CapabilityLedger::CanEverFit(const Resources& need,
+                                  std::int64_t count,
+                                  std::int32_t region,
+                                  std::int32_t zone) const {
+  std::int64_t found = 0;
+  for (const Shape& shape : shapes_) {
+    if ((region != kNone && region != shape.region) ||
+        (zone != kNone && zone != shape.zone)) {
+      continue;
+    }
+    const std::int64_t each = TasksThatFit(shape.capacity, need);
+    if (each > 0 && (each >= count || shape.most >= count)) {
+      return true;
+    }
+    found += each * shape.most;
+    if (found >= count) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/decide.cc
@@ -0,0 +1,281 @@
+// The loop of decisions and what is due by time.
+#include <algorithm>
+#include <iterator>
+
+#include "implementation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+// Time for the workers of a new fleet to announce themselves, before work that
+// was queued without any worker is called impossible.
+constexpr Duration kFleetSettles = std::chrono::seconds(10);
+// A task that runs this long shows that its worker can start tasks.
+constexpr Duration kProvenRun = std::chrono::seconds(1);
+
+}  // namespace
+
+std::vector<Decision> Scheduler::Implementation::Decide(TimePoint time,
+                                                        std::size_t limit) {
+  SetNow(time);
+  decisions.clear();
+  RunTimers();
+  WakeBlocked(now - last_tick >= kTick);
+  if (now - last_tick >= kTick) {
+    last_tick = now;
+  }
+  for (;;) {
+    TakePending(limit);
+    const auto kind = NextKind();
+    if (decisions.size() >= limit || !kind) {
+      break;
+    }
+    ServeNext(*kind);
+  }
+  return std::move(decisions);
+}
+
+void Scheduler::Implementation::TakePending(std::size_t limit) {
+  while (!pending.empty() && decisions.size() < limit) {
+    if (!IsVoid(pending.front())) {
+      decisions.push_back(std::move(pending.front().decision));
+    }
+    pending.pop_front();
+  }
+}
+
+bool Scheduler::Implementation::IsVoid(const PendingDecision& it) const {
+  if (!it.task) {
+    return false;
+  }
+  if (!jobs.IsLive(it.task->job)) {
+    return true;
+  }
+  const Task& task =
+      jobs.at(it.task->job).tasks[static_cast<std::size_t>(it.task->index)];
+  return task.worker == kNone || task.attempts != it.attempt;
+}
+
+void Scheduler::Implementation::RunTimers() {
+  DropExpired();
+  EndBackoffs();
+  if (now - last_tick >= kTick) {
+    Tick();
+  }
+}
+
+void Scheduler::Implementation::Tick() {
+  headroom.Decay(now);
+  ExpireClaims();
+  CheckWorkers();
+  if (reservation &&
+      (!jobs.IsLive(reservation->job) || !jobs.at(reservation->job).enqueued ||
+       now > reservation->due + std::chrono::seconds(10))) {
+    DropReservation();
+  }
+}
+
+void Scheduler::Implementation::DropExpired() {
+  while (const auto ref = deadlines.PopDue(now)) {
+    if (jobs.IsLive(*ref) && !jobs.at(*ref).ran && jobs.at(*ref).held == 0 &&
+        !jobs.at(*ref).cancelled) {
+      DropJob(*ref, ResultCode::kDeadlinePassed,
+              "the deadline passed before the job could start");
+    }
+  }
+}
+
+void Scheduler::Implementation::DropJob(JobRef ref,
+                                        ResultCode code,
+                                        std::string reason) {
+  pending.push_back(
+      {Drop{jobs.at(ref).id, code, std::move(reason)}, std::nullopt, 0});
+  Withdraw(ref);
+  RemoveIfFinished(ref);
+}
+
+void Scheduler::Implementation::EndBackoffs() {
+  while (const auto ref = backoffs.PopDue(now)) {
+    if (!jobs.IsLive(ref->job)) {
+      continue;
+    }
+    Job& job = jobs.at(ref->job);
+    Task& task = job.tasks[static_cast<std::size_t>(ref->index)];
+    if (task.state != TaskState::kBackingOff) {
+      continue;
+    }
+    task.state = TaskState::kQueued;
+    --job.backing_off;
+    job.Requeue(ref->index);
+    EnqueueAgain(ref->job);
+  }
+}
+
+bool Scheduler::Implementation::IsProvenByRunning(const Worker& worker) const {
+  return std::ranges::any_of(worker.tasks, [this](const TaskRef& ref) {
+    const Task& task =
+        jobs.at(ref.job).tasks[static_cast<std::size_t>(ref.index)];
+    return task.state == TaskState::kRunning &&
+           now - task.placed_at >= kProvenRun;
+  });
+}
+
+void Scheduler::Implementation::CheckWorkers() {
+  const auto limited = limited_workers;
+  for (const std::int32_t number : limited) {
+    if (failures.health(number) == Health::kNormal &&
+        IsProvenByRunning(workers.at(number))) {
+      failures.SetProven(number);
+      UpdateStartLimit(number);
+    }
+  }
+  const auto quarantined = failures.quarantined();
+  for (const std::int32_t number : quarantined) {
+    if (failures.EndQuarantine(number, now)) {
+      workers.at(number).quarantined = false;
+      workers.at(number).on_probation = true;
+      UpdateStartLimit(number);
+      workers.Refresh(number);
+    }
+  }
+}
+
+bool Scheduler::Implementation::HasRoomSince(FairQueue::Team& team) const {
+  if (!workers.HasRelease(team.releases_seen)) {
+    return true;
+  }
+  for (; team.releases_seen < workers.releases(); ++team.releases_seen) {
+    const Worker& worker =
+        workers.at(workers.released_worker(team.releases_seen));
+    if (team.least_need.FitsIn(worker.free)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Scheduler::Implementation::WakeBlocked(bool all) {
+  for (FairQueue& it : queues) {
+    std::int32_t lowest_lent = kNone;
+    it.UnblockIf([&](std::int32_t number) {
+      FairQueue::Team& team = it.team(number);
+      if (all) {
+        return true;
+      }
+      // Lent room concerns the whole kind, so one team finds out for all.
+      if (team.block == FairQueue::Block::kLent &&
+          team.releases_seen != workers.releases() &&
+          (lowest_lent == kNone || team.share < it.team(lowest_lent).share)) {
+        lowest_lent = number;
+      }
+      return team.block == FairQueue::Block::kRoom && HasRoomSince(team);
+    });
+    if (lowest_lent != kNone) {
+      it.Unblock(lowest_lent);
+    }
+  }
+}
+
+// Kinds below their guarantee come first, among them interactive work, since
+// its waiting time matters most. Then the kind that has least in proportion to
+// its guarantee.
+std::optional<Kind> Scheduler::Implementation::NextKind() const {
+  std::optional<Kind> best;
+  double best_ratio = 0;
+  for (std::size_t n = 0; n < kKindCount; ++n) {
+    const auto kind = static_cast<Kind>(n);
+    if (queues[n].first_ready() == kNone) {
+      continue;
+    }
+    const double share = ledger.KindShare(kind);
+    const double guarantee = Guarantee(kind);
+    // A kind without a guarantee comes after all that have one.
+    constexpr double kNoGuarantee = 1e6;
+    double ratio = guarantee > 0 ? share / guarantee : kNoGuarantee + share;
+    if (kind == Kind::kInteractive && ratio < 1) {
+      ratio = -1;
+    }
+    if (!best || ratio < best_ratio) {
+      best = kind;
+      best_ratio = ratio;
+    }
+  }
+  return best;
+}
+
+void Scheduler::Implementation::ServeNext(Kind kind) {
+  FairQueue& its_queue = queue(kind);
+  const std::int32_t team = its_queue.first_ready();
+  its_queue.Trim(team);
+  if (its_queue.team(team).status != FairQueue::Status::kReady) {
+    return;
+  }
+  if (ServeJobs(kind, team)) {
+    its_queue.Trim(team);
+    return;
+  }
+  its_queue.Trim(team);
+  if (its_queue.team(team).status == FairQueue::Status::kReady) {
+    its_queue.team(team).releases_seen = workers.releases();
+    its_queue.BlockTeam(team);
+  }
+}
+
+// Tries the first jobs of a team in turn; returns whether one was placed.
+bool Scheduler::Implementation::ServeJobs(Kind kind, std::int32_t number) {
+  FairQueue::Team& team = queue(kind).team(number);
+  team.block = FairQueue::Block::kQuota;
+  std::size_t tried = 0;
+  for (std::size_t n = 0; n < team.jobs.size() && tried < kLookAhead;) {
+    const JobRef ref = team.jobs[n];
+    if (!queue(kind).IsWaiting(ref)) {
+      team.jobs.erase(team.jobs.begin() + static_cast<std::ptrdiff_t>(n));
+      team.stale -= team.stale > 0 ? 1 : 0;
+      continue;
+    }
+    const Resources need = jobs.at(ref).need;
+    const Outcome outcome = TryJob(ref);
+    if (outcome == Outcome::kPlaced) {
+      if (jobs.at(ref).queued() == 0) {
+        jobs.at(ref).enqueued = false;
+        team.jobs.erase(team.jobs.begin() + static_cast<std::ptrdiff_t>(n));
+      }
+      queue(kind).SetServed(number);
+      return true;
+    }
+    ++n;
+    if (outcome == Outcome::kGone) {
+      continue;
+    }
+    if (outcome == Outcome::kNoRoom) {
+      const bool first = team.block != FairQueue::Block::kRoom;
+      team.least_need = first ? need : LeastOf(team.least_need, need);
+      team.block = FairQueue::Block::kRoom;
+    } else if (outcome == Outcome::kLent &&
+               team.block == FairQueue::Block::kQuota) {
+      team.block = FairQueue::Block::kLent;
+    }
+    ++tried;
+  }
+  return false;
+}
+
+std::optional<TimePoint> Scheduler::Implementation::NextDue() const {
+  std::optional<TimePoint> due = deadlines.next_due();
+  const auto consider = [&due](std::optional<TimePoint> other) {
+    if (other && (!due || *other < *due)) {
+      due = other;
+    }
+  };
+  consider(backoffs.next_due());
+  const bool waits = std::ranges::any_of(
+      queues, [](const FairQueue& it) { return !it.blocked().empty(); });
+  if (waits || !claimed_workers.empty() || !limited_workers.empty() ||
+      !failures.quarantined().empty()) {
+    consider(last_tick + kTick);
+  }
+  return due;
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/gang.cc
@@ -0,0 +1,125 @@
+// Gangs: all remaining tasks of a job start together or none does.
+#include <algorithm>
+
+#include "implementation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+// A large gang costs one search for each task, so it is not tried at every
+// release.
+constexpr Duration kRetryPeriod = std::chrono::milliseconds(10);
+constexpr std::int32_t kSmallGang = 4;
+
+}  // namespace
+
+// A gang stays in one region when it can, since its tasks exchange data over
+// the link between regions otherwise.
+std::vector<std::int32_t> Scheduler::Implementation::GangRegions(
+    const Job& job) {
+  if (job.require_region != kNone || job.require_zone != kNone) {
+    return {job.require_region};
+  }
+  std::vector<std::int32_t> regions;
+  if (job.prefer_region != kNone) {
+    regions.push_back(job.prefer_region);
+  }
+  for (std::size_t n = 0; n < workers.region_count(); ++n) {
+    if (static_cast<std::int32_t>(n) != job.prefer_region) {
+      regions.push_back(static_cast<std::int32_t>(n));
+    }
+  }
+  regions.push_back(kNone);
+  return regions;
+}
+
+std::optional<std::vector<std::int32_t>>
+Scheduler::Implementation::FindGangPlaces(JobRef ref,
+                                          std::int32_t region,
+                                          std::uint64_t denied) {
+  const Job& job = jobs.at(ref);
+  PlacementQuery query = MakeQuery(ref);
+  query.region = region;
+  query.denied_regions = denied;
+  query.cacheable = false;
+  std::vector<std::int32_t> excluded;
+  for (const Failure& it : job.failures) {
+    excluded.push_back(it.worker);
+  }
+  query.excluded = excluded;
+  std::vector<std::int32_t> places;
+  for (std::int32_t n = 0; n < job.queued(); ++n) {
+    const std::int32_t number = workers.FindPlace(query);
+    if (number == kNone) {
+      break;
+    }
+    workers.Reserve(number, job.need);
+    places.push_back(number);
+  }
+  for (const std::int32_t number : places) {
+    workers.Undo(number, job.need);
+  }
+  if (static_cast<std::int32_t>(places.size()) < job.queued()) {
+    return std::nullopt;
+  }
+  return places;
+}
+
+Scheduler::Implementation::Outcome Scheduler::Implementation::TryGang(
+    JobRef ref) {
+  Job& job = jobs.at(ref);
+  if (job.held > 0 || job.backing_off > 0 || now < job.next_try) {
+    return Outcome::kLent;
+  }
+  const Resources total = job.need * job.queued();
+  if (!ledger.HasQuota(job.team, total)) {
+    return Outcome::kQuota;
+  }
+  if (!MayBorrow(job, total)) {
+    return Outcome::kLent;
+  }
+  if (job.queued() > kSmallGang) {
+    job.next_try = now + kRetryPeriod;
+  }
+  const bool entitled = IsEntitled(Kind::kGang, total);
+  const std::uint64_t denied =
+      entitled ? 0
+               : headroom.DeniedRegions(workers, total,
+                                        Guarantee(Kind::kInteractive));
+  std::optional<std::vector<std::int32_t>> places;
+  for (const std::int32_t region : GangRegions(job)) {
+    places = FindGangPlaces(ref, region, denied);
+    if (places) {
+      break;
+    }
+  }
+  if (!places) {
+    // Only a lack of room, not the headroom, calls for a reservation.
+    return OnNoRoom(ref, false);
+  }
+  if (reservation && reservation->job == ref) {
+    DropReservation();
+  }
+  Place place;
+  for (const std::int32_t number : *places) {
+    const std::int32_t index = job.TakeQueued();
+    StartTask(ref, index, number);
+    place.assignments.push_back({{job.id, index}, workers.at(number).id});
+  }
+  decisions.emplace_back(std::move(place));
+  return Outcome::kPlaced;
+}
+
+// A gang that lost a task cannot go on; its other tasks stop and the gang is
+// queued as a whole again.
+void Scheduler::Implementation::StopGang(JobRef ref) {
+  const Job& job = jobs.at(ref);
+  for (std::size_t n = 0; n < job.tasks.size(); ++n) {
+    if (job.tasks[n].worker != kNone && !job.tasks[n].preempting) {
+      PreemptTask({ref, static_cast<std::int32_t>(n)}, false);
+    }
+  }
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/implementation.h
@@ -0,0 +1,220 @@
+// The parts of Scheduler, joined.
+#ifndef CRANBERRYSHUNT_POLICY_IMPLEMENTATION_H_
+#define CRANBERRYSHUNT_POLICY_IMPLEMENTATION_H_
+
+#include <array>
+#include <deque>
+#include <optional>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cranberryshunt/policy/scheduler.h"
+#include "drain_rate.h"
+#include "due_heap.h"
+#include "failure_tracker.h"
+#include "fair_queue.h"
+#include "headroom.h"
+#include "interner.h"
+#include "job_table.h"
+#include "log_histogram.h"
+#include "random.h"
+#include "retry_budget.h"
+#include "run_estimator.h"
+#include "share_ledger.h"
+#include "worker_table.h"
+
+namespace cranberryshunt::policy {
+
+constexpr std::size_t IndexOf(Kind kind) {
+  return static_cast<std::size_t>(kind);
+}
+
+// Conditions that change without an event are looked at this often.
+inline constexpr Duration kTick = std::chrono::milliseconds(50);
+
+struct Scheduler::Implementation {
+  struct KindState {
+    WaitWindow waits;
+    DrainRate drain;
+    std::int64_t running = 0;
+    std::int64_t refused = 0;
+    std::int64_t preempted = 0;
+    Duration preempted_run{};
+    Resources unreclaimable;  // Reserved by jobs that are never preempted.
+    Resources claimed;        // Claims on workers for this kind.
+    Resources preempting;     // Reserved by tasks with a Preempt decided.
+    // Started tasks that may be preempted, oldest first; some are stale.
+    std::vector<TaskRef> recent;
+  };
+
+  // Workers kept for a job that found no room.
+  struct Reservation {
+    JobRef job;
+    TimePoint due{};
+    TimePoint refresh_at{};
+    std::vector<std::int32_t> workers;
+  };
+
+  // A decision about an attempt is void when that attempt has ended meanwhile.
+  struct PendingDecision {
+    Decision decision;
+    std::optional<TaskRef> task;
+    std::int32_t attempt = 0;
+  };
+
+  enum class Outcome : std::uint8_t {
+    kPlaced,
+    kNoRoom,
+    kLent,   // Room is there but must be kept for another kind.
+    kQuota,  // The team's quota is used up.
+    kGone,   // The job was dropped.
+  };
+
+  explicit Implementation(const SchedulerOptions& scheduler_options);
+
+  // ---- admission.cc ----
+  Admission Submit(const JobRequest& request, TimePoint time);
+  void Restore(const JobRequest& request,
+               const std::vector<RestoredTask>& restored,
+               TimePoint time);
+  std::vector<Assignment> Cancel(const std::string& job_id);
+  std::optional<Refused> Check(const JobRequest& request);
+  std::optional<Refused> CheckBounds(const JobRequest& request);
+  Job MakeJob(const JobRequest& request);
+  void AddDeadline(JobRef ref);
+  void Enqueue(JobRef ref, bool front);
+  // Takes the job out of its queue with all its queued tasks.
+  void Withdraw(JobRef ref);
+  void RemoveIfFinished(JobRef ref);
+  Duration RetryAfter(Kind kind) const;
+
+  // ---- decide.cc ----
+  std::vector<Decision> Decide(TimePoint time, std::size_t limit);
+  void TakePending(std::size_t limit);
+  bool IsVoid(const PendingDecision& it) const;
+  void RunTimers();
+  void Tick();
+  void DropExpired();
+  void EndBackoffs();
+  void CheckWorkers();
+  bool IsProvenByRunning(const Worker& worker) const;
+  void WakeBlocked(bool all);
+  bool HasRoomSince(FairQueue::Team& team) const;
+  std::optional<Kind> NextKind() const;
+  void ServeNext(Kind kind);
+  bool ServeJobs(Kind kind, std::int32_t team);
+  void DropJob(JobRef ref, ResultCode code, std::string reason);
+  std::optional<TimePoint> NextDue() const;
+
+  // ---- placement.cc ----
+  Outcome TryJob(JobRef ref);
+  Outcome TryTask(JobRef ref);
+  PlacementQuery MakeQuery(JobRef ref);
+  std::int32_t FindWorker(const Job& job, PlacementQuery& query);
+  Outcome OnNoRoom(JobRef ref, bool lent);
+  bool IsEntitled(Kind kind, const Resources& more) const;
+  bool MayBorrow(const Job& job, const Resources& more) const;
+  double Guarantee(Kind kind) const;
+  std::optional<Duration> RunEstimate(const Job& job) const;
+  void StartTask(JobRef ref, std::int32_t index, std::int32_t number);
+  void ReleaseTask(JobRef ref, std::int32_t index);
+  void UpdateShares(Kind kind, std::int32_t team);
+  void UpdateStartLimit(std::int32_t number);
+  void CountPlace(Job& job, const Worker& worker, int change);
+
+  // ---- gang.cc ----
+  Outcome TryGang(JobRef ref);
+  std::optional<std::vector<std::int32_t>> FindGangPlaces(JobRef ref,
+                                                          std::int32_t region,
+                                                          std::uint64_t denied);
+  std::vector<std::int32_t> GangRegions(const Job& job);
+  void StopGang(JobRef ref);
+
+  // ---- reservation.cc ----
+  void ReserveFor(JobRef ref, bool entitled);
+  void PlanReservation(JobRef ref, std::int32_t count, bool entitled);
+  void PreemptForHold(std::int32_t number);
+  void DropReservation();
+  std::optional<TimePoint> ExpectedEnd(const TaskRef& ref) const;
+
+  // ---- reclaim.cc ----
+  // Makes room for the queued tasks of a job whose kind is below its guarantee.
+  void Reclaim(JobRef ref);
+  bool ClaimDraining(JobRef ref);
+  bool ClaimByPreemption(JobRef ref);
+  bool PreemptRecent(JobRef ref, Kind victim_kind);
+  bool PreemptGang(JobRef ref, const TaskRef& victim);
+  bool MayClaim(std::int32_t number, const Job& job) const;
+  void Claim(std::int32_t number, const Job& job);
+  void DropClaim(std::int32_t number);
+  void ExpireClaims();
+  bool IsAboveGuarantee(Kind kind, const Resources& less) const;
+  bool IsPreemptible(const TaskRef& ref) const;
+  void PreemptTask(const TaskRef& ref, bool reclaim);
+  std::vector<Kind> VictimKinds(Kind kind) const;
+  void CompactRecent(KindState& state);
+
+  // ---- lifecycle.cc ----
+  void TaskRunning(const TaskId& id, TimePoint time);
+  EndVerdict TaskEnded(const TaskId& id, EndKind end, TimePoint time);
+  void TaskUsage(const TaskId& id, const Resources& used);
+  std::optional<TaskRef> FindTask(const TaskId& id) const;
+  EndVerdict OnDone(const TaskRef& ref, std::int32_t worker, Duration run);
+  EndVerdict OnFailed(const TaskRef& ref, std::int32_t worker);
+  EndVerdict OnPreempted(const TaskRef& ref,
+                         bool for_excess,
+                         std::int32_t worker);
+  EndVerdict Finish(const TaskRef& ref, ResultCode code, std::string reason);
+  EndVerdict Requeue(const TaskRef& ref, Duration delay);
+  void EnqueueAgain(JobRef ref);
+  int HealthyFailures(const Job& job, std::int32_t index) const;
+  bool HasOtherWorker(const Job& job, std::int32_t index) const;
+  std::vector<std::int32_t> FailedWorkers(const Job& job,
+                                          std::int32_t index) const;
+  void CountWorkerFailure(std::int32_t worker, std::int32_t family);
+
+  // ---- workers.cc ----
+  void UpsertWorker(const WorkerInfo& info);
+  void SetAccepting(const std::string& id, bool accepting);
+  void RemoveWorker(const std::string& id);
+  void SetQuotas(const std::vector<Quota>& quotas);
+  SchedulerReport Report() const;
+  std::array<KindReport, kKindCount> KindReports() const;
+
+  KindState& state(Kind kind) { return kinds[IndexOf(kind)]; }
+  FairQueue& queue(Kind kind) { return queues[IndexOf(kind)]; }
+  void SetNow(TimePoint time) { now = std::max(now, time); }
+
+  SchedulerOptions options;
+  Random random;
+  TimePoint now{};
+  TimePoint last_tick{};
+  std::optional<TimePoint> fleet_seen_at;
+
+  Interner teams;
+  Interner families;
+  JobTable jobs;
+  WorkerTable workers;
+  ShareLedger ledger;
+  std::array<FairQueue, kKindCount> queues;
+  std::array<KindState, kKindCount> kinds;
+  FailureTracker failures;
+  RunEstimator runs;
+  RetryBudget retries;
+  Headroom headroom;
+
+  DueHeap<JobRef> deadlines;
+  DueHeap<TaskRef> backoffs;
+  std::vector<std::int32_t> claimed_workers;
+  std::vector<std::int32_t> limited_workers;
+  std::optional<Reservation> reservation;
+  // Decisions made outside the loop of placements.
+  std::deque<PendingDecision> pending;
+  std::vector<Decision> decisions;
+};
+
+}  // namespace cranberryshunt::policy
+
+#endif  // CRANBERRYSHUNT_POLICY_IMPLEMENTATION_H_
--- /dev/null
+++ b/libraries/policy/src/job_table.h
@@ -0,0 +1,137 @@
+// Jobs and their tasks as the scheduler keeps them.
+#ifndef CRANBERRYSHUNT_POLICY_JOB_TABLE_H_
+#define CRANBERRYSHUNT_POLICY_JOB_TABLE_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "cranberryshunt/policy/types.h"
+#include "interner.h"
+
+namespace cranberryshunt::policy {
+
+using JobSlot = std::uint32_t;
+
+// Names a job; stale once the job is forgotten, since the generation of a slot
+// changes with each use.
+struct JobRef {
+  JobSlot slot = 0;
+  std::uint32_t generation = 0;
+
+  bool operator==(const JobRef&) const = default;
+};
+
+struct TaskRef {
+  JobRef job;
+  std::int32_t index = 0;
+
+  bool operator==(const TaskRef&) const = default;
+};
+
+enum class TaskState : std::uint8_t {
+  kQueued,
+  kBackingOff,  // Waits for its next try.
+  kPlaced,      // Holds a reservation; not yet reported as running.
+  kRunning,
+  kFinished,
+};
+
+struct Task {
+  TaskState state = TaskState::kQueued;
+  bool preempting = false;  // A Preempt was decided for it.
+  bool reclaimed = false;   // That Preempt returns lent capacity.
+  std::uint8_t excess = 0;  // Reports in a row of use above the declaration.
+  std::int16_t failures = 0;
+  std::int32_t attempts = 0;
+  std::int32_t worker = kNone;
+  std::uint32_t position = 0;  // In the worker's list of tasks.
+  TimePoint queued_at{};
+  TimePoint placed_at{};
+};
+
+struct Failure {
+  std::int32_t index = 0;
+  std::int32_t worker = kNone;
+};
+
+// How many tasks of a job a rack or availability zone holds.
+struct DomainCount {
+  std::int32_t domain = kNone;
+  std::int32_t tasks = 0;
+};
+
+struct Job {
+  std::string id;
+  std::int32_t team = kNone;
+  std::int32_t family = kNone;
+  Kind kind = Kind::kBatch;
+  Spread spread = Spread::kNone;
+  bool idempotent = true;
+  bool ran = false;       // Some attempt may have run.
+  bool enqueued = false;  // Has an entry in its team's queue.
+  bool cancelled = false;
+  bool faulty = false;
+  bool unchecked = false;  // Queued without a check against the fleet.
+  // Reservations count against the part of the share that cannot be reclaimed.
+  bool unreclaimable = false;
+  std::uint32_t generation = 0;
+  std::int32_t prefer_region = kNone;
+  std::int32_t require_region = kNone;
+  std::int32_t require_zone = kNone;
+  std::int32_t held = 0;        // Tasks with a reservation.
+  std::int32_t unfinished = 0;  // Tasks not yet ended.
+  std::int32_t backing_off = 0;
+  std::int32_t next_fresh =
+      0;  // First task that was never taken from the queue.
+  Resources need;
+  Duration expected_run{};
+  std::optional<TimePoint> deadline;
+  TimePoint submitted_at{};
+  TimePoint next_try{};
+  std::vector<Task> tasks;
+  std::vector<std::int32_t> requeued;  // Lowest index last.
+  std::vector<Failure> failures;
+  std::vector<DomainCount> racks;
+  std::vector<DomainCount> zones;
+
+  std::int32_t queued() const {
+    return static_cast<std::int32_t>(requeued.size() + tasks.size()) -
+           next_fresh;
+  }
+  std::int32_t TakeQueued();
+  void Requeue(std::int32_t index);
+  static void CountDomain(std::vector<DomainCount>& counts,
+                          std::int32_t domain,
+                          std::int32_t change);
+};
+
+class JobTable {
+ public:
+  // Adds a job; its id must be unknown.
+  JobRef Add(Job job);
+  void Remove(JobRef ref);
+  std::optional<JobRef> Find(std::string_view id) const;
+  bool IsLive(JobRef ref) const {
+    return ref.slot < jobs_.size() &&
+           jobs_[ref.slot].generation == ref.generation;
+  }
+  Job& at(JobRef ref) { return jobs_[ref.slot]; }
+  const Job& at(JobRef ref) const { return jobs_[ref.slot]; }
+  std::size_t size() const { return slots_.size(); }
+
+ private:
+  // A deque keeps jobs in place, so that the keys of slots_ can point into
+  // their ids.
+  std::deque<Job> jobs_;
+  std::vector<JobSlot> free_;
+  std::unordered_map<std::string_view, JobSlot> slots_;
+};
+
+}  // namespace cranberryshunt::policy
+
+#endif  // CRANBERRYSHUNT_POLICY_JOB_TABLE_H_
--- /dev/null
+++ b/libraries/policy/src/lifecycle.cc
@@ -0,0 +1,306 @@
+// What happens to started tasks.
+#include <algorithm>
+
+#include "implementation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+// Distinct sound workers on which a task fails before its job is called faulty.
+constexpr int kFaultyWorkers = 3;
+// Use may exceed the declaration by this much without being slowed, since
+// reports are sampled.
+constexpr std::int64_t kExcessPercent = 110;
+constexpr std::uint8_t kExcessToThrottle = 1;
+constexpr std::uint8_t kExcessToStop = 4;
+constexpr std::int32_t kLeastThrottlePercent = 10;
+
+bool Exceeds(std::int64_t used, std::int64_t declared) {
+  return used * 100 > declared * kExcessPercent;
+}
+
+}  // namespace
+
+std::optional<TaskRef> Scheduler::Implementation::FindTask(
+    const TaskId& id) const {
+  const auto ref = jobs.Find(id.job_id);
+  if (!ref || id.index < 0 ||
+      static_cast<std::size_t>(id.index) >= jobs.at(*ref).tasks.size()) {
+    return std::nullopt;
+  }
+  return TaskRef{*ref, id.index};
+}
+
+void Scheduler::Implementation::TaskRunning(const TaskId& id, TimePoint time) {
+  SetNow(time);
+  const auto ref = FindTask(id);
+  if (!ref) {
+    return;
+  }
+  Job& job = jobs.at(ref->job);
+  Task& task = job.tasks[static_cast<std::size_t>(ref->index)];
+  if (task.state != TaskState::kPlaced) {
+    return;
+  }
+  task.state = TaskState::kRunning;
+  job.ran = true;
+  state(job.kind).waits.Add(now - task.queued_at, now);
+}
+
+EndVerdict Scheduler::Implementation::TaskEnded(const TaskId& id,
+                                                EndKind end,
+                                                TimePoint time) {
+  SetNow(time);
+  const auto ref = FindTask(id);
+  if (!ref) {
+    return Ended{ResultCode::kNotFound, "the job is not known"};
+  }
+  Job& job = jobs.at(ref->job);
+  Task& task = job.tasks[static_cast<std::size_t>(ref->index)];
+  if (task.worker == kNone) {
+    return Ended{ResultCode::kNotFound, "the task holds no reservation"};
+  }
+  const std::int32_t worker = task.worker;
+  const Duration run = now - task.placed_at;
+  const bool reclaimed = task.preempting && task.reclaimed;
+  const bool for_excess = task.excess >= kExcessToStop;
+  if (task.state == TaskState::kPlaced && end != EndKind::kRefused) {
+    state(job.kind).waits.Add(task.placed_at - task.queued_at, now);
+  }
+  job.ran = job.ran || end != EndKind::kRefused;
+  ReleaseTask(ref->job, ref->index);
+  switch (end) {
+    case EndKind::kDone:
+      return OnDone(*ref, worker, run);
+    case EndKind::kFailed:
+      return OnFailed(*ref, worker);
+    case EndKind::kRefused:
+      CountWorkerFailure(worker, kNone);
+      return Requeue(*ref, RetryBudget::Backoff(1, random));
+    case EndKind::kWorkerLost:
+      if (!job.idempotent) {
+        return Finish(*ref, ResultCode::kWorkerLost,
+                      "the worker was lost while the task ran");
+      }
+      return Requeue(*ref, Duration::zero());
+    case EndKind::kPreempted:
+      if (reclaimed) {
+        ++state(job.kind).preempted;
+        state(job.kind).preempted_run += run;
+      }
+      return OnPreempted(*ref, for_excess, worker);
+    case EndKind::kCancelled:
+      break;
+  }
+  return Finish(*ref, ResultCode::kCancelledByCaller, "the job was cancelled");
+}
+
+EndVerdict Scheduler::Implementation::OnDone(const TaskRef& ref,
+                                             std::int32_t worker,
+                                             Duration run) {
+  const Job& job = jobs.at(ref.job);
+  if (job.kind != Kind::kService) {
+    runs.Record(job.family, run);
+  }
+  failures.OnDone(worker, job.family, now);
+  Worker& its_worker = workers.at(worker);
+  if (its_worker.on_probation && failures.health(worker) == Health::kNormal) {
+    its_worker.on_probation = false;
+  }
+  UpdateStartLimit(worker);
+  return Finish(ref, ResultCode::kOk, "");
+}
+
+void Scheduler::Implementation::CountWorkerFailure(std::int32_t worker,
+                                                   std::int32_t family) {
+  if (!failures.OnFailed(worker, family, now)) {
+    return;
+  }
+  workers.at(worker).quarantined = true;
+  workers.at(worker).on_probation = false;
+  workers.Refresh(worker);
+  UpdateStartLimit(worker);
+}
+
+int Scheduler::Implementation::HealthyFailures(const Job& job,
+                                               std::int32_t index) const {
+  std::vector<std::int32_t> counted;
+  for (const Failure& it : job.failures) {
+    if (it.index == index && it.worker != kNone &&
+        failures.health(it.worker) == Health::kNormal &&
+        std::ranges::find(counted, it.worker) == counted.end()) {
+      counted.push_back(it.worker);
+    }
+  }
+  return static_cast<int>(counted.size());
+}
+
+std::vector<std::int32_t> Scheduler::Implementation::FailedWorkers(
+    const Job& job,
+    std::int32_t index) const {
+  std::vector<std::int32_t> failed;
+  for (const Failure& it : job.failures) {
+    if (it.index == index) {
+      failed.push_back(it.worker);
+    }
+  }
+  return failed;
+}
+
+bool Scheduler::Implementation::HasOtherWorker(const Job& job,
+                                               std::int32_t index) const {
+  const auto failed = FailedWorkers(job, index);
+  for (std::size_t n = 0; n < workers.size(); ++n) {
+    const auto number = static_cast<std::int32_t>(n);
+    const Worker& worker = workers.at(number);
+    if (worker.present && worker.accepting &&
+        job.need.FitsIn(worker.capacity) &&
+        (job.require_region == kNone || job.require_region == worker.region) &&
+        (job.require_zone == kNone || job.require_zone == worker.zone) &&
+        std::ranges::find(failed, number) == failed.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+EndVerdict Scheduler::Implementation::OnFailed(const TaskRef& ref,
+                                               std::int32_t worker) {
+  Job& job = jobs.at(ref.job);
+  Task& task = job.tasks[static_cast<std::size_t>(ref.index)];
+  CountWorkerFailure(worker, job.family);
+  job.failures.push_back({ref.index, worker});
+  ++task.failures;
+  if (job.faulty) {
+    return Finish(ref, ResultCode::kJobFaulty, "the job is faulty");
+  }
+  if (job.cancelled || !job.idempotent) {
+    return Finish(ref, ResultCode::kTaskFailed, "the task failed");
+  }
+  if (HealthyFailures(job, ref.index) >= kFaultyWorkers) {
+    job.faulty = true;
+    const bool others_wait = job.queued() + job.backing_off > 0;
+    const EndVerdict verdict =
+        Ended{ResultCode::kJobFaulty, "a task failed on three sound workers"};
+    if (others_wait) {
+      DropJob(ref.job, ResultCode::kJobFaulty,
+              "a task failed on three sound workers");
+    }
+    Finish(ref, ResultCode::kJobFaulty, "");
+    return verdict;
+  }
+  if (!HasOtherWorker(job, ref.index)) {
+    return Finish(ref, ResultCode::kTaskFailed,
+                  "the task failed and no other worker can run it");
+  }
+  // The failures of a bad worker are not the team's.
+  const bool is_free = failures.health(worker) != Health::kNormal;
+  if (!is_free && !retries.TryRetry(job.team, now)) {
+    return Finish(ref, ResultCode::kRetryBudgetExhausted,
+                  "the task failed and the team has used up its retries");
+  }
+  return Requeue(ref, RetryBudget::Backoff(task.failures, random));
+}
+
+EndVerdict Scheduler::Implementation::OnPreempted(const TaskRef& ref,
+                                                  bool for_excess,
+                                                  std::int32_t worker) {
+  if (for_excess) {
+    return OnFailed(ref, worker);
+  }
+  if (!jobs.at(ref.job).idempotent) {
+    return Finish(ref, ResultCode::kPreempted, "the task was preempted");
+  }
+  return Requeue(ref, Duration::zero());
+}
+
+EndVerdict Scheduler::Implementation::Finish(const TaskRef& ref,
+                                             ResultCode code,
+                                             std::string reason) {
+  Job& job = jobs.at(ref.job);
+  job.tasks[static_cast<std::size_t>(ref.index)].state = TaskState::kFinished;
+  --job.unfinished;
+  if (job.unfinished == 0) {
+    jobs.Remove(ref.job);
+  } else {
+    EnqueueAgain(ref.job);
+  }
+  return Ended{code, std::move(reason)};
+}
+
+EndVerdict Scheduler::Implementation::Requeue(const TaskRef& ref,
+                                              Duration delay) {
+  Job& job = jobs.at(ref.job);
+  if (job.cancelled) {
+    return Finish(ref, ResultCode::kCancelledByCaller, "the job was cancelled");
+  }
+  if (job.faulty) {
+    return Finish(ref, ResultCode::kJobFaulty, "the job is faulty");
+  }
+  if (job.kind == Kind::kGang && job.idempotent) {
+    StopGang(ref.job);
+  }
+  Task& task = job.tasks[static_cast<std::size_t>(ref.index)];
+  queue(job.kind).AddTasks(job.team, 1);
+  task.queued_at = now;
+  if (delay > Duration::zero()) {
+    task.state = TaskState::kBackingOff;
+    ++job.backing_off;
+    backoffs.Add(now + delay, ref);
+  } else {
+    task.state = TaskState::kQueued;
+    job.Requeue(ref.index);
+    EnqueueAgain(ref.job);
+  }
+  AddDeadline(ref.job);
+  return Requeued();
+}
+
+// Work that was started before goes to the front; it has waited already. A gang
+// is queued once none of its tasks is held or backing off.
+void Scheduler::Implementation::EnqueueAgain(JobRef ref) {
+  const Job& job = jobs.at(ref);
+  if (job.cancelled || job.queued() == 0 ||
+      (job.kind == Kind::kGang && (job.held > 0 || job.backing_off > 0))) {
+    return;
+  }
+  Enqueue(ref, true);
+}
+
+void Scheduler::Implementation::TaskUsage(const TaskId& id,
+                                          const Resources& used) {
+  const auto ref = FindTask(id);
+  if (!ref) {
+    return;
+  }
+  Job& job = jobs.at(ref->job);
+  Task& task = job.tasks[static_cast<std::size_t>(ref->index)];
+  if (task.worker == kNone || task.preempting) {
+    return;
+  }
+  const bool cpu_exceeds = Exceeds(used.milli_cpus, job.need.milli_cpus);
+  if (!cpu_exceeds && !Exceeds(used.memory_bytes, job.need.memory_bytes)) {
+    task.excess = 0;
+    return;
+  }
+  task.excess =
+      static_cast<std::uint8_t>(std::min<int>(task.excess + 1, kExcessToStop));
+  if (task.excess == kExcessToThrottle) {
+    const std::int64_t percent =
+        cpu_exceeds ? job.need.milli_cpus * 100 / used.milli_cpus
+                    : job.need.memory_bytes * 100 / used.memory_bytes;
+    const auto at_least =
+        std::max(kLeastThrottlePercent, static_cast<std::int32_t>(percent));
+    pending.push_back({Throttle{id, workers.at(task.worker).id, at_least}, *ref,
+                       task.attempts});
+  } else if (task.excess >= kExcessToStop && job.idempotent) {
+    if (job.kind == Kind::kGang) {
+      StopGang(ref->job);
+    } else {
+      PreemptTask(*ref, false);
+    }
+  }
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/placement.cc
@@ -0,0 +1,279 @@
+// Choice of a worker for single tasks, and the books of reservations.
+#include <algorithm>
+#include <cassert>
+
+#include "implementation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+// Bounds what a new worker that fails everything can ruin at once.
+constexpr std::size_t kUnprovenStarts = 8;
+constexpr std::size_t kProbationStarts = 1;
+// A task that waited this long for room gets a reservation like a gang, so that
+// smaller work does not pass it for ever.
+constexpr Duration kStarving = std::chrono::seconds(5);
+constexpr Duration kFleetSettles = std::chrono::seconds(10);
+// Shares are sums of fractions; a share equal to its guarantee is within it.
+constexpr double kRounding = 1e-9;
+
+PlacementQuery::Order OrderOf(const Job& job) {
+  if (job.kind == Kind::kInteractive) {
+    return PlacementQuery::Order::kLeastLoaded;
+  }
+  if (job.kind == Kind::kService || job.spread != Spread::kNone) {
+    return PlacementQuery::Order::kSpread;
+  }
+  return PlacementQuery::Order::kTightest;
+}
+
+}  // namespace
+
+double Scheduler::Implementation::Guarantee(Kind kind) const {
+  return options.guaranteed_share[IndexOf(kind)];
+}
+
+bool Scheduler::Implementation::IsEntitled(Kind kind,
+                                           const Resources& more) const {
+  return ledger.ShareOf(ledger.reserved(kind) + more) <=
+         Guarantee(kind) + kRounding;
+}
+
+// Work that is never preempted and runs long cannot return what it borrows, so
+// it stays within the guarantee and the share that is guaranteed to nobody.
+bool Scheduler::Implementation::MayBorrow(const Job& job,
+                                          const Resources& more) const {
+  const Resources& held = kinds[IndexOf(job.kind)].unreclaimable;
+  if (!job.unreclaimable || held == Resources()) {
+    return true;
+  }
+  double unassigned = 1;
+  for (const double share : options.guaranteed_share) {
+    unassigned -= share;
+  }
+  return ledger.ShareOf(held + more) <=
+         Guarantee(job.kind) + std::max(0.0, unassigned) + kRounding;
+}
+
+std::optional<Duration> Scheduler::Implementation::RunEstimate(
+    const Job& job) const {
+  return runs.Estimate(job.family, job.expected_run);
+}
+
+// Counts a task in the place of its worker, or takes it out of the count.
+void Scheduler::Implementation::CountPlace(Job& job,
+                                           const Worker& worker,
+                                           int change) {
+  if (!worker.present) {
+    return;
+  }
+  if (job.kind == Kind::kInteractive) {
+    headroom.OnChange(worker.region, job.need * change);
+  }
+  if (OrderOf(job) == PlacementQuery::Order::kSpread) {
+    Job::CountDomain(job.racks, worker.rack, change);
+    Job::CountDomain(job.zones, worker.zone, change);
+  }
+}
+
+PlacementQuery Scheduler::Implementation::MakeQuery(JobRef ref) {
+  const Job& job = jobs.at(ref);
+  PlacementQuery query;
+  query.need = job.need;
+  query.kind = job.kind;
+  query.order = OrderOf(job);
+  query.job = ref;
+  query.region = job.require_region;
+  query.zone = job.require_zone;
+  query.zones = job.zones;
+  query.racks = job.racks;
+  if (reservation) {
+    const auto estimate = RunEstimate(job);
+    query.ends_before_hold = estimate && now + *estimate <= reservation->due;
+  }
+  if (job.kind != Kind::kInteractive) {
+    query.denied_regions = headroom.DeniedRegions(
+        workers, job.need, Guarantee(Kind::kInteractive));
+  }
+  return query;
+}
+
+// The preferred region comes first; another one is used only when it has no
+// room.
+std::int32_t Scheduler::Implementation::FindWorker(const Job& job,
+                                                   PlacementQuery& query) {
+  if (job.prefer_region != kNone && query.region == kNone &&
+      query.zone == kNone) {
+    query.region = job.prefer_region;
+    const std::int32_t local = workers.FindPlace(query);
+    query.region = kNone;
+    if (local != kNone) {
+      return local;
+    }
+  }
+  return workers.FindPlace(query);
+}
+
+Scheduler::Implementation::Outcome Scheduler::Implementation::TryJob(
+    JobRef ref) {
+  const Job& job = jobs.at(ref);
+  if (job.deadline && *job.deadline <= now && !job.ran && job.held == 0) {
+    DropJob(ref, ResultCode::kDeadlinePassed,
+            "the deadline passed before the job could start");
+    return Outcome::kGone;
+  }
+  return job.kind == Kind::kGang ? TryGang(ref) : TryTask(ref);
+}
+
+Scheduler::Implementation::Outcome Scheduler::Implementation::TryTask(
+    JobRef ref) {
+  Job& job = jobs.at(ref);
+  if (!ledger.HasQuota(job.team, job.need)) {
+    return Outcome::kQuota;
+  }
+  if (!MayBorrow(job, job.need)) {
+    return Outcome::kLent;
+  }
+  const std::int32_t next =
+      job.requeued.empty() ? job.next_fresh : job.requeued.back();
+  const auto excluded = FailedWorkers(job, next);
+  PlacementQuery query = MakeQuery(ref);
+  query.excluded = excluded;
+  // A guaranteed share is not held back by the headroom, which interactive work
+  // can reclaim.
+  const bool entitled = IsEntitled(job.kind, job.need);
+  if (entitled) {
+    query.denied_regions = 0;
+  }
+  const std::int32_t number = FindWorker(job, query);
+  if (number == kNone) {
+    if (entitled) {
+      Reclaim(ref);
+    }
+    return OnNoRoom(ref, query.denied_regions != 0);
+  }
+  const std::int32_t index = job.TakeQueued();
+  StartTask(ref, index, number);
+  decisions.emplace_back(Place{{{{job.id, index}, workers.at(number).id}}});
+  return Outcome::kPlaced;
+}
+
+Scheduler::Implementation::Outcome Scheduler::Implementation::OnNoRoom(
+    JobRef ref,
+    bool lent) {
+  Job& job = jobs.at(ref);
+  if (job.unchecked && fleet_seen_at && now - *fleet_seen_at > kFleetSettles) {
+    job.unchecked = false;
+    const std::int32_t at_once = job.kind == Kind::kGang ? job.queued() : 1;
+    if (!workers.capabilities().CanEverFit(
+            job.need, at_once, job.require_region, job.require_zone)) {
+      DropJob(ref, ResultCode::kImpossible,
+              "the job is larger than the fleet ever was");
+      return Outcome::kGone;
+    }
+  }
+  const bool entitled = IsEntitled(job.kind, job.need * job.queued());
+  if (job.kind == Kind::kGang ||
+      (!lent && now - job.submitted_at >= kStarving && job.queued() == 1)) {
+    ReserveFor(ref, entitled);
+  }
+  return lent ? Outcome::kLent : Outcome::kNoRoom;
+}
+
+void Scheduler::Implementation::UpdateShares(Kind kind, std::int32_t team) {
+  queue(kind).UpdateShare(team, ledger.TeamShare(kind, team));
+}
+
+void Scheduler::Implementation::UpdateStartLimit(std::int32_t number) {
+  Worker& worker = workers.at(number);
+  const std::size_t limit =
+      worker.on_probation ? kProbationStarts : kUnprovenStarts;
+  const bool limited = (worker.on_probation || !failures.proven(number)) &&
+                       worker.tasks.size() >= limit;
+  if (limited == worker.start_limited) {
+    return;
+  }
+  worker.start_limited = limited;
+  if (limited) {
+    limited_workers.push_back(number);
+  } else {
+    std::erase(limited_workers, number);
+  }
+  workers.Refresh(number);
+}
+
+void Scheduler::Implementation::StartTask(JobRef ref,
+                                          std::int32_t index,
+                                          std::int32_t number) {
+  Job& job = jobs.at(ref);
+  Task& task = job.tasks[static_cast<std::size_t>(index)];
+  assert(task.worker == kNone);
+  task.state = TaskState::kPlaced;
+  task.preempting = false;
+  task.reclaimed = false;
+  task.excess = 0;
+  ++task.attempts;
+  task.worker = number;
+  task.placed_at = now;
+  Worker& worker = workers.at(number);
+  task.position = static_cast<std::uint32_t>(worker.tasks.size());
+  worker.tasks.push_back({ref, index});
+  workers.Reserve(number, job.need);
+  ledger.Reserve(job.kind, job.team, job.need);
+  ++job.held;
+
+  KindState& its_kind = state(job.kind);
+  ++its_kind.running;
+  its_kind.drain.OnStart(now);
+  if (job.unreclaimable) {
+    its_kind.unreclaimable = its_kind.unreclaimable + job.need;
+  }
+  if (job.idempotent) {
+    its_kind.recent.push_back({ref, index});
+    CompactRecent(its_kind);
+  }
+  CountPlace(job, worker, 1);
+  if (worker.claimed_by == job.kind) {
+    DropClaim(number);
+  }
+  if (task.attempts == 1) {
+    retries.OnStart(job.team, now);
+  }
+  queue(job.kind).AddTasks(job.team, -1);
+  UpdateShares(job.kind, job.team);
+  UpdateStartLimit(number);
+}
+
+void Scheduler::Implementation::ReleaseTask(JobRef ref, std::int32_t index) {
+  Job& job = jobs.at(ref);
+  Task& task = job.tasks[static_cast<std::size_t>(index)];
+  const std::int32_t number = task.worker;
+  Worker& worker = workers.at(number);
+  const TaskRef last = worker.tasks.back();
+  worker.tasks[task.position] = last;
+  jobs.at(last.job).tasks[static_cast<std::size_t>(last.index)].position =
+      task.position;
+  worker.tasks.pop_back();
+  workers.Release(number, job.need);
+  ledger.Release(job.kind, job.team, job.need);
+  --job.held;
+
+  KindState& its_kind = state(job.kind);
+  --its_kind.running;
+  if (job.unreclaimable) {
+    its_kind.unreclaimable = its_kind.unreclaimable - job.need;
+  }
+  if (task.preempting && task.reclaimed) {
+    its_kind.preempting = its_kind.preempting - job.need;
+  }
+  CountPlace(job, worker, -1);
+  task.worker = kNone;
+  UpdateShares(job.kind, job.team);
+  UpdateStartLimit(number);
+  for (FairQueue& it : queues) {
+    it.WakeQuota(job.team);
+  }
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/reservation.cc
@@ -0,0 +1,184 @@
+// Reservations for jobs that find no room.
+#include <algorithm>
+#include <limits>
+
+#include "implementation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+constexpr Duration kRefreshPeriod = std::chrono::seconds(1);
+// A task that has outlived its estimate, or that is being stopped, is expected
+// to end this soon.
+constexpr Duration kSoon = std::chrono::seconds(1);
+// Workers considered for one reservation; bounds the time of planning.
+constexpr std::size_t kMostWorkers = 512;
+
+std::int64_t Times(std::int64_t free, std::int64_t need) {
+  return need > 0 ? std::max<std::int64_t>(0, free) / need
+                  : std::numeric_limits<std::int32_t>::max();
+}
+
+std::int64_t TasksThatFit(const Resources& free, const Resources& need) {
+  return std::min({Times(free.milli_cpus, need.milli_cpus),
+                   Times(free.memory_bytes, need.memory_bytes),
+                   Times(free.accelerators, need.accelerators),
+                   Times(free.slots, need.slots)});
+}
+
+struct ExpectedRelease {
+  TimePoint end;
+  std::size_t candidate;
+  Resources amount;
+};
+
+struct Candidate {
+  std::int32_t worker;
+  Resources free;
+  std::int64_t fits;
+};
+
+}  // namespace
+
+std::optional<TimePoint> Scheduler::Implementation::ExpectedEnd(
+    const TaskRef& ref) const {
+  const Job& job = jobs.at(ref.job);
+  const Task& task = job.tasks[static_cast<std::size_t>(ref.index)];
+  if (task.preempting) {
+    return now + kSoon;
+  }
+  const auto estimate = RunEstimate(job);
+  if (!estimate || job.kind == Kind::kService) {
+    return std::nullopt;
+  }
+  return std::max(task.placed_at + *estimate, now + kSoon);
+}
+
+void Scheduler::Implementation::DropReservation() {
+  if (!reservation) {
+    return;
+  }
+  const auto held = std::move(reservation->workers);
+  reservation.reset();
+  for (const std::int32_t number : held) {
+    workers.at(number).held_for.reset();
+    workers.at(number).hold = Resources();
+    workers.Refresh(number);
+  }
+}
+
+// One reservation at a time, for the job that was submitted first.
+void Scheduler::Implementation::ReserveFor(JobRef ref, bool entitled) {
+  const Job& job = jobs.at(ref);
+  if (reservation) {
+    const bool same = reservation->job == ref;
+    const bool stale = !jobs.IsLive(reservation->job);
+    const bool older =
+        !stale && job.submitted_at < jobs.at(reservation->job).submitted_at;
+    if (same ? now < reservation->refresh_at : !stale && !older) {
+      return;
+    }
+  }
+  PlanReservation(ref, job.queued(), entitled);
+}
+
+void Scheduler::Implementation::PlanReservation(JobRef ref,
+                                                std::int32_t count,
+                                                bool entitled) {
+  DropReservation();
+  const Job& job = jobs.at(ref);
+  std::vector<Candidate> candidates;
+  std::vector<ExpectedRelease> releases;
+  std::int64_t fits = 0;
+  for (const std::int32_t number :
+       workers.Sample(job.require_region, job.require_zone, kMostWorkers)) {
+    const Worker& worker = workers.at(number);
+    if (!job.need.FitsIn(worker.capacity) ||
+        (worker.claimed_by && *worker.claimed_by != job.kind) ||
+        (worker.on_probation && job.kind == Kind::kGang)) {
+      continue;
+    }
+    const std::int64_t each = TasksThatFit(worker.free, job.need);
+    fits += each;
+    candidates.push_back({number, worker.free, each});
+    for (const TaskRef& task : worker.tasks) {
+      auto end = ExpectedEnd(task);
+      if (entitled && IsPreemptible(task)) {
+        end = std::min(end.value_or(TimePoint::max()), now + kSoon);
+      }
+      if (end) {
+        releases.push_back(
+            {*end, candidates.size() - 1, jobs.at(task.job).need});
+      }
+    }
+  }
+  std::ranges::sort(releases, {}, &ExpectedRelease::end);
+  TimePoint due = now;
+  for (const ExpectedRelease& it : releases) {
+    if (fits >= count) {
+      break;
+    }
+    Candidate& candidate = candidates[it.candidate];
+    candidate.free = candidate.free + it.amount;
+    const std::int64_t each = TasksThatFit(candidate.free, job.need);
+    fits += each - candidate.fits;
+    candidate.fits = each;
+    due = it.end;
+  }
+  reservation = Reservation{ref, due, now + kRefreshPeriod, {}};
+  if (fits < count) {
+    return;
+  }
+  std::ranges::stable_sort(candidates, std::ranges::greater(),
+                           &Candidate::fits);
+  std::int64_t left = count;
+  for (const Candidate& it : candidates) {
+    if (left <= 0 || it.fits == 0) {
+      break;
+    }
+    const std::int64_t taken = std::min(left, it.fits);
+    left -= taken;
+    Worker& worker = workers.at(it.worker);
+    worker.held_for = ref;
+    worker.hold = job.need * taken;
+    reservation->workers.push_back(it.worker);
+    if (entitled) {
+      PreemptForHold(it.worker);
+    }
+  }
+}
+
+// Preempts the most recent borrowers on a held worker until the hold will fit.
+void Scheduler::Implementation::PreemptForHold(std::int32_t number) {
+  const Worker& worker = workers.at(number);
+  Resources free = worker.free;
+  std::vector<TaskRef> victims;
+  for (const TaskRef& ref : worker.tasks) {
+    const Job& job = jobs.at(ref.job);
+    const Task& task = job.tasks[static_cast<std::size_t>(ref.index)];
+    const auto end = ExpectedEnd(ref);
+    if (task.preempting || (end && *end <= now + kSoon)) {
+      free = free + job.need;
+    } else if (IsPreemptible(ref)) {
+      victims.push_back(ref);
+    }
+  }
+  std::ranges::stable_sort(victims, std::ranges::greater(),
+                           [this](const TaskRef& ref) {
+                             return jobs.at(ref.job)
+                                 .tasks[static_cast<std::size_t>(ref.index)]
+                                 .placed_at;
+                           });
+  for (const TaskRef& ref : victims) {
+    if (worker.hold.FitsIn(free)) {
+      return;
+    }
+    if (IsPreemptible(ref)) {
+      free = free + jobs.at(ref.job).need;
+      PreemptTask(ref, true);
+    }
+  }
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/share_ledger.cc
@@ -0,0 +1,73 @@
+#include "share_ledger.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+bool IsWithin(std::int64_t part, std::int64_t limit) {
+  return limit == 0 || part <= limit;
+}
+
+}  // namespace
+
+bool IsWithinQuota(const Resources& part, const Resources& limit) {
+  return IsWithin(part.milli_cpus, limit.milli_cpus) &&
+         IsWithin(part.memory_bytes, limit.memory_bytes) &&
+         IsWithin(part.accelerators, limit.accelerators) &&
+         IsWithin(part.slots, limit.slots);
+}
+
+ShareLedger::Team& ShareLedger::team(std::int32_t number) {
+  const auto n = static_cast<std::size_t>(number);
+  if (n >= teams_.size()) {
+    teams_.resize(n + 1);
+  }
+  return teams_[n];
+}
+
+void ShareLedger::Reserve(Kind kind,
+                          std::int32_t number,
+                          const Resources& amount) {
+  const auto n = static_cast<std::size_t>(kind);
+  Team& it = team(number);
+  it.total = it.total + amount;
+  it.kinds[n] = it.kinds[n] + amount;
+  kinds_[n] = kinds_[n] + amount;
+}
+
+void ShareLedger::Release(Kind kind,
+                          std::int32_t number,
+                          const Resources& amount) {
+  Reserve(kind, number, Resources() - amount);
+}
+
+void ShareLedger::ClearQuotas() {
+  for (auto& it : teams_) {
+    it.quota = Resources();
+  }
+}
+
+void ShareLedger::SetQuota(std::int32_t number, const Resources& limit) {
+  team(number).quota = limit;
+}
+
+bool ShareLedger::HasQuota(std::int32_t number, const Resources& more) const {
+  const auto n = static_cast<std::size_t>(number);
+  return n >= teams_.size() ||
+         IsWithinQuota(teams_[n].total + more, teams_[n].quota);
+}
+
+bool ShareLedger::QuotaAllows(std::int32_t number,
+                              const Resources& amount) const {
+  const auto n = static_cast<std::size_t>(number);
+  return n >= teams_.size() || IsWithinQuota(amount, teams_[n].quota);
+}
+
+double ShareLedger::TeamShare(Kind kind, std::int32_t number) const {
+  const auto n = static_cast<std::size_t>(number);
+  return n < teams_.size()
+             ? ShareOf(teams_[n].kinds[static_cast<std::size_t>(kind)])
+             : 0;
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/worker_table.cc
@@ -0,0 +1,234 @@
+#include "worker_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+constexpr std::size_t kMostGroupsPerZone = 8;
+
+// Half octaves, so that workers of about one size share a group.
+std::int64_t SizeClass(std::int64_t amount) {
+  return amount > 0 ? static_cast<std::int64_t>(
+                          2 * std::log2(static_cast<double>(amount)))
+                    : -1;
+}
+
+std::vector<std::int32_t>& Grown(std::vector<std::vector<std::int32_t>>& lists,
+                                 std::int32_t number) {
+  const auto n = static_cast<std::size_t>(number);
+  if (n >= lists.size()) {
+    lists.resize(n + 1);
+  }
+  return lists[n];
+}
+
+}  // namespace
+
+std::int32_t WorkerTable::Add(const std::string& id) {
+  if (const std::int32_t known = Find(id); known != kNone) {
+    return known;
+  }
+  std::int32_t number = 0;
+  if (free_numbers_.empty()) {
+    number = static_cast<std::int32_t>(workers_.size());
+    workers_.emplace_back();
+  } else {
+    number = free_numbers_.back();
+    free_numbers_.pop_back();
+  }
+  at(number) = Worker();
+  at(number).id = id;
+  numbers_.emplace(id, number);
+  return number;
+}
+
+std::int32_t WorkerTable::Find(const std::string& id) const {
+  const auto it = numbers_.find(id);
+  return it == numbers_.end() ? kNone : it->second;
+}
+
+void WorkerTable::SetInfo(std::int32_t number, const WorkerInfo& info) {
+  Worker& worker = at(number);
+  Unindex(number);
+  const Resources reserved = worker.capacity - worker.free;
+  if (worker.present) {
+    capacity_ = capacity_ - worker.capacity;
+    Region& region = regions_[static_cast<std::size_t>(worker.region)];
+    region.capacity = region.capacity - worker.capacity;
+    capabilities_.RemoveWorker(worker.zone, worker.capacity);
+  }
+  // Workers without a region or zone share one that no job can name.
+  worker.region = region_names_.Add(info.region.empty() ? "-" : info.region);
+  worker.zone = zone_names_.Add(
+      info.availability_zone.empty() ? "-" : info.availability_zone);
+  worker.rack = rack_names_.Add(info.availability_zone + '/' + info.rack);
+  worker.capacity = info.capacity;
+  worker.free = info.capacity - reserved;
+  worker.present = true;
+  capacity_ = capacity_ + worker.capacity;
+  if (regions_.size() <= static_cast<std::size_t>(worker.region)) {
+    regions_.resize(static_cast<std::size_t>(worker.region) + 1);
+  }
+  Region& region = regions_[static_cast<std::size_t>(worker.region)];
+  region.capacity = region.capacity + worker.capacity;
+  if (std::ranges::find(region.zones, worker.zone) == region.zones.end()) {
+    region.zones.push_back(worker.zone);
+  }
+  capabilities_.AddWorker(worker.region, worker.zone, worker.capacity);
+  for (const bool accelerated : {false, true}) {
+    FitGroup::Entry& entry = worker.entries[accelerated ? 1 : 0];
+    entry.group = accelerated && worker.capacity.accelerators == 0
+                      ? -1
+                      : GroupFor(worker, accelerated);
+  }
+  Refresh(number);
+}
+
+bool WorkerTable::IsAt(std::int32_t number, const WorkerInfo& info) const {
+  const Worker& worker = at(number);
+  return worker.region == region_names_.Find(info.region) &&
+         worker.zone == zone_names_.Find(info.availability_zone) &&
+         worker.rack ==
+             rack_names_.Find(info.availability_zone + '/' + info.rack);
+}
+
+void WorkerTable::Remove(std::int32_t number) {
+  Worker& worker = at(number);
+  assert(worker.tasks.empty());
+  Unindex(number);
+  if (worker.present) {
+    capacity_ = capacity_ - worker.capacity;
+    Region& region = regions_[static_cast<std::size_t>(worker.region)];
+    region.capacity = region.capacity - worker.capacity;
+    capabilities_.RemoveWorker(worker.zone, worker.capacity);
+  }
+  numbers_.erase(worker.id);
+  worker = Worker();
+  free_numbers_.push_back(number);
+}
+
+void WorkerTable::Reserve(std::int32_t number, const Resources& amount) {
+  Unindex(number);
+  at(number).free = at(number).free - amount;
+  Index(number);
+}
+
+void WorkerTable::Release(std::int32_t number, const Resources& amount) {
+  Undo(number, amount);
+  LogRelease(number);
+}
+
+void WorkerTable::Undo(std::int32_t number, const Resources& amount) {
+  Unindex(number);
+  at(number).free = at(number).free + amount;
+  Index(number);
+}
+
+void WorkerTable::Refresh(std::int32_t number) {
+  Unindex(number);
+  Index(number);
+  LogRelease(number);
+}
+
+void WorkerTable::LogRelease(std::int32_t number) {
+  if (at(number).startable) {
+    release_log_[releases_ % kReleaseLog] = number;
+    ++releases_;
+  }
+}
+
+void WorkerTable::Index(std::int32_t number) {
+  Worker& worker = at(number);
+  worker.startable = worker.present && worker.accepting &&
+                     !worker.quarantined && !worker.start_limited;
+  if (!worker.startable) {
+    return;
+  }
+  Region& region = regions_[static_cast<std::size_t>(worker.region)];
+  region.free = region.free + worker.free;
+  for (FitGroup::Entry& entry : worker.entries) {
+    if (entry.group >= 0) {
+      FitGroup& group = groups_[static_cast<std::size_t>(entry.group)];
+      group.Insert(number, group.BucketOf(worker.free, worker.capacity), entry);
+    }
+  }
+}
+
+void WorkerTable::Unindex(std::int32_t number) {
+  Worker& worker = at(number);
+  if (!worker.startable) {
+    return;
+  }
+  worker.startable = false;
+  Region& region = regions_[static_cast<std::size_t>(worker.region)];
+  region.free = region.free - worker.free;
+  for (std::size_t n = 0; n < worker.entries.size(); ++n) {
+    FitGroup::Entry& entry = worker.entries[n];
+    if (entry.group < 0) {
+      continue;
+    }
+    FitGroup& group = groups_[static_cast<std::size_t>(entry.group)];
+    const std::int32_t moved = group.Remove(entry);
+    if (moved >= 0) {
+      at(moved).entries[n].position = entry.position;
+    }
+  }
+}
+
+std::int32_t WorkerTable::GroupFor(const Worker& worker, bool accelerated) {
+  const std::array<std::int64_t, 5> key = {
+      worker.zone, SizeClass(worker.capacity.milli_cpus),
+      SizeClass(worker.capacity.memory_bytes), worker.capacity.accelerators,
+      accelerated ? 1 : 0};
+  const auto n = static_cast<std::size_t>(accelerated);
+  auto& in_zone = Grown(zone_groups_[n], worker.zone);
+  auto known = std::ranges::find_if(in_zone, [&](std::int32_t it) {
+    return group_keys_[static_cast<std::size_t>(it)] == key;
+  });
+  // The last group of a zone takes every further size, which bounds the number
+  // of groups to look at.
+  if (known == in_zone.end() && in_zone.size() >= kMostGroupsPerZone) {
+    known = in_zone.end() - 1;
+  }
+  if (known != in_zone.end()) {
+    groups_[static_cast<std::size_t>(*known)].Widen(worker.capacity);
+    return *known;
+  }
+  const auto group = static_cast<std::int32_t>(groups_.size());
+  groups_.emplace_back(worker.region, worker.zone, accelerated);
+  groups_.back().Widen(worker.capacity);
+  group_keys_.push_back(key);
+  // Groups without accelerators come first, so that other work leaves the
+  // accelerated workers free.
+  for (auto* list :
+       {&in_zone, &Grown(region_groups_[n], worker.region), &all_groups_[n]}) {
+    const auto at = std::ranges::find_if(*list, [&](std::int32_t it) {
+      return group_keys_[static_cast<std::size_t>(it)][3] > key[3];
+    });
+    list->insert(at, group);
+  }
+  return group;
+}
+
+std::vector<std::int32_t> WorkerTable::Sample(std::int32_t region,
+                                              std::int32_t zone,
+                                              std::size_t limit) {
+  std::vector<std::int32_t> sample;
+  const std::size_t start = random_.Below(workers_.size());
+  for (std::size_t n = 0; n < workers_.size() && sample.size() < limit; ++n) {
+    const auto number =
+        static_cast<std::int32_t>((start + n) % workers_.size());
+    const Worker& worker = at(number);
+    if (worker.startable && (region == kNone || region == worker.region) &&
+        (zone == kNone || zone == worker.zone)) {
+      sample.push_back(number);
+    }
+  }
+  return sample;
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/workers.cc
@@ -0,0 +1,148 @@
+// Changes of the fleet, quotas and reports.
+#include <algorithm>
+
+#include "implementation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+std::string WithRatio(const std::string& name, double ratio) {
+  return name + " (" + std::to_string(static_cast<int>(ratio * 100)) +
+         "% of tasks failed)";
+}
+
+}  // namespace
+
+void Scheduler::Implementation::UpsertWorker(const WorkerInfo& info) {
+  const bool is_new = workers.Find(info.id) == kNone;
+  const std::int32_t number = workers.Add(info.id);
+  if (is_new) {
+    failures.Reset(number);
+  }
+  const Worker& worker = workers.at(number);
+  const bool unchanged = worker.present && worker.capacity == info.capacity &&
+                         workers.IsAt(number, info);
+  if (unchanged) {
+    return;
+  }
+  for (const TaskRef& it : worker.tasks) {
+    CountPlace(jobs.at(it.job), worker, -1);
+  }
+  workers.SetInfo(number, info);
+  for (const TaskRef& it : worker.tasks) {
+    CountPlace(jobs.at(it.job), worker, 1);
+  }
+  ledger.set_fleet(workers.capacity());
+  if (!fleet_seen_at) {
+    fleet_seen_at = now;
+  }
+  for (std::size_t n = 0; n < kKindCount; ++n) {
+    queues[n].RefreshShares([&](std::int32_t team) {
+      return ledger.TeamShare(static_cast<Kind>(n), team);
+    });
+  }
+}
+
+void Scheduler::Implementation::SetAccepting(const std::string& id,
+                                             bool accepting) {
+  const std::int32_t number = workers.Find(id);
+  if (number == kNone || workers.at(number).accepting == accepting) {
+    return;
+  }
+  workers.at(number).accepting = accepting;
+  workers.Refresh(number);
+}
+
+void Scheduler::Implementation::RemoveWorker(const std::string& id) {
+  const std::int32_t number = workers.Find(id);
+  if (number == kNone || !workers.at(number).tasks.empty()) {
+    return;
+  }
+  DropClaim(number);
+  std::erase(limited_workers, number);
+  if (reservation) {
+    std::erase(reservation->workers, number);
+  }
+  failures.Reset(number);
+  workers.Remove(number);
+  ledger.set_fleet(workers.capacity());
+}
+
+void Scheduler::Implementation::SetQuotas(const std::vector<Quota>& quotas) {
+  ledger.ClearQuotas();
+  for (const Quota& it : quotas) {
+    ledger.SetQuota(teams.Add(it.team), it.limit);
+  }
+  WakeBlocked(true);
+}
+
+std::array<KindReport, kKindCount> Scheduler::Implementation::KindReports()
+    const {
+  std::array<KindReport, kKindCount> reports;
+  for (std::size_t n = 0; n < kKindCount; ++n) {
+    const auto kind = static_cast<Kind>(n);
+    const KindState& it = kinds[n];
+    KindReport& report = reports[n];
+    report.queued = queues[n].queued_tasks();
+    report.running = it.running;
+    report.share = ledger.KindShare(kind);
+    report.refused = it.refused;
+    report.preempted = it.preempted;
+    report.preempted_run_ms = ToMilliseconds(it.preempted_run);
+    const LogHistogram waits = it.waits.Recent();
+    report.wait_p50_ms = Milliseconds(waits.Quantile(0.5));
+    report.wait_p99_ms = Milliseconds(waits.Quantile(0.99));
+    report.full = report.queued >= options.max_queued_tasks_per_kind;
+    report.retry_after = report.full ? RetryAfter(kind) : Duration::zero();
+  }
+  return reports;
+}
+
+SchedulerReport Scheduler::Implementation::Report() const {
+  SchedulerReport report;
+  report.kinds = KindReports();
+  double packed = 0;
+  std::size_t used = 0;
+  for (std::size_t n = 0; n < workers.size(); ++n) {
+    const auto number = static_cast<std::int32_t>(n);
+    const Worker& worker = workers.at(number);
+    if (!worker.present) {
+      continue;
+    }
+    WorkerReport& it = report.workers.emplace_back();
+    it.id = worker.id;
+    it.capacity = worker.capacity;
+    it.reserved = worker.capacity - worker.free;
+    it.quarantined = worker.quarantined;
+    if (worker.quarantined) {
+      it.reason = "fails far more often than the fleet";
+    } else if (worker.on_probation) {
+      it.reason = "on probation after a quarantine";
+    } else if (!worker.accepting) {
+      it.reason = "accepts no new tasks";
+    }
+    if (!worker.tasks.empty()) {
+      packed += DominantShare(it.reserved, it.capacity);
+      ++used;
+    }
+  }
+  report.packing = used > 0 ? packed / static_cast<double>(used) : 0;
+  for (const std::int32_t number : failures.quarantined()) {
+    report.culprits.push_back(WithRatio("worker " + workers.at(number).id,
+                                        failures.failure_ratio(number)));
+  }
+  for (std::size_t n = 0; n < families.size(); ++n) {
+    const auto family = static_cast<std::int32_t>(n);
+    if (failures.IsFamilyCulprit(family)) {
+      report.culprits.push_back("family " + families.name(family));
+    }
+  }
+  return report;
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/tests/policy/driver.h
@@ -0,0 +1,273 @@
+// Runs a Scheduler in virtual time and checks every decision with its own
+// accounting.
+#ifndef CRANBERRYSHUNT_TESTS_POLICY_DRIVER_H_
+#define CRANBERRYSHUNT_TESTS_POLICY_DRIVER_H_
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cranberryshunt/policy/scheduler.h"
+
+namespace cranberryshunt::policy {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr std::int64_t kGigabyte = 1'000'000'000;
+
+inline WorkerInfo MakeWorker(int number, const Resources& capacity) {
+  const int rack = number / 8;
+  const int zone = rack % 3;
+  return {"w" + std::to_string(number), zone < 2 ? "east" : "west",
+          "z" + std::to_string(zone), "r" + std::to_string(rack), capacity};
+}
+
+// A worker of the kite venture.
+inline constexpr Resources kKiteWorker = {32'000, 64 * kGigabyte, 0, 8};
+
+inline JobRequest MakeJob(std::string id,
+                          Kind kind,
+                          const Resources& need,
+                          int tasks = 1,
+                          std::string team = "t") {
+  JobRequest job;
+  job.job_id = std::move(id);
+  job.team = std::move(team);
+  job.kind = kind;
+  job.task_count = tasks;
+  job.task_resources = need;
+  return job;
+}
+
+class Driver {
+ public:
+  struct Held {
+    std::string worker;
+    TimePoint ends;
+    EndKind end = EndKind::kDone;
+    TimePoint since;
+  };
+  struct JobState {
+    JobRequest request;
+    Duration run;
+    std::set<std::int32_t> finished;
+    std::map<std::int32_t, std::set<std::string>> failed_on;
+    std::map<std::int32_t, ResultCode> codes;
+    TimePoint submitted;
+    std::map<std::int32_t, Duration> waits;
+    bool dropped = false;
+  };
+
+  explicit Driver(SchedulerOptions options = {})
+      : scheduler(*Scheduler::Create(options)) {}
+
+  void AddWorkers(int count, const Resources& capacity = kKiteWorker) {
+    for (int n = 0; n < count; ++n) {
+      AddWorker(MakeWorker(static_cast<int>(workers.size()), capacity));
+    }
+  }
+
+  void AddWorker(const WorkerInfo& info) {
+    workers[info.id] = info;
+    scheduler->UpsertWorker(info);
+  }
+
+  Admission Submit(const JobRequest& request, Duration run = seconds(1000)) {
+    const Admission answer = scheduler->Submit(request, clock.Now());
+    if (std::holds_alternative<Queued>(answer)) {
+      jobs[request.job_id] = {request, run, {}, {}, {}, clock.Now(), {}, false};
+    }
+    return answer;
+  }
+
+  // Advances in steps of `step`, ending tasks and taking decisions.
+  void Run(Duration time, Duration step = milliseconds(10)) {
+    for (Duration passed{}; passed < time; passed += step) {
+      clock.Advance(step);
+      EndDue();
+      Decide();
+    }
+  }
+
+  void Decide() {
+    for (;;) {
+      const auto decisions = scheduler->Decide(clock.Now(), 64);
+      if (decisions.empty()) {
+        return;
+      }
+      for (const Decision& it : decisions) {
+        std::visit([this](const auto& decision) { On(decision); }, it);
+      }
+    }
+  }
+
+  // Ends a held task now.
+  EndVerdict End(const TaskId& task, EndKind end) {
+    const Held ended = held.at(task);
+    JobState& job = jobs.at(task.job_id);
+    Account(task, ended.worker, -1);
+    held.erase(task);
+    if (end == EndKind::kFailed) {
+      job.failed_on[task.index].insert(ended.worker);
+    }
+    const EndVerdict verdict = scheduler->TaskEnded(task, end, clock.Now());
+    if (const Ended* it = std::get_if<Ended>(&verdict)) {
+      job.finished.insert(task.index);
+      job.codes[task.index] = it->code;
+      done += it->code == ResultCode::kOk ? 1 : 0;
+    } else {
+      cr_assert(job.request.idempotent || end == EndKind::kRefused,
+                "a non-idempotent task was queued again");
+    }
+    return verdict;
+  }
+
+  void EndDue() {
+    std::vector<std::pair<TaskId, EndKind>> due;
+    for (const auto& [task, it] : held) {
+      if (it.ends <= clock.Now()) {
+        due.emplace_back(task, it.end);
+      }
+    }
+    for (const auto& [task, end] : due) {
+      End(task, end);
+    }
+  }
+
+  int HeldBy(Kind kind) const {
+    return static_cast<int>(std::ranges::count_if(held, [&](const auto& it) {
+      return jobs.at(it.first.job_id).request.kind == kind;
+    }));
+  }
+
+  // The 99th percentile of waits of a kind since `from`; a task that still
+  // waits counts with its wait so far.
+  Duration WaitP99(Kind kind, TimePoint from) const {
+    std::vector<Duration> waits;
+    for (const auto& [id, job] : jobs) {
+      if (job.request.kind != kind || job.submitted < from || job.dropped) {
+        continue;
+      }
+      for (std::int32_t n = 0; n < job.request.task_count; ++n) {
+        const auto it = job.waits.find(n);
+        waits.push_back(it != job.waits.end() ? it->second
+                                              : clock.Now() - job.submitted);
+      }
+    }
+    cr_assert_not(waits.empty());
+    std::ranges::sort(waits);
+    return waits[(waits.size() - 1) * 99 / 100];
+  }
+
+  ManualClock clock;
+  std::unique_ptr<Scheduler> scheduler;
+  std::map<std::string, WorkerInfo> workers;
+  std::map<std::string, JobState> jobs;
+  std::map<TaskId, Held> held;
+  std::map<std::string, Resources> quotas;
+  std::map<std::string, Resources> by_worker;
+  std::map<std::string, Resources> by_team;
+  std::vector<Preempt> preempts;
+  std::vector<Throttle> throttles;
+  std::vector<Drop> drops;
+  std::int64_t done = 0;
+  Duration stop_delay = milliseconds(200);
+  // How the next attempt of a task ends, and after what time.
+  std::function<std::pair<EndKind, Duration>(const JobState&,
+                                             const Assignment&)>
+      outcome = [](const JobState& job, const Assignment&) {
+        return std::pair(EndKind::kDone, job.run);
+      };
+
+ private:
+  void Account(const TaskId& task, const std::string& worker, int sign) {
+    const JobRequest& job = jobs.at(task.job_id).request;
+    by_worker[worker] = by_worker[worker] + job.task_resources * sign;
+    by_team[job.team] = by_team[job.team] + job.task_resources * sign;
+  }
+
+  void On(const Place& place) {
+    cr_assert_not(place.assignments.empty());
+    const auto& id = place.assignments.front().task.job_id;
+    const JobState& job = jobs.at(id);
+    const bool is_gang = job.request.kind == Kind::kGang;
+    cr_assert(is_gang || place.assignments.size() == 1);
+    for (const Assignment& it : place.assignments) {
+      cr_assert_str_eq(it.task.job_id.c_str(), id.c_str());
+      Start(it);
+    }
+    if (is_gang) {
+      std::size_t in_gang = job.finished.size();
+      for (const auto& [task, it] : held) {
+        in_gang += task.job_id == id ? 1 : 0;
+      }
+      cr_assert_eq(in_gang, static_cast<std::size_t>(job.request.task_count),
+                   "gang %s holds a partial allocation", id.c_str());
+    }
+  }
+
+  void Start(const Assignment& it) {
+    JobState& job = jobs.at(it.task.job_id);
+    const WorkerInfo& worker = workers.at(it.worker);
+    const auto& constraint = job.request.constraint;
+    cr_assert_not(job.dropped || job.finished.contains(it.task.index));
+    cr_assert_not(held.contains(it.task), "a task was placed twice");
+    cr_assert_not(job.failed_on[it.task.index].contains(it.worker),
+                  "a retry went to a worker that had failed the task");
+    cr_assert(constraint.require_region.empty() ||
+              constraint.require_region == worker.region);
+    cr_assert(constraint.require_availability_zone.empty() ||
+              constraint.require_availability_zone == worker.availability_zone);
+    Account(it.task, it.worker, 1);
+    cr_assert(by_worker[it.worker].FitsIn(worker.capacity),
+              "worker %s was given more than it has", it.worker.c_str());
+    CheckQuota(job.request.team);
+    const auto [end, after] = outcome(job, it);
+    held[it.task] = {it.worker, clock.Now() + after, end, clock.Now()};
+    job.waits.try_emplace(it.task.index, clock.Now() - job.submitted);
+    scheduler->TaskRunning(it.task, clock.Now());
+  }
+
+  void CheckQuota(const std::string& team) {
+    const auto quota = quotas.find(team);
+    if (quota == quotas.end()) {
+      return;
+    }
+    const Resources& used = by_team[team];
+    const Resources& limit = quota->second;
+    cr_assert(limit.milli_cpus == 0 || used.milli_cpus <= limit.milli_cpus);
+    cr_assert(limit.memory_bytes == 0 ||
+              used.memory_bytes <= limit.memory_bytes);
+    cr_assert(limit.slots == 0 || used.slots <= limit.slots);
+  }
+
+  void On(const Preempt& preempt) {
+    const auto it = held.find(preempt.task);
+    cr_assert(it != held.end(), "a task that is not running was preempted");
+    cr_assert(jobs.at(preempt.task.job_id).request.idempotent,
+              "a non-idempotent task was preempted");
+    preempts.push_back(preempt);
+    const TimePoint stops = clock.Now() + stop_delay;
+    if (stops < it->second.ends) {
+      it->second.ends = stops;
+      it->second.end = EndKind::kPreempted;
+    }
+  }
+
+  void On(const Throttle& throttle) { throttles.push_back(throttle); }
+
+  void On(const Drop& drop) {
+    jobs.at(drop.job_id).dropped = true;
+    drops.push_back(drop);
+  }
+};
+
+}  // namespace cranberryshunt::policy
+
+#endif  // CRANBERRYSHUNT_TESTS_POLICY_DRIVER_H_
