--- /dev/null
+++ b/libraries/rules/src/map_reader.cc
@@ -0,0 +1,150 @@
+#include "map_reader.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace cranberryshunt::rules {
+
+namespace {
+
+// Longer names would be copied into every placement decision.
+constexpr std::size_t kMaxTextBytes = 128;
+
+bool IsNameCharacter(char c) {
+  return static_cast<unsigned char>(c) > 0x20 && c != 0x7f;
+}
+
+template <typename T>
+std::optional<T> ParseWhole(const std::string& text) {
+  T value{};
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, value);
+  if (ec != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace
+
+void ErrorSink::Add(const YAML::Mark& mark, std::string message) {
+  errors_.push_back({SourceOf(mark), std::move(message)});
+}
+
+SourceLine ErrorSink::SourceOf(const YAML::Mark& mark) const {
+  // yaml-cpp counts lines from 0 and gives -1 when it knows no place.
+  return {path_, std::max(mark.line, 0) + 1};
+}
+
+std::string JoinWords(const std::vector<std::string_view>& words) {
+  return fmt::format("{}", fmt::join(words, ", "));
+}
+
+MapReader::MapReader(const YAML::Node& node,
+                     std::string_view what,
+                     std::vector<std::string_view> accepted,
+                     ErrorSink& errors)
+    : node_(node), what_(what), errors_(errors), is_map_(node.IsMap()) {
+  const std::string keys = JoinWords(accepted);
+  if (!is_map_) {
+    Fail(node.Mark(),
+         fmt::format("a {} must be a map (accepted keys: {})", what_, keys));
+    return;
+  }
+  for (const auto& item : node) {
+    const std::string key =
+        item.first.IsScalar() ? item.first.Scalar() : std::string();
+    if (std::find(accepted.begin(), accepted.end(), key) == accepted.end()) {
+      Fail(item.first.Mark(),
+           fmt::format("unknown key '{}' in a {} (accepted: {})", key, what_,
+                       keys));
+    } else if (!values_.emplace(key, item.second).second) {
+      Fail(item.first.Mark(),
+           fmt::format("key '{}' is given twice in a {}", key, what_));
+    }
+  }
+}
+
+bool MapReader::Has(std::string_view key) const {
+  return values_.contains(key);
+}
+
+YAML::Node MapReader::Get(std::string_view key) const {
+  const auto it = values_.find(key);
+  return it == values_.end() ? YAML::Node(YAML::NodeType::Undefined)
+                             : it->second;
+}
+
+std::optional<std::string> MapReader::Scalar(std::string_view key,
+                                             std::string_view type) {
+  const auto it = values_.find(key);
+  if (it == values_.end()) {
+    return std::nullopt;
+  }
+  if (!it->second.IsScalar()) {
+    FailValue(key, type);
+    return std::nullopt;
+  }
+  return it->second.Scalar();
+}
+
+std::optional<std::string> MapReader::Text(std::string_view key) {
+  const std::string expected =
+      fmt::format("a name of 1 to {} bytes without spaces", kMaxTextBytes);
+  auto text = Scalar(key, expected);
+  if (text && (text->empty() || text->size() > kMaxTextBytes ||
+               !std::all_of(text->begin(), text->end(), IsNameCharacter))) {
+    FailValue(key, expected);
+    return std::nullopt;
+  }
+  return text;
+}
+
+std::optional<std::int64_t> MapReader::Integer(std::string_view key,
+                                               std::int64_t minimum,
+                                               std::int64_t maximum) {
+  const std::string expected =
+      fmt::format("an integer from {} to {}", minimum, maximum);
+  const auto text = Scalar(key, expected);
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto value = ParseWhole<std::int64_t>(*text);
+  if (!value || *value < minimum || *value > maximum) {
+    FailValue(key, expected);
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<double> MapReader::Number(std::string_view key) {
+  const auto text = Scalar(key, "a finite number");
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto value = ParseWhole<double>(*text);
+  if (!value || !std::isfinite(*value)) {
+    FailValue(key, "a finite number");
+    return std::nullopt;
+  }
+  return value;
+}
+
+void MapReader::Fail(const YAML::Mark& mark, std::string message) {
+  errors_.Add(mark, std::move(message));
+}
+
+void MapReader::FailValue(std::string_view key, std::string_view expected) {
+  const auto& value = values_.find(key)->second;
+  const std::string found =
+      value.IsScalar() ? "'" + value.Scalar().substr(0, kMaxTextBytes) + "'"
+                       : "a list, a map or nothing";
+  Fail(value.Mark(), fmt::format("'{}' in a {} must be {}, not {}", key, what_,
+                                 expected, found));
+}
+
+}  // namespace cranberryshunt::rules
