--- /dev/null
+++ b/libraries/client/src/operations.cc
@@ -0,0 +1,68 @@
+// The subcommands audit, cluster, `worker drain` and `controllers`.
+#include <fmt/format.h>
+
+#include "cranberryshunt/client/client.h"
+#include "http.h"
+#include "output.h"
+
+namespace cranberryshunt::client {
+
+namespace {
+
+constexpr int kHttpFirstError = 300;
+
+int CallAndPrint(const ClientOptions& options,
+                 const std::string& method,
+                 const std::string& path,
+                 const json_t* body) {
+  EntryCaller caller(options);
+  const auto reply = caller.Call(method, path, body);
+  if (!reply) {
+    return ReportError(reply.error(), options.json);
+  }
+  if (reply->status >= kHttpFirstError) {
+    return ReportErrorReply(*reply, options.json);
+  }
+  Print(reply->body.get(), options.json);
+  return kExitDone;
+}
+
+}  // namespace
+
+int ShowAudit(const ClientOptions& options, std::int64_t after) {
+  return CallAndPrint(options, "GET", fmt::format("/v1/audit?after={}", after),
+                      nullptr);
+}
+
+int ShowCluster(const ClientOptions& options) {
+  return CallAndPrint(options, "GET", "/v1/cluster", nullptr);
+}
+
+int DrainWorker(const ClientOptions& options,
+                const std::string& worker,
+                bool undo,
+                const std::string& operator_name) {
+  const Json body(json_object());
+  json_object_set_new(body.get(), "draining", json_boolean(!undo));
+  SetText(body.get(), "operator", operator_name);
+  return CallAndPrint(options, "POST",
+                      "/v1/workers/" + EscapePath(worker) + "/drain",
+                      body.get());
+}
+
+int ChangeControllers(const ClientOptions& options,
+                      const ControllerChange& change) {
+  const Json body(json_object());
+  SetText(body.get(), "operator", change.operator_name);
+  if (!change.remove) {
+    SetText(body.get(), "address", change.address);
+    SetText(body.get(), "disk_identity", change.disk_identity);
+  }
+  return CallAndPrint(
+      options, "POST",
+      fmt::format("/v1/controllers/{}/{}", EscapePath(change.id),
+                  change.remove ? "remove" : "add"),
+      body.get());
+}
+
+}  // namespace cranberryshunt::client
