service: Add the one binary with its subcommands

The first termination signal starts the graceful shutdown on its own thread; a second one or the time limit cuts it short.

--- a/libraries/client/src/rules.cc
+++ b/libraries/client/src/rules.cc
@@ -47,8 +47,8 @@
     const Json body(json_pack("{s:O}", "errors", errors.get()));
     Print(body.get(), true);
   } else {
-    fmt::print(stderr, "cranberryshunt: {} errors, nothing was published\n",
-               parsed.error().size());
+    fmt::print(stderr, "cranberryshunt: the rules have {} error{}\n",
+               parsed.error().size(), parsed.error().size() == 1 ? "" : "s");
   }
   return tl::unexpected(static_cast<int>(kExitConflict));
 }
--- /dev/null
+++ b/services/cranberryshunt/signals.h
@@ -0,0 +1,23 @@
+// Termination signals of the long-running subcommands.
+#ifndef CRANBERRYSHUNT_SERVICES_SIGNALS_H_
+#define CRANBERRYSHUNT_SERVICES_SIGNALS_H_
+
+#include <chrono>
+#include <functional>
+
+namespace cranberryshunt {
+
+// Blocks SIGTERM and SIGINT in this thread and in all threads it starts later,
+// and ignores SIGPIPE. Call before any thread is started.
+void BlockTerminationSignals();
+
+// Waits for the first signal and then runs `shutdown` on a thread of its own.
+// A second signal, or `limit` passing, calls `abort` once; it must make
+// `shutdown` return soon or end the process. Returns when `shutdown` has.
+void WaitAndShutDown(std::chrono::milliseconds limit,
+                     const std::function<void()>& shutdown,
+                     const std::function<void()>& abort);
+
+}  // namespace cranberryshunt
+
+#endif  // CRANBERRYSHUNT_SERVICES_SIGNALS_H_
