--- a/libraries/client/src/http.cc
+++ b/libraries/client/src/http.cc
@@ -23,6 +23,7 @@
 constexpr int kHttpBadRequest = 400;
 constexpr int kHttpTooLarge = 413;
 constexpr int kHttpServiceUnavailable = 503;
+constexpr int kHttpGatewayTimeout = 504;
 
 // Owns the request and the response of one call.
 struct Exchange {
@@ -73,7 +74,8 @@
   while (time_left().count() > 0) {
     const auto& entry = options_.entries[next_entry_ % options_.entries.size()];
     auto reply = Send(entry, method, path, text);
-    if (reply && reply->status != kHttpServiceUnavailable) {
+    if (reply && reply->status != kHttpServiceUnavailable &&
+        reply->status != kHttpGatewayTimeout) {
       return std::move(*reply);
     }
     if (reply) {
--- a/libraries/client/src/operations.cc
+++ b/libraries/client/src/operations.cc
@@ -52,17 +52,17 @@
 
 int ChangeControllers(const ClientOptions& options,
                       const ControllerChange& change) {
+  if (change.remove) {
+    return CallAndPrint(options, "DELETE",
+                        "/v1/controllers/" + EscapePath(change.id), nullptr);
+  }
   const Json body(json_object());
+  SetText(body.get(), "id", change.id);
+  SetText(body.get(), "address", change.address);
+  SetText(body.get(), "disk_identity", change.disk_identity);
+  json_object_set_new(body.get(), "voter", json_true());
   SetText(body.get(), "operator", change.operator_name);
-  if (!change.remove) {
-    SetText(body.get(), "address", change.address);
-    SetText(body.get(), "disk_identity", change.disk_identity);
-  }
-  return CallAndPrint(
-      options, "POST",
-      fmt::format("/v1/controllers/{}/{}", EscapePath(change.id),
-                  change.remove ? "remove" : "add"),
-      body.get());
+  return CallAndPrint(options, "POST", "/v1/controllers", body.get());
 }
 
 }  // namespace cranberryshunt::client
--- a/services/cranberryshunt/client_commands.cc
+++ b/services/cranberryshunt/client_commands.cc
@@ -233,7 +233,7 @@
                      Presence::kRequired);
     settings.Text("--disk-identity",
                   "Identity of its data folder, from its log",
-                  own.disk_identity, Presence::kOptional);
+                  own.disk_identity, Presence::kRequired);
   }
 }
 
--- /dev/null
+++ b/tests/support/fault_proxy.cc
@@ -0,0 +1,403 @@
+#include "support/fault_proxy.h"
+
+#include <array>
+#include <deque>
+#include <future>
+#include <list>
+#include <thread>
+#include <utility>
+#include <vector>
+
+// This version of Asio uses <utility> without including it.
+#include <boost/asio.hpp>
+
+namespace cranberryshunt::test {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::size_t kReadBytes = 65'536;
+// Reading stops at this, as a full socket buffer would stop a sender.
+constexpr std::size_t kMaxHeldBytes = 4 << 20;
+
+struct Fault {
+  Link link;
+  std::chrono::milliseconds delay{0};
+  bool cut = false;
+  bool frozen[2] = {false, false};  // To the server, to the client.
+};
+
+bool Selects(const Link& pattern, const Link& link) {
+  return (pattern.source.empty() || pattern.source == link.source) &&
+         (pattern.destination.empty() ||
+          pattern.destination == link.destination);
+}
+
+bool SameLink(const Link& left, const Link& right) {
+  return left.source == right.source && left.destination == right.destination;
+}
+
+struct Connection;
+
+// One direction of a connection.
+struct Pipe {
+  Pipe(asio::io_context& context, int direction)
+      : timer(context), direction(direction) {}
+
+  struct Chunk {
+    SteadyClock::time_point due;
+    std::string bytes;  // Empty: the end of the stream.
+  };
+
+  asio::steady_timer timer;
+  const int direction;
+  std::deque<Chunk> chunks;
+  std::array<char, kReadBytes> buffer{};
+  std::size_t held_bytes = 0;
+  bool reading = false;
+  bool writing = false;
+  bool read_ended = false;
+};
+
+struct Connection {
+  Connection(asio::io_context& context, tcp::socket socket)
+      : client(std::move(socket)),
+        server(context),
+        pipes{Pipe(context, 0), Pipe(context, 1)} {}
+
+  tcp::socket& from(const Pipe& pipe) {
+    return pipe.direction == 0 ? client : server;
+  }
+  tcp::socket& to(const Pipe& pipe) {
+    return pipe.direction == 0 ? server : client;
+  }
+  void Close() {
+    error_code ec;
+    client.close(ec);
+    server.close(ec);
+    pipes[0].timer.cancel();
+    pipes[1].timer.cancel();
+  }
+
+  Link link;
+  tcp::socket client;
+  tcp::socket server;
+  Pipe pipes[2];
+  bool frozen = false;
+  std::int64_t bytes = 0;
+};
+
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+struct Listener {
+  Listener(asio::io_context& context, std::string destination)
+      : acceptor(context), destination(std::move(destination)) {}
+
+  tcp::acceptor acceptor;
+  std::string destination;
+  std::uint16_t target_port = 0;
+};
+
+}  // namespace
+
+struct FaultProxy::Implementation {
+  explicit Implementation(SourceOf source_of)
+      : source_of(std::move(source_of)), work(asio::make_work_guard(context)) {}
+
+  // Runs `action` on the proxy's thread and waits for it.
+  template <typename Action>
+  void Do(Action action) {
+    std::promise<void> done;
+    asio::post(context, [&] {
+      action();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  void Accept(Listener& listener);
+  void Open(Listener& listener, tcp::socket socket);
+  void Read(const ConnectionPointer& connection, Pipe& pipe);
+  void Write(const ConnectionPointer& connection, Pipe& pipe);
+  void Deliver(const ConnectionPointer& connection, Pipe& pipe);
+  Fault FaultOf(const Link& link) const;
+  Fault& Edit(const Link& link);
+  void Apply(const Link& link);
+  template <typename Action>
+  void ForEach(const Link& link, Action action);
+
+  SourceOf source_of;
+  asio::io_context context;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  std::list<Listener> listeners;
+  std::list<ConnectionPointer> connections;
+  std::vector<Fault> faults;
+  std::int64_t closed_bytes = 0;
+  std::thread thread;
+};
+
+Fault FaultProxy::Implementation::FaultOf(const Link& link) const {
+  Fault out;
+  for (const auto& fault : faults) {
+    if (Selects(fault.link, link)) {
+      out.delay = std::max(out.delay, fault.delay);
+      out.cut = out.cut || fault.cut;
+      out.frozen[0] = out.frozen[0] || fault.frozen[0];
+      out.frozen[1] = out.frozen[1] || fault.frozen[1];
+    }
+  }
+  return out;
+}
+
+Fault& FaultProxy::Implementation::Edit(const Link& link) {
+  for (auto& fault : faults) {
+    if (SameLink(fault.link, link)) {
+      return fault;
+    }
+  }
+  return faults.emplace_back(Fault{.link = link});
+}
+
+template <typename Action>
+void FaultProxy::Implementation::ForEach(const Link& link, Action action) {
+  std::erase_if(connections, [&](const ConnectionPointer& it) {
+    const bool closed = !it->client.is_open();
+    closed_bytes += closed ? it->bytes : 0;
+    return closed;
+  });
+  for (const auto& connection : connections) {
+    if (Selects(link, connection->link)) {
+      action(connection);
+    }
+  }
+}
+
+// Makes open connections follow the faults that are set now.
+void FaultProxy::Implementation::Apply(const Link& link) {
+  ForEach(link, [&](const ConnectionPointer& connection) {
+    if (FaultOf(connection->link).cut) {
+      connection->Close();
+      return;
+    }
+    for (auto& pipe : connection->pipes) {
+      Write(connection, pipe);
+    }
+  });
+}
+
+void FaultProxy::Implementation::Accept(Listener& listener) {
+  listener.acceptor.async_accept([&](error_code ec, tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) {
+      return;
+    }
+    if (!ec) {
+      Open(listener, std::move(socket));
+    }
+    Accept(listener);
+  });
+}
+
+void FaultProxy::Implementation::Open(Listener& listener, tcp::socket socket) {
+  error_code ec;
+  const auto peer = socket.remote_endpoint(ec);
+  if (ec) {
+    return;
+  }
+  auto connection = std::make_shared<Connection>(context, std::move(socket));
+  connection->link = {source_of(peer.port()), listener.destination};
+  if (FaultOf(connection->link).cut) {
+    return;
+  }
+  connections.push_back(connection);
+  const tcp::endpoint target(asio::ip::address_v4::loopback(),
+                             listener.target_port);
+  connection->server.async_connect(
+      target, [this, connection](error_code connect_error) {
+        if (connect_error) {
+          connection->Close();
+          return;
+        }
+        error_code ignored;
+        connection->client.set_option(tcp::no_delay(true), ignored);
+        connection->server.set_option(tcp::no_delay(true), ignored);
+        for (auto& pipe : connection->pipes) {
+          Read(connection, pipe);
+        }
+      });
+}
+
+void FaultProxy::Implementation::Read(const ConnectionPointer& connection,
+                                      Pipe& pipe) {
+  if (pipe.reading || pipe.read_ended || pipe.held_bytes >= kMaxHeldBytes) {
+    return;
+  }
+  pipe.reading = true;
+  connection->from(pipe).async_read_some(
+      asio::buffer(pipe.buffer),
+      [this, connection, &pipe](error_code ec, std::size_t n) {
+        pipe.reading = false;
+        pipe.read_ended = static_cast<bool>(ec);
+        const auto due = SteadyClock::now() + FaultOf(connection->link).delay;
+        pipe.chunks.push_back({due, std::string(pipe.buffer.data(), n)});
+        pipe.held_bytes += n;
+        Read(connection, pipe);
+        Write(connection, pipe);
+      });
+}
+
+void FaultProxy::Implementation::Write(const ConnectionPointer& connection,
+                                       Pipe& pipe) {
+  const bool frozen =
+      connection->frozen || FaultOf(connection->link).frozen[pipe.direction];
+  if (pipe.writing || pipe.chunks.empty() || frozen ||
+      !connection->client.is_open()) {
+    return;
+  }
+  pipe.writing = true;
+  pipe.timer.expires_at(pipe.chunks.front().due);
+  pipe.timer.async_wait([this, connection, &pipe](error_code ec) {
+    pipe.writing = false;
+    const bool frozen_since =
+        connection->frozen || FaultOf(connection->link).frozen[pipe.direction];
+    if (!ec && !frozen_since) {
+      Deliver(connection, pipe);
+    }
+  });
+}
+
+void FaultProxy::Implementation::Deliver(const ConnectionPointer& connection,
+                                         Pipe& pipe) {
+  if (pipe.chunks.front().bytes.empty()) {
+    error_code ec;
+    connection->to(pipe).shutdown(tcp::socket::shutdown_send, ec);
+    pipe.chunks.clear();
+    if (connection->pipes[0].read_ended && connection->pipes[1].read_ended) {
+      connection->Close();
+    }
+    return;
+  }
+  pipe.writing = true;
+  asio::async_write(connection->to(pipe),
+                    asio::buffer(pipe.chunks.front().bytes),
+                    [this, connection, &pipe](error_code ec, std::size_t n) {
+                      pipe.writing = false;
+                      if (ec) {
+                        connection->Close();
+                        return;
+                      }
+                      connection->bytes += static_cast<std::int64_t>(n);
+                      pipe.held_bytes -= n;
+                      pipe.chunks.pop_front();
+                      Read(connection, pipe);
+                      Write(connection, pipe);
+                    });
+}
+
+FaultProxy::FaultProxy(SourceOf source_of)
+    : implementation_(std::make_unique<Implementation>(std::move(source_of))) {
+  implementation_->thread =
+      std::thread([this] { implementation_->context.run(); });
+}
+
+FaultProxy::~FaultProxy() {
+  implementation_->context.stop();
+  implementation_->thread.join();
+}
+
+bool FaultProxy::Listen(const std::string& destination,
+                        std::uint16_t listen_port,
+                        std::uint16_t target_port) {
+  bool listening = false;
+  implementation_->Do([&] {
+    auto& listeners = implementation_->listeners;
+    auto& listener =
+        listeners.emplace_back(implementation_->context, destination);
+    listener.target_port = target_port;
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), listen_port);
+    error_code ec;
+    listener.acceptor.open(tcp::v4(), ec);
+    listener.acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    listener.acceptor.bind(endpoint, ec);
+    if (!ec) {
+      listener.acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    listening = !ec;
+    if (listening) {
+      implementation_->Accept(listener);
+    }
+  });
+  return listening;
+}
+
+void FaultProxy::Delay(const Link& link, std::chrono::milliseconds one_way) {
+  implementation_->Do([&] { implementation_->Edit(link).delay = one_way; });
+}
+
+void FaultProxy::Cut(const Link& link) {
+  implementation_->Do([&] {
+    implementation_->Edit(link).cut = true;
+    implementation_->Apply(link);
+  });
+}
+
+void FaultProxy::Freeze(const Link& link, Direction direction) {
+  implementation_->Do([&] {
+    auto& fault = implementation_->Edit(link);
+    fault.frozen[0] = fault.frozen[0] || direction != Direction::kToClient;
+    fault.frozen[1] = fault.frozen[1] || direction != Direction::kToServer;
+  });
+}
+
+void FaultProxy::Heal(const Link& link) {
+  implementation_->Do([&] {
+    std::erase_if(implementation_->faults, [&](const Fault& fault) {
+      return SameLink(fault.link, link);
+    });
+    implementation_->Apply(link);
+  });
+}
+
+void FaultProxy::FreezeOpen(const Link& link) {
+  implementation_->Do([&] {
+    implementation_->ForEach(
+        link, [](const ConnectionPointer& it) { it->frozen = true; });
+  });
+}
+
+void FaultProxy::HoldFor(const Link& link, std::chrono::milliseconds duration) {
+  Freeze(link, Direction::kBoth);
+  implementation_->Do([&] {
+    auto timer = std::make_shared<asio::steady_timer>(implementation_->context,
+                                                      duration);
+    timer->async_wait([this, link, timer](error_code) {
+      std::erase_if(implementation_->faults, [&](const Fault& fault) {
+        return SameLink(fault.link, link);
+      });
+      implementation_->Apply(link);
+    });
+  });
+}
+
+void FaultProxy::CloseOpen(const Link& link) {
+  implementation_->Do([&] {
+    implementation_->ForEach(link,
+                             [](const ConnectionPointer& it) { it->Close(); });
+  });
+}
+
+std::int64_t FaultProxy::BytesDelivered(const Link& link) {
+  std::int64_t bytes = 0;
+  implementation_->Do([&] {
+    const bool all = link.source.empty() && link.destination.empty();
+    implementation_->ForEach(
+        link, [&](const ConnectionPointer& it) { bytes += it->bytes; });
+    bytes += all ? implementation_->closed_bytes : 0;
+  });
+  return bytes;
+}
+
+}  // namespace cranberryshunt::test
