wire: Add the poll session and target limits of start orders

A poll request did not say which leader session its acknowledgements belong to, so a new leader could take an old leader's sequence number for its own. A start order did not carry the worker's connection limit and region, which an entry that has not seen the worker's announcement needs.

Adds PollRequest.session, StartOrder.connections, StartOrder.region and EntryReport.bytes_between_regions. All are optional for the sender: 0 or empty means not known.

--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -284,6 +284,7 @@
   2: list<WorkerAnnouncement> announcements
   3: list<AttemptReport> results     // Results that the entry got from targets itself.
   4: list<AuditRecord> audit         // For example refused tokens.
+  5: map<string, i64> bytes_between_regions // "from>to" to bytes sent since the last report.
 }
 
 struct ReportReply {
@@ -305,6 +306,8 @@
   11: binary payload
   12: bool payload_at_entry
   13: bool idempotent
+  14: i32 connections    // Connections that the worker accepts; 0: not known.
+  15: string region      // Region of the worker.
 }
 
 struct StopOrder {
@@ -359,6 +362,7 @@
   8: i64 update_ack      // Every job update up to this sequence was received.
   9: i32 wait_ms
   10: bool draining
+  11: i64 session        // Session that the acknowledgements belong to; 0 before the first reply.
 }
 
 struct SequencedUpdate {
