targets: Add the pooled client towards targets

Entries call targets over libcurl handles that keep their connection, at most floor(connections / entries) of them for each target. Starts that wait for a task leave one connection to lookups and stops. A call that misses its deadline retires its connection and every older one. Records are checked for identity, length and CRC-32.

--- /dev/null
+++ b/libraries/targets/include/cranberryshunt/targets/task_record.h
@@ -0,0 +1,32 @@
+// The task record that targets send in announcements and in answers to calls.
+#ifndef CRANBERRYSHUNT_TARGETS_TASK_RECORD_H_
+#define CRANBERRYSHUNT_TARGETS_TASK_RECORD_H_
+
+#include <jansson.h>
+
+#include <string>
+
+#include "cranberryshunt/base/result.h"
+#include "cranberryshunt/targets/json_reader.h"
+#include "wire_types.h"
+
+namespace cranberryshunt::targets {
+
+// Largest answer of a task, in bytes.
+inline constexpr std::size_t kMaxAnswerBytes = 1 << 20;
+
+// Reads one record. `path` names it in errors. An answer whose length or CRC-32
+// differs from the stated one is refused with kAnswerInvalid.
+Result<wire::AttemptReport> ParseTaskRecord(const json_t* object,
+                                            const std::string& path,
+                                            UnknownFields unknown_fields);
+
+// Adds the fields `job_id`, `index` and `attempt` to `object`.
+void AddAttemptKey(json_t* object, const wire::AttemptKey& attempt);
+
+// Returns whether `record` is final, that is, not running.
+bool IsFinal(const wire::AttemptReport& record);
+
+}  // namespace cranberryshunt::targets
+
+#endif  // CRANBERRYSHUNT_TARGETS_TASK_RECORD_H_
--- /dev/null
+++ b/libraries/targets/src/answers.cc
@@ -0,0 +1,159 @@
+#include "answers.h"
+
+#include <utility>
+
+#include "cranberryshunt/targets/json_reader.h"
+#include "cranberryshunt/targets/task_record.h"
+
+namespace cranberryshunt::targets {
+
+namespace {
+
+constexpr long kHttpOk = 200;
+constexpr long kHttpAccepted = 202;
+constexpr long kHttpNotFound = 404;
+constexpr long kHttpConflict = 409;
+
+const char* KindName(wire::JobKind::type kind) {
+  switch (kind) {
+    case wire::JobKind::kService:
+      return "service";
+    case wire::JobKind::kBatch:
+      return "batch";
+    case wire::JobKind::kGang:
+      return "gang";
+    case wire::JobKind::kInteractive:
+      return "interactive";
+  }
+  return "batch";
+}
+
+Undetermined UnexpectedStatus(const HttpAnswer& answer) {
+  return Undetermined{"target answered with status " +
+                      std::to_string(answer.status)};
+}
+
+// Reads and checks the record in an answer.
+Result<wire::AttemptReport> ReadRecord(const HttpAnswer& answer,
+                                       const wire::AttemptKey& attempt) {
+  const auto object = ParseObject(answer.body);
+  if (!object) {
+    return tl::unexpected(object.error());
+  }
+  auto record = ParseTaskRecord(object->get(), "", UnknownFields::kIgnore);
+  if (!record) {
+    return record;
+  }
+  if (!(record->attempt == attempt)) {
+    return Fail(ResultCode::kAnswerInvalid, "record is of another attempt");
+  }
+  return record;
+}
+
+std::string RefusalReason(const HttpAnswer& answer) {
+  const auto object = ParseObject(answer.body);
+  if (!object) {
+    return "refused";
+  }
+  const json_t* reason = json_object_get(object->get(), "reason");
+  if (reason == nullptr) {
+    reason =
+        json_object_get(json_object_get(object->get(), "error"), "message");
+  }
+  return json_is_string(reason) ? json_string_value(reason) : "refused";
+}
+
+}  // namespace
+
+std::string RenderStart(const wire::StartOrder& order,
+                        const std::string& payload,
+                        bool wait) {
+  const JsonPtr body(json_object());
+  json_t* object = body.get();
+  const auto set = [object](const char* name, json_t* value) {
+    json_object_set_new(object, name, value);
+  };
+  AddAttemptKey(object, order.attempt);
+  set("fence", json_integer(order.fence));
+  set("incarnation", JsonString(order.incarnation));
+  set("start_expiry_clock_ms", json_integer(order.start_expiry_clock_ms));
+  set("lease_until_clock_ms", json_integer(order.lease_until_clock_ms));
+  set("kind", json_string(KindName(order.kind)));
+  set("milli_cpus", json_integer(order.resources.milli_cpus));
+  set("memory_bytes", json_integer(order.resources.memory_bytes));
+  set("accelerators", json_integer(order.resources.accelerators));
+  set("slots", json_integer(order.resources.slots));
+  set("payload", JsonString(payload));
+  set("wait", json_boolean(wait));
+  return RenderJson(object);
+}
+
+StartResult ToStartResult(wire::AttemptReport record) {
+  if (record.state == wire::AttemptState::kRefused) {
+    return RefusedByTarget{std::move(record.reason)};
+  }
+  return Finished{std::move(record)};
+}
+
+StartResult ToStartResult(const HttpAnswer& answer,
+                          const wire::AttemptKey& attempt) {
+  if (answer.result == HttpAnswer::Result::kNotSent) {
+    return NotReached{answer.detail};
+  }
+  if (answer.result != HttpAnswer::Result::kAnswered) {
+    return Undetermined{answer.detail};
+  }
+  if (answer.status == kHttpAccepted) {
+    return Accepted{};
+  }
+  if (answer.status == kHttpConflict) {
+    return RefusedByTarget{RefusalReason(answer)};
+  }
+  if (answer.status != kHttpOk) {
+    return UnexpectedStatus(answer);
+  }
+  auto record = ReadRecord(answer, attempt);
+  if (!record) {
+    return Undetermined{"invalid answer: " + record.error().message()};
+  }
+  if (!IsFinal(*record)) {
+    return Accepted{};
+  }
+  return ToStartResult(std::move(*record));
+}
+
+LookupResult ToLookupResult(const HttpAnswer& answer,
+                            const wire::AttemptKey& attempt) {
+  if (answer.result == HttpAnswer::Result::kNotSent) {
+    return NotReached{answer.detail};
+  }
+  if (answer.result != HttpAnswer::Result::kAnswered) {
+    return Undetermined{answer.detail};
+  }
+  if (answer.status == kHttpNotFound) {
+    return NeverStarted{};
+  }
+  if (answer.status != kHttpOk) {
+    return UnexpectedStatus(answer);
+  }
+  auto record = ReadRecord(answer, attempt);
+  if (!record) {
+    return Undetermined{"invalid answer: " + record.error().message()};
+  }
+  return Found{std::move(*record)};
+}
+
+CallResult ToCallResult(const HttpAnswer& answer) {
+  if (answer.result == HttpAnswer::Result::kNotSent) {
+    return NotReached{answer.detail};
+  }
+  if (answer.result != HttpAnswer::Result::kAnswered) {
+    return Undetermined{answer.detail};
+  }
+  if (answer.status < kHttpOk || answer.status >= 300) {
+    return UnexpectedStatus(answer);
+  }
+  return Confirmed{};
+}
+
+}  // namespace cranberryshunt::targets
--- /dev/null
+++ b/libraries/targets/src/connection.cc
@@ -0,0 +1,170 @@
+#include "connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <mutex>
+#include <new>
+#include <utility>
+
+namespace cranberryshunt::targets {
+
+namespace {
+
+// The second line of defence against silent connections, below the deadline of
+// each call: the kernel gives up on unacknowledged data after this time.
+constexpr int kTcpUserTimeoutMs = 3'000;
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr long kConnectTimeoutMs = 1'000;
+
+int SetSocketOptions(void* /*data*/,
+                     curl_socket_t socket,
+                     curlsocktype /*purpose*/) {
+  const int on = 1;
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds,
+             sizeof(kKeepAliveIdleSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
+             sizeof(kKeepAliveIntervalSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kTcpUserTimeoutMs,
+             sizeof(kTcpUserTimeoutMs));
+  return CURL_SOCKOPT_OK;
+}
+
+struct BodySink {
+  std::string& body;
+  std::size_t max_bytes;
+};
+
+std::size_t AppendBody(char* data,
+                       std::size_t size,
+                       std::size_t count,
+                       void* user) {
+  auto& sink = *static_cast<BodySink*>(user);
+  const std::size_t bytes = size * count;
+  if (sink.body.size() + bytes > sink.max_bytes) {
+    return 0;
+  }
+  sink.body.append(data, bytes);
+  return bytes;
+}
+
+void InitializeCurl() {
+  static std::once_flag once;
+  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+template <typename T>
+T Information(CURL* easy, CURLINFO info) {
+  T value{};
+  curl_easy_getinfo(easy, info, &value);
+  return value;
+}
+
+}  // namespace
+
+Connection::Connection(std::uint64_t sequence, const std::string& token)
+    : sequence_(sequence) {
+  InitializeCurl();
+  multi_.reset(curl_multi_init());
+  easy_.reset(curl_easy_init());
+  if (!multi_ || !easy_) {
+    throw std::bad_alloc();
+  }
+  curl_slist* list =
+      curl_slist_append(nullptr, ("Authorization: Bearer " + token).c_str());
+  list = curl_slist_append(list, "Content-Type: application/json");
+  // Without this, curl delays large bodies until the peer answers 100.
+  list = curl_slist_append(list, "Expect:");
+  headers_.reset(list);
+  CURL* easy = easy_.get();
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers_.get());
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+  curl_easy_setopt(easy, CURLOPT_MAXCONNECTS, 1L);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
+  // A handle that never had a call opens a connection even when curl shares
+  // connections between handles.
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+void Connection::Prepare(const HttpCall& call) {
+  CURL* easy = easy_.get();
+  body_.clear();
+  max_answer_bytes_ = call.max_answer_bytes;
+  curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(call.body.size()));
+  curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(call.timeout.count()));
+}
+
+bool Connection::Drive(const OnTick& on_tick) {
+  auto next_tick = std::chrono::steady_clock::now() + kTickInterval;
+  for (;;) {
+    int running = 0;
+    curl_multi_perform(multi_.get(), &running);
+    if (running == 0) {
+      return true;
+    }
+    curl_multi_poll(multi_.get(), nullptr, 0,
+                    static_cast<int>(kTickInterval.count()), nullptr);
+    if (std::chrono::steady_clock::now() < next_tick) {
+      continue;
+    }
+    if (on_tick && !on_tick()) {
+      return false;
+    }
+    next_tick = std::chrono::steady_clock::now() + kTickInterval;
+  }
+}
+
+HttpAnswer Connection::Conclude(bool abandoned) {
+  CURL* easy = easy_.get();
+  HttpAnswer answer;
+  CURLcode rc = CURLE_OK;
+  int left = 0;
+  while (const CURLMsg* message = curl_multi_info_read(multi_.get(), &left)) {
+    rc = message->data.result;
+  }
+  const long request_bytes = Information<long>(easy, CURLINFO_REQUEST_SIZE);
+  answer.status = Information<long>(easy, CURLINFO_RESPONSE_CODE);
+  answer.traffic_bytes =
+      request_bytes + static_cast<std::int64_t>(body_.size());
+  answer.detail = curl_easy_strerror(rc);
+  answer.body = std::move(body_);
+  using Result = HttpAnswer::Result;
+  if (abandoned) {
+    answer.result = Result::kAbandoned;
+  } else if (rc == CURLE_OK) {
+    answer.result = Result::kAnswered;
+  } else if (request_bytes == 0) {
+    answer.result = Result::kNotSent;
+  } else if (rc == CURLE_OPERATION_TIMEDOUT) {
+    answer.result = Result::kTimedOut;
+  }
+  return answer;
+}
+
+HttpAnswer Connection::Post(const HttpCall& call, const OnTick& on_tick) {
+  Prepare(call);
+  BodySink sink{body_, max_answer_bytes_};
+  curl_easy_setopt(easy_.get(), CURLOPT_WRITEDATA, &sink);
+  curl_multi_add_handle(multi_.get(), easy_.get());
+  const bool completed = Drive(on_tick);
+  HttpAnswer answer = Conclude(!completed);
+  curl_multi_remove_handle(multi_.get(), easy_.get());
+  curl_easy_setopt(easy_.get(), CURLOPT_FRESH_CONNECT, 0L);
+  return answer;
+}
+
+}  // namespace cranberryshunt::targets
--- /dev/null
+++ b/libraries/targets/src/target_client.cc
@@ -0,0 +1,309 @@
+#include "cranberryshunt/targets/target_client.h"
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "answers.h"
+#include "connection_pool.h"
+#include "cranberryshunt/targets/json_reader.h"
+#include "cranberryshunt/targets/task_record.h"
+
+namespace cranberryshunt::targets {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Assumed for a target whose limit is not known yet.
+constexpr std::int32_t kAssumedConnections = 64;
+// An answer of the largest size, with every byte escaped, and its record.
+constexpr std::size_t kMaxHttpAnswerBytes = 6 * kMaxAnswerBytes + 4096;
+constexpr milliseconds kFirstFollowInterval{20};
+constexpr std::chrono::minutes kUnusedLimit{1};
+
+}  // namespace
+
+struct TargetClient::Implementation {
+  explicit Implementation(TargetClientOptions options)
+      : options(std::move(options)) {}
+
+  std::shared_ptr<ConnectionPool> PoolOf(const Target& target);
+  HttpAnswer Post(const Target& target,
+                  const char* path,
+                  const std::string& body,
+                  Reuse reuse);
+  HttpAnswer PostOn(ConnectionPool& pool,
+                    CallUse use,
+                    Reuse reuse,
+                    const HttpCall& call,
+                    const std::string& address,
+                    const std::function<bool(const Connection&)>& on_tick);
+  void CountTraffic(const std::string& address, std::int64_t bytes);
+
+  const TargetClientOptions options;
+  std::atomic<bool> aborted = false;
+  std::mutex mutex;
+  std::map<std::string, std::shared_ptr<ConnectionPool>> pools;
+  std::map<std::string, std::int64_t> traffic;
+};
+
+std::shared_ptr<ConnectionPool> TargetClient::Implementation::PoolOf(
+    const Target& target) {
+  std::lock_guard lock(mutex);
+  auto& pool = pools[target.address];
+  const bool created = pool == nullptr;
+  if (created) {
+    pool = std::make_shared<ConnectionPool>(options.token);
+  }
+  if (created || target.connections > 0) {
+    const std::int32_t connections =
+        target.connections > 0 ? target.connections : kAssumedConnections;
+    pool->SetLimit(connections / std::max(options.entry_count, 1));
+  }
+  return pool;
+}
+
+void TargetClient::Implementation::CountTraffic(const std::string& address,
+                                                std::int64_t bytes) {
+  std::lock_guard lock(mutex);
+  traffic[address] += bytes;
+}
+
+HttpAnswer TargetClient::Implementation::PostOn(
+    ConnectionPool& pool,
+    CallUse use,
+    Reuse reuse,
+    const HttpCall& call,
+    const std::string& address,
+    const std::function<bool(const Connection&)>& on_tick) {
+  auto connection =
+      aborted ? nullptr : pool.Acquire(use, reuse, options.call_timeout);
+  if (!connection) {
+    HttpAnswer answer;
+    answer.result = HttpAnswer::Result::kNotSent;
+    answer.detail = "no connection was free in time";
+    return answer;
+  }
+  HttpAnswer answer = connection->Post(
+      call, [&] { return !aborted && (!on_tick || on_tick(*connection)); });
+  CountTraffic(address, answer.traffic_bytes);
+  if (answer.result == HttpAnswer::Result::kTimedOut) {
+    pool.RetireUpTo(connection->sequence());
+  }
+  pool.Release(std::move(connection), use,
+               answer.result == HttpAnswer::Result::kAnswered);
+  return answer;
+}
+
+HttpAnswer TargetClient::Implementation::Post(const Target& target,
+                                              const char* path,
+                                              const std::string& body,
+                                              Reuse reuse) {
+  const HttpCall call{"http://" + target.address + path, body,
+                      options.call_timeout, kMaxHttpAnswerBytes};
+  return PostOn(*PoolOf(target), CallUse::kShort, reuse, call, target.address,
+                nullptr);
+}
+
+TargetClient::TargetClient(TargetClientOptions options)
+    : implementation_(std::make_unique<Implementation>(std::move(options))) {}
+
+TargetClient::~TargetClient() = default;
+
+StartResult TargetClient::Start(const Target& target,
+                                const wire::StartOrder& order,
+                                const std::string& payload,
+                                Reuse reuse) {
+  const std::string body = RenderStart(order, payload, false);
+  return ToStartResult(
+      implementation_->Post(target, "/v1/tasks/start", body, reuse),
+      order.attempt);
+}
+
+// Looks one attempt up again and again until its fate is known.
+class TargetClient::Follower {
+ public:
+  Follower(TargetClient& client,
+           const Target& target,
+           const wire::AttemptKey& attempt)
+      : client_(client),
+        options_(client.implementation_->options),
+        target_(target),
+        attempt_(attempt),
+        begin_(steady_clock::now()),
+        last_found_(begin_) {}
+
+  // Does one lookup. Returns the result of the attempt when there is nothing
+  // more to wait for.
+  std::optional<StartResult> Step() {
+    auto result = client_.Lookup(target_, attempt_, false, reuse_);
+    const auto now = steady_clock::now();
+    interval_ = std::min(interval_ * 2, options_.lookup_interval);
+    if (std::holds_alternative<NeverStarted>(result)) {
+      return Undetermined{"the target does not know the attempt"};
+    }
+    if (auto* found = std::get_if<Found>(&result)) {
+      reuse_ = Reuse::kAllowed;
+      last_found_ = now;
+      if (IsFinal(found->record)) {
+        return ToStartResult(std::move(found->record));
+      }
+      return now - begin_ >= options_.follow_limit
+                 ? std::optional<StartResult>(Accepted{})
+                 : std::nullopt;
+    }
+    reuse_ = Reuse::kForbidden;
+    if (now - last_found_ >= options_.unreachable_limit) {
+      return Undetermined{"lookups got no answer"};
+    }
+    return std::nullopt;
+  }
+
+  milliseconds interval() const { return interval_; }
+
+ private:
+  TargetClient& client_;
+  const TargetClientOptions& options_;
+  const Target& target_;
+  const wire::AttemptKey& attempt_;
+  const steady_clock::time_point begin_;
+  steady_clock::time_point last_found_;
+  milliseconds interval_ = kFirstFollowInterval;
+  Reuse reuse_ = Reuse::kAllowed;
+};
+
+StartResult TargetClient::StartAndWait(const Target& target,
+                                       const wire::StartOrder& order,
+                                       const std::string& payload,
+                                       Reuse reuse) {
+  auto pool = implementation_->PoolOf(target);
+  if (!pool->AllowsWaits()) {
+    // The only connection must stay free for lookups and stops.
+    auto started = Start(target, order, payload, reuse);
+    return std::holds_alternative<Accepted>(started)
+               ? Follow(target, order.attempt)
+               : started;
+  }
+  const auto& options = implementation_->options;
+  auto next_lookup = steady_clock::now() + options.silence_limit;
+  std::optional<Follower> follower;
+  std::optional<StartResult> from_record;
+  const auto on_tick = [&](const Connection& connection) {
+    const bool due = steady_clock::now() >= next_lookup ||
+                     (!follower && pool->IsRetired(connection.sequence()));
+    if (!due) {
+      return true;
+    }
+    if (!follower) {
+      follower.emplace(*this, target, order.attempt);
+    }
+    from_record = follower->Step();
+    next_lookup = steady_clock::now() + options.lookup_interval;
+    if (from_record) {
+      // The answer or the start itself was lost on the way.
+      pool->RetireUpTo(connection.sequence());
+    }
+    return !from_record.has_value();
+  };
+  const std::string body = RenderStart(order, payload, true);
+  const HttpCall call{"http://" + target.address + "/v1/tasks/start", body,
+                      options.follow_limit, kMaxHttpAnswerBytes};
+  const HttpAnswer answer = implementation_->PostOn(
+      *pool, CallUse::kWait, reuse, call, target.address, on_tick);
+  return from_record ? *from_record : ToStartResult(answer, order.attempt);
+}
+
+StartResult TargetClient::Follow(const Target& target,
+                                 const wire::AttemptKey& attempt) {
+  Follower follower(*this, target, attempt);
+  while (!implementation_->aborted) {
+    if (auto result = follower.Step()) {
+      return *result;
+    }
+    std::this_thread::sleep_for(follower.interval());
+  }
+  return Undetermined{"the entry is stopping"};
+}
+
+CallResult TargetClient::Stop(const Target& target,
+                              const wire::AttemptKey& attempt,
+                              bool checkpoint) {
+  const JsonPtr body(json_object());
+  AddAttemptKey(body.get(), attempt);
+  json_object_set_new(body.get(), "checkpoint", json_boolean(checkpoint));
+  return ToCallResult(implementation_->Post(
+      target, "/v1/tasks/stop", RenderJson(body.get()), Reuse::kAllowed));
+}
+
+CallResult TargetClient::Throttle(const Target& target,
+                                  const wire::AttemptKey& attempt,
+                                  std::int32_t percent) {
+  const JsonPtr body(json_object());
+  AddAttemptKey(body.get(), attempt);
+  json_object_set_new(body.get(), "percent", json_integer(percent));
+  return ToCallResult(implementation_->Post(
+      target, "/v1/tasks/throttle", RenderJson(body.get()), Reuse::kAllowed));
+}
+
+LookupResult TargetClient::Lookup(const Target& target,
+                                  const wire::AttemptKey& attempt,
+                                  bool bar,
+                                  Reuse reuse) {
+  const JsonPtr body(json_object());
+  AddAttemptKey(body.get(), attempt);
+  json_object_set_new(body.get(), "bar", json_boolean(bar));
+  return ToLookupResult(implementation_->Post(target, "/v1/tasks/lookup",
+                                              RenderJson(body.get()), reuse),
+                        attempt);
+}
+
+CallResult TargetClient::Acknowledge(
+    const Target& target,
+    const std::vector<wire::AttemptKey>& attempts) {
+  const JsonPtr body(json_object());
+  json_t* tasks = json_array();
+  for (const auto& attempt : attempts) {
+    json_t* task = json_object();
+    AddAttemptKey(task, attempt);
+    json_array_append_new(tasks, task);
+  }
+  json_object_set_new(body.get(), "tasks", tasks);
+  return ToCallResult(implementation_->Post(target, "/v1/tasks/acknowledge",
+                                            RenderJson(body.get()),
+                                            Reuse::kAllowed));
+}
+
+void TargetClient::Abort() {
+  implementation_->aborted = true;
+}
+
+void TargetClient::CloseUnused() {
+  std::lock_guard lock(implementation_->mutex);
+  const auto unused_since = steady_clock::now() - kUnusedLimit;
+  std::erase_if(implementation_->pools, [&](const auto& entry) {
+    return entry.second.use_count() == 1 &&
+           entry.second->last_use() < unused_since;
+  });
+}
+
+std::int64_t TargetClient::connection_count() const {
+  std::lock_guard lock(implementation_->mutex);
+  std::int64_t count = 0;
+  for (const auto& [address, pool] : implementation_->pools) {
+    count += pool->open_count();
+  }
+  return count;
+}
+
+std::map<std::string, std::int64_t> TargetClient::TakeTraffic() {
+  std::lock_guard lock(implementation_->mutex);
+  return std::exchange(implementation_->traffic, {});
+}
+
+}  // namespace cranberryshunt::targets
