entry: Add the HTTP entry process

Serves callers, targets, operators and the balancer on ulfius. Submissions pass local admission, go to the leader with a job id chosen here, and wait for the job by the long poll, by lookups of the job every second, or for the answer that comes straight from the target. Orders of the leader are carried out on separate threads for interactive starts, other starts and the rest; results and announcements are reported in batches.

--- /dev/null
+++ b/libraries/entry/src/authorizer.h
@@ -0,0 +1,45 @@
+// Checks bearer tokens.
+#ifndef CRANBERRYSHUNT_ENTRY_AUTHORIZER_H_
+#define CRANBERRYSHUNT_ENTRY_AUTHORIZER_H_
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+#include "cranberryshunt/base/clock.h"
+#include "cranberryshunt/base/metrics.h"
+#include "cranberryshunt/entry/entry.h"
+#include "http_server.h"
+#include "reporter.h"
+
+namespace cranberryshunt::entry {
+
+enum class Role { kCaller, kTarget, kOperator };
+
+// Safe for use by several threads.
+class Authorizer {
+ public:
+  Authorizer(const EntryOptions& options,
+             Reporter& reporter,
+             MetricsRegistry& metrics);
+
+  // Compares in constant time. A refused token is recorded in the audit trail;
+  // at most a few records a second, which count those in between.
+  bool Check(Role role, const HttpRequest& request);
+
+ private:
+  const std::string& TokenOf(Role role) const;
+  void RecordRefusal(Role role, const HttpRequest& request);
+
+  const EntryOptions& options_;
+  Reporter& reporter_;
+  MetricsRegistry& metrics_;
+  std::mutex mutex_;
+  TimePoint second_{};
+  int records_in_second_ = 0;
+  std::int64_t unrecorded_ = 0;
+};
+
+}  // namespace cranberryshunt::entry
+
+#endif  // CRANBERRYSHUNT_ENTRY_AUTHORIZER_H_
--- /dev/null
+++ b/libraries/entry/src/caller_routes.cc
@@ -0,0 +1,227 @@
+#include <utility>
+
+#include "context.h"
+#include "cranberryshunt/base/bytes.h"
+#include "json_output.h"
+#include "request_parsers.h"
+#include "submission.h"
+
+namespace cranberryshunt::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// The reply to work that was not accepted: it did not run and never will.
+HttpResponse NotRunResponse(const std::string& job_id,
+                            const Error& error,
+                            std::int64_t retry_after_ms) {
+  wire::JobStatus job;
+  job.job_id = job_id;
+  job.outcome = wire::Outcome::kNotRun;
+  job.code = static_cast<int>(error.code());
+  job.reason = error.message();
+  job.retryable = IsRetryable(error.code());
+  HttpResponse response =
+      JsonResponse(HttpStatusOf(error.code()), RenderJob(job, retry_after_ms));
+  response.retry_after_ms = retry_after_ms;
+  return response;
+}
+
+HttpResponse UnknownResponse(const std::string& job_id,
+                             const std::string& reason) {
+  wire::JobStatus job;
+  job.job_id = job_id;
+  job.outcome = wire::Outcome::kUnknown;
+  job.code = static_cast<int>(ResultCode::kOutcomeUnknown);
+  job.reason = reason;
+  return JsonResponse(HttpStatusOf(ResultCode::kOutcomeUnknown),
+                      RenderJob(job));
+}
+
+HttpResponse JobResponse(const wire::JobStatus& job) {
+  const bool pending = job.outcome == wire::Outcome::kPending;
+  return JsonResponse(pending ? 202 : 200, RenderJob(job));
+}
+
+wire::GetJobRequest QueryOf(const Context& context, const std::string& job_id) {
+  wire::GetJobRequest query;
+  query.entry_id = context.options.id;
+  query.job_id = job_id;
+  return query;
+}
+
+// Waits for the end of a job whose last known status is `job`.
+wire::JobStatus WaitForJob(Context& context,
+                           const HttpRequest& request,
+                           const wire::JobStatus& job,
+                           TimePoint deadline) {
+  if (job.outcome != wire::Outcome::kPending || BootClock::now() >= deadline) {
+    return job;
+  }
+  PendingJobs::WaitOptions options;
+  options.deadline = deadline;
+  options.peer_is_gone = [&request] { return request.PeerIsGone(); };
+  options.refresh = [&] {
+    auto query = QueryOf(context, job.job_id);
+    query.watch = true;
+    if (const auto reply = context.calls.GetJob(query)) {
+      context.jobs.Update(reply->job);
+    }
+  };
+  auto status = context.jobs.Wait(job.job_id, options);
+  return status ? std::move(*status) : job;
+}
+
+// Refuses a submission without a call to the leader, or admits it.
+tl::expected<Admission::Ticket, HttpResponse> AdmitLocally(
+    Context& context,
+    wire::JobKind::type kind) {
+  if (const auto refusal = context.readiness.Refusal(BootClock::now())) {
+    constexpr std::int64_t kRetryAfterMs = 1'000;
+    auto response = NotRunResponse("", *refusal, kRetryAfterMs);
+    response.close = context.readiness.draining();
+    return tl::unexpected(std::move(response));
+  }
+  auto ticket = context.admission.AdmitSubmission(kind);
+  if (!ticket) {
+    ++context.metrics.Counter("refused{kind=\"" + std::string(KindName(kind)) +
+                              "\"}");
+    return tl::unexpected(NotRunResponse(
+        "", Error(ticket.error().code, "too much work of this kind is waiting"),
+        ticket.error().retry_after_ms));
+  }
+  return std::move(*ticket);
+}
+
+wire::SubmitRequest MakeSubmitRequest(const Context& context,
+                                      wire::JobSpec spec,
+                                      std::int64_t wait_ms) {
+  wire::SubmitRequest submit;
+  submit.entry_id = context.options.id;
+  submit.region = context.options.region;
+  submit.availability_zone = context.options.availability_zone;
+  submit.job_id = RandomId("j");
+  submit.spec = std::move(spec);
+  const bool interactive = submit.spec.kind == wire::JobKind::kInteractive;
+  submit.watch = interactive || wait_ms > 0;
+  if (interactive) {
+    submit.spec.payload.clear();
+  }
+  return submit;
+}
+
+HttpResponse Submit(Context& context, const HttpRequest& request) {
+  const auto wait_ms = ParseWaitMs(request.Parameter("wait_ms"));
+  if (!wait_ms) {
+    return ErrorResponse(wait_ms.error());
+  }
+  auto spec = ParseJobSpec(request.body(), context.options.max_body_bytes);
+  if (!spec) {
+    return ErrorResponse(spec.error());
+  }
+  auto ticket = AdmitLocally(context, spec->kind);
+  if (!ticket) {
+    return std::move(ticket.error());
+  }
+  const auto deadline = BootClock::now() + milliseconds(*wait_ms);
+  const auto submit = MakeSubmitRequest(context, *spec, *wait_ms);
+  if (!context.jobs.Add(submit.job_id, *spec)) {
+    constexpr std::int64_t kRetryAfterMs = 1'000;
+    return NotRunResponse(
+        submit.job_id,
+        Error(ResultCode::kQueueFull, "this entry holds too many jobs"),
+        kRetryAfterMs);
+  }
+  const auto outcome = SubmitToLeader(context.calls, submit);
+  if (const auto* refused = std::get_if<SubmitRefused>(&outcome)) {
+    context.jobs.Remove(submit.job_id);
+    return NotRunResponse(submit.job_id, refused->error,
+                          refused->retry_after_ms);
+  }
+  if (const auto* undetermined = std::get_if<SubmitUndetermined>(&outcome)) {
+    // The payload stays: the job may have been committed and be started yet.
+    return UnknownResponse(submit.job_id, undetermined->detail);
+  }
+  const auto& job = std::get<Submitted>(outcome).job;
+  if (job.job_id != submit.job_id) {
+    context.jobs.Remove(submit.job_id);
+  }
+  return JobResponse(WaitForJob(context, request, job, deadline));
+}
+
+HttpResponse Query(Context& context,
+                   const HttpRequest& request,
+                   wire::GetJobRequest query) {
+  const auto wait_ms = ParseWaitMs(request.Parameter("wait_ms"));
+  if (!wait_ms) {
+    return ErrorResponse(wait_ms.error());
+  }
+  const auto ticket = context.admission.Admit(RequestClass::kStatus);
+  if (!ticket) {
+    return ErrorResponse(
+        Error(ticket.error().code, "too many requests wait at this entry"),
+        ticket.error().retry_after_ms);
+  }
+  const auto deadline = BootClock::now() + milliseconds(*wait_ms);
+  query.watch = *wait_ms > 0;
+  const auto reply = context.calls.GetJob(query);
+  if (!reply) {
+    return ErrorResponse(reply.error());
+  }
+  return JobResponse(WaitForJob(context, request, reply->job, deadline));
+}
+
+HttpResponse GetJob(Context& context, const HttpRequest& request) {
+  return Query(context, request, QueryOf(context, request.Parameter("id")));
+}
+
+HttpResponse GetJobByKey(Context& context, const HttpRequest& request) {
+  auto query = QueryOf(context, "");
+  query.team = request.Parameter("team");
+  query.idempotency_key = request.Parameter("key");
+  return Query(context, request, std::move(query));
+}
+
+HttpResponse Cancel(Context& context, const HttpRequest& request) {
+  const auto ticket = context.admission.Admit(RequestClass::kStatus);
+  if (!ticket) {
+    return ErrorResponse(
+        Error(ticket.error().code, "too many requests wait at this entry"),
+        ticket.error().retry_after_ms);
+  }
+  const std::string job_id = request.Parameter("id");
+  const auto reply = context.calls.Run<wire::CancelReply>(
+      LeaderCalls::Limits(), [&](auto& client, auto& out) {
+        client.CancelJobs(out, context.options.id, {job_id},
+                          "cancelled by the caller");
+      });
+  if (!reply) {
+    return ErrorResponse(reply.error());
+  }
+  if (reply->jobs.empty()) {
+    return ErrorResponse(Error(ResultCode::kNotFound, "there is no such job"));
+  }
+  context.jobs.Update(reply->jobs.front());
+  return JobResponse(reply->jobs.front());
+}
+
+}  // namespace
+
+void AddCallerRoutes(Context& context, std::vector<HttpRoute>& routes) {
+  const auto add = [&](const char* method, const char* path,
+                       HttpResponse (*handler)(Context&, const HttpRequest&)) {
+    routes.push_back(
+        {method, path,
+         Guarded(context, Role::kCaller, context.options.max_body_bytes,
+                 [&context, handler](const HttpRequest& request) {
+                   return handler(context, request);
+                 })});
+  };
+  add("POST", "/v1/jobs", &Submit);
+  add("GET", "/v1/jobs/:id", &GetJob);
+  add("POST", "/v1/jobs/:id/cancel", &Cancel);
+  add("GET", "/v1/keys/:team/:key", &GetJobByKey);
+}
+
+}  // namespace cranberryshunt::entry
--- /dev/null
+++ b/libraries/entry/src/entry.cc
@@ -0,0 +1,212 @@
+#include "cranberryshunt/entry/entry.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "context.h"
+#include "cranberryshunt/base/log.h"
+#include "cranberryshunt/base/timer_service.h"
+#include "dispatcher.h"
+#include "poller.h"
+
+namespace cranberryshunt::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Connections beyond the requests that may be in flight: announcements,
+// operators, the balancer, and connections kept open between requests.
+constexpr unsigned int kExtraConnections = 512;
+constexpr int kMaxMallocArenas = 4;
+constexpr std::chrono::seconds kCloseUnusedInterval{10};
+constexpr milliseconds kShutdownCheckInterval{10};
+// No request may start for this long before the server stops.
+constexpr milliseconds kQuietPeriod{100};
+// Waits end this long before the shutdown limit, so that their callers still
+// get the status of their job.
+constexpr milliseconds kAnswerMargin{1'000};
+constexpr milliseconds kFlushLimit{3'000};
+
+targets::TargetClientOptions TargetOptions(const EntryOptions& options) {
+  targets::TargetClientOptions out;
+  out.token = options.target_token;
+  out.entry_count = options.entry_count;
+  return out;
+}
+
+}  // namespace
+
+// Members are destroyed in reverse order: the server first, then the poll
+// thread, the dispatch threads and the report thread.
+struct Entry::Implementation {
+  explicit Implementation(const EntryOptions& entry_options);
+
+  Result<void> Listen();
+  std::map<std::string, std::int64_t> TakeTraffic();
+  std::int64_t Shutdown();
+  // Waits for `condition`; returns false after `deadline` or an abort.
+  bool WaitFor(steady_clock::time_point deadline,
+               const std::function<bool()>& condition);
+  bool IsQuiet(steady_clock::time_point& quiet_since) const;
+
+  const EntryOptions options;
+  MetricsRegistry metrics;
+  Readiness readiness;
+  wire::LeaderClient leader;
+  LeaderCalls calls;
+  Admission admission;
+  PendingJobs jobs;
+  WorkerDirectory workers;
+  targets::TargetClient targets;
+  Reporter reporter;
+  Authorizer authorizer;
+  Dispatcher dispatcher;
+  Context context;
+  std::mutex mutex;
+  std::condition_variable abort_requested;
+  bool aborted = false;
+  TimerService timers;
+  TimerService::Subscription close_unused;
+  std::unique_ptr<Poller> poller;
+  std::unique_ptr<HttpServer> server;
+};
+
+Entry::Implementation::Implementation(const EntryOptions& entry_options)
+    : options(entry_options),
+      leader(options.controllers, options.id, options.cluster_secret),
+      calls(leader),
+      admission(options.max_requests_in_flight),
+      targets(TargetOptions(options)),
+      reporter(leader, options.id, [this] { return TakeTraffic(); }),
+      authorizer(options, reporter, metrics),
+      dispatcher(targets, jobs, reporter, workers, metrics),
+      context{options,  calls,      admission, jobs,    readiness,
+              reporter, authorizer, workers,   targets, metrics},
+      close_unused(timers.Every(kCloseUnusedInterval,
+                                [this] { targets.CloseUnused(); })) {}
+
+Result<void> Entry::Implementation::Listen() {
+  HttpServerOptions server_options;
+  server_options.listen_address = options.listen_address;
+  server_options.max_body_bytes = MaxAnnouncementBytes(options);
+  server_options.max_connections =
+      static_cast<unsigned int>(options.max_requests_in_flight) +
+      kExtraConnections;
+  std::vector<HttpRoute> routes;
+  AddCallerRoutes(context, routes);
+  AddTargetRoutes(context, routes);
+  AddOperatorRoutes(context, routes);
+  AddHealthRoutes(context, routes);
+  auto started = HttpServer::Start(server_options, std::move(routes), metrics);
+  if (!started) {
+    return tl::unexpected(started.error());
+  }
+  server = std::move(*started);
+  poller = std::make_unique<Poller>(options, leader, calls, readiness,
+                                    admission, jobs, dispatcher);
+  return {};
+}
+
+std::map<std::string, std::int64_t> Entry::Implementation::TakeTraffic() {
+  std::map<std::string, std::int64_t> between_regions;
+  for (const auto& [address, bytes] : targets.TakeTraffic()) {
+    const std::string region = workers.Find(address).region;
+    metrics.Counter("target_bytes{from=\"" + options.region + "\",to=\"" +
+                    region + "\"}") += bytes;
+    if (!region.empty() && region != options.region) {
+      between_regions[options.region + ">" + region] += bytes;
+    }
+  }
+  return between_regions;
+}
+
+bool Entry::Implementation::WaitFor(steady_clock::time_point deadline,
+                                    const std::function<bool()>& condition) {
+  std::unique_lock lock(mutex);
+  while (!aborted && steady_clock::now() < deadline) {
+    if (condition()) {
+      return true;
+    }
+    abort_requested.wait_for(lock, kShutdownCheckInterval);
+  }
+  return condition();
+}
+
+bool Entry::Implementation::IsQuiet(
+    steady_clock::time_point& quiet_since) const {
+  const auto now = steady_clock::now();
+  if (server->requests_in_flight() > 0 || dispatcher.pending() > 0) {
+    quiet_since = now;
+  }
+  return now - quiet_since >= kQuietPeriod;
+}
+
+std::int64_t Entry::Implementation::Shutdown() {
+  const auto begin = steady_clock::now();
+  const auto limit = begin + options.drain_grace + options.shutdown_limit;
+  readiness.StartDraining();
+  jobs.LimitWaits(BootClock::now() + options.drain_grace +
+                  std::max(options.shutdown_limit - kAnswerMargin,
+                           options.shutdown_limit / 2));
+  server->CloseAfterResponses();
+  WaitFor(begin + options.drain_grace, [] { return false; });
+  server->StopListening();
+  auto quiet_since = steady_clock::now();
+  WaitFor(limit, [&] { return IsQuiet(quiet_since); });
+  const std::int64_t interrupted = server->requests_in_flight();
+  targets.Abort();
+  reporter.Flush(std::min<milliseconds>(
+      kFlushLimit,
+      std::chrono::duration_cast<milliseconds>(std::max(
+          limit - steady_clock::now(), steady_clock::duration::zero()))));
+  if (interrupted > 0) {
+    Log(LogLevel::kWarning, "entry", "shutdown interrupted requests",
+        {{"requests", interrupted}});
+  }
+  server.reset();
+  poller.reset();
+  return interrupted;
+}
+
+Entry::Entry(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+Entry::~Entry() {
+  implementation_->targets.Abort();
+  implementation_->jobs.LimitWaits(BootClock::now());
+}
+
+Result<std::unique_ptr<Entry>> Entry::Start(const EntryOptions& options) {
+  if (options.controllers.empty()) {
+    return Fail(ResultCode::kInvalidSettings, "no controller is given",
+                "controllers");
+  }
+  // Each connection has a thread; an arena for each would take most of the
+  // memory.
+  mallopt(M_ARENA_MAX, kMaxMallocArenas);
+  auto implementation = std::make_unique<Implementation>(options);
+  if (auto listening = implementation->Listen(); !listening) {
+    return tl::unexpected(listening.error());
+  }
+  return std::unique_ptr<Entry>(new Entry(std::move(implementation)));
+}
+
+std::int64_t Entry::Shutdown() {
+  return implementation_->Shutdown();
+}
+
+void Entry::Abort() {
+  std::lock_guard lock(implementation_->mutex);
+  implementation_->aborted = true;
+  implementation_->abort_requested.notify_all();
+}
+
+}  // namespace cranberryshunt::entry
--- /dev/null
+++ b/libraries/entry/src/http_server.cc
@@ -0,0 +1,298 @@
+#include "http_server.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cstdlib>
+#include <exception>
+#include <string>
+
+#include "cranberryshunt/base/log.h"
+#include "json_output.h"
+
+namespace cranberryshunt::entry {
+
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+// jansson's parser recurses up to 2048 levels deep.
+constexpr std::size_t kThreadStackBytes = 1 << 20;
+// Request line, headers and the response's headers of one connection.
+constexpr std::size_t kConnectionMemoryBytes = 16 * 1024;
+constexpr int kStatusInternalError = 500;
+constexpr int kStatusNotFound = 404;
+
+// The connection whose request runs on this thread. ulfius does not hand it to
+// handlers, and each connection has its own thread.
+thread_local MHD_Connection* current_connection = nullptr;
+
+int CurrentSocket() {
+  if (current_connection == nullptr) {
+    return -1;
+  }
+  const auto* info = MHD_get_connection_info(current_connection,
+                                             MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info == nullptr ? -1 : info->connect_fd;
+}
+
+}  // namespace
+
+std::string HttpRequest::Parameter(const char* name) const {
+  const char* value = u_map_get(request_.map_url, name);
+  return value == nullptr ? std::string() : value;
+}
+
+std::string HttpRequest::BearerToken() const {
+  const char* value = u_map_get_case(request_.map_header, "Authorization");
+  const std::string_view header = value == nullptr ? "" : value;
+  return header.starts_with(kBearer)
+             ? std::string(header.substr(kBearer.size()))
+             : std::string();
+}
+
+std::string_view HttpRequest::body() const {
+  return {static_cast<const char*>(request_.binary_body),
+          request_.binary_body_length};
+}
+
+std::string HttpRequest::PeerAddress() const {
+  const auto* address =
+      reinterpret_cast<const sockaddr_in*>(request_.client_address);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  if (address == nullptr || address->sin_family != AF_INET) {
+    return "unknown";
+  }
+  inet_ntop(AF_INET, &address->sin_addr, text.data(), text.size());
+  return text.data();
+}
+
+bool HttpRequest::PeerIsGone() const {
+  pollfd descriptor{socket_, POLLRDHUP, 0};
+  return socket_ < 0 || poll(&descriptor, 1, 0) != 0;
+}
+
+namespace {
+
+struct RouteState {
+  HttpRoute route;
+  const std::atomic<bool>* closing;
+  MetricsRegistry* metrics;
+};
+
+void Send(const HttpResponse& response, bool closing, _u_response* out) {
+  ulfius_set_binary_body_response(out, response.status, response.body.data(),
+                                  response.body.size());
+  u_map_put(out->map_header, "Content-Type", response.content_type.c_str());
+  if (response.retry_after_ms > 0) {
+    const auto seconds = (response.retry_after_ms + 999) / 1000;
+    u_map_put(out->map_header, "Retry-After", std::to_string(seconds).c_str());
+  }
+  if (closing || response.close) {
+    u_map_put(out->map_header, "Connection", "close");
+  }
+}
+
+HttpResponse CallHandler(const RouteState& state, const HttpRequest& request) {
+  try {
+    return state.route.handler(request);
+  } catch (const std::exception& error) {
+    // One request must not end the process.
+    Log(LogLevel::kError, "http", "handler failed",
+        {{"path", state.route.path}, {"error", error.what()}});
+    HttpResponse response;
+    response.status = kStatusInternalError;
+    response.body = RenderError(
+        Error(ResultCode::kUnavailable, "the request could not be handled"));
+    return response;
+  }
+}
+
+int HandleRoute(const _u_request* request, _u_response* out, void* data) {
+  const auto& state = *static_cast<const RouteState*>(data);
+  const auto begin = BootClock::now();
+  const HttpResponse response =
+      CallHandler(state, HttpRequest(*request, CurrentSocket()));
+  Send(response, *state.closing, out);
+  const std::string route =
+      "route=\"" + state.route.method + " " + state.route.path + "\"";
+  ++state.metrics->Counter("requests{" + route + ",code=\"" +
+                           std::to_string(response.status) + "\"}");
+  const auto end = BootClock::now();
+  state.metrics->Values("latency_ms{" + route + "}")
+      .Record(static_cast<double>((end - begin).count()) / 1000.0, end);
+  return U_CALLBACK_COMPLETE;
+}
+
+int HandleUnknown(const _u_request* /*request*/,
+                  _u_response* out,
+                  void* /*data*/) {
+  HttpResponse response;
+  response.status = kStatusNotFound;
+  response.body =
+      RenderError(Error(ResultCode::kNotFound, "there is no such resource"));
+  Send(response, false, out);
+  return U_CALLBACK_COMPLETE;
+}
+
+}  // namespace
+
+struct HttpServer::Implementation {
+  ~Implementation();
+
+  Result<void> Listen(const HttpServerOptions& options);
+  static void* OnRequestLine(void* self,
+                             const char* uri,
+                             MHD_Connection* connection);
+  static void OnCompleted(void* self,
+                          MHD_Connection* connection,
+                          void** context,
+                          MHD_RequestTerminationCode code);
+
+  _u_instance instance{};
+  bool initialized = false;
+  bool running = false;
+  int listen_socket = -1;
+  std::atomic<bool> closing = false;
+  std::atomic<std::int64_t> in_flight = 0;
+  std::vector<std::unique_ptr<RouteState>> routes;
+};
+
+HttpServer::Implementation::~Implementation() {
+  if (running) {
+    ulfius_stop_framework(&instance);
+  }
+  if (initialized) {
+    ulfius_clean_instance(&instance);
+  }
+  if (listen_socket >= 0) {
+    close(listen_socket);
+  }
+}
+
+void* HttpServer::Implementation::OnRequestLine(void* self,
+                                                const char* uri,
+                                                MHD_Connection* connection) {
+  ++static_cast<Implementation*>(self)->in_flight;
+  current_connection = connection;
+  return ulfius_uri_logger(nullptr, uri);
+}
+
+void HttpServer::Implementation::OnCompleted(void* self,
+                                             MHD_Connection* connection,
+                                             void** context,
+                                             MHD_RequestTerminationCode code) {
+  mhd_request_completed(nullptr, connection, context, code);
+  --static_cast<Implementation*>(self)->in_flight;
+}
+
+Result<void> HttpServer::Implementation::Listen(
+    const HttpServerOptions& options) {
+  const auto colon = options.listen_address.rfind(':');
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  const int port = colon == std::string::npos
+                       ? 0
+                       : std::atoi(options.listen_address.c_str() + colon + 1);
+  if (port <= 0 || port > 65535 ||
+      inet_pton(AF_INET, options.listen_address.substr(0, colon).c_str(),
+                &address.sin_addr) != 1) {
+    return Fail(ResultCode::kInvalidSettings, "address is not ip:port",
+                "listen-address");
+  }
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  if (ulfius_init_instance(&instance, static_cast<unsigned int>(port), &address,
+                           nullptr) != U_OK) {
+    return Fail(ResultCode::kUnavailable, "cannot set up the HTTP server");
+  }
+  initialized = true;
+  // One byte more than allowed shows the handler that a body is too large;
+  // ulfius cuts bodies off at its limit without an error.
+  instance.max_post_body_size = options.max_body_bytes + 1;
+  instance.allowed_post_processor = U_POST_PROCESS_NONE;
+  for (const auto& state : routes) {
+    ulfius_add_endpoint_by_val(&instance, state->route.method.c_str(), nullptr,
+                               state->route.path.c_str(), 0, &HandleRoute,
+                               state.get());
+  }
+  ulfius_set_default_endpoint(&instance, &HandleUnknown, nullptr);
+  std::array<MHD_OptionItem, 8> mhd_options{{
+      {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&OnCompleted),
+       this},
+      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&OnRequestLine),
+       this},
+      {MHD_OPTION_SOCK_ADDR, 0, &address},
+      {MHD_OPTION_CONNECTION_LIMIT, options.max_connections, nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout.count(), nullptr},
+      {MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes, nullptr},
+      {MHD_OPTION_THREAD_STACK_SIZE, kThreadStackBytes, nullptr},
+      {MHD_OPTION_END, 0, nullptr},
+  }};
+  constexpr unsigned int kFlags = MHD_USE_THREAD_PER_CONNECTION |
+                                  MHD_USE_INTERNAL_POLLING_THREAD |
+                                  MHD_USE_POLL | MHD_USE_ITC;
+  if (ulfius_start_framework_with_mhd_options(&instance, kFlags,
+                                              mhd_options.data()) != U_OK) {
+    return Fail(ResultCode::kUnavailable,
+                "cannot listen on " + options.listen_address);
+  }
+  running = true;
+  return {};
+}
+
+HttpServer::HttpServer(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+HttpServer::~HttpServer() = default;
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Start(
+    const HttpServerOptions& options,
+    std::vector<HttpRoute> routes,
+    MetricsRegistry& metrics) {
+  auto implementation = std::make_unique<Implementation>();
+  for (auto& route : routes) {
+    implementation->routes.push_back(std::make_unique<RouteState>(
+        RouteState{std::move(route), &implementation->closing, &metrics}));
+  }
+  if (auto listening = implementation->Listen(options); !listening) {
+    return tl::unexpected(listening.error());
+  }
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
+}
+
+void HttpServer::CloseAfterResponses() {
+  implementation_->closing = true;
+}
+
+void HttpServer::StopListening() {
+  MHD_Daemon* daemon = implementation_->instance.mhd_daemon;
+  const int fd = MHD_quiesce_daemon(daemon);
+  if (fd < 0) {
+    return;
+  }
+  implementation_->listen_socket = fd;
+  // Closing the socket would reset the connections that still wait in its
+  // backlog.
+  for (;;) {
+    sockaddr_in peer{};
+    socklen_t length = sizeof(peer);
+    const int accepted = accept4(fd, reinterpret_cast<sockaddr*>(&peer),
+                                 &length, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (accepted < 0) {
+      break;
+    }
+    MHD_add_connection(daemon, accepted, reinterpret_cast<sockaddr*>(&peer),
+                       length);
+  }
+  close(std::exchange(implementation_->listen_socket, -1));
+}
+
+std::int64_t HttpServer::requests_in_flight() const {
+  return implementation_->in_flight;
+}
+
+}  // namespace cranberryshunt::entry
--- /dev/null
+++ b/libraries/entry/src/start_task.cc
@@ -0,0 +1,148 @@
+#include "start_task.h"
+
+#include <thread>
+#include <utility>
+#include <variant>
+
+namespace cranberryshunt::entry {
+
+namespace {
+
+using targets::Reuse;
+
+constexpr std::chrono::milliseconds kRetryPause{50};
+// How long lookups are repeated before the attempt is reported as unknown.
+constexpr std::chrono::seconds kResolveLimit{3};
+
+}  // namespace
+
+void StripUnstoredAnswer(wire::Answer& answer) {
+  if (!answer.stored || answer.bytes.size() > kMaxStoredAnswerBytes) {
+    answer.stored = false;
+    answer.bytes.clear();
+  }
+}
+
+StartTask::StartTask(targets::TargetClient& client,
+                     PendingJobs& jobs,
+                     Reporter& reporter,
+                     const wire::StartOrder& order,
+                     targets::Target target,
+                     TimePoint received_at,
+                     bool sent_before)
+    : client_(client),
+      jobs_(jobs),
+      reporter_(reporter),
+      order_(order),
+      target_(std::move(target)),
+      give_up_(received_at + std::chrono::milliseconds(order.valid_ms)),
+      maybe_sent_(sent_before) {}
+
+void StartTask::Run() {
+  const auto payload =
+      order_.payload_at_entry
+          ? jobs_.PayloadOf(order_.attempt.job_id)
+          : std::make_shared<const std::string>(order_.payload);
+  if (payload && BootClock::now() < give_up_) {
+    Send(*payload);
+  } else if (maybe_sent_) {
+    Resolve();
+  } else {
+    Report(wire::AttemptState::kNeverStarted,
+           payload ? "the order came too late"
+                   : "the payload is not at this entry");
+  }
+}
+
+void StartTask::Send(const std::string& payload) {
+  const bool waits = order_.kind == wire::JobKind::kInteractive;
+  Reuse reuse = Reuse::kAllowed;
+  do {
+    const auto result =
+        waits ? client_.StartAndWait(target_, order_, payload, reuse)
+              : client_.Start(target_, order_, payload, reuse);
+    // Targets deduplicate by attempt, so sending it again starts nothing twice.
+    maybe_sent_ =
+        maybe_sent_ || !std::holds_alternative<targets::NotReached>(result);
+    if (client_.aborted() || Settle(result)) {
+      return;
+    }
+    reuse = Reuse::kForbidden;
+    std::this_thread::sleep_for(kRetryPause);
+  } while (BootClock::now() < give_up_);
+  if (maybe_sent_) {
+    Resolve();
+  } else {
+    Report(wire::AttemptState::kNeverStarted, "the target was not reached");
+  }
+}
+
+bool StartTask::Settle(const targets::StartResult& result) {
+  if (const auto* finished = std::get_if<targets::Finished>(&result)) {
+    ReportRecord(finished->record);
+    return true;
+  }
+  if (const auto* refused = std::get_if<targets::RefusedByTarget>(&result)) {
+    Report(wire::AttemptState::kRefused, refused->reason);
+    return true;
+  }
+  if (std::holds_alternative<targets::Accepted>(result)) {
+    Report(wire::AttemptState::kRunning, "");
+    return true;
+  }
+  return false;
+}
+
+void StartTask::Resolve() {
+  const auto end = BootClock::now() + kResolveLimit;
+  do {
+    const auto result =
+        client_.Lookup(target_, order_.attempt, true, Reuse::kForbidden);
+    if (client_.aborted() || SettleLookup(result)) {
+      return;
+    }
+    std::this_thread::sleep_for(kRetryPause);
+  } while (BootClock::now() < end);
+  Report(wire::AttemptState::kUnknown, "the target does not answer lookups");
+}
+
+bool StartTask::SettleLookup(const targets::LookupResult& result) {
+  if (std::holds_alternative<targets::NeverStarted>(result)) {
+    Report(wire::AttemptState::kNeverStarted, "the target barred the attempt");
+    return true;
+  }
+  const auto* found = std::get_if<targets::Found>(&result);
+  if (found == nullptr) {
+    return false;
+  }
+  const bool running = found->record.state == wire::AttemptState::kRunning;
+  if (running && order_.kind == wire::JobKind::kInteractive) {
+    const auto followed = client_.Follow(target_, order_.attempt);
+    return client_.aborted() || Settle(followed);
+  }
+  ReportRecord(found->record);
+  return true;
+}
+
+void StartTask::Report(wire::AttemptState::type state,
+                       const std::string& reason) {
+  wire::AttemptReport report;
+  report.attempt = order_.attempt;
+  report.fence = order_.fence;
+  report.state = state;
+  report.reason = reason;
+  report.answer.stored = true;
+  reporter_.AddResult(std::move(report));
+}
+
+void StartTask::ReportRecord(wire::AttemptReport record) {
+  record.fence = order_.fence;
+  if (record.state == wire::AttemptState::kDone &&
+      jobs_.Deliver(record, order_.worker)) {
+    record.answer.stored = false;
+  }
+  StripUnstoredAnswer(record.answer);
+  reporter_.AddResult(std::move(record));
+}
+
+}  // namespace cranberryshunt::entry
--- a/libraries/targets/include/cranberryshunt/targets/target_client.h
+++ b/libraries/targets/include/cranberryshunt/targets/target_client.h
@@ -122,6 +122,7 @@
 
   // Ends waiting calls with Undetermined; later calls fail at once.
   void Abort();
+  bool aborted() const;
 
   // Closes the connections to targets that had no call for a minute.
   void CloseUnused();
--- a/libraries/targets/src/target_client.cc
+++ b/libraries/targets/src/target_client.cc
@@ -283,6 +283,10 @@
   implementation_->aborted = true;
 }
 
+bool TargetClient::aborted() const {
+  return implementation_->aborted;
+}
+
 void TargetClient::CloseUnused() {
   std::lock_guard lock(implementation_->mutex);
   const auto unused_since = steady_clock::now() - kUnusedLimit;
