targets: Test faults of answers and connections

Covers truncated, altered and foreign answers, the connection limit, calls that were never sent, and the recovery from connections that go silent, which must take less than 3 s.

--- /dev/null
+++ b/tests/targets/fake_target.h
@@ -0,0 +1,170 @@
+// A target on loopback whose answers and faults a test decides.
+#ifndef CRANBERRYSHUNT_TESTS_TARGETS_FAKE_TARGET_H_
+#define CRANBERRYSHUNT_TESTS_TARGETS_FAKE_TARGET_H_
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/targets/json_reader.h"
+
+namespace cranberryshunt::targets {
+
+struct FakeAnswer {
+  int status = 200;
+  std::string body;
+  // Sends only this many bytes of the body and closes the connection.
+  std::size_t cut_after = std::string::npos;
+};
+
+// A final record with an answer that matches its checks.
+inline std::string DoneRecord(const std::string& job_id,
+                              const std::string& answer,
+                              int attempt = 1,
+                              const char* state = "done") {
+  const JsonPtr record(json_pack(
+      "{s:s, s:i, s:i, s:s, s:s, s:I, s:I}", "job_id", job_id.c_str(), "index",
+      0, "attempt", attempt, "state", state, "answer", answer.c_str(),
+      "answer_length", static_cast<json_int_t>(answer.size()), "answer_crc32",
+      static_cast<json_int_t>(Crc32(answer))));
+  return RenderJson(record.get());
+}
+
+class FakeTarget {
+ public:
+  using Handler =
+      std::function<FakeAnswer(const std::string& path, json_t* body)>;
+
+  explicit FakeTarget(Handler handler) : handler_(std::move(handler)) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
+    listen(listener_, 256);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    acceptor_ = std::thread([this] { Accept(); });
+  }
+
+  ~FakeTarget() {
+    stopping_ = true;
+    shutdown(listener_, SHUT_RDWR);
+    acceptor_.join();
+    {
+      std::lock_guard lock(mutex_);
+      for (const int fd : sockets_) {
+        shutdown(fd, SHUT_RDWR);
+      }
+    }
+    for (auto& thread : threads_) {
+      thread.join();
+    }
+    close(listener_);
+  }
+
+  const std::string& address() const { return address_; }
+  int accepted() const { return accepted_; }
+  int most_open() const { return most_open_; }
+  // Connections that are open now deliver nothing any more, in either
+  // direction, and stay open; new ones work.
+  void SilenceOpenConnections() { silenced_up_to_ = accepted_.load(); }
+
+ private:
+  void Accept() {
+    for (;;) {
+      const int fd = accept(listener_, nullptr, nullptr);
+      if (fd < 0 || stopping_) {
+        return;
+      }
+      std::lock_guard lock(mutex_);
+      sockets_.push_back(fd);
+      threads_.emplace_back([this, fd, number = ++accepted_] {
+        most_open_ = std::max(most_open_.load(), ++open_);
+        Serve(fd, number);
+        --open_;
+        close(fd);
+      });
+    }
+  }
+
+  // Reads one request; returns false at the end of the connection.
+  static bool ReadRequest(int fd,
+                          std::string& buffer,
+                          std::string& path,
+                          std::string& body) {
+    for (;;) {
+      const auto head = buffer.find("\r\n\r\n");
+      if (head != std::string::npos) {
+        const auto field = buffer.find("Content-Length: ");
+        const std::size_t length = std::stoul(buffer.substr(field + 16));
+        if (buffer.size() >= head + 4 + length) {
+          path = buffer.substr(5, buffer.find(' ', 5) - 5);
+          body = buffer.substr(head + 4, length);
+          buffer.erase(0, head + 4 + length);
+          return true;
+        }
+      }
+      char chunk[4096];
+      const auto n = recv(fd, chunk, sizeof(chunk), 0);
+      if (n <= 0) {
+        return false;
+      }
+      buffer.append(chunk, static_cast<std::size_t>(n));
+    }
+  }
+
+  void Serve(int fd, int number) {
+    std::string buffer;
+    std::string path;
+    std::string body;
+    while (ReadRequest(fd, buffer, path, body)) {
+      if (number <= silenced_up_to_) {
+        continue;
+      }
+      const JsonPtr json(json_loadb(body.data(), body.size(), 0, nullptr));
+      const FakeAnswer answer = handler_(path, json.get());
+      if (number <= silenced_up_to_) {
+        continue;
+      }
+      std::string out =
+          "HTTP/1.1 " + std::to_string(answer.status) +
+          " X\r\nContent-Length: " + std::to_string(answer.body.size()) +
+          "\r\n\r\n" + answer.body.substr(0, answer.cut_after);
+      send(fd, out.data(), out.size(), MSG_NOSIGNAL);
+      if (answer.cut_after < answer.body.size()) {
+        return;
+      }
+    }
+  }
+
+  const Handler handler_;
+  std::string address_;
+  int listener_ = -1;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<int> accepted_ = 0;
+  std::atomic<int> open_ = 0;
+  std::atomic<int> most_open_ = 0;
+  std::atomic<int> silenced_up_to_ = 0;
+  std::mutex mutex_;
+  std::vector<int> sockets_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+}  // namespace cranberryshunt::targets
+
+#endif  // CRANBERRYSHUNT_TESTS_TARGETS_FAKE_TARGET_H_
--- /dev/null
+++ b/tests/targets/targets_test.cc
@@ -0,0 +1,190 @@
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <condition_variable>
+
+#include "cranberryshunt/targets/target_client.h"
+#include "fake_target.h"
+
+namespace cranberryshunt::targets {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Stated bound of the recovery from silent connections.
+constexpr std::chrono::seconds kRecoveryBound{3};
+
+wire::StartOrder OrderOf(const std::string& job_id) {
+  wire::StartOrder order;
+  order.attempt.job_id = job_id;
+  order.attempt.attempt = 1;
+  order.kind = wire::JobKind::kInteractive;
+  return order;
+}
+
+std::string JobOf(json_t* body) {
+  return json_string_value(json_object_get(body, "job_id"));
+}
+
+TargetClient ClientOf(int entry_count) {
+  TargetClientOptions options;
+  options.token = "t";
+  options.entry_count = entry_count;
+  return TargetClient(options);
+}
+
+}  // namespace
+
+// Guards against a connection for each call, and against more connections than
+// this entry's part of the target's limit.
+Test(targets, reuses_connections_within_the_limit) {
+  FakeTarget fake([](const std::string&, json_t* body) {
+    std::this_thread::sleep_for(milliseconds(5));
+    return FakeAnswer{200, DoneRecord(JobOf(body), "a")};
+  });
+  auto client = ClientOf(2);
+  const Target target{fake.address(), 6};
+  std::vector<std::thread> threads;
+  std::atomic<int> finished = 0;
+  for (int i = 0; i < 12; ++i) {
+    threads.emplace_back([&, i] {
+      const auto order = OrderOf("j" + std::to_string(i));
+      const auto result =
+          client.StartAndWait(target, order, "p", Reuse::kAllowed);
+      const auto* done = std::get_if<Finished>(&result);
+      finished += done != nullptr && done->record.attempt == order.attempt;
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  cr_assert_eq(finished, 12);
+  cr_assert_leq(fake.most_open(), 3);
+  cr_assert_leq(fake.accepted(), 3);
+}
+
+// Guards against a truncated, altered or foreign answer being taken for the
+// answer of the call.
+Test(targets, refuses_answers_that_fail_a_check) {
+  const std::string whole = DoneRecord("j1", "the answer");
+  std::string altered = whole;
+  altered.replace(altered.find("the answer"), 10, "The answer");
+  std::string shorter = whole;
+  shorter.replace(shorter.find("the answer"), 10, "the answ");
+  const std::vector<FakeAnswer> answers{
+      {200, whole, whole.size() - 3},
+      {200, altered},
+      {200, shorter},
+      {200, DoneRecord("j2", "the answer")},
+      {200, DoneRecord("j1", "the answer", 2)},
+      {200, whole.substr(0, whole.size() - 3)},
+      {500, whole},
+  };
+  std::size_t next = 0;
+  FakeTarget fake(
+      [&](const std::string&, json_t*) { return answers.at(next); });
+  auto client = ClientOf(1);
+  for (; next < answers.size(); ++next) {
+    const auto started = client.StartAndWait({fake.address(), 4}, OrderOf("j1"),
+                                             "p", Reuse::kAllowed);
+    cr_assert(std::holds_alternative<Undetermined>(started), "start %zu", next);
+    const auto found = client.Lookup({fake.address(), 4}, OrderOf("j1").attempt,
+                                     false, Reuse::kAllowed);
+    cr_assert(std::holds_alternative<Undetermined>(found), "lookup %zu", next);
+  }
+}
+
+// Guards against a call that never left this host being reported as sent, and
+// against a refusal being taken for a failure.
+Test(targets, tells_unreached_refused_and_unknown_attempts_apart) {
+  auto client = ClientOf(1);
+  std::string closed;
+  {
+    FakeTarget gone([](const std::string&, json_t*) { return FakeAnswer{}; });
+    closed = gone.address();
+  }
+  const auto order = OrderOf("j1");
+  auto started = client.Start({closed, 4}, order, "p", Reuse::kAllowed);
+  cr_assert(std::holds_alternative<NotReached>(started));
+  FakeTarget fake([](const std::string& path, json_t*) {
+    return path == "/v1/tasks/lookup"
+               ? FakeAnswer{404, "{}"}
+               : FakeAnswer{409, R"({"reason":"capacity"})"};
+  });
+  const Target target{fake.address(), 4};
+  started = client.Start(target, order, "p", Reuse::kAllowed);
+  const auto* refused = std::get_if<RefusedByTarget>(&started);
+  cr_assert_not_null(refused);
+  cr_assert(refused->reason == "capacity");
+  const auto found =
+      client.Lookup(target, order.attempt, true, Reuse::kForbidden);
+  cr_assert(std::holds_alternative<NeverStarted>(found));
+}
+
+// Guards against a waiting start that hangs on a connection that went silent,
+// and against later calls that use connections of the same age.
+Test(targets, recovers_from_silent_connections) {
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool release = false;
+  std::atomic<int> starts = 0;
+  FakeTarget fake([&](const std::string& path, json_t* body) {
+    if (path == "/v1/tasks/start") {
+      std::unique_lock lock(mutex);
+      ++starts;
+      changed.notify_all();
+      changed.wait(lock, [&] { return release; });
+    }
+    return FakeAnswer{200, DoneRecord(JobOf(body), "late")};
+  });
+  auto client = ClientOf(1);
+  const Target target{fake.address(), 8};
+  const auto order = OrderOf("j1");
+  // Leaves an idle connection that goes silent as well.
+  client.Lookup(target, order.attempt, false, Reuse::kAllowed);
+  StartResult result;
+  std::thread caller([&] {
+    result = client.StartAndWait(target, order, "p", Reuse::kForbidden);
+  });
+  {
+    std::unique_lock lock(mutex);
+    changed.wait(lock, [&] { return starts > 0; });
+    fake.SilenceOpenConnections();
+    release = true;
+    changed.notify_all();
+  }
+  const auto silent_since = steady_clock::now();
+  caller.join();
+  cr_assert(steady_clock::now() - silent_since < kRecoveryBound);
+  const auto* done = std::get_if<Finished>(&result);
+  cr_assert_not_null(done);
+  cr_assert(done->record.answer.bytes == "late");
+  const auto begin = steady_clock::now();
+  const auto found =
+      client.Lookup(target, order.attempt, false, Reuse::kAllowed);
+  cr_assert(std::holds_alternative<Found>(found));
+  cr_assert(steady_clock::now() - begin < milliseconds(500),
+            "a retired connection was used again");
+}
+
+// Guards against waiting starts that take the connection that lookups need.
+Test(targets, a_single_connection_is_not_held_by_a_wait) {
+  std::atomic<int> lookups = 0;
+  FakeTarget fake([&](const std::string& path, json_t* body) {
+    if (path == "/v1/tasks/start") {
+      cr_assert(json_is_false(json_object_get(body, "wait")));
+      return FakeAnswer{202, "{}"};
+    }
+    return FakeAnswer{200, DoneRecord(JobOf(body), "", 1,
+                                      ++lookups < 3 ? "running" : "done")};
+  });
+  auto client = ClientOf(9);
+  const auto result = client.StartAndWait({fake.address(), 4}, OrderOf("j1"),
+                                          "p", Reuse::kAllowed);
+  cr_assert(std::holds_alternative<Finished>(result));
+  cr_assert_eq(fake.most_open(), 1);
+}
+
+}  // namespace cranberryshunt::targets
