entry: Test the request path and its faults

Covers answers that must not be mixed up, errors by field, refused tokens, an expired rules lease, local refusals, unknown outcomes, shutdown under load, announcements without a leader, and what is reported of starts that fail.

--- a/libraries/entry/src/dispatcher.h
+++ b/libraries/entry/src/dispatcher.h
@@ -6,7 +6,7 @@
 #include <deque>
 #include <mutex>
 #include <set>
-#include <unordered_set>
+#include <tuple>
 
 #include "cranberryshunt/base/metrics.h"
 #include "cranberryshunt/targets/target_client.h"
@@ -36,6 +36,14 @@
   std::size_t pending() const;
 
  private:
+  struct AttemptLess {
+    bool operator()(const wire::AttemptKey& left,
+                    const wire::AttemptKey& right) const {
+      return std::tie(left.job_id, left.index, left.attempt) <
+             std::tie(right.job_id, right.index, right.attempt);
+    }
+  };
+
   bool EnqueueStart(const wire::StartOrder& order);
   void RunStart(const wire::StartOrder& order, TimePoint received_at);
   void RunLookup(const wire::LookupOrder& order);
@@ -49,8 +57,8 @@
   WorkerDirectory& workers_;
   MetricsRegistry& metrics_;
   std::mutex mutex_;
-  std::set<wire::AttemptKey> active_;
-  std::set<wire::AttemptKey> sent_;
+  std::set<wire::AttemptKey, AttemptLess> active_;
+  std::set<wire::AttemptKey, AttemptLess> sent_;
   std::deque<wire::AttemptKey> sent_order_;
   // The pools come last, because their threads use the members above.
   WorkerPool interactive_;
--- /dev/null
+++ b/tests/entry/entry_test.cc
@@ -0,0 +1,344 @@
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include "../targets/fake_target.h"
+#include "entry_fixture.h"
+
+namespace cranberryshunt::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using targets::DoneRecord;
+using targets::FakeAnswer;
+using targets::FakeTarget;
+
+// Answers each start with its payload, after a while.
+FakeAnswer Echo(const std::string& /*path*/, json_t* body) {
+  std::this_thread::sleep_for(milliseconds(30));
+  const char* payload = json_string_value(json_object_get(body, "payload"));
+  return {200, DoneRecord(json_string_value(json_object_get(body, "job_id")),
+                          payload == nullptr ? "" : payload)};
+}
+
+std::string Announcement(const std::string& identity, int clock_ms) {
+  return R"({"identity":")" + identity +
+         R"(","incarnation":"i","address":"127.0.0.1:1","region":"r",)"
+         R"("availability_zone":"z","rack":"k","milli_cpus":1000,)"
+         R"("memory_bytes":1000,"slots":8,"connections":64,"clock_ms":)" +
+         std::to_string(clock_ms) + "}";
+}
+
+}  // namespace
+
+// Guards against an answer that reaches another caller, and against answers
+// that were relayed being sent to the leader as well.
+Test(entry, each_caller_gets_its_own_answer) {
+  FakeTarget target(&Echo);
+  EntryFixture cell(target.address());
+  cr_assert(cell.WaitForReady());
+  std::vector<std::thread> callers;
+  std::atomic<int> right = 0;
+  for (int i = 0; i < 60; ++i) {
+    callers.emplace_back([&, i] {
+      const std::string payload = "payload-" + std::to_string(i) + ".";
+      const auto reply = cell.Submit("interactive", payload, 20'000);
+      right += reply.status == 200 && reply.Contains(payload) &&
+               reply.Contains("\"outcome\":\"done\"");
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  cr_assert_eq(right, 60);
+  cr_assert(cell.controller.WaitFor(
+      [&] { return cell.controller.results.size() >= 60; }));
+  cell.controller.Locked([&] {
+    for (const auto& result : cell.controller.results) {
+      cr_assert(result.answer.bytes.empty() && !result.answer.stored);
+      cr_assert_gt(result.answer.length, 0);
+      cr_assert_eq(result.fence, 7);
+    }
+    for (const auto& submit : cell.controller.submitted) {
+      cr_assert(submit.spec.payload.empty(), "the payload left the entry");
+    }
+  });
+}
+
+// Guards against the answer of a job with an idempotency key being lost when
+// its caller asks again.
+Test(entry, answers_of_keyed_jobs_are_stored) {
+  FakeTarget target(&Echo);
+  EntryFixture cell(target.address());
+  cr_assert(cell.WaitForReady());
+  const auto reply =
+      cell.Submit("interactive", "keep", 20'000, R"(,"idempotency_key":"k")");
+  cr_assert_eq(reply.status, 200);
+  cr_assert(cell.controller.WaitFor(
+      [&] { return !cell.controller.results.empty(); }));
+  cr_assert(cell.controller.Locked([&] {
+    const auto& answer = cell.controller.results.front().answer;
+    return answer.stored && answer.bytes == "keep";
+  }));
+}
+
+// Guards against wrong requests that are accepted or whose error does not name
+// the field.
+Test(entry, wrong_bodies_are_refused_by_field) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  struct Case {
+    const char* body;
+    const char* name;
+    const char* field;
+  };
+  const Case cases[] = {
+      {"{", "invalid_json", ""},
+      {"[]", "invalid_json", ""},
+      {R"({"kind":"batch","milli_cpus":1,"memory_bytes":1})", "missing_field",
+       "team"},
+      {R"({"team":"t","kind":"x","milli_cpus":1,"memory_bytes":1})",
+       "invalid_field", "kind"},
+      {R"({"team":"t","kind":"batch","milli_cpus":"1","memory_bytes":1})",
+       "wrong_type", "milli_cpus"},
+      {R"({"team":"t","kind":"batch","milli_cpus":1.5,"memory_bytes":1})",
+       "wrong_type", "milli_cpus"},
+      {R"({"team":"t","kind":"batch","milli_cpus":1,"memory_bytes":-1})",
+       "invalid_field", "memory_bytes"},
+      {R"({"team":"t","kind":"batch","milli_cpus":1,"memory_bytes":1,"tasks":0})",
+       "invalid_field", "tasks"},
+      {R"({"team":"t","kind":"batch","milli_cpus":1,"memory_bytes":1,"cpu":0})",
+       "unknown_field", "cpu"},
+      {R"({"team":"t","kind":"batch","milli_cpus":1,"memory_bytes":99999999999999999999})",
+       "invalid_json", ""},
+      {R"({"team":"t","team":"u","kind":"batch","milli_cpus":1,"memory_bytes":1})",
+       "invalid_json", ""},
+  };
+  for (const auto& it : cases) {
+    const auto reply = Fetch(cell.url + "/v1/jobs", "caller", it.body);
+    cr_assert_eq(reply.status, 400, "%s", it.body);
+    cr_assert(reply.Contains(it.name), "%s: %s", it.body, reply.body.c_str());
+    cr_assert(reply.Contains(it.field), "%s: %s", it.body, reply.body.c_str());
+  }
+  const std::string task =
+      R"(,"tasks":[{"job_id":"j","index":0,"attempt":1,"state":"done","answer":"ab","answer_length":3,"answer_crc32":1}]})";
+  std::string body = Announcement("w", 1);
+  body.replace(body.size() - 1, 1, task);
+  auto reply = Fetch(cell.url + "/v1/targets/announce", "target", body);
+  cr_assert_eq(reply.status, 400);
+  cr_assert(reply.Contains("tasks[0].answer"), "%s", reply.body.c_str());
+  cr_assert_eq(
+      Fetch(cell.url + "/v1/jobs", "caller", std::string((1 << 20) + 1, 'x'))
+          .status,
+      413);
+  reply = Fetch(cell.url + "/v1/jobs?wait_ms=1x", "caller", "{}");
+  cr_assert_eq(reply.status, 400);
+  cr_assert(cell.controller.submitted.empty());
+}
+
+// Guards against tokens of another role being accepted, and refusals that leave
+// no trace or too many.
+Test(entry, refused_tokens_are_audited_with_a_bound) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  for (int i = 0; i < 30; ++i) {
+    cr_assert_eq(Fetch(cell.url + "/v1/cluster", "caller").status, 401);
+  }
+  cr_assert_eq(Fetch(cell.url + "/v1/jobs", "", "{}").status, 401);
+  cr_assert_eq(Fetch(cell.url + "/v1/cluster", "operator").status, 200);
+  cr_assert(
+      cell.controller.WaitFor([&] { return !cell.controller.audit.empty(); }));
+  cr_assert(cell.controller.Locked([&] {
+    const auto& record = cell.controller.audit.front();
+    return record.action == "refuse_token" &&
+           record.detail.find("operator") != std::string::npos &&
+           cell.controller.audit.size() < 30;
+  }));
+}
+
+// Guards against an entry that admits work without a valid rules lease.
+Test(entry, an_expired_rules_lease_stops_admission) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  cell.controller.Locked([&] { cell.controller.rules_lease_ms = 0; });
+  cr_assert(cell.WaitForReady(503));
+  const auto reply = cell.Submit("batch", "", 0);
+  cr_assert_eq(reply.status, 503);
+  cr_assert(reply.Contains("not_run") && reply.Contains("not_ready"));
+  cr_assert(reply.headers.find("Retry-After") != std::string::npos);
+  cr_assert(cell.controller.submitted.empty());
+}
+
+// Guards against a full queue that still costs a call to the leader, and
+// against pressure on one kind that stops another.
+Test(entry, full_queues_are_refused_locally) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  cell.controller.Locked([&] {
+    wire::KindPressure pressure;
+    pressure.kind = wire::JobKind::kBatch;
+    pressure.full = true;
+    pressure.retry_after_ms = 1'500;
+    cell.controller.pressure = {pressure};
+  });
+  Fetched reply;
+  do {
+    reply = cell.Submit("batch", "", 0);
+  } while (reply.status == 202);
+  cr_assert_eq(reply.status, 429);
+  cr_assert(reply.Contains("not_run"));
+  cr_assert(reply.headers.find("Retry-After: 2") != std::string::npos);
+  cr_assert_eq(cell.Submit("service", "", 0).status, 202);
+}
+
+// Guards against `not_run` for a job that the leader may have committed.
+Test(entry, an_undetermined_submission_is_unknown) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  cell.controller.Locked([&] { cell.controller.break_submits = true; });
+  auto reply = cell.Submit("batch", "", 0);
+  cr_assert_eq(reply.status, 504);
+  cr_assert(reply.Contains("\"outcome\":\"unknown\"") &&
+            reply.Contains("\"code\":1403"));
+  cell.controller.Locked([&] {
+    const auto& submitted = cell.controller.submitted;
+    cr_assert_gt(submitted.size(), 1U);
+    cr_assert(submitted.front().job_id == submitted.back().job_id);
+    cr_assert(reply.Contains(submitted.front().job_id));
+    cell.controller.break_submits = false;
+    cell.controller.submit_code = static_cast<int>(ResultCode::kStorageFull);
+  });
+  reply = cell.Submit("batch", "", 0);
+  cr_assert_eq(reply.status, 503);
+  cr_assert(reply.Contains("\"outcome\":\"not_run\"") &&
+            reply.Contains("storage_full"));
+}
+
+// Guards against a shutdown that cuts off requests in flight or goes on
+// admitting work.
+Test(entry, shutdown_answers_everything_in_flight) {
+  std::atomic<int> starts = 0;
+  FakeTarget target([&](const std::string& path, json_t* body) {
+    ++starts;
+    std::this_thread::sleep_for(milliseconds(400));
+    return Echo(path, body);
+  });
+  EntryFixture cell(target.address());
+  cr_assert(cell.WaitForReady());
+  std::vector<std::thread> callers;
+  std::atomic<int> answered = 0;
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back([&] {
+      const auto reply = cell.Submit("interactive", "p", 20'000);
+      answered += reply.status == 200 && reply.Contains("\"done\"");
+    });
+  }
+  while (starts < 20) {
+    std::this_thread::yield();
+  }
+  std::int64_t interrupted = -1;
+  std::thread stopper([&] { interrupted = cell.entry->Shutdown(); });
+  cr_assert(cell.WaitForReady(503));
+  const auto refused = cell.Submit("batch", "", 0);
+  cr_assert(refused.status == 0 ||
+            (refused.status == 503 &&
+             refused.headers.find("Connection: close") != std::string::npos));
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  stopper.join();
+  cr_assert_eq(interrupted, 0);
+  cr_assert_eq(answered, 20);
+  cr_assert_eq(Fetch(cell.url + "/healthz", "").status, 0);
+  cr_assert(cell.controller.Locked(
+      [&] { return cell.controller.polls.back().draining; }));
+}
+
+// Guards against replies of the leader that reach another target, and against a
+// target that waits for a leader that cannot be had.
+Test(entry, announcements_get_their_own_reply_or_503) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  std::vector<std::thread> threads;
+  std::atomic<int> right = 0;
+  for (int i = 0; i < 20; ++i) {
+    threads.emplace_back([&, i] {
+      const auto reply = Fetch(cell.url + "/v1/targets/announce", "target",
+                               Announcement("w", 1'000 + i));
+      right += reply.status == 200 &&
+               reply.Contains("\"clock_ms\":" + std::to_string(1'000 + i));
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  cr_assert_eq(right, 20);
+  cell.controller.Locked([&] { cell.controller.break_reports = true; });
+  const auto begin = steady_clock::now();
+  const auto reply =
+      Fetch(cell.url + "/v1/targets/announce", "target", Announcement("w", 1));
+  cr_assert_eq(reply.status, 503);
+  cr_assert(steady_clock::now() - begin < milliseconds(2'500));
+}
+
+// Guards against `never_started` for an attempt that the target may have
+// started, and against `unknown` for one that was never sent.
+Test(entry, starts_that_fail_are_reported_truthfully) {
+  std::atomic<bool> bars = true;
+  FakeTarget target([&](const std::string& path, json_t* body) {
+    // Starts get no usable answer; lookups tell whether they took effect.
+    const bool lookup = path == "/v1/tasks/lookup";
+    if (lookup && bars && json_is_true(json_object_get(body, "bar"))) {
+      return FakeAnswer{404, "{}"};
+    }
+    return FakeAnswer{500, "{}"};
+  });
+  EntryFixture cell(target.address());
+  cr_assert(cell.WaitForReady());
+  const auto state_of = [&](const std::string& job_id, bool reachable,
+                            std::int64_t valid_ms) {
+    wire::StartOrder start;
+    start.attempt.job_id = job_id;
+    start.kind = wire::JobKind::kBatch;
+    start.address = reachable ? target.address() : "127.0.0.1:1";
+    start.valid_ms = valid_ms;
+    cell.controller.OrderStart(start);
+    auto state = wire::AttemptState::kRunning;
+    cr_assert(cell.controller.WaitFor([&] {
+      for (const auto& result : cell.controller.results) {
+        if (result.attempt.job_id == job_id) {
+          state = result.state;
+          return true;
+        }
+      }
+      return false;
+    }));
+    return state;
+  };
+  cr_assert_eq(state_of("late", true, 0), wire::AttemptState::kNeverStarted);
+  cr_assert_eq(state_of("barred", true, 100),
+               wire::AttemptState::kNeverStarted);
+  cr_assert_eq(state_of("unsent", false, 100),
+               wire::AttemptState::kNeverStarted);
+  bars = false;
+  cr_assert_eq(state_of("lost", true, 100), wire::AttemptState::kUnknown);
+}
+
+// Guards against a new leader whose orders are taken for old ones because its
+// sequence starts again.
+Test(entry, a_new_session_starts_its_sequences_again) {
+  FakeTarget target(&Echo);
+  EntryFixture cell(target.address());
+  cr_assert(cell.WaitForReady());
+  cr_assert_eq(cell.Submit("interactive", "a", 20'000).status, 200);
+  cell.controller.Locked([&] { cell.controller.session = 2; });
+  cr_assert_eq(cell.Submit("interactive", "b", 20'000).status, 200);
+  cr_assert(cell.controller.Locked(
+      [&] { return cell.controller.polls.back().session == 2; }));
+}
+
+}  // namespace cranberryshunt::entry
--- /dev/null
+++ b/tests/entry/fake_controller.h
@@ -0,0 +1,169 @@
+// A leader on loopback whose replies a test decides.
+#ifndef CRANBERRYSHUNT_TESTS_ENTRY_FAKE_CONTROLLER_H_
+#define CRANBERRYSHUNT_TESTS_ENTRY_FAKE_CONTROLLER_H_
+
+#include <thrift/transport/TTransportException.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "ControllerService.h"
+#include "cranberryshunt/wire/controller_server.h"
+
+namespace cranberryshunt::entry {
+
+// Accepts every job and orders its start at `target_address`, if that is set.
+class FakeController final : public wire::ControllerServiceNull {
+ public:
+  void Submit(wire::SubmitReply& reply,
+              const wire::SubmitRequest& request) override {
+    std::lock_guard lock(mutex_);
+    submitted.push_back(request);
+    if (break_submits) {
+      throw apache::thrift::transport::TTransportException("broken");
+    }
+    reply.status.code = submit_code;
+    reply.job.job_id = request.job_id;
+    if (submit_code == 0 && !target_address.empty()) {
+      wire::Order order;
+      order.__set_start(StartOf(request));
+      AddOrder(order);
+    }
+  }
+
+  void Poll(wire::PollReply& reply, const wire::PollRequest& request) override {
+    std::unique_lock lock(mutex_);
+    polls.push_back(request);
+    const bool current = request.session == session;
+    const auto acknowledged = current ? request.order_ack : 0;
+    changed_.wait_for(lock, std::chrono::milliseconds(20), [&] {
+      return !orders_.empty() && orders_.rbegin()->first > acknowledged;
+    });
+    reply.rules_lease_ms = rules_lease_ms;
+    reply.session = session;
+    reply.rules_revision = rules_revision;
+    reply.pressure = pressure;
+    for (const auto& [sequence, order] : orders_) {
+      if (sequence > acknowledged) {
+        reply.orders.emplace_back();
+        reply.orders.back().sequence = sequence;
+        reply.orders.back().order = order;
+      }
+    }
+    const auto updates_seen = current ? request.update_ack : 0;
+    for (const auto& [sequence, job] : updates_) {
+      if (sequence > updates_seen) {
+        reply.updates.emplace_back();
+        reply.updates.back().sequence = sequence;
+        reply.updates.back().job = job;
+      }
+    }
+  }
+
+  void Report(wire::ReportReply& reply,
+              const wire::EntryReport& report) override {
+    std::lock_guard lock(mutex_);
+    if (break_reports) {
+      throw apache::thrift::transport::TTransportException("broken");
+    }
+    for (const auto& announcement : report.announcements) {
+      reply.announcements.emplace_back();
+      reply.announcements.back().identity = announcement.worker.identity;
+      reply.announcements.back().clock_ms = announcement.clock_ms;
+      reply.announcements.back().lease_ms = 10'000;
+    }
+    results.insert(results.end(), report.results.begin(), report.results.end());
+    audit.insert(audit.end(), report.audit.begin(), report.audit.end());
+    changed_.notify_all();
+  }
+
+  void GetRules(wire::RulesReply& reply, const std::int64_t) override {
+    std::lock_guard lock(mutex_);
+    reply.revision = rules_revision;
+  }
+
+  void GetJob(wire::GetJobReply& reply,
+              const wire::GetJobRequest& request) override {
+    reply.job.job_id = request.job_id;
+  }
+
+  void GetCluster(wire::ClusterReply& reply) override {
+    reply.leader_id = "c1";
+  }
+
+  void AddOrder(const wire::Order& order) {
+    orders_[++sequence_] = order;
+    changed_.notify_all();
+  }
+
+  void AddUpdate(const wire::JobStatus& job) {
+    std::lock_guard lock(mutex_);
+    updates_[++sequence_] = job;
+  }
+
+  // Starts the order of a job that was not submitted here.
+  void OrderStart(const wire::StartOrder& start) {
+    std::lock_guard lock(mutex_);
+    wire::Order order;
+    order.__set_start(start);
+    AddOrder(order);
+  }
+
+  // Waits until `condition` holds, which may read every public member.
+  bool WaitFor(const std::function<bool()>& condition) {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, std::chrono::seconds(20), condition);
+  }
+
+  // Changes or reads members under the lock.
+  template <typename F>
+  auto Locked(F function) {
+    std::lock_guard lock(mutex_);
+    return function();
+  }
+
+  wire::StartOrder StartOf(const wire::SubmitRequest& request) const {
+    wire::StartOrder start;
+    start.attempt.job_id = request.job_id;
+    start.attempt.attempt = 1;
+    start.fence = 7;
+    start.worker = "w1";
+    start.address = target_address;
+    start.connections = 64;
+    start.valid_ms = 2'000;
+    start.kind = request.spec.kind;
+    start.payload = request.spec.payload;
+    start.payload_at_entry = start.kind == wire::JobKind::kInteractive;
+    return start;
+  }
+
+  std::string target_address;
+  int submit_code = 0;
+  bool break_submits = false;
+  bool break_reports = false;
+  std::int64_t rules_lease_ms = 3'000;
+  std::int64_t rules_revision = 1;
+  std::int64_t session = 1;
+  std::vector<wire::KindPressure> pressure;
+  std::vector<wire::SubmitRequest> submitted;
+  std::vector<wire::PollRequest> polls;
+  std::vector<wire::AttemptReport> results;
+  std::vector<wire::AuditRecord> audit;
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::int64_t, wire::Order> orders_;
+  std::map<std::int64_t, wire::JobStatus> updates_;
+  std::int64_t sequence_ = 0;
+};
+
+}  // namespace cranberryshunt::entry
+
+#endif  // CRANBERRYSHUNT_TESTS_ENTRY_FAKE_CONTROLLER_H_
