entry: Keep waiters from before the submission and drain the listener

An answer that was faster than the leader's reply found no waiter and was lost to its caller. Waiters are now registered before the submission, and an answer counts as relayed only while a caller's connection is open.

Closing the listening socket reset connections in its backlog. New connection requests are now dropped first and earlier ones accepted.

Calls to the leader are bounded apart for each kind, so that a flood of one kind cannot take all of them.

--- a/libraries/entry/src/caller_routes.cc
+++ b/libraries/entry/src/caller_routes.cc
@@ -1,3 +1,4 @@
+#include <optional>
 #include <utility>
 
 #include "context.h"
@@ -53,23 +54,19 @@
 
 // Waits for the end of a job whose last known status is `job`.
 wire::JobStatus WaitForJob(Context& context,
-                           const HttpRequest& request,
+                           PendingJobs::Waiter& waiter,
                            const wire::JobStatus& job,
                            TimePoint deadline) {
-  if (job.outcome != wire::Outcome::kPending || BootClock::now() >= deadline) {
+  if (job.outcome != wire::Outcome::kPending) {
     return job;
   }
-  PendingJobs::WaitOptions options;
-  options.deadline = deadline;
-  options.peer_is_gone = [&request] { return request.PeerIsGone(); };
-  options.refresh = [&] {
+  auto status = waiter.Wait(deadline, [&] {
     auto query = QueryOf(context, job.job_id);
     query.watch = true;
-    if (const auto reply = context.calls.GetJob(query)) {
+    if (const auto reply = context.calls.GetJob(LeaderLane::kStatus, query)) {
       context.jobs.Update(reply->job);
     }
-  };
-  auto status = context.jobs.Wait(job.job_id, options);
+  });
   return status ? std::move(*status) : job;
 }
 
@@ -111,6 +108,38 @@
   return submit;
 }
 
+// Carries an admitted submission to the leader and waits for the job.
+HttpResponse CarryOut(Context& context,
+                      const HttpRequest& request,
+                      const wire::SubmitRequest& submit,
+                      TimePoint deadline) {
+  const auto peer_is_gone = [&request] { return request.PeerIsGone(); };
+  std::optional<PendingJobs::Waiter> waiter;
+  const bool waits = BootClock::now() < deadline;
+  if (waits) {
+    waiter.emplace(context.jobs, submit.job_id, peer_is_gone);
+  }
+  const auto outcome = SubmitToLeader(context.calls, submit);
+  if (const auto* refused = std::get_if<SubmitRefused>(&outcome)) {
+    context.jobs.Remove(submit.job_id);
+    return NotRunResponse(submit.job_id, refused->error,
+                          refused->retry_after_ms);
+  }
+  if (const auto* undetermined = std::get_if<SubmitUndetermined>(&outcome)) {
+    // The payload stays: the job may have been committed and be started yet.
+    return UnknownResponse(submit.job_id, undetermined->detail);
+  }
+  const auto& job = std::get<Submitted>(outcome).job;
+  if (job.job_id != submit.job_id) {
+    // The idempotency key belongs to an earlier job.
+    context.jobs.Remove(submit.job_id);
+    if (waits) {
+      waiter.emplace(context.jobs, job.job_id, peer_is_gone);
+    }
+  }
+  return JobResponse(waits ? WaitForJob(context, *waiter, job, deadline) : job);
+}
+
 HttpResponse Submit(Context& context, const HttpRequest& request) {
   const auto wait_ms = ParseWaitMs(request.Parameter("wait_ms"));
   if (!wait_ms) {
@@ -126,28 +155,15 @@
   }
   const auto deadline = BootClock::now() + milliseconds(*wait_ms);
   const auto submit = MakeSubmitRequest(context, *spec, *wait_ms);
-  if (!context.jobs.Add(submit.job_id, *spec)) {
+  const bool interactive = spec->kind == wire::JobKind::kInteractive;
+  if (interactive && !context.jobs.Add(submit.job_id, *spec)) {
     constexpr std::int64_t kRetryAfterMs = 1'000;
     return NotRunResponse(
         submit.job_id,
         Error(ResultCode::kQueueFull, "this entry holds too many jobs"),
         kRetryAfterMs);
   }
-  const auto outcome = SubmitToLeader(context.calls, submit);
-  if (const auto* refused = std::get_if<SubmitRefused>(&outcome)) {
-    context.jobs.Remove(submit.job_id);
-    return NotRunResponse(submit.job_id, refused->error,
-                          refused->retry_after_ms);
-  }
-  if (const auto* undetermined = std::get_if<SubmitUndetermined>(&outcome)) {
-    // The payload stays: the job may have been committed and be started yet.
-    return UnknownResponse(submit.job_id, undetermined->detail);
-  }
-  const auto& job = std::get<Submitted>(outcome).job;
-  if (job.job_id != submit.job_id) {
-    context.jobs.Remove(submit.job_id);
-  }
-  return JobResponse(WaitForJob(context, request, job, deadline));
+  return CarryOut(context, request, submit, deadline);
 }
 
 HttpResponse Query(Context& context,
@@ -165,11 +181,16 @@
   }
   const auto deadline = BootClock::now() + milliseconds(*wait_ms);
   query.watch = *wait_ms > 0;
-  const auto reply = context.calls.GetJob(query);
+  const auto reply = context.calls.GetJob(LeaderLane::kStatus, query);
   if (!reply) {
     return ErrorResponse(reply.error());
   }
-  return JobResponse(WaitForJob(context, request, reply->job, deadline));
+  if (*wait_ms == 0) {
+    return JobResponse(reply->job);
+  }
+  PendingJobs::Waiter waiter(context.jobs, reply->job.job_id,
+                             [&request] { return request.PeerIsGone(); });
+  return JobResponse(WaitForJob(context, waiter, reply->job, deadline));
 }
 
 HttpResponse GetJob(Context& context, const HttpRequest& request) {
@@ -192,7 +213,7 @@
   }
   const std::string job_id = request.Parameter("id");
   const auto reply = context.calls.Run<wire::CancelReply>(
-      LeaderCalls::Limits(), [&](auto& client, auto& out) {
+      LeaderLane::kStatus, LeaderCalls::Limits(), [&](auto& client, auto& out) {
         client.CancelJobs(out, context.options.id, {job_id},
                           "cancelled by the caller");
       });
--- a/libraries/entry/src/dispatcher.cc
+++ b/libraries/entry/src/dispatcher.cc
@@ -21,6 +21,16 @@
 // is valid.
 constexpr std::size_t kRememberedAttempts = 8'192;
 
+// Makes a call and repeats it once: the first may have met a connection that
+// went silent, which is then retired. The leader repeats what it still wants in
+// its replies to announcements.
+template <typename Call>
+void CallTwice(const Call& call) {
+  if (!std::holds_alternative<targets::Confirmed>(call())) {
+    call();
+  }
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(targets::TargetClient& client,
@@ -47,13 +57,18 @@
   }
   if (order.__isset.stop) {
     return control_.TryPost([this, stop = order.stop] {
-      client_.Stop(TargetOf(stop.address), stop.attempt, stop.checkpoint);
+      CallTwice([&] {
+        return client_.Stop(TargetOf(stop.address), stop.attempt,
+                            stop.checkpoint);
+      });
     });
   }
   if (order.__isset.throttle) {
     return control_.TryPost([this, throttle = order.throttle] {
-      client_.Throttle(TargetOf(throttle.address), throttle.attempt,
-                       throttle.percent);
+      CallTwice([&] {
+        return client_.Throttle(TargetOf(throttle.address), throttle.attempt,
+                                throttle.percent);
+      });
     });
   }
   if (order.__isset.lookup) {
--- a/libraries/entry/src/http_server.cc
+++ b/libraries/entry/src/http_server.cc
@@ -1,6 +1,8 @@
 #include "http_server.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <ulfius.h>
@@ -8,6 +10,7 @@
 
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <cstdlib>
 #include <exception>
 #include <string>
@@ -141,6 +144,51 @@
 
 }  // namespace
 
+namespace {
+
+// Closing a listening socket resets connections that still wait in its backlog
+// and those whose handshake is under way. Therefore the kernel first drops new
+// connection requests only, until all earlier ones have been accepted.
+constexpr std::chrono::milliseconds kHandshakeLimit{100};
+constexpr int kAcceptPollMs = 10;
+
+// Attaches a filter that drops segments with SYN and without ACK.
+void RefuseNewConnections(int listen_socket) {
+  constexpr std::uint32_t kTcpFlagsOffset = 13;
+  constexpr std::uint32_t kSynAndAck = 0x12;
+  constexpr std::uint32_t kSyn = 0x02;
+  std::array<sock_filter, 5> code{{
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kTcpFlagsOffset),
+      BPF_STMT(BPF_ALU | BPF_AND | BPF_K, kSynAndAck),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, kSyn, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
+  }};
+  const sock_fprog program{code.size(), code.data()};
+  if (setsockopt(listen_socket, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                 sizeof(program)) != 0) {
+    Log(LogLevel::kWarning, "http", "cannot filter new connections",
+        {{"errno", errno}});
+  }
+}
+
+void AcceptInto(MHD_Daemon* daemon, int listen_socket) {
+  for (;;) {
+    sockaddr_in peer{};
+    socklen_t length = sizeof(peer);
+    const int accepted =
+        accept4(listen_socket, reinterpret_cast<sockaddr*>(&peer), &length,
+                SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (accepted < 0) {
+      return;
+    }
+    MHD_add_connection(daemon, accepted, reinterpret_cast<sockaddr*>(&peer),
+                       length);
+  }
+}
+
+}  // namespace
+
 struct HttpServer::Implementation {
   ~Implementation();
 
@@ -275,18 +323,13 @@
     return;
   }
   implementation_->listen_socket = fd;
-  // Closing the socket would reset the connections that still wait in its
-  // backlog.
-  for (;;) {
-    sockaddr_in peer{};
-    socklen_t length = sizeof(peer);
-    const int accepted = accept4(fd, reinterpret_cast<sockaddr*>(&peer),
-                                 &length, SOCK_CLOEXEC | SOCK_NONBLOCK);
-    if (accepted < 0) {
-      break;
-    }
-    MHD_add_connection(daemon, accepted, reinterpret_cast<sockaddr*>(&peer),
-                       length);
+  fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+  RefuseNewConnections(fd);
+  const auto end = std::chrono::steady_clock::now() + kHandshakeLimit;
+  while (std::chrono::steady_clock::now() < end) {
+    AcceptInto(daemon, fd);
+    pollfd descriptor{fd, POLLIN, 0};
+    poll(&descriptor, 1, kAcceptPollMs);
   }
   close(std::exchange(implementation_->listen_socket, -1));
 }
--- a/libraries/entry/src/http_server.h
+++ b/libraries/entry/src/http_server.h
@@ -73,7 +73,8 @@
 
   // From now on each response carries `Connection: close`.
   void CloseAfterResponses();
-  // Stops accepting; connections that the kernel has accepted are still served.
+  // Stops listening, without a cut for any connection whose handshake had
+  // begun.
   void StopListening();
   // Requests whose first line was read and whose response is not yet sent.
   std::int64_t requests_in_flight() const;
--- a/libraries/entry/src/leader_calls.cc
+++ b/libraries/entry/src/leader_calls.cc
@@ -8,20 +8,43 @@
 
 }  // namespace
 
-Result<void> LeaderCalls::RunRaw(const Limits& limits,
+LeaderLane LaneOf(wire::JobKind::type kind) {
+  switch (kind) {
+    case wire::JobKind::kService:
+      return LeaderLane::kService;
+    case wire::JobKind::kBatch:
+      return LeaderLane::kBatch;
+    case wire::JobKind::kGang:
+      return LeaderLane::kGang;
+    case wire::JobKind::kInteractive:
+      return LeaderLane::kInteractive;
+  }
+  return LeaderLane::kStatus;
+}
+
+LeaderCalls::LeaderCalls(wire::LeaderClient& leader) : leader_(leader) {
+  for (auto& lane : open_calls_) {
+    lane = std::make_unique<Semaphore>(kMaxOpenCalls);
+  }
+}
+
+Result<void> LeaderCalls::RunRaw(LeaderLane lane,
+                                 const Limits& limits,
                                  const wire::LeaderClient::Call& call) {
-  if (!open_calls_.try_acquire_for(kMaxWaitForCall)) {
+  auto& open_calls = *open_calls_[static_cast<std::size_t>(lane)];
+  if (!open_calls.try_acquire_for(kMaxWaitForCall)) {
     return Fail(ResultCode::kUnavailable,
                 "too many calls to the leader are open");
   }
   auto ran = leader_.Run(limits.deadline, limits.attempt, call);
-  open_calls_.release();
+  open_calls.release();
   return ran;
 }
 
 Result<wire::GetJobReply> LeaderCalls::GetJob(
+    LeaderLane lane,
     const wire::GetJobRequest& request) {
-  return Run<wire::GetJobReply>(Limits(), [&](auto& client, auto& reply) {
+  return Run<wire::GetJobReply>(lane, Limits(), [&](auto& client, auto& reply) {
     client.GetJob(reply, request);
   });
 }
--- a/libraries/entry/src/leader_calls.h
+++ b/libraries/entry/src/leader_calls.h
@@ -2,8 +2,10 @@
 #ifndef CRANBERRYSHUNT_ENTRY_LEADER_CALLS_H_
 #define CRANBERRYSHUNT_ENTRY_LEADER_CALLS_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <semaphore>
 #include <string>
 #include <vector>
@@ -15,11 +17,25 @@
 
 namespace cranberryshunt::entry {
 
+// Calls that are bounded apart from each other, so that a flood of one kind of
+// submission does not hold up the others.
+enum class LeaderLane {
+  kService,
+  kBatch,
+  kGang,
+  kInteractive,
+  kStatus,
+  kControl,  // Operators and the rules.
+};
+inline constexpr std::size_t kLeaderLanes = 6;
+
+LeaderLane LaneOf(wire::JobKind::type kind);
+
 // Limits how many calls of this entry are open at once, because each takes a
 // connection and a thread at the leader. Safe for use by several threads.
 class LeaderCalls {
  public:
-  explicit LeaderCalls(wire::LeaderClient& leader) : leader_(leader) {}
+  explicit LeaderCalls(wire::LeaderClient& leader);
 
   struct Limits {
     std::chrono::milliseconds deadline{5'000};
@@ -28,9 +44,9 @@
 
   // Runs `call`, which fills a reply, and returns the error of its status.
   template <typename Reply, typename Call>
-  Result<Reply> Run(const Limits& limits, const Call& call) {
+  Result<Reply> Run(LeaderLane lane, const Limits& limits, const Call& call) {
     Reply reply;
-    auto ran = RunRaw(limits, [&](wire::ControllerServiceClient& client) {
+    auto ran = RunRaw(lane, limits, [&](wire::ControllerServiceClient& client) {
       reply = Reply();
       call(client, reply);
       const wire::Status& status = StatusOf(reply);
@@ -45,15 +61,18 @@
     return reply;
   }
 
-  // Runs `call` under the bound. Fails with kUnavailable without any call when
-  // too many are open for too long.
-  Result<void> RunRaw(const Limits& limits,
+  // Runs `call` under the bound of `lane`. Fails with kUnavailable without any
+  // call when too many are open for too long.
+  Result<void> RunRaw(LeaderLane lane,
+                      const Limits& limits,
                       const wire::LeaderClient::Call& call);
 
-  Result<wire::GetJobReply> GetJob(const wire::GetJobRequest& request);
+  Result<wire::GetJobReply> GetJob(LeaderLane lane,
+                                   const wire::GetJobRequest& request);
 
  private:
-  static constexpr std::ptrdiff_t kMaxOpenCalls = 64;
+  static constexpr std::ptrdiff_t kMaxOpenCalls = 16;  // In each lane.
+  using Semaphore = std::counting_semaphore<kMaxOpenCalls>;
 
   static const wire::Status& StatusOf(const wire::Status& status) {
     return status;
@@ -64,7 +83,7 @@
   }
 
   wire::LeaderClient& leader_;
-  std::counting_semaphore<kMaxOpenCalls> open_calls_{kMaxOpenCalls};
+  std::array<std::unique_ptr<Semaphore>, kLeaderLanes> open_calls_;
 };
 
 }  // namespace cranberryshunt::entry
--- a/libraries/entry/src/operator_routes.cc
+++ b/libraries/entry/src/operator_routes.cc
@@ -109,11 +109,12 @@
   publish.publication.at_ms = WallClockMilliseconds();
   wire::PublishReply reply;
   // The publication id makes a repeated call get the first answer again.
-  const auto ran = context.calls.RunRaw(kPublishLimits, [&](auto& client) {
-    reply = wire::PublishReply();
-    client.Publish(reply, publish, kInForceWaitMs);
-    return wire::CallStatus{reply.status.code, reply.status.leader};
-  });
+  const auto ran = context.calls.RunRaw(
+      LeaderLane::kControl, kPublishLimits, [&](auto& client) {
+        reply = wire::PublishReply();
+        client.Publish(reply, publish, kInForceWaitMs);
+        return wire::CallStatus{reply.status.code, reply.status.leader};
+      });
   if (!ran) {
     return ErrorResponse(ran.error());
   }
@@ -122,7 +123,7 @@
 
 HttpResponse ShowRules(Context& context, const HttpRequest& /*request*/) {
   const auto reply = context.calls.Run<wire::RulesReply>(
-      LeaderCalls::Limits(),
+      LeaderLane::kControl, LeaderCalls::Limits(),
       [](auto& client, auto& out) { client.GetRules(out, 0); });
   if (!reply) {
     return ErrorResponse(reply.error());
@@ -150,7 +151,8 @@
                                "parameter must be a whole number", "after"));
   }
   const auto reply = context.calls.Run<wire::AuditReply>(
-      LeaderCalls::Limits(), [&](auto& client, auto& out) {
+      LeaderLane::kControl, LeaderCalls::Limits(),
+      [&](auto& client, auto& out) {
         client.GetAudit(out, after, kAuditLimit);
       });
   if (!reply) {
@@ -163,7 +165,7 @@
 
 Result<wire::ClusterReply> GetCluster(Context& context) {
   return context.calls.Run<wire::ClusterReply>(
-      LeaderCalls::Limits(),
+      LeaderLane::kControl, LeaderCalls::Limits(),
       [](auto& client, auto& out) { client.GetCluster(out); });
 }
 
@@ -203,14 +205,14 @@
   drain->identity = request.Parameter("id");
   drain->at_ms = WallClockMilliseconds();
   return StatusResponse(context.calls.Run<wire::Status>(
-      LeaderCalls::Limits(),
+      LeaderLane::kControl, LeaderCalls::Limits(),
       [&](auto& client, auto& out) { client.Drain(out, *drain); }));
 }
 
 HttpResponse ChangeMembership(Context& context,
                               const wire::MembershipChange& change) {
   return StatusResponse(context.calls.Run<wire::Status>(
-      LeaderCalls::Limits(),
+      LeaderLane::kControl, LeaderCalls::Limits(),
       [&](auto& client, auto& out) { client.ChangeMembership(out, change); }));
 }
 
--- a/libraries/entry/src/pending_jobs.cc
+++ b/libraries/entry/src/pending_jobs.cc
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr Duration kRefreshInterval = std::chrono::seconds(1);
 constexpr Duration kPeerCheckInterval = std::chrono::milliseconds(250);
 
 bool AllFinal(const wire::JobStatus& status) {
@@ -16,18 +17,15 @@
 }  // namespace
 
 bool PendingJobs::Add(const std::string& job_id, const wire::JobSpec& spec) {
-  const bool interactive = spec.kind == wire::JobKind::kInteractive;
-  const std::size_t bytes = interactive ? spec.payload.size() : 0;
+  const std::size_t bytes = spec.payload.size();
   std::lock_guard lock(mutex_);
   if (jobs_.size() >= limits_.jobs ||
       payload_bytes_ + bytes > limits_.payload_bytes) {
     return false;
   }
   auto job = std::make_shared<Job>();
-  if (interactive) {
-    job->payload = std::make_shared<const std::string>(spec.payload);
-    payload_bytes_ += bytes;
-  }
+  job->payload = std::make_shared<const std::string>(spec.payload);
+  payload_bytes_ += bytes;
   job->has_key = !spec.idempotency_key.empty();
   job->task_count = spec.task_count;
   job->checked_at = BootClock::now();
@@ -56,7 +54,7 @@
 
 void PendingJobs::EraseIfDone(const std::string& job_id) {
   const auto it = jobs_.find(job_id);
-  if (it == jobs_.end() || it->second->waiters > 0) {
+  if (it == jobs_.end() || !it->second->waiters.empty()) {
     return;
   }
   // A payload must stay until the job cannot be started any more.
@@ -124,57 +122,71 @@
   job.status = std::move(status);
   job.final = true;
   DropPayload(job);
-  const bool relayed = job.waiters > 0 && !job.has_key && job.task_count == 1;
+  const bool relayed =
+      !job.has_key && job.task_count == 1 && HasLiveWaiter(job);
   job.changed.notify_all();
   EraseIfDone(record.attempt.job_id);
   return relayed;
 }
 
-void PendingJobs::WaitUntil(std::unique_lock<std::mutex>& lock,
-                            Job& job,
-                            const WaitOptions& options) {
-  auto next_refresh = BootClock::now() + options.refresh_interval;
-  while (!job.final) {
-    const auto now = BootClock::now();
-    const auto end = std::min(options.deadline, wait_limit_);
-    if (now >= end) {
-      return;
-    }
-    const Duration pause =
-        std::min({end - now, kPeerCheckInterval,
-                  std::max(next_refresh - now, Duration(1))});
-    job.changed.wait_for(lock, pause);
-    if (job.final || (options.peer_is_gone && options.peer_is_gone())) {
+bool PendingJobs::HasLiveWaiter(const Job& job) const {
+  return std::any_of(
+      job.waiters.begin(), job.waiters.end(),
+      [](const Waiter* waiter) { return !waiter->peer_is_gone_(); });
+}
+
+PendingJobs::Waiter::Waiter(PendingJobs& jobs,
+                            std::string job_id,
+                            std::function<bool()> peer_is_gone)
+    : jobs_(jobs),
+      job_id_(std::move(job_id)),
+      peer_is_gone_(std::move(peer_is_gone)) {
+  std::lock_guard lock(jobs_.mutex_);
+  auto it = jobs_.jobs_.find(job_id_);
+  if (it == jobs_.jobs_.end()) {
+    if (jobs_.jobs_.size() >= jobs_.limits_.jobs) {
       return;
     }
-    if (BootClock::now() < next_refresh) {
-      continue;
-    }
-    lock.unlock();
-    options.refresh();
-    lock.lock();
-    next_refresh = BootClock::now() + options.refresh_interval;
+    it = jobs_.jobs_.emplace(job_id_, std::make_shared<Job>()).first;
   }
+  job_ = it->second;
+  job_->waiters.push_back(this);
 }
 
-std::optional<wire::JobStatus> PendingJobs::Wait(const std::string& job_id,
-                                                 const WaitOptions& options) {
-  std::unique_lock lock(mutex_);
-  auto it = jobs_.find(job_id);
-  if (it == jobs_.end()) {
-    if (jobs_.size() >= limits_.jobs) {
-      return std::nullopt;
+PendingJobs::Waiter::~Waiter() {
+  if (!job_) {
+    return;
+  }
+  std::lock_guard lock(jobs_.mutex_);
+  std::erase(job_->waiters, this);
+  jobs_.EraseIfDone(job_id_);
+}
+
+std::optional<wire::JobStatus> PendingJobs::Waiter::Wait(
+    TimePoint deadline,
+    const std::function<void()>& refresh) {
+  if (!job_) {
+    return std::nullopt;
+  }
+  std::unique_lock lock(jobs_.mutex_);
+  auto next_refresh = BootClock::now() + kRefreshInterval;
+  while (!job_->final) {
+    const auto now = BootClock::now();
+    const auto end = std::min(deadline, jobs_.wait_limit_);
+    if (now >= end || peer_is_gone_()) {
+      break;
+    }
+    if (now >= next_refresh) {
+      lock.unlock();
+      refresh();
+      lock.lock();
+      next_refresh = BootClock::now() + kRefreshInterval;
+      continue;
     }
-    // A job that was submitted elsewhere, or whose key was known.
-    it = jobs_.emplace(job_id, std::make_shared<Job>()).first;
-  }
-  const JobPtr job = it->second;
-  ++job->waiters;
-  WaitUntil(lock, *job, options);
-  --job->waiters;
-  auto status = job->status;
-  EraseIfDone(job_id);
-  return status;
+    job_->changed.wait_for(
+        lock, std::min({end - now, kPeerCheckInterval, next_refresh - now}));
+  }
+  return job_->status;
 }
 
 void PendingJobs::LimitWaits(TimePoint deadline) {
--- a/libraries/entry/src/pending_jobs.h
+++ b/libraries/entry/src/pending_jobs.h
@@ -26,11 +26,13 @@
 
 // Safe for use by several threads.
 class PendingJobs {
+  struct Job;
+
  public:
   explicit PendingJobs(PendingJobsLimits limits = {}) : limits_(limits) {}
 
-  // Registers a job before it is submitted. Returns false when the table is
-  // full. An interactive payload is kept until the job is final.
+  // Registers an interactive job before it is submitted; its payload is kept
+  // until it is final. Returns false when the table is full.
   bool Add(const std::string& job_id, const wire::JobSpec& spec);
   // Forgets a job that was not accepted.
   void Remove(const std::string& job_id);
@@ -45,18 +47,33 @@
   // waiting caller gets the answer now and no copy is needed elsewhere.
   bool Deliver(const wire::AttemptReport& record, const std::string& worker);
 
-  struct WaitOptions {
-    TimePoint deadline;
-    // Asks the leader and calls Update(); called every `refresh_interval`.
-    std::function<void()> refresh;
-    Duration refresh_interval = std::chrono::seconds(1);
-    std::function<bool()> peer_is_gone;
+  // Keeps a job in the table for one caller who waits, or is going to, so that
+  // an answer that is faster than the leader's reply is not missed.
+  class Waiter {
+   public:
+    // `peer_is_gone` tells whether the caller has closed its connection.
+    Waiter(PendingJobs& jobs,
+           std::string job_id,
+           std::function<bool()> peer_is_gone);
+    ~Waiter();
+    Waiter(const Waiter&) = delete;
+    Waiter& operator=(const Waiter&) = delete;
+
+    // Waits until the job is final, the caller is gone or `deadline` has
+    // passed. Calls `refresh` every second, which asks the leader and calls
+    // Update(). Returns the last status known, if any.
+    std::optional<wire::JobStatus> Wait(TimePoint deadline,
+                                        const std::function<void()>& refresh);
+
+   private:
+    friend class PendingJobs;
+
+    PendingJobs& jobs_;
+    const std::string job_id_;
+    const std::function<bool()> peer_is_gone_;
+    std::shared_ptr<Job> job_;  // Null when the table was full.
   };
 
-  // Waits until the job is final. Returns the last status known, if any.
-  std::optional<wire::JobStatus> Wait(const std::string& job_id,
-                                      const WaitOptions& options);
-
   // Ends all waits at `deadline` at the latest.
   void LimitWaits(TimePoint deadline);
 
@@ -70,7 +87,7 @@
     std::shared_ptr<const std::string> payload;
     bool has_key = false;
     std::int32_t task_count = 1;
-    std::int32_t waiters = 0;
+    std::vector<const Waiter*> waiters;
     bool final = false;
     std::optional<wire::JobStatus> status;
     std::map<std::int32_t, wire::TaskStatus> direct;
@@ -79,11 +96,10 @@
   };
   using JobPtr = std::shared_ptr<Job>;
 
+  bool HasLiveWaiter(const Job& job) const;
+
   void DropPayload(Job& job);
   void EraseIfDone(const std::string& job_id);
-  void WaitUntil(std::unique_lock<std::mutex>& lock,
-                 Job& job,
-                 const WaitOptions& options);
 
   const PendingJobsLimits limits_;
   mutable std::mutex mutex_;
--- a/libraries/entry/src/poller.cc
+++ b/libraries/entry/src/poller.cc
@@ -127,7 +127,7 @@
     return true;
   }
   const auto rules = calls_.Run<wire::RulesReply>(
-      kRulesLimits, [&](auto& client, auto& reply) {
+      LeaderLane::kControl, kRulesLimits, [&](auto& client, auto& reply) {
         client.GetRules(reply, std::max<std::int64_t>(0, own));
       });
   if (!rules || rules->revision < leader_revision) {
@@ -145,7 +145,7 @@
     request.entry_id = request_.entry_id;
     request.job_id = job_id;
     request.watch = true;
-    const auto reply = calls_.GetJob(request);
+    const auto reply = calls_.GetJob(LeaderLane::kControl, request);
     if (reply) {
       jobs_.Update(reply->job);
     } else if (reply.error().code() == ResultCode::kNotFound) {
--- a/libraries/entry/src/submission.cc
+++ b/libraries/entry/src/submission.cc
@@ -48,7 +48,8 @@
   int sent = 0;
   int answered = 0;
   const auto ran = calls.RunRaw(
-      LeaderCalls::Limits(), [&](wire::ControllerServiceClient& client) {
+      LaneOf(request.spec.kind), LeaderCalls::Limits(),
+      [&](wire::ControllerServiceClient& client) {
         reply = wire::SubmitReply();
         ++sent;
         client.Submit(reply, request);
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -15,6 +15,7 @@
 
 struct Fetched {
   long status = 0;  // 0: no whole answer.
+  bool connected = false;
   std::string headers;
   std::string body;
 
@@ -54,6 +55,9 @@
   if (curl_easy_perform(easy) == CURLE_OK) {
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &out.status);
   }
+  curl_off_t connect_time = 0;
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_time);
+  out.connected = connect_time > 0;
   curl_slist_free_all(list);
   curl_easy_cleanup(easy);
   return out;
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -86,6 +86,19 @@
   }));
 }
 
+// Guards against an answer that is missed because it is faster than the
+// leader's reply to the submission.
+Test(entry, an_answer_may_come_before_the_submit_reply) {
+  FakeTarget target(&Echo);
+  EntryFixture cell(target.address());
+  cr_assert(cell.WaitForReady());
+  cell.controller.Locked([&] { cell.controller.reply_after_result = true; });
+  const std::string big(100'000, 'x');
+  const auto reply = cell.Submit("interactive", big, 20'000);
+  cr_assert_eq(reply.status, 200);
+  cr_assert(reply.Contains(big));
+}
+
 // Guards against wrong requests that are accepted or whose error does not name
 // the field.
 Test(entry, wrong_bodies_are_refused_by_field) {
@@ -258,6 +271,35 @@
       [&] { return cell.controller.polls.back().draining; }));
 }
 
+// Guards against connections that are reset because their handshake or their
+// first request meets the closing of the listening socket.
+Test(entry, closing_the_listener_cuts_no_connection) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  std::atomic<bool> stop = false;
+  std::atomic<int> cut = 0;
+  std::atomic<int> whole = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      while (!stop) {
+        const auto reply = Fetch(cell.url + "/healthz", "");
+        whole += reply.status == 200;
+        cut += reply.status == 0 && reply.connected;
+      }
+    });
+  }
+  while (whole < 100) {
+    std::this_thread::yield();
+  }
+  cr_assert_eq(cell.entry->Shutdown(), 0);
+  stop = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  cr_assert_eq(cut, 0);
+}
+
 // Guards against replies of the leader that reach another target, and against a
 // target that waits for a leader that cannot be had.
 Test(entry, announcements_get_their_own_reply_or_503) {
--- a/tests/entry/fake_controller.h
+++ b/tests/entry/fake_controller.h
@@ -23,7 +23,7 @@
  public:
   void Submit(wire::SubmitReply& reply,
               const wire::SubmitRequest& request) override {
-    std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     submitted.push_back(request);
     if (break_submits) {
       throw apache::thrift::transport::TTransportException("broken");
@@ -35,6 +35,10 @@
       order.__set_start(StartOf(request));
       AddOrder(order);
     }
+    if (reply_after_result) {
+      changed_.wait_for(lock, std::chrono::seconds(5),
+                        [&] { return !results.empty(); });
+    }
   }
 
   void Poll(wire::PollReply& reply, const wire::PollRequest& request) override {
@@ -147,6 +151,7 @@
   int submit_code = 0;
   bool break_submits = false;
   bool break_reports = false;
+  bool reply_after_result = false;
   std::int64_t rules_lease_ms = 3'000;
   std::int64_t rules_revision = 1;
   std::int64_t session = 1;
