--- /dev/null
+++ b/libraries/state/include/cranberryshunt/state/results.h
@@ -0,0 +1,97 @@
+// What applying a command did.
+#ifndef CRANBERRYSHUNT_STATE_RESULTS_H_
+#define CRANBERRYSHUNT_STATE_RESULTS_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cranberryshunt/base/result.h"
+#include "wire_types.h"
+
+namespace cranberryshunt::state {
+
+// `kOk` for a new job, or for a known key or job id with the same digest; then
+// `existing` is set and `job_id` names the first job. `kKeyConflict` otherwise.
+struct SubmitApplied {
+  ResultCode code = ResultCode::kOk;
+  std::string job_id;
+  bool existing = false;
+
+  bool operator==(const SubmitApplied&) const = default;
+};
+
+// One code for each task of the command, in its order. `kOk`: applied.
+// `kNotFound`: no such job, task or worker. `kCancelledByCaller`: the job was
+// cancelled. `kRevisionConflict`: the task is in another state or at another
+// attempt.
+struct TasksApplied {
+  std::vector<ResultCode> codes;
+  std::vector<std::string> finished_jobs;  // Became final with this command.
+
+  bool operator==(const TasksApplied&) const = default;
+};
+
+// `active` lists the attempts of the cancelled jobs that are placed or running
+// and must be stopped.
+struct CancelApplied {
+  std::vector<ResultCode> codes;
+  std::vector<wire::AttemptKey> active;
+  std::vector<std::string> finished_jobs;
+
+  bool operator==(const CancelApplied&) const = default;
+};
+
+struct WorkersApplied {
+  bool operator==(const WorkersApplied&) const = default;
+};
+
+struct DrainApplied {
+  ResultCode code = ResultCode::kOk;
+
+  bool operator==(const DrainApplied&) const = default;
+};
+
+// `kOk` or `kRevisionConflict`; a known publication id gets its first result.
+struct PublishApplied {
+  ResultCode code = ResultCode::kOk;
+  std::int64_t revision = 0;
+  std::string winner;  // Operator and publication that hold the revision.
+
+  bool operator==(const PublishApplied&) const = default;
+};
+
+struct AuditApplied {
+  bool operator==(const AuditApplied&) const = default;
+};
+
+struct ExpireApplied {
+  std::int64_t dropped_jobs = 0;
+
+  bool operator==(const ExpireApplied&) const = default;
+};
+
+struct TermApplied {
+  bool operator==(const TermApplied&) const = default;
+};
+
+// The command was none that this version knows.
+struct NotApplied {
+  bool operator==(const NotApplied&) const = default;
+};
+
+using CommandResult = std::variant<NotApplied,
+                                   SubmitApplied,
+                                   TasksApplied,
+                                   CancelApplied,
+                                   WorkersApplied,
+                                   DrainApplied,
+                                   PublishApplied,
+                                   AuditApplied,
+                                   ExpireApplied,
+                                   TermApplied>;
+
+}  // namespace cranberryshunt::state
+
+#endif  // CRANBERRYSHUNT_STATE_RESULTS_H_
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -101,6 +101,7 @@
 struct RequeueTasks {
   1: list<AttemptKey> attempts
   2: string reason
+  3: bool never_started  // No attempt of the list ran and none ever will.
 }
 
 struct MarkRunning {
