controller: Add the decision core

Cause: the leader needs its decisions in a form that tests can drive without threads.

Change: Core applies committed entries on every replica; Leader and its parts (leases, orders, attempts, jobs, reports, publications, alerts, polls) decide while this controller leads.

--- /dev/null
+++ b/libraries/controller/src/attempt_ends.cc
@@ -0,0 +1,271 @@
+// Reports about attempts, and their ends.
+#include "attempt_manager.h"
+#include "conversions.h"
+#include "cranberryshunt/base/log.h"
+
+namespace cranberryshunt::controller {
+
+namespace {
+
+// Answers up to this size are kept with the result.
+constexpr std::size_t kMaxStoredAnswerBytes = 64 * 1'024;
+// How often a damaged answer is fetched again before the attempt fails.
+constexpr int kMaxInvalidAnswers = 3;
+
+wire::Outcome::type FailureOutcome(policy::EndKind kind, bool idempotent) {
+  switch (kind) {
+    case policy::EndKind::kDone:
+      return wire::Outcome::kDone;
+    case policy::EndKind::kRefused:
+      return wire::Outcome::kNotRun;
+    case policy::EndKind::kCancelled:
+      return wire::Outcome::kCancelled;
+    case policy::EndKind::kWorkerLost:
+      return idempotent ? wire::Outcome::kFailed : wire::Outcome::kUnknown;
+    case policy::EndKind::kFailed:
+    case policy::EndKind::kPreempted:
+      break;
+  }
+  return wire::Outcome::kFailed;
+}
+
+ResultCode DefaultCode(policy::EndKind kind, bool idempotent) {
+  switch (kind) {
+    case policy::EndKind::kDone:
+      return ResultCode::kOk;
+    case policy::EndKind::kFailed:
+      return ResultCode::kTaskFailed;
+    case policy::EndKind::kRefused:
+      return ResultCode::kStartRefused;
+    case policy::EndKind::kWorkerLost:
+      return idempotent ? ResultCode::kWorkerLost : ResultCode::kOutcomeUnknown;
+    case policy::EndKind::kPreempted:
+      return ResultCode::kPreempted;
+    case policy::EndKind::kCancelled:
+      break;
+  }
+  return ResultCode::kCancelledByCaller;
+}
+
+}  // namespace
+
+ReportEffect AttemptManager::Report(const wire::AttemptReport& report,
+                                    TimePoint now) {
+  Attempt* attempt = table_.Find(report.attempt);
+  if (attempt == nullptr) {
+    return ReportEffect::kUnknownAttempt;
+  }
+  if (attempt->stage == Stage::kEnding) {
+    return ReportEffect::kEnding;
+  }
+  switch (report.state) {
+    case wire::AttemptState::kRunning:
+      ReportRunning(*attempt, now);
+      break;
+    case wire::AttemptState::kDone:
+      ReportDone(*attempt, report, now);
+      break;
+    case wire::AttemptState::kFailed:
+      End(*attempt,
+          {.kind = policy::EndKind::kFailed,
+           .reason = report.reason,
+           .answer = report.answer},
+          now);
+      break;
+    case wire::AttemptState::kStopped:
+      ReportStopped(*attempt, report, now);
+      break;
+    case wire::AttemptState::kRefused:
+      ReportRefused(*attempt, report, now);
+      break;
+    case wire::AttemptState::kNeverStarted:
+      // The target has barred the attempt, so it can never run.
+      End(*attempt,
+          {.kind = policy::EndKind::kRefused, .reason = report.reason}, now);
+      break;
+    case wire::AttemptState::kUnknown:
+      if (attempt->stage == Stage::kHandedOut) {
+        StartLookup(*attempt, now);
+      }
+      break;
+  }
+  return attempt->stage == Stage::kEnding ? ReportEffect::kEnding
+                                          : ReportEffect::kNoted;
+}
+
+void AttemptManager::ReportRunning(Attempt& attempt, TimePoint now) {
+  attempt.listed = now;
+  if (attempt.stage == Stage::kRunning) {
+    return;
+  }
+  context_.orders.RemoveStart(attempt.entry, attempt.key);
+  attempt.stage = Stage::kRunning;
+  attempt.handed_out = true;
+  attempt.lookups = 0;
+  if (!attempt.ran) {
+    attempt.ran = true;
+    context_.commands.MarkRunning(attempt.key);
+    context_.scheduler->TaskRunning(ToTaskId(attempt.key), now);
+  }
+  if (attempt.stop != StopReason::kNone) {
+    SendStop(attempt, now);
+  } else {
+    // The first announcement that lists it follows within a second.
+    table_.SetDue(attempt, now + std::chrono::seconds(5));
+  }
+}
+
+void AttemptManager::ReportDone(Attempt& attempt,
+                                const wire::AttemptReport& report,
+                                TimePoint now) {
+  if (IsIntact(report.answer)) {
+    End(attempt,
+        {.kind = policy::EndKind::kDone,
+         .reason = report.reason,
+         .answer = report.answer},
+        now);
+    return;
+  }
+  if (++attempt.invalid_answers < kMaxInvalidAnswers) {
+    StartLookup(attempt, now);
+    return;
+  }
+  End(attempt,
+      {.kind = policy::EndKind::kFailed,
+       .code = ResultCode::kAnswerInvalid,
+       .reason = "answer does not match its length and checksum"},
+      now);
+}
+
+void AttemptManager::ReportRefused(Attempt& attempt,
+                                   const wire::AttemptReport& report,
+                                   TimePoint now) {
+  // When several entries delivered the start, one may be refused as too late
+  // although another took effect.
+  const bool conclusive =
+      attempt.stage == Stage::kLookup ||
+      (attempt.stage == Stage::kHandedOut && attempt.deliveries == 1);
+  if (!conclusive) {
+    StartLookup(attempt, now);
+    return;
+  }
+  End(attempt, {.kind = policy::EndKind::kRefused, .reason = report.reason},
+      now);
+}
+
+void AttemptManager::ReportStopped(Attempt& attempt,
+                                   const wire::AttemptReport& report,
+                                   TimePoint now) {
+  policy::EndKind kind = policy::EndKind::kWorkerLost;
+  if (attempt.stop == StopReason::kCancelled) {
+    kind = policy::EndKind::kCancelled;
+  } else if (attempt.stop == StopReason::kPreempted) {
+    kind = policy::EndKind::kPreempted;
+  }
+  End(attempt, {.kind = kind, .reason = report.reason}, now);
+}
+
+void AttemptManager::WorkerLost(const std::string& worker,
+                                const std::string& reason,
+                                TimePoint now) {
+  for (const auto& task : table_.OnWorker(worker)) {
+    Attempt* attempt = table_.Find(task);
+    if (attempt->stage == Stage::kEnding) {
+      continue;
+    }
+    const auto kind = attempt->handed_out ? policy::EndKind::kWorkerLost
+                                          : policy::EndKind::kRefused;
+    End(*attempt, {.kind = kind, .reason = reason}, now);
+  }
+}
+
+void AttemptManager::End(Attempt& attempt, Ending ending, TimePoint now) {
+  const policy::TaskId task = ToTaskId(attempt.key);
+  const auto* job = context_.state.jobs().Find(attempt.key.job_id);
+  context_.orders.RemoveStart(attempt.entry, attempt.key);
+  attempt.stage = Stage::kEnding;
+  table_.SetDue(attempt, std::nullopt);
+  if (ending.answer.bytes.size() > kMaxStoredAnswerBytes) {
+    ending.answer.bytes.clear();
+    ending.answer.stored = false;
+  }
+  const bool cancelled = attempt.stop == StopReason::kCancelled ||
+                         (job != nullptr && job->cancelled);
+  if (cancelled && ending.kind != policy::EndKind::kDone) {
+    ending.kind = policy::EndKind::kCancelled;
+  }
+  const bool payload_gone = job != nullptr && PayloadAtEntry(job->spec) &&
+                            context_.entries.IsGone(job->entry_id, now);
+  if (payload_gone && ending.kind == policy::EndKind::kRefused) {
+    EndUndeliverable(attempt, now);
+    return;
+  }
+  const auto verdict = context_.scheduler->TaskEnded(task, ending.kind, now);
+  const bool idempotent = job == nullptr || job->spec.idempotent;
+  const bool may_repeat =
+      idempotent || ending.kind == policy::EndKind::kRefused;
+  if (std::holds_alternative<policy::Requeued>(verdict)) {
+    if (may_repeat) {
+      CommitRequeue(attempt, ending);
+      return;
+    }
+    Log(LogLevel::kError, "controller",
+        "scheduler queued a non-idempotent task again",
+        {{"job", task.job_id}, {"index", task.index}});
+    context_.scheduler->Cancel(task.job_id);
+  }
+  const auto* ended = std::get_if<policy::Ended>(&verdict);
+  if (ended != nullptr && ending.reason.empty()) {
+    ending.reason = ended->reason;
+  }
+  ResultCode code = ending.code;
+  if (code == ResultCode::kOk && ended != nullptr && idempotent) {
+    code = ended->code;
+  }
+  if (code == ResultCode::kOk) {
+    code = DefaultCode(ending.kind, idempotent);
+  }
+  CommitFinish(attempt, FailureOutcome(ending.kind, idempotent), code, ending);
+}
+
+void AttemptManager::EndUndeliverable(Attempt& attempt, TimePoint now) {
+  context_.scheduler->TaskEnded(ToTaskId(attempt.key),
+                                policy::EndKind::kCancelled, now);
+  CommitFinish(attempt, wire::Outcome::kNotRun, ResultCode::kUnavailable,
+               {.reason = "the entry that holds the payload is gone"});
+}
+
+void AttemptManager::CommitRequeue(const Attempt& attempt,
+                                   const Ending& ending) {
+  const bool never_started = ending.kind == policy::EndKind::kRefused;
+  ++context_.metrics.Counter("requeues_total");
+  context_.commands.Requeue(attempt.key, ending.reason, never_started);
+}
+
+void AttemptManager::CommitFinish(const Attempt& attempt,
+                                  wire::Outcome::type outcome,
+                                  ResultCode code,
+                                  const Ending& ending) {
+  wire::TaskResult result;
+  result.attempt = attempt.key;
+  result.outcome = outcome;
+  result.code = static_cast<int>(code);
+  result.reason = ending.reason;
+  result.answer = ending.answer;
+  ++context_.metrics.Counter("finishes_total");
+  context_.commands.Finish(result, context_.host.WallMilliseconds());
+}
+
+void AttemptManager::Settled(const policy::TaskId& task) {
+  Attempt* attempt = table_.Find(task);
+  if (attempt == nullptr || attempt->stage != Stage::kEnding) {
+    return;
+  }
+  const auto waiting = std::move(attempt->waiting_reports);
+  table_.Remove(task);
+  for (const auto report : waiting) {
+    on_settled_(report);
+  }
+}
+
+}  // namespace cranberryshunt::controller
--- /dev/null
+++ b/libraries/controller/src/attempt_table.cc
@@ -0,0 +1,82 @@
+#include "attempt_table.h"
+
+#include "conversions.h"
+
+namespace cranberryshunt::controller {
+
+Attempt& AttemptTable::Add(Attempt attempt) {
+  const policy::TaskId task = ToTaskId(attempt.key);
+  Remove(task);
+  attempt.due.reset();
+  by_worker_[attempt.worker].insert(task);
+  return attempts_[task] = std::move(attempt);
+}
+
+Attempt* AttemptTable::Find(const policy::TaskId& task) {
+  auto it = attempts_.find(task);
+  return it == attempts_.end() ? nullptr : &it->second;
+}
+
+Attempt* AttemptTable::Find(const wire::AttemptKey& key) {
+  Attempt* attempt = Find(ToTaskId(key));
+  return attempt != nullptr && attempt->key == key ? attempt : nullptr;
+}
+
+void AttemptTable::Remove(const policy::TaskId& task) {
+  auto it = attempts_.find(task);
+  if (it == attempts_.end()) {
+    return;
+  }
+  SetDue(it->second, std::nullopt);
+  auto worker = by_worker_.find(it->second.worker);
+  worker->second.erase(task);
+  if (worker->second.empty()) {
+    by_worker_.erase(worker);
+  }
+  attempts_.erase(it);
+}
+
+void AttemptTable::SetDue(Attempt& attempt, std::optional<TimePoint> due) {
+  const policy::TaskId task = ToTaskId(attempt.key);
+  if (attempt.due) {
+    by_due_.erase({*attempt.due, task});
+  }
+  attempt.due = due;
+  if (due) {
+    by_due_.emplace(*due, task);
+  }
+}
+
+std::vector<policy::TaskId> AttemptTable::TakeDue(TimePoint now) {
+  std::vector<policy::TaskId> due;
+  while (!by_due_.empty() && by_due_.begin()->first <= now) {
+    due.push_back(by_due_.begin()->second);
+    attempts_.at(due.back()).due.reset();
+    by_due_.erase(by_due_.begin());
+  }
+  return due;
+}
+
+std::vector<policy::TaskId> AttemptTable::OnWorker(
+    const std::string& worker) const {
+  auto it = by_worker_.find(worker);
+  if (it == by_worker_.end()) {
+    return {};
+  }
+  return {it->second.begin(), it->second.end()};
+}
+
+std::vector<policy::TaskId> AttemptTable::WithEntry(
+    const std::string& entry) const {
+  std::vector<policy::TaskId> found;
+  for (const auto& [task, attempt] : attempts_) {
+    const bool carried =
+        attempt.stage == Stage::kOrdered || attempt.stage == Stage::kHandedOut;
+    if (carried && attempt.entry == entry) {
+      found.push_back(task);
+    }
+  }
+  return found;
+}
+
+}  // namespace cranberryshunt::controller
--- /dev/null
+++ b/libraries/controller/src/core.h
@@ -0,0 +1,66 @@
+// The decision core of a controller: the replicated state on every replica, and
+// the leader's decisions while it leads. It has no threads and no clock.
+#ifndef CRANBERRYSHUNT_CONTROLLER_CORE_H_
+#define CRANBERRYSHUNT_CONTROLLER_CORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core_types.h"
+#include "cranberryshunt/base/metrics.h"
+#include "cranberryshunt/consensus/replica.h"
+#include "cranberryshunt/state/state_machine.h"
+#include "leader.h"
+
+namespace cranberryshunt::controller {
+
+class Core {
+ public:
+  Core(CoreOptions options, CoreHost& host, MetricsRegistry& metrics);
+
+  // Fails with kCorrupt when the entry or the snapshot cannot be decoded; the
+  // replica must then stop, because its state would differ from the others'.
+  Result<void> OnCommitted(const consensus::CommittedEntry& entry,
+                           TimePoint now);
+  Result<void> OnSnapshot(std::int64_t index, const std::string& data);
+  void OnRoleChange(const consensus::RoleChange& change, TimePoint now);
+  void OnProposalDone(std::int64_t term,
+                      std::uint64_t id,
+                      const Result<std::int64_t>& result);
+
+  // Answers at once with not_leader unless this controller leads and holds the
+  // lease.
+  void Handle(Call call, TimePoint now);
+  void Record(const wire::AuditRecord& record);
+  // Does what is due. Call after each group of inputs and at least every 50 ms.
+  void Advance(TimePoint now);
+  std::optional<Proposal> TakeProposal();
+
+  // Answers all open calls and refuses further ones with shutting_down.
+  void Stop();
+
+  const state::StateMachine& state() const { return state_; }
+  bool is_leader() const { return leader_ != nullptr; }
+  // Term of the leader's proposals; 0 when not leading.
+  std::int64_t leading_term() const { return leader_ ? role_.term : 0; }
+
+ private:
+  wire::Status NotLeader() const;
+
+  CoreOptions options_;
+  CoreHost& host_;
+  MetricsRegistry& metrics_;
+  state::StateMachine state_;
+  consensus::RoleChange role_;
+  std::unique_ptr<Leader> leader_;
+  bool stopped_ = false;
+};
+
+// Answers `call` with `status` only.
+void RefuseCall(Call& call, const wire::Status& status);
+
+}  // namespace cranberryshunt::controller
+
+#endif  // CRANBERRYSHUNT_CONTROLLER_CORE_H_
--- /dev/null
+++ b/libraries/controller/src/core_types.h
@@ -0,0 +1,113 @@
+// Inputs of the decision core, and what it needs from its surroundings.
+#ifndef CRANBERRYSHUNT_CONTROLLER_CORE_TYPES_H_
+#define CRANBERRYSHUNT_CONTROLLER_CORE_TYPES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cranberryshunt/base/clock.h"
+#include "cranberryshunt/policy/scheduler.h"
+#include "wire_types.h"
+
+namespace cranberryshunt::controller {
+
+// Answers a call; called exactly once, on the decision thread.
+template <typename T>
+using Reply = std::function<void(T)>;
+
+struct SubmitCall {
+  wire::SubmitRequest request;
+  Reply<wire::SubmitReply> reply;
+};
+struct ReportCall {
+  wire::EntryReport report;
+  Reply<wire::ReportReply> reply;
+};
+struct PollCall {
+  wire::PollRequest request;
+  Reply<wire::PollReply> reply;
+};
+struct GetJobCall {
+  wire::GetJobRequest request;
+  Reply<wire::GetJobReply> reply;
+};
+struct CancelCall {
+  std::string entry_id;
+  std::vector<std::string> job_ids;
+  std::string reason;
+  Reply<wire::CancelReply> reply;
+};
+struct PublishCall {
+  wire::PublishRequest request;
+  std::chrono::milliseconds wait{};
+  Reply<wire::PublishReply> reply;
+};
+struct RulesCall {
+  std::int64_t if_newer_than = 0;
+  Reply<wire::RulesReply> reply;
+};
+struct AuditCall {
+  std::int64_t after_sequence = 0;
+  std::int32_t limit = 0;
+  Reply<wire::AuditReply> reply;
+};
+struct ClusterCall {
+  Reply<wire::ClusterReply> reply;
+};
+struct DrainCall {
+  wire::DrainWorker request;
+  Reply<wire::Status> reply;
+};
+
+using Call = std::variant<SubmitCall,
+                          ReportCall,
+                          PollCall,
+                          GetJobCall,
+                          CancelCall,
+                          PublishCall,
+                          RulesCall,
+                          AuditCall,
+                          ClusterCall,
+                          DrainCall>;
+
+struct CoreOptions {
+  std::string id;
+  policy::SchedulerOptions scheduler;
+  std::chrono::milliseconds worker_lease{10'000};
+  std::chrono::milliseconds start_window{2'000};
+  std::chrono::milliseconds rules_lease{3'000};
+  std::chrono::milliseconds entry_lease{3'000};
+  std::chrono::milliseconds key_retention{std::chrono::hours(24)};
+};
+
+// What GetCluster tells of the replicated log.
+struct ClusterFacts {
+  std::int64_t commit_index = 0;
+  wire::Membership membership;
+  std::map<std::string, std::int64_t> bytes_between_regions;
+};
+
+// The core's view of the replica and of wall time.
+class CoreHost {
+ public:
+  virtual ~CoreHost() = default;
+  // Whether no other leader can exist now.
+  virtual bool HasLease() const = 0;
+  virtual ClusterFacts Facts() const = 0;
+  virtual std::int64_t WallMilliseconds() const = 0;
+};
+
+// The upper bound on this process's clock of a lease of `duration` that another
+// process counts on its own clock: 2% of drift and 500 ms for scheduling
+// delays.
+constexpr Duration WithMargin(Duration duration) {
+  return duration + duration / 50 + std::chrono::milliseconds(500);
+}
+
+}  // namespace cranberryshunt::controller
+
+#endif  // CRANBERRYSHUNT_CONTROLLER_CORE_TYPES_H_
--- /dev/null
+++ b/libraries/controller/src/leader.h
@@ -0,0 +1,93 @@
+// The leader's volatile state and decisions. It exists only while this
+// controller leads.
+#ifndef CRANBERRYSHUNT_CONTROLLER_LEADER_H_
+#define CRANBERRYSHUNT_CONTROLLER_LEADER_H_
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "alert_evaluator.h"
+#include "attempt_manager.h"
+#include "job_service.h"
+#include "leader_context.h"
+#include "poll_service.h"
+#include "publication_tracker.h"
+#include "report_service.h"
+
+namespace cranberryshunt::controller {
+
+class Leader {
+ public:
+  // Rebuilds the scheduler from `state`, which must outlive the leader. Fails
+  // with kInvalidSettings when the scheduler's options contradict each other.
+  static Result<std::unique_ptr<Leader>> Create(
+      const CoreOptions& options,
+      const state::StateMachine& state,
+      CoreHost& host,
+      MetricsRegistry& metrics,
+      std::int64_t term,
+      TimePoint now);
+
+  void Handle(Call call, TimePoint now);
+  // A batch was applied with these results.
+  void OnApplied(const wire::CommandBatch& batch,
+                 const std::vector<state::CommandResult>& results,
+                 TimePoint now);
+  void OnProposalDone(std::uint64_t id, const Result<std::int64_t>& result);
+
+  // Does everything that is due, decides placements and serves polls.
+  void Advance(TimePoint now);
+  std::optional<Proposal> TakeProposal() { return context_.commands.Take(); }
+  void Record(const wire::AuditRecord& record) {
+    context_.commands.Record(record);
+  }
+
+  // Answers every open call with `status`.
+  void Abandon(const wire::Status& status);
+
+ private:
+  Leader(const CoreOptions& options,
+         const state::StateMachine& state,
+         CoreHost& host,
+         MetricsRegistry& metrics,
+         std::int64_t term,
+         std::unique_ptr<policy::Scheduler> scheduler,
+         TimePoint now);
+
+  void Rebuild(TimePoint now);
+  void RestoreJob(const state::JobRecord& job, TimePoint now);
+  void Drain(DrainCall call);
+
+  void ApplyPlacements(const wire::PlaceTasks& command,
+                       const state::TasksApplied& applied,
+                       TimePoint now);
+  void ApplyDrain(const wire::DrainWorker& command,
+                  const state::DrainApplied& applied,
+                  TimePoint now);
+  void ApplyOne(const wire::Command& command,
+                const state::CommandResult& result,
+                TimePoint now);
+
+  void Decide(TimePoint now);
+  void Carry(const policy::Decision& decision, TimePoint now);
+  wire::Placement PlacementFor(const policy::Assignment& assignment) const;
+  void EvaluateAlerts(TimePoint now);
+  void ExpireKeys();
+
+  LeaderContext context_;
+  AttemptManager attempts_;
+  JobService jobs_;
+  ReportService reports_;
+  PublicationTracker publications_;
+  PollService polls_;
+  AlertEvaluator alerts_;
+  std::vector<DrainCall> drains_;
+  TimePoint next_tick_{};
+  TimePoint next_second_{};
+  TimePoint next_expiry_{};
+};
+
+}  // namespace cranberryshunt::controller
+
+#endif  // CRANBERRYSHUNT_CONTROLLER_LEADER_H_
--- /dev/null
+++ b/libraries/controller/src/order_book.cc
@@ -0,0 +1,114 @@
+#include "order_book.h"
+
+#include <iterator>
+#include <utility>
+
+#include "entry_table.h"
+
+namespace cranberryshunt::controller {
+
+namespace {
+
+// Bounds of one reply; the rest follows with the next poll.
+constexpr std::size_t kMaxOrdersPerReply = 1'000;
+constexpr std::size_t kMaxPayloadBytesPerReply = 4 * 1'024 * 1'024;
+
+// Builds the wire form of an order that needs no decision.
+struct ToWire {
+  wire::Order operator()(const StartReference&) const { return {}; }
+  wire::Order operator()(const wire::StopOrder& stop) const {
+    wire::Order order;
+    order.__set_stop(stop);
+    return order;
+  }
+  wire::Order operator()(const wire::ThrottleOrder& throttle) const {
+    wire::Order order;
+    order.__set_throttle(throttle);
+    return order;
+  }
+  wire::Order operator()(const wire::LookupOrder& lookup) const {
+    wire::Order order;
+    order.__set_lookup(lookup);
+    return order;
+  }
+};
+
+}  // namespace
+
+OrderBook::OrderBook(std::int64_t term) : next_sequence_(FirstSequence(term)) {}
+
+void OrderBook::Add(const std::string& entry_id, OrderBody body) {
+  pending_[entry_id].push_back({next_sequence_++, std::move(body)});
+}
+
+void OrderBook::Acknowledge(const std::string& entry_id,
+                            std::int64_t sequence) {
+  auto it = pending_.find(entry_id);
+  if (it == pending_.end()) {
+    return;
+  }
+  auto& orders = it->second;
+  while (!orders.empty() && orders.front().sequence <= sequence) {
+    orders.pop_front();
+  }
+}
+
+void OrderBook::RemoveStart(const std::string& entry_id,
+                            const wire::AttemptKey& attempt) {
+  auto it = pending_.find(entry_id);
+  if (it == pending_.end()) {
+    return;
+  }
+  std::erase_if(it->second, [&](const PendingOrder& order) {
+    const auto* start = std::get_if<StartReference>(&order.body);
+    return start != nullptr && start->attempt == attempt;
+  });
+}
+
+std::vector<wire::SequencedOrder> OrderBook::HandOutTo(
+    const std::string& entry_id,
+    const DecideStart& decide) {
+  std::vector<wire::SequencedOrder> handed_out;
+  auto it = pending_.find(entry_id);
+  if (it == pending_.end()) {
+    return handed_out;
+  }
+  // Deciding may add orders to the book, so the list is taken out of it first.
+  auto orders = std::exchange(it->second, {});
+  std::deque<PendingOrder> kept;
+  std::size_t payload_bytes = 0;
+  for (auto& order : orders) {
+    const bool full = handed_out.size() >= kMaxOrdersPerReply ||
+                      payload_bytes >= kMaxPayloadBytesPerReply;
+    if (full) {
+      kept.push_back(std::move(order));
+      continue;
+    }
+    wire::SequencedOrder sequenced;
+    sequenced.sequence = order.sequence;
+    if (const auto* start = std::get_if<StartReference>(&order.body)) {
+      const StartDecision decision = decide(start->attempt);
+      if (std::holds_alternative<GiveUp>(decision)) {
+        continue;
+      }
+      const auto& filled = std::get<HandOut>(decision).order;
+      payload_bytes += filled.payload.size();
+      sequenced.order.__set_start(filled);
+    } else {
+      sequenced.order = std::visit(ToWire(), order.body);
+    }
+    handed_out.push_back(std::move(sequenced));
+    kept.push_back(std::move(order));
+  }
+  auto& list = pending_[entry_id];
+  list.insert(list.begin(), std::make_move_iterator(kept.begin()),
+              std::make_move_iterator(kept.end()));
+  return handed_out;
+}
+
+std::size_t OrderBook::size(const std::string& entry_id) const {
+  auto it = pending_.find(entry_id);
+  return it == pending_.end() ? 0 : it->second.size();
+}
+
+}  // namespace cranberryshunt::controller
--- /dev/null
+++ b/libraries/controller/src/publication_tracker.cc
@@ -0,0 +1,153 @@
+#include "publication_tracker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+#include "cranberryshunt/wire/codec.h"
+
+namespace cranberryshunt::controller {
+
+namespace {
+
+// A call that does not wait for the revision to be in force waits at least this
+// long for its commit.
+constexpr std::chrono::milliseconds kMinCommitWait{2'000};
+
+std::vector<rules::SourceFile> SourceFiles(
+    const wire::PublishRules& publication) {
+  std::vector<rules::SourceFile> files;
+  for (const auto& file : publication.files) {
+    files.push_back({file.path, file.content});
+  }
+  return files;
+}
+
+wire::PublishReply ReplyFor(const state::PublishApplied& applied) {
+  wire::PublishReply reply;
+  reply.revision = applied.revision;
+  reply.winner = applied.winner;
+  if (applied.code != ResultCode::kOk) {
+    reply.status = wire::ToStatus(
+        Error(applied.code, "the current revision is " +
+                                std::to_string(applied.revision) + " by " +
+                                applied.winner));
+  }
+  return reply;
+}
+
+Result<void> Check(const wire::PublishRules& publication) {
+  if (publication.publication_id.empty()) {
+    return Fail(ResultCode::kMissingField, "publication_id is required",
+                "publication_id");
+  }
+  const auto parsed = rules::Parse(SourceFiles(publication));
+  if (parsed) {
+    return {};
+  }
+  std::string text;
+  for (const auto& error : parsed.error()) {
+    text += (text.empty() ? "" : "\n") + rules::FormatError(error);
+  }
+  return Fail(ResultCode::kRulesInvalid, text, "files");
+}
+
+}  // namespace
+
+void PublicationTracker::BeginTerm() {
+  UseRules(context_.state.rules().current());
+}
+
+void PublicationTracker::UseRules(const wire::PublishRules& publication) {
+  auto parsed = rules::Parse(SourceFiles(publication));
+  if (!parsed) {
+    Log(LogLevel::kError, "controller", "committed rules are not readable",
+        {{"revision", context_.state.rules().revision()}});
+    return;
+  }
+  context_.rules = std::move(*parsed);
+  context_.scheduler->SetQuotas(context_.rules.quotas);
+}
+
+void PublicationTracker::Publish(PublishCall call, TimePoint now) {
+  const auto& publication = call.request.publication;
+  if (auto checked = Check(publication); !checked) {
+    wire::PublishReply reply;
+    reply.status = wire::ToStatus(checked.error());
+    reply.revision = context_.state.rules().revision();
+    call.reply(reply);
+    return;
+  }
+  waiting_.push_back({publication.publication_id, 0, now + call.wait,
+                      now + std::max(call.wait, kMinCommitWait),
+                      std::move(call.reply)});
+  // A resend goes through the log as well and gets the first result there.
+  wire::Command command;
+  command.__set_publish_rules(publication);
+  command.publish_rules.at_ms = context_.host.WallMilliseconds();
+  context_.commands.Add(std::move(command));
+}
+
+void PublicationTracker::OnApplied(const wire::PublishRules& command,
+                                   const state::PublishApplied& applied,
+                                   TimePoint now) {
+  const bool is_current = applied.code == ResultCode::kOk &&
+                          applied.revision == context_.state.rules().revision();
+  if (is_current && context_.state.rules().current().at_ms == command.at_ms) {
+    published_ = now;
+    UseRules(command);
+  }
+  for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+    if (it->publication_id != command.publication_id || it->revision != 0) {
+      continue;
+    }
+    if (applied.code == ResultCode::kOk) {
+      it->revision = applied.revision;
+    } else {
+      it->reply(ReplyFor(applied));
+      waiting_.erase(it);
+    }
+    break;
+  }
+}
+
+void PublicationTracker::Tick(TimePoint now) {
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    const bool committed = it->revision != 0;
+    const bool in_force =
+        committed && context_.entries.AllConfirmed(it->revision, now);
+    const TimePoint until = committed ? it->until : it->commit_until;
+    if (!in_force && now < until) {
+      ++it;
+      continue;
+    }
+    Answer(*it, in_force);
+    it = waiting_.erase(it);
+  }
+}
+
+void PublicationTracker::Answer(const Waiting& waiting, bool in_force) {
+  wire::PublishReply reply;
+  reply.revision = waiting.revision;
+  reply.in_force = in_force;
+  if (waiting.revision == 0) {
+    reply.status = wire::ToStatus(
+        Error(ResultCode::kTimeout, "the publication is not committed yet"));
+  } else if (!in_force) {
+    reply.status = wire::ToStatus(
+        Error(ResultCode::kNotInForceYet,
+              "committed, but not every entry has confirmed the revision"));
+  }
+  waiting.reply(reply);
+}
+
+void PublicationTracker::Abandon(const wire::Status& status) {
+  wire::PublishReply reply;
+  reply.status = status;
+  for (const auto& waiting : waiting_) {
+    waiting.reply(reply);
+  }
+  waiting_.clear();
+}
+
+}  // namespace cranberryshunt::controller
--- /dev/null
+++ b/libraries/controller/src/publication_tracker.h
@@ -0,0 +1,51 @@
+// Publications of rules, from the call until they are in force.
+#ifndef CRANBERRYSHUNT_CONTROLLER_PUBLICATION_TRACKER_H_
+#define CRANBERRYSHUNT_CONTROLLER_PUBLICATION_TRACKER_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "leader_context.h"
+
+namespace cranberryshunt::controller {
+
+class PublicationTracker {
+ public:
+  PublicationTracker(LeaderContext& context, TimePoint now)
+      : context_(context), published_(now) {}
+
+  // Loads the rules of the state.
+  void BeginTerm();
+  void Publish(PublishCall call, TimePoint now);
+  void OnApplied(const wire::PublishRules& command,
+                 const state::PublishApplied& applied,
+                 TimePoint now);
+  // Answers the calls whose revision is in force or whose wait is over.
+  void Tick(TimePoint now);
+  void Abandon(const wire::Status& status);
+
+  // When this leader saw the current revision first.
+  TimePoint published() const { return published_; }
+
+ private:
+  struct Waiting {
+    std::string publication_id;
+    std::int64_t revision = 0;  // 0: not committed.
+    TimePoint until{};
+    TimePoint commit_until{};
+    Reply<wire::PublishReply> reply;
+  };
+
+  void UseRules(const wire::PublishRules& publication);
+  static void Answer(const Waiting& waiting, bool in_force);
+
+  LeaderContext& context_;
+  TimePoint published_;
+  std::deque<Waiting> waiting_;
+};
+
+}  // namespace cranberryshunt::controller
+
+#endif  // CRANBERRYSHUNT_CONTROLLER_PUBLICATION_TRACKER_H_
--- /dev/null
+++ b/libraries/controller/src/worker_table.cc
@@ -0,0 +1,123 @@
+#include "worker_table.h"
+
+#include <algorithm>
+
+#include "core_types.h"
+
+namespace cranberryshunt::controller {
+
+namespace {
+
+// A worker announces itself every second. After three missed announcements it
+// gets no new work, well before its leases end.
+constexpr std::chrono::milliseconds kSilence{3'500};
+
+// Enough for announcements that overtake each other on different entries.
+constexpr std::size_t kMaxOldIncarnations = 8;
+
+}  // namespace
+
+void WorkerTable::BeginTerm(const std::map<std::string, wire::Worker>& workers,
+                            TimePoint now) {
+  for (const auto& [identity, worker] : workers) {
+    LiveWorker live;
+    live.identity = worker;
+    live.renewed = now;
+    workers_[identity] = std::move(live);
+  }
+}
+
+Arrival WorkerTable::Announce(const wire::WorkerAnnouncement& announcement,
+                              const std::string& entry_id,
+                              TimePoint now) {
+  const auto& worker = announcement.worker;
+  auto [it, is_new] = workers_.try_emplace(worker.identity);
+  LiveWorker& live = it->second;
+  if (std::find(live.old_incarnations.begin(), live.old_incarnations.end(),
+                worker.incarnation) != live.old_incarnations.end()) {
+    return Arrival::kStale;
+  }
+  Arrival arrival = is_new ? Arrival::kNew : Arrival::kSame;
+  if (!is_new && live.identity.incarnation != worker.incarnation) {
+    arrival = Arrival::kRestarted;
+    live.old_incarnations.push_back(live.identity.incarnation);
+    if (live.old_incarnations.size() > kMaxOldIncarnations) {
+      live.old_incarnations.pop_front();
+    }
+    live.announced = false;
+  }
+  wire::Worker updated = worker;
+  updated.draining = live.identity.draining;
+  if (arrival == Arrival::kSame && updated != live.identity) {
+    arrival = Arrival::kChanged;
+  }
+  live.identity = std::move(updated);
+  // An announcement that was overtaken would move the clock back.
+  if (!live.announced || announcement.clock_ms >= live.clock_ms) {
+    live.clock_ms = announcement.clock_ms;
+    live.clock_received = now;
+  }
+  live.renewed = now;
+  live.announced = true;
+  live.lost = false;
+  live.via_entry = entry_id;
+  return arrival;
+}
+
+void WorkerTable::SetDraining(const std::string& identity, bool draining) {
+  if (LiveWorker* worker = Find(identity)) {
+    worker->identity.draining = draining;
+  }
+}
+
+LiveWorker* WorkerTable::Find(const std::string& identity) {
+  auto it = workers_.find(identity);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+const LiveWorker* WorkerTable::Find(const std::string& identity) const {
+  auto it = workers_.find(identity);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+std::int64_t WorkerTable::ClockAfter(const LiveWorker& worker,
+                                     TimePoint now,
+                                     Duration window) {
+  return worker.clock_ms + ToMilliseconds(now - worker.clock_received + window);
+}
+
+TimePoint WorkerTable::LeaseEnd(const LiveWorker& worker) const {
+  return worker.renewed + WithMargin(worker_lease_);
+}
+
+std::int64_t WorkerTable::LeaseEndClock(const LiveWorker& worker) const {
+  return worker.clock_ms + worker_lease_.count();
+}
+
+bool WorkerTable::IsSilent(const LiveWorker& worker, TimePoint now) const {
+  return !worker.announced || now - worker.renewed > kSilence;
+}
+
+std::vector<std::string> WorkerTable::TakeLost(TimePoint now) {
+  std::vector<std::string> lost;
+  for (auto& [identity, worker] : workers_) {
+    if (!worker.lost && now >= LeaseEnd(worker)) {
+      worker.lost = true;
+      lost.push_back(identity);
+    }
+  }
+  return lost;
+}
+
+std::vector<std::string> WorkerTable::LostSince(TimePoint now,
+                                                Duration age) const {
+  std::vector<std::string> lost;
+  for (const auto& [identity, worker] : workers_) {
+    if (worker.lost && now >= LeaseEnd(worker) + age) {
+      lost.push_back(identity);
+    }
+  }
+  return lost;
+}
+
+}  // namespace cranberryshunt::controller
