controller, state: Test the core and the state machine

Cause: withdrawals counted as failures of the worker, a service whose task ended was not placed again, and nothing guarded the failure paths.

Change: policy gets EndKind::kWithdrawn (no blame, no back-off) and queues ended service tasks again after a pause; the tests drive Core with a manual clock through lease expiry, leader changes, dead entries and workers, damaged answers, cancellation, publications and alerts.

--- a/libraries/controller/src/attempt_ends.cc
+++ b/libraries/controller/src/attempt_ends.cc
@@ -12,11 +12,18 @@
 // How often a damaged answer is fetched again before the attempt fails.
 constexpr int kMaxInvalidAnswers = 3;
 
+// Whether the attempt did not run and never will.
+bool NeverStarted(policy::EndKind kind) {
+  return kind == policy::EndKind::kRefused ||
+         kind == policy::EndKind::kWithdrawn;
+}
+
 wire::Outcome::type FailureOutcome(policy::EndKind kind, bool idempotent) {
   switch (kind) {
     case policy::EndKind::kDone:
       return wire::Outcome::kDone;
     case policy::EndKind::kRefused:
+    case policy::EndKind::kWithdrawn:
       return wire::Outcome::kNotRun;
     case policy::EndKind::kCancelled:
       return wire::Outcome::kCancelled;
@@ -36,6 +43,7 @@
     case policy::EndKind::kFailed:
       return ResultCode::kTaskFailed;
     case policy::EndKind::kRefused:
+    case policy::EndKind::kWithdrawn:
       return ResultCode::kStartRefused;
     case policy::EndKind::kWorkerLost:
       return idempotent ? ResultCode::kWorkerLost : ResultCode::kOutcomeUnknown;
@@ -174,7 +182,7 @@
       continue;
     }
     const auto kind = attempt->handed_out ? policy::EndKind::kWorkerLost
-                                          : policy::EndKind::kRefused;
+                                          : policy::EndKind::kWithdrawn;
     End(*attempt, {.kind = kind, .reason = reason}, now);
   }
 }
@@ -196,14 +204,13 @@
   }
   const bool payload_gone = job != nullptr && PayloadAtEntry(job->spec) &&
                             context_.entries.IsGone(job->entry_id, now);
-  if (payload_gone && ending.kind == policy::EndKind::kRefused) {
+  if (payload_gone && NeverStarted(ending.kind)) {
     EndUndeliverable(attempt, now);
     return;
   }
   const auto verdict = context_.scheduler->TaskEnded(task, ending.kind, now);
   const bool idempotent = job == nullptr || job->spec.idempotent;
-  const bool may_repeat =
-      idempotent || ending.kind == policy::EndKind::kRefused;
+  const bool may_repeat = idempotent || NeverStarted(ending.kind);
   if (std::holds_alternative<policy::Requeued>(verdict)) {
     if (may_repeat) {
       CommitRequeue(attempt, ending);
@@ -237,9 +244,9 @@
 
 void AttemptManager::CommitRequeue(const Attempt& attempt,
                                    const Ending& ending) {
-  const bool never_started = ending.kind == policy::EndKind::kRefused;
   ++context_.metrics.Counter("requeues_total");
-  context_.commands.Requeue(attempt.key, ending.reason, never_started);
+  context_.commands.Requeue(attempt.key, ending.reason,
+                            NeverStarted(ending.kind));
 }
 
 void AttemptManager::CommitFinish(const Attempt& attempt,
--- a/libraries/controller/src/leader_apply.cc
+++ b/libraries/controller/src/leader_apply.cc
@@ -83,7 +83,8 @@
         {{"job", task_id.job_id}, {"code", ResultCodeName(applied.codes[i])}});
     context_.scheduler->TaskEnded(
         task_id,
-        queued ? policy::EndKind::kRefused : policy::EndKind::kCancelled, now);
+        queued ? policy::EndKind::kWithdrawn : policy::EndKind::kCancelled,
+        now);
   }
 }
 
--- a/libraries/controller/src/report_service.cc
+++ b/libraries/controller/src/report_service.cc
@@ -88,8 +88,9 @@
   if (arrival != Arrival::kSame) {
     context_.scheduler->UpsertWorker(ToWorkerInfo(live.identity));
     context_.commands.UpsertWorker(live.identity);
-    // A worker that the scheduler did not know accepts work by default.
-    live.accepting = arrival == Arrival::kNew || live.accepting;
+  }
+  if (arrival == Arrival::kNew) {
+    context_.scheduler->SetAccepting(worker.identity, false);
   }
   UpdateAccepting(live, now);
   if (live.identity.leaving && arrival != Arrival::kSame) {
--- a/libraries/policy/include/cranberryshunt/policy/types.h
+++ b/libraries/policy/include/cranberryshunt/policy/types.h
@@ -146,6 +146,7 @@
   kWorkerLost,  // The worker restarted or its lease ran out.
   kPreempted,
   kCancelled,
+  kWithdrawn,  // The start was taken back before it could take effect.
 };
 
 // What the scheduler made of the end of an attempt.
--- a/libraries/policy/src/lifecycle.cc
+++ b/libraries/policy/src/lifecycle.cc
@@ -65,10 +65,11 @@
   const Duration run = now - task.placed_at;
   const bool reclaimed = task.preempting && task.reclaimed;
   const bool for_excess = task.excess >= kExcessToStop;
-  if (task.state == TaskState::kPlaced && end != EndKind::kRefused) {
+  const bool never_ran = end == EndKind::kRefused || end == EndKind::kWithdrawn;
+  if (task.state == TaskState::kPlaced && !never_ran) {
     state(job.kind).waits.Add(task.placed_at - task.queued_at, now);
   }
-  job.ran = job.ran || end != EndKind::kRefused;
+  job.ran = job.ran || !never_ran;
   ReleaseTask(ref->job, ref->index);
   switch (end) {
     case EndKind::kDone:
@@ -90,6 +91,8 @@
         state(job.kind).preempted_run += run;
       }
       return OnPreempted(*ref, for_excess, worker);
+    case EndKind::kWithdrawn:
+      return Requeue(*ref, Duration::zero());
     case EndKind::kCancelled:
       break;
   }
@@ -109,6 +112,11 @@
     its_worker.on_probation = false;
   }
   UpdateStartLimit(worker);
+  if (job.kind == Kind::kService && job.idempotent) {
+    // A service runs until it is cancelled. The pause keeps one that ends at
+    // once from taking every start.
+    return Requeue(ref, RetryBudget::Backoff(1, random));
+  }
   return Finish(ref, ResultCode::kOk, "");
 }
 
@@ -190,6 +198,9 @@
     Finish(ref, ResultCode::kJobFaulty, "");
     return verdict;
   }
+  if (job.kind == Kind::kService) {
+    return Requeue(ref, RetryBudget::Backoff(task.failures, random));
+  }
   if (!HasOtherWorker(job, ref.index)) {
     return Finish(ref, ResultCode::kTaskFailed,
                   "the task failed and no other worker can run it");
--- /dev/null
+++ b/tests/controller/core_harness.h
@@ -0,0 +1,330 @@
+// Drives a decision core with a manual clock, in place of the replica and the
+// entries.
+#ifndef CRANBERRYSHUNT_TESTS_CONTROLLER_CORE_HARNESS_H_
+#define CRANBERRYSHUNT_TESTS_CONTROLLER_CORE_HARNESS_H_
+
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core.h"
+#include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/wire/codec.h"
+
+namespace cranberryshunt::controller {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class FakeHost final : public CoreHost {
+ public:
+  bool HasLease() const override { return lease; }
+  ClusterFacts Facts() const override { return {}; }
+  std::int64_t WallMilliseconds() const override {
+    return 1'700'000'000'000 + ToMilliseconds(clock.Now().time_since_epoch());
+  }
+
+  ManualClock clock;
+  bool lease = true;
+};
+
+// Replicated entries outlive a core, so that another one can take over.
+struct SharedLog {
+  std::vector<consensus::CommittedEntry> entries;
+};
+
+class Harness {
+ public:
+  Harness(FakeHost& shared_host, SharedLog& shared_log, std::string id)
+      : host(shared_host), log(shared_log) {
+    CoreOptions options;
+    options.id = std::move(id);
+    core = std::make_unique<Core>(options, host, metrics);
+  }
+
+  void Lead(std::int64_t term) {
+    while (applied < log.entries.size()) {
+      Deliver(log.entries[applied]);
+    }
+    core->OnRoleChange({consensus::Role::kLeader, term, "self", "self:1"},
+                       host.clock.Now());
+    Turn();
+  }
+
+  // Lets the core decide and, unless `hold` is set, commits what it proposes.
+  void Turn() {
+    for (int round = 0; round < 20; ++round) {
+      core->Advance(host.clock.Now());
+      bool progress = false;
+      while (auto proposal = core->TakeProposal()) {
+        held.push_back(*proposal);
+        progress = true;
+      }
+      if (hold || !progress) {
+        return;
+      }
+      Commit();
+    }
+  }
+
+  void Commit() {
+    while (!held.empty()) {
+      const Proposal proposal = held.front();
+      held.pop_front();
+      const auto index = static_cast<std::int64_t>(log.entries.size()) + 1;
+      log.entries.push_back(
+          {index, core->leading_term(), wire::Encode(*proposal.batch)});
+      Deliver(log.entries.back());
+      core->OnProposalDone(core->leading_term(), proposal.id, index);
+    }
+  }
+
+  void FailAll(ResultCode code) {
+    while (!held.empty()) {
+      const Proposal proposal = held.front();
+      held.pop_front();
+      core->OnProposalDone(core->leading_term(), proposal.id,
+                           Fail(code, "failed by the test"));
+    }
+  }
+
+  // Moves time in steps, with announcements of every worker and polls of every
+  // entry that are `up`.
+  void Run(Duration duration, Duration step = milliseconds(100)) {
+    for (Duration done{}; done < duration; done += step) {
+      host.clock.Advance(step);
+      Beat();
+    }
+  }
+
+  void Beat() {
+    for (const auto& [id, up] : entries_up) {
+      if (up) {
+        Poll(id);
+      }
+    }
+    for (const auto& [id, worker] : workers) {
+      if (worker.up) {
+        Announce(id);
+      }
+    }
+    Turn();
+  }
+
+  struct FakeWorker {
+    std::string incarnation = "i1";
+    bool up = true;
+    bool leaving = false;
+    std::map<std::string, wire::AttemptReport> attempts;
+  };
+
+  wire::AnnouncementReply Announce(const std::string& id,
+                                   const std::string& entry = "e1") {
+    const FakeWorker& worker = workers[id];
+    wire::WorkerAnnouncement announcement;
+    announcement.worker.identity = id;
+    announcement.worker.incarnation = worker.incarnation;
+    announcement.worker.address = "127.0.0.1:1";
+    announcement.worker.region = "r1";
+    announcement.worker.availability_zone = "r1-a";
+    announcement.worker.leaving = worker.leaving;
+    announcement.worker.capacity.milli_cpus = 4'000;
+    announcement.worker.capacity.memory_bytes = 1 << 30;
+    announcement.worker.capacity.slots = 8;
+    announcement.worker.connections = 64;
+    announcement.clock_ms = ToMilliseconds(host.clock.Now().time_since_epoch());
+    for (const auto& [key, report] : worker.attempts) {
+      announcement.attempts.push_back(report);
+    }
+    wire::EntryReport report;
+    report.entry_id = entry;
+    report.announcements.push_back(announcement);
+    return Report(report)->announcements.at(0);
+  }
+
+  std::shared_ptr<wire::ReportReply> Report(const wire::EntryReport& report) {
+    auto reply = std::make_shared<wire::ReportReply>();
+    Handle(ReportCall{report, Store(reply)});
+    return reply;
+  }
+
+  // Reports the state of one attempt as an entry's own result.
+  std::shared_ptr<wire::ReportReply> Result(const wire::AttemptKey& attempt,
+                                            wire::AttemptState::type state,
+                                            const std::string& answer = {}) {
+    wire::AttemptReport result;
+    result.attempt = attempt;
+    result.state = state;
+    result.answer.bytes = answer;
+    result.answer.length = static_cast<std::int64_t>(answer.size());
+    result.answer.crc32 = Crc32(answer);
+    result.answer.stored = !answer.empty();
+    wire::EntryReport report;
+    report.entry_id = "e1";
+    report.results.push_back(result);
+    return Report(report);
+  }
+
+  // Takes everything that is ready for the entry and acknowledges it later.
+  void Poll(const std::string& id) {
+    wire::PollRequest request;
+    request.entry_id = id;
+    request.incarnation = incarnations[id];
+    request.region = "r1";
+    request.rules_revision = revisions[id];
+    request.order_ack = order_acks[id];
+    request.update_ack = update_acks[id];
+    request.session = core->leading_term();
+    auto reply = std::make_shared<wire::PollReply>();
+    Handle(PollCall{request, Store(reply)});
+    rules_lease_ms[id] = reply->rules_lease_ms;
+    for (const auto& order : reply->orders) {
+      order_acks[id] = order.sequence;
+      orders.push_back({id, order.order});
+    }
+    for (const auto& update : reply->updates) {
+      update_acks[id] = update.sequence;
+      updates.push_back(update.job);
+    }
+  }
+
+  std::shared_ptr<wire::SubmitReply> Submit(
+      const wire::SubmitRequest& request) {
+    auto reply = std::make_shared<wire::SubmitReply>();
+    reply->status.code = -1;
+    Handle(SubmitCall{request, Store(reply)});
+    return reply;
+  }
+
+  wire::JobStatus Job(const std::string& job_id) {
+    wire::GetJobRequest request;
+    request.job_id = job_id;
+    auto reply = std::make_shared<wire::GetJobReply>();
+    Handle(GetJobCall{request, Store(reply)});
+    return reply->job;
+  }
+
+  std::shared_ptr<wire::PublishReply> Publish(const std::string& id,
+                                              std::int64_t base,
+                                              const std::string& content,
+                                              milliseconds wait) {
+    wire::PublishRequest request;
+    request.publication.publication_id = id;
+    request.publication.base_revision = base;
+    request.publication.operator_name = "operator of " + id;
+    request.publication.files.resize(1);
+    request.publication.files[0].path = "a.rules.yaml";
+    request.publication.files[0].content = content;
+    auto reply = std::make_shared<wire::PublishReply>();
+    reply->status.code = -1;
+    Handle(PublishCall{request, wait, Store(reply)});
+    return reply;
+  }
+
+  void Handle(Call call) {
+    core->Handle(std::move(call), host.clock.Now());
+    Turn();
+  }
+
+  template <typename T>
+  static Reply<T> Store(std::shared_ptr<T> target) {
+    return [target](T value) { *target = std::move(value); };
+  }
+
+  // Orders of one type that entries have received, oldest first.
+  std::vector<wire::StartOrder> Starts() const {
+    std::vector<wire::StartOrder> starts;
+    for (const auto& [entry, order] : orders) {
+      if (order.__isset.start) {
+        starts.push_back(order.start);
+      }
+    }
+    return starts;
+  }
+  std::vector<wire::LookupOrder> Lookups() const {
+    std::vector<wire::LookupOrder> lookups;
+    for (const auto& [entry, order] : orders) {
+      if (order.__isset.lookup) {
+        lookups.push_back(order.lookup);
+      }
+    }
+    return lookups;
+  }
+
+  FakeHost& host;
+  SharedLog& log;
+  MetricsRegistry metrics;
+  std::unique_ptr<Core> core;
+  bool hold = false;
+  std::deque<Proposal> held;
+  std::size_t applied = 0;
+  std::map<std::string, bool> entries_up;
+  std::map<std::string, std::string> incarnations;
+  std::map<std::string, std::int64_t> revisions;
+  std::map<std::string, std::int64_t> rules_lease_ms;
+  std::map<std::string, std::int64_t> order_acks;
+  std::map<std::string, std::int64_t> update_acks;
+  std::map<std::string, FakeWorker> workers;
+  std::vector<std::pair<std::string, wire::Order>> orders;
+  std::vector<wire::JobStatus> updates;
+
+ private:
+  void Deliver(const consensus::CommittedEntry& entry) {
+    ++applied;
+    cr_assert(core->OnCommitted(entry, host.clock.Now()).has_value());
+  }
+};
+
+inline wire::SubmitRequest MakeSubmit(const std::string& job_id,
+                                      wire::JobKind::type kind) {
+  wire::SubmitRequest request;
+  request.entry_id = "e1";
+  request.region = "r1";
+  request.job_id = job_id;
+  request.watch = true;
+  request.spec.team = "team";
+  request.spec.kind = kind;
+  request.spec.task_count = 1;
+  request.spec.task_resources.milli_cpus = 1'000;
+  request.spec.task_resources.memory_bytes = 1 << 20;
+  request.spec.task_resources.slots = 1;
+  request.spec.idempotent = true;
+  if (kind != wire::JobKind::kInteractive) {
+    request.spec.payload = "payload of " + job_id;
+  }
+  return request;
+}
+
+// One controller, two entries, two workers, leading in term 1.
+struct Cell {
+  Cell() : harness(std::make_unique<Harness>(host, log, "c1")) {
+    harness->entries_up = {{"e1", true}, {"e2", true}};
+    harness->workers["w1"];
+    harness->workers["w2"];
+    harness->Lead(1);
+    harness->Beat();
+  }
+
+  // Lets another controller lead, with the same entries and workers.
+  void ChangeLeader(std::int64_t term) {
+    auto next = std::make_unique<Harness>(host, log, "c2");
+    next->entries_up = harness->entries_up;
+    next->workers = harness->workers;
+    next->revisions = harness->revisions;
+    harness = std::move(next);
+    harness->Lead(term);
+  }
+
+  FakeHost host;
+  SharedLog log;
+  std::unique_ptr<Harness> harness;
+};
+
+}  // namespace cranberryshunt::controller
+
+#endif  // CRANBERRYSHUNT_TESTS_CONTROLLER_CORE_HARNESS_H_
