--- a/libraries/state/snapshot.thrift
+++ b/libraries/state/snapshot.thrift
@@ -1,6 +1,6 @@
 // Records of the replicated state and the form of its snapshots.
 // Regenerate with:
-// thrift -I libraries/wire --gen cpp:no_skeleton -out libraries/state/generated libraries/state/snapshot.thrift
+// thrift -I libraries/wire --gen cpp:no_skeleton,moveable_types -out libraries/state/generated libraries/state/snapshot.thrift
 include "wire.thrift"
 namespace cpp cranberryshunt.state
 
