controller: Serve the whole path with one and with three members

Cause: the decision core had no replica, servers or transport around it.

Change: Controller joins Replica, ThriftPeerTransport, ControllerServer, DecisionThread and the metrics server. Shutdown() hands leadership over before it refuses calls, because clients take shutting_down as final.

--- a/libraries/controller/src/attempt_ends.cc
+++ b/libraries/controller/src/attempt_ends.cc
@@ -1,4 +1,6 @@
 // Reports about attempts, and their ends.
+#include <algorithm>
+
 #include "attempt_manager.h"
 #include "conversions.h"
 #include "cranberryshunt/base/log.h"
@@ -114,6 +116,7 @@
     attempt.ran = true;
     context_.commands.MarkRunning(attempt.key);
     context_.scheduler->TaskRunning(ToTaskId(attempt.key), now);
+    RecordWait(attempt, now);
   }
   if (attempt.stop != StopReason::kNone) {
     SendStop(attempt, now);
@@ -123,6 +126,18 @@
   }
 }
 
+void AttemptManager::RecordWait(const Attempt& attempt, TimePoint now) {
+  const auto* job = context_.state.jobs().Find(attempt.key.job_id);
+  if (job == nullptr || attempt.key.attempt != 1) {
+    return;
+  }
+  const auto wait_ms = std::max<std::int64_t>(
+      0, context_.host.WallMilliseconds() - job->submitted_ms);
+  context_.metrics
+      .Values("wait_ms{kind=\"" + KindName(ToKind(job->spec.kind)) + "\"}")
+      .Record(static_cast<double>(wait_ms), now);
+}
+
 void AttemptManager::ReportDone(Attempt& attempt,
                                 const wire::AttemptReport& report,
                                 TimePoint now) {
--- a/libraries/controller/src/attempt_manager.h
+++ b/libraries/controller/src/attempt_manager.h
@@ -84,6 +84,8 @@
   std::string EntryFor(const Attempt& attempt);
 
   void ReportRunning(Attempt& attempt, TimePoint now);
+  // Counts the time from submission to the first start.
+  void RecordWait(const Attempt& attempt, TimePoint now);
   void ReportDone(Attempt& attempt,
                   const wire::AttemptReport& report,
                   TimePoint now);
--- a/libraries/controller/src/command_queue.cc
+++ b/libraries/controller/src/command_queue.cc
@@ -161,8 +161,10 @@
   const auto batch = it->second;
   in_flight_.erase(it);
   paused_ = true;
+  const bool certain =
+      code == ResultCode::kStorageFull || code == ResultCode::kQueueFull;
   for (const auto& command : batch->commands) {
-    if (code == ResultCode::kStorageFull && command.__isset.submit_job) {
+    if (certain && command.__isset.submit_job) {
       refused.push_back(command.submit_job);
       continue;
     }
--- /dev/null
+++ b/libraries/controller/src/controller.cc
@@ -0,0 +1,171 @@
+#include "cranberryshunt/controller/controller.h"
+
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+#include "cranberryshunt/base/metrics.h"
+#include "cranberryshunt/consensus/thrift_peer_transport.h"
+#include "cranberryshunt/storage/file_system.h"
+#include "cranberryshunt/wire/controller_server.h"
+#include "decision_thread.h"
+#include "metrics_server.h"
+#include "service_handler.h"
+
+namespace cranberryshunt::controller {
+
+namespace {
+
+CoreOptions ToCoreOptions(const ControllerOptions& options) {
+  CoreOptions core;
+  core.id = options.replica.id;
+  core.scheduler = options.scheduler;
+  core.worker_lease = options.worker_lease;
+  core.start_window = options.start_window;
+  core.rules_lease = options.rules_lease;
+  core.entry_lease = options.entry_lease;
+  core.key_retention = options.key_retention;
+  return core;
+}
+
+// Reads the replica for the core. The replica is set before the decision thread
+// starts.
+class ReplicaHost final : public CoreHost {
+ public:
+  void set_replica(const consensus::Replica* replica) { replica_ = replica; }
+
+  bool HasLease() const override { return replica_->HasLease(); }
+
+  ClusterFacts Facts() const override {
+    ClusterFacts facts;
+    facts.commit_index = replica_->stats().commit_index;
+    facts.membership = replica_->membership();
+    return facts;
+  }
+
+  std::int64_t WallMilliseconds() const override {
+    return WallClockMilliseconds();
+  }
+
+ private:
+  const consensus::Replica* replica_ = nullptr;
+};
+
+}  // namespace
+
+// Members are destroyed in the reverse order: servers first, then the replica,
+// which posts to the decision thread until it ends.
+struct Controller::Implementation {
+  explicit Implementation(const ControllerOptions& controller_options)
+      : options(controller_options),
+        file_system(storage::CreateSystemFileSystem()),
+        transport({.own_id = options.replica.id,
+                   .cluster_secret = options.cluster_secret}),
+        decisions(ToCoreOptions(options),
+                  options.snapshot_every_entries,
+                  clock,
+                  host,
+                  metrics) {}
+
+  ~Implementation() {
+    metrics_server.reset();
+    // Open calls are answered first, because the server waits for them.
+    decisions.StopServing();
+    server.reset();
+    // Ends the replica's wait for room in the ring, and then the replica.
+    decisions.Stop();
+    replica.reset();
+  }
+
+  std::string RenderMetrics();
+
+  ControllerOptions options;
+  SystemClock clock;
+  MetricsRegistry metrics;
+  std::unique_ptr<storage::FileSystem> file_system;
+  consensus::ThriftPeerTransport transport;
+  ReplicaHost host;
+  DecisionThread decisions;
+  std::unique_ptr<consensus::Replica> replica;
+  std::unique_ptr<ServiceHandler> handler;
+  std::unique_ptr<wire::ControllerServer> server;
+  std::unique_ptr<MetricsServer> metrics_server;
+};
+
+std::string Controller::Implementation::RenderMetrics() {
+  const auto stats = replica->stats();
+  metrics.Gauge("log_commit_index") = static_cast<double>(stats.commit_index);
+  metrics.Gauge("log_last_index") = static_cast<double>(stats.last_index);
+  metrics.Gauge("log_first_index") = static_cast<double>(stats.first_index);
+  metrics.Gauge("log_term") = static_cast<double>(stats.term);
+  metrics.Gauge("log_syncs") = static_cast<double>(stats.syncs);
+  metrics.Gauge("leading") = replica->HasLease() ? 1 : 0;
+  for (const auto& [peer, bytes] : transport.BytesSentByPeer()) {
+    metrics.Gauge("peer_bytes_sent{peer=\"" + peer + "\"}") =
+        static_cast<double>(bytes);
+  }
+  return metrics.Render(clock.Now());
+}
+
+Controller::Controller(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+Controller::~Controller() = default;
+
+Result<std::unique_ptr<Controller>> Controller::Start(
+    const ControllerOptions& options) {
+  auto parts = std::make_unique<Implementation>(options);
+  auto replica = consensus::Replica::Start(options.replica, *parts->file_system,
+                                           parts->clock, parts->transport,
+                                           parts->decisions);
+  if (!replica) {
+    return tl::unexpected(replica.error());
+  }
+  parts->replica = std::move(*replica);
+  parts->host.set_replica(parts->replica.get());
+  parts->decisions.Start(*parts->replica);
+  parts->handler =
+      std::make_unique<ServiceHandler>(parts->decisions, *parts->replica);
+  auto server = wire::ControllerServer::Start(
+      options.listen_address, options.cluster_secret, *parts->handler,
+      [raw = parts.get()](const std::string& peer_id) {
+        ++raw->metrics.Counter("peers_refused_total");
+        Log(LogLevel::kWarning, "controller", "peer was not authenticated",
+            {{"peer", peer_id}});
+        wire::AuditRecord record;
+        record.at_ms = WallClockMilliseconds();
+        record.actor = peer_id;
+        record.action = "connection refused";
+        record.detail = "proof does not match the cluster secret";
+        raw->decisions.Record(std::move(record));
+      });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  parts->server = std::move(*server);
+  if (!options.metrics_address.empty()) {
+    auto metrics_server = MetricsServer::Start(
+        options.metrics_address,
+        [raw = parts.get()] { return raw->RenderMetrics(); });
+    if (!metrics_server) {
+      return tl::unexpected(metrics_server.error());
+    }
+    parts->metrics_server = std::move(*metrics_server);
+  }
+  return std::unique_ptr<Controller>(new Controller(std::move(parts)));
+}
+
+void Controller::Shutdown() {
+  auto& parts = *implementation_;
+  // Calls are served until another controller leads: clients follow its
+  // not_leader answers, while shutting_down would be final for them.
+  if (parts.replica->HasLease()) {
+    const bool transferred =
+        parts.replica->TransferLeadership(parts.options.shutdown_limit / 2);
+    Log(LogLevel::kInfo, "controller", "leadership handed over",
+        {{"done", transferred ? "yes" : "no"}});
+  }
+  parts.decisions.StopServing();
+  parts.server.reset();
+}
+
+}  // namespace cranberryshunt::controller
--- a/libraries/controller/src/decision_thread.cc
+++ b/libraries/controller/src/decision_thread.cc
@@ -39,6 +39,9 @@
 }
 
 void DecisionThread::StopServing() {
+  if (!thread_.joinable()) {
+    return;
+  }
   StopServingEvent event;
   auto done = event.done.get_future();
   if (ring_.Push(std::move(event))) {
