policy: Add a benchmark beside a first-fit baseline

Measures the cost of decisions, ways to search, waiting time and shares under floods, throughput among faults and memory. The first runs showed that a failed reclaim walked the whole list of started tasks, and that the plan of a gang reservation was moved later each second; both are bounded now.

--- /dev/null
+++ b/benchmarks/policy/engine.h
@@ -0,0 +1,38 @@
+// What the benchmark drives: the scheduler or the baseline.
+#ifndef CRANBERRYSHUNT_BENCHMARKS_POLICY_ENGINE_H_
+#define CRANBERRYSHUNT_BENCHMARKS_POLICY_ENGINE_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberryshunt/policy/scheduler.h"
+
+namespace cranberryshunt::policy {
+
+class Engine {
+ public:
+  virtual ~Engine() = default;
+  virtual std::string_view name() const = 0;
+  virtual void AddWorker(const WorkerInfo& worker) = 0;
+  // Returns whether the job was taken.
+  virtual bool Submit(const JobRequest& job, TimePoint now) = 0;
+  virtual std::vector<Decision> Decide(TimePoint now, std::size_t limit) = 0;
+  virtual void Running(const TaskId& task, TimePoint now) = 0;
+  // Returns whether the task is queued again.
+  virtual bool Ended(const TaskId& task, EndKind end, TimePoint now) = 0;
+  virtual std::vector<Assignment> Cancel(const std::string& job) = 0;
+  virtual std::vector<std::string> culprits(TimePoint now) const = 0;
+};
+
+std::unique_ptr<Engine> MakeSchedulerEngine(
+    const SchedulerOptions& options = {});
+// One FIFO queue, bounded like the scheduler's; the first worker that fits; no
+// shares. Jobs among the first 64 that do not fit are passed over. A failed
+// task is tried three times.
+std::unique_ptr<Engine> MakeFirstFitEngine();
+
+}  // namespace cranberryshunt::policy
+
+#endif  // CRANBERRYSHUNT_BENCHMARKS_POLICY_ENGINE_H_
--- /dev/null
+++ b/benchmarks/policy/faults.cc
@@ -0,0 +1,111 @@
+// Throughput of valid work among faults.
+#include <fmt/core.h>
+
+#include "fleet.h"
+#include "sections.h"
+#include "simulation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+using std::chrono::seconds;
+using Wall = std::chrono::steady_clock;
+
+constexpr Duration kLength = seconds(60);
+constexpr int kCancelled = 50'000;
+
+Stream Valid() {
+  Stream stream;
+  stream.name = "valid";
+  stream.need = {2'000, 4 * kGigabyte, 0, 1};
+  stream.run = seconds(1);
+  stream.until = kLength;
+  // A third of the slots of the fleet.
+  stream.jobs_per_second = 128;
+  return stream;
+}
+
+SimulationOptions Base() {
+  SimulationOptions options;
+  options.worker = kKiteWorker;
+  options.length = kLength;
+  options.streams = {Valid()};
+  return options;
+}
+
+SimulationOptions WithFaults(bool wrong, bool impossible, double failing) {
+  SimulationOptions options = Base();
+  if (wrong) {
+    options.streams[0].wrong_by = 10;
+  }
+  if (impossible) {
+    Stream stream = Valid();
+    stream.name = "impossible";
+    stream.need = {33'000, 4 * kGigabyte, 0, 1};
+    stream.jobs_per_second = 30;
+    stream.counts = false;
+    options.streams.push_back(stream);
+  }
+  options.failing_workers = failing;
+  return options;
+}
+
+void Measure(std::string_view name, const SimulationOptions& options) {
+  for (const bool baseline : {false, true}) {
+    const auto make = [baseline] {
+      return baseline ? MakeFirstFitEngine() : MakeSchedulerEngine();
+    };
+    const auto sound = make();
+    const auto faulty = make();
+    const SimulationResult without = Simulate(*sound, Base());
+    const SimulationResult with = Simulate(*faulty, options);
+    fmt::print(
+        "{:>22} {:>14}: {:>6} of {:>6} valid tasks done, {:>5.1f}%, "
+        "{} culprits reported\n",
+        name, faulty->name(), with.valid_done, without.valid_done,
+        100.0 * static_cast<double>(with.valid_done) /
+            static_cast<double>(without.valid_done),
+        with.culprits.size());
+  }
+}
+
+void MeasureCancellations() {
+  for (const bool baseline : {false, true}) {
+    const auto engine = baseline ? MakeFirstFitEngine() : MakeSchedulerEngine();
+    for (int n = 0; n < kSmallFleet; ++n) {
+      engine->AddWorker(SmallFleetWorker(n, kKiteWorker));
+    }
+    const TimePoint now{seconds(1)};
+    std::vector<std::string> ids;
+    for (int n = 0; n < kCancelled; ++n) {
+      JobRequest job;
+      job.job_id = fmt::format("job-{:020}", n);
+      job.team = fmt::format("team-{}", n % 5);
+      job.task_resources = {1'000, kGigabyte, 0, 1};
+      engine->Submit(job, now);
+      ids.push_back(job.job_id);
+    }
+    const auto start = Wall::now();
+    for (const auto& id : ids) {
+      engine->Cancel(id);
+    }
+    const double micros =
+        std::chrono::duration<double, std::micro>(Wall::now() - start).count();
+    fmt::print("{:>14}: {} cancellations in {:.1f} ms, {:.2f} us each\n",
+               engine->name(), kCancelled, micros / 1000, micros / kCancelled);
+  }
+}
+
+}  // namespace
+
+void MeasureFaults() {
+  fmt::print("== throughput of valid work with faults, kite fleet ==\n");
+  Measure("wrong declarations", WithFaults(true, false, 0));
+  Measure("impossible jobs", WithFaults(false, true, 0));
+  Measure("10% failing workers", WithFaults(false, false, 0.1));
+  Measure("all of these", WithFaults(true, true, 0.1));
+  MeasureCancellations();
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/benchmarks/policy/floods.cc
@@ -0,0 +1,127 @@
+// Waiting time, packing and shares, with and without floods.
+#include <fmt/core.h>
+
+#include "fleet.h"
+#include "sections.h"
+#include "simulation.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kLength = seconds(40);
+constexpr Duration kFloodFrom = seconds(10);
+// Lent shares must be back within one second of the start of a flood.
+constexpr Duration kMeasureFrom = seconds(11);
+constexpr std::array<double, kKindCount> kGuarantee = {0.30, 0.25, 0.15, 0.30};
+constexpr std::array<std::string_view, kKindCount> kNames = {
+    "service", "batch", "gang", "interactive"};
+
+// Adds a stream that asks for `share` of the fleet's slots and CPUs.
+Stream MakeStream(std::string name,
+                  Kind kind,
+                  const Resources& worker,
+                  double share,
+                  Duration run,
+                  int tasks) {
+  Stream stream;
+  stream.name = std::move(name);
+  stream.kind = kind;
+  stream.tasks = tasks;
+  stream.run = run;
+  stream.need = {worker.milli_cpus / 8, worker.memory_bytes / 8, 0, 1};
+  if (kind == Kind::kInteractive) {
+    stream.need = {worker.milli_cpus / 32, worker.memory_bytes / 32, 0, 1};
+    stream.prefers_region = true;
+  }
+  const double slots = static_cast<double>(worker.slots) * kSmallFleet;
+  stream.jobs_per_second =
+      share * slots / std::chrono::duration<double>(run).count() / tasks;
+  stream.until = kLength;
+  return stream;
+}
+
+// Services arrive in the first second and stay.
+Stream Services(const Resources& worker, double share) {
+  Stream stream =
+      MakeStream("service", Kind::kService, worker, share, seconds(1), 4);
+  stream.run = seconds(10'000);
+  stream.until = seconds(1);
+  return stream;
+}
+
+// `demand` is what the kinds ask for, in guaranteed shares.
+SimulationOptions Load(const Resources& worker, double demand) {
+  SimulationOptions options;
+  options.worker = worker;
+  options.length = kLength;
+  options.measure_from = kMeasureFrom;
+  options.streams = {Services(worker, demand * kGuarantee[0]),
+                     MakeStream("batch", Kind::kBatch, worker,
+                                demand * kGuarantee[1], seconds(4), 1),
+                     MakeStream("gang", Kind::kGang, worker,
+                                demand * kGuarantee[2], seconds(5), 8),
+                     MakeStream("interactive", Kind::kInteractive, worker, 0.15,
+                                milliseconds(200), 1)};
+  return options;
+}
+
+void AddFlood(SimulationOptions& options, Kind kind) {
+  const bool interactive = kind == Kind::kInteractive;
+  Stream flood = MakeStream("flood", kind, options.worker, 10,
+                            interactive ? milliseconds(200) : seconds(10), 1);
+  flood.from = kFloodFrom;
+  flood.teams = 2;
+  // Requests that may run only once cannot be preempted.
+  flood.idempotent = !interactive;
+  options.streams.push_back(flood);
+}
+
+void Print(std::string_view engine,
+           std::string_view scenario,
+           const SimulationResult& result) {
+  fmt::print("{} / {}: packing {:.2f}\n", scenario, engine, result.packing);
+  for (std::size_t n = 0; n < kKindCount; ++n) {
+    const KindResult& it = result.kinds[n];
+    fmt::print(
+        "  {:>11}: wait p50 {:>8.1f} ms p99 {:>8.1f} ms, share mean "
+        "{:.3f} least {:.3f} = {:>3.0f}% of guarantee, done {}, refused "
+        "{}, preempted {}\n",
+        kNames[n], it.wait_p50_ms, it.wait_p99_ms, it.mean_share,
+        it.least_share, 100 * it.least_share / kGuarantee[n], it.done,
+        it.refused, it.preempted);
+  }
+}
+
+void Compare(std::string_view scenario, const SimulationOptions& options) {
+  const auto scheduler = MakeSchedulerEngine();
+  Print(scheduler->name(), scenario, Simulate(*scheduler, options));
+  const auto baseline = MakeFirstFitEngine();
+  Print(baseline->name(), scenario, Simulate(*baseline, options));
+}
+
+void MeasureFleet(std::string_view name, const Resources& worker) {
+  fmt::print("== floods, {} fleet ==\n", name);
+  const SimulationOptions normal = Load(worker, 0.7);
+  Compare("normal load", normal);
+  SimulationOptions batch_flood = normal;
+  AddFlood(batch_flood, Kind::kBatch);
+  Compare("flood of batch", batch_flood);
+  // Demand above the guarantees, so that the share kept is not limited by what
+  // the kinds ask for.
+  SimulationOptions interactive_flood = Load(worker, 1.4);
+  AddFlood(interactive_flood, Kind::kInteractive);
+  Compare("flood of interactive", interactive_flood);
+}
+
+}  // namespace
+
+void MeasureFloods() {
+  MeasureFleet("kite", kKiteWorker);
+  MeasureFleet("workshop", kWorkshopWorker);
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/benchmarks/policy/simulation.h
@@ -0,0 +1,63 @@
+// Offers streams of work to an engine in virtual time.
+#ifndef CRANBERRYSHUNT_BENCHMARKS_POLICY_SIMULATION_H_
+#define CRANBERRYSHUNT_BENCHMARKS_POLICY_SIMULATION_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "engine.h"
+
+namespace cranberryshunt::policy {
+
+// Jobs of one sort that arrive at random at a mean rate.
+struct Stream {
+  std::string name;
+  Kind kind = Kind::kBatch;
+  Resources need;
+  int tasks = 1;
+  Duration run{};
+  double jobs_per_second = 0;
+  Duration from{};
+  Duration until{};
+  int teams = 4;
+  bool idempotent = true;
+  bool prefers_region = false;
+  // The declared size and run time are wrong by a factor of up to this.
+  double wrong_by = 1;
+  bool counts = true;  // Valid work, in the counts of done tasks.
+};
+
+struct SimulationOptions {
+  Resources worker;
+  std::vector<Stream> streams;
+  Duration length{};
+  Duration measure_from{};
+  double failing_workers = 0;  // Fraction that fails every task within 3 ms.
+  std::uint64_t seed = 1;
+};
+
+struct KindResult {
+  double wait_p50_ms = 0;
+  double wait_p99_ms = 0;
+  double mean_share = 0;
+  // The least mean over one second.
+  double least_share = 1;
+  std::int64_t done = 0;
+  std::int64_t refused = 0;
+  std::int64_t preempted = 0;
+};
+
+struct SimulationResult {
+  std::array<KindResult, kKindCount> kinds;
+  std::int64_t valid_done = 0;
+  double packing = 0;  // Mean dominant share of workers that hold any task.
+  std::vector<std::string> culprits;
+};
+
+SimulationResult Simulate(Engine& engine, const SimulationOptions& options);
+
+}  // namespace cranberryshunt::policy
+
+#endif  // CRANBERRYSHUNT_BENCHMARKS_POLICY_SIMULATION_H_
--- a/libraries/policy/src/implementation.h
+++ b/libraries/policy/src/implementation.h
@@ -45,6 +45,9 @@
     Resources unreclaimable;  // Reserved by jobs that are never preempted.
     Resources claimed;        // Claims on workers for this kind.
     Resources preempting;     // Reserved by tasks with a Preempt decided.
+    // Failed attempts to reclaim since `reclaim_window`.
+    int failed_reclaims = 0;
+    TimePoint reclaim_window{};
     // Started tasks that may be preempted, oldest first; some are stale.
     std::vector<TaskRef> recent;
   };
--- a/libraries/policy/src/reclaim.cc
+++ b/libraries/policy/src/reclaim.cc
@@ -16,8 +16,11 @@
 constexpr Duration kInteractiveDrainTime = std::chrono::milliseconds(50);
 constexpr std::size_t kDrainSample = 16;
 // Victims considered for one claim.
-constexpr std::size_t kMostVictims = 256;
+constexpr std::size_t kMostVictims = 512;
 constexpr int kMostClaimsAtOnce = 32;
+// Attempts that find nothing are bounded, since each looks at many tasks.
+constexpr Duration kReclaimWindow = std::chrono::milliseconds(10);
+constexpr int kMostFailedReclaims = 16;
 constexpr double kRounding = 1e-9;
 // What a kind keeps of its guarantee when its victims are coarse.
 constexpr double kKeptPart = 0.9;
@@ -118,16 +121,22 @@
 void Scheduler::Implementation::Reclaim(JobRef ref) {
   const Job& job = jobs.at(ref);
   KindState& its_kind = state(job.kind);
-  int claims = 0;
+  if (now - its_kind.reclaim_window >= kReclaimWindow) {
+    its_kind.reclaim_window = now;
+    its_kind.failed_reclaims = 0;
+  }
   const int wanted = std::min(kMostClaimsAtOnce, job.queued());
-  while (claims < wanted) {
+  for (int claims = 0; claims < wanted; ++claims) {
     const Resources after =
         ledger.reserved(job.kind) + its_kind.claimed + job.need;
     if (ledger.ShareOf(after) > Guarantee(job.kind) + kRounding ||
-        !(ClaimDraining(ref) || ClaimByPreemption(ref))) {
-      break;
+        its_kind.failed_reclaims >= kMostFailedReclaims) {
+      return;
+    }
+    if (!ClaimDraining(ref) && !ClaimByPreemption(ref)) {
+      ++its_kind.failed_reclaims;
+      return;
     }
-    ++claims;
   }
 }
 
@@ -175,6 +184,7 @@
   std::size_t looked_at = 0;
   for (std::size_t n = recent.size(); n-- > 0 && looked_at < kMostVictims;) {
     const TaskRef& it = recent[n];
+    ++looked_at;
     if (!jobs.IsLive(it.job)) {
       continue;
     }
@@ -184,7 +194,6 @@
         !MayClaim(task.worker, job)) {
       continue;
     }
-    ++looked_at;
     if (victim_kind == Kind::kGang) {
       if (PreemptGang(ref, it)) {
         return true;
--- a/libraries/policy/src/reservation.cc
+++ b/libraries/policy/src/reservation.cc
@@ -8,7 +8,10 @@
 
 namespace {
 
-constexpr Duration kRefreshPeriod = std::chrono::seconds(1);
+// A plan is made anew when it is overdue by this, or when it lacked workers.
+// It is not moved earlier, since tasks that end before it is due would then
+// keep filling its workers.
+constexpr Duration kGrace = std::chrono::seconds(1);
 // A task that has outlived its estimate, or that is being stopped, is expected
 // to end this soon.
 constexpr Duration kSoon = std::chrono::seconds(1);
@@ -52,7 +55,8 @@
   if (!estimate || job.kind == Kind::kService) {
     return std::nullopt;
   }
-  return std::max(task.placed_at + *estimate, now + kSoon);
+  const TimePoint end = task.placed_at + *estimate;
+  return end > now ? end : now + kSoon;
 }
 
 void Scheduler::Implementation::DropReservation() {
@@ -126,7 +130,7 @@
     candidate.fits = each;
     due = it.end;
   }
-  reservation = Reservation{ref, due, now + kRefreshPeriod, {}};
+  reservation = Reservation{ref, due, due + kGrace, {}};
   if (fits < count) {
     return;
   }
