policy: Wake blocked teams one at a time after a release

On a full fleet every release woke all blocked teams of every kind, and each failed again. Now the first team of a kind for which there is room is woken, and one team finds out about lent room for all.

--- a/benchmarks/policy/decision_cost.cc
+++ b/benchmarks/policy/decision_cost.cc
@@ -156,10 +156,13 @@
 
 }  // namespace
 
-void MeasureDecisionCost() {
+void MeasureDecisionCost(int only_workers) {
   fmt::print("== cost of decisions, one core ==\n");
   for (const int workers : {48, 1'000, 4'000, 13'000}) {
     for (const bool baseline : {false, true}) {
+      if (only_workers != 0 && (baseline || workers != only_workers)) {
+        continue;
+      }
       CostRun run(baseline ? MakeFirstFitEngine() : MakeSchedulerEngine(),
                   workers);
       run.Fill();
--- a/benchmarks/policy/sections.h
+++ b/benchmarks/policy/sections.h
@@ -4,7 +4,8 @@
 
 namespace cranberryshunt::policy {
 
-void MeasureDecisionCost();
+// With `only_workers` other than 0, only the scheduler with so many workers.
+void MeasureDecisionCost(int only_workers);
 void CompareFitMethods();
 void MeasureFloods();
 void MeasureFaults();
--- a/benchmarks/policy_benchmark.cc
+++ b/benchmarks/policy_benchmark.cc
@@ -1,6 +1,7 @@
 // Measures the decisions of the policy library, each figure beside a baseline
 // of one FIFO queue, first fit and no shares.
 #include <cstdio>
+#include <cstdlib>
 #include <string_view>
 #include <vector>
 
@@ -14,7 +15,7 @@
     return wanted.empty() || wanted.front() == name;
   };
   if (is_wanted("decisions")) {
-    MeasureDecisionCost();
+    MeasureDecisionCost(wanted.size() > 1 ? std::atoi(argv[2]) : 0);
   }
   if (is_wanted("methods")) {
     CompareFitMethods();
--- a/libraries/policy/src/decide.cc
+++ b/libraries/policy/src/decide.cc
@@ -8,9 +8,11 @@
 
 namespace {
 
-// Time for the workers of a new fleet to announce themselves, before work that
-// was queued without any worker is called impossible.
-constexpr Duration kFleetSettles = std::chrono::seconds(10);
+// Blocked teams of each kind that are tried again on a tick, which bounds its
+// cost.
+constexpr std::size_t kTeamsPerTick = 16;
+// Rounds of waking in one call; what is left waits for the next call.
+constexpr int kMostWakes = 32;
 // A task that runs this long shows that its worker can start tasks.
 constexpr Duration kProvenRun = std::chrono::seconds(1);
 
@@ -21,17 +23,18 @@
   SetNow(time);
   decisions.clear();
   RunTimers();
-  WakeBlocked(now - last_tick >= kTick);
-  if (now - last_tick >= kTick) {
-    last_tick = now;
-  }
+  int wakes = 0;
   for (;;) {
     TakePending(limit);
     const auto kind = NextKind();
-    if (decisions.size() >= limit || !kind) {
+    if (decisions.size() >= limit) {
+      break;
+    }
+    if (kind) {
+      ServeNext(*kind);
+    } else if (wakes++ >= kMostWakes || !WakeReleased()) {
       break;
     }
-    ServeNext(*kind);
   }
   return std::move(decisions);
 }
@@ -61,6 +64,7 @@
   DropExpired();
   EndBackoffs();
   if (now - last_tick >= kTick) {
+    last_tick = now;
     Tick();
   }
 }
@@ -69,6 +73,7 @@
   headroom.Decay(now);
   ExpireClaims();
   CheckWorkers();
+  WakeOnTick();
   if (reservation &&
       (!jobs.IsLive(reservation->job) || !jobs.at(reservation->job).enqueued ||
        now > reservation->due + std::chrono::seconds(10))) {
@@ -155,26 +160,42 @@
   return false;
 }
 
-void Scheduler::Implementation::WakeBlocked(bool all) {
+// Conditions that change by time alone, such as the headroom, are found by
+// trying the teams that have been blocked longest.
+void Scheduler::Implementation::WakeOnTick() {
   for (FairQueue& it : queues) {
-    std::int32_t lowest_lent = kNone;
-    it.UnblockIf([&](std::int32_t number) {
+    it.UnblockOldest(kTeamsPerTick);
+  }
+}
+
+// Makes ready the team of each kind that comes first among those for which a
+// release made room. One at a time, since its placement often takes the room.
+// Lent room concerns the whole kind, so one team finds out for all.
+bool Scheduler::Implementation::WakeReleased() {
+  bool woken = false;
+  for (FairQueue& it : queues) {
+    const bool lent = it.lent_seen() != workers.releases();
+    std::int32_t first = kNone;
+    for (const std::int32_t number : it.blocked()) {
       FairQueue::Team& team = it.team(number);
-      if (all) {
-        return true;
+      if (first != kNone && it.team(first).share <= team.share) {
+        continue;
+      }
+      const bool has_room =
+          team.block == FairQueue::Block::kRoom && HasRoomSince(team);
+      if (has_room || (lent && team.block == FairQueue::Block::kLent)) {
+        first = number;
       }
-      // Lent room concerns the whole kind, so one team finds out for all.
-      if (team.block == FairQueue::Block::kLent &&
-          team.releases_seen != workers.releases() &&
-          (lowest_lent == kNone || team.share < it.team(lowest_lent).share)) {
-        lowest_lent = number;
+    }
+    if (first != kNone) {
+      if (it.team(first).block == FairQueue::Block::kLent) {
+        it.set_lent_seen(workers.releases());
       }
-      return team.block == FairQueue::Block::kRoom && HasRoomSince(team);
-    });
-    if (lowest_lent != kNone) {
-      it.Unblock(lowest_lent);
+      it.Unblock(first);
+      woken = true;
     }
   }
+  return woken;
 }
 
 // Kinds below their guarantee come first, among them interactive work, since
--- a/libraries/policy/src/fair_queue.cc
+++ b/libraries/policy/src/fair_queue.cc
@@ -137,6 +137,16 @@
   ready_.insert(KeyOf(number));
 }
 
+void FairQueue::UnblockOldest(std::size_t limit) {
+  const std::size_t count = std::min(limit, blocked_.size());
+  for (std::size_t n = 0; n < count; ++n) {
+    team(blocked_[n]).status = Status::kReady;
+    ready_.insert(KeyOf(blocked_[n]));
+  }
+  blocked_.erase(blocked_.begin(),
+                 blocked_.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
 void FairQueue::WakeQuota(std::int32_t number) {
   const auto n = static_cast<std::size_t>(number);
   if (n < teams_.size() && teams_[n].status == Status::kBlocked &&
--- a/libraries/policy/src/fair_queue.h
+++ b/libraries/policy/src/fair_queue.h
@@ -74,20 +74,15 @@
   void Unblock(std::int32_t team);
   // Makes the team ready when it is blocked by its quota.
   void WakeQuota(std::int32_t team);
-  // Makes the blocked teams ready for which `predicate` returns true.
-  template <typename Predicate>
-  void UnblockIf(Predicate predicate) {
-    std::erase_if(blocked_, [&](std::int32_t number) {
-      if (!predicate(number)) {
-        return false;
-      }
-      team(number).status = Status::kReady;
-      ready_.insert(KeyOf(number));
-      return true;
-    });
-  }
+  // Makes ready the teams that have been blocked longest.
+  void UnblockOldest(std::size_t limit);
   const std::vector<std::int32_t>& blocked() const { return blocked_; }
 
+  // The releases seen when a team last found that room must be kept for
+  // another kind.
+  std::uint64_t lent_seen() const { return lent_seen_; }
+  void set_lent_seen(std::uint64_t releases) { lent_seen_ = releases; }
+
   Team& team(std::int32_t number);
   std::int64_t team_tasks(std::int32_t number) const;
   std::int64_t queued_tasks() const { return queued_tasks_; }
@@ -106,6 +101,7 @@
   std::vector<std::int32_t> blocked_;
   std::int64_t queued_tasks_ = 0;
   std::uint64_t next_served_ = 1;
+  std::uint64_t lent_seen_ = 0;
 };
 
 }  // namespace cranberryshunt::policy
--- a/libraries/policy/src/implementation.h
+++ b/libraries/policy/src/implementation.h
@@ -103,7 +103,8 @@
   void EndBackoffs();
   void CheckWorkers();
   bool IsProvenByRunning(const Worker& worker) const;
-  void WakeBlocked(bool all);
+  void WakeOnTick();
+  bool WakeReleased();
   bool HasRoomSince(FairQueue::Team& team) const;
   std::optional<Kind> NextKind() const;
   void ServeNext(Kind kind);
--- a/libraries/policy/src/placement.cc
+++ b/libraries/policy/src/placement.cc
@@ -14,6 +14,8 @@
 // A task that waited this long for room gets a reservation like a gang, so that
 // smaller work does not pass it for ever.
 constexpr Duration kStarving = std::chrono::seconds(5);
+// Time for the workers of a new fleet to announce themselves, before work that
+// was queued without any worker is called impossible.
 constexpr Duration kFleetSettles = std::chrono::seconds(10);
 // Shares are sums of fractions; a share equal to its guarantee is within it.
 constexpr double kRounding = 1e-9;
--- a/libraries/policy/src/workers.cc
+++ b/libraries/policy/src/workers.cc
@@ -78,7 +78,9 @@
   for (const Quota& it : quotas) {
     ledger.SetQuota(teams.Add(it.team), it.limit);
   }
-  WakeBlocked(true);
+  for (FairQueue& it : queues) {
+    it.UnblockOldest(it.blocked().size());
+  }
 }
 
 std::array<KindReport, kKindCount> Scheduler::Implementation::KindReports()
