policy: Give reservations to gangs before single tasks

Under a flood of interactive requests, a request that had waited for five seconds took the reservation of a waiting gang, and answers cached for other jobs hid the room held for the owner.

--- a/libraries/policy/src/placement.cc
+++ b/libraries/policy/src/placement.cc
@@ -11,8 +11,8 @@
 // Bounds what a new worker that fails everything can ruin at once.
 constexpr std::size_t kUnprovenStarts = 8;
 constexpr std::size_t kProbationStarts = 1;
-// A task that waited this long for room gets a reservation like a gang, so that
-// smaller work does not pass it for ever.
+// A task that waited this long for room within the guarantee of its kind gets a
+// reservation like a gang, so that smaller work does not pass it for ever.
 constexpr Duration kStarving = std::chrono::seconds(5);
 // Time for the workers of a new fleet to announce themselves, before work that
 // was queued without any worker is called impossible.
@@ -92,6 +92,7 @@
   query.racks = job.racks;
   if (reservation) {
     const auto estimate = RunEstimate(job);
+    query.owns_hold = reservation->job == ref;
     query.ends_before_hold = estimate && now + *estimate <= reservation->due;
   }
   if (job.kind != Kind::kInteractive) {
@@ -177,7 +178,8 @@
   }
   const bool entitled = IsEntitled(job.kind, job.need * job.queued());
   if (job.kind == Kind::kGang ||
-      (!lent && now - job.submitted_at >= kStarving && job.queued() == 1)) {
+      (entitled && job.kind != Kind::kInteractive && job.queued() == 1 &&
+       now - job.submitted_at >= kStarving)) {
     ReserveFor(ref, entitled);
   }
   return lent ? Outcome::kLent : Outcome::kNoRoom;
--- a/libraries/policy/src/placement_search.cc
+++ b/libraries/policy/src/placement_search.cc
@@ -282,7 +282,7 @@
 }
 
 std::int32_t WorkerTable::FindPlace(const PlacementQuery& query) {
-  if (!query.excluded.empty()) {
+  if (!query.excluded.empty() || query.owns_hold) {
     return Search(query);
   }
   const CacheKey key = KeyOf(query);
--- a/libraries/policy/src/reservation.cc
+++ b/libraries/policy/src/reservation.cc
@@ -72,15 +72,18 @@
   }
 }
 
-// One reservation at a time, for the job that was submitted first.
+// One reservation at a time: for the gang that was submitted first, and for
+// another job only when no gang has it.
 void Scheduler::Implementation::ReserveFor(JobRef ref, bool entitled) {
   const Job& job = jobs.at(ref);
-  if (reservation) {
+  if (reservation && jobs.IsLive(reservation->job)) {
+    const Job& owner = jobs.at(reservation->job);
+    const bool gang = job.kind == Kind::kGang;
+    const bool owner_is_gang = owner.kind == Kind::kGang;
+    const bool takes_over =
+        gang == owner_is_gang ? job.submitted_at < owner.submitted_at : gang;
     const bool same = reservation->job == ref;
-    const bool stale = !jobs.IsLive(reservation->job);
-    const bool older =
-        !stale && job.submitted_at < jobs.at(reservation->job).submitted_at;
-    if (same ? now < reservation->refresh_at : !stale && !older) {
+    if (same ? now < reservation->refresh_at : !takes_over) {
       return;
     }
   }
--- a/libraries/policy/src/worker_table.h
+++ b/libraries/policy/src/worker_table.h
@@ -57,6 +57,9 @@
   // Whether the task is expected to end before the reservation of a gang is
   // due.
   bool ends_before_hold = false;
+  // Whether workers are held for this job, so that answers to others do not
+  // apply to it.
+  bool owns_hold = false;
   // False for a search among tentative reservations, whose failure says nothing
   // about later searches.
   bool cacheable = true;
