--- a/libraries/storage/src/checked_file.cc
+++ b/libraries/storage/src/checked_file.cc
@@ -13,14 +13,17 @@
 Result<void> WriteTemporary(FileSystem& file_system,
                             const std::string& path,
                             std::string_view body) {
+  // A crash may have left an earlier attempt. It is removed and not reused,
+  // because after a crash during a rename some file systems keep both names for
+  // the same file.
+  if (auto removed = file_system.Remove(path);
+      !removed && removed.error().code() != ResultCode::kNotFound) {
+    return removed;
+  }
   auto file = file_system.OpenForAppend(path);
   if (!file) {
     return tl::unexpected(file.error());
   }
-  // A crash may have left part of an earlier attempt.
-  if (auto cut = (*file)->Truncate(0); !cut) {
-    return cut;
-  }
   std::string header(kMagic);
   PutUint32(header, Crc32(body));
   if (auto written = (*file)->Append(header); !written) {
