--- /dev/null
+++ b/tests/consensus/raft_test.cc
@@ -0,0 +1,241 @@
+#include <criterion/criterion.h>
+
+#include "cranberryshunt/consensus/raft.h"
+#include "cranberryshunt/wire/codec.h"
+
+namespace cranberryshunt::consensus {
+
+namespace {
+
+using wire::RaftMessageType;
+
+constexpr std::int64_t kNow = 10'000;
+constexpr std::int64_t kElectionMs = 500;
+
+wire::Membership Members(const std::vector<std::string>& ids, bool bound) {
+  wire::Membership membership;
+  for (const auto& id : ids) {
+    wire::Member member;
+    member.id = id;
+    member.disk_identity = bound ? "disk-" + id : "";
+    member.address = id;
+    member.voter = true;
+    membership.members.push_back(member);
+  }
+  return membership;
+}
+
+storage::LogEntry Entry(std::int64_t index,
+                        std::int64_t term,
+                        std::int32_t type = kCommandEntry,
+                        std::string data = "x") {
+  return {index, term, type, std::move(data)};
+}
+
+// A core "a" whose log starts with the bound membership at index 1.
+Raft MakeRaft(std::int64_t term, std::vector<storage::LogEntry> entries) {
+  RaftOptions options;
+  options.id = "a";
+  options.disk_identity = "disk-a";
+  RaftStart start;
+  start.hard_state.term = term;
+  start.entries = {Entry(1, 1, kMembershipEntry,
+                         wire::Encode(Members({"a", "b", "c"}, true)))};
+  start.entries.insert(start.entries.end(), entries.begin(), entries.end());
+  return Raft(options, start, kNow);
+}
+
+wire::RaftMessage Message(RaftMessageType::type type,
+                          const std::string& sender,
+                          std::int64_t term) {
+  wire::RaftMessage message;
+  message.type = type;
+  message.sender = sender;
+  message.sender_disk = "disk-" + sender;
+  message.receiver = "a";
+  message.term = term;
+  return message;
+}
+
+// Lets "a" win an election with the votes of "b".
+void Elect(Raft& raft) {
+  std::int64_t now = kNow;
+  while (raft.role() != Role::kCandidate) {
+    raft.Tick(now += 10);
+  }
+  auto reply = Message(RaftMessageType::kPreVoteReply, "b", raft.term() + 1);
+  reply.accepted = true;
+  raft.Step(reply, now);
+  reply.type = RaftMessageType::kVoteReply;
+  raft.Step(reply, now);
+  cr_assert(raft.role() == Role::kLeader);
+}
+
+// What "a" answers to a request for its vote.
+RaftOutput AskForVote(Raft& raft,
+                      std::int64_t term,
+                      std::int64_t now,
+                      const std::string& disk = "disk-b") {
+  auto request = Message(RaftMessageType::kVote, "b", term);
+  request.sender_disk = disk;
+  request.log_index = 1;
+  request.log_term = 1;
+  raft.Step(request, now);
+  return raft.TakeOutput();
+}
+
+wire::RaftMessage Acknowledgement(const Raft& raft,
+                                  const std::string& sender,
+                                  std::int64_t match,
+                                  std::int64_t sent_at) {
+  auto reply = Message(RaftMessageType::kAppendReply, sender, raft.term());
+  reply.accepted = true;
+  reply.log_index = match;
+  reply.sent_at_ms = sent_at;
+  return reply;
+}
+
+constexpr std::int64_t kLater = kNow + 3 * kElectionMs;
+
+}  // namespace
+
+// Guards against a vote that is answered without being made durable first, and
+// against a second vote for a host whose disk was emptied in between.
+Test(raft, a_vote_is_durable_and_for_one_disk) {
+  auto raft = MakeRaft(1, {});
+  auto output = AskForVote(raft, 2, kLater);
+  cr_assert(output.hard_state && output.hard_state->term == 2);
+  cr_assert_eq(output.hard_state->vote, "b/disk-b");
+  cr_assert(output.early.empty());
+  cr_assert(output.late.size() == 1 && output.late[0].accepted);
+  output = AskForVote(raft, 2, kLater, "disk-emptied");
+  cr_assert(output.late.size() == 1 && !output.late[0].accepted);
+}
+
+// Guards against votes for a candidate that lacks entries.
+Test(raft, no_vote_for_a_shorter_log) {
+  auto raft = MakeRaft(1, {Entry(2, 1)});
+  const auto output = AskForVote(raft, 2, kLater);
+  cr_assert(output.late.size() == 1 && !output.late[0].accepted);
+}
+
+// Guards against a restarted follower that helps to elect a leader while the
+// one it had heard still holds a lease.
+Test(raft, no_vote_within_an_election_timeout_of_a_start) {
+  auto raft = MakeRaft(1, {});
+  cr_assert(AskForVote(raft, 2, kNow + kElectionMs - 1).late.empty());
+  cr_assert_eq(AskForVote(raft, 2, kNow + kElectionMs).late.size(), 1);
+}
+
+// Guards against taking part when the membership names another disk.
+Test(raft, no_vote_from_another_disk) {
+  RaftOptions options;
+  options.id = "a";
+  options.disk_identity = "disk-new";
+  RaftStart start;
+  start.entries = {Entry(1, 1, kMembershipEntry,
+                         wire::Encode(Members({"a", "b", "c"}, true)))};
+  Raft raft(options, start, kNow);
+  raft.Tick(kLater);
+  cr_assert(raft.role() == Role::kLearner);
+  cr_assert(AskForVote(raft, 2, kLater).late.empty());
+}
+
+// Guards against a second bootstrap by hosts that were emptied: a majority is
+// not enough before the disk identities are bound.
+Test(raft, bootstrap_needs_all_votes) {
+  RaftOptions options;
+  options.id = "a";
+  options.disk_identity = "disk-a";
+  RaftStart start;
+  start.bootstrap = Members({"a", "b", "c"}, false);
+  Raft raft(options, start, kNow);
+  raft.Tick(kLater);
+  for (const char* voter : {"b", "c"}) {
+    cr_assert_eq(raft.term(), 0);
+    auto reply = Message(RaftMessageType::kPreVoteReply, voter, 1);
+    reply.accepted = true;
+    raft.Step(reply, kLater);
+  }
+  cr_assert_eq(raft.term(), 1);
+  for (const char* voter : {"b", "c"}) {
+    cr_assert(raft.role() == Role::kCandidate);
+    auto reply = Message(RaftMessageType::kVoteReply, voter, 1);
+    reply.accepted = true;
+    raft.Step(reply, kLater);
+  }
+  cr_assert(raft.role() == Role::kLeader);
+  cr_assert(raft.membership() == Members({"a", "b", "c"}, true));
+}
+
+// Guards against committing an entry of an older term by counting copies, and
+// against a leader that counts itself before its own sync.
+Test(raft, commits_only_with_a_durable_entry_of_its_term) {
+  auto raft = MakeRaft(1, {Entry(2, 1)});
+  Elect(raft);
+  cr_assert_eq(raft.log().last_index(), 3);
+  raft.Step(Acknowledgement(raft, "b", 2, kLater), kLater);
+  raft.TakeOutput();
+  cr_assert_eq(raft.commit_index(), 0);
+  raft.Step(Acknowledgement(raft, "b", 3, kLater), kLater);
+  cr_assert_eq(raft.commit_index(), 0);
+  raft.Persisted();
+  cr_assert_eq(raft.commit_index(), 3);
+}
+
+// Guards against a lease that lasts longer than followers refuse their votes,
+// or that counts from when an acknowledgement arrives.
+Test(raft, lease_counts_from_the_sending_time) {
+  auto raft = MakeRaft(1, {});
+  Elect(raft);
+  raft.TakeOutput();
+  raft.Persisted();
+  cr_assert_eq(raft.LeaseUntil(), 0);
+  const auto sent = kLater;
+  raft.Step(Acknowledgement(raft, "b", 2, sent), sent + 200);
+  cr_assert_eq(raft.LeaseUntil(), sent + kElectionMs * 9 / 10);
+  raft.Tick(sent + kElectionMs + 1);
+  cr_assert(raft.role() != Role::kLeader);
+  cr_assert_eq(raft.LeaseUntil(), 0);
+}
+
+// Guards against a membership that stays in force after its entry was
+// overwritten.
+Test(raft, truncation_rolls_the_membership_back) {
+  auto raft =
+      MakeRaft(1, {Entry(2, 1, kMembershipEntry,
+                         wire::Encode(Members({"a", "b", "c", "d"}, true)))});
+  cr_assert_eq(raft.membership().members.size(), 4);
+  auto append = Message(RaftMessageType::kAppend, "b", 2);
+  append.log_index = 1;
+  append.log_term = 1;
+  append.entries.resize(1);
+  append.entries[0].index = 2;
+  append.entries[0].term = 2;
+  append.entries[0].type = kEmptyEntry;
+  raft.Step(append, kNow);
+  cr_assert_eq(raft.membership().members.size(), 3);
+  cr_assert(raft.TakeOutput().truncate_from == 2);
+}
+
+// Guards against unbounded messages to a follower that does not answer.
+Test(raft, entries_in_flight_are_bounded) {
+  auto raft = MakeRaft(1, {});
+  Elect(raft);
+  raft.TakeOutput();
+  raft.Step(Acknowledgement(raft, "b", 2, kLater), kLater);
+  for (int i = 0; i < 100; ++i) {
+    cr_assert(raft.Propose(std::string(100'000, 'x')).has_value());
+  }
+  std::size_t n = 0;
+  for (const auto& message : raft.TakeOutput().early) {
+    for (const auto& entry : message.entries) {
+      n += entry.data.size();
+    }
+  }
+  const RaftOptions limits;
+  cr_assert_geq(n, limits.max_inflight_bytes);
+  cr_assert_lt(n, limits.max_inflight_bytes + 2 * limits.max_batch_bytes);
+}
+
+}  // namespace cranberryshunt::consensus
