--- a/libraries/entry/src/authorizer.cc
+++ b/libraries/entry/src/authorizer.cc
@@ -76,7 +76,7 @@
   record.at_ms = WallClockMilliseconds();
   record.actor = request.PeerAddress();
   record.action = "refuse_token";
-  reporter_.AddAudit(std::move(record));
+  reporter_.AddAudit(record);
 }
 
 }  // namespace cranberryshunt::entry
--- a/libraries/entry/src/caller_routes.cc
+++ b/libraries/entry/src/caller_routes.cc
@@ -67,7 +67,7 @@
       context.jobs.Update(reply->job);
     }
   });
-  return status ? std::move(*status) : job;
+  return status ? *status : job;
 }
 
 // Refuses a submission without a call to the leader, or admits it.
@@ -92,14 +92,14 @@
 }
 
 wire::SubmitRequest MakeSubmitRequest(const Context& context,
-                                      wire::JobSpec spec,
+                                      const wire::JobSpec& spec,
                                       std::int64_t wait_ms) {
   wire::SubmitRequest submit;
   submit.entry_id = context.options.id;
   submit.region = context.options.region;
   submit.availability_zone = context.options.availability_zone;
   submit.job_id = RandomId("j");
-  submit.spec = std::move(spec);
+  submit.spec = spec;
   const bool interactive = submit.spec.kind == wire::JobKind::kInteractive;
   submit.watch = interactive || wait_ms > 0;
   if (interactive) {
@@ -201,7 +201,7 @@
   auto query = QueryOf(context, "");
   query.team = request.Parameter("team");
   query.idempotency_key = request.Parameter("key");
-  return Query(context, request, std::move(query));
+  return Query(context, request, query);
 }
 
 HttpResponse Cancel(Context& context, const HttpRequest& request) {
--- a/libraries/entry/src/dispatcher.cc
+++ b/libraries/entry/src/dispatcher.cc
@@ -143,7 +143,7 @@
   report.reason = "the target does not answer lookups";
   report.answer.stored = true;
   if (auto* found = std::get_if<targets::Found>(&result)) {
-    report = std::move(found->record);
+    report = found->record;
     StripUnstoredAnswer(report.answer);
   } else if (std::holds_alternative<targets::NeverStarted>(result)) {
     // Without a bar a start may still be on its way; the leader asked for no
@@ -152,7 +152,7 @@
                              : wire::AttemptState::kUnknown;
     report.reason = "the target has no record of the attempt";
   }
-  reporter_.AddResult(std::move(report));
+  reporter_.AddResult(report);
 }
 
 std::size_t Dispatcher::pending() const {
--- a/libraries/entry/src/http_server.h
+++ b/libraries/entry/src/http_server.h
@@ -14,6 +14,8 @@
 #include "cranberryshunt/base/metrics.h"
 #include "cranberryshunt/base/result.h"
 
+// The name is ulfius' own.
+// NOLINTNEXTLINE(bugprone-reserved-identifier)
 struct _u_request;
 
 namespace cranberryshunt::entry {
--- a/libraries/entry/src/operator_parsers.cc
+++ b/libraries/entry/src/operator_parsers.cc
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kMaxNameBytes = 128;
 constexpr std::size_t kMaxPathBytes = 512;
-constexpr std::size_t kMaxFileBytes = 256 * 1024;
+constexpr std::size_t kMaxFileBytes = 256U << 10;
 constexpr std::size_t kMaxFiles = 4'096;
 constexpr std::int64_t kMaxRevision = std::numeric_limits<std::int64_t>::max();
 
--- a/libraries/entry/src/operator_routes.cc
+++ b/libraries/entry/src/operator_routes.cc
@@ -46,6 +46,7 @@
 std::optional<HttpResponse> CheckRules(
     const std::vector<wire::RulesFile>& files) {
   std::vector<rules::SourceFile> sources;
+  sources.reserve(files.size());
   for (const auto& file : files) {
     sources.push_back({file.path, file.content});
   }
@@ -105,7 +106,7 @@
     return std::move(*errors);
   }
   wire::PublishRequest publish;
-  publish.publication = std::move(*publication);
+  publish.publication = *publication;
   publish.publication.at_ms = WallClockMilliseconds();
   wire::PublishReply reply;
   // The publication id makes a repeated call get the first answer again.
--- a/libraries/entry/src/pending_jobs.cc
+++ b/libraries/entry/src/pending_jobs.cc
@@ -108,7 +108,7 @@
   task.attempt = record.attempt.attempt;
   task.worker = worker;
   task.answer = record.answer;
-  job.direct[task.index] = std::move(task);
+  job.direct[task.index] = task;
   if (static_cast<std::int32_t>(job.direct.size()) < job.task_count) {
     return false;
   }
@@ -116,10 +116,10 @@
   status.job_id = record.attempt.job_id;
   status.outcome = wire::Outcome::kDone;
   for (auto& [index, direct] : job.direct) {
-    status.tasks.push_back(std::move(direct));
+    status.tasks.push_back(direct);
   }
   job.direct.clear();
-  job.status = std::move(status);
+  job.status = status;
   job.final = true;
   DropPayload(job);
   const bool relayed =
--- a/libraries/entry/src/reporter.cc
+++ b/libraries/entry/src/reporter.cc
@@ -54,10 +54,10 @@
 }
 
 Result<wire::AnnouncementReply> Reporter::Announce(
-    wire::WorkerAnnouncement announcement,
+    const wire::WorkerAnnouncement& announcement,
     milliseconds timeout) {
   auto waiting = std::make_shared<Waiting>();
-  waiting->announcement = std::move(announcement);
+  waiting->announcement = announcement;
   std::unique_lock lock(mutex_);
   if (announcements_.size() >= kMaxAnnouncements) {
     return Fail(ResultCode::kQueueFull, "too many announcements wait");
@@ -74,16 +74,16 @@
   return *waiting->reply;
 }
 
-void Reporter::AddResult(wire::AttemptReport result) {
+void Reporter::AddResult(const wire::AttemptReport& result) {
   std::lock_guard lock(mutex_);
-  results_.push_back(std::move(result));
+  results_.push_back(result);
   DropOldest(results_, kMaxResults);
   changed_.notify_all();
 }
 
-void Reporter::AddAudit(wire::AuditRecord record) {
+void Reporter::AddAudit(const wire::AuditRecord& record) {
   std::lock_guard lock(mutex_);
-  audit_.push_back(std::move(record));
+  audit_.push_back(record);
   DropOldest(audit_, kMaxAudit);
   changed_.notify_all();
 }
--- a/libraries/entry/src/reporter.h
+++ b/libraries/entry/src/reporter.h
@@ -37,15 +37,15 @@
   // Waits for the leader's reply. Fails with kTimeout, kQueueFull or the
   // leader's error.
   Result<wire::AnnouncementReply> Announce(
-      wire::WorkerAnnouncement announcement,
+      const wire::WorkerAnnouncement& announcement,
       std::chrono::milliseconds timeout);
 
   // Queues a result; it is sent again until the leader has taken it. The oldest
   // is dropped when too many wait: targets keep records until acknowledged, so
   // the leader gets it by an announcement.
-  void AddResult(wire::AttemptReport result);
+  void AddResult(const wire::AttemptReport& result);
 
-  void AddAudit(wire::AuditRecord record);
+  void AddAudit(const wire::AuditRecord& record);
 
   // Waits until everything queued has been sent. Returns false after `timeout`.
   bool Flush(std::chrono::milliseconds timeout);
--- a/libraries/entry/src/request_parsers.h
+++ b/libraries/entry/src/request_parsers.h
@@ -15,7 +15,7 @@
 // Longest wait that a caller may ask for.
 inline constexpr std::int64_t kMaxWaitMs = 60'000;
 // Largest payload that is committed with a job.
-inline constexpr std::size_t kMaxCommittedPayloadBytes = 64 * 1024;
+inline constexpr std::size_t kMaxCommittedPayloadBytes = 64U << 10;
 
 // Reads a whole number of milliseconds; empty text is 0.
 Result<std::int64_t> ParseWaitMs(const std::string& text);
--- a/libraries/entry/src/start_task.cc
+++ b/libraries/entry/src/start_task.cc
@@ -132,7 +132,7 @@
   report.state = state;
   report.reason = reason;
   report.answer.stored = true;
-  reporter_.AddResult(std::move(report));
+  reporter_.AddResult(report);
 }
 
 void StartTask::ReportRecord(wire::AttemptReport record) {
@@ -142,7 +142,7 @@
     record.answer.stored = false;
   }
   StripUnstoredAnswer(record.answer);
-  reporter_.AddResult(std::move(record));
+  reporter_.AddResult(record);
 }
 
 }  // namespace cranberryshunt::entry
--- a/libraries/entry/src/start_task.h
+++ b/libraries/entry/src/start_task.h
@@ -14,7 +14,7 @@
 namespace cranberryshunt::entry {
 
 // Largest answer that is committed with a task's result.
-inline constexpr std::size_t kMaxStoredAnswerBytes = 64 * 1024;
+inline constexpr std::size_t kMaxStoredAnswerBytes = 64U << 10;
 
 // Clears the bytes of an answer that is not to be stored.
 void StripUnstoredAnswer(wire::Answer& answer);
--- a/libraries/entry/src/submission.cc
+++ b/libraries/entry/src/submission.cc
@@ -65,7 +65,7 @@
     return SubmitRefused{ran.error(), kRetryAfterMs};
   }
   if (reply.status.code == 0) {
-    return Submitted{std::move(reply.job)};
+    return Submitted{reply.job};
   }
   const Error error = wire::ToError(reply.status);
   const bool refused =
--- a/libraries/entry/src/target_routes.cc
+++ b/libraries/entry/src/target_routes.cc
@@ -31,8 +31,7 @@
   for (auto& attempt : announcement->attempts) {
     StripUnstoredAnswer(attempt.answer);
   }
-  const auto reply =
-      context.reporter.Announce(std::move(*announcement), kAnnounceTimeout);
+  const auto reply = context.reporter.Announce(*announcement, kAnnounceTimeout);
   if (!reply) {
     // Whatever the cause, another entry may reach the leader.
     auto response = ErrorResponse(reply.error(), kRetryAfterMs);
--- a/libraries/targets/src/answers.cc
+++ b/libraries/targets/src/answers.cc
@@ -88,11 +88,11 @@
   return RenderJson(object);
 }
 
-StartResult ToStartResult(wire::AttemptReport record) {
+StartResult ToStartResult(const wire::AttemptReport& record) {
   if (record.state == wire::AttemptState::kRefused) {
-    return RefusedByTarget{std::move(record.reason)};
+    return RefusedByTarget{record.reason};
   }
-  return Finished{std::move(record)};
+  return Finished{record};
 }
 
 StartResult ToStartResult(const HttpAnswer& answer,
@@ -119,7 +119,7 @@
   if (!IsFinal(*record)) {
     return Accepted{};
   }
-  return ToStartResult(std::move(*record));
+  return ToStartResult(*record);
 }
 
 LookupResult ToLookupResult(const HttpAnswer& answer,
@@ -140,7 +140,7 @@
   if (!record) {
     return Undetermined{"invalid answer: " + record.error().message()};
   }
-  return Found{std::move(*record)};
+  return Found{*record};
 }
 
 CallResult ToCallResult(const HttpAnswer& answer) {
--- a/libraries/targets/src/answers.h
+++ b/libraries/targets/src/answers.h
@@ -20,7 +20,7 @@
                           const wire::AttemptKey& attempt);
 
 // Interprets a record that is final.
-StartResult ToStartResult(wire::AttemptReport record);
+StartResult ToStartResult(const wire::AttemptReport& record);
 
 LookupResult ToLookupResult(const HttpAnswer& answer,
                             const wire::AttemptKey& attempt);
--- a/libraries/targets/src/target_client.cc
+++ b/libraries/targets/src/target_client.cc
@@ -152,7 +152,7 @@
       reuse_ = Reuse::kAllowed;
       last_found_ = now;
       if (IsFinal(found->record)) {
-        return ToStartResult(std::move(found->record));
+        return ToStartResult(found->record);
       }
       return now - begin_ >= options_.follow_limit
                  ? std::optional<StartResult>(Accepted{})
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t kThreads = 64;
+
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using targets::DoneRecord;
@@ -42,6 +44,7 @@
   EntryFixture cell(target.address());
   cr_assert(cell.WaitForReady());
   std::vector<std::thread> callers;
+  callers.reserve(kThreads);
   std::atomic<int> right = 0;
   for (int i = 0; i < 60; ++i) {
     callers.emplace_back([&, i] {
@@ -243,6 +246,7 @@
   EntryFixture cell(target.address());
   cr_assert(cell.WaitForReady());
   std::vector<std::thread> callers;
+  callers.reserve(kThreads);
   std::atomic<int> answered = 0;
   for (int i = 0; i < 20; ++i) {
     callers.emplace_back([&] {
@@ -280,6 +284,7 @@
   std::atomic<int> cut = 0;
   std::atomic<int> whole = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kThreads);
   for (int i = 0; i < 8; ++i) {
     callers.emplace_back([&] {
       while (!stop) {
@@ -306,6 +311,7 @@
   EntryFixture cell;
   cr_assert(cell.WaitForReady());
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   std::atomic<int> right = 0;
   for (int i = 0; i < 20; ++i) {
     threads.emplace_back([&, i] {
--- a/tests/targets/fake_target.h
+++ b/tests/targets/fake_target.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <cstdlib>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -53,8 +54,11 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof(address);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
-    listen(listener_, 256);
+    const bool bound =
+        0 == bind(listener_, reinterpret_cast<sockaddr*>(&address), length);
+    if (!bound || listen(listener_, 256) != 0) {
+      std::abort();
+    }
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
     address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     acceptor_ = std::thread([this] { Accept(); });
--- a/tests/targets/targets_test.cc
+++ b/tests/targets/targets_test.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t kThreads = 64;
+
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -47,6 +49,7 @@
   auto client = ClientOf(2);
   const Target target{fake.address(), 6};
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   std::atomic<int> finished = 0;
   for (int i = 0; i < 12; ++i) {
     threads.emplace_back([&, i] {
