controller, wire, entry: Require the target's word after several deliveries

Cause: an entry that could not deliver a start reported kNeverStarted, which the leader took as final although another entry might have delivered the same attempt; a non-idempotent request could run twice. Submissions that were proposed when leadership ended were answered with not_leader or shutting_down, which entries take as proof that nothing was proposed.

Change: AttemptReport gets looked_up and payload_missing, set by the entry. With more than one delivery only a looked-up answer is final. A missing payload ends the task as not_run instead of going round. A poll of an entry without a rules lease is answered at once.

--- a/libraries/controller/src/attempt_ends.cc
+++ b/libraries/controller/src/attempt_ends.cc
@@ -86,12 +86,8 @@
       ReportStopped(*attempt, report, now);
       break;
     case wire::AttemptState::kRefused:
-      ReportRefused(*attempt, report, now);
-      break;
     case wire::AttemptState::kNeverStarted:
-      // The target has barred the attempt, so it can never run.
-      End(*attempt,
-          {.kind = policy::EndKind::kRefused, .reason = report.reason}, now);
+      ReportNotStarted(*attempt, report, now);
       break;
     case wire::AttemptState::kUnknown:
       if (attempt->stage == Stage::kHandedOut) {
@@ -160,19 +156,32 @@
       now);
 }
 
-void AttemptManager::ReportRefused(Attempt& attempt,
-                                   const wire::AttemptReport& report,
-                                   TimePoint now) {
-  // When several entries delivered the start, one may be refused as too late
-  // although another took effect.
+void AttemptManager::ReportNotStarted(Attempt& attempt,
+                                      const wire::AttemptReport& report,
+                                      TimePoint now) {
+  // When several entries got the start, one may have failed to deliver it
+  // although another did. Only the target, which bars the attempt when it is
+  // asked, knows that it will never run.
   const bool conclusive =
-      attempt.stage == Stage::kLookup ||
-      (attempt.stage == Stage::kHandedOut && attempt.deliveries == 1);
+      report.looked_up ||
+      (attempt.stage != Stage::kRunning && attempt.deliveries == 1);
   if (!conclusive) {
-    StartLookup(attempt, now);
+    if (attempt.stage != Stage::kLookup) {
+      StartLookup(attempt, now);
+    }
     return;
   }
-  End(attempt, {.kind = policy::EndKind::kRefused, .reason = report.reason},
+  if (report.payload_missing) {
+    EndUndeliverable(attempt, now);
+    return;
+  }
+  // A target that answers lookups is not to blame for a start that was lost.
+  const bool blameless =
+      report.looked_up && report.state == wire::AttemptState::kNeverStarted;
+  End(attempt,
+      {.kind =
+           blameless ? policy::EndKind::kWithdrawn : policy::EndKind::kRefused,
+       .reason = report.reason},
       now);
 }
 
@@ -241,7 +250,8 @@
     ending.reason = ended->reason;
   }
   ResultCode code = ending.code;
-  if (code == ResultCode::kOk && ended != nullptr && idempotent) {
+  if (code == ResultCode::kOk && ended != nullptr && idempotent &&
+      ending.kind != policy::EndKind::kDone) {
     code = ended->code;
   }
   if (code == ResultCode::kOk) {
@@ -251,6 +261,9 @@
 }
 
 void AttemptManager::EndUndeliverable(Attempt& attempt, TimePoint now) {
+  context_.orders.RemoveStart(attempt.entry, attempt.key);
+  attempt.stage = Stage::kEnding;
+  table_.SetDue(attempt, std::nullopt);
   context_.scheduler->TaskEnded(ToTaskId(attempt.key),
                                 policy::EndKind::kCancelled, now);
   CommitFinish(attempt, wire::Outcome::kNotRun, ResultCode::kUnavailable,
--- a/libraries/controller/src/attempt_manager.h
+++ b/libraries/controller/src/attempt_manager.h
@@ -89,9 +89,9 @@
   void ReportDone(Attempt& attempt,
                   const wire::AttemptReport& report,
                   TimePoint now);
-  void ReportRefused(Attempt& attempt,
-                     const wire::AttemptReport& report,
-                     TimePoint now);
+  void ReportNotStarted(Attempt& attempt,
+                        const wire::AttemptReport& report,
+                        TimePoint now);
   void ReportStopped(Attempt& attempt,
                      const wire::AttemptReport& report,
                      TimePoint now);
--- a/libraries/controller/src/attempt_starts.cc
+++ b/libraries/controller/src/attempt_starts.cc
@@ -44,7 +44,8 @@
                               TimePoint now) {
   Attempt& attempt = Track(job, task);
   attempt.handed_out = true;
-  attempt.deliveries = 1;
+  // The earlier leader may have given it to several entries.
+  attempt.deliveries = 2;
   attempt.start_expiry = now + WithMargin(context_.options.start_window);
   attempt.listed = now;
   if (job.cancelled) {
--- a/libraries/controller/src/core.cc
+++ b/libraries/controller/src/core.cc
@@ -47,7 +47,7 @@
   Log(LogLevel::kInfo, "controller", "state replaced by a snapshot",
       {{"index", index}});
   // A leader never gets a snapshot; its parts refer to the state.
-  leader_.reset();
+  DropLeader();
   state_ = std::move(*restored);
   return {};
 }
@@ -59,10 +59,7 @@
   if (same_term) {
     return;
   }
-  if (leader_) {
-    leader_->Abandon(NotLeader());
-    leader_.reset();
-  }
+  DropLeader();
   if (!leads || stopped_) {
     return;
   }
@@ -77,6 +74,13 @@
   Log(LogLevel::kInfo, "controller", "leading", {{"term", change.term}});
 }
 
+void Core::DropLeader() {
+  if (leader_) {
+    leader_->Abandon(NotLeader());
+    leader_.reset();
+  }
+}
+
 void Core::OnProposalDone(std::int64_t term,
                           std::uint64_t id,
                           const Result<std::int64_t>& result) {
--- a/libraries/controller/src/core.h
+++ b/libraries/controller/src/core.h
@@ -48,6 +48,7 @@
 
  private:
   wire::Status NotLeader() const;
+  void DropLeader();
 
   CoreOptions options_;
   CoreHost& host_;
--- a/libraries/controller/src/job_service.cc
+++ b/libraries/controller/src/job_service.cc
@@ -330,8 +330,12 @@
 }
 
 void JobService::Abandon(const wire::Status& status) {
+  // These submissions are proposed and may still be committed, which any other
+  // code would deny.
   wire::SubmitReply submit;
-  submit.status = status;
+  submit.status = wire::ToStatus(
+      Error(ResultCode::kTimeout,
+            "not committed before the leader ended: " + status.message));
   submit.job.outcome = wire::Outcome::kPending;
   for (auto& [job_id, pending] : pending_) {
     submit.job.job_id = job_id;
--- a/libraries/controller/src/poll_service.cc
+++ b/libraries/controller/src/poll_service.cc
@@ -67,10 +67,13 @@
           return attempts_.DecideStart(attempt, now);
         });
   }
+  const std::int64_t revision = context_.state.rules().revision();
+  // An entry without a rules lease admits nothing until it gets one.
+  const bool wants_lease = entry.rules_revision == revision &&
+                           entry.rules_lease_end < entry.last_poll;
   const bool news =
-      !reply.orders.empty() || !entry.updates.empty() ||
-      (entry.rules_revision != context_.state.rules().revision() &&
-       entry.told_revision != context_.state.rules().revision());
+      !reply.orders.empty() || !entry.updates.empty() || wants_lease ||
+      (entry.rules_revision != revision && entry.told_revision != revision);
   if (news || now >= entry.poll->until) {
     Answer(entry, std::move(reply), now);
   }
--- a/libraries/controller/src/service_handler.cc
+++ b/libraries/controller/src/service_handler.cc
@@ -1,5 +1,7 @@
 #include "service_handler.h"
 
+#include <thrift/TApplicationException.h>
+
 #include <algorithm>
 #include <future>
 #include <memory>
@@ -61,6 +63,13 @@
 void ServiceHandler::Submit(wire::SubmitReply& reply,
                             const wire::SubmitRequest& request) {
   Ask(SubmitCall{request, {}}, reply, kCallLimit);
+  // The job may be committed or not. Without an answer the client asks the
+  // current leader again with the same job id.
+  if (reply.status.code == static_cast<int>(ResultCode::kTimeout)) {
+    throw apache::thrift::TApplicationException(
+        apache::thrift::TApplicationException::INTERNAL_ERROR,
+        reply.status.message);
+  }
 }
 
 void ServiceHandler::Report(wire::ReportReply& reply,
--- a/libraries/entry/src/dispatcher.cc
+++ b/libraries/entry/src/dispatcher.cc
@@ -152,6 +152,7 @@
                              : wire::AttemptState::kUnknown;
     report.reason = "the target has no record of the attempt";
   }
+  report.looked_up = report.state != wire::AttemptState::kUnknown;
   reporter_.AddResult(report);
 }
 
--- a/libraries/entry/src/start_task.cc
+++ b/libraries/entry/src/start_task.cc
@@ -47,10 +47,10 @@
     Send(*payload);
   } else if (maybe_sent_) {
     Resolve();
+  } else if (payload) {
+    Report(wire::AttemptState::kNeverStarted, "the order came too late");
   } else {
-    Report(wire::AttemptState::kNeverStarted,
-           payload ? "the order came too late"
-                   : "the payload is not at this entry");
+    ReportPayloadMissing();
   }
 }
 
@@ -135,6 +135,17 @@
   reporter_.AddResult(report);
 }
 
+void StartTask::ReportPayloadMissing() {
+  wire::AttemptReport report;
+  report.attempt = order_.attempt;
+  report.fence = order_.fence;
+  report.state = wire::AttemptState::kNeverStarted;
+  report.reason = "the payload is not at this entry";
+  report.payload_missing = true;
+  report.answer.stored = true;
+  reporter_.AddResult(report);
+}
+
 void StartTask::ReportRecord(wire::AttemptReport record) {
   record.fence = order_.fence;
   if (record.state == wire::AttemptState::kDone &&
--- a/libraries/entry/src/start_task.h
+++ b/libraries/entry/src/start_task.h
@@ -43,6 +43,7 @@
   void Resolve();
   bool SettleLookup(const targets::LookupResult& result);
   void Report(wire::AttemptState::type state, const std::string& reason);
+  void ReportPayloadMissing();
   void ReportRecord(wire::AttemptReport record);
 
   targets::TargetClient& client_;
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -261,6 +261,8 @@
   3: AttemptState state
   4: string reason
   5: Answer answer
+  6: bool looked_up      // What the target answered to a lookup, not to a start.
+  7: bool payload_missing // With kNeverStarted: the entry does not have the payload.
 }
 
 struct WorkerAnnouncement {
