entry: Ask the next leader after a transient reply

A controller that shut down or lost its lease while a proposal was under way made the entry answer `unknown`. Such replies now count like not_leader: the call is repeated with the same job id until its deadline. A refusal after one of them is still `unknown`, because the earlier call may be committed.

--- a/libraries/entry/src/leader_calls.cc
+++ b/libraries/entry/src/leader_calls.cc
@@ -22,6 +22,18 @@
   return LeaderLane::kStatus;
 }
 
+bool IsTransient(ResultCode code) {
+  return code == ResultCode::kShuttingDown || code == ResultCode::kTimeout ||
+         code == ResultCode::kNoLeader || code == ResultCode::kUnavailable;
+}
+
+wire::CallStatus ToCallStatus(const wire::Status& status) {
+  if (IsTransient(static_cast<ResultCode>(status.code))) {
+    return {static_cast<int>(ResultCode::kNotLeader), {}};
+  }
+  return {status.code, status.leader};
+}
+
 LeaderCalls::LeaderCalls(wire::LeaderClient& leader) : leader_(leader) {
   for (auto& lane : open_calls_) {
     lane = std::make_unique<Semaphore>(kMaxOpenCalls);
--- a/libraries/entry/src/leader_calls.h
+++ b/libraries/entry/src/leader_calls.h
@@ -31,6 +31,14 @@
 
 LeaderLane LaneOf(wire::JobKind::type kind);
 
+// Returns what LeaderClient is to know of a reply. A controller that is
+// shutting down, or that lost its lease while a proposal was under way, counts
+// as one that does not lead, so that the call goes to the next leader.
+wire::CallStatus ToCallStatus(const wire::Status& status);
+
+// Returns whether the controller leaves open if it carried the call out.
+bool IsTransient(ResultCode code);
+
 // Limits how many calls of this entry are open at once, because each takes a
 // connection and a thread at the leader. Safe for use by several threads.
 class LeaderCalls {
@@ -49,8 +57,7 @@
     auto ran = RunRaw(lane, limits, [&](wire::ControllerServiceClient& client) {
       reply = Reply();
       call(client, reply);
-      const wire::Status& status = StatusOf(reply);
-      return wire::CallStatus{status.code, status.leader};
+      return ToCallStatus(StatusOf(reply));
     });
     if (!ran) {
       return tl::unexpected(ran.error());
--- a/libraries/entry/src/operator_routes.cc
+++ b/libraries/entry/src/operator_routes.cc
@@ -114,7 +114,7 @@
       LeaderLane::kControl, kPublishLimits, [&](auto& client) {
         reply = wire::PublishReply();
         client.Publish(reply, publish, kInForceWaitMs);
-        return wire::CallStatus{reply.status.code, reply.status.leader};
+        return ToCallStatus(reply.status);
       });
   if (!ran) {
     return ErrorResponse(ran.error());
--- a/libraries/entry/src/poller.cc
+++ b/libraries/entry/src/poller.cc
@@ -76,7 +76,7 @@
     reply = wire::PollReply();
     sent_at = BootClock::now();
     client.Poll(reply, request_);
-    return wire::CallStatus{reply.status.code, reply.status.leader};
+    return ToCallStatus(reply.status);
   });
   if (!ran || reply.status.code != 0) {
     Log(LogLevel::kDebug, "poller", "poll failed",
--- a/libraries/entry/src/reporter.cc
+++ b/libraries/entry/src/reporter.cc
@@ -6,6 +6,7 @@
 #include "ControllerService.h"
 #include "cranberryshunt/wire/codec.h"
 #include "cranberryshunt/wire/controller_client.h"
+#include "leader_calls.h"
 
 namespace cranberryshunt::entry {
 
@@ -154,7 +155,7 @@
   const auto ran =
       leader_.Run(kReportDeadline, kReportAttempt, [&](auto& client) {
         client.Report(reply, batch.report);
-        return wire::CallStatus{reply.status.code, reply.status.leader};
+        return ToCallStatus(reply.status);
       });
   if (!ran) {
     Answer(batch, tl::unexpected(ran.error()));
--- a/libraries/entry/src/submission.cc
+++ b/libraries/entry/src/submission.cc
@@ -14,7 +14,6 @@
 bool IsRefusal(ResultCode code) {
   switch (code) {
     case ResultCode::kStorageFull:
-    case ResultCode::kShuttingDown:
     case ResultCode::kNotReady:
     case ResultCode::kInvalidJson:
     case ResultCode::kUnknownField:
@@ -53,8 +52,9 @@
         reply = wire::SubmitReply();
         ++sent;
         client.Submit(reply, request);
-        ++answered;
-        return wire::CallStatus{reply.status.code, reply.status.leader};
+        const auto code = static_cast<ResultCode>(reply.status.code);
+        answered += IsTransient(code) ? 0 : 1;
+        return ToCallStatus(reply.status);
       });
   const bool earlier_undetermined = sent > answered;
   if (!ran) {
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -234,6 +234,23 @@
             reply.Contains("storage_full"));
 }
 
+// Guards against `unknown` where asking the next leader settles the matter, and
+// against a refusal after a call that may have been carried out.
+Test(entry, a_leader_change_repeats_the_submission) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  cell.controller.Locked([&] { cell.controller.transient_submits = 2; });
+  cr_assert_eq(cell.Submit("batch", "", 0).status, 202);
+  cell.controller.Locked([&] {
+    const auto& submitted = cell.controller.submitted;
+    cr_assert_eq(submitted.size(), 3U);
+    cr_assert(submitted[0].job_id == submitted[2].job_id);
+    cell.controller.transient_submits = 1;
+    cell.controller.submit_code = static_cast<int>(ResultCode::kQueueFull);
+  });
+  cr_assert(cell.Submit("batch", "", 0).Contains("\"outcome\":\"unknown\""));
+}
+
 // Guards against a shutdown that cuts off requests in flight or goes on
 // admitting work.
 Test(entry, shutdown_answers_everything_in_flight) {
--- a/tests/entry/fake_controller.h
+++ b/tests/entry/fake_controller.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "ControllerService.h"
+#include "cranberryshunt/base/result.h"
 #include "cranberryshunt/wire/controller_server.h"
 
 namespace cranberryshunt::entry {
@@ -28,6 +29,11 @@
     if (break_submits) {
       throw apache::thrift::transport::TTransportException("broken");
     }
+    if (transient_submits > 0) {
+      --transient_submits;
+      reply.status.code = static_cast<int>(ResultCode::kTimeout);
+      return;
+    }
     reply.status.code = submit_code;
     reply.job.job_id = request.job_id;
     if (submit_code == 0 && !target_address.empty()) {
@@ -149,6 +155,7 @@
 
   std::string target_address;
   int submit_code = 0;
+  int transient_submits = 0;
   bool break_submits = false;
   bool break_reports = false;
   bool reply_after_result = false;
