--- a/libraries/entry/src/reporter.cc
+++ b/libraries/entry/src/reporter.cc
@@ -6,6 +6,7 @@
 #include "ControllerService.h"
 #include "cranberryshunt/wire/codec.h"
 #include "cranberryshunt/wire/controller_client.h"
+#include "leader_calls.h"
 
 namespace cranberryshunt::entry {
 
@@ -54,10 +55,10 @@
 }
 
 Result<wire::AnnouncementReply> Reporter::Announce(
-    wire::WorkerAnnouncement announcement,
+    const wire::WorkerAnnouncement& announcement,
     milliseconds timeout) {
   auto waiting = std::make_shared<Waiting>();
-  waiting->announcement = std::move(announcement);
+  waiting->announcement = announcement;
   std::unique_lock lock(mutex_);
   if (announcements_.size() >= kMaxAnnouncements) {
     return Fail(ResultCode::kQueueFull, "too many announcements wait");
@@ -74,16 +75,16 @@
   return *waiting->reply;
 }
 
-void Reporter::AddResult(wire::AttemptReport result) {
+void Reporter::AddResult(const wire::AttemptReport& result) {
   std::lock_guard lock(mutex_);
-  results_.push_back(std::move(result));
+  results_.push_back(result);
   DropOldest(results_, kMaxResults);
   changed_.notify_all();
 }
 
-void Reporter::AddAudit(wire::AuditRecord record) {
+void Reporter::AddAudit(const wire::AuditRecord& record) {
   std::lock_guard lock(mutex_);
-  audit_.push_back(std::move(record));
+  audit_.push_back(record);
   DropOldest(audit_, kMaxAudit);
   changed_.notify_all();
 }
@@ -154,7 +155,7 @@
   const auto ran =
       leader_.Run(kReportDeadline, kReportAttempt, [&](auto& client) {
         client.Report(reply, batch.report);
-        return wire::CallStatus{reply.status.code, reply.status.leader};
+        return ToCallStatus(reply.status);
       });
   if (!ran) {
     Answer(batch, tl::unexpected(ran.error()));
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t kThreads = 64;
+
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using targets::DoneRecord;
@@ -42,6 +44,7 @@
   EntryFixture cell(target.address());
   cr_assert(cell.WaitForReady());
   std::vector<std::thread> callers;
+  callers.reserve(kThreads);
   std::atomic<int> right = 0;
   for (int i = 0; i < 60; ++i) {
     callers.emplace_back([&, i] {
@@ -231,6 +234,23 @@
             reply.Contains("storage_full"));
 }
 
+// Guards against `unknown` where asking the next leader settles the matter, and
+// against a refusal after a call that may have been carried out.
+Test(entry, a_leader_change_repeats_the_submission) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  cell.controller.Locked([&] { cell.controller.transient_submits = 2; });
+  cr_assert_eq(cell.Submit("batch", "", 0).status, 202);
+  cell.controller.Locked([&] {
+    const auto& submitted = cell.controller.submitted;
+    cr_assert_eq(submitted.size(), 3U);
+    cr_assert(submitted[0].job_id == submitted[2].job_id);
+    cell.controller.transient_submits = 1;
+    cell.controller.submit_code = static_cast<int>(ResultCode::kQueueFull);
+  });
+  cr_assert(cell.Submit("batch", "", 0).Contains("\"outcome\":\"unknown\""));
+}
+
 // Guards against a shutdown that cuts off requests in flight or goes on
 // admitting work.
 Test(entry, shutdown_answers_everything_in_flight) {
@@ -243,6 +263,7 @@
   EntryFixture cell(target.address());
   cr_assert(cell.WaitForReady());
   std::vector<std::thread> callers;
+  callers.reserve(kThreads);
   std::atomic<int> answered = 0;
   for (int i = 0; i < 20; ++i) {
     callers.emplace_back([&] {
@@ -280,6 +301,7 @@
   std::atomic<int> cut = 0;
   std::atomic<int> whole = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kThreads);
   for (int i = 0; i < 8; ++i) {
     callers.emplace_back([&] {
       while (!stop) {
@@ -306,6 +328,7 @@
   EntryFixture cell;
   cr_assert(cell.WaitForReady());
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   std::atomic<int> right = 0;
   for (int i = 0; i < 20; ++i) {
     threads.emplace_back([&, i] {
