--- a/libraries/entry/src/poller.cc
+++ b/libraries/entry/src/poller.cc
@@ -40,7 +40,6 @@
   request_.region = options.region;
   request_.availability_zone = options.availability_zone;
   request_.incarnation = RandomId("i");
-  request_.wait_ms = kPollWaitMs;
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -70,6 +69,8 @@
   request_.rules_revision =
       std::max<std::int64_t>(0, readiness_.rules_revision());
   request_.draining = readiness_.draining();
+  // After a failure, and at the start, the lease is needed without a wait.
+  request_.wait_ms = lease_is_fresh_ ? kPollWaitMs : 0;
   wire::PollReply reply;
   TimePoint sent_at;
   const auto ran = leader_.Run(kPollDeadline, kPollAttempt, [&](auto& client) {
@@ -81,6 +82,7 @@
   if (!ran || reply.status.code != 0) {
     Log(LogLevel::kDebug, "poller", "poll failed",
         {{"error", ran ? reply.status.message : ran.error().message()}});
+    lease_is_fresh_ = false;
     return false;
   }
   HandleReply(reply, sent_at);
@@ -115,6 +117,7 @@
     readiness_.RenewLease(sent_at +
                           std::chrono::milliseconds(reply.rules_lease_ms));
   }
+  lease_is_fresh_ = true;
 }
 
 bool Poller::UpdateRules(std::int64_t leader_revision) {
--- a/libraries/entry/src/poller.h
+++ b/libraries/entry/src/poller.h
@@ -47,6 +47,7 @@
   PendingJobs& jobs_;
   Dispatcher& dispatcher_;
   wire::PollRequest request_;
+  bool lease_is_fresh_ = false;
   std::mutex mutex_;
   std::condition_variable stopped_;
   bool stopping_ = false;
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -1,6 +1,8 @@
 #include <criterion/criterion.h>
 
 #include <atomic>
+#include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -393,6 +395,42 @@
   cr_assert_eq(state_of("lost", true, 100), wire::AttemptState::kUnknown);
 }
 
+// Guards against a request that is lost with the connection it was sent on.
+Test(entry, recovers_when_open_target_connections_go_silent) {
+  std::mutex mutex;
+  std::set<std::string> started;
+  FakeTarget target([&](const std::string& path, json_t* body) {
+    const std::string job = json_string_value(json_object_get(body, "job_id"));
+    std::lock_guard lock(mutex);
+    if (path == "/v1/tasks/start") {
+      started.insert(job);
+    } else if (!started.contains(job)) {
+      return FakeAnswer{404, "{}"};
+    }
+    return FakeAnswer{200, DoneRecord(job, "answer")};
+  });
+  EntryFixture cell(target.address());
+  cr_assert(cell.WaitForReady());
+  cr_assert_eq(cell.Submit("interactive", "a", 20'000).status, 200);
+  target.SilenceOpenConnections();
+  const auto begin = steady_clock::now();
+  cr_assert_eq(cell.Submit("interactive", "b", 20'000).status, 200);
+  cr_assert(steady_clock::now() - begin < std::chrono::seconds(3));
+}
+
+// Guards against keys that reach the leader in their escaped form, or that are
+// taken for a longer path.
+Test(entry, keys_in_paths_are_unescaped) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  cr_assert_eq(Fetch(cell.url + "/v1/keys/t%20m/a%2Fb%25", "caller").status,
+               202);
+  cell.controller.Locked([&] {
+    cr_assert(cell.controller.queries.front().team == "t m");
+    cr_assert(cell.controller.queries.front().idempotency_key == "a/b%");
+  });
+}
+
 // Guards against a new leader whose orders are taken for old ones because its
 // sequence starts again.
 Test(entry, a_new_session_starts_its_sequences_again) {
--- a/tests/entry/fake_controller.h
+++ b/tests/entry/fake_controller.h
@@ -4,6 +4,7 @@
 
 #include <thrift/transport/TTransportException.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <functional>
@@ -52,7 +53,8 @@
     polls.push_back(request);
     const bool current = request.session == session;
     const auto acknowledged = current ? request.order_ack : 0;
-    changed_.wait_for(lock, std::chrono::milliseconds(20), [&] {
+    const auto wait = std::chrono::milliseconds(std::min(request.wait_ms, 20));
+    changed_.wait_for(lock, wait, [&] {
       return !orders_.empty() && orders_.rbegin()->first > acknowledged;
     });
     reply.rules_lease_ms = rules_lease_ms;
@@ -100,7 +102,9 @@
 
   void GetJob(wire::GetJobReply& reply,
               const wire::GetJobRequest& request) override {
-    reply.job.job_id = request.job_id;
+    std::lock_guard lock(mutex_);
+    queries.push_back(request);
+    reply.job.job_id = request.job_id.empty() ? "by-key" : request.job_id;
   }
 
   void GetCluster(wire::ClusterReply& reply) override {
@@ -165,6 +169,7 @@
   std::vector<wire::KindPressure> pressure;
   std::vector<wire::SubmitRequest> submitted;
   std::vector<wire::PollRequest> polls;
+  std::vector<wire::GetJobRequest> queries;
   std::vector<wire::AttemptReport> results;
   std::vector<wire::AuditRecord> audit;
 
