--- /dev/null
+++ b/tests/integration/mixed_test.cc
@@ -0,0 +1,179 @@
+// All faults over a steady load of all kinds, chosen by seed.
+#include <criterion/criterion.h>
+#include <signal.h>
+
+#include <cstdlib>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "support/cell.h"
+#include "support/load.h"
+
+namespace cranberryshunt::test {
+
+namespace {
+
+constexpr Milliseconds kBound{60'000};
+// MIXED_SECONDS gives a longer run.
+constexpr int kDefaultSeconds = 25;
+
+int RunSeconds() {
+  const char* text = std::getenv("MIXED_SECONDS");
+  return text == nullptr ? kDefaultSeconds : std::atoi(text);
+}
+
+JobRequest MixedJob(int thread, int n) {
+  static const char* const kKinds[] = {"interactive", "batch", "gang"};
+  JobRequest job;
+  job.request = "mixed-" + std::to_string(thread) + "-" + std::to_string(n);
+  job.kind = kKinds[(thread + n) % 3];
+  job.tasks = job.kind == "gang" ? 3 : 1;
+  job.key = job.request;
+  job.idempotent = n % 3 != 0;
+  job.exclusive = n % 4 == 0;
+  job.more_payload = "sleep=" + std::to_string(20 + 40 * (n % 5)) +
+                     ";answer_bytes=" + std::to_string(100 * (n % 7));
+  return job;
+}
+
+// Injects one fault after the other; each is undone before the next but one.
+class FaultInjector {
+ public:
+  FaultInjector(Cell& cell, std::uint64_t seed) : cell_(cell), random_(seed) {}
+
+  void InjectOne() {
+    const int kind = Below(8);
+    const int controller = Below(3);
+    const int entry = Below(2);
+    const int target = Below(2);
+    switch (kind) {
+      case 0:
+        return KillController(controller);
+      case 1:
+        return PauseController(controller);
+      case 2:
+        return KillEntry(entry);
+      case 3:
+        return KillTarget(target);
+      case 4:
+        return SilenceOpen();
+      case 5:
+        return Isolate("controller-" + std::to_string(controller));
+      case 6:
+        return Isolate("target-" + std::to_string(target));
+      default:
+        return HoldStarts(target);
+    }
+  }
+
+  void UndoAll() {
+    for (const auto& undo : undo_) {
+      undo();
+    }
+    undo_.clear();
+  }
+
+ private:
+  int Below(int n) { return static_cast<int>(random_() % n); }
+
+  static void Say(const std::string& what) {
+    std::fprintf(stderr, "fault: %s\n", what.c_str());
+  }
+
+  void KillController(int n) {
+    Say("kill controller " + std::to_string(n));
+    cell_.controller(n).Kill();
+    undo_.emplace_back([this, n] { cell_.StartController(n, false); });
+  }
+
+  void PauseController(int n) {
+    Say("pause controller " + std::to_string(n));
+    cell_.controller(n).Signal(SIGSTOP);
+    undo_.emplace_back([this, n] { cell_.controller(n).Signal(SIGCONT); });
+  }
+
+  void KillEntry(int n) {
+    Say("kill entry " + std::to_string(n));
+    cell_.entry(n).Kill();
+    undo_.emplace_back([this, n] { cell_.StartEntry(n); });
+  }
+
+  void KillTarget(int n) {
+    Say("kill target " + std::to_string(n));
+    cell_.KillTarget(n);
+    undo_.emplace_back([this, n] { cell_.StartTarget(n); });
+  }
+
+  void SilenceOpen() {
+    Say("all open connections go silent");
+    cell_.proxy().FreezeOpen({"", ""});
+  }
+
+  void Isolate(const std::string& name) {
+    Say("isolate " + name);
+    const std::vector<Link> links = {{name, ""}, {"", name}};
+    for (const auto& link : links) {
+      cell_.proxy().Freeze(link, Direction::kBoth);
+    }
+    undo_.emplace_back([this, links] {
+      for (const auto& link : links) {
+        cell_.proxy().Heal(link);
+      }
+    });
+  }
+
+  void HoldStarts(int target) {
+    Say("hold back traffic to target " + std::to_string(target));
+    cell_.proxy().HoldFor({"", "target-" + std::to_string(target)},
+                          Milliseconds(4'000));
+  }
+
+  Cell& cell_;
+  std::mt19937_64 random_;
+  std::vector<std::function<void()>> undo_;
+};
+
+}  // namespace
+
+// Guards against any of the invariants breaking when faults combine.
+Test(mixed, faults_over_a_steady_load) {
+  const auto seed = TestSeed();
+  Cell cell({.proxied = true,
+             .controller_arguments = {"--worker-lease", "3000",
+                                      "--snapshot-every", "500"}});
+  cr_assert(cell.Start());
+  Load load(10, [&](int thread, int n) {
+    const auto job = MixedJob(thread, n);
+    const auto told = cell.caller().SubmitUntilFinal(
+        job, static_cast<std::size_t>(thread), kBound);
+    const bool final_outcome =
+        told.outcome == "done" || told.outcome == "failed" ||
+        told.outcome == "not_run" || told.outcome == "unknown";
+    cr_expect(final_outcome, "%s: '%s', code %d %s", job.request.c_str(),
+              told.outcome.c_str(), told.code, told.reason.c_str());
+    cr_expect(told.outcome != "unknown" || !job.idempotent,
+              "%s is idempotent and became unknown: code %d %s",
+              job.request.c_str(), told.code, told.reason.c_str());
+  });
+  FaultInjector faults(cell, seed);
+  std::mt19937_64 random(seed + 1);
+  const auto end_us = BootMicroseconds() + RunSeconds() * 1'000'000LL;
+  while (BootMicroseconds() < end_us) {
+    const auto from_us = BootMicroseconds();
+    const auto pause_us =
+        static_cast<std::int64_t>(1'000'000 + random() % 2'000'000);
+    faults.InjectOne();
+    WaitUntil(kBound, [&] { return BootMicroseconds() - from_us > pause_us; });
+    faults.UndoAll();
+  }
+  const int before = load.turns();
+  cr_expect(WaitUntil(kBound, [&] { return load.turns() > before + 50; }),
+            "no progress after the last fault");
+  load.Stop();
+  std::fprintf(stderr, "requests %d\n", load.turns());
+  cr_expect(cell.Violations().empty());
+}
+
+}  // namespace cranberryshunt::test
--- /dev/null
+++ b/tests/integration/recovery_test.cc
@@ -0,0 +1,130 @@
+// Controllers that lose their disks.
+#include <criterion/criterion.h>
+#include <signal.h>
+
+#include <filesystem>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "support/cell.h"
+#include "support/json.h"
+#include "support/load.h"
+
+namespace cranberryshunt::test {
+
+namespace {
+
+constexpr Milliseconds kBound{40'000};
+
+std::size_t VoterCount(const Cell& cell) {
+  const auto reply = cell.Operator("GET", "/v1/cluster", "");
+  return json_array_size(
+      json_object_get(ParseJson(reply.body).get(), "voters"));
+}
+
+void EmptyDataFolder(const Cell& cell, int controller) {
+  std::filesystem::remove_all(cell.folder() + "/controller-" +
+                              std::to_string(controller));
+}
+
+JobRequest KeyedJob(const std::string& request) {
+  JobRequest job;
+  job.request = request;
+  job.kind = "batch";
+  job.key = request;
+  job.idempotent = false;
+  job.more_payload = "sleep=10;answer_bytes=500";
+  return job;
+}
+
+}  // namespace
+
+// Guards against accepted work that is lost when a host is replaced after it
+// lost its disk, and a second one is lost as soon as the repair is done.
+Test(recovery, second_host_lost_right_after_a_repair) {
+  TestSeed();
+  Cell cell(
+      {.controllers = 5, .controller_arguments = {"--snapshot-every", "300"}});
+  cr_assert(cell.Start());
+  std::mutex mutex;
+  std::vector<JobRequest> done;
+  Load load(6, [&](int thread, int n) {
+    const auto job =
+        KeyedJob("repair-" + std::to_string(thread) + "-" + std::to_string(n));
+    const auto told = cell.caller().SubmitUntilFinal(
+        job, static_cast<std::size_t>(thread), kBound);
+    const std::lock_guard lock(mutex);
+    if (told.outcome == "done") {
+      done.push_back(job);
+    } else {
+      cr_expect(told.outcome == "unknown", "%s: '%s', code %d %s",
+                job.request.c_str(), told.outcome.c_str(), told.code,
+                told.reason.c_str());
+    }
+  });
+  cr_assert(WaitUntil(kBound, [&] { return load.turns() > 200; }));
+  const int leader = cell.Leader();
+  cr_assert_geq(leader, 0);
+  const int replaced = (leader + 1) % 5;
+  cell.controller(replaced).Kill();
+  EmptyDataFolder(cell, replaced);
+  cell.StartController(replaced, false);
+  cr_expect(WaitUntil(kBound, [&] { return VoterCount(cell) == 4; }),
+            "the emptied controller kept its vote");
+  cr_expect(WaitUntil(kBound, [&] { return VoterCount(cell) == 5; }),
+            "the replaced controller did not become a voter");
+  cell.controller(leader).Kill();
+  EmptyDataFolder(cell, leader);
+  const int before = load.turns();
+  cr_expect(WaitUntil(kBound, [&] { return load.turns() > before + 200; }));
+  load.Stop();
+  // Each key must still be known: the same request gives the first answer and
+  // no second start.
+  cr_expect_gt(done.size(), 200U);
+  for (const auto& job : done) {
+    const auto told = cell.caller().SubmitUntilFinal(job, 0, kBound);
+    cr_expect(told.outcome == "done", "%s: '%s', code %d %s",
+              job.request.c_str(), told.outcome.c_str(), told.code,
+              told.reason.c_str());
+  }
+  cr_expect(cell.Violations().empty());
+}
+
+// Guards against a majority of emptied controllers that forms a new cell and
+// forgets what was accepted, also when they are told to bootstrap again.
+Test(recovery, emptied_majority_does_not_form_a_new_cell) {
+  Cell cell({});
+  cr_assert(cell.Start());
+  const auto job = KeyedJob("kept");
+  cr_assert_eq(cell.caller().SubmitUntilFinal(job, 0, kBound).outcome, "done");
+  const int leader = cell.Leader();
+  cr_assert_geq(leader, 0);
+  const int first = (leader + 1) % 3;
+  const int second = (leader + 2) % 3;
+  for (const int n : {first, second}) {
+    cell.controller(n).Kill();
+    EmptyDataFolder(cell, n);
+  }
+  for (const int n : {first, second}) {
+    cell.StartController(n, true);
+  }
+  // Observes for several election timeouts and rules leases.
+  constexpr Milliseconds kObservation{6'000};
+  const auto from_us = BootMicroseconds();
+  bool admitted = false;
+  WaitUntil(kObservation, [&] {
+    // The rules lease of the entries may outlive the leader by 3 s.
+    const bool lease_over = BootMicroseconds() - from_us > 3'500'000;
+    admitted =
+        admitted || (lease_over && (cell.EntryReady(0) || cell.EntryReady(1)));
+    return admitted;
+  });
+  cr_expect_not(admitted, "emptied controllers formed a new cell");
+  const auto told =
+      cell.caller().Submit(KeyedJob("new"), 0, Milliseconds(1'000));
+  cr_expect(told.outcome == "not_run", "'%s'", told.outcome.c_str());
+  cr_expect(cell.Violations().empty());
+}
+
+}  // namespace cranberryshunt::test
--- /dev/null
+++ b/tests/integration/rules_test.cc
@@ -0,0 +1,129 @@
+// Rules that come into force everywhere and never revert.
+#include <criterion/criterion.h>
+#include <signal.h>
+
+#include <string>
+
+#include "support/cell.h"
+#include "support/json.h"
+#include "support/load.h"
+
+namespace cranberryshunt::test {
+
+namespace {
+
+constexpr Milliseconds kBound{30'000};
+// Section 1.2: in force everywhere within 5 s.
+constexpr std::int64_t kInForceBoundUs = 5'000'000;
+
+std::string Publication(int base, const std::string& zone) {
+  return R"({"publication_id":"p-)" + std::to_string(base) +
+         R"(","base_revision":)" + std::to_string(base) + R"(,"version":"v)" +
+         std::to_string(base) +
+         R"(","operator":"test","files":[{"path":"a.rules.yaml","content":)"
+         R"("service: model\nplacement:\n  - {kind: batch, require_zone: )" +
+         zone + R"(}\n"}]})";
+}
+
+HttpReply Publish(const Cell& cell, int base, const std::string& zone) {
+  HttpReply reply;
+  WaitUntil(kBound, [&] {
+    reply = HttpCall("POST", cell.entry_address(0), "/v1/rules/publish",
+                     cell.operator_token(), Publication(base, zone), kBound);
+    return reply.status == 200;
+  });
+  return reply;
+}
+
+std::int64_t Revision(const Cell& cell) {
+  const auto reply = cell.Operator("GET", "/v1/rules", "");
+  return IntegerOf(ParseJson(reply.body).get(), "revision");
+}
+
+// Runs a batch job of the service that the rules name; returns its worker.
+std::string RunBatch(Cell& cell, const std::string& request) {
+  JobRequest job;
+  job.request = request;
+  job.kind = "batch";
+  job.service = "model";
+  job.key = request;
+  const auto told = cell.caller().SubmitUntilFinal(job, 0, kBound);
+  cr_expect(told.outcome == "done", "'%s', code %d %s", told.outcome.c_str(),
+            told.code, told.reason.c_str());
+  return told.workers.empty() ? std::string() : told.workers.front();
+}
+
+}  // namespace
+
+// Guards against a publication that waits for ever for an entry and a
+// controller that are silently cut off, and against that entry admitting work
+// under rules that are no longer in force.
+Test(rules, in_force_with_an_entry_and_a_controller_cut_off) {
+  TestSeed();
+  Cell cell({.proxied = true});
+  cr_assert(cell.Start());
+  cr_assert_eq(Publish(cell, 0, "zone-0").status, 200);
+  const int leader = cell.Leader();
+  cr_assert_geq(leader, 0);
+  const std::string follower = "controller-" + std::to_string((leader + 1) % 3);
+  const std::vector<Link> links = {
+      {"entry-1", ""}, {follower, ""}, {"", follower}};
+  for (const auto& link : links) {
+    cell.proxy().Freeze(link, Direction::kBoth);
+  }
+  const auto published_us = BootMicroseconds();
+  const auto reply = Publish(cell, 1, "zone-1");
+  const auto took_us = BootMicroseconds() - published_us;
+  std::fprintf(stderr, "in force after %lld ms: %s\n",
+               static_cast<long long>(took_us / 1'000), reply.body.c_str());
+  cr_expect_eq(reply.status, 200);
+  cr_expect_leq(took_us, kInForceBoundUs);
+
+  JobRequest job;
+  job.request = "at-cut-off-entry";
+  job.kind = "batch";
+  const auto told = cell.caller().Submit(job, 1, Milliseconds(1'000));
+  cr_expect(told.outcome == "not_run", "'%s'", told.outcome.c_str());
+  cr_expect_eq(told.http_status, 503);
+  cr_expect_not(cell.EntryReady(1));
+
+  for (const auto& link : links) {
+    cell.proxy().Heal(link);
+  }
+  cr_expect(WaitUntil(kBound, [&] { return cell.EntryReady(1); }));
+  cr_expect_eq(Revision(cell), 2);
+  cr_expect(cell.Violations().empty());
+}
+
+// Guards against an old revision that comes back when everything restarts after
+// many publications, with a snapshot taken in between.
+Test(rules, restart_after_500_publications) {
+  constexpr int kPublications = 500;
+  Cell cell({.controller_arguments = {"--snapshot-every", "200"}});
+  cr_assert(cell.Start());
+  for (int n = 0; n < kPublications; ++n) {
+    const auto reply = Publish(cell, n, "zone-" + std::to_string(n % 3));
+    cr_assert_eq(reply.status, 200, "publication %d: %s", n,
+                 reply.body.c_str());
+  }
+  for (int n = 0; n < 3; ++n) {
+    cell.controller(n).Kill();
+  }
+  cell.entry(1).Kill();
+  for (int n = 0; n < 3; ++n) {
+    cell.StartController(n, false);
+  }
+  cell.StartEntry(1);
+  cr_expect(WaitUntil(
+      kBound, [&] { return cell.EntryReady(0) && cell.EntryReady(1); }));
+  cr_expect(WaitUntil(kBound, [&] { return cell.LiveWorkers() == 8; }));
+  cr_expect_eq(Revision(cell), kPublications);
+  // The last publication requires zone-1, to which the second worker belongs.
+  const std::string worker = RunBatch(cell, "after-restart");
+  const auto shown = cell.Operator("GET", "/v1/rules", "").body;
+  cr_expect_neq(shown.find("zone-1"), std::string::npos, "%s", shown.c_str());
+  cr_expect_neq(worker, "");
+  cr_expect(cell.Violations().empty());
+}
+
+}  // namespace cranberryshunt::test
