--- a/libraries/policy/include/cranberryshunt/policy/scheduler.h
+++ b/libraries/policy/include/cranberryshunt/policy/scheduler.h
@@ -20,6 +20,9 @@
   std::array<double, kKindCount> guaranteed_share = {0.30, 0.25, 0.15, 0.30};
   std::int64_t max_queued_tasks_per_team_and_kind = 20'000;
   std::int64_t max_queued_tasks_per_kind = 100'000;
+  // A team's interactive requests are refused once those queued would wait
+  // about this long at the measured rate; zero sets no such bound.
+  Duration max_interactive_wait = std::chrono::seconds(3);
   std::uint64_t seed = 1;  // Of the jitter of retries.
 };
 
--- a/libraries/policy/src/admission.cc
+++ b/libraries/policy/src/admission.cc
@@ -13,6 +13,8 @@
 constexpr double kDrainedPart = 0.1;
 // Tasks that end sooner than this return lent capacity without preemption.
 constexpr Duration kShortRun = std::chrono::seconds(1);
+// A burst of this size is taken before any rate is known.
+constexpr std::int64_t kLeastInteractiveBound = 500;
 constexpr std::size_t kLeastHeapToPrune = 1024;
 
 bool IsNegative(const Resources& amount) {
@@ -39,6 +41,22 @@
                     kLeastRetryAfter, kMostRetryAfter);
 }
 
+// An interactive request that waits long is worth less than a quick refusal.
+std::int64_t Scheduler::Implementation::TeamBound(Kind kind) const {
+  const std::int64_t bound = options.max_queued_tasks_per_team_and_kind;
+  if (kind != Kind::kInteractive ||
+      options.max_interactive_wait == Duration::zero()) {
+    return bound;
+  }
+  const double seconds =
+      std::chrono::duration<double>(options.max_interactive_wait).count();
+  const auto active = static_cast<double>(
+      std::max<std::size_t>(1, queues[IndexOf(kind)].active_teams()));
+  const auto in_time = static_cast<std::int64_t>(
+      kinds[IndexOf(kind)].drain.PerSecond(now) * seconds / active);
+  return std::min(bound, std::max(in_time, kLeastInteractiveBound));
+}
+
 std::optional<Refused> Scheduler::Implementation::CheckBounds(
     const JobRequest& request) {
   const std::int32_t team = teams.Find(request.team);
@@ -50,7 +68,7 @@
   const std::int64_t in_team =
       request.task_count + (team == kNone ? 0 : its_queue.team_tasks(team));
   const std::int64_t in_kind = request.task_count + its_queue.queued_tasks();
-  if (in_team > options.max_queued_tasks_per_team_and_kind) {
+  if (in_team > TeamBound(request.kind)) {
     return Refused{ResultCode::kQueueFull,
                    "the queue of the team for this kind is full",
                    RetryAfter(request.kind)};
--- a/libraries/policy/src/fair_queue.h
+++ b/libraries/policy/src/fair_queue.h
@@ -86,7 +86,8 @@
   Team& team(std::int32_t number);
   std::int64_t team_tasks(std::int32_t number) const;
   std::int64_t queued_tasks() const { return queued_tasks_; }
-  std::size_t team_count() const { return teams_.size(); }
+  // Teams with queued jobs.
+  std::size_t active_teams() const { return ready_.size() + blocked_.size(); }
 
  private:
   using Key = std::tuple<double, std::uint64_t, std::int32_t>;
--- a/libraries/policy/src/headroom.cc
+++ b/libraries/policy/src/headroom.cc
@@ -12,7 +12,7 @@
 constexpr double kForgetSeconds = 300;
 constexpr Duration kDecayPeriod = std::chrono::seconds(1);
 // Of the recent peak, so that demand may double before it has to wait.
-constexpr std::int64_t kPeakFactor = 2;
+constexpr double kPeakFactor = 1.25;
 // The least headroom while there is any interactive work, since a few requests
 // say little about the next peak.
 constexpr double kLeastFraction = 0.05;
@@ -44,9 +44,11 @@
   const auto fraction = [capacity](double part) {
     return static_cast<std::int64_t>(static_cast<double>(capacity) * part);
   };
-  const std::int64_t wanted =
-      std::min(std::max(kPeakFactor * peak, fraction(kLeastFraction)),
-               fraction(guarantee));
+  const std::int64_t wanted = std::min(
+      std::max(
+          static_cast<std::int64_t>(kPeakFactor * static_cast<double>(peak)),
+          fraction(kLeastFraction)),
+      fraction(guarantee));
   return wanted <= current || free >= wanted - current;
 }
 
--- a/libraries/policy/src/implementation.h
+++ b/libraries/policy/src/implementation.h
@@ -92,6 +92,7 @@
   void Withdraw(JobRef ref);
   void RemoveIfFinished(JobRef ref);
   Duration RetryAfter(Kind kind) const;
+  std::int64_t TeamBound(Kind kind) const;
 
   // ---- decide.cc ----
   std::vector<Decision> Decide(TimePoint time, std::size_t limit);
@@ -167,9 +168,7 @@
   std::optional<TaskRef> FindTask(const TaskId& id) const;
   EndVerdict OnDone(const TaskRef& ref, std::int32_t worker, Duration run);
   EndVerdict OnFailed(const TaskRef& ref, std::int32_t worker);
-  EndVerdict OnPreempted(const TaskRef& ref,
-                         bool for_excess,
-                         std::int32_t worker);
+  EndVerdict OnPreempted(const TaskRef& ref, bool reclaimed);
   EndVerdict Finish(const TaskRef& ref, ResultCode code, std::string reason);
   EndVerdict Requeue(const TaskRef& ref, Duration delay);
   void EnqueueAgain(JobRef ref);
--- a/libraries/policy/src/lifecycle.cc
+++ b/libraries/policy/src/lifecycle.cc
@@ -14,6 +14,7 @@
 constexpr std::int64_t kExcessPercent = 110;
 constexpr std::uint8_t kExcessToThrottle = 1;
 constexpr std::uint8_t kExcessToStop = 4;
+constexpr Duration kReclaimedDelay = std::chrono::seconds(2);
 constexpr std::int32_t kLeastThrottlePercent = 10;
 
 bool Exceeds(std::int64_t used, std::int64_t declared) {
@@ -89,7 +90,7 @@
         ++state(job.kind).preempted;
         state(job.kind).preempted_run += run;
       }
-      return OnPreempted(*ref, for_excess, worker);
+      return for_excess ? OnFailed(*ref, worker) : OnPreempted(*ref, reclaimed);
     case EndKind::kCancelled:
       break;
   }
@@ -204,15 +205,13 @@
 }
 
 EndVerdict Scheduler::Implementation::OnPreempted(const TaskRef& ref,
-                                                  bool for_excess,
-                                                  std::int32_t worker) {
-  if (for_excess) {
-    return OnFailed(ref, worker);
-  }
+                                                  bool reclaimed) {
   if (!jobs.at(ref.job).idempotent) {
     return Finish(ref, ResultCode::kPreempted, "the task was preempted");
   }
-  return Requeue(ref, Duration::zero());
+  // Started again at once, it would often borrow the next free room and lose
+  // its run time again.
+  return Requeue(ref, reclaimed ? kReclaimedDelay : Duration::zero());
 }
 
 EndVerdict Scheduler::Implementation::Finish(const TaskRef& ref,
