controller: Propose failed commands again in their order

Cause: the commands of a failed proposal went behind later ones, so that a placement could be proposed before the requeue that it depends on; it was refused and the scheduler took the task for finished.

Change: failed batches return to the front, in order, once nothing else is in flight; fences are assigned when a batch is taken; a refused placement of a task that is not final is queued again.

--- a/libraries/controller/src/attempt_ends.cc
+++ b/libraries/controller/src/attempt_ends.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Answers up to this size are kept with the result.
-constexpr std::size_t kMaxStoredAnswerBytes = 64 * 1'024;
+constexpr std::size_t kMaxStoredAnswerBytes = std::size_t{64} << 10;
 // How often a damaged answer is fetched again before the attempt fails.
 constexpr int kMaxInvalidAnswers = 3;
 
--- a/libraries/controller/src/command_queue.cc
+++ b/libraries/controller/src/command_queue.cc
@@ -13,7 +13,7 @@
 // Largest number of items that are merged into one command.
 constexpr std::size_t kMaxMergedItems = 512;
 // Payloads are at most 64 KiB, so a batch stays below the replica's limit.
-constexpr std::size_t kMaxPayloadBytesPerBatch = 512 * 1'024;
+constexpr std::size_t kMaxPayloadBytesPerBatch = std::size_t{512} << 10;
 
 std::size_t PayloadBytes(const wire::Command& command) {
   std::size_t bytes = 0;
@@ -37,8 +37,8 @@
   Add(std::move(command));
 }
 
-void CommandQueue::Place(wire::Placement placement, std::int64_t now_ms) {
-  placement.fence = ++last_fence_;
+void CommandQueue::Place(const wire::Placement& placement,
+                         std::int64_t now_ms) {
   const bool merge = !waiting_.empty() && Last().__isset.place_tasks &&
                      Last().place_tasks.placements.size() < kMaxMergedItems;
   if (!merge) {
@@ -47,7 +47,7 @@
     Add(std::move(command));
   }
   Last().place_tasks.placed_ms = now_ms;
-  Last().place_tasks.placements.push_back(std::move(placement));
+  Last().place_tasks.placements.push_back(placement);
 }
 
 void CommandQueue::Finish(const wire::TaskResult& result, std::int64_t now_ms) {
@@ -131,7 +131,12 @@
 }
 
 std::optional<Proposal> CommandQueue::Take() {
-  if (waiting_.empty() || paused_ || in_flight_.size() >= kMaxInFlight) {
+  // Others in flight may fail as well, and come before the ones that wait.
+  if (paused_ || (!failed_.empty() && !in_flight_.empty())) {
+    return std::nullopt;
+  }
+  TakeBackFailed();
+  if (waiting_.empty() || in_flight_.size() >= kMaxInFlight) {
     return std::nullopt;
   }
   auto batch = std::make_shared<wire::CommandBatch>();
@@ -141,12 +146,24 @@
     bytes += PayloadBytes(waiting_.front());
     batch->commands.push_back(std::move(waiting_.front()));
     waiting_.pop_front();
+    for (auto& placement : batch->commands.back().place_tasks.placements) {
+      placement.fence = ++last_fence_;
+    }
   }
   const std::uint64_t id = next_id_++;
   in_flight_[id] = batch;
   return Proposal{id, batch};
 }
 
+void CommandQueue::TakeBackFailed() {
+  for (auto it = failed_.rbegin(); it != failed_.rend(); ++it) {
+    waiting_.insert(waiting_.begin(),
+                    std::make_move_iterator(it->second.begin()),
+                    std::make_move_iterator(it->second.end()));
+  }
+  failed_.clear();
+}
+
 void CommandQueue::Succeeded(std::uint64_t id) {
   in_flight_.erase(id);
 }
@@ -168,10 +185,7 @@
       refused.push_back(command.submit_job);
       continue;
     }
-    waiting_.push_back(command);
-    for (auto& placement : waiting_.back().place_tasks.placements) {
-      placement.fence = ++last_fence_;
-    }
+    failed_[id].push_back(command);
   }
   return refused;
 }
--- a/libraries/controller/src/command_queue.h
+++ b/libraries/controller/src/command_queue.h
@@ -28,8 +28,8 @@
   explicit CommandQueue(std::int64_t last_fence) : last_fence_(last_fence) {}
 
   void Submit(const wire::SubmitJob& command);
-  // Assigns the fence of `placement`.
-  void Place(wire::Placement placement, std::int64_t now_ms);
+  // Take() assigns the fence, so that fences grow in the order of proposals.
+  void Place(const wire::Placement& placement, std::int64_t now_ms);
   void Finish(const wire::TaskResult& result, std::int64_t now_ms);
   void Requeue(const wire::AttemptKey& attempt,
                const std::string& reason,
@@ -46,9 +46,10 @@
   std::optional<Proposal> Take();
 
   void Succeeded(std::uint64_t id);
-  // Queues the commands of a failed proposal again, with new fences. Returns
-  // the submissions of the batch instead of queueing them when `code` says that
-  // the batch is certainly not in the log.
+  // Keeps the commands of a failed proposal, to be proposed again in their
+  // order and before later ones. Returns the submissions of the batch instead
+  // of keeping them when `code` says that the batch is certainly not in the
+  // log.
   std::vector<wire::SubmitJob> Failed(std::uint64_t id, ResultCode code);
 
   // Failed() holds all batches back until the next call of this.
@@ -57,9 +58,12 @@
 
  private:
   wire::Command& Last() { return waiting_.back(); }
+  void TakeBackFailed();
 
   std::deque<wire::Command> waiting_;
   std::map<std::uint64_t, std::shared_ptr<const wire::CommandBatch>> in_flight_;
+  // Commands of failed proposals by the id of the proposal.
+  std::map<std::uint64_t, std::vector<wire::Command>> failed_;
   std::uint64_t next_id_ = 1;
   std::int64_t last_fence_ = 0;
   bool paused_ = false;
--- a/libraries/controller/src/conversions.cc
+++ b/libraries/controller/src/conversions.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxPayloadBytes = 64 * 1'024;
+constexpr std::size_t kMaxPayloadBytes = std::size_t{64} << 10;
 constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::int32_t kMaxTasksPerJob = 10'000;
 // Bounds keep every sum of resources far from overflow.
--- a/libraries/controller/src/leader_apply.cc
+++ b/libraries/controller/src/leader_apply.cc
@@ -77,14 +77,15 @@
     if (repeated) {
       continue;
     }
-    const bool queued = task != nullptr && !job->cancelled &&
-                        task->state == wire::TaskState::kQueued;
+    // Also when the commit of an earlier attempt's end failed and is proposed
+    // again: the task will be queued then.
+    const bool open = task != nullptr && !job->cancelled &&
+                      task->state != wire::TaskState::kFinal;
     Log(LogLevel::kInfo, "controller", "placement was refused",
         {{"job", task_id.job_id}, {"code", ResultCodeName(applied.codes[i])}});
     context_.scheduler->TaskEnded(
         task_id,
-        queued ? policy::EndKind::kWithdrawn : policy::EndKind::kCancelled,
-        now);
+        open ? policy::EndKind::kWithdrawn : policy::EndKind::kCancelled, now);
   }
 }
 
--- a/libraries/controller/src/order_book.cc
+++ b/libraries/controller/src/order_book.cc
@@ -11,7 +11,7 @@
 
 // Bounds of one reply; the rest follows with the next poll.
 constexpr std::size_t kMaxOrdersPerReply = 1'000;
-constexpr std::size_t kMaxPayloadBytesPerReply = 4 * 1'024 * 1'024;
+constexpr std::size_t kMaxPayloadBytesPerReply = std::size_t{4} << 20;
 
 // Builds the wire form of an order that needs no decision.
 struct ToWire {
--- a/libraries/policy/include/cranberryshunt/policy/types.h
+++ b/libraries/policy/include/cranberryshunt/policy/types.h
@@ -25,6 +25,8 @@
   std::string job_id;
   std::int32_t index = 0;
 
+  // The linter takes the defaulted body for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const TaskId&) const = default;
 };
 
--- a/tests/controller/calls_test.cc
+++ b/tests/controller/calls_test.cc
@@ -65,6 +65,27 @@
   cr_assert(it.Starts().empty());
 }
 
+// Guards against a task that is lost when the commit of its attempt's end
+// fails while its next placement is proposed.
+Test(calls, failed_proposals_keep_their_order) {
+  Cell cell;
+  Harness& it = *cell.harness;
+  it.Submit(MakeSubmit("j1", wire::JobKind::kBatch));
+  it.Beat();
+  const auto start = it.Starts().at(0);
+  it.Result(start.attempt, wire::AttemptState::kRunning);
+  it.hold = true;
+  it.workers[start.worker].incarnation = "i2";
+  it.Announce(start.worker);
+  cr_assert(!it.held.empty());
+  it.FailAll(ResultCode::kTimeout);
+  it.hold = false;
+  it.Run(milliseconds(500));
+  cr_assert_eq(it.Starts().size(), 2U);
+  cr_assert_eq(it.Starts()[1].attempt.attempt, 2);
+  cr_assert_gt(it.Starts()[1].fence, start.fence);
+}
+
 // Guards against a paused leader that answers after its lease has run out.
 Test(calls, no_answer_without_the_lease) {
   Cell cell;
