--- a/libraries/client/src/jobs.cc
+++ b/libraries/client/src/jobs.cc
@@ -27,7 +27,7 @@
   return std::clamp(left, std::chrono::milliseconds(0), kMaxWait).count();
 }
 
-int ExitCodeOf(const json_t* job) {
+ExitCode ExitCodeOf(const json_t* job) {
   const std::string outcome = TextOf(job, "outcome");
   if (outcome == "done") {
     return kExitDone;
@@ -42,7 +42,10 @@
 }
 
 // Prints a job, or asks again while it is pending and time is left.
-int Follow(EntryCaller& caller, Result<HttpReply> reply, bool wait) {
+int Follow(EntryCaller& caller,
+           Result<HttpReply> reply,
+           bool wait,
+           ExitCode (*exit_code_of)(const json_t*) = &ExitCodeOf) {
   while (true) {
     if (!reply) {
       return ReportError(reply.error(), caller.json());
@@ -55,7 +58,7 @@
     const auto wait_ms = WaitMilliseconds(caller, wait);
     if (TextOf(job, "outcome") != "pending" || wait_ms == 0 || id.empty()) {
       Print(job, caller.json());
-      return ExitCodeOf(job);
+      return exit_code_of(job);
     }
     reply = caller.Call(
         "GET", fmt::format("/v1/jobs/{}?wait_ms={}", EscapePath(id), wait_ms),
@@ -124,12 +127,19 @@
   const Json body(json_object());
   auto reply = caller.Call("POST", "/v1/jobs/" + EscapePath(job_id) + "/cancel",
                            body.get());
-  if (reply && IsJobReply(*reply)) {
-    Print(reply->body.get(), caller.json());
-    const std::string outcome = TextOf(reply->body.get(), "outcome");
-    return outcome == "cancelled" ? kExitDone : ExitCodeOf(reply->body.get());
+  const bool unknown_job = reply && IntegerOf(reply->body.get(), "code") ==
+                                        static_cast<int>(ResultCode::kNotFound);
+  if (unknown_job) {
+    return ReportErrorReply(*reply, caller.json());
   }
-  return Follow(caller, std::move(reply), false);
+  // A running task is final only when its worker has stopped it.
+  return Follow(caller, std::move(reply), true, [](const json_t* job) {
+    const std::string outcome = TextOf(job, "outcome");
+    if (outcome == "done") {
+      return kExitFailed;  // It ended before it could be cancelled.
+    }
+    return outcome == "cancelled" ? kExitDone : ExitCodeOf(job);
+  });
 }
 
 }  // namespace cranberryshunt::client
--- a/libraries/client/src/output.cc
+++ b/libraries/client/src/output.cc
@@ -28,7 +28,9 @@
 std::string ScalarText(const json_t* value) {
   switch (json_typeof(value)) {
     case JSON_STRING:
-      return Printable(json_string_value(value));
+      return json_string_length(value) == 0
+                 ? "-"
+                 : Printable(json_string_value(value));
     case JSON_INTEGER:
       return fmt::format("{}", json_integer_value(value));
     case JSON_REAL:
--- a/services/cranberryshunt/client_commands.cc
+++ b/services/cranberryshunt/client_commands.cc
@@ -67,10 +67,10 @@
                  kRequired);
   settings.Text("--service", "Name that rules match", job.service, kOptional);
   settings.Integer("--tasks", "Number of tasks", 1, kMaxTasks, job.tasks);
-  settings.Integer("--milli-cpus", "Thousandths of a CPU for each task", 0,
-                   kMaxAmount, job.milli_cpus);
-  settings.Integer("--memory-bytes", "Memory for each task, in bytes", 0,
-                   kMaxAmount, job.memory_bytes);
+  settings.Integer("--milli-cpus", "Thousandths of a CPU for each task", 1,
+                   kMaxAmount, job.milli_cpus, kRequired);
+  settings.Integer("--memory-bytes", "Memory for each task, in bytes", 1,
+                   kMaxAmount, job.memory_bytes, kRequired);
   settings.Integer("--accelerators", "Accelerators for each task", 0,
                    kMaxAmount, job.accelerators);
   settings.Integer("--slots", "Slots for each task", 0, kMaxAmount, job.slots);
--- a/services/cranberryshunt/settings.cc
+++ b/services/cranberryshunt/settings.cc
@@ -158,8 +158,9 @@
                        const std::string& help,
                        std::int64_t minimum,
                        std::int64_t maximum,
-                       std::int64_t& target) {
-  Add(flag, help, std::to_string(target), Presence::kOptional,
+                       std::int64_t& target,
+                       Presence presence) {
+  Add(flag, help, std::to_string(target), presence,
       [&target, minimum,
        maximum](const std::string& text) -> std::optional<std::string> {
         const auto value = ParseNumber<std::int64_t>(text);
--- a/services/cranberryshunt/settings.h
+++ b/services/cranberryshunt/settings.h
@@ -50,7 +50,8 @@
                const std::string& help,
                std::int64_t minimum,
                std::int64_t maximum,
-               std::int64_t& target);
+               std::int64_t& target,
+               Presence presence = Presence::kOptional);
   void OptionalInteger(const std::string& flag,
                        const std::string& help,
                        std::int64_t minimum,
--- a/tests/support/caller.cc
+++ b/tests/support/caller.cc
@@ -45,6 +45,7 @@
   const json_t* raw = body.get();
   const json_t* error = json_object_get(raw, "error");
   out.http_status = reply.status;
+  out.connected = reply.connected;
   out.told_us = BootMicroseconds();
   out.outcome = TextOf(raw, "outcome");
   out.code =
@@ -95,7 +96,9 @@
   curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &Collect);
   curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
-  if (curl_easy_perform(curl) == CURLE_OK) {
+  const CURLcode result = curl_easy_perform(curl);
+  reply.connected = result != CURLE_COULDNT_CONNECT;
+  if (result == CURLE_OK) {
     long status = 0;
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     reply.status = static_cast<int>(status);
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -13,7 +13,8 @@
 namespace cranberryshunt::test {
 
 struct HttpReply {
-  int status = 0;  // 0: no answer.
+  int status = 0;         // 0: no answer.
+  bool connected = true;  // False: nothing was sent.
   std::string body;
 };
 
--- a/tests/support/cell.cc
+++ b/tests/support/cell.cc
@@ -143,7 +143,9 @@
   return {{"CRANBERRYSHUNT_CLUSTER_SECRET", kClusterSecret},
           {"CRANBERRYSHUNT_CALLER_TOKEN", kCallerToken},
           {"CRANBERRYSHUNT_TARGET_TOKEN", kTargetToken},
-          {"CRANBERRYSHUNT_OPERATOR_TOKEN", kOperatorToken}};
+          {"CRANBERRYSHUNT_OPERATOR_TOKEN", kOperatorToken},
+          // No balancer needs time here; a flag of a test wins.
+          {"CRANBERRYSHUNT_DRAIN_GRACE", "200"}};
 }
 
 bool Cell::Start() {
@@ -221,9 +223,7 @@
                                         "--zone",
                                         "zone-" + std::to_string(n % 3),
                                         "--entries",
-                                        std::to_string(options_.entries),
-                                        "--drain-grace",
-                                        "200"};
+                                        std::to_string(options_.entries)};
   Append(arguments, options_.entry_arguments);
   Launch(entries_[n], "cranberryshunt", Name("entry", n), arguments);
 }
--- a/tests/support/cell.h
+++ b/tests/support/cell.h
@@ -24,9 +24,9 @@
   // controller-N, entry-N, target-N and, for the test itself, caller.
   bool proxied = false;
   std::string regions[2] = {"region-a", "region-a"};  // In turn.
-  std::vector<std::string> controller_arguments;
-  std::vector<std::string> entry_arguments;
-  std::vector<std::string> target_arguments;
+  std::vector<std::string> controller_arguments = {};
+  std::vector<std::string> entry_arguments = {};
+  std::vector<std::string> target_arguments = {};
 };
 
 class Cell {
--- a/tests/support/records.h
+++ b/tests/support/records.h
@@ -57,7 +57,8 @@
   bool once = false;
   std::int64_t tasks = 1;
   std::string expected_answer;
-  int http_status = 0;  // 0: no answer came.
+  int http_status = 0;    // 0: no answer came.
+  bool connected = true;  // False: nothing was sent.
   std::string job_id;
   std::string outcome;  // Empty: not told.
   int code = 0;
