--- a/libraries/entry/src/start_task.cc
+++ b/libraries/entry/src/start_task.cc
@@ -47,10 +47,10 @@
     Send(*payload);
   } else if (maybe_sent_) {
     Resolve();
+  } else if (payload) {
+    Report(wire::AttemptState::kNeverStarted, "the order came too late");
   } else {
-    Report(wire::AttemptState::kNeverStarted,
-           payload ? "the order came too late"
-                   : "the payload is not at this entry");
+    ReportPayloadMissing();
   }
 }
 
@@ -132,7 +132,18 @@
   report.state = state;
   report.reason = reason;
   report.answer.stored = true;
-  reporter_.AddResult(std::move(report));
+  reporter_.AddResult(report);
+}
+
+void StartTask::ReportPayloadMissing() {
+  wire::AttemptReport report;
+  report.attempt = order_.attempt;
+  report.fence = order_.fence;
+  report.state = wire::AttemptState::kNeverStarted;
+  report.reason = "the payload is not at this entry";
+  report.payload_missing = true;
+  report.answer.stored = true;
+  reporter_.AddResult(report);
 }
 
 void StartTask::ReportRecord(wire::AttemptReport record) {
@@ -142,7 +153,7 @@
     record.answer.stored = false;
   }
   StripUnstoredAnswer(record.answer);
-  reporter_.AddResult(std::move(record));
+  reporter_.AddResult(record);
 }
 
 }  // namespace cranberryshunt::entry
--- a/libraries/policy/src/implementation.h
+++ b/libraries/policy/src/implementation.h
@@ -45,6 +45,9 @@
     Resources unreclaimable;  // Reserved by jobs that are never preempted.
     Resources claimed;        // Claims on workers for this kind.
     Resources preempting;     // Reserved by tasks with a Preempt decided.
+    // Failed attempts to reclaim since `reclaim_window`.
+    int failed_reclaims = 0;
+    TimePoint reclaim_window{};
     // Started tasks that may be preempted, oldest first; some are stale.
     std::vector<TaskRef> recent;
   };
@@ -100,7 +103,8 @@
   void EndBackoffs();
   void CheckWorkers();
   bool IsProvenByRunning(const Worker& worker) const;
-  void WakeBlocked(bool all);
+  void WakeOnTick();
+  bool WakeReleased();
   bool HasRoomSince(FairQueue::Team& team) const;
   std::optional<Kind> NextKind() const;
   void ServeNext(Kind kind);
