--- a/libraries/policy/src/fair_queue.cc
+++ b/libraries/policy/src/fair_queue.cc
@@ -17,14 +17,6 @@
           std::min(left.slots, right.slots)};
 }
 
-FairQueue::Team& FairQueue::team(std::int32_t number) {
-  const auto n = static_cast<std::size_t>(number);
-  if (n >= teams_.size()) {
-    teams_.resize(n + 1);
-  }
-  return teams_[n];
-}
-
 std::int64_t FairQueue::team_tasks(std::int32_t number) const {
   const auto n = static_cast<std::size_t>(number);
   return n < teams_.size() ? teams_[n].queued_tasks : 0;
--- a/libraries/policy/src/fair_queue.h
+++ b/libraries/policy/src/fair_queue.h
@@ -83,7 +83,13 @@
   std::uint64_t lent_seen() const { return lent_seen_; }
   void set_lent_seen(std::uint64_t releases) { lent_seen_ = releases; }
 
-  Team& team(std::int32_t number);
+  Team& team(std::int32_t number) {
+    const auto n = static_cast<std::size_t>(number);
+    if (n >= teams_.size()) {
+      teams_.resize(n + 1);
+    }
+    return teams_[n];
+  }
   std::int64_t team_tasks(std::int32_t number) const;
   std::int64_t queued_tasks() const { return queued_tasks_; }
   // Teams with queued jobs.
--- a/libraries/policy/src/share_ledger.cc
+++ b/libraries/policy/src/share_ledger.cc
@@ -17,6 +17,14 @@
          IsWithin(part.slots, limit.slots);
 }
 
+void ShareLedger::set_fleet(const Resources& fleet) {
+  const auto inverse = [](std::int64_t total) {
+    return total > 0 ? 1.0 / static_cast<double>(total) : 0.0;
+  };
+  inverse_ = {inverse(fleet.milli_cpus), inverse(fleet.memory_bytes),
+              inverse(fleet.accelerators), inverse(fleet.slots)};
+}
+
 ShareLedger::Team& ShareLedger::team(std::int32_t number) {
   const auto n = static_cast<std::size_t>(number);
   if (n >= teams_.size()) {
--- a/libraries/policy/src/share_ledger.h
+++ b/libraries/policy/src/share_ledger.h
@@ -2,6 +2,7 @@
 #ifndef CRANBERRYSHUNT_POLICY_SHARE_LEDGER_H_
 #define CRANBERRYSHUNT_POLICY_SHARE_LEDGER_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <vector>
@@ -16,8 +17,7 @@
 
 class ShareLedger {
  public:
-  void set_fleet(const Resources& fleet) { fleet_ = fleet; }
-  const Resources& fleet() const { return fleet_; }
+  void set_fleet(const Resources& fleet);
 
   void Reserve(Kind kind, std::int32_t team, const Resources& amount);
   void Release(Kind kind, std::int32_t team, const Resources& amount);
@@ -34,7 +34,10 @@
   }
   // Dominant shares of the fleet.
   double ShareOf(const Resources& amount) const {
-    return DominantShare(amount, fleet_);
+    return std::max({static_cast<double>(amount.milli_cpus) * inverse_[0],
+                     static_cast<double>(amount.memory_bytes) * inverse_[1],
+                     static_cast<double>(amount.accelerators) * inverse_[2],
+                     static_cast<double>(amount.slots) * inverse_[3]});
   }
   double KindShare(Kind kind) const { return ShareOf(reserved(kind)); }
   double TeamShare(Kind kind, std::int32_t team) const;
@@ -48,7 +51,9 @@
 
   Team& team(std::int32_t number);
 
-  Resources fleet_;
+  // Of each total of the fleet; 0 where the fleet has none. Shares are taken
+  // several times for each decision, and divisions would dominate their cost.
+  std::array<double, 4> inverse_{};
   std::array<Resources, kKindCount> kinds_;
   std::vector<Team> teams_;
 };
