--- a/tests/storage/storage_test.cc
+++ b/tests/storage/storage_test.cc
@@ -18,6 +18,7 @@
 
 std::vector<LogEntry> Entries(std::int64_t first, int n, std::size_t bytes) {
   std::vector<LogEntry> entries;
+  entries.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i) {
     entries.push_back({first + i, 1, 1, std::string(bytes, 'x')});
   }
