consensus: Tell an emptied replica of the membership

A leader that had been replicating to the old disk of a replica sent only heartbeats without the membership to the new one, which then never asked to be bound again.

--- a/libraries/consensus/src/raft_membership.cc
+++ b/libraries/consensus/src/raft_membership.cc
@@ -119,11 +119,16 @@
 // no longer heard of when its host comes back with another one.
 void Raft::OnOtherDisk(const wire::RaftMessage& message,
                        const wire::Member& member) {
-  const auto& progress = progress_.at(member.id);
+  auto& progress = progress_.at(member.id);
   const bool unbound = member.disk_identity.empty();
-  const bool gone =
-      message.last && now_ - std::max(leader_since_, progress.ack_sent) >
-                          options_.election_timeout_ms;
+  const bool silent = now_ - std::max(leader_since_, progress.ack_sent) >
+                      options_.election_timeout_ms;
+  if (silent && progress.state == ProgressState::kReplicate) {
+    // Probes carry the membership, from which the sender sees that its disk is
+    // not that of a member.
+    ToProbe(progress);
+  }
+  const bool gone = silent && message.last;
   const bool last_voter = member.voter && CountVoters(membership()) == 1;
   if ((!unbound && !gone) || last_voter || !CheckMembershipChange()) {
     return;
--- a/libraries/consensus/src/raft_snapshot.cc
+++ b/libraries/consensus/src/raft_snapshot.cc
@@ -41,6 +41,9 @@
   leader_id_ = message.sender;
   heard_at_ = now_;
   ResetElectionTimer();
+  if (leader_membership_.members.empty()) {
+    leader_membership_ = message.membership;
+  }
   auto reply = MakeReply(RaftMessageType::kSnapshotReply, message);
   if (message.log_index <= commit_) {
     reply.accepted = true;
--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -144,6 +144,15 @@
     return *nodes.back();
   }
 
+  Node* Find(const std::string& id) {
+    for (auto& it : nodes) {
+      if (it->id == id) {
+        return it.get();
+      }
+    }
+    return nullptr;
+  }
+
   Result<void> Start(Node& node, bool bootstrap = true) {
     ReplicaOptions options;
     options.id = node.id;
--- a/tests/consensus/raft_random_test.cc
+++ b/tests/consensus/raft_random_test.cc
@@ -86,6 +86,9 @@
 // another disk lost right after the first one was promoted again.
 Test(raft_random, emptied_disks) {
   RunSeeds(3, 12, {.crash = 0.002, .partition = 0.001, .empty = 0.02});
+  // Without snapshots and new leaders, which tell an emptied replica of the
+  // membership.
+  RunSeeds(3, 6, {.empty = 0.002, .compact = 0, .transfer = 0});
 }
 
 // Guards against two majorities while members are removed and added.
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -47,6 +47,8 @@
   double full = 0;
   double empty = 0;
   double remove = 0;
+  double compact = 0.005;
+  double transfer = 0.02;
 };
 
 class Simulation {
@@ -87,7 +89,11 @@
   }
   // Ends all faults and waits until every node has everything.
   bool Converge() {
-    faults_ = {.drop = 0, .duplicate = 0, .late = 0};
+    faults_ = {.drop = 0,
+               .duplicate = 0,
+               .late = 0,
+               .compact = faults_.compact,
+               .transfer = faults_.transfer};
     blocked_.clear();
     const auto before = acknowledged_;
     for (auto& it : nodes_) {
@@ -327,13 +333,13 @@
     node.raft->Tick(NowOf(node));
     if (Flush(node) && node.raft->role() == Role::kLeader && Chance(0.3)) {
       (void)node.raft->Propose(std::to_string(next_value_++));
-      if (Chance(0.02)) {
+      if (Chance(faults_.transfer)) {
         (void)node.raft->TransferLeadership(400);
       }
       ChangeMembers(node);
       Flush(node);
     }
-    if (node.raft && !node.full && Chance(0.005)) {
+    if (node.raft && !node.full && Chance(faults_.compact)) {
       Compact(node);
     }
   }
