--- a/libraries/consensus/include/cranberryshunt/consensus/replica.h
+++ b/libraries/consensus/include/cranberryshunt/consensus/replica.h
@@ -132,7 +132,13 @@
 
   // Adds a member as a learner, promotes a learner that has caught up
   // (member.voter) or removes one. The leader promotes a learner itself when it
-  // has caught up if `member.voter` was asked for.
+  // has caught up if `member.voter` was asked for. An empty disk identity is
+  // filled in at first contact. The result is 0 when there was nothing to
+  // change. The leader cannot remove itself; transfer leadership first.
+  //
+  // A member whose disk was replaced needs no call: when its old disk has not
+  // been heard of for an election timeout, the leader makes it a learner under
+  // the new identity and promotes it once it has caught up.
   void ChangeMembership(const wire::MembershipChange& change,
                         ProposalCallback callback);
 
@@ -140,8 +146,9 @@
   // leader is known within `timeout`.
   bool TransferLeadership(std::chrono::milliseconds timeout);
 
-  // Stores a snapshot of the state after applying `index` and drops the log
-  // before it.
+  // Stores a snapshot of the state after applying `index`, on a thread of its
+  // own, and drops the log before it but for some thousand entries for slow
+  // followers. Ignored while an earlier snapshot is still being stored.
   void Compact(std::int64_t index, std::string snapshot);
 
  private:
--- a/libraries/consensus/src/raft.cc
+++ b/libraries/consensus/src/raft.cc
@@ -273,6 +273,10 @@
 }
 
 void Raft::Compact(std::shared_ptr<const SnapshotState> snapshot) {
+  // A newer one may have been received while this one was stored.
+  if (snapshot_ && snapshot_->index >= snapshot->index) {
+    return;
+  }
   snapshot_ = std::move(snapshot);
   const auto through = snapshot_->index - options_.trailing_entries;
   if (through > log_.base_index()) {
--- a/libraries/consensus/src/replica_failures.cc
+++ b/libraries/consensus/src/replica_failures.cc
@@ -83,11 +83,14 @@
     if (change->callback) {
       change->callback(tl::unexpected(error));
     }
+  } else if (std::holds_alternative<SnapshotWritten>(item)) {
+    writing_snapshot_ = false;
   }
 }
 
 void ReplicaThread::TryRecover() {
-  if (failure_->code() != ResultCode::kStorageFull ||
+  // The folder is not read while a snapshot is written.
+  if (failure_->code() != ResultCode::kStorageFull || writing_snapshot_ ||
       clock_.Now() < next_recovery_) {
     return;
   }
--- a/libraries/consensus/src/replica_thread.cc
+++ b/libraries/consensus/src/replica_thread.cc
@@ -38,13 +38,16 @@
       ring_(options.max_proposals_in_flight + kMessageRoom) {
   StartRaft(0);
   PublishStatus();
+  snapshot_thread_ = std::thread([this] { WriteSnapshots(); });
   thread_ = std::thread([this] { Run(); });
 }
 
 ReplicaThread::~ReplicaThread() {
   stopping_ = true;
   ring_.Close();
+  snapshots_.Close();
   thread_.join();
+  snapshot_thread_.join();
 }
 
 std::int64_t ReplicaThread::NowMs() const {
@@ -164,6 +167,8 @@
     (void)raft_->TransferLeadership(transfer->timeout_ms);
   } else if (auto* compact = std::get_if<CompactRequest>(&item)) {
     HandleCompact(*compact);
+  } else if (auto* written = std::get_if<SnapshotWritten>(&item)) {
+    HandleSnapshotWritten(*written);
   }
 }
 
@@ -194,20 +199,39 @@
 }
 
 void ReplicaThread::HandleCompact(CompactRequest& request) {
+  if (writing_snapshot_) {
+    return;
+  }
   auto snapshot =
       raft_->MakeSnapshot(request.index, std::move(request.snapshot));
-  if (!snapshot) {
-    return;
+  if (snapshot) {
+    writing_snapshot_ = snapshots_.TryPush(std::move(snapshot));
   }
-  auto saved = storage_->SaveSnapshot(*snapshot);
-  if (saved) {
-    raft_->Compact(std::move(snapshot));
-    saved = storage_->DropPrefix(raft_->log().base_index());
+}
+
+void ReplicaThread::HandleSnapshotWritten(SnapshotWritten& written) {
+  writing_snapshot_ = false;
+  auto stored = std::move(written.result);
+  if (stored) {
+    raft_->Compact(std::move(written.snapshot));
+    stored = storage_->DropPrefix(raft_->log().base_index());
   }
-  if (!saved) {
+  if (!stored) {
     // The older snapshot and the log are still whole.
     Log(LogLevel::kWarning, "consensus", "cannot store a snapshot",
-        {{"error", saved.error().message()}});
+        {{"error", stored.error().message()}});
+  }
+}
+
+void ReplicaThread::WriteSnapshots() {
+  constexpr std::chrono::seconds kWait{1};
+  std::vector<std::shared_ptr<const SnapshotState>> snapshots;
+  while (snapshots_.PopMany(snapshots, 1, kWait)) {
+    for (auto& it : snapshots) {
+      auto result = storage_->SaveSnapshot(*it);
+      ring_.Push(Item(SnapshotWritten{std::move(it), std::move(result)}));
+    }
+    snapshots.clear();
   }
 }
 
--- a/libraries/consensus/src/replica_thread.h
+++ b/libraries/consensus/src/replica_thread.h
@@ -40,13 +40,20 @@
   std::string snapshot;
 };
 
+// The snapshot writer has finished.
+struct SnapshotWritten {
+  std::shared_ptr<const SnapshotState> snapshot;
+  Result<void> result;
+};
+
 using Messages = std::vector<wire::RaftMessage>;
 using Item = std::variant<std::monostate,
                           Messages,
                           Proposal,
                           ChangeRequest,
                           TransferRequest,
-                          CompactRequest>;
+                          CompactRequest,
+                          SnapshotWritten>;
 
 class ReplicaThread {
  public:
@@ -82,6 +89,8 @@
   void HandleProposal(Proposal& proposal);
   void HandleChange(ChangeRequest& request);
   void HandleCompact(CompactRequest& request);
+  void HandleSnapshotWritten(SnapshotWritten& written);
+  void WriteSnapshots();
   void Flush();
   bool FlushOnce();
   void Deliver();
@@ -112,6 +121,7 @@
   std::map<std::int64_t, Pending> pending_;
   std::optional<Error> failure_;
   TimePoint next_recovery_{};
+  bool writing_snapshot_ = false;
   wire::Membership contacts_;
 
   mutable std::mutex mutex_;
@@ -121,6 +131,10 @@
   ReplicaStats stats_;
 
   std::atomic<bool> stopping_ = false;
+  // A large snapshot takes longer to sync than an election timeout, so it is
+  // written on a thread of its own.
+  BoundedRing<std::shared_ptr<const SnapshotState>> snapshots_{1};
+  std::thread snapshot_thread_;
   std::thread thread_;
 };
 
--- a/libraries/storage/src/snapshot_file.cc
+++ b/libraries/storage/src/snapshot_file.cc
@@ -58,7 +58,9 @@
   const std::string prefix = directory + "/";
   for (const auto& it : *names) {
     if (it < name) {
-      if (auto removed = file_system.Remove(prefix + it); !removed) {
+      // Another thread may remove the same one.
+      if (auto removed = file_system.Remove(prefix + it);
+          !removed && removed.error().code() != ResultCode::kNotFound) {
         return removed;
       }
     }
