controller, wire, entry: Compare the payload of a repeated interactive key

Cause: the payload of an interactive job stays at the entry, so the digest of its specification did not cover it, and a reused idempotency key with another payload got the first job's answer instead of key_conflict. A start that was handed out for a silent worker could expire after the worker's lease.

Change: JobSpec gets payload_digest, set by the entry; the start expiry is at most the end of the lease, and silent workers get no start orders.

--- a/libraries/controller/src/attempt_starts.cc
+++ b/libraries/controller/src/attempt_starts.cc
@@ -80,7 +80,8 @@
     Withdraw(attempt, "worker is not available", now);
     return;
   }
-  if (!worker->announced) {
+  // A silent worker comes back or loses its leases, which ends the attempt.
+  if (context_.workers.IsSilent(*worker, now)) {
     return;
   }
   std::string entry;
@@ -112,7 +113,8 @@
     return GiveUp{};
   }
   const LiveWorker* worker = context_.workers.Find(attempt->worker);
-  const bool usable = worker != nullptr && worker->announced && !worker->lost &&
+  const bool usable = worker != nullptr && !worker->lost &&
+                      !context_.workers.IsSilent(*worker, now) &&
                       !worker->identity.leaving &&
                       worker->identity.incarnation == attempt->incarnation &&
                       attempt->stop == StopReason::kNone;
@@ -141,9 +143,11 @@
   order.worker = attempt.worker;
   order.incarnation = attempt.incarnation;
   order.address = worker.identity.address;
-  order.start_expiry_clock_ms =
-      WorkerTable::ClockAfter(worker, now, context_.options.start_window);
   order.lease_until_clock_ms = context_.workers.LeaseEndClock(worker);
+  // A start after the end of the lease could overlap with the next attempt.
+  order.start_expiry_clock_ms = std::min(
+      WorkerTable::ClockAfter(worker, now, context_.options.start_window),
+      order.lease_until_clock_ms);
   order.valid_ms = context_.options.start_window.count();
   order.kind = job.spec.kind;
   order.resources = job.spec.task_resources;
--- a/libraries/entry/src/caller_routes.cc
+++ b/libraries/entry/src/caller_routes.cc
@@ -103,6 +103,7 @@
   const bool interactive = submit.spec.kind == wire::JobKind::kInteractive;
   submit.watch = interactive || wait_ms > 0;
   if (interactive) {
+    submit.spec.payload_digest = Digest63(submit.spec.payload);
     submit.spec.payload.clear();
   }
   return submit;
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -42,6 +42,7 @@
   12: string idempotency_key
   13: string family      // Job family for learned estimates.
   14: binary payload     // Empty for an interactive job; its payload stays at the entry.
+  15: i64 payload_digest // Of a payload that stays at the entry, so that a repeated key is compared with it.
 }
 
 struct TaskKey {
