targets, entry: Use smaller buffers for each connection

With 700 callers' connections and 372 to targets, most of the resident memory was heap: buffers of 16 KiB for each connection and four malloc arenas.

--- a/libraries/entry/src/entry.cc
+++ b/libraries/entry/src/entry.cc
@@ -25,7 +25,7 @@
 // Connections beyond the requests that may be in flight: announcements,
 // operators, the balancer, and connections kept open between requests.
 constexpr unsigned int kExtraConnections = 512;
-constexpr int kMaxMallocArenas = 4;
+constexpr int kMaxMallocArenas = 2;
 constexpr std::chrono::seconds kCloseUnusedInterval{10};
 constexpr milliseconds kShutdownCheckInterval{10};
 // No request may start for this long before the server stops.
--- a/libraries/entry/src/http_server.cc
+++ b/libraries/entry/src/http_server.cc
@@ -26,7 +26,7 @@
 // jansson's parser recurses up to 2048 levels deep.
 constexpr std::size_t kThreadStackBytes = 1 << 20;
 // Request line, headers and the response's headers of one connection.
-constexpr std::size_t kConnectionMemoryBytes = 16U << 10;
+constexpr std::size_t kConnectionMemoryBytes = 8U << 10;
 constexpr int kStatusInternalError = 500;
 constexpr int kStatusNotFound = 404;
 
--- a/libraries/targets/src/connection.cc
+++ b/libraries/targets/src/connection.cc
@@ -19,6 +19,9 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 constexpr long kConnectTimeoutMs = 1'000;
+// Of 16 KiB by default, which hundreds of connections would keep for answers
+// that are mostly small.
+constexpr long kReceiveBufferBytes = 4'096;
 
 int SetSocketOptions(void* /*data*/,
                      curl_socket_t socket,
@@ -96,6 +99,7 @@
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers_.get());
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
   curl_easy_setopt(easy, CURLOPT_MAXCONNECTS, 1L);
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
   curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
