entry: End waits when a shutdown is aborted

Threads that waited for a job held up the end of the server for up to 60 s after a second signal. Adds tests of the abort, of updates of the leader, of reports that are sent again and of the operators' routes.

--- a/libraries/entry/src/entry.cc
+++ b/libraries/entry/src/entry.cc
@@ -163,6 +163,8 @@
   WaitFor(limit, [&] { return IsQuiet(quiet_since); });
   const std::int64_t interrupted = server->requests_in_flight();
   targets.Abort();
+  // Threads that still wait for a job would hold up the end of the server.
+  jobs.LimitWaits(BootClock::now());
   reporter.Flush(std::min<milliseconds>(
       kFlushLimit,
       std::chrono::duration_cast<milliseconds>(std::max(
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -52,6 +52,9 @@
                      static_cast<long>(body.size()));
     curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, body.c_str());
   }
+  if (method != nullptr) {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+  }
   if (curl_easy_perform(easy) == CURLE_OK) {
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &out.status);
   }
--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -294,6 +294,25 @@
       [&] { return cell.controller.polls.back().draining; }));
 }
 
+// Guards against an operator's second signal that has no effect, and against
+// interrupted requests that are not counted.
+Test(entry, an_abort_ends_the_shutdown_and_counts) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  std::thread caller([&] { cell.Submit("batch", "", 20'000); });
+  cr_assert(cell.controller.WaitFor(
+      [&] { return !cell.controller.submitted.empty(); }));
+  std::int64_t interrupted = -1;
+  const auto begin = steady_clock::now();
+  std::thread stopper([&] { interrupted = cell.entry->Shutdown(); });
+  cr_assert(cell.WaitForReady(503));
+  cell.entry->Abort();
+  stopper.join();
+  caller.join();
+  cr_assert_eq(interrupted, 1);
+  cr_assert(steady_clock::now() - begin < std::chrono::seconds(10));
+}
+
 // Guards against connections that are reset because their handshake or their
 // first request meets the closing of the listening socket.
 Test(entry, closing_the_listener_cuts_no_connection) {
@@ -431,6 +450,94 @@
   });
 }
 
+// Guards against callers that miss the end of a job that is not interactive,
+// or that get its answer without the bytes the leader keeps.
+Test(entry, an_update_of_the_leader_ends_a_wait) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  Fetched reply;
+  std::thread caller([&] { reply = cell.Submit("batch", "p", 20'000); });
+  cr_assert(cell.controller.WaitFor(
+      [&] { return !cell.controller.submitted.empty(); }));
+  wire::JobStatus job;
+  job.job_id = cell.controller.Locked(
+      [&] { return cell.controller.submitted.front().job_id; });
+  job.outcome = wire::Outcome::kFailed;
+  job.code = static_cast<int>(ResultCode::kTaskFailed);
+  job.tasks.resize(1);
+  job.tasks[0].outcome = wire::Outcome::kFailed;
+  job.tasks[0].answer.bytes = "why";
+  job.tasks[0].answer.length = 3;
+  const auto begin = steady_clock::now();
+  cell.controller.AddUpdate(job);
+  caller.join();
+  cr_assert(steady_clock::now() - begin < milliseconds(900),
+            "the update was not used");
+  cr_assert_eq(reply.status, 200);
+  cr_assert(reply.Contains("\"outcome\":\"failed\"") &&
+            reply.Contains("\"answer\":\"why\""));
+}
+
+// Guards against results that are lost when the leader cannot be reached.
+Test(entry, results_are_reported_again_after_a_failure) {
+  FakeTarget target(&Echo);
+  EntryFixture cell(target.address());
+  cr_assert(cell.WaitForReady());
+  cell.controller.Locked([&] { cell.controller.break_reports = true; });
+  for (int i = 0; i < 3; ++i) {
+    cr_assert_eq(cell.Submit("interactive", "p", 20'000).status, 200);
+  }
+  cell.controller.Locked([&] { cell.controller.break_reports = false; });
+  cr_assert(cell.controller.WaitFor(
+      [&] { return cell.controller.results.size() >= 3; }));
+}
+
+// Guards against operators' requests that reach the leader changed, and against
+// replies that hide who holds a revision.
+Test(entry, operators_routes) {
+  EntryFixture cell;
+  cr_assert(cell.WaitForReady());
+  const auto post = [&](const std::string& path, const std::string& body) {
+    return Fetch(cell.url + path, "operator", body, "POST");
+  };
+  const std::string publication =
+      R"("publication_id":"p2","version":"v","operator":"bo",)"
+      R"("files":[{"path":"a.rules.yaml","content":"service: a\n"}]})";
+  auto reply =
+      post("/v1/rules/publish", R"({"base_revision":0,)" + publication);
+  cr_assert_eq(reply.status, 409);
+  cr_assert(reply.Contains("revision_conflict") && reply.Contains("ann/p1"));
+  reply = post("/v1/rules/publish", R"({"base_revision":1,)" + publication);
+  cr_assert_eq(reply.status, 200);
+  cr_assert(reply.Contains("\"revision\":2"));
+  const std::string wrong =
+      R"({"files":[{"path":"a.rules.yaml","content":"servise: a\n"}]})";
+  reply = post("/v1/rules/check", wrong);
+  cr_assert_eq(reply.status, 400);
+  cr_assert(reply.Contains("a.rules.yaml") && reply.Contains("\"line\":1"));
+  cr_assert_eq(post("/v1/workers/w%201/drain", "").status, 200);
+  cr_assert_eq(post("/v1/controllers", R"({"id":"c4","address":"127.0.0.1:9",)"
+                                       R"("disk_identity":"d","voter":false})")
+                   .status,
+               200);
+  cell.controller.Locked([&] {
+    cr_assert(cell.controller.drained.identity == "w 1");
+    cr_assert(cell.controller.drained.draining);
+    cr_assert(cell.controller.membership.member.address == "127.0.0.1:9");
+    cr_assert_not(cell.controller.membership.remove);
+  });
+  cr_assert_eq(
+      Fetch(cell.url + "/v1/controllers/c4", "operator", "", "DELETE").status,
+      200);
+  cr_assert(cell.controller.Locked(
+      [&] { return cell.controller.membership.remove; }));
+  reply = Fetch(cell.url + "/v1/jobs/j1/cancel", "caller", "", "POST");
+  cr_assert(reply.status == 200 && reply.Contains("\"cancelled\""));
+  reply = Fetch(cell.url + "/v1/jobs/none/cancel", "caller", "", "POST");
+  cr_assert_eq(reply.status, 404);
+  cr_assert(Fetch(cell.url + "/metrics", "").Contains("resident_bytes"));
+}
+
 // Guards against a new leader whose orders are taken for old ones because its
 // sequence starts again.
 Test(entry, a_new_session_starts_its_sequences_again) {
--- a/tests/entry/fake_controller.h
+++ b/tests/entry/fake_controller.h
@@ -27,6 +27,7 @@
               const wire::SubmitRequest& request) override {
     std::unique_lock lock(mutex_);
     submitted.push_back(request);
+    changed_.notify_all();
     if (break_submits) {
       throw apache::thrift::transport::TTransportException("broken");
     }
@@ -111,6 +112,40 @@
     reply.leader_id = "c1";
   }
 
+  void CancelJobs(wire::CancelReply& reply,
+                  const std::string&,
+                  const std::vector<std::string>& job_ids,
+                  const std::string&) override {
+    if (job_ids.front() != "none") {
+      reply.jobs.emplace_back();
+      reply.jobs.back().job_id = job_ids.front();
+      reply.jobs.back().outcome = wire::Outcome::kCancelled;
+    }
+  }
+
+  // Accepts a publication on top of revision 1 only.
+  void Publish(wire::PublishReply& reply,
+               const wire::PublishRequest& request,
+               const std::int32_t) override {
+    const bool fits = request.publication.base_revision == 1;
+    reply.status.code =
+        fits ? 0 : static_cast<int>(ResultCode::kRevisionConflict);
+    reply.revision = fits ? 2 : 1;
+    reply.in_force = fits;
+    reply.winner = fits ? "" : "ann/p1";
+  }
+
+  void Drain(wire::Status&, const wire::DrainWorker& request) override {
+    std::lock_guard lock(mutex_);
+    drained = request;
+  }
+
+  void ChangeMembership(wire::Status&,
+                        const wire::MembershipChange& change) override {
+    std::lock_guard lock(mutex_);
+    membership = change;
+  }
+
   void AddOrder(const wire::Order& order) {
     orders_[++sequence_] = order;
     changed_.notify_all();
@@ -119,6 +154,7 @@
   void AddUpdate(const wire::JobStatus& job) {
     std::lock_guard lock(mutex_);
     updates_[++sequence_] = job;
+    changed_.notify_all();
   }
 
   // Starts the order of a job that was not submitted here.
@@ -170,6 +206,8 @@
   std::vector<wire::SubmitRequest> submitted;
   std::vector<wire::PollRequest> polls;
   std::vector<wire::GetJobRequest> queries;
+  wire::DrainWorker drained;
+  wire::MembershipChange membership;
   std::vector<wire::AttemptReport> results;
   std::vector<wire::AuditRecord> audit;
 
