tests: Make two tests of the entry path stricter

Removing the connection limit, or the reset of sequences for a new session, went unnoticed: the limit was hidden by that of waiting calls, and the fake leader did not start its sequences again.

--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -545,7 +545,7 @@
   EntryFixture cell(target.address());
   cr_assert(cell.WaitForReady());
   cr_assert_eq(cell.Submit("interactive", "a", 20'000).status, 200);
-  cell.controller.Locked([&] { cell.controller.session = 2; });
+  cell.controller.StartSession(2);
   cr_assert_eq(cell.Submit("interactive", "b", 20'000).status, 200);
   cr_assert(cell.controller.Locked(
       [&] { return cell.controller.polls.back().session == 2; }));
--- a/tests/entry/fake_controller.h
+++ b/tests/entry/fake_controller.h
@@ -151,6 +151,15 @@
     changed_.notify_all();
   }
 
+  // Acts as a new leader, whose sequences start again.
+  void StartSession(std::int64_t new_session) {
+    std::lock_guard lock(mutex_);
+    session = new_session;
+    sequence_ = 0;
+    orders_.clear();
+    updates_.clear();
+  }
+
   void AddUpdate(const wire::JobStatus& job) {
     std::lock_guard lock(mutex_);
     updates_[++sequence_] = job;
--- a/tests/targets/targets_test.cc
+++ b/tests/targets/targets_test.cc
@@ -55,7 +55,8 @@
     threads.emplace_back([&, i] {
       const auto order = OrderOf("j" + std::to_string(i));
       const auto result =
-          client.StartAndWait(target, order, "p", Reuse::kAllowed);
+          i % 2 == 0 ? client.StartAndWait(target, order, "p", Reuse::kAllowed)
+                     : client.Start(target, order, "p", Reuse::kAllowed);
       const auto* done = std::get_if<Finished>(&result);
       finished += done != nullptr && done->record.attempt == order.attempt;
     });
