--- a/libraries/entry/src/entry.cc
+++ b/libraries/entry/src/entry.cc
@@ -25,7 +25,7 @@
 // Connections beyond the requests that may be in flight: announcements,
 // operators, the balancer, and connections kept open between requests.
 constexpr unsigned int kExtraConnections = 512;
-constexpr int kMaxMallocArenas = 4;
+constexpr int kMaxMallocArenas = 2;
 constexpr std::chrono::seconds kCloseUnusedInterval{10};
 constexpr milliseconds kShutdownCheckInterval{10};
 // No request may start for this long before the server stops.
@@ -163,6 +163,8 @@
   WaitFor(limit, [&] { return IsQuiet(quiet_since); });
   const std::int64_t interrupted = server->requests_in_flight();
   targets.Abort();
+  // Threads that still wait for a job would hold up the end of the server.
+  jobs.LimitWaits(BootClock::now());
   reporter.Flush(std::min<milliseconds>(
       kFlushLimit,
       std::chrono::duration_cast<milliseconds>(std::max(
