--- a/libraries/policy/src/admission.cc
+++ b/libraries/policy/src/admission.cc
@@ -182,6 +182,10 @@
   }
   if (auto refused = Check(request)) {
     ++state(request.kind).refused;
+    if (refused->code == ResultCode::kImpossible) {
+      impossible_jobs.Add(teams.Add(request.team.empty() ? "-" : request.team),
+                          now);
+    }
     return *std::move(refused);
   }
   const JobRef ref = jobs.Add(MakeJob(request));
--- a/libraries/policy/src/implementation.h
+++ b/libraries/policy/src/implementation.h
@@ -15,6 +15,7 @@
 #include "due_heap.h"
 #include "failure_tracker.h"
 #include "fair_queue.h"
+#include "fault_counts.h"
 #include "headroom.h"
 #include "interner.h"
 #include "job_table.h"
@@ -184,6 +185,7 @@
   void RemoveWorker(const std::string& id);
   void SetQuotas(const std::vector<Quota>& quotas);
   SchedulerReport Report() const;
+  std::vector<std::string> Culprits() const;
   std::array<KindReport, kKindCount> KindReports() const;
 
   KindState& state(Kind kind) { return kinds[IndexOf(kind)]; }
@@ -208,6 +210,8 @@
   RunEstimator runs;
   RetryBudget retries;
   Headroom headroom;
+  FaultCounts impossible_jobs;  // By team.
+  FaultCounts excess_uses;      // By family.
 
   DueHeap<JobRef> deadlines;
   DueHeap<TaskRef> backoffs;
--- a/libraries/policy/src/lifecycle.cc
+++ b/libraries/policy/src/lifecycle.cc
@@ -102,7 +102,7 @@
                                              Duration run) {
   const Job& job = jobs.at(ref.job);
   if (job.kind != Kind::kService) {
-    runs.Record(job.family, run);
+    runs.Record(job.family, run, job.expected_run);
   }
   failures.OnDone(worker, job.family, now);
   Worker& its_worker = workers.at(worker);
@@ -284,6 +284,7 @@
   task.excess =
       static_cast<std::uint8_t>(std::min<int>(task.excess + 1, kExcessToStop));
   if (task.excess == kExcessToThrottle) {
+    excess_uses.Add(job.family, now);
     const std::int64_t percent =
         cpu_exceeds ? job.need.milli_cpus * 100 / used.milli_cpus
                     : job.need.memory_bytes * 100 / used.memory_bytes;
--- a/libraries/policy/src/run_estimator.cc
+++ b/libraries/policy/src/run_estimator.cc
@@ -1,5 +1,8 @@
 #include "run_estimator.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace cranberryshunt::policy {
 
 namespace {
@@ -9,10 +12,15 @@
 // hundred runs.
 constexpr std::uint64_t kMostRuns = 512;
 constexpr double kQuantile = 0.9;
+// Declarations that the mean error follows.
+constexpr int kErrorWindow = 50;
+constexpr double kWrongError = 1;
 
 }  // namespace
 
-void RunEstimator::Record(std::int32_t family, Duration run) {
+void RunEstimator::Record(std::int32_t family,
+                          Duration run,
+                          Duration declared) {
   if (family < 0) {
     return;
   }
@@ -20,18 +28,34 @@
   if (n >= families_.size()) {
     families_.resize(n + 1);
   }
-  families_[n].Add(run);
-  if (families_[n].count() >= kMostRuns) {
-    families_[n].Halve();
+  Family& it = families_[n];
+  it.runs.Add(run);
+  if (it.runs.count() >= kMostRuns) {
+    it.runs.Halve();
+  }
+  if (declared <= Duration::zero() || run <= Duration::zero()) {
+    return;
   }
+  const double error =
+      std::abs(std::log2(static_cast<double>(run.count()) /
+                         static_cast<double>(declared.count())));
+  it.declared = std::min(it.declared + 1, kErrorWindow);
+  it.error += (error - it.error) / it.declared;
+}
+
+bool RunEstimator::IsDeclaredWrong(std::int32_t family) const {
+  const auto n = static_cast<std::size_t>(family);
+  return n < families_.size() &&
+         families_[n].declared >= static_cast<int>(kEnoughRuns) &&
+         families_[n].error > kWrongError;
 }
 
 std::optional<Duration> RunEstimator::Estimate(std::int32_t family,
                                                Duration declared) const {
   const auto n = static_cast<std::size_t>(family);
   if (family >= 0 && n < families_.size() &&
-      families_[n].count() >= kEnoughRuns) {
-    return families_[n].Quantile(kQuantile);
+      families_[n].runs.count() >= kEnoughRuns) {
+    return families_[n].runs.Quantile(kQuantile);
   }
   if (declared > Duration::zero()) {
     return 2 * declared;
--- a/libraries/policy/src/run_estimator.h
+++ b/libraries/policy/src/run_estimator.h
@@ -11,7 +11,10 @@
 
 class RunEstimator {
  public:
-  void Record(std::int32_t family, Duration run);
+  // `declared` is zero when nothing was declared.
+  void Record(std::int32_t family, Duration run, Duration declared);
+  // Whether the declared run times are usually wrong by a factor above two.
+  bool IsDeclaredWrong(std::int32_t family) const;
   // A run time that nine of ten tasks of the family stay below. Before the
   // family has enough finished tasks, the declaration doubled, and nothing when
   // there is none either.
@@ -19,7 +22,14 @@
                                    Duration declared) const;
 
  private:
-  std::vector<LogHistogram> families_;
+  struct Family {
+    LogHistogram runs;
+    // Mean of the absolute binary logarithm of run time over declaration.
+    double error = 0;
+    int declared = 0;
+  };
+
+  std::vector<Family> families_;
 };
 
 }  // namespace cranberryshunt::policy
--- a/libraries/policy/src/workers.cc
+++ b/libraries/policy/src/workers.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Fewer faults of a source are not worth a line in the report.
+constexpr std::int64_t kCulpritFaults = 3;
+
 double Milliseconds(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -134,17 +137,42 @@
     }
   }
   report.packing = used > 0 ? packed / static_cast<double>(used) : 0;
+  report.culprits = Culprits();
+  return report;
+}
+
+std::vector<std::string> Scheduler::Implementation::Culprits() const {
+  std::vector<std::string> culprits;
   for (const std::int32_t number : failures.quarantined()) {
-    report.culprits.push_back(WithRatio("worker " + workers.at(number).id,
-                                        failures.failure_ratio(number)));
+    culprits.push_back(WithRatio("worker " + workers.at(number).id,
+                                 failures.failure_ratio(number)));
   }
   for (std::size_t n = 0; n < families.size(); ++n) {
     const auto family = static_cast<std::int32_t>(n);
     if (failures.IsFamilyCulprit(family)) {
-      report.culprits.push_back("family " + families.name(family));
+      culprits.push_back("family " + families.name(family));
+    }
+    if (runs.IsDeclaredWrong(family)) {
+      culprits.push_back("family " + families.name(family) +
+                         " (declared run times are wrong)");
     }
   }
-  return report;
+  for (std::size_t n = 0; n < excess_uses.size(); ++n) {
+    const std::int64_t count = excess_uses.Recent(n, now);
+    if (count >= kCulpritFaults) {
+      culprits.push_back(
+          "family " + families.name(static_cast<std::int32_t>(n)) + " (" +
+          std::to_string(count) + " tasks used more than they declared)");
+    }
+  }
+  for (std::size_t n = 0; n < impossible_jobs.size(); ++n) {
+    const std::int64_t count = impossible_jobs.Recent(n, now);
+    if (count >= kCulpritFaults) {
+      culprits.push_back("team " + teams.name(static_cast<std::int32_t>(n)) +
+                         " (" + std::to_string(count) + " impossible jobs)");
+    }
+  }
+  return culprits;
 }
 
 }  // namespace cranberryshunt::policy
--- a/tests/policy/faults_test.cc
+++ b/tests/policy/faults_test.cc
@@ -247,4 +247,27 @@
   cr_assert_eq(driver.preempts.size(), 1U);
 }
 
+// Guards against operators who cannot tell where wrong declarations and
+// impossible jobs come from.
+Test(policy_faults, sources_of_wrong_declarations_are_reported) {
+  Driver driver;
+  driver.AddWorkers(2);
+  for (int n = 0; n < 8; ++n) {
+    driver.Submit(MakeJob(Numbered("huge", n), Kind::kBatch, {99'000, 0, 0, 1},
+                          1, "dreamers"));
+    JobRequest job = MakeJob(Numbered("b", n), Kind::kBatch, kSmall);
+    job.family = n % 2 == 0 ? "short" : "right";
+    job.expected_run = n % 2 == 0 ? milliseconds(100) : seconds(1);
+    for (int again = 0; again < 2; ++again) {
+      job.job_id += "+";
+      driver.Submit(job, seconds(1));
+    }
+  }
+  driver.Run(seconds(3));
+  const auto culprits = driver.scheduler->Report(driver.clock.Now()).culprits;
+  cr_assert(culprits == std::vector<std::string>(
+                            {"family short (declared run times are wrong)",
+                             "team dreamers (8 impossible jobs)"}));
+}
+
 }  // namespace cranberryshunt::policy
