policy: Model the end of a service as its cancellation in the tests

The scheduler now starts a service again whenever one of its tasks ends, which the controller needs; two tests counted ended service tasks as done and failed (quotas_hold_over_all_kinds, decisions_keep_the_invariants). The driver now ends a service by cancelling it, as its operator does, and counts it then.

--- a/tests/policy/driver.h
+++ b/tests/policy/driver.h
@@ -136,8 +136,28 @@
       }
     }
     for (const auto& [task, end] : due) {
-      End(task, end);
+      if (!held.contains(task)) {
+        continue;  // Its service was cancelled in this step.
+      }
+      const JobRequest& job = jobs.at(task.job_id).request;
+      if (end == EndKind::kDone && job.kind == Kind::kService) {
+        CancelService(task.job_id);
+      } else {
+        End(task, end);
+      }
+    }
+  }
+
+  // The scheduler starts a service again whenever a task of it ends, so a
+  // service is done when its operator cancels it.
+  void CancelService(const std::string& job_id) {
+    JobState& job = jobs.at(job_id);
+    done += job.request.task_count -
+            static_cast<std::int64_t>(job.finished.size());
+    for (const Assignment& it : scheduler->Cancel(job_id)) {
+      End(it.task, EndKind::kCancelled);
     }
+    job.dropped = true;
   }
 
   int HeldBy(Kind kind) const {
