--- a/libraries/consensus/src/raft_replication.cc
+++ b/libraries/consensus/src/raft_replication.cc
@@ -32,6 +32,13 @@
       continue;
     }
     const bool lost = now_ - progress.chunk_at >= options_.election_timeout_ms;
+    const bool silent = now_ - std::max(leader_since_, progress.ack_sent) >
+                        options_.election_timeout_ms;
+    if (silent && progress.state == ProgressState::kReplicate) {
+      // It may have come back with an empty folder and then knows no address to
+      // reply to; probes carry the membership.
+      ToProbe(progress);
+    }
     if (progress.state == ProgressState::kSnapshot && lost) {
       progress.waiting = false;
       SendToPeer(id, progress);
