entry: Wait for an answer that the worker's announcement has overtaken

A worker announces the end of a task while its large answer is still on the way to the entry. The leader's final status then ended the wait, and the caller was told done without an answer. The status is now held back for up to 5 s while the answer is due.

--- a/libraries/entry/src/pending_jobs.cc
+++ b/libraries/entry/src/pending_jobs.cc
@@ -78,6 +78,9 @@
   }
   Job& job = *it->second;
   job.checked_at = BootClock::now();
+  if (AwaitsAnswer(job, status)) {
+    return;
+  }
   // An answer that came straight from the target is whole; the leader's copy
   // may lack its bytes.
   if (!job.final) {
@@ -92,6 +95,25 @@
   EraseIfDone(status.job_id);
 }
 
+// Whether the answer of a finished job is still on its way from the target to
+// this entry: the worker's announcement can be faster, and an answer that is
+// too large to be stored comes only this way.
+bool PendingJobs::AwaitsAnswer(Job& job, const wire::JobStatus& status) {
+  constexpr std::chrono::seconds kAnswerWait{5};
+  const bool lacks_answer = std::any_of(
+      status.tasks.begin(), status.tasks.end(), [](const auto& task) {
+        return task.outcome == wire::Outcome::kDone &&
+               task.answer.length >
+                   static_cast<std::int64_t>(task.answer.bytes.size());
+      });
+  if (job.final || !job.payload || !lacks_answer) {
+    return false;
+  }
+  const auto now = BootClock::now();
+  job.answer_due = job.answer_due.value_or(now + kAnswerWait);
+  return now < *job.answer_due;
+}
+
 bool PendingJobs::Deliver(const wire::AttemptReport& record,
                           const std::string& worker) {
   std::lock_guard lock(mutex_);
--- a/libraries/entry/src/pending_jobs.h
+++ b/libraries/entry/src/pending_jobs.h
@@ -92,12 +92,15 @@
     std::optional<wire::JobStatus> status;
     std::map<std::int32_t, wire::TaskStatus> direct;
     TimePoint checked_at;
+    // Until when a final status without its answer is not taken over.
+    std::optional<TimePoint> answer_due;
     std::condition_variable changed;
   };
   using JobPtr = std::shared_ptr<Job>;
 
   bool HasLiveWaiter(const Job& job) const;
 
+  static bool AwaitsAnswer(Job& job, const wire::JobStatus& status);
   void DropPayload(Job& job);
   void EraseIfDone(const std::string& job_id);
 
--- a/tests/integration/path_test.cc
+++ b/tests/integration/path_test.cc
@@ -7,6 +7,7 @@
 
 #include "support/cell.h"
 #include "support/json.h"
+#include "support/load.h"
 
 namespace cranberryshunt::test {
 
@@ -61,11 +62,27 @@
   failing.more_payload = "fail=1";
   const auto told = cell.caller().SubmitUntilFinal(failing, 0, kBound);
   cr_expect(told.outcome == "failed", "outcome %s", told.outcome.c_str());
+  cr_expect(cell.Violations().empty());
+}
 
-  JobRequest large;
-  large.request = "large";
-  large.more_payload = "answer_bytes=1000000";
-  cr_expect(cell.caller().SubmitUntilFinal(large, 1, kBound).outcome == "done");
+// Guards against a caller who is told that the work is done and gets no answer,
+// because the worker's announcement was faster than the answer itself, which is
+// too large to be kept by the controllers.
+Test(path, large_answers_reach_their_callers) {
+  Cell cell({});
+  cr_assert(cell.Start());
+  constexpr int kTurns = 100;
+  Load load(8, [&](int thread, int n) {
+    JobRequest job;
+    job.request = "large-" + std::to_string(thread) + "-" + std::to_string(n);
+    job.more_payload = "answer_bytes=900000";
+    const auto told = cell.caller().SubmitUntilFinal(job, thread, kBound);
+    cr_expect(told.outcome == "done", "%s: '%s', code %d %s",
+              job.request.c_str(), told.outcome.c_str(), told.code,
+              told.reason.c_str());
+  });
+  cr_expect(WaitUntil(3 * kBound, [&] { return load.turns() >= kTurns; }));
+  load.Stop();
   cr_expect(cell.Violations().empty());
 }
 
