tests: Let two tests of the entry path bite

Without retirement of older connections the lookups after a silence reused the one fresh connection, and a report that broke was sent again by the leader client. Lookups now run at once, and reports are refused.

--- a/tests/entry/entry_test.cc
+++ b/tests/entry/entry_test.cc
@@ -478,16 +478,18 @@
             reply.Contains("\"answer\":\"why\""));
 }
 
-// Guards against results that are lost when the leader cannot be reached.
+// Guards against results that are lost when the leader cannot commit them.
 Test(entry, results_are_reported_again_after_a_failure) {
   FakeTarget target(&Echo);
   EntryFixture cell(target.address());
   cr_assert(cell.WaitForReady());
-  cell.controller.Locked([&] { cell.controller.break_reports = true; });
+  cell.controller.Locked([&] { cell.controller.refuse_reports = true; });
   for (int i = 0; i < 3; ++i) {
     cr_assert_eq(cell.Submit("interactive", "p", 20'000).status, 200);
   }
-  cell.controller.Locked([&] { cell.controller.break_reports = false; });
+  cr_assert(cell.controller.WaitFor(
+      [&] { return cell.controller.refused_results >= 3; }));
+  cell.controller.Locked([&] { cell.controller.refuse_reports = false; });
   cr_assert(cell.controller.WaitFor(
       [&] { return cell.controller.results.size() >= 3; }));
 }
--- a/tests/entry/fake_controller.h
+++ b/tests/entry/fake_controller.h
@@ -85,6 +85,12 @@
     if (break_reports) {
       throw apache::thrift::transport::TTransportException("broken");
     }
+    if (refuse_reports) {
+      refused_results += static_cast<int>(report.results.size());
+      reply.status.code = static_cast<int>(ResultCode::kStorageFull);
+      changed_.notify_all();
+      return;
+    }
     for (const auto& announcement : report.announcements) {
       reply.announcements.emplace_back();
       reply.announcements.back().identity = announcement.worker.identity;
@@ -207,6 +213,8 @@
   int transient_submits = 0;
   bool break_submits = false;
   bool break_reports = false;
+  bool refuse_reports = false;
+  int refused_results = 0;
   bool reply_after_result = false;
   std::int64_t rules_lease_ms = 3'000;
   std::int64_t rules_revision = 1;
--- a/tests/targets/targets_test.cc
+++ b/tests/targets/targets_test.cc
@@ -130,24 +130,51 @@
 // Guards against a waiting start that hangs on a connection that went silent,
 // and against later calls that use connections of the same age.
 Test(targets, recovers_from_silent_connections) {
+  constexpr int kIdle = 4;
   std::mutex mutex;
   std::condition_variable changed;
   bool release = false;
-  std::atomic<int> starts = 0;
+  int starts = 0;
+  int lookups = 0;
+  int lookups_together = 0;
   FakeTarget fake([&](const std::string& path, json_t* body) {
-    if (path == "/v1/tasks/start") {
-      std::unique_lock lock(mutex);
-      ++starts;
-      changed.notify_all();
-      changed.wait(lock, [&] { return release; });
-    }
+    std::unique_lock lock(mutex);
+    const bool start = path == "/v1/tasks/start";
+    ++(start ? starts : lookups);
+    changed.notify_all();
+    // Lookups at once end together, so that each has its own connection.
+    changed.wait_for(lock, milliseconds(1'500), [&] {
+      return start ? release : lookups >= lookups_together;
+    });
     return FakeAnswer{200, DoneRecord(JobOf(body), "late")};
   });
   auto client = ClientOf(1);
-  const Target target{fake.address(), 8};
+  const Target target{fake.address(), 16};
   const auto order = OrderOf("j1");
-  // Leaves an idle connection that goes silent as well.
-  client.Lookup(target, order.attempt, false, Reuse::kAllowed);
+  const auto look_up = [&] {
+    const auto begin = steady_clock::now();
+    const auto found =
+        client.Lookup(target, order.attempt, false, Reuse::kAllowed);
+    return std::holds_alternative<Found>(found) &&
+           steady_clock::now() - begin < milliseconds(900);
+  };
+  const auto look_up_at_once = [&] {
+    {
+      std::lock_guard lock(mutex);
+      lookups_together = lookups + kIdle;
+    }
+    std::atomic<int> right = 0;
+    std::vector<std::thread> threads;
+    threads.reserve(kIdle);
+    for (int i = 0; i < kIdle; ++i) {
+      threads.emplace_back([&] { right += look_up() ? 1 : 0; });
+    }
+    for (auto& thread : threads) {
+      thread.join();
+    }
+    return right.load();
+  };
+  cr_assert_eq(look_up_at_once(), kIdle);
   StartResult result;
   std::thread caller([&] {
     result = client.StartAndWait(target, order, "p", Reuse::kForbidden);
@@ -165,12 +192,7 @@
   const auto* done = std::get_if<Finished>(&result);
   cr_assert_not_null(done);
   cr_assert(done->record.answer.bytes == "late");
-  const auto begin = steady_clock::now();
-  const auto found =
-      client.Lookup(target, order.attempt, false, Reuse::kAllowed);
-  cr_assert(std::holds_alternative<Found>(found));
-  cr_assert(steady_clock::now() - begin < milliseconds(500),
-            "a retired connection was used again");
+  cr_assert_eq(look_up_at_once(), kIdle, "a retired connection was used again");
 }
 
 // Guards against waiting starts that take the connection that lookups need.
