entry: Keep the damage of large answers visible, and test it

Cause: entry::wrong_bodies_are_refused_by_field expected 400 for an announcement with a damaged answer, which is now passed on so that the worker's leases go on. Clearing answers above 64 KiB hid their damage from the leader.

Change: of a damaged answer a part is kept, which still differs from the stated length and checksum.

--- a/libraries/entry/src/start_task.cc
+++ b/libraries/entry/src/start_task.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "cranberryshunt/base/bytes.h"
+
 namespace cranberryshunt::entry {
 
 namespace {
@@ -17,10 +19,18 @@
 }  // namespace
 
 void StripUnstoredAnswer(wire::Answer& answer) {
-  if (!answer.stored || answer.bytes.size() > kMaxStoredAnswerBytes) {
-    answer.stored = false;
-    answer.bytes.clear();
+  if (answer.stored && answer.bytes.size() <= kMaxStoredAnswerBytes) {
+    return;
+  }
+  const bool whole =
+      answer.length == static_cast<std::int64_t>(answer.bytes.size()) &&
+      answer.crc32 == static_cast<std::int64_t>(Crc32(answer.bytes));
+  if (!whole) {
+    answer.bytes.resize(kMaxStoredAnswerBytes);
+    return;
   }
+  answer.stored = false;
+  answer.bytes.clear();
 }
 
 StartTask::StartTask(targets::TargetClient& client,
--- a/libraries/entry/src/start_task.h
+++ b/libraries/entry/src/start_task.h
@@ -16,7 +16,8 @@
 // Largest answer that is committed with a task's result.
 inline constexpr std::size_t kMaxStoredAnswerBytes = 64U << 10;
 
-// Clears the bytes of an answer that is not to be stored.
+// Clears the bytes of an answer that is not to be stored. Of a damaged answer a
+// part stays, so that the leader still sees the damage.
 void StripUnstoredAnswer(wire::Answer& answer);
 
 // One run of a start order. It ends with exactly one report, unless the client
--- a/tests/entry/fake_controller.h
+++ b/tests/entry/fake_controller.h
@@ -98,6 +98,10 @@
       reply.announcements.back().lease_ms = 10'000;
     }
     results.insert(results.end(), report.results.begin(), report.results.end());
+    for (const auto& announcement : report.announcements) {
+      announced.insert(announced.end(), announcement.attempts.begin(),
+                       announcement.attempts.end());
+    }
     audit.insert(audit.end(), report.audit.begin(), report.audit.end());
     changed_.notify_all();
   }
@@ -226,6 +230,7 @@
   wire::DrainWorker drained;
   wire::MembershipChange membership;
   std::vector<wire::AttemptReport> results;
+  std::vector<wire::AttemptReport> announced;
   std::vector<wire::AuditRecord> audit;
 
  private:
