targets: Refuse finished records that lack their answer

Cause: with truncated answers an entry repeats the start; once the leader had ended the attempt, the target forgot the acknowledged answer, and its record without one was relayed as done with an empty answer. Found by the integration test answers/cut_short.

Change: in answers of calls, a record of a finished task must hold its answer with length and checksum.

--- a/libraries/targets/include/cranberryshunt/targets/task_record.h
+++ b/libraries/targets/include/cranberryshunt/targets/task_record.h
@@ -17,7 +17,8 @@
 
 // What becomes of an answer whose length or CRC-32 differs from the stated one.
 enum class DamagedAnswers {
-  kRefuse,  // The record is refused with kAnswerInvalid.
+  kRefuse,  // The record is refused with kAnswerInvalid, also when a finished
+            // task lacks its answer.
   kKeep,    // The record is kept as it is, for a reader that checks answers.
 };
 
--- a/libraries/targets/src/task_record.cc
+++ b/libraries/targets/src/task_record.cc
@@ -45,13 +45,23 @@
 
 void ReadAnswer(JsonReader& reader,
                 DamagedAnswers damaged_answers,
+                wire::AttemptState::type state,
                 wire::Answer& answer) {
   answer.bytes = reader.OptionalString("answer", kMaxAnswerBytes);
   answer.length =
       reader.OptionalInteger("answer_length", 0, 0, kMaxAnswerBytes);
   answer.crc32 = reader.OptionalInteger("answer_crc32", 0, 0, kMaxCrc32);
   answer.stored = true;
-  if (!reader.Has("answer") || damaged_answers == DamagedAnswers::kKeep) {
+  if (damaged_answers == DamagedAnswers::kKeep) {
+    return;
+  }
+  if (!reader.Has("answer")) {
+    // A target that forgot an acknowledged answer must not look like one whose
+    // answer is empty.
+    if (state == wire::AttemptState::kDone) {
+      reader.SetError(ResultCode::kAnswerInvalid,
+                      "record of a finished task has no answer", "answer");
+    }
     return;
   }
   // The checks tell a truncated or mixed-up answer from a whole one.
@@ -84,7 +94,7 @@
   record.fence = reader.OptionalInteger("fence", 0, 0, kMaxInteger);
   record.state = ReadState(reader);
   record.reason = reader.OptionalString("reason", kMaxReasonBytes);
-  ReadAnswer(reader, damaged_answers, record.answer);
+  ReadAnswer(reader, damaged_answers, record.state, record.answer);
   if (auto finished = reader.Finish(); !finished) {
     return tl::unexpected(finished.error());
   }
