--- a/libraries/policy/src/lifecycle.cc
+++ b/libraries/policy/src/lifecycle.cc
@@ -250,7 +250,10 @@
     job.Requeue(ref.index);
     EnqueueAgain(ref.job);
   }
-  AddDeadline(ref.job);
+  // The first entry was dropped when it came due while the task was held.
+  if (job.deadline && *job.deadline <= now && !job.ran) {
+    AddDeadline(ref.job);
+  }
   return Requeued();
 }
 
