--- a/libraries/controller/src/job_service.cc
+++ b/libraries/controller/src/job_service.cc
@@ -165,7 +165,7 @@
   }
 }
 
-void JobService::GetJob(GetJobCall call) {
+void JobService::GetJob(const GetJobCall& call) {
   const auto& request = call.request;
   const auto& jobs = context_.state.jobs();
   const auto* job = request.job_id.empty()
--- a/libraries/controller/src/job_service.h
+++ b/libraries/controller/src/job_service.h
@@ -21,7 +21,7 @@
       : context_(context), attempts_(attempts) {}
 
   void Submit(SubmitCall call, TimePoint now);
-  void GetJob(GetJobCall call);
+  void GetJob(const GetJobCall& call);
   void Cancel(CancelCall call);
 
   void OnSubmitApplied(const wire::SubmitJob& command,
--- a/libraries/controller/src/leader.cc
+++ b/libraries/controller/src/leader.cc
@@ -137,7 +137,7 @@
       leader.polls_.Poll(std::move(it), now);
     }
     void operator()(GetJobCall& it) const {
-      leader.jobs_.GetJob(std::move(it));
+      leader.jobs_.GetJob(it);
     }
     void operator()(CancelCall& it) const {
       leader.jobs_.Cancel(std::move(it));
