--- a/tests/policy/driver.h
+++ b/tests/policy/driver.h
@@ -79,7 +79,7 @@
   }
 
   Admission Submit(const JobRequest& request, Duration run = seconds(1000)) {
-    const Admission answer = scheduler->Submit(request, clock.Now());
+    Admission answer = scheduler->Submit(request, clock.Now());
     if (std::holds_alternative<Queued>(answer)) {
       jobs[request.job_id] = {request, run, {}, {}, {}, clock.Now(), {}, false};
     }
@@ -116,7 +116,7 @@
     if (end == EndKind::kFailed) {
       job.failed_on[task.index].insert(ended.worker);
     }
-    const EndVerdict verdict = scheduler->TaskEnded(task, end, clock.Now());
+    EndVerdict verdict = scheduler->TaskEnded(task, end, clock.Now());
     if (const Ended* it = std::get_if<Ended>(&verdict)) {
       job.finished.insert(task.index);
       job.codes[task.index] = it->code;
@@ -136,8 +136,28 @@
       }
     }
     for (const auto& [task, end] : due) {
-      End(task, end);
+      if (!held.contains(task)) {
+        continue;  // Its service was cancelled in this step.
+      }
+      const JobRequest& job = jobs.at(task.job_id).request;
+      if (end == EndKind::kDone && job.kind == Kind::kService) {
+        CancelService(task.job_id);
+      } else {
+        End(task, end);
+      }
+    }
+  }
+
+  // The scheduler starts a service again whenever a task of it ends, so a
+  // service is done when its operator cancels it.
+  void CancelService(const std::string& job_id) {
+    JobState& job = jobs.at(job_id);
+    done += job.request.task_count -
+            static_cast<std::int64_t>(job.finished.size());
+    for (const Assignment& it : scheduler->Cancel(job_id)) {
+      End(it.task, EndKind::kCancelled);
     }
+    job.dropped = true;
   }
 
   int HeldBy(Kind kind) const {
