controller: Give up attempts that an unreachable worker did not start

Cause: a worker that announces itself but cannot be reached by lookups kept a lost start open for ever. A lookup that finds no record of an attempt that was reported as running ended it as never started.

Change: an attempt in lookup ends as refused once an announcement, sent after its start expiry on the worker's clock, does not list it; an attempt that ran and has no record any more ends as lost with its worker.

--- a/libraries/controller/src/attempt_ends.cc
+++ b/libraries/controller/src/attempt_ends.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kMaxStoredAnswerBytes = std::size_t{64} << 10;
 // How often a damaged answer is fetched again before the attempt fails.
 constexpr int kMaxInvalidAnswers = 3;
+// Longer than an announcement waits at an entry and in its calls. An earlier
+// leader's expiry is known only on this leader's clock.
+constexpr std::chrono::seconds kMaxAnnouncementDelay{5};
 
 // Whether the attempt did not run and never will.
 bool NeverStarted(policy::EndKind kind) {
@@ -156,6 +159,36 @@
       now);
 }
 
+void AttemptManager::OnListed(const std::string& worker,
+                              std::int64_t clock_ms,
+                              const std::vector<wire::AttemptReport>& listed,
+                              TimePoint now) {
+  // Each attempt that is listed is known or to be stopped, so equal counts mean
+  // in nearly all cases that none is missing.
+  if (table_.CountOnWorker(worker) <= listed.size()) {
+    return;
+  }
+  for (const auto& task : table_.OnWorker(worker)) {
+    Attempt* attempt = table_.Find(task);
+    const bool expired = clock_ms > attempt->expiry_clock_ms &&
+                         now > attempt->start_expiry + kMaxAnnouncementDelay;
+    if (attempt->stage != Stage::kLookup || attempt->ran || !expired) {
+      continue;
+    }
+    const bool is_listed = std::any_of(listed.begin(), listed.end(),
+                                       [&](const wire::AttemptReport& it) {
+                                         return it.attempt == attempt->key;
+                                       });
+    if (!is_listed) {
+      // It keeps what it started until the end is acknowledged.
+      End(*attempt,
+          {.kind = policy::EndKind::kRefused,
+           .reason = "the worker did not start it before its expiry"},
+          now);
+    }
+  }
+}
+
 void AttemptManager::ReportNotStarted(Attempt& attempt,
                                       const wire::AttemptReport& report,
                                       TimePoint now) {
@@ -175,6 +208,12 @@
     EndUndeliverable(attempt, now);
     return;
   }
+  if (attempt.ran) {
+    // The target has lost its record, so the attempt has had effects.
+    End(attempt,
+        {.kind = policy::EndKind::kWorkerLost, .reason = report.reason}, now);
+    return;
+  }
   // A target that answers lookups is not to blame for a start that was lost.
   const bool blameless =
       report.looked_up && report.state == wire::AttemptState::kNeverStarted;
--- a/libraries/controller/src/attempt_manager.h
+++ b/libraries/controller/src/attempt_manager.h
@@ -43,6 +43,13 @@
   StartDecision DecideStart(const wire::AttemptKey& key, TimePoint now);
 
   ReportEffect Report(const wire::AttemptReport& report, TimePoint now);
+  // The worker lists `listed` in an announcement sent at `clock_ms` of its own
+  // clock. Ends the attempts that it can no longer start, which matters when
+  // it announces itself but cannot be reached by lookups.
+  void OnListed(const std::string& worker,
+                std::int64_t clock_ms,
+                const std::vector<wire::AttemptReport>& listed,
+                TimePoint now);
   void RequestStop(const policy::TaskId& task,
                    StopReason reason,
                    bool checkpoint,
--- a/libraries/controller/src/attempt_starts.cc
+++ b/libraries/controller/src/attempt_starts.cc
@@ -130,7 +130,10 @@
   attempt->handed_out = true;
   attempt->start_expiry = now + WithMargin(context_.options.start_window);
   table_.SetDue(*attempt, attempt->start_expiry + kReportDelay);
-  return HandOut{MakeStart(*job, *attempt, *worker, now)};
+  const auto order = MakeStart(*job, *attempt, *worker, now);
+  attempt->expiry_clock_ms =
+      std::max(attempt->expiry_clock_ms, order.start_expiry_clock_ms);
+  return HandOut{order};
 }
 
 wire::StartOrder AttemptManager::MakeStart(const state::JobRecord& job,
--- a/libraries/controller/src/attempt_table.cc
+++ b/libraries/controller/src/attempt_table.cc
@@ -66,6 +66,11 @@
   return {it->second.begin(), it->second.end()};
 }
 
+std::size_t AttemptTable::CountOnWorker(const std::string& worker) const {
+  auto it = by_worker_.find(worker);
+  return it == by_worker_.end() ? 0 : it->second.size();
+}
+
 std::vector<policy::TaskId> AttemptTable::WithEntry(
     const std::string& entry) const {
   std::vector<policy::TaskId> found;
--- a/libraries/controller/src/attempt_table.h
+++ b/libraries/controller/src/attempt_table.h
@@ -39,7 +39,8 @@
   bool ran = false;          // Reported as running before.
   int deliveries = 0;        // Entries that got its start from this leader.
   TimePoint start_expiry{};  // No start can take effect later.
-  TimePoint listed{};        // Last report that it runs.
+  std::int64_t expiry_clock_ms = 0;  // The same on the worker's clock.
+  TimePoint listed{};                // Last report that it runs.
   StopReason stop = StopReason::kNone;
   bool checkpoint = false;
   int lookups = 0;
@@ -63,6 +64,7 @@
   std::vector<policy::TaskId> TakeDue(TimePoint now);
 
   std::vector<policy::TaskId> OnWorker(const std::string& worker) const;
+  std::size_t CountOnWorker(const std::string& worker) const;
   // Attempts whose start is with `entry`.
   std::vector<policy::TaskId> WithEntry(const std::string& entry) const;
   bool HasWorker(const std::string& worker) const {
--- a/libraries/controller/src/leader.cc
+++ b/libraries/controller/src/leader.cc
@@ -136,9 +136,7 @@
     void operator()(PollCall& it) const {
       leader.polls_.Poll(std::move(it), now);
     }
-    void operator()(GetJobCall& it) const {
-      leader.jobs_.GetJob(it);
-    }
+    void operator()(GetJobCall& it) const { leader.jobs_.GetJob(it); }
     void operator()(CancelCall& it) const {
       leader.jobs_.Cancel(std::move(it));
     }
--- a/libraries/controller/src/report_service.cc
+++ b/libraries/controller/src/report_service.cc
@@ -73,6 +73,8 @@
   for (const auto& report : announcement.attempts) {
     TakeAttempt(report, reply, now);
   }
+  attempts_.OnListed(worker.identity, announcement.clock_ms,
+                     announcement.attempts, now);
   TakeUsage(announcement);
   reply.lease_ms = context_.options.worker_lease.count();
   return reply;
--- a/tests/controller/attempts_test.cc
+++ b/tests/controller/attempts_test.cc
@@ -125,6 +125,19 @@
   cr_assert_eq(it.Starts()[1].attempt.attempt, 2);
 }
 
+// Guards against a task that waits forever for a worker that announces itself
+// but cannot be reached.
+Test(attempts, unreachable_worker_gives_its_attempt_up) {
+  Cell cell;
+  Harness& it = *cell.harness;
+  it.Submit(Exclusive("j1", false));
+  it.Run(seconds(7));
+  cr_assert_eq(it.Starts().size(), 1U);
+  it.Run(seconds(2));
+  cr_assert_eq(it.Starts().size(), 2U);
+  cr_assert_eq(it.Starts()[1].attempt.attempt, 2);
+}
+
 // Guards against a start that is lost, or repeated as a new attempt, when the
 // leader changes between the commit of a placement and the hand-out.
 Test(attempts, leader_change_repeats_the_same_attempt) {
--- a/tests/policy/driver.h
+++ b/tests/policy/driver.h
@@ -152,8 +152,8 @@
   // service is done when its operator cancels it.
   void CancelService(const std::string& job_id) {
     JobState& job = jobs.at(job_id);
-    done += job.request.task_count -
-            static_cast<std::int64_t>(job.finished.size());
+    done +=
+        job.request.task_count - static_cast<std::int64_t>(job.finished.size());
     for (const Assignment& it : scheduler->Cancel(job_id)) {
       End(it.task, EndKind::kCancelled);
     }
