targets: Refuse a done record that lacks its answer

Cause: after a damaged answer of an idempotent request was given up and the task queued again, the leader acknowledged the first attempt. The entry was still looking it up; the target, which had forgotten the answer, sent a done record without one, and the caller was told done with an empty answer. Ruled out: lost payloads (the digest of both attempts is the same) and a damaged answer that passed the check.

Change: a done record without its answer fields fails the check; a kept one gets a length that no answer has. The unit test of the target client has the case too.

--- a/libraries/targets/src/task_record.cc
+++ b/libraries/targets/src/task_record.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kMaxReasonBytes = 1024;
 constexpr std::int64_t kMaxIndex = std::numeric_limits<std::int32_t>::max();
 constexpr std::int64_t kMaxInteger = std::numeric_limits<std::int64_t>::max();
+// No answer has this length, so that every check of it fails.
+constexpr std::int64_t kMissingLength = -1;
 constexpr std::int64_t kMaxCrc32 = std::numeric_limits<std::uint32_t>::max();
 
 constexpr std::array kStates{
@@ -43,7 +45,9 @@
   return wire::AttemptState::kRunning;
 }
 
+// Reads the answer of a task that is in `state`.
 void ReadAnswer(JsonReader& reader,
+                wire::AttemptState::type state,
                 DamagedAnswers damaged_answers,
                 wire::Answer& answer) {
   answer.bytes = reader.OptionalString("answer", kMaxAnswerBytes);
@@ -51,12 +55,20 @@
       reader.OptionalInteger("answer_length", 0, 0, kMaxAnswerBytes);
   answer.crc32 = reader.OptionalInteger("answer_crc32", 0, 0, kMaxCrc32);
   answer.stored = true;
-  if (!reader.Has("answer") || damaged_answers == DamagedAnswers::kKeep) {
+  // A target that was told to forget an answer still knows that the task is
+  // done. Without the three fields, that must not pass for an empty answer.
+  const bool missing = state == wire::AttemptState::kDone &&
+                       !(reader.Has("answer") && reader.Has("answer_length") &&
+                         reader.Has("answer_crc32"));
+  if (missing) {
+    answer.length = kMissingLength;
+  }
+  if (damaged_answers == DamagedAnswers::kKeep ||
+      (!missing && !reader.Has("answer"))) {
     return;
   }
   // The checks tell a truncated or mixed-up answer from a whole one.
   const bool whole =
-      reader.Has("answer_length") && reader.Has("answer_crc32") &&
       answer.length == static_cast<std::int64_t>(answer.bytes.size()) &&
       answer.crc32 == static_cast<std::int64_t>(Crc32(answer.bytes));
   if (!whole) {
@@ -84,7 +96,7 @@
   record.fence = reader.OptionalInteger("fence", 0, 0, kMaxInteger);
   record.state = ReadState(reader);
   record.reason = reader.OptionalString("reason", kMaxReasonBytes);
-  ReadAnswer(reader, damaged_answers, record.answer);
+  ReadAnswer(reader, record.state, damaged_answers, record.answer);
   if (auto finished = reader.Finish(); !finished) {
     return tl::unexpected(finished.error());
   }
--- a/tests/targets/targets_test.cc
+++ b/tests/targets/targets_test.cc
@@ -84,6 +84,8 @@
       {200, DoneRecord("j2", "the answer")},
       {200, DoneRecord("j1", "the answer", 2)},
       {200, whole.substr(0, whole.size() - 3)},
+      // The target forgot the answer after an acknowledgement.
+      {200, R"({"job_id":"j1","index":0,"attempt":1,"state":"done"})"},
       {500, whole},
   };
   std::size_t next = 0;
