--- a/libraries/targets/src/task_record.cc
+++ b/libraries/targets/src/task_record.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kMaxReasonBytes = 1024;
 constexpr std::int64_t kMaxIndex = std::numeric_limits<std::int32_t>::max();
 constexpr std::int64_t kMaxInteger = std::numeric_limits<std::int64_t>::max();
+// No answer has this length, so that every check of it fails.
+constexpr std::int64_t kMissingLength = -1;
 constexpr std::int64_t kMaxCrc32 = std::numeric_limits<std::uint32_t>::max();
 
 constexpr std::array kStates{
@@ -43,30 +45,30 @@
   return wire::AttemptState::kRunning;
 }
 
+// Reads the answer of a task that is in `state`.
 void ReadAnswer(JsonReader& reader,
-                DamagedAnswers damaged_answers,
                 wire::AttemptState::type state,
+                DamagedAnswers damaged_answers,
                 wire::Answer& answer) {
   answer.bytes = reader.OptionalString("answer", kMaxAnswerBytes);
   answer.length =
       reader.OptionalInteger("answer_length", 0, 0, kMaxAnswerBytes);
   answer.crc32 = reader.OptionalInteger("answer_crc32", 0, 0, kMaxCrc32);
   answer.stored = true;
-  if (damaged_answers == DamagedAnswers::kKeep) {
-    return;
+  // A target that was told to forget an answer still knows that the task is
+  // done. Without the three fields, that must not pass for an empty answer.
+  const bool missing = state == wire::AttemptState::kDone &&
+                       !(reader.Has("answer") && reader.Has("answer_length") &&
+                         reader.Has("answer_crc32"));
+  if (missing) {
+    answer.length = kMissingLength;
   }
-  if (!reader.Has("answer")) {
-    // A target that forgot an acknowledged answer must not look like one whose
-    // answer is empty.
-    if (state == wire::AttemptState::kDone) {
-      reader.SetError(ResultCode::kAnswerInvalid,
-                      "record of a finished task has no answer", "answer");
-    }
+  if (damaged_answers == DamagedAnswers::kKeep ||
+      (!missing && !reader.Has("answer"))) {
     return;
   }
   // The checks tell a truncated or mixed-up answer from a whole one.
   const bool whole =
-      reader.Has("answer_length") && reader.Has("answer_crc32") &&
       answer.length == static_cast<std::int64_t>(answer.bytes.size()) &&
       answer.crc32 == static_cast<std::int64_t>(Crc32(answer.bytes));
   if (!whole) {
@@ -94,7 +96,7 @@
   record.fence = reader.OptionalInteger("fence", 0, 0, kMaxInteger);
   record.state = ReadState(reader);
   record.reason = reader.OptionalString("reason", kMaxReasonBytes);
-  ReadAnswer(reader, damaged_answers, record.state, record.answer);
+  ReadAnswer(reader, record.state, damaged_answers, record.answer);
   if (auto finished = reader.Finish(); !finished) {
     return tl::unexpected(finished.error());
   }
