--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -65,6 +65,37 @@
   return out;
 }
 
+// Starts the guard, which kills the processes that are left when this one ends.
+// Returns the end of the pipe that tells it of them.
+int StartGuard() {
+  int ends[2] = {-1, -1};
+  if (::pipe2(ends, O_CLOEXEC) != 0) {
+    std::abort();
+  }
+  std::string path = std::string(BINARY_DIRECTORY) + "/process_guard";
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, ends[0], STDIN_FILENO);
+  char* arguments[] = {path.data(), nullptr};
+  pid_t pid = -1;
+  if (::posix_spawn(&pid, path.c_str(), &actions, nullptr, arguments,
+                    environ) != 0) {
+    std::abort();
+  }
+  posix_spawn_file_actions_destroy(&actions);
+  ::close(ends[0]);
+  return ends[1];
+}
+
+void TellGuard(char sign, pid_t pid) {
+  static const int guard = StartGuard();
+  const std::string line = sign + std::to_string(pid) + "\n";
+  if (::write(guard, line.data(), line.size()) !=
+      static_cast<ssize_t>(line.size())) {
+    std::abort();
+  }
+}
+
 std::string ReadWhole(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   return {std::istreambuf_iterator<char>(in), {}};
@@ -144,6 +175,7 @@
     std::fprintf(stderr, "cannot start %s\n", path.c_str());
     return nullptr;
   }
+  TellGuard('+', pid);
   return std::unique_ptr<Process>(new Process(pid, log_path));
 }
 
@@ -163,6 +195,7 @@
     if (!exit_code_ && ::waitpid(pid_, &status, WNOHANG) == pid_) {
       exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status)
                                      : kSignalBase + WTERMSIG(status);
+      TellGuard('-', pid_);
     }
     return exit_code_.has_value();
   });
