--- a/benchmarks/cell_benchmark.cc
+++ b/benchmarks/cell_benchmark.cc
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdio>
+#include <exception>
 #include <fstream>
 #include <memory>
 #include <string>
@@ -199,6 +200,7 @@
   std::atomic<bool> stop = false;
   std::vector<CallerResult> results(static_cast<std::size_t>(options.callers));
   std::vector<std::thread> threads;
+  threads.reserve(results.size());
   const auto start = Clock::now();
   for (int n = 0; n < options.callers; ++n) {
     threads.emplace_back([&, n] {
@@ -240,7 +242,7 @@
 
 }  // namespace cranberryshunt::benchmark
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv) try {
   using cranberryshunt::benchmark::Options;
   Options options;
   CLI::App app("Measures a cell of real processes on loopback.");
@@ -254,4 +256,7 @@
   CLI11_PARSE(app, argc, argv);
   curl_global_init(CURL_GLOBAL_ALL);
   return cranberryshunt::benchmark::Run(options);
+} catch (const std::exception& error) {
+  std::fprintf(stderr, "cell_benchmark: %s\n", error.what());
+  return 1;
 }
--- a/tests/integration/answers_test.cc
+++ b/tests/integration/answers_test.cc
@@ -19,6 +19,7 @@
 // outcome that is right beside "done".
 void RunJobs(Cell& cell, const std::string& prefix, const char* allowed) {
   std::vector<std::thread> threads;
+  threads.reserve(8);
   for (int thread = 0; thread < 8; ++thread) {
     threads.emplace_back([&cell, &prefix, allowed, thread] {
       for (int n = 0; n < 10; ++n) {
@@ -74,6 +75,7 @@
   Cell cell({});
   cr_assert(cell.Start());
   std::vector<std::thread> threads;
+  threads.reserve(8);
   for (int n = 0; n < 8; ++n) {
     threads.emplace_back([&cell, n] {
       JobRequest job;
--- a/tests/integration/mixed_test.cc
+++ b/tests/integration/mixed_test.cc
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 #include <signal.h>
 
+#include <array>
 #include <cstdlib>
 #include <functional>
 #include <random>
@@ -25,10 +26,10 @@
 }
 
 JobRequest MixedJob(int thread, int n) {
-  static const char* const kKinds[] = {"interactive", "batch", "gang"};
+  constexpr std::array kKinds = {"interactive", "batch", "gang"};
   JobRequest job;
   job.request = "mixed-" + std::to_string(thread) + "-" + std::to_string(n);
-  job.kind = kKinds[(thread + n) % 3];
+  job.kind = kKinds[static_cast<std::size_t>(thread + n) % kKinds.size()];
   job.tasks = job.kind == "gang" ? 3 : 1;
   job.key = job.request;
   job.idempotent = n % 3 != 0;
