--- a/services/cranberryshunt/controller_command.cc
+++ b/services/cranberryshunt/controller_command.cc
@@ -6,6 +6,7 @@
 #include "commands.h"
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/controller/controller.h"
+#include "cranberryshunt/wire/transport_log.h"
 #include "signals.h"
 
 namespace cranberryshunt {
@@ -142,6 +143,7 @@
   if (!ConfigureLogging(state.log_level, state.options.replica.id)) {
     return 2;
   }
+  wire::RouteTransportMessagesToLog();
   auto started = controller::Controller::Start(state.options);
   if (!started) {
     const auto& error = started.error();
--- a/services/cranberryshunt/entry_command.cc
+++ b/services/cranberryshunt/entry_command.cc
@@ -3,6 +3,7 @@
 #include "commands.h"
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/entry/entry.h"
+#include "cranberryshunt/wire/transport_log.h"
 #include "signals.h"
 
 namespace cranberryshunt {
@@ -81,6 +82,7 @@
   if (!ConfigureLogging(state.log_level, state.options.id)) {
     return 2;
   }
+  wire::RouteTransportMessagesToLog();
   auto started = entry::Entry::Start(state.options);
   if (!started) {
     const auto& error = started.error();
