wire, entry: Find a new leader faster when the old one is cut off

Change: opening a connection is limited to 300 ms; a controller that cannot be reached is not tried on a hint for 1 s; a call that timed out on an old connection is tried once more on a new one to the same controller; the poll waits 400 ms and is given up after 700 ms. The new unit test covers the hint.

--- a/libraries/entry/src/poller.cc
+++ b/libraries/entry/src/poller.cc
@@ -9,10 +9,11 @@
 
 namespace {
 
-constexpr std::int32_t kPollWaitMs = 500;
-// The wait and a commit over the slow link; two attempts fit into a rules lease
-// of 3 s.
-constexpr std::chrono::milliseconds kPollAttempt{1'100};
+constexpr std::int32_t kPollWaitMs = 400;
+// The wait and a margin for a busy leader. Starts come only with this call, so
+// it bounds how long a leader that was cut off is waited for: placements must
+// resume within 2 s, of which an election takes up to 1 s.
+constexpr std::chrono::milliseconds kPollAttempt{700};
 constexpr std::chrono::milliseconds kPollDeadline{2'500};
 constexpr std::chrono::milliseconds kPauseAfterFailure{50};
 constexpr LeaderCalls::Limits kRulesLimits{std::chrono::milliseconds(2'000),
--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -37,20 +37,26 @@
 
   const std::string& address() const { return address_; }
 
+  // Whether no connection could be opened in the last second.
+  bool unreachable() const;
+
  private:
   struct Connection;
 
   Result<std::unique_ptr<Connection>> Open(std::chrono::milliseconds timeout);
+  Result<std::unique_ptr<Connection>> Handshake(
+      std::chrono::milliseconds timeout);
   std::unique_ptr<Connection> TakeIdle();
   void RetireUpTo(std::uint64_t sequence);
 
   const std::string address_;
   const std::string own_id_;
   const std::string cluster_secret_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::vector<std::unique_ptr<Connection>> idle_;
   std::uint64_t next_sequence_ = 1;
   std::uint64_t retired_up_to_ = 0;
+  std::chrono::steady_clock::time_point unreachable_until_{};
 };
 
 // What a call tells LeaderClient of its reply.
@@ -78,6 +84,7 @@
 
  private:
   std::size_t IndexOf(const std::string& address);
+  void ChooseNext(std::size_t tried, const CallStatus& status);
 
   const std::string own_id_;
   const std::string cluster_secret_;
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -25,7 +25,11 @@
 // Frames larger than this are refused; the largest are snapshot chunks and
 // batches of log entries.
 constexpr std::uint32_t kMaxFrameBytes = 64U << 20;
-constexpr std::chrono::milliseconds kConnectTimeout{1000};
+// A few round trips between regions. A host that is cut off must not hold up a
+// call that another controller could answer.
+constexpr std::chrono::milliseconds kHandshakeTimeout{300};
+// How long hints to a controller that could not be reached are ignored.
+constexpr std::chrono::seconds kUnreachablePeriod{1};
 constexpr std::chrono::milliseconds kRetryPause{25};
 constexpr std::size_t kMaxIdleConnections = 64;
 constexpr std::size_t kHintsBeforePause = 2;
@@ -81,8 +85,22 @@
   });
 }
 
+bool ControllerChannel::unreachable() const {
+  std::lock_guard lock(mutex_);
+  return std::chrono::steady_clock::now() < unreachable_until_;
+}
+
 Result<std::unique_ptr<ControllerChannel::Connection>> ControllerChannel::Open(
     std::chrono::milliseconds timeout) {
+  auto connection = Handshake(std::min(timeout, kHandshakeTimeout));
+  std::lock_guard lock(mutex_);
+  const auto now = std::chrono::steady_clock::now();
+  unreachable_until_ = connection ? now : now + kUnreachablePeriod;
+  return connection;
+}
+
+Result<std::unique_ptr<ControllerChannel::Connection>>
+ControllerChannel::Handshake(std::chrono::milliseconds timeout) {
   const auto host_port = SplitAddress(address_);
   if (!host_port) {
     return tl::unexpected(host_port.error());
@@ -94,8 +112,7 @@
   }
   connection->socket =
       std::make_shared<TSocket>(host_port->first, host_port->second);
-  connection->socket->setConnTimeout(
-      static_cast<int>(std::min(timeout, kConnectTimeout).count()));
+  connection->socket->setConnTimeout(static_cast<int>(timeout.count()));
   connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
   connection->socket->setSendTimeout(static_cast<int>(timeout.count()));
   connection->socket->setNoDelay(true);
@@ -135,8 +152,7 @@
 Result<void> ControllerChannel::Run(std::chrono::milliseconds timeout,
                                     const Call& call) {
   auto connection = TakeIdle();
-  const bool reused = connection != nullptr;
-  if (!reused) {
+  if (!connection) {
     auto opened = Open(timeout);
     if (!opened) {
       return tl::unexpected(opened.error());
@@ -185,6 +201,30 @@
   return channels_.size() - 1;
 }
 
+// Follows the hint in `status`, or takes the next controller. Followers name an
+// old leader until they have elected another one, so a hint to a controller
+// that cannot be reached is ignored.
+void LeaderClient::ChooseNext(std::size_t tried, const CallStatus& status) {
+  std::lock_guard lock(mutex_);
+  if (!status.leader.empty()) {
+    const auto hinted = IndexOf(status.leader);
+    if (!channels_[hinted]->unreachable()) {
+      leader_ = hinted;
+      return;
+    }
+  }
+  if (leader_ % channels_.size() != tried) {
+    return;  // Another thread has moved on already.
+  }
+  for (std::size_t n = 1; n <= channels_.size(); ++n) {
+    leader_ = (tried + n) % channels_.size();
+    if (!channels_[leader_]->unreachable()) {
+      return;
+    }
+  }
+  leader_ = (tried + 1) % channels_.size();
+}
+
 Result<void> LeaderClient::Run(std::chrono::milliseconds deadline,
                                std::chrono::milliseconds attempt_timeout,
                                const Call& call) {
@@ -213,18 +253,18 @@
     }
     last = ran ? Error(ResultCode::kNoLeader, "controller is not the leader")
                : ran.error();
-    const bool hinted = ran && !status.leader.empty();
-    {
-      std::lock_guard lock(mutex_);
-      if (hinted) {
-        leader_ = IndexOf(status.leader);
-      } else if (leader_ % channels_.size() == index) {
-        leader_ = (index + 1) % channels_.size();
-      }
+    // A call that timed out may only have met a dead connection; the next
+    // attempt opens a new one to the same controller.
+    const bool retry_same = !ran &&
+                            ran.error().code() == ResultCode::kTimeout &&
+                            !channel->unreachable();
+    if (!retry_same) {
+      ChooseNext(index, status);
     }
+    const bool hinted = !status.leader.empty();
     // During an election, controllers may name each other as leader; following
     // the hints without a pause would spin.
-    if (!hinted || hops >= kHintsBeforePause) {
+    if ((!hinted && !retry_same) || hops >= kHintsBeforePause) {
       std::this_thread::sleep_for(std::min(remaining, kRetryPause));
     }
   }
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -1,4 +1,8 @@
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <chrono>
@@ -51,6 +55,32 @@
   return nullptr;
 }
 
+// Accepts connections, as the kernel of a paused process does, and never
+// answers.
+class SilentListener {
+ public:
+  SilentListener() : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in any{};
+    any.sin_family = AF_INET;
+    any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(any);
+    auto* const address = reinterpret_cast<sockaddr*>(&any);
+    cr_assert_eq(bind(fd_, address, size), 0);
+    cr_assert_eq(listen(fd_, 8), 0);
+    cr_assert_eq(getsockname(fd_, address, &size), 0);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
+  }
+  ~SilentListener() { close(fd_); }
+  SilentListener(const SilentListener&) = delete;
+  SilentListener& operator=(const SilentListener&) = delete;
+
+  const std::string& address() const { return address_; }
+
+ private:
+  int fd_;
+  std::string address_;
+};
+
 }  // namespace
 
 // Guards against commands that change on their way through the log.
@@ -95,6 +125,32 @@
   cr_assert_eq(running->handler.calls, 0);
 }
 
+// Guards against a cut-off leader that is waited for again and again, because
+// followers go on naming it until they have elected another one.
+Test(leader_client, ignores_hints_to_an_unreachable_controller) {
+  const SilentListener silent;
+  auto follower = StartServer();
+  auto leader = StartServer();
+  cr_assert_not_null(follower.get());
+  cr_assert_not_null(leader.get());
+  LeaderClient client({silent.address(), follower->address, leader->address},
+                      "e1", "secret");
+  const auto start = std::chrono::steady_clock::now();
+  const auto result = client.Run(kTimeout, kTimeout, [&](auto& connection) {
+    ClusterReply reply;
+    connection.GetCluster(reply);
+    if (leader->handler.calls > 0) {
+      return CallStatus{};
+    }
+    return CallStatus{static_cast<int>(ResultCode::kNotLeader),
+                      silent.address()};
+  });
+  cr_assert(result.has_value());
+  // One wait for the silent controller; the resumption bound is 2 s.
+  cr_assert_lt(std::chrono::steady_clock::now() - start,
+               std::chrono::seconds(1));
+}
+
 // Guards against a busy loop while two controllers name each other as leader.
 Test(leader_client, pauses_between_contradicting_hints) {
   auto first = StartServer();
