entry: Refuse with unavailable what was never sent

When no controller could be reached, a submission that was never sent was answered not_run with the code timeout (504), which tells callers that it may have run; they did not send it again. It is now 503 with unavailable.

--- a/libraries/entry/src/submission.cc
+++ b/libraries/entry/src/submission.cc
@@ -62,7 +62,10 @@
     if (earlier_undetermined) {
       return SubmitUndetermined{ran.error().message()};
     }
-    return SubmitRefused{ran.error(), kRetryAfterMs};
+    // Nothing was sent, so whatever ended the search, another entry may do
+    // better; a timeout would tell the caller that the work may have run.
+    return SubmitRefused{Error(ResultCode::kUnavailable, ran.error().message()),
+                         kRetryAfterMs};
   }
   if (reply.status.code == 0) {
     return Submitted{reply.job};
