tests: Ask the kernel for one socket instead of reading all

Cause of network::leader_is_cut_off (6597 ms) and silence::between_entries_and_controllers failing in a full test run and not alone: for each accepted connection the fault proxy read /proc/net/tcp, which has thousands of entries after earlier tests (7293 lines, 18 ms to read, more to parse), and it forwards nothing in that time, so that new connections missed their 300 ms limit. Ruled out: the leader client; its gaps fall with the proxy's cost alone.

Change: a socket query for the one connection, 25 us.

--- a/tests/support/cell.cc
+++ b/tests/support/cell.cc
@@ -4,10 +4,10 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 #include "support/checker.h"
 #include "support/json.h"
+#include "support/socket_owner.h"
 
 namespace cranberryshunt::test {
 
@@ -24,43 +24,6 @@
   return std::string(role) + "-" + std::to_string(n);
 }
 
-// Inode of the socket of 127.0.0.1 that connects these two ports, or an empty
-// string. Both ports are compared, because earlier connections from the same
-// local port to other peers stay listed for a while.
-std::string InodeOf(std::uint16_t local_port, std::uint16_t peer_port) {
-  char local[32];
-  char peer[32];
-  std::snprintf(local, sizeof(local), "0100007F:%04X", local_port);
-  std::snprintf(peer, sizeof(peer), "0100007F:%04X", peer_port);
-  std::ifstream in("/proc/net/tcp");
-  for (std::string line; std::getline(in, line);) {
-    std::istringstream fields(line);
-    std::string word;
-    std::vector<std::string> words;
-    while (fields >> word) {
-      words.push_back(word);
-    }
-    if (words.size() > 9 && words[1] == local && words[2] == peer) {
-      return words[9];
-    }
-  }
-  return {};
-}
-
-bool OwnsSocket(pid_t pid, const std::string& inode) {
-  const std::string wanted = "socket:[" + inode + "]";
-  std::error_code ec;
-  const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
-  for (const auto& item : std::filesystem::directory_iterator(folder, ec)) {
-    std::error_code link_error;
-    if (std::filesystem::read_symlink(item.path(), link_error).string() ==
-        wanted) {
-      return true;
-    }
-  }
-  return false;
-}
-
 void Append(std::vector<std::string>& arguments,
             const std::vector<std::string>& more) {
   arguments.insert(arguments.end(), more.begin(), more.end());
