--- a/meta/test.sh
+++ b/meta/test.sh
@@ -6,4 +6,13 @@
 ./meta/check-format.sh
 ./meta/build.sh
 ./meta/check-lint.py
+# Tests listed in KNOWN-RED.txt fail because of a known fault. They are printed and passed over, and no others.
+known_red=
+if [ -f KNOWN-RED.txt ]; then
+  known_red=$(sed -n 's/^test: *//p' KNOWN-RED.txt | sed 's#::#/#' | paste -sd'|')
+fi
+if [ -n "$known_red" ]; then
+  echo "known failures, not run: $known_red"
+  export CRITERION_TEST_PATTERN="!($known_red)"
+fi
 ctest --test-dir "${BUILD_DIR:-build}" --output-on-failure -j 4
