--- a/libraries/base/include/cranberryshunt/base/result.h
+++ b/libraries/base/include/cranberryshunt/base/result.h
@@ -32,6 +32,7 @@
   kKeyConflict = 1207,
   kUnauthorized = 1208,
   kMissingField = 1209,
+  kGone = 1210,
 
   kQueueFull = 1301,
   kQuotaExceeded = 1302,
--- a/libraries/base/src/result.cc
+++ b/libraries/base/src/result.cc
@@ -40,6 +40,8 @@
       return "unauthorized";
     case ResultCode::kMissingField:
       return "missing_field";
+    case ResultCode::kGone:
+      return "gone";
     case ResultCode::kQueueFull:
       return "queue_full";
     case ResultCode::kQuotaExceeded:
--- /dev/null
+++ b/libraries/cell/src/advice_desk.cc
@@ -0,0 +1,150 @@
+#include "advice_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// Beyond the service's own time: two round trips between regions, and a busy
+// caller.
+constexpr std::int64_t kCallerTimeoutMs = 1'500;
+// A caller that has not polled for this long is not counted any more.
+constexpr std::int64_t kCallerGoneMs = 5'000;
+
+}  // namespace
+
+void AdviceDesk::Ask(Question question) {
+  waiting_.push_back(std::move(question));
+}
+
+void AdviceDesk::Forget(policy::StepId step) {
+  std::erase_if(waiting_, [&](const auto& it) { return it.step == step; });
+}
+
+void AdviceDesk::OnPoll(AdviceCall call, std::int64_t now_ms) {
+  const auto& caller = call.poll.caller;
+  seen_ms_[caller] = now_ms;
+  for (auto& it : call.poll.results) {
+    auto node = assigned_.extract(it.id);
+    if (node.empty()) {
+      continue;
+    }
+    AnsweredQuestion answer;
+    answer.question = std::move(node.mapped().question);
+    answer.answered = it.answered;
+    answer.allowed = std::move(it.allowed);
+    answer.answered_at_ms = now_ms - it.age_ms;
+    answers_.push_back(std::move(answer));
+  }
+  // What the caller had before and does not report was lost with it.
+  for (auto it = assigned_.begin(); it != assigned_.end();) {
+    if (it->second.caller == caller) {
+      Fail(std::move(it->second.question));
+      it = assigned_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  const auto old = polls_.find(caller);
+  if (old != polls_.end()) {
+    old->second.call.reply({});
+  }
+  const auto until = now_ms + call.poll.wait_ms;
+  polls_[caller] = {std::move(call), until};
+}
+
+void AdviceDesk::Fail(Question question) {
+  AnsweredQuestion answer;
+  answer.question = std::move(question);
+  answers_.push_back(std::move(answer));
+}
+
+void AdviceDesk::Assign(std::int64_t now_ms) {
+  std::sort(waiting_.begin(), waiting_.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.urgency, a.step) < std::pair(b.urgency, b.step);
+  });
+  std::size_t taken = 0;
+  while (taken < waiting_.size() && !polls_.empty()) {
+    auto poll = polls_.extract(polls_.begin());
+    auto& question = waiting_[taken++];
+    const auto id = next_id_++;
+    wire::AdviceOrders reply;
+    auto& order = reply.orders.emplace_back();
+    order.id = id;
+    order.step = question.step_name;
+    order.workers = question.workers;
+    order.expected_ms = question.expected_ms;
+    reply.controllers = controllers_;
+    const auto deadline = now_ms + question.expected_ms + kCallerTimeoutMs;
+    assigned_[id] = {std::move(question), poll.key(), deadline};
+    poll.mapped().call.reply(std::move(reply));
+  }
+  waiting_.erase(waiting_.begin(),
+                 waiting_.begin() + static_cast<std::ptrdiff_t>(taken));
+}
+
+void AdviceDesk::SetControllers(std::vector<std::string> controllers) {
+  controllers_ = std::move(controllers);
+}
+
+void AdviceDesk::Advance(std::int64_t now_ms) {
+  if (!waiting_.empty()) {
+    Assign(now_ms);
+  }
+  for (auto it = polls_.begin(); it != polls_.end();) {
+    if (now_ms >= it->second.until_ms) {
+      wire::AdviceOrders reply;
+      reply.controllers = controllers_;
+      it->second.call.reply(std::move(reply));
+      it = polls_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (auto it = assigned_.begin(); it != assigned_.end();) {
+    if (now_ms >= it->second.deadline_ms) {
+      Log(LogLevel::kWarning, "advice", "caller did not report in time",
+          {{"caller", it->second.caller},
+           {"step", it->second.question.step_name}});
+      Fail(std::move(it->second.question));
+      it = assigned_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  std::erase_if(seen_ms_, [&](const auto& it) {
+    return now_ms - it.second > kCallerGoneMs;
+  });
+}
+
+void AdviceDesk::Close(const wire::Status& status) {
+  for (auto& [caller, poll] : polls_) {
+    wire::AdviceOrders reply;
+    reply.status = status;
+    poll.call.reply(std::move(reply));
+  }
+  polls_.clear();
+}
+
+std::vector<AnsweredQuestion> AdviceDesk::TakeAnswers() {
+  return std::exchange(answers_, {});
+}
+
+std::int64_t AdviceDesk::ExpectedWaitMs() const {
+  std::int64_t total = 0;
+  for (const auto& it : waiting_) {
+    total += it.expected_ms;
+  }
+  for (const auto& [id, it] : assigned_) {
+    total += it.question.expected_ms / 2;
+  }
+  const auto callers =
+      std::max<std::size_t>(1, std::max(seen_ms_.size(), polls_.size()));
+  return total / static_cast<std::int64_t>(callers);
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/advice_desk.h
@@ -0,0 +1,79 @@
+// Hands questions to the advice service out to the hosts that may call it, one
+// at a time for each, the most urgent first.
+#ifndef CRANBERRYSHUNT_CELL_ADVICE_DESK_H_
+#define CRANBERRYSHUNT_CELL_ADVICE_DESK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cranberryshunt/cell/calls.h"
+#include "cranberryshunt/policy/graph_planner.h"
+
+namespace cranberryshunt::cell {
+
+struct Question {
+  policy::StepId step = 0;
+  std::string step_name;
+  std::vector<std::string> workers;  // Ids.
+  std::vector<std::int64_t> numbers;
+  std::int64_t expected_ms = 0;
+  // Lower is more urgent.
+  std::int64_t urgency = 0;
+};
+
+struct AnsweredQuestion {
+  Question question;
+  bool answered = false;
+  std::vector<wire::AdviceTicket> allowed;
+  std::int64_t answered_at_ms = 0;  // Our time when the answer was given.
+};
+
+class AdviceDesk {
+ public:
+  void Ask(Question question);
+  // Drops the questions about a step that no caller has taken.
+  void Forget(policy::StepId step);
+  // Takes a caller's results and answers its poll when there is a question.
+  void OnPoll(AdviceCall call, std::int64_t now_ms);
+  // Answers polls that are due and gives up on callers that are gone.
+  void Advance(std::int64_t now_ms);
+  // Addresses of the controllers, which callers are told with each answer.
+  void SetControllers(std::vector<std::string> controllers);
+  // Ends all open polls with `status`.
+  void Close(const wire::Status& status);
+
+  std::vector<AnsweredQuestion> TakeAnswers();
+  std::size_t waiting() const { return waiting_.size(); }
+  std::size_t callers() const { return polls_.size(); }
+  // Expected time until a question asked now is taken up.
+  std::int64_t ExpectedWaitMs() const;
+
+ private:
+  struct OpenPoll {
+    AdviceCall call;
+    std::int64_t until_ms = 0;
+  };
+  struct Assigned {
+    Question question;
+    std::string caller;
+    std::int64_t deadline_ms = 0;
+  };
+
+  void Assign(std::int64_t now_ms);
+  void Fail(Question question);
+
+  std::vector<Question> waiting_;
+  std::map<std::string, OpenPoll> polls_;  // By caller.
+  std::map<std::int64_t, Assigned> assigned_;
+  std::map<std::string, std::int64_t> seen_ms_;
+  std::vector<AnsweredQuestion> answers_;
+  std::vector<std::string> controllers_;
+  std::int64_t next_id_ = 1;
+};
+
+}  // namespace cranberryshunt::cell
+
+#endif  // CRANBERRYSHUNT_CELL_ADVICE_DESK_H_
--- /dev/null
+++ b/libraries/cell/src/call_handler.cc
@@ -0,0 +1,78 @@
+#include "call_handler.h"
+
+#include <future>
+#include <memory>
+#include <utility>
+
+#include "cranberryshunt/wire/codec.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// A commit takes some round trips; entries give up before this.
+constexpr std::chrono::milliseconds kCallLimit{5'000};
+// Beyond the time that a poll asks to wait.
+constexpr std::chrono::milliseconds kPollMargin{500};
+constexpr std::chrono::milliseconds kJoinLimit{500};
+
+}  // namespace
+
+template <typename T, typename Make>
+Result<T> CallHandler::Ask(Make make, std::chrono::milliseconds limit) {
+  auto promise = std::make_shared<std::promise<T>>();
+  auto future = promise->get_future();
+  const auto reply = [promise](T value) {
+    promise->set_value(std::move(value));
+  };
+  if (!decisions_.Post(make(reply))) {
+    return Fail(ResultCode::kQueueFull, "too many calls are queued");
+  }
+  if (future.wait_for(limit) != std::future_status::ready) {
+    return Fail(ResultCode::kTimeout, "the call was not decided in time");
+  }
+  return future.get();
+}
+
+void CallHandler::CallGraph(wire::GraphReply& reply,
+                            const wire::GraphRequest& request) {
+  auto result = Ask<wire::GraphReply>(
+      [&](auto done) {
+        return Call(GraphCall{request, std::move(done)});
+      },
+      kCallLimit);
+  if (result) {
+    reply = std::move(*result);
+  } else {
+    reply.status = wire::ToStatus(result.error());
+  }
+}
+
+void CallHandler::PollAdvice(wire::AdviceOrders& reply,
+                             const wire::AdvicePoll& poll) {
+  auto result = Ask<wire::AdviceOrders>(
+      [&](auto done) {
+        return Call(AdviceCall{poll, std::move(done)});
+      },
+      std::chrono::milliseconds(poll.wait_ms) + kPollMargin);
+  if (result) {
+    reply = std::move(*result);
+  } else {
+    reply.status = wire::ToStatus(result.error());
+  }
+}
+
+void CallHandler::Join(wire::Status& reply, const wire::Member& member) {
+  auto result = Ask<wire::Status>(
+      [&](auto done) {
+        return Call(JoinCall{member, std::move(done)});
+      },
+      kJoinLimit);
+  reply = result ? std::move(*result) : wire::ToStatus(result.error());
+}
+
+void CallHandler::DeliverRaft(const std::vector<wire::RaftMessage>& messages) {
+  replica_.Receive(messages);
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/call_handler.h
@@ -0,0 +1,39 @@
+// The Thrift calls of a controller of a cell with called workers.
+#ifndef CRANBERRYSHUNT_CELL_CALL_HANDLER_H_
+#define CRANBERRYSHUNT_CELL_CALL_HANDLER_H_
+
+#include <chrono>
+#include <vector>
+
+#include "ControllerService.h"
+#include "cranberryshunt/consensus/replica.h"
+#include "decision_thread.h"
+
+namespace cranberryshunt::cell {
+
+// Passes each call to the decision thread and waits for its answer with a
+// bound. Safe for use by several threads.
+class CallHandler final : public wire::ControllerServiceNull {
+ public:
+  CallHandler(DecisionThread& decisions, consensus::Replica& replica)
+      : decisions_(decisions), replica_(replica) {}
+
+  void CallGraph(wire::GraphReply& reply,
+                 const wire::GraphRequest& request) override;
+  void PollAdvice(wire::AdviceOrders& reply,
+                  const wire::AdvicePoll& poll) override;
+  void Join(wire::Status& reply, const wire::Member& member) override;
+  void DeliverRaft(const std::vector<wire::RaftMessage>& messages) override;
+
+ private:
+  // Posts the call that `make` builds from a reply function, and waits.
+  template <typename T, typename Make>
+  Result<T> Ask(Make make, std::chrono::milliseconds limit);
+
+  DecisionThread& decisions_;
+  consensus::Replica& replica_;
+};
+
+}  // namespace cranberryshunt::cell
+
+#endif  // CRANBERRYSHUNT_CELL_CALL_HANDLER_H_
--- /dev/null
+++ b/libraries/cell/src/controller.cc
@@ -0,0 +1,216 @@
+#include "cranberryshunt/cell/controller.h"
+
+#include <atomic>
+#include <thread>
+#include <utility>
+
+#include "ControllerService.h"
+#include "call_handler.h"
+#include "cranberryshunt/base/log.h"
+#include "cranberryshunt/base/timer_service.h"
+#include "cranberryshunt/consensus/thrift_peer_transport.h"
+#include "cranberryshunt/storage/file_system.h"
+#include "cranberryshunt/wire/controller_client.h"
+#include "cranberryshunt/wire/controller_server.h"
+#include "decision_thread.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// How often a member tells the leader that it is alive.
+constexpr std::chrono::milliseconds kJoinInterval{1'000};
+constexpr std::chrono::milliseconds kJoinTimeout{700};
+constexpr std::chrono::milliseconds kJoinAttempt{300};
+
+class ReplicaHost final : public EngineHost {
+ public:
+  void set_replica(const consensus::Replica* replica) { replica_ = replica; }
+
+  bool HasLease() const override { return replica_->HasLease(); }
+  wire::Membership Membership() const override {
+    return replica_->membership();
+  }
+  std::int64_t WallMilliseconds() const override {
+    return WallClockMilliseconds();
+  }
+
+ private:
+  const consensus::Replica* replica_ = nullptr;
+};
+
+// Tells the leader that this member is alive and wants to be part of the cell.
+class Joiner {
+ public:
+  Joiner(const ControllerOptions& options, const consensus::Replica& replica)
+      : replica_(replica),
+        client_(options.contacts, options.replica.id, options.cluster_secret) {
+    member_.id = options.replica.id;
+    member_.address = options.replica.address;
+    member_.disk_identity = replica.disk_identity();
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~Joiner() {
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    changed_.notify_all();
+    thread_.join();
+  }
+
+  void AddContacts(const std::vector<std::string>& addresses) {
+    client_.AddControllers(addresses);
+  }
+
+ private:
+  void Run() {
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+      lock.unlock();
+      Join();
+      lock.lock();
+      changed_.wait_until(lock,
+                          std::chrono::steady_clock::now() + kJoinInterval,
+                          [this] { return stopping_; });
+    }
+  }
+
+  void Join() {
+    std::vector<std::string> members;
+    for (const auto& it : replica_.membership().members) {
+      members.push_back(it.address);
+    }
+    client_.AddControllers(members);
+    if (replica_.role().role == consensus::Role::kLeader) {
+      return;
+    }
+    const auto joined =
+        client_.Run(kJoinTimeout, kJoinAttempt, [this](auto& client) {
+          wire::Status status;
+          client.Join(status, member_);
+          return wire::CallStatus{status.code, status.leader};
+        });
+    if (joined.has_value() != in_touch_) {
+      in_touch_ = joined.has_value();
+      Log(LogLevel::kInfo, "cell",
+          in_touch_ ? "leader is in touch" : "no leader answers",
+          {{"error", in_touch_ ? std::string() : joined.error().message()}});
+    }
+  }
+
+  const consensus::Replica& replica_;
+  wire::LeaderClient client_;
+  wire::Member member_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool stopping_ = false;
+  bool in_touch_ = false;
+  std::thread thread_;
+};
+
+}  // namespace
+
+// Members are destroyed in the reverse order.
+struct Controller::Implementation {
+  Implementation(const ControllerOptions& controller_options,
+                 MetricsRegistry& metrics)
+      : options(controller_options),
+        file_system(storage::CreateSystemFileSystem()),
+        transport({.own_id = options.replica.id,
+                   .cluster_secret = options.cluster_secret}),
+        decisions(options.engine,
+                  options.snapshot_every_entries,
+                  clock,
+                  host,
+                  metrics) {}
+
+  ~Implementation() {
+    joiner.reset();
+    decisions.StopServing();
+    server.reset();
+    decisions.Stop();
+    driver.reset();
+    replica.reset();
+  }
+
+  ControllerOptions options;
+  SystemClock clock;
+  std::unique_ptr<storage::FileSystem> file_system;
+  consensus::ThriftPeerTransport transport;
+  ReplicaHost host;
+  DecisionThread decisions;
+  std::unique_ptr<consensus::Replica> replica;
+  std::unique_ptr<WorkerDriver> driver;
+  std::unique_ptr<CallHandler> handler;
+  std::unique_ptr<wire::ControllerServer> server;
+  std::unique_ptr<Joiner> joiner;
+};
+
+Controller::Controller(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+Controller::~Controller() = default;
+
+Result<std::unique_ptr<Controller>> Controller::Start(
+    const ControllerOptions& options,
+    const DriverFactory& create_driver,
+    MetricsRegistry& metrics) {
+  auto parts = std::make_unique<Implementation>(options, metrics);
+  auto replica = consensus::Replica::Start(options.replica, *parts->file_system,
+                                           parts->clock, parts->transport,
+                                           parts->decisions);
+  if (!replica) {
+    return tl::unexpected(replica.error());
+  }
+  parts->replica = std::move(*replica);
+  Log(LogLevel::kInfo, "cell", "data folder opened",
+      {{"disk_identity", parts->replica->disk_identity()}});
+  parts->host.set_replica(parts->replica.get());
+  parts->driver =
+      create_driver([raw = parts.get()](OrderId id, WorkerReply reply) {
+        raw->decisions.OnWorkerReply(id, std::move(reply));
+      });
+  parts->decisions.Start(*parts->replica, *parts->driver);
+  parts->handler =
+      std::make_unique<CallHandler>(parts->decisions, *parts->replica);
+  auto server = wire::ControllerServer::Start(
+      options.listen_address, options.cluster_secret, *parts->handler,
+      [&metrics](const std::string& peer_id) {
+        ++metrics.Counter("peers_refused_total");
+        Log(LogLevel::kWarning, "cell", "peer was not authenticated",
+            {{"peer", peer_id}});
+      });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  parts->server = std::move(*server);
+  parts->joiner = std::make_unique<Joiner>(options, *parts->replica);
+  return std::unique_ptr<Controller>(new Controller(std::move(parts)));
+}
+
+bool Controller::Post(Call call) {
+  return implementation_->decisions.Post(std::move(call));
+}
+
+consensus::RoleChange Controller::role() const {
+  return implementation_->replica->role();
+}
+
+void Controller::AddContacts(const std::vector<std::string>& addresses) {
+  implementation_->joiner->AddContacts(addresses);
+}
+
+void Controller::Shutdown() {
+  auto& parts = *implementation_;
+  if (parts.replica->HasLease()) {
+    const bool transferred =
+        parts.replica->TransferLeadership(parts.options.shutdown_limit / 2);
+    Log(LogLevel::kInfo, "cell", "leadership handed over",
+        {{"done", transferred ? "yes" : "no"}});
+  }
+  parts.decisions.StopServing();
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/decision_thread.cc
@@ -0,0 +1,188 @@
+#include "decision_thread.h"
+
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+constexpr std::size_t kRingCapacity = 16'384;
+// Calls use half of the ring, so that a flood of them never keeps committed
+// entries out.
+constexpr std::size_t kMaxQueuedForCalls = kRingCapacity / 2;
+constexpr std::size_t kEventsPerTurn = 2'048;
+constexpr std::chrono::milliseconds kMaxIdle{20};
+constexpr std::chrono::milliseconds kMaxIdleAsFollower{200};
+
+}  // namespace
+
+DecisionThread::DecisionThread(EngineOptions options,
+                               std::int64_t snapshot_every_entries,
+                               const Clock& clock,
+                               EngineHost& host,
+                               MetricsRegistry& metrics)
+    : clock_(clock),
+      snapshot_every_entries_(snapshot_every_entries),
+      engine_(std::move(options), host, metrics),
+      ring_(kRingCapacity) {}
+
+DecisionThread::~DecisionThread() {
+  Stop();
+}
+
+void DecisionThread::Start(consensus::Replica& replica, WorkerDriver& workers) {
+  replica_ = &replica;
+  workers_ = &workers;
+  thread_ = std::thread([this] { Run(); });
+}
+
+void DecisionThread::StopServing() {
+  if (!thread_.joinable()) {
+    return;
+  }
+  StopServingEvent event;
+  auto done = event.done.get_future();
+  if (ring_.Push(std::move(event))) {
+    done.wait();
+  }
+}
+
+void DecisionThread::Stop() {
+  ring_.Close();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+bool DecisionThread::Post(Call call) {
+  return ring_.size() < kMaxQueuedForCalls &&
+         ring_.TryPush(CallEvent{std::move(call)});
+}
+
+void DecisionThread::OnWorkerReply(OrderId id, WorkerReply reply) {
+  ring_.Push(WorkerReplyEvent{id, std::move(reply)});
+}
+
+void DecisionThread::OnCommitted(
+    std::vector<consensus::CommittedEntry> entries) {
+  ring_.Push(CommittedEvent{std::move(entries)});
+}
+
+void DecisionThread::OnSnapshot(std::int64_t index, std::string data) {
+  ring_.Push(SnapshotEvent{index, std::move(data)});
+}
+
+void DecisionThread::OnRoleChange(const consensus::RoleChange& change) {
+  ring_.Push(RoleEvent{change});
+}
+
+void DecisionThread::OnStorageFailure(const Error& error) {
+  ring_.Push(StorageFailureEvent{error.message()});
+}
+
+void DecisionThread::Run() {
+  std::vector<Event> events;
+  for (;;) {
+    const auto idle =
+        engine_.leading_term() != 0 ? kMaxIdle : kMaxIdleAsFollower;
+    if (!ring_.PopMany(events, kEventsPerTurn, idle)) {
+      break;
+    }
+    for (auto& event : events) {
+      Process(event);
+    }
+    events.clear();
+    CarryOut(engine_.Advance(clock_.Now()));
+    CompactIfDue();
+  }
+  engine_.Stop();
+}
+
+void DecisionThread::Process(Event& event) {
+  struct Visitor {
+    DecisionThread& thread;
+
+    void operator()(WakeEvent&) const {}
+    void operator()(CommittedEvent& it) const {
+      for (const auto& entry : it.entries) {
+        thread.CheckApplied(
+            thread.engine_.OnCommitted(entry, thread.clock_.Now()));
+      }
+    }
+    void operator()(SnapshotEvent& it) const {
+      thread.compacted_index_ = it.index;
+      thread.CheckApplied(thread.engine_.OnSnapshot(it.index, it.data));
+    }
+    void operator()(RoleEvent& it) const {
+      thread.engine_.OnRoleChange(it.change, thread.clock_.Now());
+    }
+    void operator()(StorageFailureEvent& it) const {
+      Log(LogLevel::kError, "cell", "data folder failed",
+          {{"message", it.message}});
+    }
+    void operator()(ProposalDoneEvent& it) const {
+      thread.engine_.OnProposalDone(it.term, it.id, it.result,
+                                    thread.clock_.Now());
+    }
+    void operator()(CallEvent& it) const {
+      thread.engine_.Handle(std::move(it.call), thread.clock_.Now());
+    }
+    void operator()(WorkerReplyEvent& it) const {
+      thread.engine_.OnWorkerReply(it.id, it.reply, thread.clock_.Now());
+    }
+    void operator()(StopServingEvent& it) const {
+      thread.engine_.Stop();
+      it.done.set_value();
+    }
+  };
+  std::visit(Visitor{*this}, event);
+}
+
+void DecisionThread::CheckApplied(const Result<void>& result) {
+  if (result) {
+    return;
+  }
+  // Going on without this entry would let the replicas' states differ.
+  Log(LogLevel::kError, "cell", "committed data is not readable",
+      {{"message", result.error().message()}});
+  engine_.Stop();
+}
+
+void DecisionThread::CarryOut(EngineOutput out) {
+  const std::int64_t term = engine_.leading_term();
+  for (auto& it : out.proposals) {
+    replica_->Propose(std::move(it.data), [this, term, id = it.id](
+                                              Result<std::int64_t> result) {
+      ring_.Push(ProposalDoneEvent{term, id, std::move(result)});
+    });
+  }
+  if (!out.orders.empty()) {
+    workers_->Send(std::move(out.orders));
+  }
+  if (out.membership_change) {
+    const auto& change = *out.membership_change;
+    Log(LogLevel::kInfo, "cell", "membership is being changed",
+        {{"member", change.member.id},
+         {"remove", change.remove ? "yes" : "no"},
+         {"voter", change.member.voter ? "yes" : "no"}});
+    replica_->ChangeMembership(change, [](const Result<std::int64_t>& result) {
+      if (!result) {
+        Log(LogLevel::kInfo, "cell", "membership was not changed",
+            {{"error", result.error().message()}});
+      }
+    });
+  }
+}
+
+void DecisionThread::CompactIfDue() {
+  const std::int64_t index = engine_.index();
+  if (index - compacted_index_ < snapshot_every_entries_) {
+    return;
+  }
+  compacted_index_ = index;
+  replica_->Compact(index, engine_.store().Snapshot());
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/decision_thread.h
@@ -0,0 +1,101 @@
+// The thread that owns the engine of a controller.
+#ifndef CRANBERRYSHUNT_CELL_DECISION_THREAD_H_
+#define CRANBERRYSHUNT_CELL_DECISION_THREAD_H_
+
+#include <cstdint>
+#include <future>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+#include "cranberryshunt/base/bounded_ring.h"
+#include "cranberryshunt/cell/engine.h"
+#include "cranberryshunt/consensus/replica.h"
+
+namespace cranberryshunt::cell {
+
+struct WakeEvent {};
+struct CommittedEvent {
+  std::vector<consensus::CommittedEntry> entries;
+};
+struct SnapshotEvent {
+  std::int64_t index = 0;
+  std::string data;
+};
+struct RoleEvent {
+  consensus::RoleChange change;
+};
+struct StorageFailureEvent {
+  std::string message;
+};
+struct ProposalDoneEvent {
+  std::int64_t term = 0;
+  std::uint64_t id = 0;
+  Result<std::int64_t> result;
+};
+struct CallEvent {
+  Call call;
+};
+struct WorkerReplyEvent {
+  OrderId id = 0;
+  WorkerReply reply;
+};
+struct StopServingEvent {
+  std::promise<void> done;
+};
+
+using Event = std::variant<WakeEvent,
+                           CommittedEvent,
+                           SnapshotEvent,
+                           RoleEvent,
+                           StorageFailureEvent,
+                           ProposalDoneEvent,
+                           CallEvent,
+                           WorkerReplyEvent,
+                           StopServingEvent>;
+
+class DecisionThread final : public consensus::ReplicaObserver {
+ public:
+  DecisionThread(EngineOptions options,
+                 std::int64_t snapshot_every_entries,
+                 const Clock& clock,
+                 EngineHost& host,
+                 MetricsRegistry& metrics);
+  ~DecisionThread() override;
+
+  // Begins to process events. Both must outlive Stop().
+  void Start(consensus::Replica& replica, WorkerDriver& workers);
+  // Answers open calls with kShuttingDown and refuses further ones.
+  void StopServing();
+  void Stop();
+
+  // Returns false when too many events are queued; the call is then not taken.
+  bool Post(Call call);
+  void OnWorkerReply(OrderId id, WorkerReply reply);
+
+  void OnCommitted(std::vector<consensus::CommittedEntry> entries) override;
+  void OnSnapshot(std::int64_t index, std::string data) override;
+  void OnRoleChange(const consensus::RoleChange& change) override;
+  void OnStorageFailure(const Error& error) override;
+
+ private:
+  void Run();
+  void Process(Event& event);
+  void CheckApplied(const Result<void>& result);
+  void CarryOut(EngineOutput out);
+  void CompactIfDue();
+
+  const Clock& clock_;
+  const std::int64_t snapshot_every_entries_;
+  std::int64_t compacted_index_ = 0;
+  Engine engine_;
+  BoundedRing<Event> ring_;
+  consensus::Replica* replica_ = nullptr;
+  WorkerDriver* workers_ = nullptr;
+  std::thread thread_;
+};
+
+}  // namespace cranberryshunt::cell
+
+#endif  // CRANBERRYSHUNT_CELL_DECISION_THREAD_H_
--- /dev/null
+++ b/libraries/cell/src/engine.cc
@@ -0,0 +1,133 @@
+#include "cranberryshunt/cell/engine.h"
+
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+#include "cranberryshunt/wire/codec.h"
+#include "leader.h"
+
+namespace cranberryshunt::cell {
+
+Engine::Engine(EngineOptions options,
+               EngineHost& host,
+               MetricsRegistry& metrics)
+    : options_(std::move(options)), host_(host), metrics_(metrics) {}
+
+Engine::~Engine() = default;
+
+Result<void> Engine::OnCommitted(const consensus::CommittedEntry& entry,
+                                 TimePoint now) {
+  auto batch = wire::Decode<wire::GraphBatch>(entry.data);
+  if (!batch) {
+    return tl::unexpected(batch.error());
+  }
+  store_.Apply(*batch);
+  index_ = entry.index;
+  if (leader_) {
+    leader_->OnApplied(*batch, now);
+  }
+  return {};
+}
+
+Result<void> Engine::OnSnapshot(std::int64_t index, const std::string& data) {
+  index_ = index;
+  return store_.Restore(data);
+}
+
+void Engine::OnRoleChange(const consensus::RoleChange& change, TimePoint now) {
+  Log(LogLevel::kInfo, "cell", "leadership changed",
+      {{"leader", change.leader_id},
+       {"term", change.term},
+       {"own", change.role == consensus::Role::kLeader ? "yes" : "no"}});
+  const bool leads = change.role == consensus::Role::kLeader;
+  if (leader_ && (!leads || change.term != role_.term)) {
+    DropLeader(Error(ResultCode::kNotLeader, "another controller leads"));
+  }
+  role_ = change;
+  if (leads && !leader_ && !stopped_) {
+    leader_ = std::make_unique<Leader>(options_, change.term, store_, host_,
+                                       metrics_, now);
+  }
+}
+
+void Engine::OnProposalDone(std::int64_t term,
+                            std::uint64_t id,
+                            const Result<std::int64_t>& result,
+                            TimePoint now) {
+  if (leader_ && term == role_.term) {
+    leader_->OnProposalDone(id, result, now);
+  }
+}
+
+void Engine::OnWorkerReply(OrderId id,
+                           const WorkerReply& reply,
+                           TimePoint now) {
+  if (leader_) {
+    leader_->OnWorkerReply(id, reply, now);
+  }
+}
+
+void Engine::Handle(Call call, TimePoint now) {
+  if (!leader_ || !host_.HasLease()) {
+    // Also when shutting down, so that callers turn to another controller.
+    Refuse(call,
+           Error(ResultCode::kNotLeader, "this controller does not lead"));
+  } else {
+    leader_->Handle(std::move(call), now);
+  }
+}
+
+EngineOutput Engine::Advance(TimePoint now) {
+  // Without the lease another leader may exist; nothing is sent then.
+  if (!leader_ || !host_.HasLease()) {
+    return {};
+  }
+  return leader_->Advance(now);
+}
+
+void Engine::Stop() {
+  stopped_ = true;
+  DropLeader(Error(ResultCode::kNotLeader, "shutting down"));
+}
+
+void Engine::DropLeader(const Error& error) {
+  if (leader_) {
+    leader_->Close(wire::ToStatus(error, role_.leader_address));
+    leader_.reset();
+  }
+}
+
+void Engine::Refuse(Call& call, const Error& error) const {
+  struct Visitor {
+    const Error& error;
+    const wire::Status status;
+
+    void operator()(GraphCall& it) const {
+      wire::GraphReply reply;
+      reply.status = status;
+      it.reply(std::move(reply));
+    }
+    void operator()(AdviceCall& it) const {
+      wire::AdviceOrders reply;
+      reply.status = status;
+      it.reply(std::move(reply));
+    }
+    void operator()(JoinCall& it) const { it.reply(status); }
+    void operator()(ReportCall& it) const { it.reply(tl::unexpected(error)); }
+    void operator()(DepartureCall& it) const {
+      it.reply(tl::unexpected(error));
+    }
+    void operator()(PublishTableCall& it) const {
+      it.reply(tl::unexpected(error));
+    }
+    void operator()(ReadTableCall& it) const {
+      it.reply(tl::unexpected(error));
+    }
+  };
+  // A deposed leader must not name itself.
+  const std::string hint =
+      role_.leader_id == options_.id ? std::string() : role_.leader_address;
+  std::visit(Visitor{error, wire::ToStatus(error, hint)}, call);
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/job_board.cc
@@ -0,0 +1,183 @@
+#include "job_board.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// Workers named in a typical question, for the expected time of an answer.
+constexpr double kTypicalWorkersAsked = 30;
+
+std::int64_t AdviceMs(const wire::JobQueue& queue) {
+  return queue.needs_advice
+             ? static_cast<std::int64_t>(queue.advice.base_ms +
+                                         kTypicalWorkersAsked *
+                                             queue.advice.per_worker_ms)
+             : 0;
+}
+
+}  // namespace
+
+policy::Demand DemandOf(const wire::GraphStep& step) {
+  return {step.fills ? 0 : step.milli_cpus, step.memory_mb, step.accelerators};
+}
+
+std::vector<std::int64_t> RemainingTimes(const wire::JobQueue& queue,
+                                         const wire::GraphJob& job,
+                                         const RunTimes& times) {
+  std::vector<std::int64_t> remaining(job.steps.size(), 0);
+  for (auto n = job.steps.size(); n-- > 0;) {
+    const auto& step = job.steps[n];
+    remaining[n] += times.Expected(queue.name, step.estimate_ms);
+    for (const auto it : step.depends_on) {
+      auto& before = remaining[static_cast<std::size_t>(it)];
+      before = std::max(before, remaining[n] + AdviceMs(queue));
+    }
+  }
+  return remaining;
+}
+
+void JobBoard::Accepted(graph::JobId job, std::int64_t accepted_ms) {
+  accepted_ms_[job] = accepted_ms;
+}
+
+void JobBoard::Refresh(graph::JobId id,
+                       std::int64_t now_ms,
+                       std::int64_t wall_ms) {
+  const auto* job = store_.FindJob(id);
+  if (job == nullptr) {
+    accepted_ms_.erase(id);
+    auto it = ids_.lower_bound({id, 0, 0});
+    while (it != ids_.end() && it->first.job == id) {
+      const auto key = it->first;
+      ++it;
+      Drop(key);
+    }
+    return;
+  }
+  for (std::int32_t k = 0; k < job->occurrences(); ++k) {
+    if (job->active() && job->DueMs(k) > wall_ms) {
+      due_.emplace(job->DueMs(k), id);
+      break;
+    }
+    for (std::int32_t n = 0; n < job->step_count(); ++n) {
+      RefreshStep({id, k, n}, now_ms, wall_ms);
+    }
+  }
+}
+
+std::vector<graph::JobId> JobBoard::TakeDue(std::int64_t wall_ms) {
+  std::vector<graph::JobId> out;
+  while (!due_.empty() && due_.begin()->first <= wall_ms) {
+    out.push_back(due_.begin()->second);
+    due_.erase(due_.begin());
+  }
+  return out;
+}
+
+void JobBoard::RefreshStep(const graph::StepKey& key,
+                           std::int64_t now_ms,
+                           std::int64_t wall_ms) {
+  const auto* job = store_.FindJob(key.job);
+  const bool open = job != nullptr && job->active() && !job->StepDone(key) &&
+                    job->StepReady(key) &&
+                    job->DueMs(key.occurrence) <= wall_ms;
+  if (!open) {
+    Drop(key);
+    return;
+  }
+  auto* step = Find(key);
+  FillWaiting(*job, key, step != nullptr ? *step : Add(*job, key, now_ms));
+}
+
+void JobBoard::FillWaiting(const graph::Job& job,
+                           const graph::StepKey& key,
+                           policy::PlanStep& step) const {
+  step.waiting.clear();
+  step.running.clear();
+  const auto count = job.step(key.step).task_count;
+  for (std::int32_t n = 0; n < count; ++n) {
+    const graph::TaskKey task{key.job, key.occurrence, key.step, n};
+    const auto& state = job.task(task);
+    if (state.done) {
+      continue;
+    }
+    if (state.run != 0) {
+      ++step.running[state.worker];
+    }
+    if (state.run == 0 && !reserved_.contains(task)) {
+      step.waiting.push_back(n);
+    }
+  }
+  // A gang starts as a whole once nothing of its last run is left.
+  if (step.gang && static_cast<std::int32_t>(step.waiting.size()) < count) {
+    step.waiting.clear();
+  }
+}
+
+policy::PlanStep& JobBoard::Add(const graph::Job& job,
+                                const graph::StepKey& key,
+                                std::int64_t now_ms) {
+  const auto& queue = store_.QueueOf(job);
+  const auto& spec = job.step(key.step);
+  policy::PlanStep step;
+  step.id = next_id_++;
+  step.service_name = queue.service_name;
+  step.priority = queue.priority;
+  step.demand = DemandOf(spec);
+  step.gang = spec.gang;
+  step.same_rack = spec.same_rack;
+  step.required_label = spec.required_label;
+  step.data_rack = spec.data_rack;
+  step.max_per_worker = spec.max_per_worker;
+  step.expected_run_ms = times_.Expected(queue.name, spec.estimate_ms);
+  const auto accepted = accepted_ms_.try_emplace(key.job, now_ms).first;
+  // An occurrence of a timed job counts from its due time, which is now.
+  step.accepted_ms = job.DueMs(key.occurrence) > 0 ? now_ms : accepted->second;
+  const auto remaining = RemainingTimes(queue, job.spec(), times_);
+  step.remaining_ms = remaining[static_cast<std::size_t>(key.step)];
+  const auto whole = *std::max_element(remaining.begin(), remaining.end());
+  step.objective_ms =
+      step.accepted_ms + queue.latency_target_ms +
+      static_cast<std::int64_t>(queue.stretch *
+                                static_cast<double>(whole + AdviceMs(queue)));
+  step.advice.needed = queue.needs_advice;
+  step.advice.base_ms = queue.advice.base_ms;
+  step.advice.per_worker_ms = queue.advice.per_worker_ms;
+  ids_[key] = step.id;
+  keys_[step.id] = key;
+  const auto id = step.id;
+  return planner_.steps()[id] = std::move(step);
+}
+
+policy::PlanStep* JobBoard::Find(const graph::StepKey& key) {
+  const auto id = ids_.find(key);
+  return id == ids_.end() ? nullptr : &planner_.steps().at(id->second);
+}
+
+void JobBoard::Drop(const graph::StepKey& key) {
+  const auto id = ids_.find(key);
+  if (id == ids_.end()) {
+    return;
+  }
+  planner_.steps().erase(id->second);
+  keys_.erase(id->second);
+  dropped_.push_back(id->second);
+  ids_.erase(id);
+}
+
+void JobBoard::SetReserved(const graph::TaskKey& task, bool reserved) {
+  if (reserved) {
+    reserved_.insert(task);
+  } else {
+    reserved_.erase(task);
+  }
+}
+
+std::vector<policy::StepId> JobBoard::TakeDropped() {
+  return std::exchange(dropped_, {});
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/job_board.h
@@ -0,0 +1,72 @@
+// Turns jobs of the state into steps that wait for placement.
+#ifndef CRANBERRYSHUNT_CELL_JOB_BOARD_H_
+#define CRANBERRYSHUNT_CELL_JOB_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "cranberryshunt/graph/graph_store.h"
+#include "cranberryshunt/policy/graph_planner.h"
+#include "run_times.h"
+
+namespace cranberryshunt::cell {
+
+policy::Demand DemandOf(const wire::GraphStep& step);
+
+// Expected time from the start of each step to the end of its occurrence.
+std::vector<std::int64_t> RemainingTimes(const wire::JobQueue& queue,
+                                         const wire::GraphJob& job,
+                                         const RunTimes& times);
+
+class JobBoard {
+ public:
+  JobBoard(const graph::GraphStore& store,
+           policy::GraphPlanner& planner,
+           const RunTimes& times)
+      : store_(store), planner_(planner), times_(times) {}
+
+  // Our time when the job was accepted, less what its caller waited before.
+  void Accepted(graph::JobId job, std::int64_t accepted_ms);
+  // Brings the waiting tasks of a job up to date. `wall_ms` is Unix time.
+  void Refresh(graph::JobId job, std::int64_t now_ms, std::int64_t wall_ms);
+  void RefreshStep(const graph::StepKey& key,
+                   std::int64_t now_ms,
+                   std::int64_t wall_ms);
+  // Jobs with occurrences that became due.
+  std::vector<graph::JobId> TakeDue(std::int64_t wall_ms);
+
+  // A start of the task is being committed.
+  void SetReserved(const graph::TaskKey& task, bool reserved);
+
+  const graph::StepKey& KeyOf(policy::StepId id) const { return keys_.at(id); }
+  bool Has(policy::StepId id) const { return keys_.contains(id); }
+  policy::PlanStep* Find(const graph::StepKey& key);
+  // Steps that were dropped since the last call.
+  std::vector<policy::StepId> TakeDropped();
+
+ private:
+  void Drop(const graph::StepKey& key);
+  policy::PlanStep& Add(const graph::Job& job,
+                        const graph::StepKey& key,
+                        std::int64_t now_ms);
+  void FillWaiting(const graph::Job& job,
+                   const graph::StepKey& key,
+                   policy::PlanStep& step) const;
+
+  const graph::GraphStore& store_;
+  policy::GraphPlanner& planner_;
+  const RunTimes& times_;
+  std::map<graph::StepKey, policy::StepId> ids_;
+  std::map<policy::StepId, graph::StepKey> keys_;
+  std::map<graph::JobId, std::int64_t> accepted_ms_;
+  std::set<graph::TaskKey> reserved_;
+  std::multimap<std::int64_t, graph::JobId> due_;
+  std::vector<policy::StepId> dropped_;
+  policy::StepId next_id_ = 1;
+};
+
+}  // namespace cranberryshunt::cell
+
+#endif  // CRANBERRYSHUNT_CELL_JOB_BOARD_H_
--- /dev/null
+++ b/libraries/cell/src/leader.cc
@@ -0,0 +1,383 @@
+#include "leader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+#include "cranberryshunt/wire/codec.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// Batches in the log at a time; more would only grow the queue of the disk.
+constexpr std::size_t kMaxOpenProposals = 8;
+// Planning looks at all waiting steps, so it runs for groups of events.
+constexpr std::int64_t kPlanIntervalMs = 5;
+// Also without events, because tickets, leases and quarantines run out.
+constexpr std::int64_t kIdlePlanMs = 50;
+constexpr std::int64_t kMaintenanceMs = 500;
+// A worker whose leases ran out and that is silent for this long is forgotten.
+constexpr std::int64_t kForgetWorkerMs = 20'000;
+constexpr std::size_t kExpiredPerTurn = 500;
+
+}  // namespace
+
+Leader::Leader(const EngineOptions& options,
+               std::int64_t term,
+               const graph::GraphStore& store,
+               EngineHost& host,
+               MetricsRegistry& metrics,
+               TimePoint now)
+    : options_(options),
+      store_(store),
+      host_(host),
+      metrics_(metrics),
+      now_ms_(ToMilliseconds(now.time_since_epoch())),
+      wall_ms_(host.WallMilliseconds()),
+      board_(store, planner_, times_),
+      book_(
+          {.fence = term,
+           .max_lease_ms = options.max_worker_lease.count(),
+           .lease_ms = std::min(options.worker_lease, options.max_worker_lease)
+                           .count()},
+          now_ms_),
+      members_(options.cell_size, options.id, now_ms_) {
+  Begin();
+}
+
+void Leader::Begin() {
+  SyncWorkers();
+  BookOutput out;
+  for (const auto& [id, job] : store_.jobs()) {
+    const auto& queue = store_.QueueOf(job);
+    for (std::int32_t k = 0; k < job.occurrences(); ++k) {
+      for (std::int32_t n = 0; n < job.step_count(); ++n) {
+        const auto& step = job.step(n);
+        for (std::int32_t i = 0; i < step.task_count; ++i) {
+          const graph::TaskKey key{id, k, n, i};
+          const auto& task = job.task(key);
+          if (task.run != 0) {
+            book_.Inherit(task.worker, key, task.run, DemandOf(step),
+                          times_.Expected(queue.name, step.estimate_ms),
+                          now_ms_, out);
+          }
+        }
+      }
+    }
+    if (job.active()) {
+      board_.Refresh(id, now_ms_, wall_ms_);
+    } else {
+      book_.StopJob(id);
+    }
+  }
+  Log(LogLevel::kInfo, "cell", "leading",
+      {{"term", book_.fence()},
+       {"jobs", store_.jobs().size()},
+       {"workers", store_.workers().size()},
+       {"table_version", store_.table().version}});
+  Take(std::move(out));
+}
+
+void Leader::SetNow(TimePoint now) {
+  now_ms_ = ToMilliseconds(now.time_since_epoch());
+  wall_ms_ = host_.WallMilliseconds();
+}
+
+void Leader::SyncWorkers() {
+  BookOutput out;
+  for (const auto& [number, worker] : store_.workers()) {
+    book_.Register(number, worker, now_ms_);
+  }
+  std::vector<graph::WorkerNumber> removed;
+  for (const auto& [number, slot] : book_.slots()) {
+    if (!store_.workers().contains(number)) {
+      removed.push_back(number);
+    }
+  }
+  for (const auto it : removed) {
+    book_.Remove(it, out);
+    health_.Forget(it);
+  }
+  Take(std::move(out));
+}
+
+void Leader::OnApplied(const wire::GraphBatch& batch, TimePoint now) {
+  SetNow(now);
+  if (!batch.workers.empty() || !batch.removed_workers.empty()) {
+    SyncWorkers();
+  }
+  std::set<graph::JobId> jobs;
+  for (const auto& it : batch.jobs) {
+    jobs.insert(static_cast<graph::JobId>(it.id));
+  }
+  for (const auto it : batch.cancelled_jobs) {
+    book_.StopJob(static_cast<graph::JobId>(it));
+    jobs.insert(static_cast<graph::JobId>(it));
+  }
+  for (const auto& it : batch.starts) {
+    jobs.insert(static_cast<graph::JobId>(it.task.job));
+  }
+  for (const auto& it : batch.results) {
+    jobs.insert(static_cast<graph::JobId>(it.task.job));
+  }
+  for (const auto it : batch.expired_jobs) {
+    jobs.insert(static_cast<graph::JobId>(it));
+  }
+  StopLeftovers(batch);
+  for (const auto it : jobs) {
+    board_.Refresh(it, now_ms_, wall_ms_);
+  }
+  plan_due_ = true;
+}
+
+// Stops what has no purpose any more after these results: the other members of
+// a gang that cannot end together, and everything of a job that failed.
+void Leader::StopLeftovers(const wire::GraphBatch& batch) {
+  for (const auto& it : batch.results) {
+    const auto key = graph::FromWire(it.task);
+    const auto* job = store_.FindJob(key.job);
+    if (job == nullptr || job->FindTask(key) == nullptr) {
+      continue;
+    }
+    if (job->state() == wire::GraphJobState::kFailed) {
+      book_.StopJob(key.job);
+      continue;
+    }
+    const auto& step = job->step(key.step);
+    if (!step.gang || it.how == wire::RunEnd::kDone ||
+        job->StepDone(key.step_key())) {
+      continue;
+    }
+    graph::TaskKey member = key;
+    for (member.index = 0; member.index < step.task_count; ++member.index) {
+      if (job->task(member).last_run <= it.run) {
+        book_.StopTask(member, 0);
+      }
+    }
+  }
+}
+
+void Leader::OnProposalDone(std::uint64_t id,
+                            const Result<std::int64_t>& result,
+                            TimePoint now) {
+  SetNow(now);
+  auto node = open_proposals_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  auto& proposal = node.mapped();
+  if (!result) {
+    const auto code = result.error().code();
+    Log(LogLevel::kWarning, "cell", "a batch was not committed",
+        {{"code", ResultCodeName(code)}, {"error", result.error().message()}});
+    // With other errors the batch may still be committed; the change of
+    // leadership that follows settles it.
+    const bool never =
+        code == ResultCode::kStorageFull || code == ResultCode::kQueueFull;
+    if (!never) {
+      open_proposals_.insert(std::move(node));
+      return;
+    }
+  }
+  for (const auto& it : proposal.continuations) {
+    it(result.has_value());
+  }
+  plan_due_ = true;
+}
+
+void Leader::OnWorkerReply(OrderId id,
+                           const WorkerReply& reply,
+                           TimePoint now) {
+  SetNow(now);
+  auto node = open_orders_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  if (reply.answer == WorkerAnswer::kTicketRefused) {
+    ++metrics_.Counter("starts_refused_total{reason=\"ticket\"}");
+  } else if (reply.answer == WorkerAnswer::kNoRoom) {
+    ++metrics_.Counter("starts_refused_total{reason=\"room\"}");
+  }
+  BookOutput out;
+  book_.OnReply(node.mapped().sent, node.mapped().sent_ms, reply, now_ms_, out);
+  Take(std::move(out));
+}
+
+// Turns what the book concluded into proposals and orders.
+void Leader::Take(BookOutput out) {
+  std::vector<FinishedRun> kept;
+  for (const auto& it : out.finished) {
+    OnFinished(it, kept);
+  }
+  for (const auto& it : kept) {
+    wire::RunResult result;
+    result.task = graph::ToWire(it.task);
+    result.run = it.run;
+    result.how = it.how;
+    result.checkpoint = it.checkpoint;
+    batch_.results.push_back(std::move(result));
+    batch_used_ = true;
+  }
+  for (const auto& [worker, number] : out.ends) {
+    if (!batch_used_) {
+      book_.Acknowledge(worker, number);
+      continue;
+    }
+    continuations_.emplace_back([this, worker, number](bool committed) {
+      if (committed) {
+        book_.Acknowledge(worker, number);
+      }
+    });
+  }
+  for (auto& it : out.orders) {
+    orders_.push_back(std::move(it));
+  }
+  plan_due_ = plan_due_ || !out.finished.empty();
+}
+
+void Leader::OnFinished(const FinishedRun& finished,
+                        std::vector<FinishedRun>& kept) {
+  const auto* job = store_.FindJob(finished.task.job);
+  const auto* task = job == nullptr ? nullptr : job->FindTask(finished.task);
+  const bool current =
+      task != nullptr && !task->done && task->run == finished.run;
+  Log(LogLevel::kInfo, "runs", "run ended",
+      {{"task", graph::FormatTask(finished.task)},
+       {"run", finished.run},
+       {"how", static_cast<int>(finished.how)},
+       {"worker", finished.worker},
+       {"run_ms", finished.run_ms},
+       {"current", current ? "yes" : "no"},
+       {"reason", finished.reason}});
+  if (!current) {
+    return;
+  }
+  if (finished.how == wire::RunEnd::kDone) {
+    health_.Succeeded(finished.worker);
+    const bool whole = task->last_run == 1 && task->checkpoint.empty();
+    if (whole) {
+      times_.Record(store_.QueueOf(*job).name,
+                    job->step(finished.task.step).estimate_ms, finished.run_ms);
+    }
+  } else if (finished.how == wire::RunEnd::kFailed) {
+    if (auto* step = board_.Find(finished.task.step_key()); step != nullptr) {
+      step->avoided.insert(finished.worker);
+    }
+    if (health_.Failed(finished.worker, now_ms_)) {
+      Log(LogLevel::kWarning, "workers", "worker is quarantined",
+          {{"worker", finished.worker}});
+    }
+  }
+  kept.push_back(finished);
+}
+
+EngineOutput Leader::Advance(TimePoint now) {
+  SetNow(now);
+  BookOutput book_out;
+  book_.Advance(now_ms_, book_out);
+  Take(std::move(book_out));
+  TakeAdvice();
+  for (const auto it : board_.TakeDue(wall_ms_)) {
+    board_.Refresh(it, now_ms_, wall_ms_);
+    plan_due_ = true;
+  }
+  const auto since = now_ms_ - planned_ms_;
+  if ((plan_due_ && since >= kPlanIntervalMs) || since >= kIdlePlanMs) {
+    Plan();
+  }
+  EngineOutput out;
+  if (now_ms_ - maintained_ms_ >= kMaintenanceMs) {
+    Maintain(out);
+  }
+  desk_.Advance(now_ms_);
+  Propose(out);
+  for (auto& it : orders_) {
+    open_orders_[it.id] = {it, now_ms_};
+  }
+  out.orders = std::exchange(orders_, {});
+  return out;
+}
+
+void Leader::Maintain(EngineOutput& out) {
+  maintained_ms_ = now_ms_;
+  ExpireJobs();
+  RemoveSilentWorkers();
+  const auto membership = host_.Membership();
+  out.membership_change = members_.Next(membership, now_ms_);
+  std::vector<std::string> controllers;
+  for (const auto& it : membership.members) {
+    controllers.push_back(it.address);
+  }
+  desk_.SetControllers(std::move(controllers));
+}
+
+void Leader::Propose(EngineOutput& out) {
+  if (!batch_used_ || open_proposals_.size() >= kMaxOpenProposals) {
+    return;
+  }
+  batch_.at_ms = wall_ms_;
+  Proposal proposal;
+  proposal.id = next_proposal_++;
+  proposal.data = wire::Encode(batch_);
+  out.proposals.push_back(std::move(proposal));
+  open_proposals_[out.proposals.back().id] = {
+      std::exchange(batch_, {}), std::exchange(continuations_, {})};
+  batch_used_ = false;
+}
+
+void Leader::ExpireJobs() {
+  const auto before = wall_ms_ - options_.job_retention.count();
+  for (const auto& [id, job] : store_.jobs()) {
+    if (!job.active() && job.finished_ms() < before &&
+        batch_.expired_jobs.size() < kExpiredPerTurn) {
+      batch_.expired_jobs.push_back(static_cast<std::int64_t>(id));
+      batch_used_ = true;
+    }
+  }
+}
+
+void Leader::RemoveSilentWorkers() {
+  for (const auto& [number, slot] : book_.slots()) {
+    const auto contact = std::max(slot.answered_ms, slot.heard_ms);
+    if (slot.lapsed && slot.runs.empty() &&
+        now_ms_ - contact > kForgetWorkerMs) {
+      Log(LogLevel::kInfo, "workers", "silent worker is forgotten",
+          {{"worker", slot.record.id}});
+      batch_.removed_workers.push_back(number);
+      batch_used_ = true;
+    }
+  }
+}
+
+void Leader::Close(const wire::Status& status) {
+  const Error error = wire::ToError(status);
+  for (auto& [id, calls] : submitting_) {
+    for (auto& it : calls) {
+      wire::GraphReply reply;
+      reply.status = status;
+      reply.may_be_accepted = true;
+      it.reply(std::move(reply));
+    }
+  }
+  submitting_.clear();
+  desk_.Close(status);
+  // The continuations answer the calls that wait for them.
+  for (auto& [id, proposal] : open_proposals_) {
+    for (const auto& it : proposal.continuations) {
+      it(false);
+    }
+  }
+  open_proposals_.clear();
+  for (const auto& it : std::exchange(continuations_, {})) {
+    it(false);
+  }
+  for (auto& [id, calls] : registering_) {
+    for (auto& it : calls) {
+      it.reply(tl::unexpected(error));
+    }
+  }
+  registering_.clear();
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/leader.h
@@ -0,0 +1,125 @@
+// The leader's side of a cell with called workers: joins the state, the
+// planner, the workers and the advice service. Exists while this member leads.
+#ifndef CRANBERRYSHUNT_CELL_LEADER_H_
+#define CRANBERRYSHUNT_CELL_LEADER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "advice_desk.h"
+#include "cranberryshunt/cell/engine.h"
+#include "cranberryshunt/policy/graph_admission.h"
+#include "cranberryshunt/policy/worker_health.h"
+#include "job_board.h"
+#include "membership_keeper.h"
+#include "run_times.h"
+#include "worker_book.h"
+
+namespace cranberryshunt::cell {
+
+class Leader {
+ public:
+  Leader(const EngineOptions& options,
+         std::int64_t term,
+         const graph::GraphStore& store,
+         EngineHost& host,
+         MetricsRegistry& metrics,
+         TimePoint now);
+
+  // The state has applied `batch`, of this leader or an earlier one.
+  void OnApplied(const wire::GraphBatch& batch, TimePoint now);
+  void OnProposalDone(std::uint64_t id,
+                      const Result<std::int64_t>& result,
+                      TimePoint now);
+  void OnWorkerReply(OrderId id, const WorkerReply& reply, TimePoint now);
+  void Handle(Call call, TimePoint now);
+  EngineOutput Advance(TimePoint now);
+  // Answers all open calls with `status`.
+  void Close(const wire::Status& status);
+
+ private:
+  // Runs once the batch was committed (true) or will never be (false).
+  using Continuation = std::function<void(bool committed)>;
+  struct OpenProposal {
+    wire::GraphBatch batch;
+    std::vector<Continuation> continuations;
+  };
+  struct OpenOrder {
+    SentOrder sent;
+    std::int64_t sent_ms = 0;
+  };
+
+  // leader.cc
+  void Begin();
+  void SetNow(TimePoint now);
+  void SyncWorkers();
+  void Maintain(EngineOutput& out);
+  void Propose(EngineOutput& out);
+  void Take(BookOutput out);
+  void OnFinished(const FinishedRun& finished, std::vector<FinishedRun>& kept);
+  void StopLeftovers(const wire::GraphBatch& batch);
+  void ExpireJobs();
+  void RemoveSilentWorkers();
+
+  // leader_calls.cc
+  void HandleGraph(GraphCall call);
+  void Submit(GraphCall call, const wire::JobQueue& queue, graph::JobId id);
+  void Show(const GraphCall& call, graph::JobId id) const;
+  void Cancel(GraphCall call, graph::JobId id);
+  std::int64_t CountPending(const std::string& queue) const;
+  void HandleReport(ReportCall call);
+  void HandleDeparture(DepartureCall call);
+  void HandlePublish(PublishTableCall call);
+
+  // leader_planning.cc
+  void Plan();
+  void UpdatePlanWorkers();
+  void BeginStart(const policy::PlannedStart& start,
+                  std::map<policy::StepId, std::int32_t>& gang_runs);
+  void SendStart(const graph::TaskKey& task,
+                 std::int32_t run,
+                 graph::WorkerNumber worker,
+                 const std::string& ticket);
+  void AskAdvice(const policy::PlannedQuestion& question);
+  void TakeAdvice();
+  policy::LoadSummary Load() const;
+
+  const EngineOptions& options_;
+  const graph::GraphStore& store_;
+  EngineHost& host_;
+  MetricsRegistry& metrics_;
+  std::int64_t now_ms_ = 0;
+  std::int64_t wall_ms_ = 0;
+
+  RunTimes times_;
+  policy::GraphPlanner planner_;
+  JobBoard board_;
+  WorkerBook book_;
+  AdviceDesk desk_;
+  MembershipKeeper members_;
+  policy::WorkerHealth health_;
+
+  wire::GraphBatch batch_;  // To be proposed next.
+  std::vector<Continuation> continuations_;
+  bool batch_used_ = false;
+  std::map<std::uint64_t, OpenProposal> open_proposals_;
+  std::uint64_t next_proposal_ = 1;
+
+  std::vector<SentOrder> orders_;
+  std::map<OrderId, OpenOrder> open_orders_;
+  bool plan_due_ = true;
+  std::int64_t planned_ms_ = 0;
+  std::int64_t maintained_ms_ = 0;
+
+  // Calls that wait for a commit, by job.
+  std::map<graph::JobId, std::vector<GraphCall>> submitting_;
+  std::map<std::string, std::vector<ReportCall>> registering_;
+};
+
+}  // namespace cranberryshunt::cell
+
+#endif  // CRANBERRYSHUNT_CELL_LEADER_H_
--- /dev/null
+++ b/libraries/cell/src/leader_calls.cc
@@ -0,0 +1,344 @@
+#include <algorithm>
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+#include "cranberryshunt/wire/codec.h"
+#include "leader.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+wire::GraphReply ReplyWith(ResultCode code,
+                           std::string message,
+                           std::int64_t retry_after_ms = 0) {
+  wire::GraphReply reply;
+  reply.status = wire::ToStatus(Error(code, std::move(message)));
+  reply.status.retry_after_ms = retry_after_ms;
+  return reply;
+}
+
+Error NotCommitted() {
+  return {ResultCode::kNotLeader, "leadership ended before the commit"};
+}
+
+// Whether a report says anything that the state does not know.
+bool SameRecord(const wire::CalledWorker& known, const wire::CalledWorker& it) {
+  wire::CalledWorker next = it;
+  next.leaving = known.leaving || it.leaving;
+  return known == next;
+}
+
+}  // namespace
+
+void Leader::Handle(Call call, TimePoint now) {
+  SetNow(now);
+  struct Visitor {
+    Leader& leader;
+
+    void operator()(GraphCall& it) const { leader.HandleGraph(std::move(it)); }
+    void operator()(AdviceCall& it) const {
+      leader.desk_.OnPoll(std::move(it), leader.now_ms_);
+    }
+    void operator()(JoinCall& it) const {
+      leader.members_.Heard(it.member, leader.now_ms_);
+      it.reply({});
+    }
+    void operator()(ReportCall& it) const {
+      leader.HandleReport(std::move(it));
+    }
+    void operator()(DepartureCall& it) const {
+      leader.HandleDeparture(std::move(it));
+    }
+    void operator()(PublishTableCall& it) const {
+      leader.HandlePublish(std::move(it));
+    }
+    void operator()(ReadTableCall& it) const {
+      it.reply(leader.store_.table().document);
+    }
+  };
+  std::visit(Visitor{*this}, call);
+}
+
+void Leader::HandleGraph(GraphCall call) {
+  const auto& request = call.request;
+  if (store_.table().version == 0) {
+    call.reply(ReplyWith(ResultCode::kNotReady, "there is no configuration"));
+    return;
+  }
+  const auto* queue = store_.MatchQueue(request.host, request.path);
+  if (queue == nullptr) {
+    call.reply(ReplyWith(ResultCode::kNotFound, "there is no such queue"));
+    return;
+  }
+  const auto rest = request.path.substr(queue->path_prefix.size());
+  if (rest.empty() && request.operation == wire::GraphOperation::kShow) {
+    wire::GraphReply reply;
+    reply.pending = CountPending(queue->name);
+    call.reply(std::move(reply));
+    return;
+  }
+  const auto id = graph::ParseJobId(rest);
+  if (!id) {
+    const bool submits = request.operation == wire::GraphOperation::kSubmit;
+    call.reply(
+        ReplyWith(submits ? ResultCode::kInvalidField : ResultCode::kGone,
+                  "a job id has 16 lower-case hexadecimal digits"));
+    return;
+  }
+  switch (request.operation) {
+    case wire::GraphOperation::kSubmit:
+      Submit(std::move(call), *queue, *id);
+      break;
+    case wire::GraphOperation::kCancel:
+      Cancel(std::move(call), *id);
+      break;
+    default:
+      Show(call, *id);
+      break;
+  }
+}
+
+void Leader::Submit(GraphCall call,
+                    const wire::JobQueue& queue,
+                    graph::JobId id) {
+  // The same id is the same job, whatever the repetition holds.
+  if (store_.FindJob(id) != nullptr) {
+    call.reply({});
+    return;
+  }
+  const auto open = submitting_.find(id);
+  if (open != submitting_.end()) {
+    open->second.push_back(std::move(call));
+    return;
+  }
+  const auto& job = call.request.job;
+  policy::NewJob asked;
+  asked.urgent = queue.priority == 0;
+  std::int64_t workers = 0;
+  for (const auto& step : job.steps) {
+    const auto demand = DemandOf(step);
+    bool fits = false;
+    for (const auto& [number, worker] : store_.workers()) {
+      if (worker.service_name == queue.service_name) {
+        ++workers;
+        fits = fits || demand.FitsIn({worker.milli_cpus, worker.memory_mb,
+                                      worker.accelerators});
+      }
+    }
+    if (!fits) {
+      Log(LogLevel::kInfo, "admission", "job refused",
+          {{"job", graph::FormatJobId(id)},
+           {"queue", queue.name},
+           {"reason", workers == 0 ? "no workers" : "fits no worker"},
+           {"milli_cpus", demand.milli_cpus},
+           {"memory_mb", demand.memory_mb}});
+      constexpr std::int64_t kNoWorkersRetryMs = 1'000;
+      call.reply(workers == 0
+                     ? ReplyWith(ResultCode::kNotReady,
+                                 "the queue has no workers now",
+                                 kNoWorkersRetryMs)
+                     : ReplyWith(ResultCode::kImpossible,
+                                 "a task is larger than every worker"));
+      return;
+    }
+    const auto work =
+        static_cast<double>(times_.Expected(queue.name, step.estimate_ms)) *
+        step.task_count;
+    asked.cpus += work * static_cast<double>(demand.milli_cpus);
+    asked.memory += work * static_cast<double>(demand.memory_mb);
+  }
+  const auto remaining = RemainingTimes(queue, job, times_);
+  asked.critical_path_ms =
+      *std::max_element(remaining.begin(), remaining.end());
+  asked.slack_ms =
+      queue.latency_target_ms +
+      static_cast<std::int64_t>((queue.stretch - 1) *
+                                static_cast<double>(asked.critical_path_ms)) -
+      call.request.waited_ms;
+  const auto load = Load();
+  const auto decision = policy::DecideAdmission(load, asked);
+  Log(LogLevel::kInfo, "admission",
+      decision.accepted ? "job accepted" : "job refused",
+      {{"job", graph::FormatJobId(id)},
+       {"queue", queue.name},
+       {"table_version", store_.table().version},
+       {"critical_path_ms", asked.critical_path_ms},
+       {"slack_ms", asked.slack_ms},
+       {"expected_wait_ms", decision.expected_wait_ms},
+       {"advice_wait_ms", load.advice_wait_ms},
+       {"retry_after_ms", decision.retry_after_ms}});
+  if (!decision.accepted) {
+    ++metrics_.Counter("jobs_refused_total{queue=\"" + queue.name + "\"}");
+    call.reply(ReplyWith(ResultCode::kQueueFull,
+                         "the job would end after its objective",
+                         decision.retry_after_ms));
+    return;
+  }
+  ++metrics_.Counter("jobs_accepted_total{queue=\"" + queue.name + "\"}");
+  wire::AcceptedGraphJob accepted;
+  accepted.id = static_cast<std::int64_t>(id);
+  accepted.queue = queue;
+  accepted.job = job;
+  board_.Accepted(id, now_ms_ - call.request.waited_ms);
+  batch_.jobs.push_back(std::move(accepted));
+  batch_used_ = true;
+  submitting_[id].push_back(std::move(call));
+  continuations_.emplace_back([this, id](bool committed) {
+    auto node = submitting_.extract(id);
+    if (node.empty()) {
+      return;
+    }
+    for (auto& it : node.mapped()) {
+      it.reply(committed ? wire::GraphReply()
+                         : ReplyWith(ResultCode::kStorageFull,
+                                     "the job could not be stored"));
+    }
+  });
+}
+
+void Leader::Show(const GraphCall& call, graph::JobId id) const {
+  const auto* job = store_.FindJob(id);
+  if (job == nullptr) {
+    call.reply(ReplyWith(ResultCode::kGone, "no such job is known"));
+    return;
+  }
+  wire::GraphReply reply;
+  reply.state = job->state();
+  reply.pending = -1;
+  call.reply(std::move(reply));
+}
+
+void Leader::Cancel(GraphCall call, graph::JobId id) {
+  const auto* job = store_.FindJob(id);
+  if (job == nullptr && !submitting_.contains(id)) {
+    call.reply(ReplyWith(ResultCode::kGone, "no such job is known"));
+    return;
+  }
+  if (job != nullptr && !job->active()) {
+    call.reply({});
+    return;
+  }
+  Log(LogLevel::kInfo, "jobs", "job is being cancelled",
+      {{"job", graph::FormatJobId(id)}});
+  batch_.cancelled_jobs.push_back(static_cast<std::int64_t>(id));
+  batch_used_ = true;
+  continuations_.emplace_back([reply = std::move(call.reply)](bool committed) {
+    reply(committed ? wire::GraphReply()
+                    : ReplyWith(ResultCode::kNotLeader,
+                                "leadership ended before the commit"));
+  });
+}
+
+std::int64_t Leader::CountPending(const std::string& queue) const {
+  std::int64_t n = 0;
+  for (const auto& [id, job] : store_.jobs()) {
+    if (job.state() == wire::GraphJobState::kQueued &&
+        job.queue().name == queue) {
+      ++n;
+    }
+  }
+  return n;
+}
+
+void Leader::HandleReport(ReportCall call) {
+  const auto& report = call.report;
+  const auto& worker = report.worker;
+  const auto number = store_.FindWorker(worker.id);
+  if (number) {
+    const auto& known = store_.workers().at(*number);
+    const auto* slot = book_.Find(*number);
+    const bool late = known.born_ms > worker.born_ms ||
+                      (known.born_ms == worker.born_ms && slot != nullptr &&
+                       report.sequence <= slot->report_sequence);
+    if (late) {
+      call.reply({});
+      return;
+    }
+    if (known.born_ms == worker.born_ms) {
+      book_.Heard(*number, report.sequence, report.clock_ms, now_ms_);
+      if (SameRecord(known, worker)) {
+        call.reply({});
+        return;
+      }
+    }
+  }
+  auto& waiting = registering_[worker.id];
+  waiting.push_back(std::move(call));
+  const auto record = waiting.back().report.worker;
+  Log(LogLevel::kInfo, "workers", "worker report is new",
+      {{"worker", record.id},
+       {"service", record.service_name},
+       {"address", record.address},
+       {"born_ms", record.born_ms},
+       {"leaving", record.leaving ? "yes" : "no"},
+       {"remaining_ms", waiting.back().report.remaining_ms}});
+  for (const auto& [other, it] : store_.workers()) {
+    // An earlier worker at this address has ended.
+    if (it.address == record.address && it.id != record.id &&
+        it.born_ms < record.born_ms) {
+      batch_.removed_workers.push_back(other);
+    }
+  }
+  batch_.workers.push_back(record);
+  batch_used_ = true;
+  continuations_.emplace_back([this, id = record.id](bool committed) {
+    auto node = registering_.extract(id);
+    if (node.empty()) {
+      return;
+    }
+    for (auto& it : node.mapped()) {
+      const auto known = store_.FindWorker(id);
+      if (committed && known) {
+        book_.Heard(*known, it.report.sequence, it.report.clock_ms, now_ms_);
+      }
+      it.reply(committed ? Result<void>() : tl::unexpected(NotCommitted()));
+    }
+  });
+}
+
+void Leader::HandleDeparture(DepartureCall call) {
+  const auto number = store_.FindWorker(call.worker_id);
+  const bool older = number && call.born_ms != 0 &&
+                     store_.workers().at(*number).born_ms > call.born_ms;
+  if (!number || older) {
+    call.reply({});
+    return;
+  }
+  Log(LogLevel::kInfo, "workers", "worker leaves",
+      {{"worker", call.worker_id}, {"number", *number}});
+  batch_.removed_workers.push_back(*number);
+  batch_used_ = true;
+  continuations_.emplace_back([reply = std::move(call.reply)](bool committed) {
+    reply(committed ? Result<void>() : tl::unexpected(NotCommitted()));
+  });
+}
+
+void Leader::HandlePublish(PublishTableCall call) {
+  const auto version = call.table.version;
+  if (version <= store_.table().version) {
+    Log(LogLevel::kInfo, "config", "version is not newer",
+        {{"version", version}, {"in_force", store_.table().version}});
+    call.reply({});
+    return;
+  }
+  // Only one table fits into a batch; the higher one of two would win anyway.
+  if (batch_.__isset.table && batch_.table.version >= version) {
+    continuations_.emplace_back(
+        [reply = std::move(call.reply)](bool committed) {
+          reply(committed ? Result<void>() : tl::unexpected(NotCommitted()));
+        });
+    return;
+  }
+  Log(LogLevel::kInfo, "config", "version is being stored",
+      {{"version", version},
+       {"queues", call.table.queues.size()},
+       {"in_force", store_.table().version}});
+  batch_.__set_table(std::move(call.table));
+  batch_used_ = true;
+  continuations_.emplace_back([reply = std::move(call.reply)](bool committed) {
+    reply(committed ? Result<void>() : tl::unexpected(NotCommitted()));
+  });
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/leader_planning.cc
@@ -0,0 +1,209 @@
+#include <algorithm>
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+#include "leader.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// The way of an answer from the advice service to its caller.
+constexpr std::int64_t kTicketAgeMs = 30;
+
+}  // namespace
+
+void Leader::UpdatePlanWorkers() {
+  auto& workers = planner_.workers();
+  for (auto it = workers.begin(); it != workers.end();) {
+    it = book_.Find(it->first) == nullptr ? workers.erase(it) : std::next(it);
+  }
+  for (const auto& [number, slot] : book_.slots()) {
+    auto& worker = workers[number];
+    if (worker.number == 0) {
+      worker.number = number;
+      worker.service_name = slot.record.service_name;
+      worker.rack = slot.record.rack;
+      worker.labels = slot.record.labels;
+    }
+    worker.capacity = {slot.record.milli_cpus, slot.record.memory_mb,
+                       slot.record.accelerators};
+    worker.usable = book_.IsUsable(slot, now_ms_) &&
+                    !health_.IsQuarantined(number, now_ms_);
+    worker.probing = health_.IsProbing(number);
+    worker.used = {};
+    worker.ends.clear();
+    for (const auto& [key, run] : slot.runs) {
+      worker.used += run.demand;
+      const auto started = run.started_ms > 0 ? run.started_ms : now_ms_;
+      worker.ends.push_back({started + run.expected_run_ms, run.demand});
+    }
+  }
+}
+
+void Leader::Plan() {
+  planned_ms_ = now_ms_;
+  plan_due_ = false;
+  for (const auto it : board_.TakeDropped()) {
+    desk_.Forget(it);
+  }
+  UpdatePlanWorkers();
+  const auto plan = planner_.Decide(now_ms_);
+  std::map<policy::StepId, std::int32_t> gang_runs;
+  for (const auto& it : plan.starts) {
+    BeginStart(it, gang_runs);
+  }
+  for (const auto& it : plan.questions) {
+    AskAdvice(it);
+  }
+}
+
+void Leader::BeginStart(const policy::PlannedStart& start,
+                        std::map<policy::StepId, std::int32_t>& gang_runs) {
+  const auto& step_key = board_.KeyOf(start.step);
+  const auto& step = planner_.steps().at(start.step);
+  const graph::TaskKey task{step_key.job, step_key.occurrence, step_key.step,
+                            start.index};
+  const auto& job = *store_.FindJob(task.job);
+  std::int32_t run = job.task(task).last_run + 1;
+  if (step.gang) {
+    // All members of a gang carry the same number.
+    auto [it, added] = gang_runs.try_emplace(start.step, run);
+    if (added) {
+      graph::TaskKey member = task;
+      const auto count = job.step(task.step).task_count;
+      for (member.index = 0; member.index < count; ++member.index) {
+        it->second = std::max(it->second, job.task(member).last_run + 1);
+      }
+    }
+    run = it->second;
+  }
+  std::string ticket;
+  if (step.advice.needed) {
+    ticket = step.advice.allowed.at(start.worker).text;
+  }
+  Log(LogLevel::kInfo, "runs", "task is placed",
+      {{"task", graph::FormatTask(task)},
+       {"run", run},
+       {"worker", book_.Find(start.worker)->record.id},
+       {"queued_ms", now_ms_ - step.accepted_ms},
+       {"slack_ms", step.objective_ms - step.remaining_ms - now_ms_}});
+  ++metrics_.Counter("starts_total");
+  book_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms);
+  board_.SetReserved(task, true);
+  wire::RunStart record;
+  record.task = graph::ToWire(task);
+  record.run = run;
+  record.worker = start.worker;
+  batch_.starts.push_back(record);
+  batch_used_ = true;
+  continuations_.emplace_back(
+      [this, task, run, worker = start.worker, ticket](bool committed) {
+        board_.SetReserved(task, false);
+        if (committed) {
+          SendStart(task, run, worker, ticket);
+        } else {
+          book_.Withdraw(task, run);
+        }
+        board_.RefreshStep(task.step_key(), now_ms_, wall_ms_);
+      });
+}
+
+void Leader::SendStart(const graph::TaskKey& task,
+                       std::int32_t run,
+                       graph::WorkerNumber worker,
+                       const std::string& ticket) {
+  const auto* job = store_.FindJob(task.job);
+  // The job may have ended while the start was committed.
+  if (job == nullptr || job->task(task).run != run || !job->active()) {
+    book_.Withdraw(task, run);
+    return;
+  }
+  StartOrder order;
+  order.task = task;
+  order.run = run;
+  order.payload = job->spec().payload;
+  order.ticket = ticket;
+  graph::TaskKey saved = task;
+  if (job->step(task.step).gang) {
+    // All members resume from the same checkpoint.
+    saved.index = 0;
+  }
+  order.checkpoint = job->task(saved).checkpoint;
+  BookOutput out;
+  book_.Send(worker, task, run, std::move(order), now_ms_, out);
+  Take(std::move(out));
+}
+
+void Leader::AskAdvice(const policy::PlannedQuestion& question) {
+  const auto& step = planner_.steps().at(question.step);
+  Question asked;
+  asked.step = question.step;
+  asked.step_name = graph::FormatStep(board_.KeyOf(question.step));
+  for (const auto it : question.workers) {
+    asked.workers.push_back(book_.Find(it)->record.id);
+  }
+  asked.numbers = question.workers;
+  asked.expected_ms = question.expected_ms;
+  asked.urgency = step.objective_ms - step.remaining_ms;
+  ++metrics_.Counter("advice_questions_total");
+  desk_.Ask(std::move(asked));
+}
+
+void Leader::TakeAdvice() {
+  for (const auto& it : desk_.TakeAnswers()) {
+    plan_due_ = true;
+    if (!board_.Has(it.question.step)) {
+      continue;
+    }
+    auto& step = planner_.steps().at(it.question.step);
+    auto& advice = step.advice;
+    advice.asking = false;
+    if (!it.answered) {
+      Log(LogLevel::kWarning, "advice", "question was not answered",
+          {{"step", it.question.step_name}});
+      continue;
+    }
+    const auto* job = store_.FindJob(board_.KeyOf(it.question.step).job);
+    const auto valid_ms = store_.QueueOf(*job).advice.ticket_valid_ms;
+    advice.known.insert(it.question.numbers.begin(), it.question.numbers.end());
+    for (const auto& row : it.allowed) {
+      const auto number = store_.FindWorker(row.worker);
+      if (number) {
+        advice.allowed[*number] = {row.ticket,
+                                   it.answered_at_ms - kTicketAgeMs + valid_ms};
+      }
+    }
+    Log(LogLevel::kInfo, "advice", "question was answered",
+        {{"step", it.question.step_name},
+         {"asked", it.question.numbers.size()},
+         {"allowed", it.allowed.size()},
+         {"age_ms", now_ms_ - it.answered_at_ms}});
+  }
+}
+
+policy::LoadSummary Leader::Load() const {
+  policy::LoadSummary load;
+  for (const auto& [number, worker] : planner_.workers()) {
+    if (worker.usable) {
+      load.capacity_cpus += static_cast<double>(worker.capacity.milli_cpus);
+      load.capacity_memory += static_cast<double>(worker.capacity.memory_mb);
+    }
+  }
+  for (const auto& [id, step] : planner_.steps()) {
+    const auto work = static_cast<double>(step.expected_run_ms) *
+                      static_cast<double>(step.waiting.size());
+    const auto cpus = work * static_cast<double>(step.demand.milli_cpus);
+    const auto memory = work * static_cast<double>(step.demand.memory_mb);
+    load.total_cpus += cpus;
+    load.total_memory += memory;
+    if (step.priority == 0) {
+      load.urgent_cpus += cpus;
+      load.urgent_memory += memory;
+    }
+  }
+  load.advice_wait_ms = static_cast<double>(desk_.ExpectedWaitMs());
+  return load;
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/membership_keeper.h
@@ -0,0 +1,46 @@
+// Keeps the cell at its size: adds controllers that ask to join and replaces
+// voters that are gone, once a caught-up learner can stand in.
+#ifndef CRANBERRYSHUNT_CELL_MEMBERSHIP_KEEPER_H_
+#define CRANBERRYSHUNT_CELL_MEMBERSHIP_KEEPER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "wire_types.h"
+
+namespace cranberryshunt::cell {
+
+class MembershipKeeper {
+ public:
+  MembershipKeeper(std::int64_t cell_size,
+                   std::string own_id,
+                   std::int64_t now_ms)
+      : cell_size_(cell_size), own_id_(std::move(own_id)), began_ms_(now_ms) {}
+
+  // `member` is alive and asks to be part of the cell.
+  void Heard(const wire::Member& member, std::int64_t now_ms);
+  // The next change of the membership, if one is due. At most one each second.
+  std::optional<wire::MembershipChange> Next(const wire::Membership& current,
+                                             std::int64_t now_ms);
+
+ private:
+  struct Known {
+    wire::Member member;
+    std::int64_t heard_ms = 0;
+  };
+
+  bool Alive(const std::string& id, std::int64_t now_ms) const;
+  bool Gone(const std::string& id, std::int64_t now_ms) const;
+
+  const std::int64_t cell_size_;
+  const std::string own_id_;
+  const std::int64_t began_ms_;
+  std::map<std::string, Known> known_;
+  std::int64_t changed_ms_ = 0;
+};
+
+}  // namespace cranberryshunt::cell
+
+#endif  // CRANBERRYSHUNT_CELL_MEMBERSHIP_KEEPER_H_
--- /dev/null
+++ b/libraries/cell/src/worker_book.cc
@@ -0,0 +1,628 @@
+#include "worker_book.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// A worker's clock may be this much slower than ours.
+constexpr double kSlowestClock = 0.98;
+// Added to every conclusion from time alone: rounding and the way of an answer.
+constexpr std::int64_t kLeaseMarginMs = 300;
+// How often a lease is renewed, and the longest wait for an end in one hold.
+constexpr std::int64_t kHoldWaitMs = 1'000;
+// Beyond the wait: round trips between regions and a busy worker.
+constexpr std::int64_t kAnswerTimeoutMs = 1'000;
+constexpr std::int64_t kStopRetryMs = 700;
+// Pauses between holds of a worker that does not answer.
+constexpr std::int64_t kHoldRetryMs = 300;
+constexpr std::int64_t kMaxHoldRetryMs = 2'000;
+// Without an answer for this long a worker gets no starts.
+constexpr std::int64_t kSilenceMs = 2'600;
+// After an overloaded or unhealthy answer to a start.
+constexpr std::int64_t kAvoidMs = 1'500;
+constexpr int kOrderBits = 32;
+
+}  // namespace
+
+WorkerBook::WorkerBook(BookOptions options, std::int64_t now_ms)
+    : options_(options),
+      began_ms_(now_ms),
+      // Unique over all terms, so that a late answer meets no other order.
+      next_order_((static_cast<OrderId>(options.fence) << kOrderBits) + 1) {}
+
+const WorkerSlot* WorkerBook::Find(WorkerNumber number) const {
+  const auto it = slots_.find(number);
+  return it == slots_.end() ? nullptr : &it->second;
+}
+
+WorkerSlot* WorkerBook::FindById(const std::string& id) {
+  const auto it = numbers_by_id_.find(id);
+  return it == numbers_by_id_.end() ? nullptr : &slots_.at(it->second);
+}
+
+void WorkerBook::AddRun(WorkerSlot& slot, const RunKey& key, Run run) {
+  slot.runs[key] = run;
+  by_job_[key.first.job].insert({slot.number, key});
+}
+
+std::map<RunKey, Run>::iterator WorkerBook::EraseRun(
+    WorkerSlot& slot,
+    std::map<RunKey, Run>::iterator it) {
+  const auto job = by_job_.find(it->first.first.job);
+  if (job != by_job_.end()) {
+    job->second.erase({slot.number, it->first});
+    if (job->second.empty()) {
+      by_job_.erase(job);
+    }
+  }
+  return slot.runs.erase(it);
+}
+
+void WorkerBook::Conclude(WorkerSlot& slot,
+                          std::map<RunKey, Run>::iterator it,
+                          wire::RunEnd::type how,
+                          std::string reason,
+                          std::int64_t now_ms,
+                          BookOutput& out) {
+  FinishedRun finished;
+  finished.task = it->first.first;
+  finished.run = it->first.second;
+  finished.how = how;
+  finished.worker = slot.number;
+  finished.run_ms =
+      it->second.started_ms > 0 ? now_ms - it->second.started_ms : 0;
+  finished.reason = std::move(reason);
+  finished.checkpoint = it->second.checkpoint;
+  out.finished.push_back(std::move(finished));
+  EraseRun(slot, it);
+}
+
+void WorkerBook::FinishAll(WorkerSlot& slot,
+                           const std::string& reason,
+                           BookOutput& out) {
+  auto it = slot.runs.begin();
+  while (it != slot.runs.end()) {
+    const auto next = std::next(it);
+    // What is not committed yet is ended when the commit is known.
+    if (it->second.phase == RunPhase::kProposed) {
+      it->second.stop_wanted = true;
+    } else {
+      Conclude(slot, it, wire::RunEnd::kLost, reason, 0, out);
+    }
+    it = next;
+  }
+}
+
+void WorkerBook::Register(WorkerNumber number,
+                          const wire::CalledWorker& record,
+                          std::int64_t now_ms) {
+  auto* old = FindById(record.id);
+  if (old != nullptr && old->number == number) {
+    old->record = record;
+    return;
+  }
+  WorkerSlot slot;
+  slot.number = number;
+  slot.record = record;
+  slot.heard_ms = now_ms;
+  slot.next_hold_ms = now_ms;
+  slot.inherited_until_ms =
+      began_ms_ +
+      static_cast<std::int64_t>(static_cast<double>(options_.max_lease_ms) /
+                                kSlowestClock) +
+      kLeaseMarginMs;
+  slots_[number] = std::move(slot);
+  auto& added = slots_[number];
+  if (old != nullptr) {
+    // Orders to the old life may still reach the new one, so its runs are
+    // settled by what the new life shows.
+    auto runs = std::move(old->runs);
+    for (auto& [key, run] : runs) {
+      by_job_[key.first.job].erase({old->number, key});
+      const bool may_arrive =
+          run.phase == RunPhase::kSending || run.phase == RunPhase::kUncertain;
+      if (run.phase != RunPhase::kProposed) {
+        run.phase = may_arrive ? RunPhase::kUncertain : RunPhase::kInherited;
+        run.settled_ms = 0;
+        run.stop_order = 0;
+      }
+      AddRun(added, key, run);
+    }
+    slots_.erase(old->number);
+  }
+  numbers_by_id_[record.id] = number;
+}
+
+void WorkerBook::Remove(WorkerNumber number, BookOutput& out) {
+  const auto slot = slots_.find(number);
+  if (slot == slots_.end()) {
+    return;
+  }
+  FinishAll(slot->second, "worker left", out);
+  auto it = slot->second.runs.begin();
+  while (it != slot->second.runs.end()) {
+    Conclude(slot->second, it, wire::RunEnd::kNotStarted, "worker left", 0,
+             out);
+    it = slot->second.runs.begin();
+  }
+  numbers_by_id_.erase(slot->second.record.id);
+  slots_.erase(slot);
+}
+
+void WorkerBook::Inherit(WorkerNumber number,
+                         const TaskKey& task,
+                         std::int32_t run,
+                         const policy::Demand& demand,
+                         std::int64_t expected_run_ms,
+                         std::int64_t now_ms,
+                         BookOutput& out) {
+  const auto slot = slots_.find(number);
+  if (slot == slots_.end()) {
+    // That life of the worker is over.
+    FinishedRun finished;
+    finished.task = task;
+    finished.run = run;
+    finished.worker = number;
+    finished.reason = "worker is not registered any more";
+    out.finished.push_back(std::move(finished));
+    return;
+  }
+  Run it;
+  it.phase = RunPhase::kInherited;
+  it.demand = demand;
+  it.started_ms = now_ms;
+  it.expected_run_ms = expected_run_ms;
+  AddRun(slot->second, {task, run}, it);
+}
+
+void WorkerBook::NoteClock(WorkerSlot& slot,
+                           std::int64_t clock_ms,
+                           std::int64_t now_ms) {
+  if (clock_ms < 0) {
+    return;
+  }
+  // Keeps the sample that says most: the clock was at least this far.
+  if (slot.clock_ms < 0 || clock_ms >= ClockNow(slot, now_ms) ||
+      clock_ms >= slot.clock_ms) {
+    slot.clock_ms = clock_ms;
+    slot.clock_at_ms = now_ms;
+  }
+}
+
+std::int64_t WorkerBook::ClockNow(const WorkerSlot& slot,
+                                  std::int64_t now_ms) const {
+  return slot.clock_ms +
+         static_cast<std::int64_t>(
+             static_cast<double>(now_ms - slot.clock_at_ms) * kSlowestClock);
+}
+
+std::int64_t WorkerBook::GrantLease(WorkerSlot& slot, std::int64_t now_ms) {
+  const auto until = ClockNow(slot, now_ms) + options_.lease_ms;
+  slot.lease_until_ms = std::max(slot.lease_until_ms, until);
+  slot.lapsed = false;
+  return until;
+}
+
+std::int64_t WorkerBook::LeaseEnd(const WorkerSlot& slot) const {
+  if (slot.clock_ms < 0 || slot.lease_until_ms == 0) {
+    return slot.inherited_until_ms;
+  }
+  const auto left = static_cast<double>(slot.lease_until_ms - slot.clock_ms);
+  return std::max(slot.synced ? std::int64_t{0} : slot.inherited_until_ms,
+                  slot.clock_at_ms +
+                      static_cast<std::int64_t>(left / kSlowestClock) +
+                      kLeaseMarginMs);
+}
+
+void WorkerBook::Heard(WorkerNumber number,
+                       std::int64_t sequence,
+                       std::int64_t clock_ms,
+                       std::int64_t now_ms) {
+  const auto slot = slots_.find(number);
+  if (slot == slots_.end() || sequence <= slot->second.report_sequence) {
+    return;
+  }
+  auto& it = slot->second;
+  it.report_sequence = sequence;
+  it.heard_ms = now_ms;
+  if (it.clock_ms < 0) {
+    NoteClock(it, clock_ms, now_ms);
+  }
+  if (it.hold_failures > 0 && it.hold_order == 0) {
+    it.next_hold_ms = std::min(it.next_hold_ms, now_ms);
+  }
+}
+
+bool WorkerBook::IsUsable(const WorkerSlot& slot, std::int64_t now_ms) const {
+  return slot.synced && !slot.record.leaving && !slot.lapsed &&
+         slot.clock_ms >= 0 && now_ms - slot.answered_ms < kSilenceMs &&
+         slot.hold_failures == 0 && now_ms >= slot.avoid_until_ms;
+}
+
+void WorkerBook::Reserve(WorkerNumber number,
+                         const TaskKey& task,
+                         std::int32_t run,
+                         const policy::Demand& demand,
+                         std::int64_t expected_run_ms) {
+  const auto slot = slots_.find(number);
+  if (slot == slots_.end()) {
+    return;
+  }
+  Run it;
+  it.demand = demand;
+  it.expected_run_ms = expected_run_ms;
+  AddRun(slot->second, {task, run}, it);
+}
+
+OrderId WorkerBook::Emit(WorkerSlot& slot,
+                         WorkerOrder order,
+                         std::int64_t timeout_ms,
+                         BookOutput& out,
+                         bool fresh_connection) {
+  SentOrder sent;
+  sent.id = next_order_++;
+  sent.worker = slot.Address();
+  sent.order = std::move(order);
+  sent.timeout = std::chrono::milliseconds(timeout_ms);
+  sent.fresh_connection = fresh_connection || slot.hold_failures > 0;
+  out.orders.push_back(std::move(sent));
+  return out.orders.back().id;
+}
+
+void WorkerBook::Send(WorkerNumber number,
+                      const TaskKey& task,
+                      std::int32_t run,
+                      StartOrder order,
+                      std::int64_t now_ms,
+                      BookOutput& out) {
+  auto slot = slots_.find(number);
+  if (slot == slots_.end()) {
+    // The worker came back as a new life while the start was committed.
+    const auto& places = by_job_[task.job];
+    const auto place = std::find_if(
+        places.begin(), places.end(),
+        [&](const auto& it) { return it.second == RunKey(task, run); });
+    slot = place == places.end() ? slots_.end() : slots_.find(place->first);
+  }
+  if (slot == slots_.end()) {
+    return;
+  }
+  const auto it = slot->second.runs.find({task, run});
+  if (it == slot->second.runs.end()) {
+    return;
+  }
+  if (it->second.stop_wanted || slot->second.number != number ||
+      !IsUsable(slot->second, now_ms)) {
+    Conclude(slot->second, it, wire::RunEnd::kNotStarted,
+             it->second.stop_wanted ? "stopped before the start was sent"
+                                    : "worker is not usable any more",
+             now_ms, out);
+    return;
+  }
+  it->second.phase = RunPhase::kSending;
+  it->second.started_ms = now_ms;
+  order.fence = options_.fence;
+  order.lease_until_ms = GrantLease(slot->second, now_ms);
+  Emit(slot->second, std::move(order), kAnswerTimeoutMs, out);
+}
+
+void WorkerBook::Withdraw(const TaskKey& task, std::int32_t run) {
+  const auto places = by_job_.find(task.job);
+  if (places == by_job_.end()) {
+    return;
+  }
+  for (const auto& [number, key] : places->second) {
+    if (key == RunKey(task, run)) {
+      auto& slot = slots_.at(number);
+      EraseRun(slot, slot.runs.find(key));
+      return;
+    }
+  }
+}
+
+void WorkerBook::StopTask(const TaskKey& task, std::int32_t keep_run) {
+  const auto places = by_job_.find(task.job);
+  if (places == by_job_.end()) {
+    return;
+  }
+  for (const auto& [number, key] : places->second) {
+    if (key.first == task && key.second != keep_run) {
+      slots_.at(number).runs.at(key).stop_wanted = true;
+    }
+  }
+}
+
+void WorkerBook::StopJob(graph::JobId job) {
+  const auto places = by_job_.find(job);
+  if (places == by_job_.end()) {
+    return;
+  }
+  for (const auto& [number, key] : places->second) {
+    slots_.at(number).runs.at(key).stop_wanted = true;
+  }
+}
+
+void WorkerBook::Acknowledge(WorkerNumber number, std::int64_t number_of_end) {
+  const auto slot = slots_.find(number);
+  if (slot != slots_.end()) {
+    slot->second.acknowledged_end =
+        std::max(slot->second.acknowledged_end, number_of_end);
+    slot->second.ends_in_commit = false;
+  }
+}
+
+void WorkerBook::SendHold(WorkerSlot& slot,
+                          std::int64_t now_ms,
+                          BookOutput& out) {
+  HoldOrder order;
+  order.fence = options_.fence;
+  order.acknowledged_end = slot.acknowledged_end;
+  // A worker that does not answer gets no further lease, so that the end of its
+  // runs can be concluded from time.
+  if (slot.clock_ms >= 0 && slot.hold_failures == 0) {
+    order.lease_until_ms = GrantLease(slot, now_ms);
+  }
+  const bool wait = slot.synced && slot.hold_failures == 0;
+  order.wait = std::chrono::milliseconds(wait ? kHoldWaitMs : 0);
+  slot.hold_sent_ms = now_ms;
+  slot.hold_order =
+      Emit(slot, order, order.wait.count() + kAnswerTimeoutMs, out);
+}
+
+void WorkerBook::SendStops(WorkerSlot& slot,
+                           std::int64_t now_ms,
+                           BookOutput& out) {
+  for (auto& [key, run] : slot.runs) {
+    const bool wanted = run.phase == RunPhase::kUncertain ||
+                        (run.stop_wanted && run.phase != RunPhase::kProposed &&
+                         run.phase != RunPhase::kSending);
+    if (!wanted || run.stop_order != 0 ||
+        now_ms < run.stop_sent_ms + kStopRetryMs) {
+      continue;
+    }
+    run.stop_sent_ms = now_ms;
+    run.stop_order =
+        Emit(slot, StopOrder{options_.fence, key.first, key.second},
+             kAnswerTimeoutMs, out, run.phase == RunPhase::kUncertain);
+  }
+}
+
+void WorkerBook::Advance(std::int64_t now_ms, BookOutput& out) {
+  for (auto& [number, slot] : slots_) {
+    if (slot.hold_order == 0 && !slot.ends_in_commit &&
+        now_ms >= slot.next_hold_ms) {
+      SendHold(slot, now_ms, out);
+    }
+    SendStops(slot, now_ms, out);
+    if (!slot.lapsed && now_ms > LeaseEnd(slot)) {
+      slot.lapsed = true;
+      Log(LogLevel::kWarning, "workers", "every lease of a worker ran out",
+          {{"worker", slot.record.id},
+           {"silent_ms", now_ms - slot.answered_ms},
+           {"runs", slot.runs.size()}});
+      FinishAll(slot, "lease ran out", out);
+    }
+  }
+}
+
+void WorkerBook::OnReply(const SentOrder& sent,
+                         std::int64_t sent_ms,
+                         const WorkerReply& reply,
+                         std::int64_t now_ms,
+                         BookOutput& out) {
+  auto* slot = FindById(sent.worker.id);
+  if (slot == nullptr || slot->record.address != sent.worker.address) {
+    return;
+  }
+  fenced_ = fenced_ || reply.answer == WorkerAnswer::kFenced;
+  const bool other_life = reply.born_ms != 0 && slot->record.born_ms != 0 &&
+                          reply.born_ms != slot->record.born_ms;
+  const bool answered = reply.answer != WorkerAnswer::kNoAnswer &&
+                        reply.answer != WorkerAnswer::kNotSent;
+  if (answered && !other_life) {
+    slot->answered_ms = now_ms;
+    NoteClock(*slot, reply.clock_ms, now_ms);
+  }
+  if (reply.answer == WorkerAnswer::kOtherWorker) {
+    Log(LogLevel::kWarning, "workers", "another worker answers at the address",
+        {{"worker", slot->record.id}, {"address", slot->record.address}});
+    slot->synced = false;
+    FinishAll(*slot, "another worker answers at its address", out);
+  }
+  if (const auto* hold = std::get_if<HoldOrder>(&sent.order)) {
+    if (slot->hold_order == sent.id) {
+      slot->hold_order = 0;
+      if (!other_life) {
+        OnHoldReply(*slot, *hold, sent_ms, reply, now_ms, out);
+      } else {
+        // Its report as a new life is on its way.
+        slot->synced = false;
+        slot->next_hold_ms = now_ms + kHoldRetryMs;
+      }
+    }
+  } else if (const auto* start = std::get_if<StartOrder>(&sent.order)) {
+    OnStartReply(*slot, *start, reply, now_ms, out);
+  } else if (const auto* stop = std::get_if<StopOrder>(&sent.order)) {
+    OnStopReply(*slot, *stop, reply, now_ms);
+  }
+}
+
+void WorkerBook::OnHoldReply(WorkerSlot& slot,
+                             const HoldOrder& order,
+                             std::int64_t sent_ms,
+                             const WorkerReply& reply,
+                             std::int64_t now_ms,
+                             BookOutput& out) {
+  if (reply.answer != WorkerAnswer::kDone) {
+    if (slot.hold_failures == 0) {
+      Log(LogLevel::kWarning, "workers", "worker does not answer holds",
+          {{"worker", slot.record.id}, {"detail", reply.detail}});
+    }
+    ++slot.hold_failures;
+    slot.next_hold_ms =
+        now_ms + std::min(kHoldRetryMs * slot.hold_failures, kMaxHoldRetryMs);
+    return;
+  }
+  if (slot.hold_failures > 0) {
+    Log(LogLevel::kInfo, "workers", "worker answers holds again",
+        {{"worker", slot.record.id}});
+  }
+  slot.hold_failures = 0;
+  slot.next_hold_ms = now_ms;
+  if (!slot.synced) {
+    Log(LogLevel::kInfo, "workers", "worker is in step",
+        {{"worker", slot.record.id},
+         {"fence", order.fence},
+         {"running", reply.running.size()},
+         {"ended", reply.ended.size()}});
+    slot.synced = true;
+  }
+  ReadEnds(slot, reply, now_ms, out);
+  ReadRunning(slot, sent_ms, reply, now_ms, out);
+}
+
+void WorkerBook::ReadEnds(WorkerSlot& slot,
+                          const WorkerReply& reply,
+                          std::int64_t now_ms,
+                          BookOutput& out) {
+  std::int64_t last = slot.seen_end;
+  for (const auto& it : reply.ended) {
+    if (it.number <= slot.seen_end) {
+      continue;
+    }
+    last = std::max(last, it.number);
+    FinishedRun finished;
+    finished.task = it.task;
+    finished.run = it.run;
+    finished.how = it.how;
+    finished.checkpoint = it.checkpoint;
+    finished.worker = slot.number;
+    const auto run = slot.runs.find({it.task, it.run});
+    if (run != slot.runs.end()) {
+      if (run->second.phase == RunPhase::kRunning) {
+        finished.run_ms = now_ms - run->second.started_ms;
+      }
+      EraseRun(slot, run);
+    }
+    out.finished.push_back(std::move(finished));
+  }
+  if (last > slot.seen_end) {
+    slot.seen_end = last;
+    slot.ends_in_commit = true;
+    out.ends.emplace_back(slot.number, last);
+  }
+}
+
+void WorkerBook::ReadRunning(WorkerSlot& slot,
+                             std::int64_t sent_ms,
+                             const WorkerReply& reply,
+                             std::int64_t now_ms,
+                             BookOutput& out) {
+  std::set<RunKey> listed;
+  for (const auto& row : reply.running) {
+    const RunKey key(row.task, row.run);
+    listed.insert(key);
+    const auto it = slot.runs.find(key);
+    if (it == slot.runs.end()) {
+      // Nothing of ours: it takes room until it is gone.
+      Log(LogLevel::kWarning, "workers", "worker runs what nobody asked for",
+          {{"worker", slot.record.id},
+           {"task", graph::FormatTask(row.task)},
+           {"run", row.run}});
+      Run run;
+      run.phase = RunPhase::kRunning;
+      run.settled_ms = now_ms;
+      run.demand = {slot.record.milli_cpus, slot.record.memory_mb,
+                    slot.record.accelerators};
+      run.started_ms = now_ms;
+      run.stop_wanted = true;
+      AddRun(slot, key, run);
+      continue;
+    }
+    auto& run = it->second;
+    if (!row.checkpoint.empty()) {
+      run.checkpoint = row.checkpoint;
+    }
+    if (run.phase == RunPhase::kSending || run.phase == RunPhase::kInherited) {
+      run.phase = RunPhase::kRunning;
+      run.settled_ms = now_ms;
+    }
+  }
+  if (reply.unreadable_rows > 0) {
+    return;
+  }
+  auto it = slot.runs.begin();
+  while (it != slot.runs.end()) {
+    const auto next = std::next(it);
+    const auto& run = it->second;
+    const bool settled =
+        (run.phase == RunPhase::kRunning || run.phase == RunPhase::kBarred ||
+         run.phase == RunPhase::kInherited) &&
+        run.settled_ms <= sent_ms;
+    if (settled && !listed.contains(it->first)) {
+      Conclude(slot, it,
+               run.phase == RunPhase::kRunning ? wire::RunEnd::kLost
+                                               : wire::RunEnd::kNotStarted,
+               "worker does not list it", now_ms, out);
+    }
+    it = next;
+  }
+}
+
+void WorkerBook::OnStartReply(WorkerSlot& slot,
+                              const StartOrder& order,
+                              const WorkerReply& reply,
+                              std::int64_t now_ms,
+                              BookOutput& out) {
+  const auto it = slot.runs.find({order.task, order.run});
+  if (it == slot.runs.end() || it->second.phase != RunPhase::kSending) {
+    return;
+  }
+  switch (reply.answer) {
+    case WorkerAnswer::kDone:
+      it->second.phase = RunPhase::kRunning;
+      it->second.settled_ms = now_ms;
+      return;
+    case WorkerAnswer::kNoAnswer:
+      Log(LogLevel::kWarning, "workers", "start was not answered",
+          {{"task", graph::FormatTask(order.task)},
+           {"run", order.run},
+           {"worker", slot.record.id},
+           {"detail", reply.detail}});
+      it->second.phase = RunPhase::kUncertain;
+      return;
+    case WorkerAnswer::kOverloaded:
+    case WorkerAnswer::kNotSent:
+    case WorkerAnswer::kNoRoom:
+      slot.avoid_until_ms = now_ms + kAvoidMs;
+      break;
+    default:
+      break;
+  }
+  Conclude(slot, it, wire::RunEnd::kNotStarted,
+           "worker refused the start: " + reply.detail, now_ms, out);
+}
+
+void WorkerBook::OnStopReply(WorkerSlot& slot,
+                             const StopOrder& order,
+                             const WorkerReply& reply,
+                             std::int64_t now_ms) {
+  const auto it = slot.runs.find({order.task, order.run});
+  if (it == slot.runs.end()) {
+    return;
+  }
+  it->second.stop_order = 0;
+  if (reply.answer == WorkerAnswer::kDone) {
+    it->second.phase = RunPhase::kBarred;
+    it->second.settled_ms = now_ms;
+    // The next list settles it.
+    it->second.stop_wanted = false;
+  }
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/libraries/cell/src/worker_book.h
@@ -0,0 +1,173 @@
+// The leader's dealings with workers: holds, starts, stops, leases and the
+// conclusion that a run is over.
+#ifndef CRANBERRYSHUNT_CELL_WORKER_BOOK_H_
+#define CRANBERRYSHUNT_CELL_WORKER_BOOK_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cranberryshunt/cell/worker_driver.h"
+#include "worker_slot.h"
+
+namespace cranberryshunt::cell {
+
+struct BookOptions {
+  std::int64_t fence = 0;
+  // Longest lease that a worker accepts.
+  std::int64_t max_lease_ms = 10'000;
+  // Lease that is granted.
+  std::int64_t lease_ms = 5'000;
+};
+
+// A run that is over. `end_number` is 0 when no row of the worker told it.
+struct FinishedRun {
+  TaskKey task;
+  std::int32_t run = 0;
+  wire::RunEnd::type how = wire::RunEnd::kLost;
+  std::string checkpoint;
+  WorkerNumber worker = 0;
+  std::int64_t run_ms = 0;  // How long it ran as far as known; 0: unknown.
+  std::string reason;
+};
+
+// What an input led to.
+struct BookOutput {
+  std::vector<FinishedRun> finished;
+  // Workers whose rows up to the given number are in `finished`; call
+  // Acknowledge() once these are committed.
+  std::vector<std::pair<WorkerNumber, std::int64_t>> ends;
+  std::vector<SentOrder> orders;
+};
+
+class WorkerBook {
+ public:
+  WorkerBook(BookOptions options, std::int64_t now_ms);
+
+  // A life of a worker that the state names. A slot with the same id is
+  // carried over: its runs may have moved to the new life.
+  void Register(WorkerNumber number,
+                const wire::CalledWorker& record,
+                std::int64_t now_ms);
+  // The worker ended; everything that ran there is over.
+  void Remove(WorkerNumber number, BookOutput& out);
+  // A run that the state shows as current when this leader begins.
+  void Inherit(WorkerNumber number,
+               const TaskKey& task,
+               std::int32_t run,
+               const policy::Demand& demand,
+               std::int64_t expected_run_ms,
+               std::int64_t now_ms,
+               BookOutput& out);
+
+  // A report of the worker about itself.
+  void Heard(WorkerNumber number,
+             std::int64_t sequence,
+             std::int64_t clock_ms,
+             std::int64_t now_ms);
+
+  void Reserve(WorkerNumber number,
+               const TaskKey& task,
+               std::int32_t run,
+               const policy::Demand& demand,
+               std::int64_t expected_run_ms);
+  // The start is committed: sends it, unless a stop was asked for meanwhile.
+  void Send(WorkerNumber number,
+            const TaskKey& task,
+            std::int32_t run,
+            StartOrder order,
+            std::int64_t now_ms,
+            BookOutput& out);
+  // The start was not committed and never will be.
+  void Withdraw(const TaskKey& task, std::int32_t run);
+  // Stops all runs of the task except `keep_run`.
+  void StopTask(const TaskKey& task, std::int32_t keep_run);
+  void StopJob(graph::JobId job);
+
+  // The ends up to `number_of_end` are committed.
+  void Acknowledge(WorkerNumber number, std::int64_t number_of_end);
+
+  void OnReply(const SentOrder& sent,
+               std::int64_t sent_ms,
+               const WorkerReply& reply,
+               std::int64_t now_ms,
+               BookOutput& out);
+  // Sends what is due and concludes what time alone tells.
+  void Advance(std::int64_t now_ms, BookOutput& out);
+
+  const std::map<WorkerNumber, WorkerSlot>& slots() const { return slots_; }
+  const WorkerSlot* Find(WorkerNumber number) const;
+  // Whether starts may be sent to the worker now.
+  bool IsUsable(const WorkerSlot& slot, std::int64_t now_ms) const;
+  std::int64_t fence() const { return options_.fence; }
+  // A worker refused an order because it has seen a higher fence.
+  bool fenced() const { return fenced_; }
+
+ private:
+  void AddRun(WorkerSlot& slot, const RunKey& key, Run run);
+  std::map<RunKey, Run>::iterator EraseRun(WorkerSlot& slot,
+                                           std::map<RunKey, Run>::iterator it);
+  void FinishAll(WorkerSlot& slot, const std::string& reason, BookOutput& out);
+  void Conclude(WorkerSlot& slot,
+                std::map<RunKey, Run>::iterator it,
+                wire::RunEnd::type how,
+                std::string reason,
+                std::int64_t now_ms,
+                BookOutput& out);
+  void NoteClock(WorkerSlot& slot, std::int64_t clock_ms, std::int64_t now_ms);
+  // The worker's clock now, never later than it really is by much.
+  std::int64_t ClockNow(const WorkerSlot& slot, std::int64_t now_ms) const;
+  std::int64_t GrantLease(WorkerSlot& slot, std::int64_t now_ms);
+  // Our time at which every lease of the worker has surely run out.
+  std::int64_t LeaseEnd(const WorkerSlot& slot) const;
+
+  void SendHold(WorkerSlot& slot, std::int64_t now_ms, BookOutput& out);
+  void SendStops(WorkerSlot& slot, std::int64_t now_ms, BookOutput& out);
+  OrderId Emit(WorkerSlot& slot,
+               WorkerOrder order,
+               std::int64_t timeout_ms,
+               BookOutput& out,
+               bool fresh_connection = false);
+  void OnHoldReply(WorkerSlot& slot,
+                   const HoldOrder& order,
+                   std::int64_t sent_ms,
+                   const WorkerReply& reply,
+                   std::int64_t now_ms,
+                   BookOutput& out);
+  void ReadEnds(WorkerSlot& slot,
+                const WorkerReply& reply,
+                std::int64_t now_ms,
+                BookOutput& out);
+  void ReadRunning(WorkerSlot& slot,
+                   std::int64_t sent_ms,
+                   const WorkerReply& reply,
+                   std::int64_t now_ms,
+                   BookOutput& out);
+  void OnStartReply(WorkerSlot& slot,
+                    const StartOrder& order,
+                    const WorkerReply& reply,
+                    std::int64_t now_ms,
+                    BookOutput& out);
+  void OnStopReply(WorkerSlot& slot,
+                   const StopOrder& order,
+                   const WorkerReply& reply,
+                   std::int64_t now_ms);
+  WorkerSlot* FindById(const std::string& id);
+
+  const BookOptions options_;
+  const std::int64_t began_ms_;
+  std::map<WorkerNumber, WorkerSlot> slots_;
+  std::map<std::string, WorkerNumber> numbers_by_id_;
+  // Where the runs of each job are: worker, task and run.
+  std::map<graph::JobId, std::set<std::pair<WorkerNumber, RunKey>>> by_job_;
+  OrderId next_order_;
+  bool fenced_ = false;
+};
+
+}  // namespace cranberryshunt::cell
+
+#endif  // CRANBERRYSHUNT_CELL_WORKER_BOOK_H_
--- a/libraries/entry/src/authorizer.h
+++ b/libraries/entry/src/authorizer.h
@@ -9,11 +9,13 @@
 #include "cranberryshunt/base/clock.h"
 #include "cranberryshunt/base/metrics.h"
 #include "cranberryshunt/entry/entry.h"
-#include "http_server.h"
+#include "cranberryshunt/http/http_server.h"
 #include "reporter.h"
 
 namespace cranberryshunt::entry {
 
+using http::HttpRequest;
+
 enum class Role { kCaller, kTarget, kOperator };
 
 // Safe for use by several threads.
--- a/libraries/entry/src/context.h
+++ b/libraries/entry/src/context.h
@@ -10,8 +10,8 @@
 #include "authorizer.h"
 #include "cranberryshunt/base/metrics.h"
 #include "cranberryshunt/entry/entry.h"
+#include "cranberryshunt/http/http_server.h"
 #include "cranberryshunt/targets/target_client.h"
-#include "http_server.h"
 #include "leader_calls.h"
 #include "pending_jobs.h"
 #include "readiness.h"
@@ -20,6 +20,9 @@
 
 namespace cranberryshunt::entry {
 
+using http::HttpResponse;
+using http::HttpRoute;
+
 struct Context {
   const EntryOptions& options;
   LeaderCalls& calls;
--- a/libraries/entry/src/entry.cc
+++ b/libraries/entry/src/entry.cc
@@ -13,6 +13,7 @@
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/base/timer_service.h"
 #include "dispatcher.h"
+#include "json_output.h"
 #include "poller.h"
 
 namespace cranberryshunt::entry {
@@ -76,7 +77,7 @@
   TimerService timers;
   TimerService::Subscription close_unused;
   std::unique_ptr<Poller> poller;
-  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<http::HttpServer> server;
 };
 
 Entry::Implementation::Implementation(const EntryOptions& entry_options)
@@ -94,7 +95,8 @@
                                 [this] { targets.CloseUnused(); })) {}
 
 Result<void> Entry::Implementation::Listen() {
-  HttpServerOptions server_options;
+  http::HttpServerOptions server_options;
+  server_options.render_error = &RenderError;
   server_options.listen_address = options.listen_address;
   server_options.max_body_bytes = MaxAnnouncementBytes(options);
   server_options.max_connections =
@@ -105,7 +107,8 @@
   AddTargetRoutes(context, routes);
   AddOperatorRoutes(context, routes);
   AddHealthRoutes(context, routes);
-  auto started = HttpServer::Start(server_options, std::move(routes), metrics);
+  auto started =
+      http::HttpServer::Start(server_options, std::move(routes), metrics);
   if (!started) {
     return tl::unexpected(started.error());
   }
--- /dev/null
+++ b/libraries/graph/src/graph_store.cc
@@ -0,0 +1,295 @@
+#include "cranberryshunt/graph/graph_store.h"
+
+#include <utility>
+
+#include "cranberryshunt/wire/codec.h"
+
+namespace cranberryshunt::graph {
+
+Result<void> GraphStore::Apply(std::string_view entry) {
+  auto batch = wire::Decode<wire::GraphBatch>(entry);
+  if (!batch) {
+    return tl::unexpected(batch.error());
+  }
+  Apply(*batch);
+  return {};
+}
+
+void GraphStore::Apply(const wire::GraphBatch& batch) {
+  if (batch.__isset.table) {
+    ApplyTable(batch.table);
+  }
+  for (const auto& it : batch.workers) {
+    ApplyWorker(it);
+  }
+  for (const auto it : batch.removed_workers) {
+    const auto worker = workers_.find(it);
+    if (worker != workers_.end()) {
+      workers_by_id_.erase(worker->second.id);
+      workers_.erase(worker);
+    }
+  }
+  for (const auto& it : batch.jobs) {
+    jobs_.try_emplace(static_cast<JobId>(it.id), it);
+  }
+  for (const auto it : batch.cancelled_jobs) {
+    ApplyCancel(static_cast<JobId>(it), batch.at_ms);
+  }
+  for (const auto& it : batch.starts) {
+    ApplyStart(it);
+  }
+  for (const auto& it : batch.results) {
+    ApplyResult(it, batch.at_ms);
+  }
+  for (const auto it : batch.expired_jobs) {
+    jobs_.erase(static_cast<JobId>(it));
+  }
+}
+
+void GraphStore::ApplyTable(const wire::RoutingTable& table) {
+  // The highest version wins, whatever the order of arrival.
+  if (table.version > table_.version) {
+    table_ = table;
+  }
+}
+
+void GraphStore::ApplyWorker(const wire::CalledWorker& worker) {
+  const auto known = workers_by_id_.find(worker.id);
+  if (known != workers_by_id_.end()) {
+    auto& old = workers_.at(known->second);
+    if (old.born_ms == worker.born_ms) {
+      const bool leaving = old.leaving || worker.leaving;
+      old = worker;
+      old.leaving = leaving;
+      return;
+    }
+    if (old.born_ms > worker.born_ms) {
+      return;
+    }
+    workers_.erase(known->second);
+  }
+  const WorkerNumber number = next_worker_++;
+  workers_by_id_[worker.id] = number;
+  workers_[number] = worker;
+}
+
+void GraphStore::ApplyCancel(JobId id, std::int64_t at_ms) {
+  const auto job = jobs_.find(id);
+  if (job != jobs_.end() && job->second.active()) {
+    Finish(job->second, wire::GraphJobState::kCancelled, at_ms);
+  }
+}
+
+void GraphStore::ApplyStart(const wire::RunStart& start) {
+  const TaskKey key = FromWire(start.task);
+  const auto job = jobs_.find(key.job);
+  if (job == jobs_.end() || !job->second.active() ||
+      !job->second.Contains(key)) {
+    return;
+  }
+  auto& task = job->second.tasks_[job->second.IndexOf(key)];
+  if (task.done || task.run != 0 || start.run <= task.last_run) {
+    return;
+  }
+  task.run = start.run;
+  task.last_run = start.run;
+  task.worker = start.worker;
+  job->second.state_ = wire::GraphJobState::kRunning;
+}
+
+void GraphStore::ApplyResult(const wire::RunResult& result,
+                             std::int64_t at_ms) {
+  const TaskKey key = FromWire(result.task);
+  const auto found = jobs_.find(key.job);
+  if (found == jobs_.end() || !found->second.Contains(key)) {
+    return;
+  }
+  Job& job = found->second;
+  auto& task = job.tasks_[job.IndexOf(key)];
+  if (task.done || task.run != result.run) {
+    return;
+  }
+  task.run = 0;
+  task.worker = 0;
+  if (!result.checkpoint.empty()) {
+    task.checkpoint = result.checkpoint;
+  }
+  if (!job.active()) {
+    return;
+  }
+  const bool long_running = job.step(key.step).long_running;
+  if (result.how == wire::RunEnd::kDone && !long_running) {
+    MarkDone(job, key);
+    if (job.open_total_ == 0) {
+      Finish(job, wire::GraphJobState::kCompleted, at_ms);
+    }
+  } else if (result.how == wire::RunEnd::kFailed && !long_running) {
+    task.run = result.run;  // Still the run that is counted.
+    CountFailure(job, key, at_ms);
+    task.run = 0;
+  }
+}
+
+// The end of one member of a gang as done stands for all of them.
+void GraphStore::MarkDone(Job& job, const TaskKey& key) {
+  const bool gang = job.step(key.step).gang;
+  TaskKey it = key;
+  const std::int32_t first = gang ? 0 : key.index;
+  const std::int32_t last = gang ? job.step(key.step).task_count - 1 : first;
+  auto& open = job.open_tasks_[static_cast<std::size_t>(
+      key.occurrence * job.step_count() + key.step)];
+  for (it.index = first; it.index <= last; ++it.index) {
+    auto& task = job.tasks_[job.IndexOf(it)];
+    if (!task.done) {
+      task.done = true;
+      task.run = 0;
+      task.worker = 0;
+      --open;
+      --job.open_total_;
+    }
+  }
+}
+
+// A gang fails once a run, however many of its members fail.
+void GraphStore::CountFailure(Job& job,
+                              const TaskKey& key,
+                              std::int64_t at_ms) {
+  auto& task = job.tasks_[job.IndexOf(key)];
+  TaskKey counted_key = key;
+  if (job.step(key.step).gang) {
+    counted_key.index = 0;
+  }
+  auto& counted = job.tasks_[job.IndexOf(counted_key)];
+  if (counted.failed_run >= task.run) {
+    return;
+  }
+  counted.failed_run = task.run;
+  ++counted.failures;
+  const auto max_attempts = QueueOf(job).max_attempts;
+  if (max_attempts > 0 && counted.failures >= max_attempts) {
+    Finish(job, wire::GraphJobState::kFailed, at_ms);
+  }
+}
+
+void GraphStore::Finish(Job& job,
+                        wire::GraphJobState::type state,
+                        std::int64_t at_ms) {
+  job.state_ = state;
+  job.finished_ms_ = at_ms;
+}
+
+const wire::JobQueue* GraphStore::FindQueue(const std::string& name) const {
+  for (const auto& it : table_.queues) {
+    if (it.name == name) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+const wire::JobQueue* GraphStore::MatchQueue(std::string_view host,
+                                             std::string_view path) const {
+  const wire::JobQueue* best = nullptr;
+  for (const auto& it : table_.queues) {
+    if (it.host == host && path.starts_with(it.path_prefix) &&
+        (best == nullptr || it.path_prefix.size() > best->path_prefix.size())) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
+const wire::JobQueue& GraphStore::QueueOf(const Job& job) const {
+  const auto* current = FindQueue(job.queue().name);
+  return current != nullptr ? *current : job.queue();
+}
+
+const Job* GraphStore::FindJob(JobId id) const {
+  const auto job = jobs_.find(id);
+  return job == jobs_.end() ? nullptr : &job->second;
+}
+
+std::optional<WorkerNumber> GraphStore::FindWorker(
+    const std::string& id) const {
+  const auto known = workers_by_id_.find(id);
+  if (known == workers_by_id_.end()) {
+    return std::nullopt;
+  }
+  return known->second;
+}
+
+std::string GraphStore::Snapshot() const {
+  wire::GraphSnapshot out;
+  out.table = table_;
+  out.next_worker = next_worker_;
+  for (const auto& [number, worker] : workers_) {
+    auto& image = out.workers.emplace_back();
+    image.number = number;
+    image.worker = worker;
+  }
+  for (const auto& [id, job] : jobs_) {
+    auto& image = out.jobs.emplace_back();
+    image.accepted = job.accepted_;
+    image.state = job.state_;
+    image.finished_ms = job.finished_ms_;
+    for (const auto& task : job.tasks_) {
+      auto& it = image.tasks.emplace_back();
+      it.last_run = task.last_run;
+      it.failures = task.failures;
+      it.done = task.done;
+      it.run = task.run;
+      it.worker = task.worker;
+      it.checkpoint = task.checkpoint;
+      it.failed_run = task.failed_run;
+    }
+  }
+  return wire::Encode(out);
+}
+
+Result<void> GraphStore::Restore(std::string_view snapshot) {
+  auto decoded = wire::Decode<wire::GraphSnapshot>(snapshot);
+  if (!decoded) {
+    return tl::unexpected(decoded.error());
+  }
+  GraphStore next;
+  next.table_ = std::move(decoded->table);
+  next.next_worker_ = decoded->next_worker;
+  for (auto& it : decoded->workers) {
+    next.workers_by_id_[it.worker.id] = it.number;
+    next.workers_[it.number] = std::move(it.worker);
+  }
+  for (auto& image : decoded->jobs) {
+    Job job(std::move(image.accepted));
+    if (job.tasks_.size() != image.tasks.size()) {
+      return Fail(ResultCode::kCorrupt, "a job has the wrong number of tasks");
+    }
+    job.state_ = static_cast<wire::GraphJobState::type>(image.state);
+    job.finished_ms_ = image.finished_ms;
+    for (std::size_t i = 0; i < image.tasks.size(); ++i) {
+      auto& it = image.tasks[i];
+      job.tasks_[i] = {it.last_run,
+                       it.run,
+                       it.failures,
+                       it.failed_run,
+                       it.worker,
+                       it.done,
+                       std::move(it.checkpoint)};
+      if (it.done) {
+        --job.open_total_;
+        const auto per = static_cast<std::size_t>(job.tasks_per_occurrence_);
+        const auto k = i / per;
+        auto step = job.step_offsets_.size() - 1;
+        while (static_cast<std::size_t>(job.step_offsets_[step]) > i % per) {
+          --step;
+        }
+        --job.open_tasks_[k * job.step_offsets_.size() + step];
+      }
+    }
+    const auto id = job.id();
+    next.jobs_.emplace(id, std::move(job));
+  }
+  *this = std::move(next);
+  return {};
+}
+
+}  // namespace cranberryshunt::graph
--- /dev/null
+++ b/libraries/graph/src/job.cc
@@ -0,0 +1,60 @@
+#include <utility>
+
+#include "cranberryshunt/graph/graph_store.h"
+
+namespace cranberryshunt::graph {
+
+Job::Job(wire::AcceptedGraphJob accepted) : accepted_(std::move(accepted)) {
+  for (const auto& it : accepted_.job.steps) {
+    step_offsets_.push_back(tasks_per_occurrence_);
+    tasks_per_occurrence_ += it.task_count;
+  }
+  const auto n = static_cast<std::size_t>(tasks_per_occurrence_) *
+                 static_cast<std::size_t>(occurrences());
+  tasks_.resize(n);
+  open_total_ = static_cast<std::int64_t>(n);
+  for (std::int32_t k = 0; k < occurrences(); ++k) {
+    for (const auto& it : accepted_.job.steps) {
+      open_tasks_.push_back(it.task_count);
+    }
+  }
+}
+
+std::size_t Job::IndexOf(const TaskKey& key) const {
+  return static_cast<std::size_t>(
+      key.occurrence * tasks_per_occurrence_ +
+      step_offsets_[static_cast<std::size_t>(key.step)] + key.index);
+}
+
+bool Job::Contains(const TaskKey& key) const {
+  return key.occurrence >= 0 && key.occurrence < occurrences() &&
+         key.step >= 0 && key.step < step_count() && key.index >= 0 &&
+         key.index < step(key.step).task_count;
+}
+
+const TaskState* Job::FindTask(const TaskKey& key) const {
+  return Contains(key) ? &tasks_[IndexOf(key)] : nullptr;
+}
+
+bool Job::StepDone(const StepKey& key) const {
+  return open_tasks_[static_cast<std::size_t>(key.occurrence * step_count() +
+                                              key.step)] == 0;
+}
+
+bool Job::StepReady(const StepKey& key) const {
+  for (const auto it : step(key.step).depends_on) {
+    if (!StepDone({key.job, key.occurrence, it})) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::int64_t Job::DueMs(std::int32_t occurrence) const {
+  const auto& spec = accepted_.job;
+  return spec.first_due_ms == 0
+             ? 0
+             : spec.first_due_ms + occurrence * spec.interval_ms;
+}
+
+}  // namespace cranberryshunt::graph
--- a/libraries/entry/src/http_server.h
+++ b/libraries/http/include/cranberryshunt/http/http_server.h
@@ -1,6 +1,6 @@
 // HTTP server with typed requests and responses, on ulfius.
-#ifndef CRANBERRYSHUNT_ENTRY_HTTP_SERVER_H_
-#define CRANBERRYSHUNT_ENTRY_HTTP_SERVER_H_
+#ifndef CRANBERRYSHUNT_HTTP_HTTP_SERVER_H_
+#define CRANBERRYSHUNT_HTTP_HTTP_SERVER_H_
 
 #include <chrono>
 #include <cstdint>
@@ -18,7 +18,7 @@
 // NOLINTNEXTLINE(bugprone-reserved-identifier)
 struct _u_request;
 
-namespace cranberryshunt::entry {
+namespace cranberryshunt::http {
 
 // A request while its handler runs.
 class HttpRequest {
@@ -30,6 +30,11 @@
   std::string Parameter(const char* name) const;
   // The token of the Authorization header; empty when missing.
   std::string BearerToken() const;
+  // Value of a header, whatever its case; empty when missing.
+  std::string Header(const char* name) const;
+  std::string_view method() const;
+  // Path without the query.
+  std::string_view path() const;
   std::string_view body() const;
   std::string PeerAddress() const;
   // Returns whether the peer has closed its side of the connection.
@@ -45,6 +50,7 @@
   std::string body;
   std::string content_type = "application/json";
   std::int64_t retry_after_ms = 0;  // Above 0: sent as Retry-After.
+  std::string location;             // Not empty: sent as Location.
   bool close = false;               // Sends `Connection: close`.
 };
 
@@ -59,6 +65,10 @@
   std::size_t max_body_bytes = 0;
   unsigned int max_connections = 0;
   std::chrono::seconds idle_timeout{75};
+  // Handles requests that no route matches; without it they get 404.
+  std::function<HttpResponse(const HttpRequest&)> fallback;
+  // Renders the body of an error that the server itself reports.
+  std::function<std::string(const Error&)> render_error;
 };
 
 // Runs each connection on a thread of its own, so handlers may block.
@@ -89,6 +99,6 @@
   std::unique_ptr<Implementation> implementation_;
 };
 
-}  // namespace cranberryshunt::entry
+}  // namespace cranberryshunt::http
 
-#endif  // CRANBERRYSHUNT_ENTRY_HTTP_SERVER_H_
+#endif  // CRANBERRYSHUNT_HTTP_HTTP_SERVER_H_
--- a/libraries/entry/src/http_server.cc
+++ b/libraries/http/src/http_server.cc
@@ -1,4 +1,4 @@
-#include "http_server.h"
+#include "cranberryshunt/http/http_server.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -16,9 +16,8 @@
 #include <string>
 
 #include "cranberryshunt/base/log.h"
-#include "json_output.h"
 
-namespace cranberryshunt::entry {
+namespace cranberryshunt::http {
 
 namespace {
 
@@ -58,6 +57,19 @@
              : std::string();
 }
 
+std::string HttpRequest::Header(const char* name) const {
+  const char* value = u_map_get_case(request_.map_header, name);
+  return value == nullptr ? std::string() : value;
+}
+
+std::string_view HttpRequest::method() const {
+  return request_.http_verb;
+}
+
+std::string_view HttpRequest::path() const {
+  return request_.url_path;
+}
+
 std::string_view HttpRequest::body() const {
   return {static_cast<const char*>(request_.binary_body),
           request_.binary_body_length};
@@ -81,12 +93,19 @@
 
 namespace {
 
+using RenderErrorFunction = std::function<std::string(const Error&)>;
+
 struct RouteState {
   HttpRoute route;
   const std::atomic<bool>* closing;
   MetricsRegistry* metrics;
+  const RenderErrorFunction* render_error;
 };
 
+std::string RenderWith(const RenderErrorFunction& render, const Error& error) {
+  return render ? render(error) : error.message() + "\n";
+}
+
 void Send(const HttpResponse& response, bool closing, _u_response* out) {
   ulfius_set_binary_body_response(out, response.status, response.body.data(),
                                   response.body.size());
@@ -95,6 +114,9 @@
     const auto seconds = (response.retry_after_ms + 999) / 1000;
     u_map_put(out->map_header, "Retry-After", std::to_string(seconds).c_str());
   }
+  if (!response.location.empty()) {
+    u_map_put(out->map_header, "Location", response.location.c_str());
+  }
   if (closing || response.close) {
     u_map_put(out->map_header, "Connection", "close");
   }
@@ -109,7 +131,8 @@
         {{"path", state.route.path}, {"error", error.what()}});
     HttpResponse response;
     response.status = kStatusInternalError;
-    response.body = RenderError(
+    response.body = RenderWith(
+        *state.render_error,
         Error(ResultCode::kUnavailable, "the request could not be handled"));
     return response;
   }
@@ -131,13 +154,12 @@
   return U_CALLBACK_COMPLETE;
 }
 
-int HandleUnknown(const _u_request* /*request*/,
-                  _u_response* out,
-                  void* /*data*/) {
+int HandleUnknown(const _u_request* /*request*/, _u_response* out, void* data) {
   HttpResponse response;
   response.status = kStatusNotFound;
   response.body =
-      RenderError(Error(ResultCode::kNotFound, "there is no such resource"));
+      RenderWith(*static_cast<const RenderErrorFunction*>(data),
+                 Error(ResultCode::kNotFound, "there is no such resource"));
   Send(response, false, out);
   return U_CALLBACK_COMPLETE;
 }
@@ -208,6 +230,8 @@
   std::atomic<bool> closing = false;
   std::atomic<std::int64_t> in_flight = 0;
   std::vector<std::unique_ptr<RouteState>> routes;
+  std::unique_ptr<RouteState> fallback;
+  RenderErrorFunction render_error;
 };
 
 HttpServer::Implementation::~Implementation() {
@@ -267,7 +291,11 @@
                                state->route.path.c_str(), 0, &HandleRoute,
                                state.get());
   }
-  ulfius_set_default_endpoint(&instance, &HandleUnknown, nullptr);
+  if (fallback) {
+    ulfius_set_default_endpoint(&instance, &HandleRoute, fallback.get());
+  } else {
+    ulfius_set_default_endpoint(&instance, &HandleUnknown, &render_error);
+  }
   std::array<MHD_OptionItem, 8> mhd_options{{
       {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&OnCompleted),
        this},
@@ -302,9 +330,17 @@
     std::vector<HttpRoute> routes,
     MetricsRegistry& metrics) {
   auto implementation = std::make_unique<Implementation>();
+  implementation->render_error = options.render_error;
+  const auto make_state = [&](HttpRoute route) {
+    return std::make_unique<RouteState>(
+        RouteState{std::move(route), &implementation->closing, &metrics,
+                   &implementation->render_error});
+  };
   for (auto& route : routes) {
-    implementation->routes.push_back(std::make_unique<RouteState>(
-        RouteState{std::move(route), &implementation->closing, &metrics}));
+    implementation->routes.push_back(make_state(std::move(route)));
+  }
+  if (options.fallback) {
+    implementation->fallback = make_state({"*", "*", options.fallback});
   }
   if (auto listening = implementation->Listen(options); !listening) {
     return tl::unexpected(listening.error());
@@ -338,4 +374,4 @@
   return implementation_->in_flight;
 }
 
-}  // namespace cranberryshunt::entry
+}  // namespace cranberryshunt::http
--- /dev/null
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -0,0 +1,171 @@
+// Placement of step-graph tasks on called workers: which waiting task starts
+// where now, and which questions to ask the advice service. No I/O and no
+// clock; all times are milliseconds of the leader's boot clock.
+#ifndef CRANBERRYSHUNT_POLICY_GRAPH_PLANNER_H_
+#define CRANBERRYSHUNT_POLICY_GRAPH_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranberryshunt::policy {
+
+// Sizes of a task, or of what a worker has or has reserved.
+struct Demand {
+  std::int64_t milli_cpus = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  bool operator==(const Demand&) const = default;
+  Demand& operator+=(const Demand& other);
+  Demand& operator-=(const Demand& other);
+  bool FitsIn(const Demand& room) const;
+};
+
+Demand operator-(Demand a, const Demand& b);
+// How many tasks of size `task` fit into `room`; at most `limit`.
+std::int64_t FitCount(const Demand& task,
+                      const Demand& room,
+                      std::int64_t limit);
+
+// Expected end of a task that holds part of a worker.
+struct ExpectedEnd {
+  std::int64_t at_ms = 0;
+  Demand demand;
+
+  bool operator==(const ExpectedEnd&) const = default;
+};
+
+struct PlanWorker {
+  std::int64_t number = 0;
+  std::string service_name;
+  std::string rack;
+  std::vector<std::string> labels;
+  Demand capacity;
+  Demand used;  // Of everything that runs there or may run there.
+  // Accepts starts: alive, lease in order, not leaving and not suspected.
+  bool usable = false;
+  // Suspected of failing what it starts: gets one task at a time as a probe.
+  bool probing = false;
+  std::vector<ExpectedEnd> ends;
+
+  Demand Room() const { return capacity - used; }
+};
+
+struct Ticket {
+  std::string text;
+  std::int64_t valid_until_ms = 0;
+};
+
+// What the advice service said about one occurrence of a step. Whether a worker
+// is allowed does not change during its life; only tickets age.
+struct StepAdvice {
+  bool needed = false;
+  bool asking = false;
+  double base_ms = 0;
+  double per_worker_ms = 0;
+  std::set<std::int64_t> known;  // Workers that were asked about.
+  std::map<std::int64_t, Ticket> allowed;
+
+  bool Allows(std::int64_t worker) const;
+  bool HasTicket(std::int64_t worker, std::int64_t until_ms) const;
+};
+
+using StepId = std::int64_t;
+
+// A step with tasks that wait for a start.
+struct PlanStep {
+  StepId id = 0;
+  std::string service_name;
+  std::int32_t priority = 0;  // 0 is the most urgent.
+  Demand demand;              // Of each task, as counted against capacity.
+  bool gang = false;
+  bool same_rack = false;
+  std::string required_label;
+  std::string data_rack;
+  std::int32_t max_per_worker = 0;  // 0: no limit.
+  std::int64_t expected_run_ms = 0;
+  std::int64_t accepted_ms = 0;
+  // The job is late when it ends after this.
+  std::int64_t objective_ms = 0;
+  // Expected time from the start of this step to the end of the job.
+  std::int64_t remaining_ms = 0;
+  std::vector<std::int32_t> waiting;  // Indexes of tasks.
+  // Running tasks of the step by worker, for max_per_worker.
+  std::map<std::int64_t, std::int32_t> running;
+  // Workers on which a task of the step failed; avoided while there are others.
+  std::set<std::int64_t> avoided;
+  StepAdvice advice;
+};
+
+struct PlannedStart {
+  StepId step = 0;
+  std::int32_t index = 0;
+  std::int64_t worker = 0;
+
+  bool operator==(const PlannedStart&) const = default;
+};
+
+struct PlannedQuestion {
+  StepId step = 0;
+  std::vector<std::int64_t> workers;
+  std::int64_t expected_ms = 0;  // Time that the service will take.
+
+  bool operator==(const PlannedQuestion&) const = default;
+};
+
+struct Plan {
+  std::vector<PlannedStart> starts;
+  // In order of urgency.
+  std::vector<PlannedQuestion> questions;
+};
+
+struct PlannerOptions {
+  // Workers named in one question; the service takes at most 100.
+  std::size_t max_workers_asked = 60;
+  // A ticket must stay valid this long to be used: commit of the start and the
+  // way to the worker.
+  std::int64_t ticket_margin_ms = 150;
+  // Questions that may be open at a time; callers are few.
+  std::size_t max_questions = 64;
+};
+
+class GraphPlanner {
+ public:
+  explicit GraphPlanner(PlannerOptions options = {});
+
+  std::map<std::int64_t, PlanWorker>& workers() { return workers_; }
+  std::map<StepId, PlanStep>& steps() { return steps_; }
+  const std::map<std::int64_t, PlanWorker>& workers() const { return workers_; }
+  const std::map<StepId, PlanStep>& steps() const { return steps_; }
+
+  // Plans starts and questions for now. Starts are reserved on the workers and
+  // removed from the waiting tasks.
+  Plan Decide(std::int64_t now_ms);
+
+ private:
+  struct Round;
+  using Candidates = std::vector<PlanWorker*>;
+
+  std::vector<PlanStep*> InOrder(std::int64_t now_ms);
+  Candidates Eligible(const PlanStep& step);
+  void PlaceStep(PlanStep& step, Round& round);
+  void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
+  void PlaceSingles(PlanStep& step, const Candidates& workers, Round& round);
+  void HoldRoom(PlanStep& step, const Candidates& workers, Round& round);
+  void Start(PlanStep& step, PlanWorker& worker, Round& round);
+  void AskNew(PlanStep& step, const Candidates& workers, Round& round);
+  void AskAgain(PlanStep& step,
+                const std::vector<std::int64_t>& workers,
+                Round& round);
+
+  const PlannerOptions options_;
+  std::map<std::int64_t, PlanWorker> workers_;
+  std::map<StepId, PlanStep> steps_;
+};
+
+}  // namespace cranberryshunt::policy
+
+#endif  // CRANBERRYSHUNT_POLICY_GRAPH_PLANNER_H_
--- /dev/null
+++ b/libraries/policy/src/graph_planner.cc
@@ -0,0 +1,416 @@
+#include "cranberryshunt/policy/graph_planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace cranberryshunt::policy {
+
+Demand& Demand::operator+=(const Demand& other) {
+  milli_cpus += other.milli_cpus;
+  memory_mb += other.memory_mb;
+  accelerators += other.accelerators;
+  return *this;
+}
+
+Demand& Demand::operator-=(const Demand& other) {
+  milli_cpus -= other.milli_cpus;
+  memory_mb -= other.memory_mb;
+  accelerators -= other.accelerators;
+  return *this;
+}
+
+bool Demand::FitsIn(const Demand& room) const {
+  return milli_cpus <= room.milli_cpus && memory_mb <= room.memory_mb &&
+         accelerators <= room.accelerators;
+}
+
+Demand operator-(Demand a, const Demand& b) {
+  a -= b;
+  return a;
+}
+
+std::int64_t FitCount(const Demand& task,
+                      const Demand& room,
+                      std::int64_t limit) {
+  if (!task.FitsIn(room)) {
+    return 0;
+  }
+  if (task.milli_cpus > 0) {
+    limit = std::min(limit, room.milli_cpus / task.milli_cpus);
+  }
+  if (task.memory_mb > 0) {
+    limit = std::min(limit, room.memory_mb / task.memory_mb);
+  }
+  if (task.accelerators > 0) {
+    limit = std::min(limit, room.accelerators / task.accelerators);
+  }
+  return limit;
+}
+
+bool StepAdvice::Allows(std::int64_t worker) const {
+  return !needed || allowed.contains(worker);
+}
+
+bool StepAdvice::HasTicket(std::int64_t worker, std::int64_t until_ms) const {
+  if (!needed) {
+    return true;
+  }
+  const auto ticket = allowed.find(worker);
+  return ticket != allowed.end() && ticket->second.valid_until_ms >= until_ms;
+}
+
+namespace {
+
+// Share of the worker's larger dimension that would stay free; the smallest
+// wins, so that tasks are packed and whole workers stay open for wide steps.
+double LeftoverShare(const PlanWorker& worker, const Demand& demand) {
+  const Demand room = worker.Room() - demand;
+  const auto share = [](std::int64_t part, std::int64_t whole) {
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole)
+                     : 0.0;
+  };
+  return std::max(share(room.milli_cpus, worker.capacity.milli_cpus),
+                  share(room.memory_mb, worker.capacity.memory_mb));
+}
+
+bool HasLabel(const PlanWorker& worker, const std::string& label) {
+  return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
+                                    label) != worker.labels.end();
+}
+
+std::int64_t PerWorkerLimit(const PlanStep& step, const PlanWorker& worker) {
+  if (step.max_per_worker <= 0) {
+    return std::numeric_limits<std::int32_t>::max();
+  }
+  const auto running = step.running.find(worker.number);
+  return step.max_per_worker -
+         (running == step.running.end() ? 0 : running->second);
+}
+
+// Room of `worker` at `at_ms` if everything ends as expected.
+Demand RoomAt(const PlanWorker& worker, std::int64_t at_ms) {
+  Demand room = worker.Room();
+  for (const auto& it : worker.ends) {
+    if (it.at_ms <= at_ms) {
+      room += it.demand;
+    }
+  }
+  return room;
+}
+
+}  // namespace
+
+// State of one call of Decide().
+struct GraphPlanner::Round {
+  std::int64_t now_ms = 0;
+  Plan plan;
+  // Room kept for gangs that wait, by worker; later steps do not use it.
+  std::map<std::int64_t, Demand> held;
+
+  Demand FreeFor(const PlanWorker& worker) const {
+    const auto it = held.find(worker.number);
+    return it == held.end() ? worker.Room() : worker.Room() - it->second;
+  }
+};
+
+GraphPlanner::GraphPlanner(PlannerOptions options) : options_(options) {}
+
+// Urgent queues first; then jobs that can still make their objective, by the
+// latest time at which they must start; then late jobs in order of arrival.
+std::vector<PlanStep*> GraphPlanner::InOrder(std::int64_t now_ms) {
+  std::vector<PlanStep*> order;
+  order.reserve(steps_.size());
+  for (auto& [id, step] : steps_) {
+    if (!step.waiting.empty()) {
+      order.push_back(&step);
+    }
+  }
+  const auto key = [now_ms](const PlanStep& step) {
+    const bool late = now_ms + step.remaining_ms > step.objective_ms;
+    const auto urgency =
+        late ? step.accepted_ms : step.objective_ms - step.remaining_ms;
+    return std::tuple(late, step.priority > 0, urgency, step.id);
+  };
+  std::sort(order.begin(), order.end(),
+            [&](const auto* a, const auto* b) { return key(*a) < key(*b); });
+  return order;
+}
+
+GraphPlanner::Candidates GraphPlanner::Eligible(const PlanStep& step) {
+  Candidates out;
+  for (auto& [number, worker] : workers_) {
+    const bool probe_busy =
+        worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
+    if (worker.usable && !probe_busy &&
+        worker.service_name == step.service_name &&
+        HasLabel(worker, step.required_label) &&
+        step.demand.FitsIn(worker.capacity)) {
+      out.push_back(&worker);
+    }
+  }
+  // A task that failed on a worker goes elsewhere if it can.
+  Candidates preferred;
+  for (auto* it : out) {
+    if (!step.avoided.contains(it->number)) {
+      preferred.push_back(it);
+    }
+  }
+  return preferred.empty() ? out : preferred;
+}
+
+Plan GraphPlanner::Decide(std::int64_t now_ms) {
+  Round round;
+  round.now_ms = now_ms;
+  for (auto* step : InOrder(now_ms)) {
+    PlaceStep(*step, round);
+  }
+  return std::move(round.plan);
+}
+
+void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
+  const auto eligible = Eligible(step);
+  Candidates allowed;
+  for (auto* it : eligible) {
+    if (step.advice.Allows(it->number)) {
+      allowed.push_back(it);
+    }
+  }
+  if (step.gang) {
+    PlaceGang(step, allowed, round);
+  } else {
+    PlaceSingles(step, allowed, round);
+  }
+  if (step.advice.needed && !step.advice.asking && !step.waiting.empty()) {
+    AskNew(step, eligible, round);
+  }
+}
+
+void GraphPlanner::Start(PlanStep& step, PlanWorker& worker, Round& round) {
+  worker.used += step.demand;
+  worker.ends.push_back({round.now_ms + step.expected_run_ms, step.demand});
+  ++step.running[worker.number];
+  round.plan.starts.push_back({step.id, step.waiting.back(), worker.number});
+  step.waiting.pop_back();
+}
+
+void GraphPlanner::PlaceSingles(PlanStep& step,
+                                const Candidates& workers,
+                                Round& round) {
+  const auto until = round.now_ms + options_.ticket_margin_ms;
+  std::vector<std::int64_t> without_ticket;
+  while (!step.waiting.empty()) {
+    PlanWorker* best = nullptr;
+    std::pair<bool, double> best_key;
+    std::int64_t stale_room = 0;
+    without_ticket.clear();
+    for (auto* it : workers) {
+      if (!step.demand.FitsIn(round.FreeFor(*it)) ||
+          PerWorkerLimit(step, *it) <= 0) {
+        continue;
+      }
+      if (!step.advice.HasTicket(it->number, until)) {
+        without_ticket.push_back(it->number);
+        ++stale_room;
+        continue;
+      }
+      const bool far = !step.data_rack.empty() && it->rack != step.data_rack;
+      const std::pair key(far, LeftoverShare(*it, step.demand));
+      if (best == nullptr || key < best_key) {
+        best = it;
+        best_key = key;
+      }
+    }
+    if (best == nullptr) {
+      break;
+    }
+    Start(step, *best, round);
+  }
+  if (!step.waiting.empty() && !without_ticket.empty()) {
+    AskAgain(step, without_ticket, round);
+  }
+}
+
+void GraphPlanner::PlaceGang(PlanStep& step,
+                             const Candidates& workers,
+                             Round& round) {
+  const auto until = round.now_ms + options_.ticket_margin_ms;
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  // Racks to try: all together, or each by itself first.
+  std::vector<std::string> racks;
+  if (step.same_rack) {
+    for (const auto* it : workers) {
+      if (std::find(racks.begin(), racks.end(), it->rack) == racks.end()) {
+        racks.push_back(it->rack);
+      }
+    }
+  }
+  racks.emplace_back();
+  for (const auto& rack : racks) {
+    Candidates fitting;
+    std::int64_t fit = 0;
+    std::int64_t ticketed = 0;
+    std::vector<std::int64_t> without_ticket;
+    for (auto* it : workers) {
+      if (!rack.empty() && it->rack != rack) {
+        continue;
+      }
+      const auto n = FitCount(step.demand, round.FreeFor(*it),
+                              std::min(count, PerWorkerLimit(step, *it)));
+      if (n <= 0) {
+        continue;
+      }
+      fit += n;
+      if (step.advice.HasTicket(it->number, until)) {
+        ticketed += n;
+        fitting.push_back(it);
+      } else {
+        without_ticket.push_back(it->number);
+      }
+    }
+    if (ticketed >= count) {
+      // Fewest workers first: those with the least room that is left over.
+      std::sort(fitting.begin(), fitting.end(), [&](auto* a, auto* b) {
+        return LeftoverShare(*a, step.demand) < LeftoverShare(*b, step.demand);
+      });
+      for (auto* it : fitting) {
+        while (!step.waiting.empty() &&
+               step.demand.FitsIn(round.FreeFor(*it)) &&
+               PerWorkerLimit(step, *it) > 0) {
+          Start(step, *it, round);
+        }
+      }
+      return;
+    }
+    if (fit >= count) {
+      AskAgain(step, without_ticket, round);
+      break;
+    }
+  }
+  HoldRoom(step, workers, round);
+}
+
+// Keeps the room that a gang will get first, so that smaller work does not take
+// it again and again: the allowed workers that can hold its tasks soonest.
+void GraphPlanner::HoldRoom(PlanStep& step,
+                            const Candidates& workers,
+                            Round& round) {
+  struct Option {
+    PlanWorker* worker;
+    std::int64_t ready_ms;
+    std::int64_t fit;
+  };
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  std::vector<Option> options;
+  for (auto* it : workers) {
+    if (round.held.contains(it->number)) {
+      continue;
+    }
+    const auto limit = std::min(count, PerWorkerLimit(step, *it));
+    const auto fit = FitCount(step.demand, it->capacity, limit);
+    if (fit <= 0) {
+      continue;
+    }
+    std::vector<std::int64_t> times{round.now_ms};
+    for (const auto& end : it->ends) {
+      times.push_back(end.at_ms);
+    }
+    std::sort(times.begin(), times.end());
+    for (const auto at : times) {
+      if (FitCount(step.demand, RoomAt(*it, at), limit) >= fit) {
+        options.push_back({it, std::max(at, round.now_ms), fit});
+        break;
+      }
+    }
+  }
+  std::sort(options.begin(), options.end(), [](const auto& a, const auto& b) {
+    return std::tuple(a.ready_ms, -a.fit, a.worker->number) <
+           std::tuple(b.ready_ms, -b.fit, b.worker->number);
+  });
+  std::int64_t found = 0;
+  std::size_t used = 0;
+  while (used < options.size() && found < count) {
+    found += options[used].fit;
+    ++used;
+  }
+  if (found < count) {
+    return;
+  }
+  std::vector<std::int64_t> stale;
+  const auto until = round.now_ms + options_.ticket_margin_ms;
+  std::int64_t ready = round.now_ms;
+  for (std::size_t i = 0; i < used; ++i) {
+    auto& option = options[i];
+    Demand& held = round.held[option.worker->number];
+    for (std::int64_t n = 0; n < option.fit; ++n) {
+      held += step.demand;
+    }
+    ready = std::max(ready, option.ready_ms);
+    if (!step.advice.HasTicket(option.worker->number, until)) {
+      stale.push_back(option.worker->number);
+    }
+  }
+  // Asks for tickets so that they arrive together with the room.
+  const auto answer_ms =
+      step.advice.base_ms +
+      step.advice.per_worker_ms * static_cast<double>(stale.size());
+  if (!stale.empty() &&
+      static_cast<double>(ready - round.now_ms) <= answer_ms) {
+    AskAgain(step, stale, round);
+  }
+}
+
+// Asks about workers that the service has not been asked about yet, the
+// emptiest first.
+void GraphPlanner::AskNew(PlanStep& step,
+                          const Candidates& workers,
+                          Round& round) {
+  Candidates unknown;
+  for (auto* it : workers) {
+    if (!step.advice.known.contains(it->number)) {
+      unknown.push_back(it);
+    }
+  }
+  // New workers are not worth a question of their own while few are unknown
+  // and the allowed ones suffice.
+  const bool first = step.advice.known.empty();
+  const bool worth = first || unknown.size() * 4 > step.advice.known.size() ||
+                     step.advice.allowed.empty();
+  if (unknown.empty() || !worth ||
+      round.plan.questions.size() >= options_.max_questions) {
+    return;
+  }
+  std::sort(unknown.begin(), unknown.end(), [&](auto* a, auto* b) {
+    return std::pair(-LeftoverShare(*a, step.demand), a->number) <
+           std::pair(-LeftoverShare(*b, step.demand), b->number);
+  });
+  std::vector<std::int64_t> numbers;
+  for (auto* it : unknown) {
+    if (numbers.size() < options_.max_workers_asked) {
+      numbers.push_back(it->number);
+    }
+  }
+  AskAgain(step, numbers, round);
+}
+
+void GraphPlanner::AskAgain(PlanStep& step,
+                            const std::vector<std::int64_t>& workers,
+                            Round& round) {
+  if (step.advice.asking || !step.advice.needed || workers.empty() ||
+      round.plan.questions.size() >= options_.max_questions) {
+    return;
+  }
+  PlannedQuestion question;
+  question.step = step.id;
+  question.workers = workers;
+  if (question.workers.size() > options_.max_workers_asked) {
+    question.workers.resize(options_.max_workers_asked);
+  }
+  question.expected_ms = static_cast<std::int64_t>(
+      step.advice.base_ms +
+      step.advice.per_worker_ms * static_cast<double>(question.workers.size()));
+  step.advice.asking = true;
+  round.plan.questions.push_back(std::move(question));
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/libraries/policy/src/worker_health.cc
@@ -0,0 +1,48 @@
+#include "cranberryshunt/policy/worker_health.h"
+
+#include <algorithm>
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+// Tasks fail by their own fault one time in twenty; three in a row on a sound
+// worker are one in eight thousand.
+constexpr std::int32_t kFailuresInARow = 3;
+constexpr std::int64_t kFirstQuarantineMs = 1'500;
+constexpr std::int32_t kMaxDoublings = 2;
+
+}  // namespace
+
+void WorkerHealth::Succeeded(std::int64_t worker) {
+  records_.erase(worker);
+}
+
+bool WorkerHealth::Failed(std::int64_t worker, std::int64_t now_ms) {
+  auto& it = records_[worker];
+  ++it.failures;
+  const bool probing = it.quarantines > 0;
+  if (!probing && it.failures < kFailuresInARow) {
+    return false;
+  }
+  if (now_ms < it.until_ms) {
+    return false;
+  }
+  const auto doublings = std::min(it.quarantines, kMaxDoublings);
+  it.until_ms = now_ms + (kFirstQuarantineMs << doublings);
+  ++it.quarantines;
+  return true;
+}
+
+bool WorkerHealth::IsQuarantined(std::int64_t worker,
+                                 std::int64_t now_ms) const {
+  const auto it = records_.find(worker);
+  return it != records_.end() && now_ms < it->second.until_ms;
+}
+
+bool WorkerHealth::IsProbing(std::int64_t worker) const {
+  const auto it = records_.find(worker);
+  return it != records_.end() && it->second.quarantines > 0;
+}
+
+}  // namespace cranberryshunt::policy
--- a/libraries/targets/include/cranberryshunt/targets/json_reader.h
+++ b/libraries/targets/include/cranberryshunt/targets/json_reader.h
@@ -52,6 +52,12 @@
                                std::int64_t default_value,
                                std::int64_t min,
                                std::int64_t max);
+  // An integer or a fraction.
+  double RequiredNumber(const char* name, double min, double max);
+  double OptionalNumber(const char* name,
+                        double default_value,
+                        double min,
+                        double max);
   bool RequiredBool(const char* name);
   bool OptionalBool(const char* name, bool default_value);
   // Null when the field is missing or of another type.
@@ -79,6 +85,10 @@
                          const char* name,
                          std::int64_t min,
                          std::int64_t max);
+  double ToNumber(const json_t* value,
+                  const char* name,
+                  double min,
+                  double max);
   bool ToBool(const json_t* value, const char* name);
   const json_t* ToArray(const json_t* value,
                         const char* name,
--- a/libraries/targets/src/json_reader.cc
+++ b/libraries/targets/src/json_reader.cc
@@ -147,6 +147,35 @@
   return value == nullptr ? default_value : ToInteger(value, name, min, max);
 }
 
+double JsonReader::ToNumber(const json_t* value,
+                            const char* name,
+                            double min,
+                            double max) {
+  if (!json_is_number(value)) {
+    SetError(ResultCode::kWrongType, "field must be a number", name);
+    return min;
+  }
+  const double number = json_number_value(value);
+  if (!(number >= min && number <= max)) {
+    SetError(ResultCode::kInvalidField, "field is out of range", name);
+    return min;
+  }
+  return number;
+}
+
+double JsonReader::RequiredNumber(const char* name, double min, double max) {
+  const json_t* value = Find(name, true);
+  return value == nullptr ? min : ToNumber(value, name, min, max);
+}
+
+double JsonReader::OptionalNumber(const char* name,
+                                  double default_value,
+                                  double min,
+                                  double max) {
+  const json_t* value = Find(name, false);
+  return value == nullptr ? default_value : ToNumber(value, name, min, max);
+}
+
 bool JsonReader::ToBool(const json_t* value, const char* name) {
   if (!json_is_boolean(value)) {
     SetError(ResultCode::kWrongType, "field must be true or false", name);
--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -73,6 +73,9 @@
                const std::string& cluster_secret);
   ~LeaderClient();
 
+  // Adds controllers that are not known yet.
+  void AddControllers(const std::vector<std::string>& addresses);
+
   // Runs `call` on the leader, following not_leader answers and trying other
   // controllers until `deadline` has passed. `call` returns the Status of the
   // reply, through which not_leader is recognised. A call may be repeated, so
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -189,6 +189,13 @@
 
 LeaderClient::~LeaderClient() = default;
 
+void LeaderClient::AddControllers(const std::vector<std::string>& addresses) {
+  std::lock_guard lock(mutex_);
+  for (const auto& it : addresses) {
+    IndexOf(it);
+  }
+}
+
 std::size_t LeaderClient::IndexOf(const std::string& address) {
   for (std::size_t i = 0; i < channels_.size(); ++i) {
     if (channels_[i]->address() == address) {
--- a/libraries/wire/src/controller_server.cc
+++ b/libraries/wire/src/controller_server.cc
@@ -127,6 +127,18 @@
     RequireAuthentication();
     handler_.DeliverRaft(messages);
   }
+  void CallGraph(GraphReply& reply, const GraphRequest& request) override {
+    RequireAuthentication();
+    handler_.CallGraph(reply, request);
+  }
+  void PollAdvice(AdviceOrders& reply, const AdvicePoll& poll) override {
+    RequireAuthentication();
+    handler_.PollAdvice(reply, poll);
+  }
+  void Join(Status& reply, const Member& member) override {
+    RequireAuthentication();
+    handler_.Join(reply, member);
+  }
 
  private:
   void RequireAuthentication() const {
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -503,6 +503,215 @@
   3: bool remove
 }
 
+
+// ---- Step graphs on called workers ----
+//
+// A graph job is a set of steps with dependencies; its tasks run on workers that the leader calls itself.
+
+struct GraphStep {
+  1: i32 task_count
+  2: i64 milli_cpus            // Per task, like the other sizes.
+  3: i64 memory_mb
+  4: i64 accelerators
+  5: i64 estimate_ms           // Declared run time of a task; 0: not declared.
+  6: list<i32> depends_on      // Steps whose tasks must all be done first.
+  7: bool checkpoints
+  8: bool gang                 // All tasks of a run start together and end together.
+  9: bool same_rack            // Slower when the tasks are on several racks.
+  10: string required_label
+  11: string data_rack         // Slower on any other rack.
+  12: i32 max_per_worker       // 0: no limit.
+  13: bool speculative
+  14: bool long_running        // Runs until the job is cancelled and is restarted however it ends.
+  15: string image
+  16: i64 tail_target_ms
+  17: bool fills               // Its processors do not count against a worker's capacity.
+  18: i32 may_be_unavailable
+}
+
+struct GraphJob {
+  1: string payload            // Handed to each task unchanged.
+  2: list<GraphStep> steps
+  3: i32 occurrences           // At least 1.
+  4: i64 first_due_ms          // Unix time of the first occurrence; 0: due at once.
+  5: i64 interval_ms
+}
+
+struct QueueAdvice {
+  1: double base_ms            // Time that the advice service takes for a call.
+  2: double per_worker_ms
+  3: i64 ticket_valid_ms
+}
+
+struct JobQueue {
+  1: string name
+  2: string host
+  3: string path_prefix
+  4: i64 timeout_ms
+  5: i64 latency_target_ms
+  6: i32 priority              // 0 is the most urgent.
+  7: string service_name       // Workers of this service run the queue's tasks.
+  8: i32 max_attempts
+  9: double stretch            // Latency objective as a multiple of the work on the longest path.
+  10: bool needs_advice
+  11: QueueAdvice advice
+}
+
+struct WorkerService {
+  1: string name
+  2: bool checks_capacity      // Its workers refuse what does not fit.
+}
+
+struct RoutingTable {
+  1: i64 version               // 0: none yet.
+  2: list<JobQueue> queues
+  3: list<WorkerService> services
+  4: binary document           // As the operator sent it.
+}
+
+// One life of a worker.
+struct CalledWorker {
+  1: string id
+  2: i64 born_ms               // Unix time of its start; tells lives under one id apart.
+  3: string service_name
+  4: string address
+  5: string availability_zone
+  6: i64 milli_cpus
+  7: i64 memory_mb
+  8: i64 accelerators
+  9: list<string> labels
+  10: bool leaving
+  11: string machine
+  12: string rack
+}
+
+struct GraphTaskKey {
+  1: i64 job                   // The job's id as a number.
+  2: i32 occurrence
+  3: i32 step
+  4: i32 index
+}
+
+enum RunEnd {
+  kDone = 1, kFailed = 2, kStopped = 3, kLapsed = 4, kBroken = 5, kAlone = 6,
+  kLost = 7,                   // The worker ended or was given up.
+  kNotStarted = 8              // Never started and never will.
+}
+
+struct RunStart {
+  1: GraphTaskKey task
+  2: i32 run
+  3: i64 worker                // Number that the state gave this life of the worker.
+}
+
+struct RunResult {
+  1: GraphTaskKey task
+  2: i32 run
+  3: RunEnd how
+  4: string checkpoint
+}
+
+struct AcceptedGraphJob {
+  1: i64 id
+  2: JobQueue queue            // As it was when the job was accepted.
+  3: GraphJob job
+}
+
+// One entry of the log of a cell with called workers. Applied in the order of the fields.
+struct GraphBatch {
+  1: i64 at_ms                 // Leader's wall clock, for retention only.
+  2: optional RoutingTable table
+  3: list<CalledWorker> workers
+  4: list<i64> removed_workers
+  5: list<AcceptedGraphJob> jobs
+  6: list<i64> cancelled_jobs
+  7: list<RunStart> starts
+  8: list<RunResult> results
+  9: list<i64> expired_jobs
+}
+
+struct GraphTaskImage {
+  1: i32 last_run
+  2: i32 failures
+  3: bool done
+  4: i32 run                   // 0: not running.
+  5: i64 worker
+  6: string checkpoint
+  7: i32 failed_run            // Last run of a gang that was counted as failed.
+}
+
+struct GraphJobImage {
+  1: AcceptedGraphJob accepted
+  2: i32 state
+  3: i64 finished_ms
+  4: list<GraphTaskImage> tasks
+  5: bool started
+}
+
+struct CalledWorkerImage {
+  1: i64 number
+  2: CalledWorker worker
+}
+
+struct GraphSnapshot {
+  1: RoutingTable table
+  2: i64 next_worker
+  3: list<CalledWorkerImage> workers
+  4: list<GraphJobImage> jobs
+}
+
+enum GraphJobState { kQueued = 1, kRunning = 2, kCompleted = 3, kFailed = 4, kCancelled = 5 }
+
+enum GraphOperation { kSubmit = 1, kShow = 2, kCancel = 3, kCountPending = 4 }
+
+struct GraphRequest {
+  1: GraphOperation operation
+  2: string host
+  3: string path
+  4: GraphJob job              // With kSubmit.
+  5: i64 waited_ms             // How long the caller has waited already.
+}
+
+struct GraphReply {
+  1: Status status             // Codes not_found (no such queue), gone (no such job), queue_full, invalid_field.
+  2: GraphJobState state
+  3: i64 pending
+  4: bool may_be_accepted      // With an error: the job may still be stored.
+}
+
+// A question to the advice service, which limits each calling host to one call at a time.
+struct AdviceOrder {
+  1: i64 id
+  2: string address
+  3: string step
+  4: list<string> workers
+  5: i64 expected_ms
+}
+
+struct AdviceTicket {
+  1: string worker
+  2: string ticket
+}
+
+struct AdviceResult {
+  1: i64 id
+  2: bool answered
+  3: list<AdviceTicket> allowed
+  4: i64 age_ms                // Since the answer arrived at the caller.
+}
+
+struct AdvicePoll {
+  1: string caller
+  2: list<AdviceResult> results
+  3: i32 wait_ms
+}
+
+struct AdviceOrders {
+  1: Status status
+  2: list<AdviceOrder> orders
+  3: list<string> controllers  // Addresses of the members.
+}
+
 exception NotAuthenticated { 1: string message }
 
 service ControllerService {
@@ -522,4 +731,8 @@
   Status Drain(1: DrainWorker request)
   Status ChangeMembership(1: MembershipChange change)
   void DeliverRaft(1: list<RaftMessage> messages)
+  GraphReply CallGraph(1: GraphRequest request)
+  AdviceOrders PollAdvice(1: AdvicePoll poll)
+  // Adds a controller to the cell, or tells the leader that it is alive.
+  Status Join(1: Member member)
 }
--- a/meta/build.sh
+++ b/meta/build.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build_dir=${BUILD_DIR:-build}
-cmake -S . -B "$build_dir" -G Ninja >/dev/null
+cmake -S . -B "$build_dir" -G Ninja -DCRANBERRYSHUNT_WARNINGS_AS_ERRORS=ON >/dev/null
 cmake --build "$build_dir" -j "${BUILD_JOBS:-$(nproc)}" "$@"
--- a/meta/install-packages.sh
+++ b/meta/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
   g++ cmake ninja-build pkg-config ccache clang-format clang-tidy python3 git
   libulfius-dev libthrift-dev libboost-dev libcli11-dev liblog4cxx-dev libexpected-dev libcriterion-dev
-  libjansson-dev libcurl4-gnutls-dev libgnutls28-dev libyaml-cpp-dev librapidcheck-dev libfmt-dev zlib1g-dev
+  libtomlplusplus-dev libjansson-dev libcurl4-gnutls-dev libgnutls28-dev libyaml-cpp-dev librapidcheck-dev libfmt-dev zlib1g-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/services/cranberryshunt/commands.cc
+++ b/services/cranberryshunt/commands.cc
@@ -42,6 +42,7 @@
   DeclareEntryCommand(root, commands);
   DeclareJobCommands(root, commands);
   DeclareOperatorCommands(root, commands);
+  DeclarePlatformCommands(root, commands);
   for (const auto& command : commands) {
     // Collected, so that they are reported together with the other mistakes.
     command.app->allow_extras();
--- a/services/cranberryshunt/commands.h
+++ b/services/cranberryshunt/commands.h
@@ -25,6 +25,7 @@
 void DeclareControllerCommand(CLI::App& root, std::vector<Command>& commands);
 void DeclareEntryCommand(CLI::App& root, std::vector<Command>& commands);
 void DeclareJobCommands(CLI::App& root, std::vector<Command>& commands);
+void DeclarePlatformCommands(CLI::App& root, std::vector<Command>& commands);
 void DeclareOperatorCommands(CLI::App& root, std::vector<Command>& commands);
 
 // Parses the command line and runs the chosen subcommand; returns the exit
--- a/services/cranberryshunt/signals.cc
+++ b/services/cranberryshunt/signals.cc
@@ -18,6 +18,7 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   // The thread that ran the shutdown wakes the main thread with this one.
   sigaddset(&set, SIGUSR1);
   return set;
@@ -35,11 +36,20 @@
   return signal > 0 ? signal : 0;
 }
 
-int WaitForTermination(const sigset_t& set) {
-  int signal = 0;
-  while (sigwait(&set, &signal) != 0 || signal == SIGUSR1) {
+int WaitForTermination(const sigset_t& set, const ReloadFunction& reload) {
+  constexpr std::chrono::seconds kReloadCheck{1};
+  for (;;) {
+    const int signal = WaitForSignal(set, kReloadCheck);
+    if (signal == SIGTERM || signal == SIGINT) {
+      return signal;
+    }
+    if (reload && (signal == SIGHUP || signal == 0)) {
+      reload(signal == SIGHUP);
+    } else if (signal == SIGHUP) {
+      Log(LogLevel::kInfo, "service",
+          "reload asked for; flags and environment stay as they are");
+    }
   }
-  return signal;
 }
 
 }  // namespace
@@ -52,9 +62,10 @@
 
 void WaitAndShutDown(std::chrono::milliseconds limit,
                      const std::function<void()>& shutdown,
-                     const std::function<void()>& abort) {
+                     const std::function<void()>& abort,
+                     const ReloadFunction& reload) {
   const sigset_t set = TerminationSignals();
-  const int first = WaitForTermination(set);
+  const int first = WaitForTermination(set, reload);
   Log(LogLevel::kInfo, "service", "shutting down", {{"signal", first}});
   std::atomic<bool> done = false;
   std::thread worker([&, main_thread = pthread_self()] {
@@ -71,7 +82,7 @@
     const int next = WaitForSignal(
         set,
         aborted ? kAfterAbort : std::max(left, std::chrono::milliseconds(0)));
-    if (!done && !aborted && next != SIGUSR1) {
+    if (!done && !aborted && next != SIGUSR1 && next != SIGHUP) {
       Log(LogLevel::kWarning, "service", "ending the shutdown early",
           {{"cause", next == 0 ? "time limit" : "second signal"}});
       aborted = true;
--- a/services/cranberryshunt/signals.h
+++ b/services/cranberryshunt/signals.h
@@ -7,16 +7,21 @@
 
 namespace cranberryshunt {
 
-// Blocks SIGTERM and SIGINT in this thread and in all threads it starts later,
-// and ignores SIGPIPE. Call before any thread is started.
+// Blocks SIGTERM, SIGINT and SIGHUP in this thread and in all threads it starts
+// later, and ignores SIGPIPE. Call before any thread is started.
 void BlockTerminationSignals();
 
-// Waits for the first signal and then runs `shutdown` on a thread of its own.
-// A second signal, or `limit` passing, calls `abort` once; it must make
-// `shutdown` return soon or end the process. Returns when `shutdown` has.
+// Called when the settings may have changed: after SIGHUP (`requested`) and
+// once each second.
+using ReloadFunction = std::function<void(bool requested)>;
+
+// Waits for the first SIGTERM or SIGINT and then runs `shutdown` on a thread of
+// its own. A second signal, or `limit` passing, calls `abort` once; it must
+// make `shutdown` return soon or end the process. Returns when `shutdown` has.
 void WaitAndShutDown(std::chrono::milliseconds limit,
                      const std::function<void()>& shutdown,
-                     const std::function<void()>& abort);
+                     const std::function<void()>& abort,
+                     const ReloadFunction& reload = {});
 
 }  // namespace cranberryshunt
 
