cell: Count starts in commit towards the limit of a step on one worker

Change: the board keeps the worker of each reserved start and counts it. Tests: an engine harness in virtual time, with workers that keep leases, fences and lists; leader::keeps_the_limit_of_a_step_on_one_worker fails without the change.

--- a/libraries/cell/src/job_board.cc
+++ b/libraries/cell/src/job_board.cc
@@ -107,7 +107,13 @@
     if (state.run != 0) {
       ++step.running[state.worker];
     }
-    if (state.run == 0 && !reserved_.contains(task)) {
+    const auto reserved = reserved_.find(task);
+    if (state.run != 0) {
+      continue;
+    }
+    if (reserved != reserved_.end()) {
+      ++step.running[reserved->second];
+    } else {
       step.waiting.push_back(n);
     }
   }
@@ -168,12 +174,12 @@
   ids_.erase(id);
 }
 
-void JobBoard::SetReserved(const graph::TaskKey& task, bool reserved) {
-  if (reserved) {
-    reserved_.insert(task);
-  } else {
-    reserved_.erase(task);
-  }
+void JobBoard::Reserve(const graph::TaskKey& task, graph::WorkerNumber worker) {
+  reserved_[task] = worker;
+}
+
+void JobBoard::EndReservation(const graph::TaskKey& task) {
+  reserved_.erase(task);
 }
 
 std::vector<policy::StepId> JobBoard::TakeDropped() {
--- a/libraries/cell/src/job_board.h
+++ b/libraries/cell/src/job_board.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "cranberryshunt/graph/graph_store.h"
@@ -37,8 +36,9 @@
   // Jobs with occurrences that became due.
   std::vector<graph::JobId> TakeDue(std::int64_t wall_ms);
 
-  // A start of the task is being committed.
-  void SetReserved(const graph::TaskKey& task, bool reserved);
+  // A start of the task on `worker` is being committed.
+  void Reserve(const graph::TaskKey& task, graph::WorkerNumber worker);
+  void EndReservation(const graph::TaskKey& task);
 
   const graph::StepKey& KeyOf(policy::StepId id) const { return keys_.at(id); }
   bool Has(policy::StepId id) const { return keys_.contains(id); }
@@ -61,7 +61,7 @@
   std::map<graph::StepKey, policy::StepId> ids_;
   std::map<policy::StepId, graph::StepKey> keys_;
   std::map<graph::JobId, std::int64_t> accepted_ms_;
-  std::set<graph::TaskKey> reserved_;
+  std::map<graph::TaskKey, graph::WorkerNumber> reserved_;
   std::multimap<std::int64_t, graph::JobId> due_;
   std::vector<policy::StepId> dropped_;
   policy::StepId next_id_ = 1;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -90,7 +90,7 @@
        {"slack_ms", step.objective_ms - step.remaining_ms - now_ms_}});
   ++metrics_.Counter("starts_total");
   book_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms);
-  board_.SetReserved(task, true);
+  board_.Reserve(task, start.worker);
   wire::RunStart record;
   record.task = graph::ToWire(task);
   record.run = run;
@@ -99,7 +99,7 @@
   batch_used_ = true;
   continuations_.emplace_back(
       [this, task, run, worker = start.worker, ticket](bool committed) {
-        board_.SetReserved(task, false);
+        board_.EndReservation(task);
         if (committed) {
           SendStart(task, run, worker, ticket);
         } else {
--- /dev/null
+++ b/tests/cell/cell_harness.cc
@@ -0,0 +1,400 @@
+#include "cell_harness.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+constexpr std::int64_t kReportIntervalMs = 1'500;
+constexpr std::int64_t kStopMs = 100;
+
+}  // namespace
+
+wire::JobQueue MakeQueue(const std::string& name, std::int32_t priority) {
+  wire::JobQueue queue;
+  queue.name = name;
+  queue.host = "jobs.example";
+  queue.path_prefix = "/" + name + "/";
+  queue.timeout_ms = 3'000;
+  queue.latency_target_ms = 1'000;
+  queue.priority = priority;
+  queue.service_name = "fleet";
+  queue.max_attempts = 3;
+  queue.stretch = 2;
+  return queue;
+}
+
+wire::GraphJob MakeJob(std::int32_t tasks,
+                       std::int64_t milli_cpus,
+                       std::int64_t estimate_ms) {
+  wire::GraphJob job;
+  job.occurrences = 1;
+  auto& step = job.steps.emplace_back();
+  step.task_count = tasks;
+  step.milli_cpus = milli_cpus;
+  step.memory_mb = 1'000;
+  step.estimate_ms = estimate_ms;
+  return job;
+}
+
+CellHarness::CellHarness(HarnessOptions options)
+    : options_(options),
+      random_(options.seed),
+      engine_({.id = "own"}, *this, metrics_) {
+  for (std::int32_t n = 0; n < options.workers; ++n) {
+    StandInWorker worker;
+    worker.record.id = fmt::format("w{}", n);
+    worker.record.born_ms = 100 + n;
+    worker.record.service_name = "fleet";
+    worker.record.address = fmt::format("127.0.0.1:{}", 10'000 + n);
+    worker.record.milli_cpus = options.milli_cpus;
+    worker.record.memory_mb = options.memory_mb;
+    worker.record.rack = fmt::format("r{}", n / 4);
+    worker.clock_offset_ms = static_cast<std::int64_t>(n) * 1'000;
+    workers.push_back(std::move(worker));
+  }
+  ChangeLeader();
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    At(static_cast<std::int64_t>(i), [this, i] { Report(workers[i]); });
+  }
+  for (std::int32_t n = 0; n < options.advice_callers; ++n) {
+    At(1, [this, n] { PollAdvice(n, {}); });
+  }
+}
+
+void CellHarness::ChangeLeader() {
+  consensus::RoleChange change;
+  change.role = consensus::Role::kFollower;
+  change.term = term_++;
+  engine_.OnRoleChange(change, Now());
+  change.role = consensus::Role::kLeader;
+  change.term = term_;
+  change.leader_id = "own";
+  engine_.OnRoleChange(change, Now());
+}
+
+void CellHarness::At(std::int64_t delay_ms, std::function<void()> action) {
+  events_.emplace(now_ms_ + delay_ms, std::move(action));
+}
+
+void CellHarness::Report(const StandInWorker& worker) {
+  if (!worker.silent) {
+    WorkerReport report;
+    report.worker = worker.record;
+    report.sequence = now_ms_;
+    report.clock_ms = now_ms_ + worker.clock_offset_ms;
+    engine_.Handle(ReportCall{report, [](const Result<void>&) {}}, Now());
+  }
+  const auto n = static_cast<std::size_t>(&worker - workers.data());
+  At(kReportIntervalMs, [this, n] { Report(workers[n]); });
+}
+
+void CellHarness::Publish(const std::vector<wire::JobQueue>& queues) {
+  wire::RoutingTable table;
+  table.version = engine_.store().table().version + 1;
+  table.queues = queues;
+  table.services.emplace_back().name = "fleet";
+  for (const auto& it : queues) {
+    queues_[it.name] = it;
+  }
+  engine_.Handle(PublishTableCall{table, [](const Result<void>&) {}}, Now());
+}
+
+void CellHarness::Submit(graph::JobId id,
+                         const std::string& queue,
+                         const wire::GraphJob& job) {
+  auto& outcome = jobs[id];
+  outcome = {};
+  outcome.submitted_ms = now_ms_;
+  GraphCall call;
+  call.request.operation = wire::GraphOperation::kSubmit;
+  call.request.host = queues_.at(queue).host;
+  call.request.path = queues_.at(queue).path_prefix + graph::FormatJobId(id);
+  call.request.job = job;
+  call.reply = [this, id](const wire::GraphReply& reply) {
+    jobs[id].replied_ms = now_ms_;
+    jobs[id].code = reply.status.code;
+    jobs[id].retry_after_ms = reply.status.retry_after_ms;
+  };
+  engine_.Handle(std::move(call), Now());
+}
+
+void CellHarness::Cancel(graph::JobId id, const std::string& queue) {
+  GraphCall call;
+  call.request.operation = wire::GraphOperation::kCancel;
+  call.request.host = queues_.at(queue).host;
+  call.request.path = queues_.at(queue).path_prefix + graph::FormatJobId(id);
+  call.reply = [](const wire::GraphReply&) {};
+  engine_.Handle(std::move(call), Now());
+}
+
+std::optional<wire::GraphJobState::type> CellHarness::StateOf(
+    graph::JobId id) const {
+  const auto* job = engine_.store().FindJob(id);
+  return job == nullptr ? std::nullopt : std::optional(job->state());
+}
+
+void CellHarness::Run(std::int64_t duration_ms) {
+  const auto end = now_ms_ + duration_ms;
+  while (now_ms_ < end) {
+    ++now_ms_;
+    while (!events_.empty() && events_.begin()->first <= now_ms_) {
+      auto action = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      action();
+    }
+    for (auto& it : workers) {
+      Tick(it);
+      Check(it);
+    }
+    Turn();
+    for (auto& [id, outcome] : jobs) {
+      if (outcome.completed_ms < 0 &&
+          StateOf(id) == wire::GraphJobState::kCompleted) {
+        outcome.completed_ms = now_ms_;
+      }
+    }
+  }
+}
+
+void CellHarness::Turn() {
+  auto out = engine_.Advance(Now());
+  const auto term = engine_.leading_term();
+  for (auto& it : out.proposals) {
+    At(options_.commit_ms, [this, it, term] {
+      (void)engine_.OnCommitted({next_index_++, term, it.data}, Now());
+      engine_.OnProposalDone(term, it.id, next_index_ - 1, Now());
+    });
+  }
+  for (auto& it : out.orders) {
+    At(options_.network_ms, [this, it] { CarryOut(it); });
+  }
+  // Holds answer when something ended or their wait is over.
+  std::vector<HeldPoll> open;
+  for (auto& it : std::exchange(holds_, {})) {
+    auto& worker = workers[it.worker];
+    const auto& hold = std::get<HoldOrder>(it.sent.order);
+    const bool news = !worker.ended.empty() &&
+                      worker.ended.back().number > hold.acknowledged_end;
+    if (!news && now_ms_ < it.until_ms) {
+      open.push_back(std::move(it));
+      continue;
+    }
+    const auto reply = Serve(worker, it.sent.order);
+    At(options_.network_ms, [this, id = it.sent.id, reply] {
+      engine_.OnWorkerReply(id, reply, Now());
+    });
+  }
+  holds_.insert(holds_.end(), open.begin(), open.end());
+}
+
+void CellHarness::CarryOut(const SentOrder& sent) {
+  const auto worker = std::find_if(
+      workers.begin(), workers.end(),
+      [&](const auto& it) { return it.record.id == sent.worker.id; });
+  const auto time_out = [&] {
+    At(sent.timeout.count(), [this, id = sent.id] {
+      engine_.OnWorkerReply(id, WorkerReply(), Now());
+    });
+  };
+  if (worker->silent) {
+    time_out();
+    return;
+  }
+  const auto* hold = std::get_if<HoldOrder>(&sent.order);
+  if (hold != nullptr && hold->wait.count() > 0) {
+    (void)Serve(*worker, sent.order);
+    holds_.push_back({static_cast<std::size_t>(worker - workers.begin()), sent,
+                      now_ms_ + hold->wait.count()});
+    return;
+  }
+  const auto reply = Serve(*worker, sent.order);
+  if (worker->loses_answers && hold == nullptr) {
+    time_out();
+    return;
+  }
+  At(options_.network_ms,
+     [this, id = sent.id, reply] { engine_.OnWorkerReply(id, reply, Now()); });
+}
+
+WorkerReply CellHarness::Serve(StandInWorker& worker,
+                               const WorkerOrder& order) {
+  const auto fence = std::visit([](const auto& it) { return it.fence; }, order);
+  WorkerReply reply;
+  reply.clock_ms = now_ms_ + worker.clock_offset_ms;
+  reply.born_ms = worker.record.born_ms;
+  if (fence < worker.fence) {
+    reply.answer = WorkerAnswer::kFenced;
+    return reply;
+  }
+  worker.fence = fence;
+  reply.answer = WorkerAnswer::kDone;
+  if (const auto* start = std::get_if<StartOrder>(&order)) {
+    auto started = ServeStart(worker, *start);
+    started.clock_ms = reply.clock_ms;
+    started.born_ms = reply.born_ms;
+    return started;
+  }
+  if (const auto* stop = std::get_if<StopOrder>(&order)) {
+    auto& barred = worker.barred[stop->task];
+    barred = std::max(barred, stop->run);
+    const auto run = worker.runs.find({stop->task, stop->run});
+    if (run != worker.runs.end()) {
+      run->second.end_ms = std::min(run->second.end_ms, now_ms_ + kStopMs);
+    }
+    return reply;
+  }
+  const auto& hold = std::get<HoldOrder>(order);
+  worker.lease_until_ms = std::max(
+      worker.lease_until_ms, hold.lease_until_ms - worker.clock_offset_ms);
+  std::erase_if(worker.ended, [&](const auto& it) {
+    return it.number <= hold.acknowledged_end;
+  });
+  for (const auto& [key, run] : worker.runs) {
+    auto& row = reply.running.emplace_back();
+    row.task = key.first;
+    row.run = key.second;
+  }
+  reply.ended = worker.ended;
+  return reply;
+}
+
+WorkerReply CellHarness::ServeStart(StandInWorker& worker,
+                                    const StartOrder& order) {
+  WorkerReply reply;
+  reply.answer = WorkerAnswer::kDone;
+  const std::pair key(order.task, order.run);
+  if (worker.runs.contains(key)) {
+    return reply;
+  }
+  const auto barred = worker.barred.find(order.task);
+  if (barred != worker.barred.end() && barred->second >= order.run) {
+    reply.answer = WorkerAnswer::kStaleRun;
+    ++refused_starts;
+    return reply;
+  }
+  const auto until = order.lease_until_ms - worker.clock_offset_ms;
+  if (until <= now_ms_) {
+    reply.answer = WorkerAnswer::kTooLate;
+    ++refused_starts;
+    return reply;
+  }
+  worker.lease_until_ms = std::max(worker.lease_until_ms, until);
+  const auto* job = engine_.store().FindJob(order.task.job);
+  const auto& step = job->step(order.task.step);
+  if (done_.contains(order.task)) {
+    violations.push_back("started again after it was done: " +
+                         graph::FormatTask(order.task));
+  }
+  std::int32_t beside = 0;
+  for (const auto& it : workers) {
+    for (const auto& [other, run] : it.runs) {
+      if (other.first == order.task) {
+        violations.push_back("runs twice: " + graph::FormatTask(order.task));
+      }
+      beside +=
+          &it == &worker && other.first.step_key() == order.task.step_key() ? 1
+                                                                            : 0;
+    }
+  }
+  if (step.max_per_worker > 0 && beside >= step.max_per_worker) {
+    violations.push_back("too many of a step on one worker: " +
+                         graph::FormatTask(order.task));
+  }
+  const auto length =
+      run_time ? run_time(order.task, step.estimate_ms) : step.estimate_ms;
+  worker.runs[key] = {now_ms_ + (worker.fails_all ? 10 : length),
+                      step.milli_cpus, step.memory_mb};
+  ++starts;
+  auto& outcome = jobs[order.task.job];
+  if (outcome.first_start_ms < 0) {
+    outcome.first_start_ms = now_ms_;
+  }
+  return reply;
+}
+
+void CellHarness::EndRun(StandInWorker& worker,
+                         const std::pair<graph::TaskKey, std::int32_t>& key,
+                         wire::RunEnd::type how) {
+  EndedRow row;
+  row.number = worker.next_end++;
+  row.task = key.first;
+  row.run = key.second;
+  row.how = how;
+  worker.ended.push_back(row);
+  auto& barred = worker.barred[key.first];
+  barred = std::max(barred, key.second);
+  worker.runs.erase(key);
+}
+
+void CellHarness::Tick(StandInWorker& worker) {
+  const bool lapsed = worker.lease_until_ms <= now_ms_;
+  for (auto it = worker.runs.begin(); it != worker.runs.end();) {
+    const auto key = it->first;
+    const auto end_ms = it->second.end_ms;
+    ++it;
+    const auto barred = worker.barred.find(key.first);
+    const bool stopped =
+        barred != worker.barred.end() && barred->second >= key.second;
+    if (lapsed) {
+      EndRun(worker, key, wire::RunEnd::kLapsed);
+    } else if (end_ms <= now_ms_) {
+      const auto how = stopped            ? wire::RunEnd::kStopped
+                       : worker.fails_all ? wire::RunEnd::kFailed
+                                          : wire::RunEnd::kDone;
+      if (how == wire::RunEnd::kDone) {
+        done_.insert(key.first);
+      }
+      EndRun(worker, key, how);
+    }
+  }
+}
+
+void CellHarness::Check(const StandInWorker& worker) {
+  std::int64_t cpus = 0;
+  std::int64_t memory = 0;
+  for (const auto& [key, run] : worker.runs) {
+    cpus += run.milli_cpus;
+    memory += run.memory_mb;
+  }
+  used_cpu_ms += static_cast<double>(cpus);
+  if (cpus > worker.record.milli_cpus || memory > worker.record.memory_mb) {
+    violations.push_back("over capacity: " + worker.record.id);
+  }
+}
+
+void CellHarness::PollAdvice(std::int32_t caller, wire::AdvicePoll poll) {
+  constexpr std::int32_t kWaitMs = 500;
+  constexpr std::int64_t kPauseMs = 10;
+  poll.caller = fmt::format("caller-{}", caller);
+  poll.wait_ms = kWaitMs;
+  AdviceCall call;
+  call.poll = std::move(poll);
+  call.reply = [this, caller](const wire::AdviceOrders& orders) {
+    wire::AdvicePoll next;
+    std::int64_t delay = kPauseMs;
+    for (const auto& it : orders.orders) {
+      auto& result = next.results.emplace_back();
+      result.id = it.id;
+      result.answered = true;
+      for (const auto& worker : it.workers) {
+        // Whether a worker may run a step never changes.
+        const auto draw = std::hash<std::string>()(it.step + worker) % 1'000;
+        if (static_cast<double>(draw) < options_.allowed_share * 1'000) {
+          auto& ticket = result.allowed.emplace_back();
+          ticket.worker = worker;
+          ticket.ticket = "t";
+        }
+      }
+      delay += it.expected_ms;
+    }
+    At(delay, [this, caller, next] { PollAdvice(caller, next); });
+  };
+  engine_.Handle(std::move(call), Now());
+}
+
+}  // namespace cranberryshunt::cell
--- /dev/null
+++ b/tests/cell/leader_test.cc
@@ -0,0 +1,156 @@
+// The leader's dealings with jobs and workers, from end to end in virtual time.
+#include <criterion/criterion.h>
+
+#include "cell_harness.h"
+
+using namespace cranberryshunt;        // NOLINT
+using namespace cranberryshunt::cell;  // NOLINT
+
+namespace {
+
+void ExpectNoViolations(const CellHarness& cell) {
+  for (const auto& it : cell.violations) {
+    cr_expect_fail("%s", it.c_str());
+  }
+}
+
+void Begin(CellHarness& cell, const std::vector<wire::JobQueue>& queues) {
+  cell.Run(200);
+  cell.Publish(queues);
+  cell.Run(200);
+}
+
+}  // namespace
+
+// Guards the whole path: a job with dependent steps runs to its end.
+Test(leader, runs_a_job_of_two_steps) {
+  CellHarness cell;
+  Begin(cell, {MakeQueue("a", 1)});
+  auto job = MakeJob(4, 2'000, 500);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].depends_on = {0};
+  cell.Submit(1, "a", job);
+  cell.Run(2'000);
+  cr_assert_eq(cell.jobs[1].code, 0);
+  cr_assert(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cr_assert_eq(cell.starts, 8);
+  ExpectNoViolations(cell);
+}
+
+// Guards against counting only committed starts towards the limit of a step on
+// one worker: starts that are still being committed count too.
+Test(leader, keeps_the_limit_of_a_step_on_one_worker) {
+  CellHarness cell({.workers = 3});
+  Begin(cell, {MakeQueue("a", 1)});
+  auto job = MakeJob(30, 1'000, 300);
+  job.steps[0].max_per_worker = 2;
+  cell.Submit(1, "a", job);
+  // Ends at different times keep starts of the step in commit all the time.
+  cell.run_time = [](const graph::TaskKey& key, std::int64_t declared) {
+    return declared + 7 * key.index;
+  };
+  cell.Run(6'000);
+  cr_assert(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  ExpectNoViolations(cell);
+}
+
+// Guards against a second run while the first may still be alive: the worker
+// carries starts out but its answers are lost.
+Test(leader, bars_starts_that_were_not_answered) {
+  CellHarness cell({.workers = 4});
+  Begin(cell, {MakeQueue("a", 1)});
+  cell.workers[0].loses_answers = true;
+  for (graph::JobId id = 1; id <= 20; ++id) {
+    cell.Submit(id, "a", MakeJob(3, 4'000, 800));
+    cell.Run(100);
+  }
+  cell.Run(3'000);
+  cell.workers[0].loses_answers = false;
+  cell.Run(15'000);
+  for (graph::JobId id = 1; id <= 20; ++id) {
+    if (cell.jobs[id].code == 0) {
+      cr_expect(cell.StateOf(id) == wire::GraphJobState::kCompleted);
+    }
+  }
+  ExpectNoViolations(cell);
+}
+
+// Guards against a second run on another worker before the lease of a silent
+// one has surely run out.
+Test(leader, waits_for_the_lease_of_a_silent_worker) {
+  CellHarness cell({.workers = 3});
+  Begin(cell, {MakeQueue("a", 1)});
+  for (graph::JobId id = 1; id <= 6; ++id) {
+    cell.Submit(id, "a", MakeJob(2, 8'000, 20'000));
+  }
+  cell.Run(500);
+  cell.workers[0].silent = true;
+  cell.Run(9'000);
+  cell.workers[0].silent = false;
+  cell.Run(40'000);
+  for (graph::JobId id = 1; id <= 6; ++id) {
+    cr_expect(cell.StateOf(id) == wire::GraphJobState::kCompleted);
+  }
+  ExpectNoViolations(cell);
+}
+
+// Guards against lost and doubled runs when the leader's volatile state is
+// gone.
+Test(leader, takes_over_what_an_earlier_leader_started) {
+  CellHarness cell({.workers = 4});
+  Begin(cell, {MakeQueue("a", 1)});
+  for (graph::JobId id = 1; id <= 12; ++id) {
+    cell.Submit(id, "a", MakeJob(3, 4'000, 900));
+    cell.Run(150);
+    if (id % 3 == 0) {
+      cell.ChangeLeader();
+    }
+  }
+  cell.Run(10'000);
+  for (graph::JobId id = 1; id <= 12; ++id) {
+    if (cell.jobs[id].code == 0) {
+      cr_expect(cell.StateOf(id) == wire::GraphJobState::kCompleted);
+    }
+  }
+  ExpectNoViolations(cell);
+}
+
+// Guards against starts after a cancel, and against runs that stay.
+Test(leader, stops_a_cancelled_job) {
+  CellHarness cell;
+  Begin(cell, {MakeQueue("a", 1)});
+  cell.Submit(1, "a", MakeJob(6, 4'000, 30'000));
+  cell.Run(500);
+  cell.Cancel(1, "a");
+  cell.Run(1'000);
+  for (const auto& it : cell.workers) {
+    cr_expect(it.runs.empty());
+  }
+  cr_assert(cell.StateOf(1) == wire::GraphJobState::kCancelled);
+}
+
+// Guards against jobs that fail because one worker fails all that it starts.
+Test(leader, quarantines_a_worker_that_fails_everything) {
+  CellHarness cell({.workers = 6});
+  Begin(cell, {MakeQueue("a", 1)});
+  cell.workers[2].fails_all = true;
+  std::int32_t completed = 0;
+  for (graph::JobId id = 1; id <= 60; ++id) {
+    cell.Submit(id, "a", MakeJob(2, 3'000, 400));
+    cell.Run(100);
+  }
+  cell.Run(5'000);
+  for (graph::JobId id = 1; id <= 60; ++id) {
+    completed += cell.StateOf(id) == wire::GraphJobState::kCompleted ? 1 : 0;
+  }
+  cr_expect_geq(completed, 59);
+  ExpectNoViolations(cell);
+}
+
+// Guards against accepting what no worker can ever hold.
+Test(leader, refuses_a_task_larger_than_every_worker) {
+  CellHarness cell;
+  Begin(cell, {MakeQueue("a", 1)});
+  cell.Submit(1, "a", MakeJob(1, 33'000, 100));
+  cr_assert_eq(cell.jobs[1].code, static_cast<int>(ResultCode::kImpossible));
+}
--- /dev/null
+++ b/tests/graph/graph_store_test.cc
@@ -0,0 +1,170 @@
+// The replicated state of step-graph jobs.
+#include <criterion/criterion.h>
+
+#include "cranberryshunt/graph/graph_store.h"
+
+using namespace cranberryshunt;         // NOLINT
+using namespace cranberryshunt::graph;  // NOLINT
+
+namespace {
+
+constexpr JobId kJob = 0x5c0e7a21d94b36f8;
+
+wire::AcceptedGraphJob MakeJob(std::int32_t tasks, bool gang) {
+  wire::AcceptedGraphJob accepted;
+  accepted.id = static_cast<std::int64_t>(kJob);
+  accepted.queue.name = "q";
+  accepted.queue.max_attempts = 2;
+  accepted.job.occurrences = 1;
+  auto& first = accepted.job.steps.emplace_back();
+  first.task_count = tasks;
+  first.gang = gang;
+  auto& second = accepted.job.steps.emplace_back();
+  second.task_count = 1;
+  second.depends_on = {0};
+  return accepted;
+}
+
+void Accept(GraphStore& store, const wire::AcceptedGraphJob& job) {
+  wire::GraphBatch batch;
+  batch.jobs.push_back(job);
+  store.Apply(batch);
+}
+
+void StartRun(GraphStore& store, const TaskKey& key, std::int32_t run) {
+  wire::GraphBatch batch;
+  auto& start = batch.starts.emplace_back();
+  start.task = ToWire(key);
+  start.run = run;
+  start.worker = 1;
+  store.Apply(batch);
+}
+
+void EndRun(GraphStore& store,
+            const TaskKey& key,
+            std::int32_t run,
+            wire::RunEnd::type how,
+            const std::string& checkpoint = {}) {
+  wire::GraphBatch batch;
+  auto& result = batch.results.emplace_back();
+  result.task = ToWire(key);
+  result.run = run;
+  result.how = how;
+  result.checkpoint = checkpoint;
+  store.Apply(batch);
+}
+
+void PutTable(GraphStore& store, std::int64_t version, const char* document) {
+  wire::GraphBatch batch;
+  wire::RoutingTable table;
+  table.version = version;
+  table.document = document;
+  batch.__set_table(table);
+  store.Apply(batch);
+}
+
+}  // namespace
+
+// Guards against a step that starts before all tasks it depends on are done.
+Test(graph_store, opens_a_step_when_those_before_it_are_done) {
+  GraphStore store;
+  Accept(store, MakeJob(2, false));
+  const StepKey second{kJob, 0, 1};
+  for (std::int32_t n = 0; n < 2; ++n) {
+    cr_expect_not(store.FindJob(kJob)->StepReady(second));
+    StartRun(store, {kJob, 0, 0, n}, 1);
+    EndRun(store, {kJob, 0, 0, n}, 1, wire::RunEnd::kDone);
+  }
+  cr_expect(store.FindJob(kJob)->StepReady(second));
+  StartRun(store, {kJob, 0, 1, 0}, 1);
+  EndRun(store, {kJob, 0, 1, 0}, 1, wire::RunEnd::kDone);
+  cr_expect(store.FindJob(kJob)->state() == wire::GraphJobState::kCompleted);
+}
+
+// Guards against counting each failed member of a gang as an attempt of its
+// own.
+Test(graph_store, counts_a_failed_run_of_a_gang_once) {
+  GraphStore store;
+  Accept(store, MakeJob(3, true));
+  for (std::int32_t run = 1; run <= 2; ++run) {
+    cr_expect(store.FindJob(kJob)->active());
+    for (std::int32_t n = 0; n < 3; ++n) {
+      StartRun(store, {kJob, 0, 0, n}, run);
+    }
+    EndRun(store, {kJob, 0, 0, 0}, run, wire::RunEnd::kFailed);
+    EndRun(store, {kJob, 0, 0, 1}, run, wire::RunEnd::kFailed);
+    EndRun(store, {kJob, 0, 0, 2}, run, wire::RunEnd::kBroken);
+  }
+  cr_expect(store.FindJob(kJob)->state() == wire::GraphJobState::kFailed);
+}
+
+// Guards against a late result of an earlier run, and against an older run.
+Test(graph_store, ignores_results_of_other_runs) {
+  GraphStore store;
+  Accept(store, MakeJob(1, false));
+  const TaskKey key{kJob, 0, 0, 0};
+  StartRun(store, key, 1);
+  EndRun(store, key, 1, wire::RunEnd::kStopped, "c1");
+  StartRun(store, key, 1);
+  cr_expect_eq(store.FindJob(kJob)->task(key).run, 0);
+  StartRun(store, key, 2);
+  EndRun(store, key, 1, wire::RunEnd::kDone);
+  cr_expect_not(store.FindJob(kJob)->task(key).done);
+  cr_expect_str_eq(store.FindJob(kJob)->task(key).checkpoint.c_str(), "c1");
+}
+
+// Guards against an older configuration that comes in force again.
+Test(graph_store, keeps_the_highest_version) {
+  GraphStore store;
+  PutTable(store, 7, "seven");
+  PutTable(store, 5, "five");
+  PutTable(store, 7, "other seven");
+  cr_expect_eq(store.table().version, 7);
+  cr_expect_str_eq(store.table().document.c_str(), "seven");
+}
+
+// Guards against a report of an earlier life that replaces a later one.
+Test(graph_store, numbers_each_life_of_a_worker) {
+  GraphStore store;
+  wire::GraphBatch batch;
+  auto& worker = batch.workers.emplace_back();
+  worker.id = "w";
+  worker.born_ms = 20;
+  store.Apply(batch);
+  const auto first = store.FindWorker("w");
+  batch.workers[0].born_ms = 10;
+  store.Apply(batch);
+  cr_expect(store.FindWorker("w") == first);
+  batch.workers[0].born_ms = 30;
+  store.Apply(batch);
+  cr_expect(store.FindWorker("w") != first);
+  cr_expect_eq(store.workers().size(), 1);
+}
+
+// Guards against state that a snapshot loses.
+Test(graph_store, restores_a_snapshot) {
+  GraphStore store;
+  PutTable(store, 7, "seven");
+  Accept(store, MakeJob(2, false));
+  StartRun(store, {kJob, 0, 0, 0}, 1);
+  EndRun(store, {kJob, 0, 0, 0}, 1, wire::RunEnd::kDone);
+  StartRun(store, {kJob, 0, 0, 1}, 1);
+  GraphStore other;
+  cr_assert(other.Restore(store.Snapshot()).has_value());
+  cr_expect(other.Snapshot() == store.Snapshot());
+  EndRun(other, {kJob, 0, 0, 1}, 1, wire::RunEnd::kDone);
+  cr_expect(other.FindJob(kJob)->StepReady({kJob, 0, 1}));
+}
+
+Test(graph_store, parses_task_names) {
+  const auto key = ParseTask("5c0e7a21d94b36f8.0.1.17");
+  cr_assert(key.has_value());
+  cr_expect(*key == TaskKey({kJob, 0, 1, 17}));
+  cr_expect(FormatTask(*key) == "5c0e7a21d94b36f8.0.1.17");
+  for (const char* it :
+       {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1",
+        "5c0e7a21d94b36f8.0.1.x", "5C0E7A21D94B36F8.0.1.2",
+        "5c0e7a21d94b36f8.0.1.2.3", "5c0e7a21d94b36f8.0.-1.2"}) {
+    cr_expect_not(ParseTask(it).has_value());
+  }
+}
