base: Write logs to standard output through a bounded queue

Cause: log lines went to standard error and blocked on its reader. Change: an asynchronous appender of log4cxx that drops lines beyond its queue and says how many; the queue is written out before the process ends.

--- a/libraries/base/include/cranberryshunt/base/log.h
+++ b/libraries/base/include/cranberryshunt/base/log.h
@@ -26,11 +26,15 @@
   std::string value;
 };
 
-// Sets up logs on standard error. `level` is "debug", "info", "warning" or
+// Sets up logs on standard output, through a bounded queue; logging never
+// blocks. `level` is "debug", "info", "warning" or
 // "error"; `process` names this process in each line. Fails with
 // kInvalidSettings for another level.
 Result<void> ConfigureLogging(std::string_view level, std::string_view process);
 
+// Writes what is queued and ends logging. Call before the process ends.
+void FlushLogs();
+
 // Writes one line: time, level, process, component, message and `name=value`
 // fields.
 void Log(LogLevel level,
--- a/libraries/base/src/log.cc
+++ b/libraries/base/src/log.cc
@@ -1,6 +1,7 @@
 #include "cranberryshunt/base/log.h"
 
 #include <fmt/format.h>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr char kRootLogger[] = "cranberryshunt";
+// Some seconds of a busy leader's lines, and at most a megabyte.
+constexpr int kQueuedLines = 4'096;
 
 log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
   switch (level) {
@@ -83,15 +86,29 @@
       "%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p process=" + Quote(process) +
       " component=%c{1} %m%n";
   auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-  auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
+  auto console = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, log4cxx::ConsoleAppender::getSystemOut());
+  // A reader of the output that does not keep up must not hold the process up.
+  // Lines beyond the queue are dropped, and a line says how many.
+  auto queue = std::make_shared<log4cxx::AsyncAppender>();
+  queue->setBufferSize(kQueuedLines);
+  queue->setBlocking(false);
+  queue->addAppender(console);
   auto root = log4cxx::Logger::getRootLogger();
   root->removeAllAppenders();
-  root->addAppender(appender);
+  root->addAppender(queue);
   root->setLevel(ToLog4cxx(parsed));
   return {};
 }
 
+void FlushLogs() {
+  auto root = log4cxx::Logger::getRootLogger();
+  for (const auto& it : root->getAllAppenders()) {
+    it->close();
+  }
+  root->removeAllAppenders();
+}
+
 void Log(LogLevel level,
          std::string_view component,
          std::string_view message,
--- a/services/cranberryshunt/controller_command.cc
+++ b/services/cranberryshunt/controller_command.cc
@@ -135,10 +135,11 @@
 // synced already.
 void EndNow() {
   Log(LogLevel::kError, "service", "controller shutdown was cut off");
+  FlushLogs();
   std::_Exit(1);
 }
 
-int RunController(const ControllerState& state) {
+int ServeController(const ControllerState& state) {
   BlockTerminationSignals();
   if (!ConfigureLogging(state.log_level, state.options.replica.id)) {
     return 2;
@@ -161,6 +162,12 @@
   return 0;
 }
 
+int RunController(const ControllerState& state) {
+  const int status = ServeController(state);
+  FlushLogs();
+  return status;
+}
+
 }  // namespace
 
 void DeclareControllerCommand(CLI::App& root, std::vector<Command>& commands) {
--- a/services/cranberryshunt/entry_command.cc
+++ b/services/cranberryshunt/entry_command.cc
@@ -77,7 +77,7 @@
   return std::nullopt;
 }
 
-int RunEntry(const EntryState& state) {
+int ServeEntry(const EntryState& state) {
   BlockTerminationSignals();
   if (!ConfigureLogging(state.log_level, state.options.id)) {
     return 2;
@@ -103,6 +103,12 @@
   return cut_off == 0 ? 0 : 1;
 }
 
+int RunEntry(const EntryState& state) {
+  const int status = ServeEntry(state);
+  FlushLogs();
+  return status;
+}
+
 }  // namespace
 
 void DeclareEntryCommand(CLI::App& root, std::vector<Command>& commands) {
--- a/services/cranberryshunt/platform_command.cc
+++ b/services/cranberryshunt/platform_command.cc
@@ -64,7 +64,7 @@
   std::string last_error_;
 };
 
-int Run(const PlatformState& state, StartFunction start) {
+int Serve(const PlatformState& state, StartFunction start) {
   mallopt(M_ARENA_MAX, kMaxMallocArenas);
   BlockTerminationSignals();
   auto settings = platform::ReadSettings(state.settings_path);
@@ -100,6 +100,12 @@
   return 0;
 }
 
+int Run(const PlatformState& state, StartFunction start) {
+  const int status = Serve(state, start);
+  FlushLogs();
+  return status;
+}
+
 void Declare(CLI::App& root,
              std::vector<Command>& commands,
              const char* name,
