--- a/libraries/cell/src/advice_desk.cc
+++ b/libraries/cell/src/advice_desk.cc
@@ -14,6 +14,10 @@
 constexpr std::int64_t kCallerTimeoutMs = 1'500;
 // A caller that has not polled for this long is not counted any more.
 constexpr std::int64_t kCallerGoneMs = 5'000;
+// Callers find a new leader one after the other. Until then a small cell's
+// number of entries is assumed, or each new leader would refuse for nothing.
+constexpr std::int64_t kCallersArriveMs = 2'500;
+constexpr std::size_t kAssumedCallers = 8;
 
 }  // namespace
 
@@ -134,7 +138,7 @@
   return std::exchange(answers_, {});
 }
 
-std::int64_t AdviceDesk::ExpectedWaitMs() const {
+std::int64_t AdviceDesk::ExpectedWaitMs(std::int64_t now_ms) const {
   std::int64_t total = 0;
   for (const auto& it : waiting_) {
     total += it.expected_ms;
@@ -142,8 +146,9 @@
   for (const auto& [id, it] : assigned_) {
     total += it.question.expected_ms / 2;
   }
-  const auto callers =
-      std::max<std::size_t>(1, std::max(seen_ms_.size(), polls_.size()));
+  const auto assumed =
+      now_ms - began_ms_ < kCallersArriveMs ? kAssumedCallers : std::size_t{1};
+  const auto callers = std::max(assumed, seen_ms_.size());
   return total / static_cast<std::int64_t>(callers);
 }
 
--- a/libraries/cell/src/advice_desk.h
+++ b/libraries/cell/src/advice_desk.h
@@ -33,6 +33,8 @@
 
 class AdviceDesk {
  public:
+  explicit AdviceDesk(std::int64_t now_ms) : began_ms_(now_ms) {}
+
   void Ask(Question question);
   // Drops the questions about a step that no caller has taken.
   void Forget(policy::StepId step);
@@ -49,7 +51,7 @@
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t callers() const { return polls_.size(); }
   // Expected time until a question asked now is taken up.
-  std::int64_t ExpectedWaitMs() const;
+  std::int64_t ExpectedWaitMs(std::int64_t now_ms) const;
 
  private:
   struct OpenPoll {
@@ -72,6 +74,7 @@
   std::vector<AnsweredQuestion> answers_;
   std::vector<std::string> controllers_;
   std::int64_t next_id_ = 1;
+  const std::int64_t began_ms_;
 };
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -42,6 +42,7 @@
            .lease_ms = std::min(options.worker_lease, options.max_worker_lease)
                            .count()},
           now_ms_),
+      desk_(now_ms_),
       members_(options.cell_size, options.id, now_ms_) {
   Begin();
 }
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -202,7 +202,7 @@
       load.urgent_memory += memory;
     }
   }
-  load.advice_wait_ms = static_cast<double>(desk_.ExpectedWaitMs());
+  load.advice_wait_ms = static_cast<double>(desk_.ExpectedWaitMs(now_ms_));
   return load;
 }
 
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -154,3 +154,26 @@
   cell.Submit(1, "a", MakeJob(1, 33'000, 100));
   cr_assert_eq(cell.jobs[1].code, static_cast<int>(ResultCode::kImpossible));
 }
+
+// Load pattern: callers turn to a new leader before the hosts that ask for
+// advice have found it. Guards against refusing them as if there were only one
+// such host.
+Test(leader, accepts_urgent_jobs_right_after_a_takeover) {
+  CellHarness cell({.workers = 12});
+  auto queue = MakeQueue("urgent", 0);
+  queue.needs_advice = true;
+  queue.advice.base_ms = 100;
+  queue.advice.ticket_valid_ms = 2'000;
+  Begin(cell, {queue});
+  for (graph::JobId id = 1; id <= 20; ++id) {
+    cell.Submit(id, "urgent", MakeJob(1, 2'000, 3'000));
+  }
+  cell.Run(100);
+  cell.ChangeLeader();
+  cell.Run(1);
+  cell.Submit(100, "urgent", MakeJob(1, 2'000, 600));
+  cell.Run(50);
+  cr_expect_eq(cell.jobs[100].code, 0);
+  cell.Run(10'000);
+  ExpectNoViolations(cell);
+}
--- /dev/null
+++ b/tests/policy/graph_admission_test.cc
@@ -0,0 +1,58 @@
+// Admission of step-graph jobs: the load patterns that each rule answers.
+#include <criterion/criterion.h>
+
+#include "cranberryshunt/policy/graph_admission.h"
+
+using namespace cranberryshunt::policy;  // NOLINT
+
+namespace {
+
+constexpr double kCapacity = 1'000'000;
+
+LoadSummary Waiting(double milliseconds) {
+  LoadSummary load;
+  load.capacity_cpus = kCapacity;
+  load.capacity_memory = kCapacity;
+  load.total_cpus = milliseconds * kCapacity;
+  return load;
+}
+
+NewJob WithSlack(std::int64_t slack_ms) {
+  NewJob job;
+  job.slack_ms = slack_ms;
+  job.critical_path_ms = 1'000;
+  return job;
+}
+
+}  // namespace
+
+// Load pattern: a burst of batch jobs. Guards against accepting jobs that end
+// after their objective behind the work that waits already.
+Test(graph_admission, refuses_what_would_be_late_behind_the_backlog) {
+  cr_expect(DecideAdmission(Waiting(4'000), WithSlack(8'000)).accepted);
+  const auto refused = DecideAdmission(Waiting(12'000), WithSlack(8'000));
+  cr_expect_not(refused.accepted);
+  cr_expect_gt(refused.retry_after_ms, 1'000);
+}
+
+// Load pattern: a flood of batch work beside launch checks. Guards against
+// refusing urgent jobs because of work that goes after them.
+Test(graph_admission, does_not_count_later_work_against_urgent_jobs) {
+  auto job = WithSlack(900);
+  job.urgent = true;
+  cr_expect(DecideAdmission(Waiting(20'000), job).accepted);
+}
+
+// Load pattern: callers that come back after an outage, late already. Guards
+// against refusing them while the fleet is free.
+Test(graph_admission, accepts_a_late_job_while_there_is_room) {
+  cr_expect(DecideAdmission(Waiting(0), WithSlack(-600)).accepted);
+  cr_expect_not(DecideAdmission(Waiting(500), WithSlack(-600)).accepted);
+}
+
+// Load pattern: more questions than the advice service can answer.
+Test(graph_admission, counts_the_wait_for_advice) {
+  auto load = Waiting(0);
+  load.advice_wait_ms = 2'000;
+  cr_expect_not(DecideAdmission(load, WithSlack(1'000)).accepted);
+}
