--- a/libraries/cell/src/advice_caller.cc
+++ b/libraries/cell/src/advice_caller.cc
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kPollWait{800};
-constexpr std::chrono::milliseconds kPollAttempt{1'300};
+constexpr std::chrono::milliseconds kPollWait{500};
+constexpr std::chrono::milliseconds kPollAttempt{1'000};
 constexpr std::chrono::milliseconds kPollDeadline{2'000};
 // Beyond the time that the service says it takes.
 constexpr std::chrono::milliseconds kAnswerMargin{700};
--- a/libraries/cell/src/advice_desk.cc
+++ b/libraries/cell/src/advice_desk.cc
@@ -1,6 +1,7 @@
 #include "advice_desk.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
@@ -19,6 +20,14 @@
 constexpr std::int64_t kCallersArriveMs = 2'500;
 constexpr std::size_t kAssumedCallers = 8;
 
+// On-time steps of urgent queues first, then other on-time steps, then late
+// ones; within each by the latest start.
+std::tuple<bool, bool, std::int64_t> OrderOf(const Question& question,
+                                             std::int64_t now_ms) {
+  return {now_ms > question.latest_start_ms, !question.urgent_queue,
+          question.latest_start_ms};
+}
+
 }  // namespace
 
 void AdviceDesk::Ask(Question question) {
@@ -68,9 +77,11 @@
 }
 
 void AdviceDesk::Assign(std::int64_t now_ms) {
-  std::sort(waiting_.begin(), waiting_.end(), [](const auto& a, const auto& b) {
-    return std::pair(a.urgency, a.step) < std::pair(b.urgency, b.step);
-  });
+  std::sort(waiting_.begin(), waiting_.end(),
+            [&](const auto& a, const auto& b) {
+              return std::pair(OrderOf(a, now_ms), a.step) <
+                     std::pair(OrderOf(b, now_ms), b.step);
+            });
   std::size_t taken = 0;
   while (taken < waiting_.size() && !polls_.empty()) {
     auto poll = polls_.extract(polls_.begin());
@@ -138,10 +149,16 @@
   return std::exchange(answers_, {});
 }
 
-std::int64_t AdviceDesk::ExpectedWaitMs(std::int64_t now_ms) const {
+std::int64_t AdviceDesk::ExpectedWaitMs(std::int64_t now_ms,
+                                        bool urgent_queue,
+                                        std::int64_t latest_start_ms) const {
+  Question asked;
+  asked.urgent_queue = urgent_queue;
+  asked.latest_start_ms = latest_start_ms;
+  const auto order = OrderOf(asked, now_ms);
   std::int64_t total = 0;
   for (const auto& it : waiting_) {
-    total += it.expected_ms;
+    total += OrderOf(it, now_ms) <= order ? it.expected_ms : 0;
   }
   for (const auto& [id, it] : assigned_) {
     total += it.question.expected_ms / 2;
--- a/libraries/cell/src/advice_desk.h
+++ b/libraries/cell/src/advice_desk.h
@@ -20,8 +20,9 @@
   std::vector<std::string> workers;  // Ids.
   std::vector<std::int64_t> numbers;
   std::int64_t expected_ms = 0;
-  // Lower is more urgent.
-  std::int64_t urgency = 0;
+  // Our time at which the step must start for its job to make its objective.
+  std::int64_t latest_start_ms = 0;
+  bool urgent_queue = false;
 };
 
 struct AnsweredQuestion {
@@ -50,8 +51,11 @@
   std::vector<AnsweredQuestion> TakeAnswers();
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t callers() const { return polls_.size(); }
-  // Expected time until a question asked now is taken up.
-  std::int64_t ExpectedWaitMs(std::int64_t now_ms) const;
+  // Expected time until a question is taken up that is asked now for a step
+  // with this latest start.
+  std::int64_t ExpectedWaitMs(std::int64_t now_ms,
+                              bool urgent_queue,
+                              std::int64_t latest_start_ms) const;
 
  private:
   struct OpenPoll {
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -86,7 +86,7 @@
                  const std::string& ticket);
   void AskAdvice(const policy::PlannedQuestion& question);
   void TakeAdvice();
-  policy::LoadSummary Load() const;
+  policy::LoadSummary Load(const policy::NewJob& job) const;
 
   const EngineOptions& options_;
   const graph::GraphStore& store_;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -156,7 +156,7 @@
       static_cast<std::int64_t>((queue.stretch - 1) *
                                 static_cast<double>(asked.critical_path_ms)) -
       call.request.waited_ms;
-  const auto load = Load();
+  const auto load = Load(asked);
   const auto decision = policy::DecideAdmission(load, asked);
   Log(LogLevel::kInfo, "admission",
       decision.accepted ? "job accepted" : "job refused",
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -145,7 +145,8 @@
   }
   asked.numbers = question.workers;
   asked.expected_ms = question.expected_ms;
-  asked.urgency = step.objective_ms - step.remaining_ms;
+  asked.latest_start_ms = step.objective_ms - step.remaining_ms;
+  asked.urgent_queue = step.priority == 0;
   ++metrics_.Counter("advice_questions_total");
   desk_.Ask(std::move(asked));
 }
@@ -182,7 +183,7 @@
   }
 }
 
-policy::LoadSummary Leader::Load() const {
+policy::LoadSummary Leader::Load(const policy::NewJob& job) const {
   policy::LoadSummary load;
   for (const auto& [number, worker] : planner_.workers()) {
     if (worker.usable) {
@@ -202,7 +203,8 @@
       load.urgent_memory += memory;
     }
   }
-  load.advice_wait_ms = static_cast<double>(desk_.ExpectedWaitMs(now_ms_));
+  load.advice_wait_ms = static_cast<double>(
+      desk_.ExpectedWaitMs(now_ms_, job.urgent, now_ms_ + job.slack_ms));
   return load;
 }
 
--- a/libraries/cell/src/worker_book.cc
+++ b/libraries/cell/src/worker_book.cc
@@ -74,8 +74,7 @@
   finished.run = it->first.second;
   finished.how = how;
   finished.worker = slot.number;
-  finished.run_ms =
-      it->second.started_ms > 0 ? now_ms - it->second.started_ms : 0;
+  finished.run_ms = it->second.measured ? now_ms - it->second.started_ms : 0;
   finished.reason = std::move(reason);
   finished.checkpoint = it->second.checkpoint;
   out.finished.push_back(std::move(finished));
@@ -306,6 +305,7 @@
   }
   it->second.phase = RunPhase::kSending;
   it->second.started_ms = now_ms;
+  it->second.measured = true;
   order.fence = options_.fence;
   order.lease_until_ms = GrantLease(slot->second, now_ms);
   Emit(slot->second, std::move(order), kAnswerTimeoutMs, out);
@@ -504,7 +504,7 @@
     finished.worker = slot.number;
     const auto run = slot.runs.find({it.task, it.run});
     if (run != slot.runs.end()) {
-      if (run->second.phase == RunPhase::kRunning) {
+      if (run->second.measured) {
         finished.run_ms = now_ms - run->second.started_ms;
       }
       EraseRun(slot, run);
--- a/libraries/cell/src/worker_slot.h
+++ b/libraries/cell/src/worker_slot.h
@@ -34,6 +34,8 @@
   std::int64_t settled_ms = 0;
   policy::Demand demand;
   std::int64_t started_ms = 0;
+  // This leader sent the start, so `started_ms` tells how long it runs.
+  bool measured = false;
   std::int64_t expected_run_ms = 0;
   std::string checkpoint;  // The last one that the worker told of.
   bool stop_wanted = false;
--- /dev/null
+++ b/tests/cell/advice_desk_test.cc
@@ -0,0 +1,87 @@
+// The order in which questions to the advice service are handed out.
+#include <criterion/criterion.h>
+
+#include "advice_desk.h"
+
+using namespace cranberryshunt;        // NOLINT
+using namespace cranberryshunt::cell;  // NOLINT
+
+namespace {
+
+Question MakeQuestion(policy::StepId step,
+                      bool urgent,
+                      std::int64_t latest_start_ms) {
+  Question question;
+  question.step = step;
+  question.step_name = std::to_string(step);
+  question.expected_ms = 100;
+  question.urgent_queue = urgent;
+  question.latest_start_ms = latest_start_ms;
+  return question;
+}
+
+// Polls as one caller until nothing is left; returns the order of the steps.
+std::string HandOutAll(AdviceDesk& desk, std::int64_t now_ms) {
+  std::string order;
+  std::vector<wire::AdviceResult> results;
+  for (;;) {
+    const auto before = order.size();
+    AdviceCall call;
+    call.poll.caller = "c";
+    call.poll.wait_ms = 0;
+    call.poll.results = results;
+    results.clear();
+    call.reply = [&](const wire::AdviceOrders& orders) {
+      for (const auto& it : orders.orders) {
+        order += it.step;
+        results.emplace_back().id = it.id;
+      }
+    };
+    desk.OnPoll(std::move(call), now_ms);
+    desk.Advance(now_ms);
+    if (order.size() == before) {
+      return order;
+    }
+  }
+}
+
+}  // namespace
+
+// Load pattern: callers return after an outage, most of them late. Guards
+// against late steps that take the service away from those still on time.
+Test(advice_desk, asks_for_steps_on_time_before_late_ones) {
+  AdviceDesk desk(0);
+  desk.Ask(MakeQuestion(1, false, 900));
+  desk.Ask(MakeQuestion(2, true, 950));
+  desk.Ask(MakeQuestion(3, false, 5'000));
+  desk.Ask(MakeQuestion(4, true, 6'000));
+  cr_expect_eq(HandOutAll(desk, 1'000), "4321");
+}
+
+// Load pattern: a backlog of batch questions. Guards against refusing urgent
+// jobs for questions that go after theirs.
+Test(advice_desk, expects_no_wait_behind_later_questions) {
+  AdviceDesk desk(0);
+  for (policy::StepId n = 1; n <= 50; ++n) {
+    desk.Ask(MakeQuestion(n, false, 20'000));
+  }
+  const std::int64_t now_ms = 10'000;
+  cr_expect_eq(desk.ExpectedWaitMs(now_ms, true, 11'000), 0);
+  cr_expect_geq(desk.ExpectedWaitMs(now_ms, false, 30'000), 5'000);
+}
+
+// Guards against a question that is lost with the host that took it.
+Test(advice_desk, gives_a_question_back_when_its_caller_is_gone) {
+  AdviceDesk desk(0);
+  desk.Ask(MakeQuestion(1, true, 5'000));
+  AdviceCall call;
+  call.poll.caller = "gone";
+  call.reply = [](const wire::AdviceOrders&) {};
+  desk.OnPoll(std::move(call), 0);
+  desk.Advance(0);
+  cr_expect(desk.TakeAnswers().empty());
+  desk.Advance(10'000);
+  const auto answers = desk.TakeAnswers();
+  cr_assert_eq(answers.size(), 1);
+  cr_expect_not(answers[0].answered);
+}
