policy: Predict room from what is free and what running tasks give back

Change: the expected wait is what waiting tasks ask for beyond the free room, over the rate at which running tasks give room back. Test: graph_admission::counts_free_room_before_the_backlog.

--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -142,11 +142,6 @@
                                  "a task is larger than every worker"));
       return;
     }
-    const auto work =
-        static_cast<double>(times_.Expected(queue.name, step.estimate_ms)) *
-        step.task_count;
-    asked.cpus += work * static_cast<double>(demand.milli_cpus);
-    asked.memory += work * static_cast<double>(demand.memory_mb);
   }
   const auto remaining = RemainingTimes(queue, job, times_);
   asked.critical_path_ms =
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -187,20 +187,28 @@
   policy::LoadSummary load;
   for (const auto& [number, worker] : planner_.workers()) {
     if (worker.usable) {
-      load.capacity_cpus += static_cast<double>(worker.capacity.milli_cpus);
-      load.capacity_memory += static_cast<double>(worker.capacity.memory_mb);
+      const auto room = worker.Room();
+      load.cpus.free += static_cast<double>(room.milli_cpus);
+      load.memory.free += static_cast<double>(room.memory_mb);
+    }
+  }
+  for (const auto& [number, slot] : book_.slots()) {
+    for (const auto& [key, run] : slot.runs) {
+      load.cpus.AddRunning(static_cast<double>(run.demand.milli_cpus),
+                           run.expected_run_ms);
+      load.memory.AddRunning(static_cast<double>(run.demand.memory_mb),
+                             run.expected_run_ms);
     }
   }
   for (const auto& [id, step] : planner_.steps()) {
-    const auto work = static_cast<double>(step.expected_run_ms) *
-                      static_cast<double>(step.waiting.size());
-    const auto cpus = work * static_cast<double>(step.demand.milli_cpus);
-    const auto memory = work * static_cast<double>(step.demand.memory_mb);
-    load.total_cpus += cpus;
-    load.total_memory += memory;
+    const auto tasks = static_cast<double>(step.waiting.size());
+    const auto cpus = tasks * static_cast<double>(step.demand.milli_cpus);
+    const auto memory = tasks * static_cast<double>(step.demand.memory_mb);
+    load.cpus.waiting += cpus;
+    load.memory.waiting += memory;
     if (step.priority == 0) {
-      load.urgent_cpus += cpus;
-      load.urgent_memory += memory;
+      load.cpus.waiting_urgent += cpus;
+      load.memory.waiting_urgent += memory;
     }
   }
   load.advice_wait_ms = static_cast<double>(
--- a/libraries/policy/include/cranberryshunt/policy/graph_admission.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_admission.h
@@ -7,24 +7,29 @@
 
 namespace cranberryshunt::policy {
 
-// Capacity, and the work that waits for it: milli-CPU or MB times milliseconds.
+// One dimension of the fleet: milli-CPUs or MB.
+struct DimensionLoad {
+  double free = 0;
+  // What waiting tasks ask for that go before a new job of an urgent queue, or
+  // of another one.
+  double waiting_urgent = 0;
+  double waiting = 0;
+  // What running tasks give back in a millisecond, on average.
+  double released_per_ms = 0;
+
+  // Adds a running task.
+  void AddRunning(double size, std::int64_t expected_run_ms);
+};
+
 struct LoadSummary {
-  double capacity_cpus = 0;    // Of the usable workers, in milli-CPUs.
-  double capacity_memory = 0;  // MB.
-  // Waiting work that goes before a new job of the urgent class, or of another
-  // one.
-  double urgent_cpus = 0;
-  double urgent_memory = 0;
-  double total_cpus = 0;
-  double total_memory = 0;
+  DimensionLoad cpus;
+  DimensionLoad memory;
   // Expected time until a new question to the advice service is taken up.
   double advice_wait_ms = 0;
 };
 
 struct NewJob {
   bool urgent = false;
-  double cpus = 0;  // Its own work, milli-CPU milliseconds.
-  double memory = 0;
   std::int64_t critical_path_ms = 0;  // With advice, without any wait.
   std::int64_t slack_ms = 0;          // Objective less the critical path.
 };
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -16,20 +16,31 @@
 constexpr std::int64_t kMinRetryMs = 300;
 constexpr std::int64_t kMaxRetryMs = 10'000;
 
-double DrainMs(double work, double capacity) {
-  return capacity > 0 ? work / (capacity * kPackedShare) : 0;
+// When the room that is asked for before a new job has become free. What only
+// waits for advice while there is room is no queue, so the room that is free
+// counts first.
+double RoomMs(const DimensionLoad& load, bool urgent) {
+  const double asked = urgent ? load.waiting_urgent : load.waiting;
+  const double missing = asked - load.free * kPackedShare;
+  if (missing <= 0 || load.released_per_ms <= 0) {
+    return 0;
+  }
+  return missing / (load.released_per_ms * kPackedShare);
 }
 
 }  // namespace
 
+void DimensionLoad::AddRunning(double size, std::int64_t expected_run_ms) {
+  released_per_ms +=
+      size / static_cast<double>(std::max<std::int64_t>(1, expected_run_ms));
+}
+
 AdmissionDecision DecideAdmission(const LoadSummary& load, const NewJob& job) {
-  const double cpus = job.urgent ? load.urgent_cpus : load.total_cpus;
-  const double memory = job.urgent ? load.urgent_memory : load.total_memory;
-  const double drain = std::max(DrainMs(cpus, load.capacity_cpus),
-                                DrainMs(memory, load.capacity_memory));
+  const double room =
+      std::max(RoomMs(load.cpus, job.urgent), RoomMs(load.memory, job.urgent));
   AdmissionDecision decision;
   decision.expected_wait_ms =
-      static_cast<std::int64_t>(std::max(drain, load.advice_wait_ms));
+      static_cast<std::int64_t>(std::max(room, load.advice_wait_ms));
   // A job that is late already is still worth something to its caller while
   // there is room.
   const auto usable =
--- a/tests/policy/graph_admission_test.cc
+++ b/tests/policy/graph_admission_test.cc
@@ -9,11 +9,13 @@
 
 constexpr double kCapacity = 1'000'000;
 
+// A full fleet of tasks of a second, behind which work for `milliseconds`
+// waits.
 LoadSummary Waiting(double milliseconds) {
   LoadSummary load;
-  load.capacity_cpus = kCapacity;
-  load.capacity_memory = kCapacity;
-  load.total_cpus = milliseconds * kCapacity;
+  load.cpus.AddRunning(kCapacity, 1'000);
+  load.memory.AddRunning(kCapacity, 1'000);
+  load.cpus.waiting = milliseconds / 1'000 * kCapacity;
   return load;
 }
 
@@ -56,3 +58,13 @@
   load.advice_wait_ms = 2'000;
   cr_expect_not(DecideAdmission(load, WithSlack(1'000)).accepted);
 }
+
+// Load pattern: many wide jobs that wait for advice while a fifth of the fleet
+// is free. Guards against refusing jobs with workers free.
+Test(graph_admission, counts_free_room_before_the_backlog) {
+  auto load = Waiting(150);
+  load.cpus.free = 0.2 * kCapacity;
+  const auto decision = DecideAdmission(load, WithSlack(400));
+  cr_expect(decision.accepted);
+  cr_expect_eq(decision.expected_wait_ms, 0);
+}
