platform, targets: Test the translation, refuse NUL in names and wrong types

Tests: tests/platform (settings, jobs, configurations, reports, answers).

Conclusion: bad input gets an error that names the field.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -220,7 +220,9 @@
     batch_.results.push_back(std::move(result));
     batch_used_ = true;
   }
-  for (const auto& [worker, number] : out.ends) {
+  for (const auto& it : out.ends) {
+    const auto worker = it.first;
+    const auto number = it.second;
     if (!batch_used_) {
       book_.Acknowledge(worker, number);
       continue;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -329,7 +329,8 @@
       {{"version", version},
        {"queues", call.table.queues.size()},
        {"in_force", store_.table().version}});
-  batch_.__set_table(std::move(call.table));
+  batch_.table = std::move(call.table);
+  batch_.__isset.table = true;
   batch_used_ = true;
   continuations_.emplace_back([reply = std::move(call.reply)](bool committed) {
     reply(committed ? Result<void>() : tl::unexpected(NotCommitted()));
--- a/libraries/cell/src/worker_book.cc
+++ b/libraries/cell/src/worker_book.cc
@@ -46,7 +46,7 @@
 }
 
 void WorkerBook::AddRun(WorkerSlot& slot, const RunKey& key, Run run) {
-  slot.runs[key] = run;
+  slot.runs[key] = std::move(run);
   by_job_[key.first.job].insert({slot.number, key});
 }
 
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -69,6 +69,7 @@
   friend class GraphStore;
 
   std::size_t IndexOf(const TaskKey& key) const;
+  std::size_t StepIndexOf(const StepKey& key) const;
   bool Contains(const TaskKey& key) const;
 
   wire::AcceptedGraphJob accepted_;
--- a/libraries/graph/include/cranberryshunt/graph/task_key.h
+++ b/libraries/graph/include/cranberryshunt/graph/task_key.h
@@ -25,6 +25,8 @@
   std::int32_t occurrence = 0;
   std::int32_t step = 0;
 
+  // The linter takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const StepKey&) const = default;
 };
 
@@ -34,6 +36,7 @@
   std::int32_t step = 0;
   std::int32_t index = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const TaskKey&) const = default;
   StepKey step_key() const { return {job, occurrence, step}; }
 };
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -136,8 +136,7 @@
   TaskKey it = key;
   const std::int32_t first = gang ? 0 : key.index;
   const std::int32_t last = gang ? job.step(key.step).task_count - 1 : first;
-  auto& open = job.open_tasks_[static_cast<std::size_t>(
-      key.occurrence * job.step_count() + key.step)];
+  auto& open = job.open_tasks_[job.StepIndexOf(key.step_key())];
   for (it.index = first; it.index <= last; ++it.index) {
     auto& task = job.tasks_[job.IndexOf(it)];
     if (!task.done) {
--- a/libraries/graph/src/job.cc
+++ b/libraries/graph/src/job.cc
@@ -21,9 +21,11 @@
 }
 
 std::size_t Job::IndexOf(const TaskKey& key) const {
-  return static_cast<std::size_t>(
-      key.occurrence * tasks_per_occurrence_ +
-      step_offsets_[static_cast<std::size_t>(key.step)] + key.index);
+  const auto occurrence = static_cast<std::size_t>(key.occurrence);
+  const auto per_occurrence = static_cast<std::size_t>(tasks_per_occurrence_);
+  const auto offset = step_offsets_[static_cast<std::size_t>(key.step)];
+  return occurrence * per_occurrence + static_cast<std::size_t>(offset) +
+         static_cast<std::size_t>(key.index);
 }
 
 bool Job::Contains(const TaskKey& key) const {
@@ -36,9 +38,13 @@
   return Contains(key) ? &tasks_[IndexOf(key)] : nullptr;
 }
 
+std::size_t Job::StepIndexOf(const StepKey& key) const {
+  return static_cast<std::size_t>(key.occurrence) * accepted_.job.steps.size() +
+         static_cast<std::size_t>(key.step);
+}
+
 bool Job::StepDone(const StepKey& key) const {
-  return open_tasks_[static_cast<std::size_t>(key.occurrence * step_count() +
-                                              key.step)] == 0;
+  return open_tasks_[StepIndexOf(key)] == 0;
 }
 
 bool Job::StepReady(const StepKey& key) const {
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -175,11 +175,11 @@
 
 Result<std::unique_ptr<HttpClient>> HttpClient::Create(
     const HttpClientOptions& options) {
-  static const CURLcode kGlobal = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static const CURLcode global_code = curl_global_init(CURL_GLOBAL_DEFAULT);
   auto implementation = std::make_unique<Implementation>();
   implementation->options = options;
   implementation->multi = curl_multi_init();
-  if (kGlobal != CURLE_OK || implementation->multi == nullptr) {
+  if (global_code != CURLE_OK || implementation->multi == nullptr) {
     return Fail(ResultCode::kUnavailable, "cannot set up the HTTP client");
   }
   curl_multi_setopt(implementation->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -47,7 +47,7 @@
   cell.Submit(1, "a", job);
   // Ends at different times keep starts of the step in commit all the time.
   cell.run_time = [](const graph::TaskKey& key, std::int64_t declared) {
-    return declared + 7 * key.index;
+    return declared + std::int64_t{7} * key.index;
   };
   cell.Run(6'000);
   cr_assert(cell.StateOf(1) == wire::GraphJobState::kCompleted);
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,209 @@
+// Translation between the platform's formats and the product's types.
+#include <criterion/criterion.h>
+
+#include "control_codec.h"
+#include "cranberryshunt/platform/settings.h"
+#include "cranberryshunt/targets/json_reader.h"
+#include "job_codec.h"
+#include "worker_caller.h"
+
+using namespace cranberryshunt;            // NOLINT
+using namespace cranberryshunt::platform;  // NOLINT
+
+namespace {
+
+constexpr char kSettings[] = R"(
+nodeName = "core-1"
+ip = "10.1.0.16"
+zone = "z1"
+region = "r1"
+portRange = [7720,7735]
+seeds = ["10.1.0.16:8166","10.2.0.33:8166"]
+bootstrap = true
+dataDir = "/data"
+advice = "10.200.1.9:8169"
+aNewField = [1, 2]
+[listen]
+control = "10.1.0.16:8166"
+[bounds]
+maxHoldMs = 6000
+graceS = 6
+)";
+
+constexpr char kTable[] = R"({"version":7,
+"routes":[{"name":"r1","host":"h","pathPrefix":"/a/","kind":"unsafe",
+"timeoutMs":3000,"targetLatencyMs":1200,"priority":1,"service":"s",
+"maxAttempts":4,"stretch":2.2,
+"advice":{"decideMs":520.0,"periodMs":7.4,"validMs":1500}}],
+"services":[{"name":"s","enforcesCapacity":false}],"limits":{}})";
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  const auto at = text.find(from);
+  cr_assert_neq(at, std::string::npos, "no %s", from.c_str());
+  return text.replace(at, from.size(), to);
+}
+
+http::HttpAnswer Answer(int status, std::string body) {
+  http::HttpAnswer answer;
+  answer.status = status;
+  answer.body = std::move(body);
+  return answer;
+}
+
+}  // namespace
+
+Test(settings, reads_what_the_platform_writes) {
+  const auto settings = ParseSettings(kSettings);
+  cr_assert(settings.has_value());
+  cr_expect(settings->OwnPeerAddress() == "10.1.0.16:7720");
+  cr_expect(settings->PeerAddresses()[1] == "10.2.0.33:7720");
+  cr_expect_eq(settings->max_worker_lease.count(), 6'000);
+  cr_expect(settings->bootstrap);
+}
+
+// Guards against stopping at the first of several mistakes.
+Test(settings, reports_all_mistakes_at_once) {
+  auto text = Replaced(kSettings, "\"core-1\"", "7");
+  text = Replaced(text, "[7720,7735]", "\"7720\"");
+  text = Replaced(text, "bootstrap = true", "bootstrap = 1");
+  const auto settings = ParseSettings(text);
+  cr_assert_not(settings.has_value());
+  for (const char* it : {"nodeName", "portRange", "bootstrap"}) {
+    cr_expect_neq(settings.error().message().find(it), std::string::npos, "%s",
+                  it);
+  }
+}
+
+Test(job_codec, reads_a_job_of_two_steps) {
+  const auto job = DecodeJob(
+      R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256},
+      {"count":2,"gang":true,"dependsOn":[0],"checkpointing":true,
+      "antiAffinity":3,"affinity":"r1-3","newField":1}]})");
+  cr_assert(job.has_value());
+  cr_expect_eq(job->occurrences, 1);
+  cr_expect_eq(job->steps[1].depends_on[0], 0);
+  cr_expect_eq(job->steps[1].max_per_worker, 3);
+  cr_expect(job->steps[1].data_rack == "r1-3");
+}
+
+// Guards against accepting what cannot be read in full.
+Test(job_codec, refuses_malformed_jobs_and_names_the_field) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"{", ""},
+      {"[]", ""},
+      {R"({"spec":"x"})", "steps"},
+      {R"({"steps":[]})", "steps"},
+      {R"({"steps":[{"count":-1}]})", "steps[0].count"},
+      {R"({"steps":[{"count":"4"}]})", "steps[0].count"},
+      {R"({"steps":[{"dependsOn":[0]}]})", "steps[0].dependsOn"},
+      {R"({"steps":[{"count":20000}],"repetitions":90000})", "steps"},
+  };
+  for (const auto& [body, field] : cases) {
+    const auto job = DecodeJob(body);
+    cr_assert_not(job.has_value(), "%s", body);
+    cr_expect(job.error().field() == field, "%s: %s", body,
+              job.error().field().c_str());
+  }
+}
+
+// Guards against telling a caller that a job was refused when it may be stored.
+Test(job_codec, separates_refused_from_unknown) {
+  const Error error(ResultCode::kNoLeader, "no leader");
+  cr_expect_eq(EncodeError(error, 0, false).status, 503);
+  cr_expect_eq(EncodeError(error, 0, true).status, 504);
+  const Error full(ResultCode::kQueueFull, "full");
+  cr_expect_eq(EncodeError(full, 1'500, false).status, 429);
+  cr_expect_eq(EncodeError(full, 1'500, false).retry_after_ms, 1'500);
+}
+
+Test(control_codec, reads_a_configuration) {
+  const auto table = DecodeTable(kTable);
+  cr_assert(table.has_value());
+  cr_expect_eq(table->version, 7);
+  cr_expect(table->document == kTable);
+  cr_expect(table->queues[0].needs_advice);
+  cr_expect_eq(table->queues[0].advice.ticket_valid_ms, 1'500);
+}
+
+// Guards against acknowledging an invalid configuration.
+Test(control_codec, refuses_invalid_configurations) {
+  const std::string good = kTable;
+  cr_expect_not(DecodeTable(good.substr(0, good.size() / 2)).has_value());
+  cr_expect_not(
+      DecodeTable(Replaced(good, "\"timeoutMs\":3000", "\"timeoutMs\":0"))
+          .has_value());
+  cr_expect_not(
+      DecodeTable(Replaced(good, "\"service\":\"s\"", "\"service\":\"t\""))
+          .has_value());
+  cr_expect_not(
+      DecodeTable(Replaced(good, "\"version\":7", "\"version\":\"7\""))
+          .has_value());
+  const auto begin = good.find("{\"name\":\"r1\"");
+  const auto route = good.substr(begin, good.find("}}]") + 2 - begin);
+  cr_expect_not(
+      DecodeTable(Replaced(good, route, route + "," + route)).has_value());
+}
+
+Test(control_codec, reads_a_worker_report) {
+  const std::string body =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
+      "slots":8,"state":"draining","coldLeftMs":0,"born":77,
+      "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],
+      "clockMs":482113,"remainingMs":900,"seq":4})";
+  const auto report = DecodeReport("i-1", body);
+  cr_assert(report.has_value());
+  cr_expect(report->worker.leaving);
+  cr_expect(report->worker.rack == "r1-3");
+  cr_expect_eq(report->worker.born_ms, 77);
+  cr_expect_not(DecodeReport("i-1", Replaced(body, "draining", "asleep")));
+  cr_expect_not(DecodeReport("i-1", Replaced(body, "\"seq\":4", "\"seq\":{}")));
+}
+
+// Guards against taking an answer for more than it says.
+Test(worker_codec, reads_answers_of_workers) {
+  cell::HoldOrder hold;
+  const auto lists = DecodeWorkerReply(hold, Answer(200,
+                                                    R"({"clockMs":9,"born":5,
+             "running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,300]],
+             "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"?",1]]})"));
+  cr_expect_eq(lists.answer, cell::WorkerAnswer::kDone);
+  cr_expect_eq(lists.running[0].usage, 300);
+  cr_expect_eq(lists.ended[0].number, 58);
+  cr_expect_eq(lists.unreadable_rows, 1);
+  cr_expect_eq(DecodeWorkerReply(hold, Answer(200, "{\"clockMs\":9")).answer,
+               cell::WorkerAnswer::kNoAnswer);
+  cell::StartOrder start;
+  const std::pair<const char*, cell::WorkerAnswer> reasons[] = {
+      {"fence", cell::WorkerAnswer::kFenced},
+      {"old", cell::WorkerAnswer::kStaleRun},
+      {"late", cell::WorkerAnswer::kTooLate},
+      {"room", cell::WorkerAnswer::kNoRoom},
+      {"ticket", cell::WorkerAnswer::kTicketRefused}};
+  for (const auto& [reason, expected] : reasons) {
+    const auto reply = DecodeWorkerReply(
+        start, Answer(409, std::string(R"({"clockMs":1,"reason":")") + reason +
+                               "\"}"));
+    cr_expect_eq(reply.answer, expected, "%s", reason);
+  }
+  http::HttpAnswer refused;
+  refused.sent = false;
+  cr_expect_eq(DecodeWorkerReply(start, refused).answer,
+               cell::WorkerAnswer::kNotSent);
+  cr_expect_eq(DecodeWorkerReply(start, http::HttpAnswer()).answer,
+               cell::WorkerAnswer::kNoAnswer);
+  cr_expect_eq(DecodeWorkerReply(start, Answer(500, "")).answer,
+               cell::WorkerAnswer::kNoAnswer);
+}
+
+// Guards against a name with a NUL character that ends early in logs and ids.
+Test(json_reader, refuses_nul_in_names) {
+  const auto object = targets::ParseObject("{\"team\":\"a\\u0000b\"}");
+  cr_assert(object.has_value());
+  targets::JsonReader reader(object->get());
+  (void)reader.RequiredString("team", 100);
+  const auto read = reader.Finish();
+  cr_assert_not(read.has_value());
+  cr_expect(read.error().field() == "team");
+}
