--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -127,11 +127,22 @@
   }
   StopLeftovers(batch);
   for (const auto it : jobs) {
+    LogIfEnded(it, batch.at_ms);
     board_.Refresh(it, now_ms_, wall_ms_);
   }
   plan_due_ = true;
 }
 
+void Leader::LogIfEnded(graph::JobId id, std::int64_t at_ms) const {
+  const auto* job = store_.FindJob(id);
+  if (job != nullptr && !job->active() && job->finished_ms() == at_ms) {
+    Log(LogLevel::kInfo, "jobs", "job ended",
+        {{"job", graph::FormatJobId(id)},
+         {"queue", job->queue().name},
+         {"state", wire::to_string(job->state())}});
+  }
+}
+
 // Stops what has no purpose any more after these results: the other members of
 // a gang that cannot end together, and everything of a job that failed.
 void Leader::StopLeftovers(const wire::GraphBatch& batch) {
@@ -248,7 +259,7 @@
   Log(LogLevel::kInfo, "runs", "run ended",
       {{"task", graph::FormatTask(finished.task)},
        {"run", finished.run},
-       {"how", static_cast<int>(finished.how)},
+       {"how", wire::to_string(finished.how)},
        {"worker", finished.worker},
        {"run_ms", finished.run_ms},
        {"current", current ? "yes" : "no"},
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -61,6 +61,7 @@
   void Propose(EngineOutput& out);
   void Take(BookOutput out);
   void OnFinished(const FinishedRun& finished, std::vector<FinishedRun>& kept);
+  void LogIfEnded(graph::JobId id, std::int64_t at_ms) const;
   void StopLeftovers(const wire::GraphBatch& batch);
   void ExpireJobs();
   void RemoveSilentWorkers();
