cell: Move the reading of workers' answers into a file of its own

Change: OnReply() and what it calls move to worker_replies.cc unchanged, with the constants that only they use.

--- /dev/null
+++ b/libraries/cell/src/worker_replies.cc
@@ -0,0 +1,236 @@
+// What the answers of workers tell the book.
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+#include "worker_book.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// Pauses between holds of a worker that does not answer.
+constexpr std::int64_t kHoldRetryMs = 300;
+constexpr std::int64_t kMaxHoldRetryMs = 2'000;
+// After an overloaded or unhealthy answer to a start.
+constexpr std::int64_t kAvoidMs = 1'500;
+
+}  // namespace
+
+void WorkerBook::OnReply(const SentOrder& sent,
+                         std::int64_t sent_ms,
+                         const WorkerReply& reply,
+                         std::int64_t now_ms,
+                         BookOutput& out) {
+  auto* slot = FindById(sent.worker.id);
+  if (slot == nullptr || slot->record.address != sent.worker.address) {
+    return;
+  }
+  fenced_ = fenced_ || reply.answer == WorkerAnswer::kFenced;
+  const bool other_life = reply.born_ms != 0 && slot->record.born_ms != 0 &&
+                          reply.born_ms != slot->record.born_ms;
+  const bool answered = reply.answer != WorkerAnswer::kNoAnswer &&
+                        reply.answer != WorkerAnswer::kNotSent;
+  if (answered && !other_life) {
+    slot->answered_ms = now_ms;
+    NoteClock(*slot, reply.clock_ms, now_ms);
+  }
+  if (reply.answer == WorkerAnswer::kOtherWorker) {
+    Log(LogLevel::kWarning, "workers", "another worker answers at the address",
+        {{"worker", slot->record.id}, {"address", slot->record.address}});
+    slot->synced = false;
+    FinishAll(*slot, "another worker answers at its address", out);
+  }
+  if (const auto* hold = std::get_if<HoldOrder>(&sent.order)) {
+    if (slot->hold_order == sent.id) {
+      slot->hold_order = 0;
+      if (!other_life) {
+        OnHoldReply(*slot, *hold, sent_ms, reply, now_ms, out);
+      } else {
+        // Its report as a new life is on its way.
+        slot->synced = false;
+        slot->next_hold_ms = now_ms + kHoldRetryMs;
+      }
+    }
+  } else if (const auto* start = std::get_if<StartOrder>(&sent.order)) {
+    OnStartReply(*slot, *start, reply, now_ms, out);
+  } else if (const auto* stop = std::get_if<StopOrder>(&sent.order)) {
+    OnStopReply(*slot, *stop, reply, now_ms);
+  }
+}
+
+void WorkerBook::OnHoldReply(WorkerSlot& slot,
+                             const HoldOrder& order,
+                             std::int64_t sent_ms,
+                             const WorkerReply& reply,
+                             std::int64_t now_ms,
+                             BookOutput& out) {
+  if (reply.answer != WorkerAnswer::kDone) {
+    if (slot.hold_failures == 0) {
+      Log(LogLevel::kWarning, "workers", "worker does not answer holds",
+          {{"worker", slot.record.id}, {"detail", reply.detail}});
+    }
+    ++slot.hold_failures;
+    slot.next_hold_ms =
+        now_ms + std::min(kHoldRetryMs * slot.hold_failures, kMaxHoldRetryMs);
+    return;
+  }
+  if (slot.hold_failures > 0) {
+    Log(LogLevel::kInfo, "workers", "worker answers holds again",
+        {{"worker", slot.record.id}});
+  }
+  slot.hold_failures = 0;
+  slot.next_hold_ms = now_ms;
+  if (!slot.synced) {
+    Log(LogLevel::kInfo, "workers", "worker is in step",
+        {{"worker", slot.record.id},
+         {"fence", order.fence},
+         {"running", reply.running.size()},
+         {"ended", reply.ended.size()}});
+    slot.synced = true;
+  }
+  ReadEnds(slot, reply, now_ms, out);
+  ReadRunning(slot, sent_ms, reply, now_ms, out);
+}
+
+void WorkerBook::ReadEnds(WorkerSlot& slot,
+                          const WorkerReply& reply,
+                          std::int64_t now_ms,
+                          BookOutput& out) {
+  std::int64_t last = slot.seen_end;
+  for (const auto& it : reply.ended) {
+    if (it.number <= slot.seen_end) {
+      continue;
+    }
+    last = std::max(last, it.number);
+    FinishedRun finished;
+    finished.task = it.task;
+    finished.run = it.run;
+    finished.how = it.how;
+    finished.checkpoint = it.checkpoint;
+    finished.worker = slot.number;
+    const auto run = slot.runs.find({it.task, it.run});
+    if (run != slot.runs.end()) {
+      if (run->second.measured) {
+        finished.run_ms = now_ms - run->second.started_ms;
+      }
+      EraseRun(slot, run);
+    }
+    out.finished.push_back(std::move(finished));
+  }
+  if (last > slot.seen_end) {
+    slot.seen_end = last;
+    slot.ends_in_commit = true;
+    out.ends.emplace_back(slot.number, last);
+  }
+}
+
+void WorkerBook::ReadRunning(WorkerSlot& slot,
+                             std::int64_t sent_ms,
+                             const WorkerReply& reply,
+                             std::int64_t now_ms,
+                             BookOutput& out) {
+  std::set<RunKey> listed;
+  for (const auto& row : reply.running) {
+    const RunKey key(row.task, row.run);
+    listed.insert(key);
+    const auto it = slot.runs.find(key);
+    if (it == slot.runs.end()) {
+      // Nothing of ours: it takes room until it is gone.
+      Log(LogLevel::kWarning, "workers", "worker runs what nobody asked for",
+          {{"worker", slot.record.id},
+           {"task", graph::FormatTask(row.task)},
+           {"run", row.run}});
+      Run run;
+      run.phase = RunPhase::kRunning;
+      run.settled_ms = now_ms;
+      run.demand = {slot.record.milli_cpus, slot.record.memory_mb,
+                    slot.record.accelerators};
+      run.started_ms = now_ms;
+      run.stop_wanted = true;
+      AddRun(slot, key, run);
+      continue;
+    }
+    auto& run = it->second;
+    if (!row.checkpoint.empty()) {
+      run.checkpoint = row.checkpoint;
+    }
+    if (run.phase == RunPhase::kSending || run.phase == RunPhase::kInherited) {
+      run.phase = RunPhase::kRunning;
+      run.settled_ms = now_ms;
+    }
+  }
+  if (reply.unreadable_rows > 0) {
+    return;
+  }
+  auto it = slot.runs.begin();
+  while (it != slot.runs.end()) {
+    const auto next = std::next(it);
+    const auto& run = it->second;
+    const bool settled =
+        (run.phase == RunPhase::kRunning || run.phase == RunPhase::kBarred ||
+         run.phase == RunPhase::kInherited) &&
+        run.settled_ms <= sent_ms;
+    if (settled && !listed.contains(it->first)) {
+      Conclude(slot, it,
+               run.phase == RunPhase::kRunning ? wire::RunEnd::kLost
+                                               : wire::RunEnd::kNotStarted,
+               "worker does not list it", now_ms, out);
+    }
+    it = next;
+  }
+}
+
+void WorkerBook::OnStartReply(WorkerSlot& slot,
+                              const StartOrder& order,
+                              const WorkerReply& reply,
+                              std::int64_t now_ms,
+                              BookOutput& out) {
+  const auto it = slot.runs.find({order.task, order.run});
+  if (it == slot.runs.end() || it->second.phase != RunPhase::kSending) {
+    return;
+  }
+  switch (reply.answer) {
+    case WorkerAnswer::kDone:
+      it->second.phase = RunPhase::kRunning;
+      it->second.settled_ms = now_ms;
+      return;
+    case WorkerAnswer::kNoAnswer:
+      Log(LogLevel::kWarning, "workers", "start was not answered",
+          {{"task", graph::FormatTask(order.task)},
+           {"run", order.run},
+           {"worker", slot.record.id},
+           {"detail", reply.detail}});
+      it->second.phase = RunPhase::kUncertain;
+      return;
+    case WorkerAnswer::kOverloaded:
+    case WorkerAnswer::kNotSent:
+    case WorkerAnswer::kNoRoom:
+      slot.avoid_until_ms = now_ms + kAvoidMs;
+      break;
+    default:
+      break;
+  }
+  Conclude(slot, it, wire::RunEnd::kNotStarted,
+           "worker refused the start: " + reply.detail, now_ms, out);
+}
+
+void WorkerBook::OnStopReply(WorkerSlot& slot,
+                             const StopOrder& order,
+                             const WorkerReply& reply,
+                             std::int64_t now_ms) {
+  const auto it = slot.runs.find({order.task, order.run});
+  if (it == slot.runs.end()) {
+    return;
+  }
+  it->second.stop_order = 0;
+  if (reply.answer == WorkerAnswer::kDone) {
+    it->second.phase = RunPhase::kBarred;
+    it->second.settled_ms = now_ms;
+    // The next list settles it.
+    it->second.stop_wanted = false;
+  }
+}
+
+}  // namespace cranberryshunt::cell
