--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -2,6 +2,8 @@
 #ifndef CRANBERRYSHUNT_TESTS_ENTRY_ENTRY_FIXTURE_H_
 #define CRANBERRYSHUNT_TESTS_ENTRY_ENTRY_FIXTURE_H_
 
+#include <unistd.h>
+
 #include <curl/curl.h>
 
 #include <memory>
@@ -79,9 +81,14 @@
     options.operator_token = "operator";
     options.entry_count = 1;
     options.drain_grace = std::chrono::milliseconds(100);
-    // Tests run at the same time, so a port that is taken is skipped.
-    for (int port = 22000; !server && port < 22400; ++port) {
-      const std::string address = "127.0.0.1:" + std::to_string(port);
+    // Tests run at the same time, each in a process. A port that is taken is
+    // skipped, and each process begins at another one, so that the port of an
+    // entry that was stopped is not taken by the next test at once.
+    constexpr int kPorts = 400;
+    const int first = getpid() % kPorts;
+    for (int i = 0; !server && i < kPorts; ++i) {
+      const std::string address =
+          "127.0.0.1:" + std::to_string(22000 + (first + i) % kPorts);
       auto started = wire::ControllerServer::Start(
           address, "secret", controller, [](const std::string&) {});
       if (started) {
@@ -89,8 +96,9 @@
         options.controllers = {address};
       }
     }
-    for (int port = 23000; !entry && port < 23400; ++port) {
-      options.listen_address = "127.0.0.1:" + std::to_string(port);
+    for (int i = 0; !entry && i < kPorts; ++i) {
+      options.listen_address =
+          "127.0.0.1:" + std::to_string(23000 + (first + i) % kPorts);
       if (auto started = Entry::Start(options)) {
         entry = std::move(*started);
       }
