cell: Hand out a question to each waiting host

Cause: the poll of a host was stored under its name after the call that holds the name had been moved away, so all polls went under the empty name and replaced each other. One host at a time asked the advice service, whatever the number of hosts; the others waited for their polls to time out. Found with a benchmark of the leader, in which batch jobs were never placed. Change: the name is copied first. Figures: advice_desk::hands_out_one_question_to_each_waiting_host failed before and passes now.

--- a/libraries/cell/src/advice_desk.cc
+++ b/libraries/cell/src/advice_desk.cc
@@ -39,7 +39,8 @@
 }
 
 void AdviceDesk::OnPoll(AdviceCall call, std::int64_t now_ms) {
-  const auto& caller = call.poll.caller;
+  // A copy: the call is moved away below.
+  const std::string caller = call.poll.caller;
   seen_ms_[caller] = now_ms;
   for (auto& it : call.poll.results) {
     auto node = assigned_.extract(it.id);
@@ -67,7 +68,7 @@
     old->second.call.reply({});
   }
   const auto until = now_ms + call.poll.wait_ms;
-  polls_[caller] = {std::move(call), until};
+  polls_.insert_or_assign(caller, OpenPoll{std::move(call), until});
 }
 
 void AdviceDesk::Fail(Question question) {
--- a/tests/cell/advice_desk_test.cc
+++ b/tests/cell/advice_desk_test.cc
@@ -85,3 +85,31 @@
   cr_assert_eq(answers.size(), 1);
   cr_expect_not(answers[0].answered);
 }
+
+// Load pattern: a backlog while all hosts wait for questions. Guards against
+// hosts whose polls replace each other, so that one question is asked at a
+// time.
+Test(advice_desk, hands_out_one_question_to_each_waiting_host) {
+  AdviceDesk desk(0);
+  constexpr int kHosts = 4;
+  std::vector<std::string> got(kHosts);
+  for (int n = 0; n < kHosts; ++n) {
+    AdviceCall call;
+    call.poll.caller = "host-" + std::to_string(n);
+    call.poll.wait_ms = 1'000;
+    call.reply = [&got, n](const wire::AdviceOrders& orders) {
+      for (const auto& it : orders.orders) {
+        got[static_cast<std::size_t>(n)] += it.step;
+      }
+    };
+    desk.OnPoll(std::move(call), 0);
+  }
+  for (policy::StepId n = 1; n <= kHosts; ++n) {
+    desk.Ask(MakeQuestion(n, true, 1'000 + n));
+  }
+  desk.Advance(1);
+  for (const auto& it : got) {
+    cr_expect_eq(it.size(), 1, "a host got \"%s\"", it.c_str());
+  }
+  cr_expect_eq(desk.waiting(), 0);
+}
