cell, policy: Plan only what changed

Cause: each turn of the decision thread looked at every run of every worker for stops that are due, and each plan copied all workers and their runs and tried all waiting steps on all workers. With 350 workers the leader spent its processor time on that even while nothing ran. Change: the worker book keeps a list of runs that need a stop and of workers that changed; the planner takes over only these and looks at a step when it or a worker that it may use changed, and at all steps every 50 ms. The room that a gang holds is kept between rounds. Ends of running tasks are kept in order of time. Due dates of repeated jobs are kept once.

--- a/libraries/cell/src/job_board.cc
+++ b/libraries/cell/src/job_board.cc
@@ -59,7 +59,7 @@
   }
   for (std::int32_t k = 0; k < job->occurrences(); ++k) {
     if (job->active() && job->DueMs(k) > wall_ms) {
-      due_.emplace(job->DueMs(k), id);
+      due_.insert({job->DueMs(k), id});
       break;
     }
     for (std::int32_t n = 0; n < job->step_count(); ++n) {
@@ -95,7 +95,7 @@
 void JobBoard::FillWaiting(const graph::Job& job,
                            const graph::StepKey& key,
                            policy::PlanStep& step) const {
-  step.waiting.clear();
+  const auto before = std::exchange(step.waiting, {});
   step.running.clear();
   const auto count = job.step(key.step).task_count;
   for (std::int32_t n = 0; n < count; ++n) {
@@ -121,6 +121,7 @@
   if (step.gang && static_cast<std::int32_t>(step.waiting.size()) < count) {
     step.waiting.clear();
   }
+  step.changed = step.changed || step.waiting != before;
 }
 
 policy::PlanStep& JobBoard::Add(const graph::Job& job,
--- a/libraries/cell/src/job_board.h
+++ b/libraries/cell/src/job_board.h
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "cranberryshunt/graph/graph_store.h"
@@ -62,7 +64,7 @@
   std::map<policy::StepId, graph::StepKey> keys_;
   std::map<graph::JobId, std::int64_t> accepted_ms_;
   std::map<graph::TaskKey, graph::WorkerNumber> reserved_;
-  std::multimap<std::int64_t, graph::JobId> due_;
+  std::set<std::pair<std::int64_t, graph::JobId>> due_;
   std::vector<policy::StepId> dropped_;
   policy::StepId next_id_ = 1;
 };
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -277,6 +277,7 @@
   } else if (finished.how == wire::RunEnd::kFailed) {
     if (auto* step = board_.Find(finished.task.step_key()); step != nullptr) {
       step->avoided.insert(finished.worker);
+      step->changed = true;
     }
     if (health_.Failed(finished.worker, now_ms_)) {
       Log(LogLevel::kWarning, "workers", "worker is quarantined",
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -79,6 +79,8 @@
   // leader_planning.cc
   void Plan();
   void UpdatePlanWorkers();
+  void RefreshPlanWorker(graph::WorkerNumber number);
+  bool IsUsable(const WorkerSlot& slot) const;
   void BeginStart(const policy::PlannedStart& start,
                   std::map<policy::StepId, std::int32_t>& gang_runs);
   void SendStart(const graph::TaskKey& task,
@@ -115,6 +117,7 @@
   bool plan_due_ = true;
   std::int64_t planned_ms_ = 0;
   std::int64_t maintained_ms_ = 0;
+  std::int64_t usability_checked_ms_ = 0;
 
   // Calls that wait for a commit, by job.
   std::map<graph::JobId, std::vector<GraphCall>> submitting_;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -10,37 +10,66 @@
 
 // The way of an answer from the advice service to its caller.
 constexpr std::int64_t kTicketAgeMs = 30;
+// Silence and quarantines make a worker unusable without an event.
+constexpr std::int64_t kUsabilityCheckMs = 50;
 
 }  // namespace
 
+// Takes over what changed on the workers. Whether a worker is usable also
+// changes with time alone, so that is looked at in regular intervals.
 void Leader::UpdatePlanWorkers() {
-  auto& workers = planner_.workers();
-  for (auto it = workers.begin(); it != workers.end();) {
-    it = book_.Find(it->first) == nullptr ? workers.erase(it) : std::next(it);
+  for (const auto number : book_.TakeTouched()) {
+    RefreshPlanWorker(number);
   }
+  if (now_ms_ - usability_checked_ms_ < kUsabilityCheckMs) {
+    return;
+  }
+  usability_checked_ms_ = now_ms_;
   for (const auto& [number, slot] : book_.slots()) {
-    auto& worker = workers[number];
-    if (worker.number == 0) {
-      worker.number = number;
-      worker.service_name = slot.record.service_name;
-      worker.rack = slot.record.rack;
-      worker.labels = slot.record.labels;
-    }
-    worker.capacity = {slot.record.milli_cpus, slot.record.memory_mb,
-                       slot.record.accelerators};
-    worker.usable = book_.IsUsable(slot, now_ms_) &&
-                    !health_.IsQuarantined(number, now_ms_);
-    worker.probing = health_.IsProbing(number);
-    worker.used = {};
-    worker.ends.clear();
-    for (const auto& [key, run] : slot.runs) {
-      worker.used += run.demand;
-      const auto started = run.started_ms > 0 ? run.started_ms : now_ms_;
-      worker.ends.push_back({started + run.expected_run_ms, run.demand});
+    auto& worker = planner_.workers()[number];
+    if (worker.usable != IsUsable(slot) ||
+        worker.probing != health_.IsProbing(number)) {
+      RefreshPlanWorker(number);
     }
   }
 }
 
+bool Leader::IsUsable(const WorkerSlot& slot) const {
+  return book_.IsUsable(slot, now_ms_) &&
+         !health_.IsQuarantined(slot.number, now_ms_);
+}
+
+void Leader::RefreshPlanWorker(graph::WorkerNumber number) {
+  planner_.Touch(number);
+  const auto* slot = book_.Find(number);
+  if (slot == nullptr) {
+    planner_.workers().erase(number);
+    return;
+  }
+  policy::PlanWorker worker;
+  worker.number = number;
+  worker.service_name = slot->record.service_name;
+  worker.rack = slot->record.rack;
+  worker.labels = slot->record.labels;
+  worker.capacity = {slot->record.milli_cpus, slot->record.memory_mb,
+                     slot->record.accelerators};
+  worker.usable = IsUsable(*slot);
+  worker.probing = health_.IsProbing(number);
+  worker.ends.reserve(slot->runs.size());
+  for (const auto& [key, run] : slot->runs) {
+    worker.used += run.demand;
+    const auto started = run.started_ms > 0 ? run.started_ms : now_ms_;
+    worker.AddEnd({started + run.expected_run_ms, run.demand});
+    const auto length =
+        static_cast<double>(std::max<std::int64_t>(1, run.expected_run_ms));
+    worker.milli_cpus_per_ms +=
+        static_cast<double>(run.demand.milli_cpus) / length;
+    worker.memory_mb_per_ms +=
+        static_cast<double>(run.demand.memory_mb) / length;
+  }
+  planner_.workers()[number] = std::move(worker);
+}
+
 void Leader::Plan() {
   planned_ms_ = now_ms_;
   plan_due_ = false;
@@ -160,6 +189,7 @@
     auto& step = planner_.steps().at(it.question.step);
     auto& advice = step.advice;
     advice.asking = false;
+    step.changed = true;
     if (!it.answered) {
       Log(LogLevel::kWarning, "advice", "question was not answered",
           {{"step", it.question.step_name}});
@@ -191,14 +221,8 @@
       load.cpus.free += static_cast<double>(room.milli_cpus);
       load.memory.free += static_cast<double>(room.memory_mb);
     }
-  }
-  for (const auto& [number, slot] : book_.slots()) {
-    for (const auto& [key, run] : slot.runs) {
-      load.cpus.AddRunning(static_cast<double>(run.demand.milli_cpus),
-                           run.expected_run_ms);
-      load.memory.AddRunning(static_cast<double>(run.demand.memory_mb),
-                             run.expected_run_ms);
-    }
+    load.cpus.released_per_ms += worker.milli_cpus_per_ms;
+    load.memory.released_per_ms += worker.memory_mb_per_ms;
   }
   for (const auto& [id, step] : planner_.steps()) {
     const auto tasks = static_cast<double>(step.waiting.size());
--- a/libraries/cell/src/worker_book.cc
+++ b/libraries/cell/src/worker_book.cc
@@ -21,6 +21,9 @@
 constexpr std::int64_t kStopRetryMs = 700;
 // Without an answer for this long a worker gets no starts.
 constexpr std::int64_t kSilenceMs = 2'600;
+// Workers are looked at for due holds and lost leases this often. Each turn of
+// the decision thread would cost a large cell most of its processor time.
+constexpr std::int64_t kAdvanceIntervalMs = 2;
 // Order ids hold the fence above these bits.
 constexpr int kOrderBits = 32;
 
@@ -30,7 +33,8 @@
     : options_(options),
       began_ms_(now_ms),
       // Unique over all terms, so that a late answer meets no other order.
-      next_order_((static_cast<OrderId>(options.fence) << kOrderBits) + 1) {}
+      next_order_((static_cast<OrderId>(options.fence) << kOrderBits) + 1),
+      advanced_ms_(now_ms - kAdvanceIntervalMs) {}
 
 const WorkerSlot* WorkerBook::Find(WorkerNumber number) const {
   const auto it = slots_.find(number);
@@ -43,13 +47,24 @@
 }
 
 void WorkerBook::AddRun(WorkerSlot& slot, const RunKey& key, Run run) {
+  touched_.insert(slot.number);
+  if (run.stop_wanted || run.phase == RunPhase::kUncertain) {
+    stops_.insert({slot.number, key});
+  }
   slot.runs[key] = std::move(run);
   by_job_[key.first.job].insert({slot.number, key});
 }
 
+void WorkerBook::WantStop(WorkerSlot& slot, const RunKey& key, Run& run) {
+  run.stop_wanted = true;
+  stops_.insert({slot.number, key});
+}
+
 std::map<RunKey, Run>::iterator WorkerBook::EraseRun(
     WorkerSlot& slot,
     std::map<RunKey, Run>::iterator it) {
+  touched_.insert(slot.number);
+  stops_.erase({slot.number, it->first});
   const auto job = by_job_.find(it->first.first.job);
   if (job != by_job_.end()) {
     job->second.erase({slot.number, it->first});
@@ -86,7 +101,7 @@
     const auto next = std::next(it);
     // What is not committed yet is ended when the commit is known.
     if (it->second.phase == RunPhase::kProposed) {
-      it->second.stop_wanted = true;
+      WantStop(slot, it->first, it->second);
     } else {
       Conclude(slot, it, wire::RunEnd::kLost, reason, 0, out);
     }
@@ -98,6 +113,7 @@
                           const wire::CalledWorker& record,
                           std::int64_t now_ms) {
   auto* old = FindById(record.id);
+  touched_.insert(number);
   if (old != nullptr && old->number == number) {
     old->record = record;
     return;
@@ -120,6 +136,7 @@
     auto runs = std::move(old->runs);
     for (auto& [key, run] : runs) {
       by_job_[key.first.job].erase({old->number, key});
+      stops_.erase({old->number, key});
       const bool may_arrive =
           run.phase == RunPhase::kSending || run.phase == RunPhase::kUncertain;
       if (run.phase != RunPhase::kProposed) {
@@ -329,7 +346,8 @@
   }
   for (const auto& [number, key] : places->second) {
     if (key.first == task && key.second != keep_run) {
-      slots_.at(number).runs.at(key).stop_wanted = true;
+      auto& slot = slots_.at(number);
+      WantStop(slot, key, slot.runs.at(key));
     }
   }
 }
@@ -340,7 +358,8 @@
     return;
   }
   for (const auto& [number, key] : places->second) {
-    slots_.at(number).runs.at(key).stop_wanted = true;
+    auto& slot = slots_.at(number);
+    WantStop(slot, key, slot.runs.at(key));
   }
 }
 
@@ -371,14 +390,21 @@
       Emit(slot, order, order.wait.count() + kAnswerTimeoutMs, out);
 }
 
-void WorkerBook::SendStops(WorkerSlot& slot,
-                           std::int64_t now_ms,
-                           BookOutput& out) {
-  for (auto& [key, run] : slot.runs) {
-    const bool wanted = run.phase == RunPhase::kUncertain ||
-                        (run.stop_wanted && run.phase != RunPhase::kProposed &&
-                         run.phase != RunPhase::kSending);
-    if (!wanted || run.stop_order != 0 ||
+void WorkerBook::SendStops(std::int64_t now_ms, BookOutput& out) {
+  auto it = stops_.begin();
+  while (it != stops_.end()) {
+    const auto current = it++;
+    const auto& [number, key] = *current;
+    auto& slot = slots_.at(number);
+    auto& run = slot.runs.at(key);
+    if (run.phase != RunPhase::kUncertain && !run.stop_wanted) {
+      stops_.erase(current);
+      continue;
+    }
+    const bool in_time =
+        run.phase == RunPhase::kUncertain ||
+        (run.phase != RunPhase::kProposed && run.phase != RunPhase::kSending);
+    if (!in_time || run.stop_order != 0 ||
         now_ms < run.stop_sent_ms + kStopRetryMs) {
       continue;
     }
@@ -390,14 +416,19 @@
 }
 
 void WorkerBook::Advance(std::int64_t now_ms, BookOutput& out) {
+  SendStops(now_ms, out);
+  if (now_ms < advanced_ms_ + kAdvanceIntervalMs) {
+    return;
+  }
+  advanced_ms_ = now_ms;
   for (auto& [number, slot] : slots_) {
     if (slot.hold_order == 0 && !slot.ends_in_commit &&
         now_ms >= slot.next_hold_ms) {
       SendHold(slot, now_ms, out);
     }
-    SendStops(slot, now_ms, out);
     if (!slot.lapsed && now_ms > LeaseEnd(slot)) {
       slot.lapsed = true;
+      touched_.insert(number);
       Log(LogLevel::kWarning, "workers", "every lease of a worker ran out",
           {{"worker", slot.record.id},
            {"silent_ms", now_ms - slot.answered_ms},
--- a/libraries/cell/src/worker_book.h
+++ b/libraries/cell/src/worker_book.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cranberryshunt/cell/worker_driver.h"
@@ -100,6 +101,8 @@
   void Advance(std::int64_t now_ms, BookOutput& out);
 
   const std::map<WorkerNumber, WorkerSlot>& slots() const { return slots_; }
+  // Workers whose runs, record or contact changed since the last call.
+  std::set<WorkerNumber> TakeTouched() { return std::exchange(touched_, {}); }
   const WorkerSlot* Find(WorkerNumber number) const;
   // Whether starts may be sent to the worker now.
   bool IsUsable(const WorkerSlot& slot, std::int64_t now_ms) const;
@@ -109,6 +112,7 @@
 
  private:
   void AddRun(WorkerSlot& slot, const RunKey& key, Run run);
+  void WantStop(WorkerSlot& slot, const RunKey& key, Run& run);
   std::map<RunKey, Run>::iterator EraseRun(WorkerSlot& slot,
                                            std::map<RunKey, Run>::iterator it);
   void FinishAll(WorkerSlot& slot, const std::string& reason, BookOutput& out);
@@ -126,7 +130,7 @@
   std::int64_t LeaseEnd(const WorkerSlot& slot) const;
 
   void SendHold(WorkerSlot& slot, std::int64_t now_ms, BookOutput& out);
-  void SendStops(WorkerSlot& slot, std::int64_t now_ms, BookOutput& out);
+  void SendStops(std::int64_t now_ms, BookOutput& out);
   OrderId Emit(WorkerSlot& slot,
                WorkerOrder order,
                std::int64_t timeout_ms,
@@ -164,7 +168,11 @@
   std::map<std::string, WorkerNumber> numbers_by_id_;
   // Where the runs of each job are: worker, task and run.
   std::map<graph::JobId, std::set<std::pair<WorkerNumber, RunKey>>> by_job_;
+  // Runs that may need a stop; others are never looked at for it.
+  std::set<std::pair<WorkerNumber, RunKey>> stops_;
+  std::set<WorkerNumber> touched_;
   OrderId next_order_;
+  std::int64_t advanced_ms_;
   bool fenced_ = false;
 };
 
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -27,6 +27,7 @@
   if (slot == nullptr || slot->record.address != sent.worker.address) {
     return;
   }
+  touched_.insert(slot->number);
   fenced_ = fenced_ || reply.answer == WorkerAnswer::kFenced;
   const bool other_life = reply.born_ms != 0 && slot->record.born_ms != 0 &&
                           reply.born_ms != slot->record.born_ms;
@@ -203,6 +204,7 @@
            {"worker", slot.record.id},
            {"detail", reply.detail}});
       it->second.phase = RunPhase::kUncertain;
+      stops_.insert({slot.number, it->first});
       return;
     case WorkerAnswer::kOverloaded:
     case WorkerAnswer::kNotSent:
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -49,9 +49,17 @@
   bool usable = false;
   // Suspected of failing what it starts: gets one task at a time as a probe.
   bool probing = false;
-  std::vector<ExpectedEnd> ends;
+  std::vector<ExpectedEnd> ends;  // In order of time.
+  // What its tasks give back in a millisecond, on average.
+  double milli_cpus_per_ms = 0;
+  double memory_mb_per_ms = 0;
+  // Kept for gangs that wait, in this round; later steps do not use it.
+  Demand held;
 
   Demand Room() const { return capacity - used; }
+  Demand FreeRoom() const { return Room() - held; }
+  // Adds an end in order of time.
+  void AddEnd(const ExpectedEnd& end);
 };
 
 struct Ticket {
@@ -75,6 +83,14 @@
 
 using StepId = std::int64_t;
 
+// Room that a gang keeps on one worker until it can start.
+struct HeldRoom {
+  std::int64_t worker = 0;
+  Demand demand;
+
+  bool operator==(const HeldRoom&) const = default;
+};
+
 // A step with tasks that wait for a start.
 struct PlanStep {
   StepId id = 0;
@@ -98,6 +114,10 @@
   // Workers on which a task of the step failed; avoided while there are others.
   std::set<std::int64_t> avoided;
   StepAdvice advice;
+  // Set by whoever changes any of the above. Steps that did not change are
+  // looked at again only when a worker of theirs did, and in full rounds.
+  bool changed = true;
+  std::vector<HeldRoom> held;  // Of a gang; kept by the planner.
 };
 
 struct PlannedStart {
@@ -130,6 +150,9 @@
   std::int64_t ticket_margin_ms = 150;
   // Questions that may be open at a time; callers are few.
   std::size_t max_questions = 64;
+  // All steps are looked at this often, because tickets, holds and quarantines
+  // run out without an event.
+  std::int64_t full_round_ms = 50;
 };
 
 class GraphPlanner {
@@ -141,6 +164,8 @@
   const std::map<std::int64_t, PlanWorker>& workers() const { return workers_; }
   const std::map<StepId, PlanStep>& steps() const { return steps_; }
 
+  // A worker was added or changed since the last decision.
+  void Touch(std::int64_t worker) { touched_.insert(worker); }
   // Plans starts and questions for now. Starts are reserved on the workers and
   // removed from the waiting tasks.
   Plan Decide(std::int64_t now_ms);
@@ -150,13 +175,18 @@
   using Candidates = std::vector<PlanWorker*>;
 
   std::vector<PlanStep*> InOrder(std::int64_t now_ms);
-  Candidates Eligible(const PlanStep& step);
+  // Whether the worker may run tasks of the step, room and advice aside.
+  static bool IsEligible(const PlanStep& step, const PlanWorker& worker);
+  bool IsConcerned(const PlanStep& step) const;
+  // Workers that advice allows; with `touched_only`, of those that changed.
+  Candidates Allowed(const PlanStep& step, bool touched_only);
   void PlaceStep(PlanStep& step, Round& round);
   void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
   void PlaceSingles(PlanStep& step, const Candidates& workers, Round& round);
-  void HoldRoom(PlanStep& step, const Candidates& workers, Round& round);
+  void ChooseHeldRoom(PlanStep& step, const Candidates& workers, Round& round);
+  void HoldRoom(const PlanStep& step);
   void Start(PlanStep& step, PlanWorker& worker, Round& round);
-  void AskNew(PlanStep& step, const Candidates& workers, Round& round);
+  void AskNew(PlanStep& step, Round& round);
   void AskAgain(PlanStep& step,
                 const std::vector<std::int64_t>& workers,
                 Round& round);
@@ -164,6 +194,10 @@
   const PlannerOptions options_;
   std::map<std::int64_t, PlanWorker> workers_;
   std::map<StepId, PlanStep> steps_;
+  std::set<std::int64_t> touched_;
+  std::int64_t full_round_at_ms_ = 0;
+  // Usable workers of each service, as of the last full round.
+  std::map<std::string, std::size_t> usable_;
 };
 
 }  // namespace cranberryshunt::policy
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
+#include <tuple>
 #include <utility>
 
 namespace cranberryshunt::policy {
@@ -88,30 +90,38 @@
          (running == step.running.end() ? 0 : running->second);
 }
 
-// Room of `worker` at `at_ms` if everything ends as expected.
-Demand RoomAt(const PlanWorker& worker, std::int64_t at_ms) {
+// When the worker is expected to have room for `fit` tasks of this size.
+std::optional<std::int64_t> ReadyAt(const PlanWorker& worker,
+                                    const Demand& task,
+                                    std::int64_t fit,
+                                    std::int64_t now_ms) {
   Demand room = worker.Room();
+  if (FitCount(task, room, fit) >= fit) {
+    return now_ms;
+  }
   for (const auto& it : worker.ends) {
-    if (it.at_ms <= at_ms) {
-      room += it.demand;
+    room += it.demand;
+    if (FitCount(task, room, fit) >= fit) {
+      return std::max(it.at_ms, now_ms);
     }
   }
-  return room;
+  return std::nullopt;
 }
 
 }  // namespace
 
+void PlanWorker::AddEnd(const ExpectedEnd& end) {
+  const auto after = std::upper_bound(
+      ends.begin(), ends.end(), end,
+      [](const auto& a, const auto& b) { return a.at_ms < b.at_ms; });
+  ends.insert(after, end);
+}
+
 // State of one call of Decide().
 struct GraphPlanner::Round {
   std::int64_t now_ms = 0;
+  bool full = false;
   Plan plan;
-  // Room kept for gangs that wait, by worker; later steps do not use it.
-  std::map<std::int64_t, Demand> held;
-
-  Demand FreeFor(const PlanWorker& worker) const {
-    const auto it = held.find(worker.number);
-    return it == held.end() ? worker.Room() : worker.Room() - it->second;
-  }
 };
 
 GraphPlanner::GraphPlanner(PlannerOptions options) : options_(options) {}
@@ -137,18 +147,47 @@
   return order;
 }
 
-GraphPlanner::Candidates GraphPlanner::Eligible(const PlanStep& step) {
+bool GraphPlanner::IsEligible(const PlanStep& step, const PlanWorker& worker) {
+  const bool probe_busy =
+      worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
+  return worker.usable && !probe_busy &&
+         worker.service_name == step.service_name &&
+         HasLabel(worker, step.required_label) &&
+         step.demand.FitsIn(worker.capacity);
+}
+
+bool GraphPlanner::IsConcerned(const PlanStep& step) const {
+  return std::any_of(touched_.begin(), touched_.end(),
+                     [&](auto it) { return step.advice.Allows(it); });
+}
+
+GraphPlanner::Candidates GraphPlanner::Allowed(const PlanStep& step,
+                                               bool touched_only) {
   Candidates out;
-  for (auto& [number, worker] : workers_) {
-    const bool probe_busy =
-        worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
-    if (worker.usable && !probe_busy &&
-        worker.service_name == step.service_name &&
-        HasLabel(worker, step.required_label) &&
-        step.demand.FitsIn(worker.capacity)) {
-      out.push_back(&worker);
+  const auto add = [&](std::int64_t number) {
+    const auto it = workers_.find(number);
+    if (it != workers_.end() && IsEligible(step, it->second)) {
+      out.push_back(&it->second);
+    }
+  };
+  if (touched_only) {
+    for (const auto number : touched_) {
+      if (step.advice.Allows(number)) {
+        add(number);
+      }
+    }
+  } else if (step.advice.needed) {
+    for (const auto& [number, ticket] : step.advice.allowed) {
+      add(number);
+    }
+  } else {
+    for (const auto& [number, worker] : workers_) {
+      add(number);
     }
   }
+  if (step.avoided.empty()) {
+    return out;
+  }
   // A task that failed on a worker goes elsewhere if it can.
   Candidates preferred;
   for (auto* it : out) {
@@ -156,39 +195,58 @@
       preferred.push_back(it);
     }
   }
-  return preferred.empty() ? out : preferred;
+  return preferred.empty() && !touched_only ? out : preferred;
 }
 
 Plan GraphPlanner::Decide(std::int64_t now_ms) {
   Round round;
   round.now_ms = now_ms;
+  round.full = now_ms - full_round_at_ms_ >= options_.full_round_ms;
+  if (round.full) {
+    full_round_at_ms_ = now_ms;
+    usable_.clear();
+  }
+  for (auto& [number, worker] : workers_) {
+    worker.held = {};
+    if (round.full && worker.usable) {
+      ++usable_[worker.service_name];
+    }
+  }
   for (auto* step : InOrder(now_ms)) {
     PlaceStep(*step, round);
   }
+  touched_.clear();
   return std::move(round.plan);
 }
 
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
-  const auto eligible = Eligible(step);
-  Candidates allowed;
-  for (auto* it : eligible) {
-    if (step.advice.Allows(it->number)) {
-      allowed.push_back(it);
-    }
+  const bool whole = round.full || step.changed;
+  if (!whole && !IsConcerned(step)) {
+    HoldRoom(step);
+    return;
   }
+  step.changed = false;
   if (step.gang) {
+    const auto allowed = Allowed(step, false);
     PlaceGang(step, allowed, round);
+    if (step.waiting.empty()) {
+      step.held.clear();
+    } else if (whole) {
+      ChooseHeldRoom(step, allowed, round);
+    }
+    HoldRoom(step);
   } else {
-    PlaceSingles(step, allowed, round);
+    PlaceSingles(step, Allowed(step, !whole), round);
   }
-  if (step.advice.needed && !step.advice.asking && !step.waiting.empty()) {
-    AskNew(step, eligible, round);
+  if (whole && step.advice.needed && !step.advice.asking &&
+      !step.waiting.empty()) {
+    AskNew(step, round);
   }
 }
 
 void GraphPlanner::Start(PlanStep& step, PlanWorker& worker, Round& round) {
   worker.used += step.demand;
-  worker.ends.push_back({round.now_ms + step.expected_run_ms, step.demand});
+  worker.AddEnd({round.now_ms + step.expected_run_ms, step.demand});
   ++step.running[worker.number];
   round.plan.starts.push_back({step.id, step.waiting.back(), worker.number});
   step.waiting.pop_back();
@@ -202,16 +260,14 @@
   while (!step.waiting.empty()) {
     PlanWorker* best = nullptr;
     std::pair<bool, double> best_key;
-    std::int64_t stale_room = 0;
     without_ticket.clear();
     for (auto* it : workers) {
-      if (!step.demand.FitsIn(round.FreeFor(*it)) ||
+      if (!step.demand.FitsIn(it->FreeRoom()) ||
           PerWorkerLimit(step, *it) <= 0) {
         continue;
       }
       if (!step.advice.HasTicket(it->number, until)) {
         without_ticket.push_back(it->number);
-        ++stale_room;
         continue;
       }
       const bool far = !step.data_rack.empty() && it->rack != step.data_rack;
@@ -255,7 +311,7 @@
       if (!rack.empty() && it->rack != rack) {
         continue;
       }
-      const auto n = FitCount(step.demand, round.FreeFor(*it),
+      const auto n = FitCount(step.demand, it->FreeRoom(),
                               std::min(count, PerWorkerLimit(step, *it)));
       if (n <= 0) {
         continue;
@@ -274,8 +330,7 @@
         return LeftoverShare(*a, step.demand) < LeftoverShare(*b, step.demand);
       });
       for (auto* it : fitting) {
-        while (!step.waiting.empty() &&
-               step.demand.FitsIn(round.FreeFor(*it)) &&
+        while (!step.waiting.empty() && step.demand.FitsIn(it->FreeRoom()) &&
                PerWorkerLimit(step, *it) > 0) {
           Start(step, *it, round);
         }
@@ -287,40 +342,42 @@
       break;
     }
   }
-  HoldRoom(step, workers, round);
+}
+
+void GraphPlanner::HoldRoom(const PlanStep& step) {
+  for (const auto& it : step.held) {
+    const auto worker = workers_.find(it.worker);
+    if (worker != workers_.end()) {
+      worker->second.held += it.demand;
+    }
+  }
 }
 
 // Keeps the room that a gang will get first, so that smaller work does not take
 // it again and again: the allowed workers that can hold its tasks soonest.
-void GraphPlanner::HoldRoom(PlanStep& step,
-                            const Candidates& workers,
-                            Round& round) {
+void GraphPlanner::ChooseHeldRoom(PlanStep& step,
+                                  const Candidates& workers,
+                                  Round& round) {
   struct Option {
     PlanWorker* worker;
     std::int64_t ready_ms;
     std::int64_t fit;
   };
+  step.held.clear();
   const auto count = static_cast<std::int64_t>(step.waiting.size());
   std::vector<Option> options;
   for (auto* it : workers) {
-    if (round.held.contains(it->number)) {
+    // Held for an earlier gang.
+    if (it->held != Demand()) {
       continue;
     }
-    const auto limit = std::min(count, PerWorkerLimit(step, *it));
-    const auto fit = FitCount(step.demand, it->capacity, limit);
+    const auto fit = FitCount(step.demand, it->capacity,
+                              std::min(count, PerWorkerLimit(step, *it)));
     if (fit <= 0) {
       continue;
     }
-    std::vector<std::int64_t> times{round.now_ms};
-    for (const auto& end : it->ends) {
-      times.push_back(end.at_ms);
-    }
-    std::sort(times.begin(), times.end());
-    for (const auto at : times) {
-      if (FitCount(step.demand, RoomAt(*it, at), limit) >= fit) {
-        options.push_back({it, std::max(at, round.now_ms), fit});
-        break;
-      }
+    if (const auto at = ReadyAt(*it, step.demand, fit, round.now_ms)) {
+      options.push_back({it, *at, fit});
     }
   }
   std::sort(options.begin(), options.end(), [](const auto& a, const auto& b) {
@@ -340,10 +397,11 @@
   const auto until = round.now_ms + options_.ticket_margin_ms;
   std::int64_t ready = round.now_ms;
   for (std::size_t i = 0; i < used; ++i) {
-    auto& option = options[i];
-    Demand& held = round.held[option.worker->number];
+    const auto& option = options[i];
+    auto& held = step.held.emplace_back();
+    held.worker = option.worker->number;
     for (std::int64_t n = 0; n < option.fit; ++n) {
-      held += step.demand;
+      held.demand += step.demand;
     }
     ready = std::max(ready, option.ready_ms);
     if (!step.advice.HasTicket(option.worker->number, until)) {
@@ -362,22 +420,24 @@
 
 // Asks about workers that the service has not been asked about yet, the
 // emptiest first.
-void GraphPlanner::AskNew(PlanStep& step,
-                          const Candidates& workers,
-                          Round& round) {
+void GraphPlanner::AskNew(PlanStep& step, Round& round) {
+  // New workers are not worth a question of their own while few are unknown
+  // and the allowed ones suffice.
+  constexpr std::size_t kFew = 4;
+  const auto& known = step.advice.known;
+  const bool worth =
+      known.empty() || step.advice.allowed.empty() ||
+      usable_[step.service_name] * kFew > known.size() * (kFew + 1);
+  if (!worth || round.plan.questions.size() >= options_.max_questions) {
+    return;
+  }
   Candidates unknown;
-  for (auto* it : workers) {
-    if (!step.advice.known.contains(it->number)) {
-      unknown.push_back(it);
+  for (auto& [number, worker] : workers_) {
+    if (!known.contains(number) && IsEligible(step, worker)) {
+      unknown.push_back(&worker);
     }
   }
-  // New workers are not worth a question of their own while few are unknown
-  // and the allowed ones suffice.
-  const bool first = step.advice.known.empty();
-  const bool worth = first || unknown.size() * 4 > step.advice.known.size() ||
-                     step.advice.allowed.empty();
-  if (unknown.empty() || !worth ||
-      round.plan.questions.size() >= options_.max_questions) {
+  if (unknown.empty()) {
     return;
   }
   std::sort(unknown.begin(), unknown.end(), [&](auto* a, auto* b) {
