http: Wait for sockets with epoll in the client

Cause: the client's loop asked libcurl to collect the sockets of all open calls before each wait. The leader has a long poll open with each worker, so each short call paid for all of them. Change: libcurl reports changes of its sockets to an epoll set of the client. A socket stays in the set while its connection is idle, so that a call on a connection that stands needs no further system call for it.

--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -1,10 +1,17 @@
 #include "cranberryshunt/http/http_client.h"
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <future>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -15,8 +22,11 @@
 
 namespace {
 
-constexpr int kIdlePollMs = 1'000;
+constexpr int kIdleWaitMs = 1'000;
 constexpr std::size_t kMaxPooledHandles = 256;
+constexpr int kEventsPerWait = 64;
+
+using SteadyClock = std::chrono::steady_clock;
 
 struct Transfer {
   HttpCall call;
@@ -40,20 +50,49 @@
 
 }  // namespace
 
+// One event loop over all connections. The kernel reports only sockets with
+// news, so the cost of a call does not grow with the number of open ones.
 struct HttpClient::Implementation {
+  Implementation() = default;
   ~Implementation();
+  Implementation(const Implementation&) = delete;
+  Implementation& operator=(const Implementation&) = delete;
 
+  Result<void> SetUp();
+  void Wake() const;
   void Run();
+  void BeginQueued();
   void Begin(std::unique_ptr<Transfer> transfer);
+  void FinishDone();
   void Finish(CURL* handle, CURLcode code);
   CURL* TakeHandle();
+  void WaitForEvents();
+  void OnEvent(const epoll_event& event);
+  void Watch(int socket, std::uint32_t events);
+  int WaitMs() const;
+
+  // Callbacks of libcurl.
+  static int OnSocketChange(CURL* handle,
+                            curl_socket_t socket,
+                            int what,
+                            void* self,
+                            void* socket_data);
+  static int OnTimerChange(CURLM* multi, long timeout_ms, void* self);
+  static int OnCloseSocket(void* self, curl_socket_t socket);
 
   HttpClientOptions options;
   CURLM* multi = nullptr;
+  int epoll_fd = -1;
+  int wake_fd = -1;
   std::mutex mutex;
   std::vector<std::unique_ptr<Transfer>> queued;
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> open;
   std::vector<CURL*> pooled;
+  // Events that epoll reports for each socket. A socket stays registered while
+  // its connection is idle, so that the next call needs no system call for it.
+  std::unordered_map<int, std::uint32_t> registered;
+  std::unordered_map<int, std::uint32_t> wanted;  // By libcurl; absent: none.
+  std::optional<SteadyClock::time_point> timer;
   std::atomic<bool> stopping = false;
   std::thread thread;
 };
@@ -61,7 +100,7 @@
 HttpClient::Implementation::~Implementation() {
   stopping = true;
   if (thread.joinable()) {
-    curl_multi_wakeup(multi);
+    Wake();
     thread.join();
   }
   for (auto& [handle, transfer] : open) {
@@ -74,6 +113,99 @@
     curl_easy_cleanup(it);
   }
   curl_multi_cleanup(multi);
+  for (const int fd : {epoll_fd, wake_fd}) {
+    if (fd >= 0) {
+      close(fd);
+    }
+  }
+}
+
+Result<void> HttpClient::Implementation::SetUp() {
+  static const CURLcode global_code = curl_global_init(CURL_GLOBAL_DEFAULT);
+  multi = curl_multi_init();
+  epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+  wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = wake_fd;
+  if (global_code != CURLE_OK || multi == nullptr || epoll_fd < 0 ||
+      wake_fd < 0 || epoll_ctl(epoll_fd, EPOLL_CTL_ADD, wake_fd, &event) != 0) {
+    return Fail(ResultCode::kUnavailable, "cannot set up the HTTP client");
+  }
+  curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    options.max_connections_per_address);
+  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, options.max_idle_connections);
+  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &OnSocketChange);
+  curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &OnTimerChange);
+  curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+  thread = std::thread([this] { Run(); });
+  return {};
+}
+
+void HttpClient::Implementation::Wake() const {
+  const std::uint64_t one = 1;
+  if (write(wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN) {
+    Log(LogLevel::kError, "http", "cannot wake the HTTP client",
+        {{"errno", errno}});
+  }
+}
+
+int HttpClient::Implementation::OnSocketChange(CURL* /*handle*/,
+                                               curl_socket_t socket,
+                                               int what,
+                                               void* self,
+                                               void* /*socket_data*/) {
+  auto& client = *static_cast<Implementation*>(self);
+  if (what == CURL_POLL_REMOVE) {
+    client.wanted.erase(socket);
+    return 0;
+  }
+  const auto wants = static_cast<unsigned int>(what);
+  std::uint32_t events = 0;
+  if ((wants & static_cast<unsigned int>(CURL_POLL_IN)) != 0) {
+    events |= EPOLLIN;
+  }
+  if ((wants & static_cast<unsigned int>(CURL_POLL_OUT)) != 0) {
+    events |= EPOLLOUT;
+  }
+  client.wanted[socket] = events;
+  client.Watch(socket, events);
+  return 0;
+}
+
+void HttpClient::Implementation::Watch(int socket, std::uint32_t events) {
+  const auto [it, added] = registered.try_emplace(socket, events);
+  if (!added && it->second == events) {
+    return;
+  }
+  it->second = events;
+  epoll_event event{};
+  event.events = events;
+  event.data.fd = socket;
+  if (epoll_ctl(epoll_fd, added ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket,
+                &event) != 0) {
+    Log(LogLevel::kError, "http", "cannot watch a socket", {{"errno", errno}});
+  }
+}
+
+int HttpClient::Implementation::OnTimerChange(CURLM* /*multi*/,
+                                              long timeout_ms,
+                                              void* self) {
+  auto& client = *static_cast<Implementation*>(self);
+  client.timer.reset();
+  if (timeout_ms >= 0) {
+    client.timer = SteadyClock::now() + std::chrono::milliseconds(timeout_ms);
+  }
+  return 0;
+}
+
+int HttpClient::Implementation::OnCloseSocket(void* self,
+                                              curl_socket_t socket) {
+  auto& client = *static_cast<Implementation*>(self);
+  client.registered.erase(socket);
+  client.wanted.erase(socket);
+  return close(socket);
 }
 
 CURL* HttpClient::Implementation::TakeHandle() {
@@ -111,6 +243,8 @@
                    call.fresh_connection ? 1L : 0L);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
+  curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
   if (call.method == "POST") {
     curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(call.body.size()));
@@ -146,25 +280,78 @@
   transfer->callback(std::move(answer));
 }
 
-void HttpClient::Implementation::Run() {
-  while (!stopping) {
-    std::vector<std::unique_ptr<Transfer>> next;
-    {
-      std::lock_guard lock(mutex);
-      next.swap(queued);
+void HttpClient::Implementation::BeginQueued() {
+  std::vector<std::unique_ptr<Transfer>> next;
+  {
+    std::lock_guard lock(mutex);
+    next.swap(queued);
+  }
+  for (auto& it : next) {
+    Begin(std::move(it));
+  }
+}
+
+void HttpClient::Implementation::FinishDone() {
+  int left = 0;
+  while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      Finish(message->easy_handle, message->data.result);
     }
-    for (auto& it : next) {
-      Begin(std::move(it));
+  }
+}
+
+int HttpClient::Implementation::WaitMs() const {
+  if (!timer) {
+    return kIdleWaitMs;
+  }
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(*timer - SteadyClock::now());
+  return static_cast<int>(
+      std::clamp<std::int64_t>(left.count(), 0, kIdleWaitMs));
+}
+
+void HttpClient::Implementation::OnEvent(const epoll_event& event) {
+  const int socket = event.data.fd;
+  if (socket == wake_fd) {
+    std::uint64_t count = 0;
+    // Only resets the counter; the queue tells what there is to do.
+    (void)!read(wake_fd, &count, sizeof(count));
+    return;
+  }
+  if (!wanted.contains(socket)) {
+    // The peer closed an idle connection; libcurl notices when it next wants
+    // to use it.
+    if (registered.erase(socket) > 0) {
+      epoll_ctl(epoll_fd, EPOLL_CTL_DEL, socket, nullptr);
     }
+    return;
+  }
+  int ready = 0;
+  ready |= (event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+  ready |= (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+  ready |= (event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
+  int running = 0;
+  curl_multi_socket_action(multi, socket, ready, &running);
+}
+
+void HttpClient::Implementation::WaitForEvents() {
+  std::array<epoll_event, kEventsPerWait> events;
+  const int n = epoll_wait(epoll_fd, events.data(), kEventsPerWait, WaitMs());
+  for (int i = 0; i < n; ++i) {
+    OnEvent(events[static_cast<std::size_t>(i)]);
+  }
+  if (timer && *timer <= SteadyClock::now()) {
+    timer.reset();
     int running = 0;
-    curl_multi_perform(multi, &running);
-    int left = 0;
-    while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
-      if (message->msg == CURLMSG_DONE) {
-        Finish(message->easy_handle, message->data.result);
-      }
-    }
-    curl_multi_poll(multi, nullptr, 0, kIdlePollMs, nullptr);
+    curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  }
+}
+
+void HttpClient::Implementation::Run() {
+  while (!stopping) {
+    BeginQueued();
+    WaitForEvents();
+    FinishDone();
   }
 }
 
@@ -175,19 +362,11 @@
 
 Result<std::unique_ptr<HttpClient>> HttpClient::Create(
     const HttpClientOptions& options) {
-  static const CURLcode global_code = curl_global_init(CURL_GLOBAL_DEFAULT);
   auto implementation = std::make_unique<Implementation>();
   implementation->options = options;
-  implementation->multi = curl_multi_init();
-  if (global_code != CURLE_OK || implementation->multi == nullptr) {
-    return Fail(ResultCode::kUnavailable, "cannot set up the HTTP client");
+  if (auto ready = implementation->SetUp(); !ready) {
+    return tl::unexpected(ready.error());
   }
-  curl_multi_setopt(implementation->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                    options.max_connections_per_address);
-  curl_multi_setopt(implementation->multi, CURLMOPT_MAXCONNECTS,
-                    options.max_idle_connections);
-  implementation->thread =
-      std::thread([raw = implementation.get()] { raw->Run(); });
   return std::unique_ptr<HttpClient>(new HttpClient(std::move(implementation)));
 }
 
@@ -202,7 +381,7 @@
     implementation_->queued.push_back(std::move(transfer));
   }
   if (first) {
-    curl_multi_wakeup(implementation_->multi);
+    implementation_->Wake();
   }
 }
 
