--- a/libraries/consensus/src/replica_thread.cc
+++ b/libraries/consensus/src/replica_thread.cc
@@ -7,6 +7,7 @@
 
 #include "cranberryshunt/base/bytes.h"
 #include "cranberryshunt/base/log.h"
+#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::consensus {
 
@@ -114,6 +115,7 @@
 }
 
 void ReplicaThread::Run() {
+  const ThreadDuty duty("consensus");
   if (raft_->snapshot()) {
     observer_.OnSnapshot(raft_->snapshot()->index, raft_->snapshot()->data);
   }
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
+#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::http {
 
@@ -348,6 +349,7 @@
 }
 
 void HttpClient::Implementation::Run() {
+  const ThreadDuty duty("outgoing calls");
   while (!stopping) {
     BeginQueued();
     WaitForEvents();
