--- a/libraries/cell/src/advice_caller.cc
+++ b/libraries/cell/src/advice_caller.cc
@@ -4,7 +4,6 @@
 
 #include "ControllerService.h"
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/wire/controller_client.h"
 
 namespace cranberryshunt::cell {
@@ -49,7 +48,6 @@
 }
 
 void AdviceCaller::Run() {
-  const ThreadDuty duty("advice");
   std::vector<std::pair<wire::AdviceResult, TimePoint>> answers;
   while (!stopping_) {
     wire::AdviceOrders orders;
--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::cell {
 
@@ -84,7 +83,6 @@
 }
 
 void DecisionThread::Run() {
-  const ThreadDuty duty("decisions");
   std::vector<Event> events;
   for (;;) {
     const auto idle =
--- a/libraries/consensus/src/replica_thread.cc
+++ b/libraries/consensus/src/replica_thread.cc
@@ -7,7 +7,6 @@
 
 #include "cranberryshunt/base/bytes.h"
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::consensus {
 
@@ -115,7 +114,6 @@
 }
 
 void ReplicaThread::Run() {
-  const ThreadDuty duty("consensus");
   if (raft_->snapshot()) {
     observer_.OnSnapshot(raft_->snapshot()->index, raft_->snapshot()->data);
   }
--- a/libraries/consensus/src/thrift_peer_transport.cc
+++ b/libraries/consensus/src/thrift_peer_transport.cc
@@ -7,7 +7,6 @@
 #include "ControllerService.h"
 #include "cranberryshunt/base/bounded_ring.h"
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/wire/controller_client.h"
 
 namespace cranberryshunt::consensus {
@@ -58,7 +57,6 @@
 
  private:
   void Run() {
-    const ThreadDuty duty("replication");
     std::vector<wire::RaftMessage> waiting;
     while (ring_.PopMany(waiting, SIZE_MAX, kIdleWait)) {
       auto next = waiting.begin();
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -17,7 +17,6 @@
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::http {
 
@@ -349,7 +348,6 @@
 }
 
 void HttpClient::Implementation::Run() {
-  const ThreadDuty duty("outgoing calls");
   while (!stopping) {
     BeginQueued();
     WaitForEvents();
--- a/libraries/http/src/http_server.cc
+++ b/libraries/http/src/http_server.cc
@@ -16,7 +16,6 @@
 #include <string>
 
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::http {
 
@@ -252,8 +251,6 @@
                                                 MHD_Connection* connection) {
   ++static_cast<Implementation*>(self)->in_flight;
   current_connection = connection;
-  // Each connection has its own thread.
-  thread_local const ThreadDuty duty("incoming calls");
   return ulfius_uri_logger(nullptr, uri);
 }
 
--- a/libraries/wire/src/controller_server.cc
+++ b/libraries/wire/src/controller_server.cc
@@ -13,7 +13,6 @@
 
 #include "ControllerService.h"
 #include "cranberryshunt/base/bytes.h"
-#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/wire/authentication.h"
 
 namespace cranberryshunt::wire {
@@ -181,25 +180,10 @@
   ControllerServer::OnRefused on_refused_;
 };
 
-// Tells the starting thread that the socket listens, and counts the processor
-// time of connections.
+// Tells the starting thread that the socket listens.
 class ReadySignal final : public TServerEventHandler {
  public:
   void preServe() override { Set(true); }
-  // Both are called on the thread of the connection.
-  void* createContext(
-      std::shared_ptr<apache::thrift::protocol::TProtocol> /*input*/,
-      std::shared_ptr<apache::thrift::protocol::TProtocol> /*output*/)
-      override {
-    return new ThreadDuty("peer calls");
-  }
-  void deleteContext(
-      void* context,
-      std::shared_ptr<apache::thrift::protocol::TProtocol> /*input*/,
-      std::shared_ptr<apache::thrift::protocol::TProtocol> /*output*/)
-      override {
-    delete static_cast<ThreadDuty*>(context);
-  }
 
   void Set(bool listening) {
     std::lock_guard lock(mutex_);
--- a/services/cranberryshunt/platform_command.cc
+++ b/services/cranberryshunt/platform_command.cc
@@ -3,13 +3,9 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <functional>
-#include <map>
-#include <string>
 
 #include "commands.h"
-#include "cranberryshunt/base/clock.h"
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/platform/processes.h"
 #include "cranberryshunt/wire/transport_log.h"
 #include "signals.h"
@@ -68,36 +64,6 @@
   std::string last_error_;
 };
 
-// Says in regular intervals which duties took the processor time, so that a
-// slow process can be explained afterwards.
-class LoadReporter {
- public:
-  void Check() {
-    const auto now = BootClock::now();
-    const auto interval = now - reported_at_;
-    if (interval < kInterval) {
-      return;
-    }
-    reported_at_ = now;
-    std::string used;
-    auto times = ThreadTimes();
-    for (const auto& [duty, ms] : times) {
-      const auto before = last_.find(duty);
-      const auto spent = ms - (before == last_.end() ? 0 : before->second);
-      used += (used.empty() ? "" : ", ") + duty + " " + std::to_string(spent);
-    }
-    last_ = std::move(times);
-    Log(LogLevel::kInfo, "service", "processor time by duty",
-        {{"interval_ms", ToMilliseconds(interval)}, {"spent_ms", used}});
-  }
-
- private:
-  static constexpr std::chrono::seconds kInterval{10};
-
-  TimePoint reported_at_ = BootClock::now();
-  std::map<std::string, std::int64_t> last_;
-};
-
 int Serve(const PlatformState& state, StartFunction start) {
   mallopt(M_ARENA_MAX, kMaxMallocArenas);
   BlockTerminationSignals();
@@ -124,14 +90,10 @@
       {{"bootstrap", settings->bootstrap ? "yes" : "no"},
        {"seeds", settings->seeds.size()}});
   Reloader reloader(state.settings_path, *settings);
-  LoadReporter load;
   std::int64_t cut_off = 0;
   WaitAndShutDown(
       settings->stop_grace, [&] { cut_off = (*process)->Shutdown(); }, [] {},
-      [&](bool requested) {
-        reloader.Check(requested, **process);
-        load.Check();
-      });
+      [&](bool requested) { reloader.Check(requested, **process); });
   Log(LogLevel::kInfo, "service", "process stopped",
       {{"requests_interrupted", cut_off}});
   process->reset();
