--- /dev/null
+++ b/tests/support/platform/fleet.cc
@@ -0,0 +1,483 @@
+#include "support/platform/fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <optional>
+#include <utility>
+
+#include "support/json.h"
+#include "support/loopback.h"
+
+namespace cranberryshunt::test {
+
+namespace {
+
+using http::HttpRequest;
+using http::HttpResponse;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int kFirstPort = 20'000;
+constexpr int kConflict = 409;
+constexpr int kOtherInstance = 421;
+constexpr int kUnavailable = 503;
+constexpr std::int64_t kMaxLeaseMs = 10'000;
+constexpr std::int64_t kStopMs = 50;
+constexpr milliseconds kTick{2};
+
+std::int64_t NowMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             steady_clock::now().time_since_epoch())
+      .count();
+}
+
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::int64_t SpecField(const std::string& spec, const std::string& name) {
+  const auto at = spec.find(name + "=");
+  return at == std::string::npos
+             ? 0
+             : std::atoll(spec.c_str() + at + name.size() + 1);
+}
+
+}  // namespace
+
+std::string TaskSpec(std::int64_t run_ms,
+                     std::int64_t milli_cpus,
+                     std::int64_t memory_mb) {
+  return fmt::format("run_ms={};cpus={};memory={}", run_ms, milli_cpus,
+                     memory_mb);
+}
+
+void TaskLedger::Started(const std::string& task) {
+  const std::lock_guard lock(mutex_);
+  ++starts_;
+  auto& state = tasks_[task];
+  if (state.live > 0) {
+    violations_.push_back(task + " runs twice");
+  }
+  if (state.acknowledged) {
+    violations_.push_back(task + " starts after its end was taken note of");
+  }
+  ++state.live;
+}
+
+void TaskLedger::Ended(const std::string& task, bool done) {
+  const std::lock_guard lock(mutex_);
+  auto& state = tasks_[task];
+  --state.live;
+  state.done = state.done || done;
+}
+
+void TaskLedger::Acknowledged(const std::string& task) {
+  const std::lock_guard lock(mutex_);
+  auto& state = tasks_[task];
+  state.acknowledged = state.acknowledged || state.done;
+}
+
+void TaskLedger::Violation(const std::string& text) {
+  const std::lock_guard lock(mutex_);
+  violations_.push_back(text);
+}
+
+std::int64_t TaskLedger::starts() const {
+  const std::lock_guard lock(mutex_);
+  return starts_;
+}
+
+std::vector<std::string> TaskLedger::violations() const {
+  const std::lock_guard lock(mutex_);
+  return violations_;
+}
+
+class FleetWorker {
+ public:
+  FleetWorker(const FleetOptions& options,
+              int n,
+              std::string address,
+              TaskLedger& ledger)
+      : options_(options),
+        id_(fmt::format("i-{:04}", n)),
+        rack_(fmt::format("r-{}", n / 8)),
+        address_(std::move(address)),
+        born_ms_(UnixMs()),
+        clock_offset_ms_(NowMs()),
+        ledger_(ledger) {}
+
+  HttpResponse OnStart(const HttpRequest& request);
+  HttpResponse OnStop(const HttpRequest& request);
+  HttpResponse OnHold(const HttpRequest& request);
+  void Tick();
+  std::string Heartbeat();
+  void Close();
+
+  const std::string& id() const { return id_; }
+  const std::string& address() const { return address_; }
+  std::atomic<bool> silent = false;
+  std::atomic<std::int64_t> next_report_ms = 0;
+  std::atomic<std::size_t> controller = 0;
+
+ private:
+  struct Run {
+    std::int64_t end_ms = 0;
+    bool stopped = false;
+    std::int64_t milli_cpus = 0;
+    std::int64_t memory_mb = 0;
+  };
+  using Key = std::pair<std::string, std::int64_t>;
+
+  std::int64_t ClockMs() const { return NowMs() - clock_offset_ms_; }
+  HttpResponse Render(int status, Json body) const;
+  HttpResponse Refuse(const char* reason) const;
+  // An answer when the order is not for this worker or has a low fence.
+  std::optional<HttpResponse> Check(const HttpRequest& request,
+                                    const json_t* body);
+  void Extend(std::int64_t until_ms);
+  void End(const Key& key, const char* how);
+
+  const FleetOptions& options_;
+  const std::string id_;
+  const std::string rack_;
+  const std::string address_;
+  const std::int64_t born_ms_;
+  const std::int64_t clock_offset_ms_;
+  TaskLedger& ledger_;
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool closed_ = false;
+  std::int64_t fence_ = 0;
+  std::int64_t lease_until_ms_ = 0;
+  std::int64_t sequence_ = 0;
+  std::map<Key, Run> runs_;
+  std::map<std::string, std::int64_t> barred_;
+  struct EndedRow {
+    std::int64_t number;
+    Key key;
+    std::string how;
+  };
+  std::vector<EndedRow> ended_;
+  std::int64_t next_end_ = 1;
+};
+
+HttpResponse FleetWorker::Render(int status, Json body) const {
+  Set(body.get(), "clockMs", ClockMs());
+  Set(body.get(), "born", born_ms_);
+  HttpResponse response;
+  response.status = status;
+  response.body = DumpJson(body.get());
+  return response;
+}
+
+HttpResponse FleetWorker::Refuse(const char* reason) const {
+  Json body(json_object());
+  Set(body.get(), "reason", std::string(reason));
+  return Render(kConflict, std::move(body));
+}
+
+std::optional<HttpResponse> FleetWorker::Check(const HttpRequest& request,
+                                               const json_t* body) {
+  if (silent) {
+    // Longer than every caller waits.
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    HttpResponse response;
+    response.status = kUnavailable;
+    response.close = true;
+    return response;
+  }
+  const auto wanted = request.Header("X-Expect-Instance");
+  if (!wanted.empty() && wanted != id_) {
+    return Render(kOtherInstance, Json(json_object()));
+  }
+  const auto fence = IntegerOf(body, "fenceToken");
+  if (fence < fence_) {
+    return Refuse("fence");
+  }
+  fence_ = fence;
+  return std::nullopt;
+}
+
+void FleetWorker::Extend(std::int64_t until_ms) {
+  lease_until_ms_ =
+      std::max(lease_until_ms_, std::min(until_ms, ClockMs() + kMaxLeaseMs));
+}
+
+HttpResponse FleetWorker::OnStart(const HttpRequest& request) {
+  const Json body = ParseJson(std::string(request.body()));
+  const std::lock_guard lock(mutex_);
+  if (auto refused = Check(request, body.get())) {
+    return std::move(*refused);
+  }
+  const Key key(TextOf(body.get(), "task"), IntegerOf(body.get(), "run"));
+  if (runs_.contains(key)) {
+    return Render(200, Json(json_object()));
+  }
+  const auto expires_ms = IntegerOf(body.get(), "expiresMs");
+  const auto barred = barred_.find(key.first);
+  if (barred != barred_.end() && barred->second >= key.second) {
+    return Refuse("old");
+  }
+  if (expires_ms <= ClockMs()) {
+    return Refuse("late");
+  }
+  Extend(expires_ms);
+  const auto spec = TextOf(body.get(), "spec");
+  Run run;
+  run.end_ms = ClockMs() + SpecField(spec, "run_ms");
+  run.milli_cpus = SpecField(spec, "cpus");
+  run.memory_mb = SpecField(spec, "memory");
+  auto cpus = run.milli_cpus;
+  auto memory = run.memory_mb;
+  for (const auto& [other, it] : runs_) {
+    cpus += it.milli_cpus;
+    memory += it.memory_mb;
+  }
+  if (cpus > options_.milli_cpus || memory > options_.memory_mb) {
+    ledger_.Violation(id_ + " is over its capacity");
+  }
+  runs_[key] = run;
+  ledger_.Started(key.first);
+  return Render(200, Json(json_object()));
+}
+
+HttpResponse FleetWorker::OnStop(const HttpRequest& request) {
+  const Json body = ParseJson(std::string(request.body()));
+  const std::lock_guard lock(mutex_);
+  if (auto refused = Check(request, body.get())) {
+    return std::move(*refused);
+  }
+  const Key key(TextOf(body.get(), "task"), IntegerOf(body.get(), "run"));
+  auto& barred = barred_[key.first];
+  barred = std::max(barred, key.second);
+  const auto run = runs_.find(key);
+  if (run != runs_.end()) {
+    run->second.stopped = true;
+    run->second.end_ms = std::min(run->second.end_ms, ClockMs() + kStopMs);
+  }
+  return Render(200, Json(json_object()));
+}
+
+HttpResponse FleetWorker::OnHold(const HttpRequest& request) {
+  const Json body = ParseJson(std::string(request.body()));
+  std::unique_lock lock(mutex_);
+  if (auto refused = Check(request, body.get())) {
+    return std::move(*refused);
+  }
+  Extend(IntegerOf(body.get(), "expiresMs"));
+  const auto acknowledged = IntegerOf(body.get(), "ackSeq");
+  std::erase_if(ended_, [&](const auto& it) {
+    if (it.number > acknowledged) {
+      return false;
+    }
+    ledger_.Acknowledged(it.key.first);
+    return true;
+  });
+  changed_.wait_for(lock, milliseconds(IntegerOf(body.get(), "waitMs")),
+                    [&] { return closed_ || !ended_.empty(); });
+  Json out(json_object());
+  json_t* running = json_array();
+  for (const auto& [key, run] : runs_) {
+    json_array_append_new(running,
+                          json_pack("[s,I,s,i,i]", key.first.c_str(),
+                                    static_cast<json_int_t>(key.second), "", 0,
+                                    static_cast<int>(run.milli_cpus)));
+  }
+  json_t* ended = json_array();
+  for (const auto& it : ended_) {
+    json_array_append_new(
+        ended,
+        json_pack("[I,s,I,s,s]", static_cast<json_int_t>(it.number),
+                  it.key.first.c_str(), static_cast<json_int_t>(it.key.second),
+                  it.how.c_str(), ""));
+  }
+  json_object_set_new(out.get(), "running", running);
+  json_object_set_new(out.get(), "ended", ended);
+  return Render(200, std::move(out));
+}
+
+void FleetWorker::End(const Key& key, const char* how) {
+  auto& barred = barred_[key.first];
+  barred = std::max(barred, key.second);
+  ended_.push_back({next_end_++, key, how});
+  runs_.erase(key);
+  ledger_.Ended(key.first, std::string(how) == "done");
+  changed_.notify_all();
+}
+
+void FleetWorker::Tick() {
+  const std::lock_guard lock(mutex_);
+  const auto now = ClockMs();
+  const bool lapsed = now > lease_until_ms_;
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    const auto key = it->first;
+    const auto run = it->second;
+    ++it;
+    if (lapsed) {
+      End(key, "lapsed");
+    } else if (run.end_ms <= now) {
+      End(key, run.stopped ? "stopped" : "done");
+    }
+  }
+}
+
+std::string FleetWorker::Heartbeat() {
+  const std::lock_guard lock(mutex_);
+  Json body(json_object());
+  Set(body.get(), "service", options_.service);
+  Set(body.get(), "address", address_);
+  Set(body.get(), "zone", std::string("zone-a"));
+  Set(body.get(), "version", std::string("v1"));
+  Set(body.get(), "slots", std::int64_t{8});
+  Set(body.get(), "state", std::string("ready"));
+  Set(body.get(), "coldLeftMs", std::int64_t{0});
+  Set(body.get(), "clockMs", ClockMs());
+  Set(body.get(), "seq", ++sequence_);
+  Set(body.get(), "born", born_ms_);
+  json_object_set_new(
+      body.get(), "capacity",
+      json_pack("{s:I,s:I,s:i}", "cpu",
+                static_cast<json_int_t>(options_.milli_cpus), "memMb",
+                static_cast<json_int_t>(options_.memory_mb), "gpu", 0));
+  json_object_set_new(body.get(), "labels",
+                      json_pack("[s,s]", "a", rack_.c_str()));
+  return DumpJson(body.get());
+}
+
+void FleetWorker::Close() {
+  const std::lock_guard lock(mutex_);
+  closed_ = true;
+  changed_.notify_all();
+}
+
+Fleet::Fleet(const FleetOptions& options, std::vector<std::string> controllers)
+    : options_(options), controllers_(std::move(controllers)) {}
+
+Fleet::~Fleet() {
+  stopping_ = true;
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  client_.reset();
+  for (auto& it : workers_) {
+    it->Close();
+  }
+  servers_.clear();
+}
+
+std::unique_ptr<Fleet> Fleet::Start(const FleetOptions& options,
+                                    std::vector<std::string> controllers) {
+  std::unique_ptr<Fleet> fleet(new Fleet(options, std::move(controllers)));
+  if (!fleet->Listen()) {
+    return nullptr;
+  }
+  fleet->thread_ = std::thread([raw = fleet.get()] { raw->Run(); });
+  return fleet;
+}
+
+bool Fleet::Listen() {
+  constexpr std::size_t kMaxBodyBytes = 1U << 20;
+  constexpr unsigned int kMaxConnections = 64;
+  http::HttpServerOptions listen;
+  listen.max_body_bytes = kMaxBodyBytes;
+  listen.max_connections = kMaxConnections;
+  const auto start = [&](int port, std::vector<http::HttpRoute> routes) {
+    listen.listen_address = fmt::format("{}:{}", OwnLoopbackIp(), port);
+    auto server = http::HttpServer::Start(listen, std::move(routes), metrics_);
+    if (server) {
+      servers_.push_back(std::move(*server));
+    }
+    return server.has_value();
+  };
+  advice_address_ = fmt::format("{}:{}", OwnLoopbackIp(), kFirstPort);
+  if (!start(kFirstPort, {{"POST", "/advise",
+                           [this](const auto& it) { return OnAdvise(it); }}})) {
+    return false;
+  }
+  for (int n = 0; n < options_.workers; ++n) {
+    const int port = kFirstPort + 1 + n;
+    workers_.push_back(std::make_unique<FleetWorker>(
+        options_, n, fmt::format("{}:{}", OwnLoopbackIp(), port), ledger_));
+    auto* worker = workers_.back().get();
+    if (!start(port,
+               {{"POST", "/run-start",
+                 [worker](const auto& it) { return worker->OnStart(it); }},
+                {"POST", "/run-stop",
+                 [worker](const auto& it) { return worker->OnStop(it); }},
+                {"POST", "/hold",
+                 [worker](const auto& it) { return worker->OnHold(it); }}})) {
+      return false;
+    }
+  }
+  auto client = http::HttpClient::Create({});
+  if (client) {
+    client_ = std::move(*client);
+  }
+  return client.has_value();
+}
+
+void Fleet::Run() {
+  while (!stopping_) {
+    const auto now = NowMs();
+    for (auto& it : workers_) {
+      it->Tick();
+      if (!it->silent && now >= it->next_report_ms) {
+        it->next_report_ms = now + options_.heartbeat_ms;
+        Report(*it);
+      }
+    }
+    std::this_thread::sleep_for(kTick);
+  }
+}
+
+void Fleet::Report(FleetWorker& worker) {
+  http::HttpCall call;
+  call.method = "POST";
+  call.url = "http://" + controllers_[worker.controller % controllers_.size()] +
+             "/Instances.Heartbeat/" + worker.id();
+  call.headers = {"Content-Type: application/json", "Expect:"};
+  call.body = worker.Heartbeat();
+  client_->Send(std::move(call), [&worker](const http::HttpAnswer& answer) {
+    if (answer.status != 200) {
+      constexpr int kNextTryMs = 50;
+      ++worker.controller;
+      worker.next_report_ms = NowMs() + kNextTryMs;
+    }
+  });
+}
+
+HttpResponse Fleet::OnAdvise(const HttpRequest& request) const {
+  constexpr milliseconds kDecide{5};
+  std::this_thread::sleep_for(kDecide);
+  const Json body = ParseJson(std::string(request.body()));
+  const auto step = TextOf(body.get(), "step");
+  Json out(json_object());
+  json_t* allowed = json_array();
+  const json_t* workers = json_object_get(body.get(), "workers");
+  for (std::size_t i = 0; i < json_array_size(workers); ++i) {
+    const std::string worker = json_string_value(json_array_get(workers, i));
+    constexpr std::size_t kDraws = 1'000;
+    const auto draw = std::hash<std::string>()(step + worker) % kDraws;
+    if (static_cast<double>(draw) < options_.allowed_share * kDraws) {
+      json_array_append_new(allowed,
+                            json_pack("[s,s]", worker.c_str(), "ticket"));
+    }
+  }
+  json_object_set_new(out.get(), "allowed", allowed);
+  HttpResponse response;
+  response.body = DumpJson(out.get());
+  return response;
+}
+
+void Fleet::Silence(int worker, bool silent) {
+  workers_[static_cast<std::size_t>(worker)]->silent = silent;
+}
+
+}  // namespace cranberryshunt::test
--- /dev/null
+++ b/tests/support/platform/platform_cell.h
@@ -0,0 +1,98 @@
+// Controllers and entries of the users' platform as real processes, each with a
+// loopback address of its own, and a fleet of stand-in workers.
+#ifndef CRANBERRYSHUNT_TESTS_SUPPORT_PLATFORM_PLATFORM_CELL_H_
+#define CRANBERRYSHUNT_TESTS_SUPPORT_PLATFORM_PLATFORM_CELL_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cranberryshunt/http/http_client.h"
+#include "support/platform/fleet.h"
+#include "support/process.h"
+
+namespace cranberryshunt::test {
+
+struct PlatformCellOptions {
+  int controllers = 3;
+  int entries = 2;
+  FleetOptions fleet;
+};
+
+// A queue of the configuration, reached below "/NAME/".
+struct PlatformQueue {
+  std::string name;
+  int priority = 1;
+  int target_ms = 5'000;
+  double stretch = 3;
+  bool advice = false;
+};
+
+class PlatformCell {
+ public:
+  explicit PlatformCell(const PlatformCellOptions& options);
+
+  // Starts all processes and waits until the entries are ready.
+  bool Start();
+  void StartController(int n, bool bootstrap);
+  void StartEntry(int n);
+  // Loses the disk of a controller that does not run.
+  void WipeController(int n) const;
+  // Writes the settings file of a running process again.
+  void WriteControllerSettings(int n,
+                               bool bootstrap,
+                               const std::vector<int>& seeds) const;
+
+  Process& controller(int n) {
+    return *controllers_[static_cast<std::size_t>(n)];
+  }
+  Process& entry(int n) { return *entries_[static_cast<std::size_t>(n)]; }
+  Fleet& fleet() { return *fleet_; }
+  // Number of the controller that leads, as the others tell; -1 without one.
+  int Leader();
+  // Lines of all processes that hold `text`, in order of process.
+  std::vector<std::string> LogLines(const std::string& text) const;
+
+  // Publishes a configuration through any controller; returns the status.
+  int Publish(int version, const std::vector<PlatformQueue>& queues);
+  http::HttpAnswer Control(int controller,
+                           const std::string& method,
+                           const std::string& path,
+                           const std::string& body);
+  http::HttpAnswer Call(int entry,
+                        const std::string& method,
+                        const std::string& path,
+                        const std::string& body = {});
+  // Submits a job of one step, repeating until it is clear; returns the status.
+  int Submit(const std::string& queue,
+             const std::string& id,
+             int tasks,
+             std::int64_t run_ms,
+             std::int64_t milli_cpus);
+  // State as the platform spells it; empty without a clear answer.
+  std::string StateOf(const std::string& queue, const std::string& id);
+  bool WaitForState(const std::string& queue,
+                    const std::string& id,
+                    const std::string& state,
+                    Milliseconds bound);
+
+ private:
+  std::string SettingsPath(const std::string& name) const;
+  std::string DataPath(int controller) const;
+  std::string Settings(const std::string& name,
+                       const std::string& ip,
+                       const std::vector<int>& seeds,
+                       bool bootstrap) const;
+  std::vector<int> DefaultSeeds() const;
+
+  const PlatformCellOptions options_;
+  TemporaryFolder folder_;
+  std::unique_ptr<Fleet> fleet_;
+  std::unique_ptr<http::HttpClient> client_;
+  std::vector<std::unique_ptr<Process>> controllers_;
+  std::vector<std::unique_ptr<Process>> entries_;
+};
+
+}  // namespace cranberryshunt::test
+
+#endif  // CRANBERRYSHUNT_TESTS_SUPPORT_PLATFORM_PLATFORM_CELL_H_
