benchmarks: Measure the platform's programs under the load of a sheet

platform_benchmark runs controllers and entries as processes with stand-ins for workers and advice, and prints the processor time of each role. ReadUsage() moves from cell_benchmark to the test support.

--- a/benchmarks/cell_benchmark.cc
+++ b/benchmarks/cell_benchmark.cc
@@ -35,34 +35,6 @@
   int task_ms = 0;
 };
 
-struct Usage {
-  double cpu_seconds = 0;
-  double resident_mb = 0;
-};
-
-Usage ReadUsage(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
-  std::string line;
-  std::getline(in, line);
-  std::istringstream fields(line.substr(line.rfind(')') + 2));
-  // Counted from the state field, which is the third of the line.
-  constexpr int kUserTime = 11;
-  constexpr int kSystemTime = 12;
-  constexpr int kResidentPages = 21;
-  Usage usage;
-  std::string word;
-  for (int n = 0; fields >> word && n <= kResidentPages; ++n) {
-    if (n == kUserTime || n == kSystemTime) {
-      usage.cpu_seconds +=
-          std::stod(word) / static_cast<double>(sysconf(_SC_CLK_TCK));
-    } else if (n == kResidentPages) {
-      usage.resident_mb =
-          std::stod(word) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-    }
-  }
-  return usage;
-}
-
 std::size_t Discard(char* data, std::size_t size, std::size_t n, void* out) {
   static_cast<std::string*>(out)->append(data, size * n);
   return size * n;
@@ -154,13 +126,13 @@
 struct RoleUsage {
   std::string name;
   pid_t pid;
-  Usage before;
+  test::ProcessUsage before;
 };
 
 void PrintUsage(const std::vector<RoleUsage>& processes, double seconds) {
   fmt::print("{:<16}{:>14}{:>14}\n", "process", "cores", "resident MB");
   for (const auto& it : processes) {
-    const auto after = ReadUsage(it.pid);
+    const auto after = test::ReadUsage(it.pid);
     fmt::print("{:<16}{:>14.3f}{:>14.1f}\n", it.name,
                (after.cpu_seconds - it.before.cpu_seconds) / seconds,
                after.resident_mb);
@@ -173,11 +145,11 @@
     const bool leads = cell.Leader() == n;
     processes.push_back({fmt::format("controller-{}{}", n, leads ? "*" : ""),
                          cell.controller(n).pid(),
-                         ReadUsage(cell.controller(n).pid())});
+                         test::ReadUsage(cell.controller(n).pid())});
   }
   for (int n = 0; n < options.entries; ++n) {
     processes.push_back({fmt::format("entry-{}", n), cell.entry(n).pid(),
-                         ReadUsage(cell.entry(n).pid())});
+                         test::ReadUsage(cell.entry(n).pid())});
   }
   return processes;
 }
--- /dev/null
+++ b/benchmarks/platform_benchmark.cc
@@ -0,0 +1,257 @@
+// Processor time and memory of the programs of the users' platform under the
+// load of one of their sheets, with stand-ins for workers and advice.
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <exception>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "support/platform/platform_cell.h"
+
+namespace cranberryshunt::benchmark {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+struct Options {
+  int controllers = 5;
+  int entries = 8;
+  int workers = 48;
+  double factor = 1;
+  int seconds = 10;
+};
+
+// Means of one kind of job on the sheets of the small deployment.
+struct Kind {
+  test::PlatformQueue queue;
+  double jobs_per_s;
+  double tasks;
+  double milli_cpus;
+  double run_ms;
+  bool gang;
+};
+
+std::vector<Kind> Kinds() {
+  return {
+      {{"launch", 0, 400, 1.5, true, 12, 0.17}, 30.9, 2, 2'800, 1'000, false},
+      {{"coastal", 1, 1'200, 2.2, true, 520, 7.4},
+       1.75,
+       6.4,
+       9'000,
+       6'200,
+       true},
+      {{"gust", 2, 3'000, 4, true, 53, 0.75}, 10.2, 10, 2'000, 2'200, false}};
+}
+
+class Load {
+ public:
+  Load(const Options& options, test::PlatformCell& cell)
+      : options_(options), cell_(cell) {
+    http::HttpClientOptions client;
+    client.max_connections_per_address = 64;
+    client_ = std::move(*http::HttpClient::Create(client));
+  }
+
+  void Run(std::chrono::seconds duration) {
+    const auto end = Clock::now() + duration;
+    auto next = Clock::now();
+    while (Clock::now() < end) {
+      next += std::chrono::milliseconds(1);
+      for (const auto& kind : Kinds()) {
+        std::poisson_distribution<int> arrivals(kind.jobs_per_s *
+                                                options_.factor / 1e3);
+        for (int n = arrivals(random_); n > 0; --n) {
+          Submit(kind);
+        }
+      }
+      Ask();
+      std::this_thread::sleep_until(next);
+    }
+  }
+
+  std::atomic<int> submitted = 0;
+  std::atomic<int> accepted = 0;
+  std::atomic<int> refused = 0;
+  std::atomic<int> completed = 0;
+
+ private:
+  struct Open {
+    Clock::time_point ask_at;
+    std::string path;
+    int asked = 0;
+  };
+
+  double Around(double mean, double spread) {
+    std::lognormal_distribution<double> draw(-spread * spread / 2, spread);
+    return std::max(1.0, std::round(mean * draw(random_)));
+  }
+
+  http::HttpCall MakeCall(const std::string& method, const std::string& path) {
+    http::HttpCall call;
+    call.method = method;
+    call.url =
+        "http://" +
+        test::PlatformCell::EntryAddress(next_entry_++ % options_.entries) +
+        path;
+    call.headers = {std::string("Host: ") + test::PlatformCell::Host(),
+                    "X-Deadline-Ms: 3000", "Expect:"};
+    call.timeout = std::chrono::seconds(4);
+    return call;
+  }
+
+  void Submit(const Kind& kind) {
+    constexpr std::int64_t kMemoryMb = 2'000;
+    const auto run_ms = static_cast<std::int64_t>(Around(kind.run_ms, 0.5));
+    const auto cpus = std::min<std::int64_t>(
+        static_cast<std::int64_t>(Around(kind.milli_cpus, 0.4)), 15'000);
+    const auto path =
+        fmt::format("/{}/{:016x}", kind.queue.name, 0x1000 + ++submitted);
+    auto call = MakeCall("POST", path);
+    call.body = fmt::format(
+        R"({{"spec":"{}","steps":[{{"count":{},"cpu":{},"memMb":{},)"
+        R"("estimateMs":{},"gang":{}}}]}})",
+        test::TaskSpec(run_ms, cpus, kMemoryMb),
+        std::min(60.0, Around(kind.tasks, 0.6)), cpus, kMemoryMb, run_ms,
+        kind.gang);
+    client_->Send(std::move(call), [this, path,
+                                    run_ms](const http::HttpAnswer& answer) {
+      constexpr int kTooMany = 429;
+      accepted += answer.status == 200;
+      refused += answer.status == kTooMany;
+      if (answer.status == 200) {
+        const std::lock_guard lock(mutex_);
+        open_.push_back(
+            {Clock::now() + std::chrono::milliseconds(run_ms + 150), path, 0});
+      }
+    });
+  }
+
+  // Asks for the state of jobs after their expected end, and again later.
+  void Ask() {
+    std::vector<Open> due;
+    {
+      const std::lock_guard lock(mutex_);
+      const auto now = Clock::now();
+      std::erase_if(open_, [&](const auto& it) {
+        if (it.ask_at <= now) {
+          due.push_back(it);
+          return true;
+        }
+        return false;
+      });
+    }
+    for (auto& it : due) {
+      client_->Send(
+          MakeCall("GET", it.path), [this, it](const http::HttpAnswer& answer) {
+            constexpr int kMaxAsked = 20;
+            if (answer.body.find("completed") != std::string::npos) {
+              ++completed;
+            } else if (it.asked < kMaxAsked) {
+              const std::lock_guard lock(mutex_);
+              open_.push_back({Clock::now() + std::chrono::milliseconds(500),
+                               it.path, it.asked + 1});
+            }
+          });
+    }
+  }
+
+  const Options& options_;
+  test::PlatformCell& cell_;
+  std::unique_ptr<http::HttpClient> client_;
+  std::mt19937_64 random_{11};
+  int next_entry_ = 0;
+  std::mutex mutex_;
+  std::vector<Open> open_;
+};
+
+int Measure(const Options& options) {
+  test::PlatformCellOptions cell_options;
+  cell_options.controllers = options.controllers;
+  cell_options.entries = options.entries;
+  cell_options.fleet.workers = options.workers;
+  cell_options.fleet.heartbeat_ms = 1'500;
+  cell_options.fleet.allowed_share = 0.45;
+  test::PlatformCell cell(cell_options);
+  std::vector<test::PlatformQueue> queues;
+  for (const auto& it : Kinds()) {
+    queues.push_back(it.queue);
+  }
+  if (!cell.Start() || cell.Publish(1, queues) != 200) {
+    std::fprintf(stderr, "the cell did not start\n");
+    return 1;
+  }
+  Load load(options, cell);
+  load.Run(std::chrono::seconds(6));
+  const int leader = cell.Leader();
+  std::vector<test::ProcessUsage> before;
+  const auto read_all = [&] {
+    std::vector<test::ProcessUsage> out;
+    for (int n = 0; n < options.controllers; ++n) {
+      out.push_back(test::ReadUsage(cell.controller(n).pid()));
+    }
+    for (int n = 0; n < options.entries; ++n) {
+      out.push_back(test::ReadUsage(cell.entry(n).pid()));
+    }
+    return out;
+  };
+  fmt::print("leader pid {}\n", cell.controller(leader).pid());
+  std::fflush(stdout);
+  before = read_all();
+  const auto starts = cell.fleet().ledger().starts();
+  load.Run(std::chrono::seconds(options.seconds));
+  const auto after = read_all();
+  const auto made =
+      static_cast<double>(cell.fleet().ledger().starts() - starts);
+  for (std::size_t n = 0; n < after.size(); ++n) {
+    const bool entry = n >= static_cast<std::size_t>(options.controllers);
+    const auto used = after[n].cpu_seconds - before[n].cpu_seconds;
+    fmt::print("{:10} {:6.1f} ms of processor time a second, {:5.1f} MB\n",
+               entry                           ? "entry"
+               : static_cast<int>(n) == leader ? "leader"
+                                               : "follower",
+               used * 1e3 / options.seconds, after[n].resident_mb);
+  }
+  const auto leader_ms =
+      (after[static_cast<std::size_t>(leader)].cpu_seconds -
+       before[static_cast<std::size_t>(leader)].cpu_seconds) *
+      1e3;
+  fmt::print(
+      "{} workers: {:.0f} starts/s, {:.0f} us of the leader a start; {} jobs, "
+      "{} accepted, {} refused, {} completed; violations: {}\n",
+      options.workers, made / options.seconds,
+      leader_ms * 1e3 / std::max(made, 1.0), load.submitted.load(),
+      load.accepted.load(), load.refused.load(), load.completed.load(),
+      cell.fleet().ledger().violations().size());
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace cranberryshunt::benchmark
+
+int main(int argc, char** argv) {
+  using cranberryshunt::benchmark::Options;
+  CLI::App app("Programs of the users' platform under load");
+  Options options;
+  app.add_option("--controllers", options.controllers, "Controllers");
+  app.add_option("--entries", options.entries, "Entries");
+  app.add_option("--workers", options.workers, "Workers");
+  app.add_option("--factor", options.factor, "Load; 1: of 48 workers");
+  app.add_option("--seconds", options.seconds, "Measured time");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    return cranberryshunt::benchmark::Measure(options);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "platform_benchmark: %s\n", error.what());
+    return 1;
+  }
+}
--- a/tests/support/platform/platform_cell.cc
+++ b/tests/support/platform/platform_cell.cc
@@ -217,9 +217,10 @@
     Set(route, "maxAttempts", std::int64_t{3});
     json_object_set_new(route, "stretch", json_real(it.stretch));
     if (it.advice) {
-      json_object_set_new(route, "advice",
-                          json_pack("{s:f,s:f,s:i}", "decideMs", 5.0,
-                                    "periodMs", 0.1, "validMs", 2'000));
+      json_object_set_new(
+          route, "advice",
+          json_pack("{s:f,s:f,s:i}", "decideMs", it.advice_base_ms, "periodMs",
+                    it.advice_per_worker_ms, "validMs", 2'000));
     }
     json_array_append_new(routes, route);
   }
@@ -242,13 +243,21 @@
   return status;
 }
 
+std::string PlatformCell::EntryAddress(int n) {
+  return At(EntryIp(n), kFrontPort);
+}
+
+const char* PlatformCell::Host() {
+  return kHost;
+}
+
 http::HttpAnswer PlatformCell::Call(int entry,
                                     const std::string& method,
                                     const std::string& path,
                                     const std::string& body) {
   http::HttpCall call;
   call.method = method;
-  call.url = "http://" + At(EntryIp(entry), kFrontPort) + path;
+  call.url = "http://" + EntryAddress(entry) + path;
   call.headers = {std::string("Host: ") + kHost, "X-Deadline-Ms: 3000",
                   "Content-Type: application/json", "Expect:"};
   call.body = body;
--- a/tests/support/platform/platform_cell.h
+++ b/tests/support/platform/platform_cell.h
@@ -26,6 +26,8 @@
   int target_ms = 5'000;
   double stretch = 3;
   bool advice = false;
+  double advice_base_ms = 5;
+  double advice_per_worker_ms = 0.1;
 };
 
 class PlatformCell {
@@ -63,6 +65,9 @@
                         const std::string& method,
                         const std::string& path,
                         const std::string& body = {});
+  // Address of an entry for callers, "ip:port", and the host of all queues.
+  static std::string EntryAddress(int n);
+  static const char* Host();
   // Submits a job of one step, repeating until it is clear; returns the status.
   int Submit(const std::string& queue,
              const std::string& id,
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -16,6 +16,7 @@
 #include <fstream>
 #include <iterator>
 #include <random>
+#include <sstream>
 #include <thread>
 
 namespace cranberryshunt::test {
@@ -212,6 +213,29 @@
   return ReadWhole(log_path_);
 }
 
+ProcessUsage ReadUsage(pid_t pid) {
+  std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+  std::string line;
+  std::getline(in, line);
+  std::istringstream fields(line.substr(line.rfind(')') + 2));
+  // Counted from the state field, which is the third of the line.
+  constexpr int kUserTime = 11;
+  constexpr int kSystemTime = 12;
+  constexpr int kResidentPages = 21;
+  ProcessUsage usage;
+  std::string word;
+  for (int n = 0; fields >> word && n <= kResidentPages; ++n) {
+    if (n == kUserTime || n == kSystemTime) {
+      usage.cpu_seconds +=
+          std::stod(word) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    } else if (n == kResidentPages) {
+      usage.resident_mb =
+          std::stod(word) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+    }
+  }
+  return usage;
+}
+
 RunResult RunProgram(const std::string& program,
                      const std::vector<std::string>& arguments,
                      const Process::Environment& environment,
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -77,6 +77,13 @@
   std::optional<int> exit_code_;
 };
 
+// What a process has used so far.
+struct ProcessUsage {
+  double cpu_seconds = 0;
+  double resident_mb = 0;
+};
+ProcessUsage ReadUsage(pid_t pid);
+
 // Runs a program to its end; kills it after `bound`.
 struct RunResult {
   int exit_code = -1;
