http: Use small buffers for calls

Cause: libcurl allocates 16 KB for each call and 64 KB for each body above 1 KB; freeing the latter consolidates the heap each time. Change: 4 KB and 16 KB.

--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -25,6 +25,10 @@
 constexpr int kIdleWaitMs = 1'000;
 constexpr std::size_t kMaxPooledHandles = 256;
 constexpr int kEventsPerWait = 64;
+// Most answers are small; libcurl would allocate 16 KB for each call, and 64 KB
+// for each larger body.
+constexpr long kReceiveBufferBytes = 4L << 10;
+constexpr long kSendBufferBytes = 16L << 10;
 
 using SteadyClock = std::chrono::steady_clock;
 
@@ -234,6 +238,8 @@
   curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer->headers);
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+  curl_easy_setopt(handle, CURLOPT_UPLOAD_BUFFERSIZE, kSendBufferBytes);
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(call.timeout.count()));
