cell: Put fewer batches and log lines on the way of each start

Cause: each turn of the decision thread proposed what it had, so that a busy leader sent hundreds of batches a second to each member; and each task had a log line when it was placed and one when it ended. Change: batches are proposed at least 4 ms apart. Placements have one line for each step and plan; tasks that end as done have one line for their step, with the longest run; other ends keep a line each. Holds of workers without news last 2 s in cells of 150 workers or more. The engine says when it wants its next turn, so that deferred work does not wait for the next event.

--- a/benchmarks/platform_benchmark.cc
+++ b/benchmarks/platform_benchmark.cc
@@ -214,11 +214,15 @@
   for (std::size_t n = 0; n < after.size(); ++n) {
     const bool entry = n >= static_cast<std::size_t>(options.controllers);
     const auto used = after[n].cpu_seconds - before[n].cpu_seconds;
-    fmt::print("{:10} {:6.1f} ms of processor time a second, {:5.1f} MB\n",
-               entry                           ? "entry"
-               : static_cast<int>(n) == leader ? "leader"
-                                               : "follower",
-               used * 1e3 / options.seconds, after[n].resident_mb);
+    const auto user = after[n].user_seconds - before[n].user_seconds;
+    fmt::print(
+        "{:10} {:6.1f} ms of processor time a second, {:6.1f} of it "
+        "outside the kernel, {:5.1f} MB\n",
+        entry                           ? "entry"
+        : static_cast<int>(n) == leader ? "leader"
+                                        : "follower",
+        used * 1e3 / options.seconds, user * 1e3 / options.seconds,
+        after[n].resident_mb);
   }
   const auto leader_ms =
       (after[static_cast<std::size_t>(leader)].cpu_seconds -
--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -4,6 +4,7 @@
 #ifndef CRANBERRYSHUNT_CELL_ENGINE_H_
 #define CRANBERRYSHUNT_CELL_ENGINE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -50,6 +51,8 @@
   std::vector<SentOrder> orders;
   std::vector<Proposal> proposals;
   std::optional<wire::MembershipChange> membership_change;
+  // Advance() is to be called again after this, also without input.
+  std::chrono::milliseconds idle{20};
 };
 
 class Leader;
@@ -73,7 +76,8 @@
   // Answers at once with kNotLeader unless this member leads and holds the
   // lease.
   void Handle(Call call, TimePoint now);
-  // Does what is due. Call after each group of inputs and at least every 20 ms.
+  // Does what is due. Call after each group of inputs, and when the time has
+  // passed that the last call named.
   EngineOutput Advance(TimePoint now);
   // Refuses open and further calls with kNotLeader.
   void Stop();
--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -13,8 +13,6 @@
 // entries out.
 constexpr std::size_t kMaxQueuedForCalls = kRingCapacity / 2;
 constexpr std::size_t kEventsPerTurn = 2'048;
-constexpr std::chrono::milliseconds kMaxIdle{20};
-constexpr std::chrono::milliseconds kMaxIdleAsFollower{200};
 
 }  // namespace
 
@@ -84,9 +82,8 @@
 
 void DecisionThread::Run() {
   std::vector<Event> events;
+  std::chrono::milliseconds idle{0};
   for (;;) {
-    const auto idle =
-        engine_.leading_term() != 0 ? kMaxIdle : kMaxIdleAsFollower;
     if (!ring_.PopMany(events, kEventsPerTurn, idle)) {
       break;
     }
@@ -94,7 +91,9 @@
       Process(event);
     }
     events.clear();
-    CarryOut(engine_.Advance(clock_.Now()));
+    auto out = engine_.Advance(clock_.Now());
+    idle = out.idle;
+    CarryOut(std::move(out));
     CompactIfDue();
   }
   engine_.Stop();
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -8,6 +8,14 @@
 
 namespace cranberryshunt::cell {
 
+namespace {
+
+// A follower acts only on input.
+constexpr std::chrono::milliseconds kIdleAsFollower{200};
+constexpr std::chrono::milliseconds kIdleWithoutLease{20};
+
+}  // namespace
+
 Engine::Engine(EngineOptions options,
                EngineHost& host,
                MetricsRegistry& metrics)
@@ -80,7 +88,9 @@
 EngineOutput Engine::Advance(TimePoint now) {
   // Without the lease another leader may exist; nothing is sent then.
   if (!leader_ || !host_.HasLease()) {
-    return {};
+    EngineOutput out;
+    out.idle = leader_ ? kIdleWithoutLease : kIdleAsFollower;
+    return out;
   }
   return leader_->Advance(now);
 }
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -12,11 +12,16 @@
 
 // Batches in the log at a time; more would only grow the queue of the disk.
 constexpr std::size_t kMaxOpenProposals = 8;
+// What comes within this time goes into one batch. Each batch is sent to all
+// members and synced to disk, which takes longer than this.
+constexpr std::int64_t kProposeIntervalMs = 4;
 // Planning looks at all waiting steps, so it runs for groups of events.
 constexpr std::int64_t kPlanIntervalMs = 5;
 // Also without events, because tickets, leases and quarantines run out.
 constexpr std::int64_t kIdlePlanMs = 50;
 constexpr std::int64_t kMaintenanceMs = 500;
+// Leases and polls run out without an event.
+constexpr std::int64_t kMaxIdleMs = 20;
 // A worker whose leases ran out and that is silent for this long is forgotten.
 constexpr std::int64_t kForgetWorkerMs = 20'000;
 constexpr std::size_t kExpiredPerTurn = 500;
@@ -133,8 +138,26 @@
   plan_due_ = true;
 }
 
-void Leader::LogIfEnded(graph::JobId id, std::int64_t at_ms) const {
+void Leader::LogIfEnded(graph::JobId id, std::int64_t at_ms) {
   const auto* job = store_.FindJob(id);
+  auto it = done_runs_.lower_bound({id, 0, 0});
+  while (it != done_runs_.end() && it->first.job == id) {
+    const auto& [key, done] = *it;
+    if (job != nullptr && job->active() && !job->StepDone(key)) {
+      ++it;
+      continue;
+    }
+    const auto* slot = book_.Find(done.longest_worker);
+    Log(LogLevel::kInfo, "runs", "step ended",
+        {{"step", graph::FormatStep(key)},
+         {"done", done.count},
+         {"mean_run_ms", done.total_ms / done.count},
+         {"longest_run_ms", done.longest_ms},
+         {"longest_task", done.longest_index},
+         {"longest_worker",
+          slot == nullptr ? std::string() : slot->record.id}});
+    it = done_runs_.erase(it);
+  }
   if (job != nullptr && !job->active() && job->finished_ms() == at_ms) {
     Log(LogLevel::kInfo, "jobs", "job ended",
         {{"job", graph::FormatJobId(id)},
@@ -250,20 +273,38 @@
   plan_due_ = plan_due_ || !out.finished.empty();
 }
 
-void Leader::OnFinished(const FinishedRun& finished,
-                        std::vector<FinishedRun>& kept) {
-  const auto* job = store_.FindJob(finished.task.job);
-  const auto* task = job == nullptr ? nullptr : job->FindTask(finished.task);
-  const bool current =
-      task != nullptr && !task->done && task->run == finished.run;
+// Runs that ended as done are summed up when their step is done; each other one
+// has a line.
+void Leader::LogRun(const FinishedRun& finished, bool current) {
+  if (current && finished.how == wire::RunEnd::kDone) {
+    auto& done = done_runs_[finished.task.step_key()];
+    ++done.count;
+    done.total_ms += finished.run_ms;
+    if (finished.run_ms > done.longest_ms) {
+      done.longest_ms = finished.run_ms;
+      done.longest_index = finished.task.index;
+      done.longest_worker = finished.worker;
+    }
+    return;
+  }
+  const auto* slot = book_.Find(finished.worker);
   Log(LogLevel::kInfo, "runs", "run ended",
       {{"task", graph::FormatTask(finished.task)},
        {"run", finished.run},
        {"how", wire::to_string(finished.how)},
-       {"worker", finished.worker},
+       {"worker", slot == nullptr ? std::string() : slot->record.id},
        {"run_ms", finished.run_ms},
        {"current", current ? "yes" : "no"},
        {"reason", finished.reason}});
+}
+
+void Leader::OnFinished(const FinishedRun& finished,
+                        std::vector<FinishedRun>& kept) {
+  const auto* job = store_.FindJob(finished.task.job);
+  const auto* task = job == nullptr ? nullptr : job->FindTask(finished.task);
+  const bool current =
+      task != nullptr && !task->done && task->run == finished.run;
+  LogRun(finished, current);
   if (!current) {
     return;
   }
@@ -311,9 +352,24 @@
     open_orders_[it.id] = {it, now_ms_};
   }
   out.orders = std::exchange(orders_, {});
+  out.idle = Idle();
   return out;
 }
 
+std::chrono::milliseconds Leader::Idle() const {
+  auto until = now_ms_ + kMaxIdleMs;
+  if (book_.behind()) {
+    until = std::min(until, now_ms_ + 1);
+  }
+  if (plan_due_) {
+    until = std::min(until, planned_ms_ + kPlanIntervalMs);
+  }
+  if (batch_used_ && open_proposals_.size() < kMaxOpenProposals) {
+    until = std::min(until, proposed_ms_ + kProposeIntervalMs);
+  }
+  return std::chrono::milliseconds(std::max<std::int64_t>(1, until - now_ms_));
+}
+
 void Leader::Maintain(EngineOutput& out) {
   maintained_ms_ = now_ms_;
   ExpireJobs();
@@ -328,9 +384,11 @@
 }
 
 void Leader::Propose(EngineOutput& out) {
-  if (!batch_used_ || open_proposals_.size() >= kMaxOpenProposals) {
+  if (!batch_used_ || open_proposals_.size() >= kMaxOpenProposals ||
+      now_ms_ < proposed_ms_ + kProposeIntervalMs) {
     return;
   }
+  proposed_ms_ = now_ms_;
   batch_.at_ms = wall_ms_;
   Proposal proposal;
   proposal.id = next_proposal_++;
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -3,6 +3,7 @@
 #ifndef CRANBERRYSHUNT_CELL_LEADER_H_
 #define CRANBERRYSHUNT_CELL_LEADER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -59,9 +60,11 @@
   void SyncWorkers();
   void Maintain(EngineOutput& out);
   void Propose(EngineOutput& out);
+  std::chrono::milliseconds Idle() const;
   void Take(BookOutput out);
   void OnFinished(const FinishedRun& finished, std::vector<FinishedRun>& kept);
-  void LogIfEnded(graph::JobId id, std::int64_t at_ms) const;
+  void LogRun(const FinishedRun& finished, bool current);
+  void LogIfEnded(graph::JobId id, std::int64_t at_ms);
   void StopLeftovers(const wire::GraphBatch& batch);
   void ExpireJobs();
   void RemoveSilentWorkers();
@@ -81,6 +84,7 @@
   void UpdatePlanWorkers();
   void RefreshPlanWorker(graph::WorkerNumber number);
   bool IsUsable(const WorkerSlot& slot) const;
+  void LogStarts(const std::vector<policy::PlannedStart>& starts) const;
   void BeginStart(const policy::PlannedStart& start,
                   std::map<policy::StepId, std::int32_t>& gang_runs);
   void SendStart(const graph::TaskKey& task,
@@ -118,6 +122,17 @@
   std::int64_t planned_ms_ = 0;
   std::int64_t maintained_ms_ = 0;
   std::int64_t usability_checked_ms_ = 0;
+  std::int64_t proposed_ms_ = 0;
+
+  // Runs that ended as done, by step, for one line when the step is done.
+  struct DoneRuns {
+    std::int64_t count = 0;
+    std::int64_t total_ms = 0;
+    std::int64_t longest_ms = -1;
+    std::int32_t longest_index = 0;
+    graph::WorkerNumber longest_worker = 0;
+  };
+  std::map<graph::StepKey, DoneRuns> done_runs_;
 
   // Calls that wait for a commit, by job.
   std::map<graph::JobId, std::vector<GraphCall>> submitting_;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -82,11 +82,32 @@
   for (const auto& it : plan.starts) {
     BeginStart(it, gang_runs);
   }
+  LogStarts(plan.starts);
   for (const auto& it : plan.questions) {
     AskAdvice(it);
   }
 }
 
+// One line for each step, because a line for each task would cost a large cell
+// much of the leader's processor time.
+void Leader::LogStarts(const std::vector<policy::PlannedStart>& starts) const {
+  std::map<policy::StepId, std::string> places;
+  for (const auto& it : starts) {
+    auto& text = places[it.step];
+    text += (text.empty() ? "" : ",") + std::to_string(it.index) + "@" +
+            book_.Find(it.worker)->record.id;
+  }
+  for (const auto& [id, text] : places) {
+    const auto& step = planner_.steps().at(id);
+    Log(LogLevel::kInfo, "runs", "tasks are placed",
+        {{"step", graph::FormatStep(board_.KeyOf(id))},
+         {"tasks", text},
+         {"waiting", step.waiting.size()},
+         {"queued_ms", now_ms_ - step.accepted_ms},
+         {"slack_ms", step.objective_ms - step.remaining_ms - now_ms_}});
+  }
+}
+
 void Leader::BeginStart(const policy::PlannedStart& start,
                         std::map<policy::StepId, std::int32_t>& gang_runs) {
   const auto& step_key = board_.KeyOf(start.step);
@@ -111,12 +132,6 @@
   if (step.advice.needed) {
     ticket = step.advice.allowed.at(start.worker).text;
   }
-  Log(LogLevel::kInfo, "runs", "task is placed",
-      {{"task", graph::FormatTask(task)},
-       {"run", run},
-       {"worker", book_.Find(start.worker)->record.id},
-       {"queued_ms", now_ms_ - step.accepted_ms},
-       {"slack_ms", step.objective_ms - step.remaining_ms - now_ms_}});
   ++metrics_.Counter("starts_total");
   book_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms);
   board_.Reserve(task, start.worker);
--- a/libraries/cell/src/worker_book.cc
+++ b/libraries/cell/src/worker_book.cc
@@ -13,14 +13,19 @@
 constexpr double kSlowestClock = 0.98;
 // Added to every conclusion from time alone: rounding and the way of an answer.
 constexpr std::int64_t kLeaseMarginMs = 300;
-// How often a lease is renewed, and the longest wait for an end in one hold.
+// How often a lease is renewed, and the longest wait for an end in one hold. A
+// silent worker is noticed sooner with a short wait; in a large cell the holds
+// of workers without news would cost too much.
 constexpr std::int64_t kHoldWaitMs = 1'000;
+constexpr std::int64_t kLongHoldWaitMs = 2'000;
+constexpr std::size_t kLargeCell = 150;
 // Beyond the wait: round trips between regions and a busy worker.
 constexpr std::int64_t kAnswerTimeoutMs = 1'000;
 // Shorter than the time within which a cancelled task must be gone.
 constexpr std::int64_t kStopRetryMs = 700;
-// Without an answer for this long a worker gets no starts.
-constexpr std::int64_t kSilenceMs = 2'600;
+// Without an answer for this long beyond the wait of a hold a worker gets no
+// starts.
+constexpr std::int64_t kSilenceMs = 1'600;
 // Workers are looked at for due holds and lost leases this often. Each turn of
 // the decision thread would cost a large cell most of its processor time.
 constexpr std::int64_t kAdvanceIntervalMs = 2;
@@ -251,9 +256,14 @@
   }
 }
 
+std::int64_t WorkerBook::HoldWaitMs() const {
+  return slots_.size() < kLargeCell ? kHoldWaitMs : kLongHoldWaitMs;
+}
+
 bool WorkerBook::IsUsable(const WorkerSlot& slot, std::int64_t now_ms) const {
   return slot.synced && !slot.record.leaving && !slot.lapsed &&
-         slot.clock_ms >= 0 && now_ms - slot.answered_ms < kSilenceMs &&
+         slot.clock_ms >= 0 &&
+         now_ms - slot.answered_ms < HoldWaitMs() + kSilenceMs &&
          slot.hold_failures == 0 && now_ms >= slot.avoid_until_ms;
 }
 
@@ -384,7 +394,7 @@
     order.lease_until_ms = GrantLease(slot, now_ms);
   }
   const bool wait = slot.synced && slot.hold_failures == 0;
-  order.wait = std::chrono::milliseconds(wait ? kHoldWaitMs : 0);
+  order.wait = std::chrono::milliseconds(wait ? HoldWaitMs() : 0);
   slot.hold_sent_ms = now_ms;
   slot.hold_order =
       Emit(slot, order, order.wait.count() + kAnswerTimeoutMs, out);
@@ -417,7 +427,8 @@
 
 void WorkerBook::Advance(std::int64_t now_ms, BookOutput& out) {
   SendStops(now_ms, out);
-  if (now_ms < advanced_ms_ + kAdvanceIntervalMs) {
+  behind_ = now_ms < advanced_ms_ + kAdvanceIntervalMs;
+  if (behind_) {
     return;
   }
   advanced_ms_ = now_ms;
--- a/libraries/cell/src/worker_book.h
+++ b/libraries/cell/src/worker_book.h
@@ -100,6 +100,9 @@
   // Sends what is due and concludes what time alone tells.
   void Advance(std::int64_t now_ms, BookOutput& out);
 
+  // The last Advance() came too early to look at the workers.
+  bool behind() const { return behind_; }
+
   const std::map<WorkerNumber, WorkerSlot>& slots() const { return slots_; }
   // Workers whose runs, record or contact changed since the last call.
   std::set<WorkerNumber> TakeTouched() { return std::exchange(touched_, {}); }
@@ -129,6 +132,8 @@
   // Our time at which every lease of the worker has surely run out.
   std::int64_t LeaseEnd(const WorkerSlot& slot) const;
 
+  // Longest wait for news in a hold.
+  std::int64_t HoldWaitMs() const;
   void SendHold(WorkerSlot& slot, std::int64_t now_ms, BookOutput& out);
   void SendStops(std::int64_t now_ms, BookOutput& out);
   OrderId Emit(WorkerSlot& slot,
@@ -173,6 +178,7 @@
   std::set<WorkerNumber> touched_;
   OrderId next_order_;
   std::int64_t advanced_ms_;
+  bool behind_ = false;
   bool fenced_ = false;
 };
 
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -226,8 +226,10 @@
   std::string word;
   for (int n = 0; fields >> word && n <= kResidentPages; ++n) {
     if (n == kUserTime || n == kSystemTime) {
-      usage.cpu_seconds +=
+      const auto spent =
           std::stod(word) / static_cast<double>(sysconf(_SC_CLK_TCK));
+      usage.cpu_seconds += spent;
+      usage.user_seconds += n == kUserTime ? spent : 0;
     } else if (n == kResidentPages) {
       usage.resident_mb =
           std::stod(word) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -80,6 +80,7 @@
 // What a process has used so far.
 struct ProcessUsage {
   double cpu_seconds = 0;
+  double user_seconds = 0;  // Of these, outside the kernel.
   double resident_mb = 0;
 };
 ProcessUsage ReadUsage(pid_t pid);
