cell, wire: Spread the calls to workers over the controllers of a large cell

Cause: with 350 workers, calls to workers over HTTP take 27% of the leader's processor time, while the other controllers are idle. Change: from 150 workers on the leader sends its orders to the other live controllers, a fixed one for each worker, and these send the replies back. The leader alone decides; fences and leases stay its own. Each order is reported exactly once.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -51,6 +51,8 @@
   std::vector<SentOrder> orders;
   std::vector<Proposal> proposals;
   std::optional<wire::MembershipChange> membership_change;
+  // Controllers that are to carry out orders to workers from now on.
+  std::optional<std::vector<std::string>> helpers;
   // Advance() is to be called again after this, also without input.
   std::chrono::milliseconds idle{20};
 };
--- a/libraries/cell/src/call_handler.cc
+++ b/libraries/cell/src/call_handler.cc
@@ -71,6 +71,15 @@
   reply = result ? std::move(*result) : wire::ToStatus(result.error());
 }
 
+void CallHandler::RelayOrders(const std::string& leader,
+                              const std::vector<wire::RelayedOrder>& orders) {
+  relay_.OnOrders(leader, orders);
+}
+
+void CallHandler::RelayReplies(const std::vector<wire::RelayedReply>& replies) {
+  relay_.OnReplies(replies);
+}
+
 void CallHandler::DeliverRaft(const std::vector<wire::RaftMessage>& messages) {
   replica_.Receive(messages);
 }
--- a/libraries/cell/src/call_handler.h
+++ b/libraries/cell/src/call_handler.h
@@ -3,6 +3,7 @@
 #define CRANBERRYSHUNT_CELL_CALL_HANDLER_H_
 
 #include <chrono>
+#include <string>
 #include <vector>
 
 #include "ControllerService.h"
@@ -15,8 +16,10 @@
 // bound. Safe for use by several threads.
 class CallHandler final : public wire::ControllerServiceNull {
  public:
-  CallHandler(DecisionThread& decisions, consensus::Replica& replica)
-      : decisions_(decisions), replica_(replica) {}
+  CallHandler(DecisionThread& decisions,
+              consensus::Replica& replica,
+              Relay& relay)
+      : decisions_(decisions), replica_(replica), relay_(relay) {}
 
   void CallGraph(wire::GraphReply& reply,
                  const wire::GraphRequest& request) override;
@@ -24,6 +27,9 @@
                   const wire::AdvicePoll& poll) override;
   void Join(wire::Status& reply, const wire::Member& member) override;
   void DeliverRaft(const std::vector<wire::RaftMessage>& messages) override;
+  void RelayOrders(const std::string& leader,
+                   const std::vector<wire::RelayedOrder>& orders) override;
+  void RelayReplies(const std::vector<wire::RelayedReply>& replies) override;
 
  private:
   // Posts the call that `make` builds from a reply function, and waits.
@@ -32,6 +38,7 @@
 
   DecisionThread& decisions_;
   consensus::Replica& replica_;
+  Relay& relay_;
 };
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/controller.cc
+++ b/libraries/cell/src/controller.cc
@@ -13,11 +13,16 @@
 #include "cranberryshunt/wire/controller_client.h"
 #include "cranberryshunt/wire/controller_server.h"
 #include "decision_thread.h"
+#include "relay.h"
+#include "thrift_relay_link.h"
 
 namespace cranberryshunt::cell {
 
 namespace {
 
+// How exactly the deadline of a relayed order is kept.
+constexpr std::chrono::milliseconds kRelayCheck{100};
+
 // How often a member tells the leader that it is alive.
 constexpr std::chrono::milliseconds kJoinInterval{1'000};
 constexpr std::chrono::milliseconds kJoinTimeout{700};
@@ -124,14 +129,22 @@
                   options.snapshot_every_entries,
                   clock,
                   host,
-                  metrics) {}
+                  metrics),
+        link(options.replica.address, options.cluster_secret),
+        relay(
+            [this](OrderId id, WorkerReply reply) {
+              decisions.OnWorkerReply(id, std::move(reply));
+            },
+            link,
+            clock) {}
 
   ~Implementation() {
     joiner.reset();
     decisions.StopServing();
     server.reset();
     decisions.Stop();
-    driver.reset();
+    relay_timer = {};
+    relay.Stop();
     replica.reset();
   }
 
@@ -142,7 +155,10 @@
   ReplicaHost host;
   DecisionThread decisions;
   std::unique_ptr<consensus::Replica> replica;
-  std::unique_ptr<WorkerDriver> driver;
+  ThriftRelayLink link;
+  Relay relay;
+  TimerService timers;
+  TimerService::Subscription relay_timer;
   std::unique_ptr<CallHandler> handler;
   std::unique_ptr<wire::ControllerServer> server;
   std::unique_ptr<Joiner> joiner;
@@ -168,13 +184,15 @@
   Log(LogLevel::kInfo, "cell", "data folder opened",
       {{"disk_identity", parts->replica->disk_identity()}});
   parts->host.set_replica(parts->replica.get());
-  parts->driver =
+  parts->relay.SetDriver(
       create_driver([raw = parts.get()](OrderId id, WorkerReply reply) {
-        raw->decisions.OnWorkerReply(id, std::move(reply));
-      });
-  parts->decisions.Start(*parts->replica, *parts->driver);
-  parts->handler =
-      std::make_unique<CallHandler>(parts->decisions, *parts->replica);
+        raw->relay.OnLocalReply(id, std::move(reply));
+      }));
+  parts->relay_timer = parts->timers.Every(
+      kRelayCheck, [raw = parts.get()] { raw->relay.Advance(); });
+  parts->decisions.Start(*parts->replica, parts->relay);
+  parts->handler = std::make_unique<CallHandler>(parts->decisions,
+                                                 *parts->replica, parts->relay);
   auto server = wire::ControllerServer::Start(
       options.listen_address, options.cluster_secret, *parts->handler,
       [&metrics](const std::string& peer_id) {
--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -30,7 +30,7 @@
   Stop();
 }
 
-void DecisionThread::Start(consensus::Replica& replica, WorkerDriver& workers) {
+void DecisionThread::Start(consensus::Replica& replica, Relay& workers) {
   replica_ = &replica;
   workers_ = &workers;
   thread_ = std::thread([this] { Run(); });
@@ -160,6 +160,9 @@
   if (!out.orders.empty()) {
     workers_->Send(std::move(out.orders));
   }
+  if (out.helpers) {
+    workers_->SetHelpers(std::move(*out.helpers));
+  }
   if (out.membership_change) {
     const auto& change = *out.membership_change;
     Log(LogLevel::kInfo, "cell", "membership is being changed",
--- a/libraries/cell/src/decision_thread.h
+++ b/libraries/cell/src/decision_thread.h
@@ -12,6 +12,7 @@
 #include "cranberryshunt/base/bounded_ring.h"
 #include "cranberryshunt/cell/engine.h"
 #include "cranberryshunt/consensus/replica.h"
+#include "relay.h"
 
 namespace cranberryshunt::cell {
 
@@ -65,7 +66,7 @@
   ~DecisionThread() override;
 
   // Begins to process events. Both must outlive Stop().
-  void Start(consensus::Replica& replica, WorkerDriver& workers);
+  void Start(consensus::Replica& replica, Relay& workers);
   // Answers open calls with kShuttingDown and refuses further ones.
   void StopServing();
   void Stop();
@@ -92,7 +93,7 @@
   Engine engine_;
   BoundedRing<Event> ring_;
   consensus::Replica* replica_ = nullptr;
-  WorkerDriver* workers_ = nullptr;
+  Relay* workers_ = nullptr;
   std::thread thread_;
 };
 
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -25,6 +25,9 @@
 // A worker whose leases ran out and that is silent for this long is forgotten.
 constexpr std::int64_t kForgetWorkerMs = 20'000;
 constexpr std::size_t kExpiredPerTurn = 500;
+// From this size on the calls to workers take most of the leader's processor
+// time, so other controllers make them.
+constexpr std::size_t kSpreadFromWorkers = 150;
 
 }  // namespace
 
@@ -376,6 +379,10 @@
   RemoveSilentWorkers();
   const auto membership = host_.Membership();
   out.membership_change = members_.Next(membership, now_ms_);
+  out.helpers.emplace();
+  if (store_.workers().size() >= kSpreadFromWorkers) {
+    out.helpers = members_.LiveOthers(membership, now_ms_);
+  }
   std::vector<std::string> controllers;
   for (const auto& it : membership.members) {
     controllers.push_back(it.address);
--- a/libraries/cell/src/membership_keeper.cc
+++ b/libraries/cell/src/membership_keeper.cc
@@ -39,6 +39,18 @@
   return id != own_id_ && now_ms - heard > kGoneMs;
 }
 
+std::vector<std::string> MembershipKeeper::LiveOthers(
+    const wire::Membership& current,
+    std::int64_t now_ms) const {
+  std::vector<std::string> out;
+  for (const auto& it : current.members) {
+    if (it.id != own_id_ && Alive(it.id, now_ms)) {
+      out.push_back(it.address);
+    }
+  }
+  return out;
+}
+
 std::optional<wire::MembershipChange> MembershipKeeper::Next(
     const wire::Membership& current,
     std::int64_t now_ms) {
--- a/libraries/cell/src/membership_keeper.h
+++ b/libraries/cell/src/membership_keeper.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "wire_types.h"
 
@@ -21,6 +22,9 @@
 
   // `member` is alive and asks to be part of the cell.
   void Heard(const wire::Member& member, std::int64_t now_ms);
+  // Addresses of the other members that are alive.
+  std::vector<std::string> LiveOthers(const wire::Membership& current,
+                                      std::int64_t now_ms) const;
   // The next change of the membership, if one is due. At most one each second.
   std::optional<wire::MembershipChange> Next(const wire::Membership& current,
                                              std::int64_t now_ms);
--- /dev/null
+++ b/libraries/cell/src/relay.cc
@@ -0,0 +1,171 @@
+#include "relay.h"
+
+#include <functional>
+#include <utility>
+
+#include "cranberryshunt/base/log.h"
+#include "relay_codec.h"
+
+namespace cranberryshunt::cell {
+
+namespace {
+
+// Beyond the time that a call may take: two ways between regions, and batches
+// that wait for the one before.
+constexpr std::chrono::milliseconds kRelayMargin{400};
+// A helper that was frozen or cut off comes back after some seconds.
+constexpr std::chrono::seconds kAvoidHelper{5};
+// A cut between a helper and a worker lasts some seconds.
+constexpr std::chrono::seconds kDirect{10};
+
+bool IsUnreached(WorkerAnswer answer) {
+  return answer == WorkerAnswer::kNoAnswer || answer == WorkerAnswer::kNotSent;
+}
+
+}  // namespace
+
+Relay::Relay(ReplySink sink, RelayLink& link, const Clock& clock)
+    : sink_(std::move(sink)), link_(link), clock_(clock) {}
+
+void Relay::SetDriver(std::unique_ptr<WorkerDriver> driver) {
+  driver_ = std::move(driver);
+}
+
+void Relay::Stop() {
+  driver_.reset();
+}
+
+std::string Relay::HelperFor(const SentOrder& order, TimePoint now) const {
+  // A fresh connection is asked for when earlier orders were not answered,
+  // which may be the helper's fault.
+  if (helpers_.empty() || order.fresh_connection) {
+    return {};
+  }
+  const auto direct = direct_workers_.find(order.worker.id);
+  if (direct != direct_workers_.end() && now < direct->second) {
+    return {};
+  }
+  const auto n = std::hash<std::string>()(order.worker.id) % helpers_.size();
+  const auto avoided = avoided_helpers_.find(helpers_[n]);
+  return avoided != avoided_helpers_.end() && now < avoided->second
+             ? std::string()
+             : helpers_[n];
+}
+
+void Relay::Send(std::vector<SentOrder> orders) {
+  std::vector<SentOrder> own;
+  std::map<std::string, std::vector<wire::RelayedOrder>> relayed;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto now = clock_.Now();
+    for (auto& it : orders) {
+      auto helper = HelperFor(it, now);
+      if (helper.empty()) {
+        own.push_back(std::move(it));
+        continue;
+      }
+      relayed[helper].push_back(ToWire(it));
+      outstanding_[it.id] = {std::move(helper), it.worker.id,
+                             now + it.timeout + kRelayMargin};
+    }
+  }
+  for (auto& [helper, batch] : relayed) {
+    link_.SendOrders(helper, std::move(batch));
+  }
+  if (!own.empty()) {
+    driver_->Send(std::move(own));
+  }
+}
+
+void Relay::SetHelpers(std::vector<std::string> helpers) {
+  const std::lock_guard lock(mutex_);
+  if (helpers.size() != helpers_.size()) {
+    Log(LogLevel::kInfo, "cell", "calls to workers are spread",
+        {{"helpers", helpers.size()}});
+  }
+  helpers_ = std::move(helpers);
+}
+
+void Relay::OnReplies(const std::vector<wire::RelayedReply>& replies) {
+  for (const auto& it : replies) {
+    auto reply = FromWire(it);
+    const auto id = static_cast<OrderId>(it.id);
+    {
+      const std::lock_guard lock(mutex_);
+      const auto node = outstanding_.extract(id);
+      // It was given up before.
+      if (node.empty()) {
+        continue;
+      }
+      if (IsUnreached(reply.answer)) {
+        direct_workers_[node.mapped().worker] = clock_.Now() + kDirect;
+      }
+    }
+    sink_(id, std::move(reply));
+  }
+}
+
+void Relay::Advance() {
+  std::vector<OrderId> over;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto now = clock_.Now();
+    for (auto it = outstanding_.begin(); it != outstanding_.end();) {
+      if (now < it->second.deadline) {
+        ++it;
+        continue;
+      }
+      const auto& helper = it->second.helper;
+      const auto known = avoided_helpers_.find(helper);
+      if (known == avoided_helpers_.end() || known->second <= now) {
+        Log(LogLevel::kWarning, "cell", "helper does not answer",
+            {{"helper", helper}, {"worker", it->second.worker}});
+      }
+      avoided_helpers_[helper] = now + kAvoidHelper;
+      over.push_back(it->first);
+      it = outstanding_.erase(it);
+    }
+    std::erase_if(direct_workers_,
+                  [&](const auto& it) { return it.second <= now; });
+  }
+  for (const auto it : over) {
+    WorkerReply reply;
+    reply.detail = "the helper did not answer";
+    sink_(it, std::move(reply));
+  }
+}
+
+void Relay::OnOrders(const std::string& leader,
+                     const std::vector<wire::RelayedOrder>& orders) {
+  std::vector<SentOrder> carried;
+  for (const auto& it : orders) {
+    auto order = FromWire(it);
+    if (!order) {
+      Log(LogLevel::kWarning, "cell", "relayed order is not readable",
+          {{"leader", leader}, {"reason", order.error().message()}});
+      continue;
+    }
+    const std::lock_guard lock(mutex_);
+    leaders_[order->id] = leader;
+    carried.push_back(std::move(*order));
+  }
+  driver_->Send(std::move(carried));
+}
+
+void Relay::OnLocalReply(OrderId id, WorkerReply reply) {
+  std::string leader;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto node = leaders_.extract(id);
+    if (!node.empty()) {
+      leader = node.mapped();
+    }
+  }
+  if (leader.empty()) {
+    sink_(id, std::move(reply));
+  } else {
+    link_.SendReplies(leader, {ToWire(id, reply)});
+  }
+}
+
+}  // namespace cranberryshunt::cell
--- a/libraries/wire/src/controller_server.cc
+++ b/libraries/wire/src/controller_server.cc
@@ -135,6 +135,15 @@
     RequireAuthentication();
     handler_.PollAdvice(reply, poll);
   }
+  void RelayOrders(const std::string& leader,
+                   const std::vector<RelayedOrder>& orders) override {
+    RequireAuthentication();
+    handler_.RelayOrders(leader, orders);
+  }
+  void RelayReplies(const std::vector<RelayedReply>& replies) override {
+    RequireAuthentication();
+    handler_.RelayReplies(replies);
+  }
   void Join(Status& reply, const Member& member) override {
     RequireAuthentication();
     handler_.Join(reply, member);
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -712,6 +712,65 @@
   3: list<string> controllers  // Addresses of the members.
 }
 
+struct RelayedHold {
+  1: i64 acknowledged_end
+  2: i64 lease_until_ms        // On the worker's clock; 0: left as it is.
+  3: i64 wait_ms
+}
+
+struct RelayedStart {
+  1: GraphTaskKey task
+  2: i32 run
+  3: binary payload
+  4: string checkpoint
+  5: string ticket
+  6: i64 lease_until_ms
+}
+
+struct RelayedStop {
+  1: GraphTaskKey task
+  2: i32 run
+}
+
+// An order of the leader to a worker, carried out by another controller. One of the last three is set.
+struct RelayedOrder {
+  1: i64 id
+  2: string worker
+  3: string address
+  4: i64 fence
+  5: i64 timeout_ms
+  6: optional RelayedHold hold
+  7: optional RelayedStart start
+  8: optional RelayedStop stop
+}
+
+struct RelayedRun {
+  1: GraphTaskKey task
+  2: i32 run
+  3: string checkpoint
+  4: i32 percent
+  5: i64 usage
+}
+
+struct RelayedEnd {
+  1: i64 number
+  2: GraphTaskKey task
+  3: i32 run
+  4: RunEnd how
+  5: string checkpoint
+}
+
+struct RelayedReply {
+  1: i64 id
+  2: i32 answer                // A number of cell::WorkerAnswer.
+  3: i64 clock_ms
+  4: i64 born_ms
+  5: list<RelayedRun> running
+  6: list<RelayedEnd> ended
+  7: i32 unreadable_rows
+  8: string detail
+}
+
 exception NotAuthenticated { 1: string message }
 
 service ControllerService {
@@ -733,6 +792,9 @@
   void DeliverRaft(1: list<RaftMessage> messages)
   GraphReply CallGraph(1: GraphRequest request)
   AdviceOrders PollAdvice(1: AdvicePoll poll)
+  // Orders of the leader at `leader`, "ip:port", whose replies go back by RelayReplies.
+  void RelayOrders(1: string leader, 2: list<RelayedOrder> orders)
+  void RelayReplies(1: list<RelayedReply> replies)
   // Adds a controller to the cell, or tells the leader that it is alive.
   Status Join(1: Member member)
 }
--- /dev/null
+++ b/tests/cell/relay_test.cc
@@ -0,0 +1,189 @@
+// Orders that other controllers carry out for the leader.
+#include "relay.h"
+
+#include <criterion/criterion.h>
+
+#include "relay_codec.h"
+
+using namespace cranberryshunt;        // NOLINT
+using namespace cranberryshunt::cell;  // NOLINT
+
+namespace {
+
+class RecordingDriver final : public WorkerDriver {
+ public:
+  explicit RecordingDriver(std::vector<SentOrder>& sent) : sent_(sent) {}
+  void Send(std::vector<SentOrder> orders) override {
+    sent_.insert(sent_.end(), orders.begin(), orders.end());
+  }
+
+ private:
+  std::vector<SentOrder>& sent_;
+};
+
+class RecordingLink final : public RelayLink {
+ public:
+  void SendOrders(const std::string& controller,
+                  std::vector<wire::RelayedOrder> batch) override {
+    for (auto& it : batch) {
+      orders.emplace_back(controller, std::move(it));
+    }
+  }
+  void SendReplies(const std::string& controller,
+                   std::vector<wire::RelayedReply> batch) override {
+    for (auto& it : batch) {
+      replies.emplace_back(controller, std::move(it));
+    }
+  }
+
+  std::vector<std::pair<std::string, wire::RelayedOrder>> orders;
+  std::vector<std::pair<std::string, wire::RelayedReply>> replies;
+};
+
+SentOrder MakeOrder(OrderId id, const std::string& worker) {
+  SentOrder order;
+  order.id = id;
+  order.worker = {worker, "127.0.0.1:9"};
+  StartOrder start;
+  start.fence = 4;
+  start.task = {0xab, 1, 2, 3};
+  start.run = 5;
+  start.payload = std::string("bytes\0and more", 14);
+  start.checkpoint = "c";
+  start.ticket = "t";
+  start.lease_until_ms = 77;
+  order.order = start;
+  order.timeout = std::chrono::milliseconds(1'000);
+  return order;
+}
+
+struct Fixture {
+  Fixture()
+      : relay(
+            [this](OrderId id, const WorkerReply& reply) {
+              told.emplace_back(id, reply);
+            },
+            link,
+            clock) {
+    relay.SetDriver(std::make_unique<RecordingDriver>(own));
+  }
+
+  void Pass(std::chrono::milliseconds time) {
+    clock.Advance(time);
+    relay.Advance();
+  }
+
+  ManualClock clock;
+  RecordingLink link;
+  std::vector<SentOrder> own;
+  std::vector<std::pair<OrderId, WorkerReply>> told;
+  Relay relay;
+};
+
+WorkerReply Done() {
+  WorkerReply reply;
+  reply.answer = WorkerAnswer::kDone;
+  reply.clock_ms = 12;
+  reply.born_ms = 34;
+  reply.running.push_back({{0xab, 0, 1, 2}, 3, "c", 40, 500});
+  reply.ended.push_back({7, {0xab, 0, 1, 4}, 1, wire::RunEnd::kFailed, "d"});
+  reply.detail = "status 200";
+  return reply;
+}
+
+}  // namespace
+
+// Guards against a field that is lost on the way.
+Test(relay_codec, keeps_every_field) {
+  auto order = MakeOrder(9, "w");
+  const auto back = FromWire(ToWire(order));
+  cr_assert(back.has_value());
+  cr_expect(*back == order);
+  order.order = HoldOrder{4, 5, 6, std::chrono::milliseconds(7)};
+  cr_expect(*FromWire(ToWire(order)) == order);
+  order.order = StopOrder{4, {1, 2, 3, 4}, 5};
+  cr_expect(*FromWire(ToWire(order)) == order);
+  cr_expect(FromWire(ToWire(OrderId{9}, Done())) == Done());
+  cr_expect_not(FromWire(wire::RelayedOrder()).has_value());
+}
+
+// Guards against orders that go the long way in a small cell.
+Test(relay, calls_workers_itself_without_helpers) {
+  Fixture it;
+  it.relay.Send({MakeOrder(1, "w")});
+  cr_expect_eq(it.own.size(), 1);
+  it.relay.OnLocalReply(1, Done());
+  cr_assert_eq(it.told.size(), 1);
+  cr_expect(it.told[0].second == Done());
+  cr_expect(it.link.orders.empty() && it.link.replies.empty());
+}
+
+// Guards against replies that reach the wrong controller.
+Test(relay, carries_orders_out_for_a_leader) {
+  Fixture it;
+  it.relay.OnOrders("leader", {ToWire(MakeOrder(1, "w"))});
+  cr_assert_eq(it.own.size(), 1);
+  cr_expect(it.own[0] == MakeOrder(1, "w"));
+  it.relay.OnLocalReply(1, Done());
+  cr_expect(it.told.empty());
+  cr_assert_eq(it.link.replies.size(), 1);
+  cr_expect(it.link.replies[0].first == "leader");
+  cr_expect_eq(it.link.replies[0].second.id, 1);
+}
+
+// Guards against an order that waits for good, or is reported twice, when its
+// helper is gone, and against further orders to that helper.
+Test(relay, gives_up_on_a_silent_helper) {
+  Fixture it;
+  it.relay.SetHelpers({"helper"});
+  it.relay.Send({MakeOrder(1, "w")});
+  cr_expect(it.own.empty());
+  it.Pass(std::chrono::milliseconds(1'200));
+  cr_expect(it.told.empty());
+  it.Pass(std::chrono::milliseconds(400));
+  cr_assert_eq(it.told.size(), 1);
+  cr_expect(it.told[0].second.answer == WorkerAnswer::kNoAnswer);
+  it.relay.OnReplies({ToWire(OrderId{1}, Done())});
+  cr_expect_eq(it.told.size(), 1, "a late reply was reported as well");
+  it.relay.Send({MakeOrder(2, "w")});
+  cr_expect_eq(it.own.size(), 1);
+  it.Pass(std::chrono::seconds(6));
+  it.relay.Send({MakeOrder(3, "w")});
+  cr_expect_eq(it.own.size(), 1);
+}
+
+// Guards against a worker that stays out of reach because only the way from its
+// helper is cut.
+Test(relay, calls_a_worker_itself_that_its_helper_cannot_reach) {
+  Fixture it;
+  it.relay.SetHelpers({"helper"});
+  it.relay.Send({MakeOrder(1, "w")});
+  it.relay.OnReplies({ToWire(OrderId{1}, WorkerReply())});
+  cr_expect_eq(it.told.size(), 1);
+  it.relay.Send({MakeOrder(2, "w"), MakeOrder(3, "other")});
+  cr_assert_eq(it.own.size(), 1);
+  cr_expect(it.own[0].worker.id == "w");
+  auto fresh = MakeOrder(4, "other");
+  fresh.fresh_connection = true;
+  it.relay.Send({fresh});
+  cr_expect_eq(it.own.size(), 2);
+}
+
+// Guards against a share of the workers without a helper.
+Test(relay, spreads_workers_over_helpers) {
+  Fixture it;
+  it.relay.SetHelpers({"a", "b", "c", "d"});
+  constexpr int kWorkers = 400;
+  for (int n = 0; n < kWorkers; ++n) {
+    it.relay.Send(
+        {MakeOrder(static_cast<OrderId>(n) + 1, "w" + std::to_string(n))});
+  }
+  std::map<std::string, int> share;
+  for (const auto& [controller, order] : it.link.orders) {
+    ++share[controller];
+  }
+  cr_assert_eq(share.size(), 4);
+  for (const auto& [controller, n] : share) {
+    cr_expect_geq(n, kWorkers / 8, "%s has %d", controller.c_str(), n);
+  }
+}
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -161,6 +161,32 @@
   ExpectNoViolations(cell);
 }
 
+// Guards against runs that are lost or doubled in a cell whose calls to workers
+// are spread, when a controller that makes them is killed.
+Test(platform_cell, spreads_the_calls_of_a_large_cell) {
+  PlatformCellOptions options;
+  options.fleet.workers = 160;
+  PlatformCell cell(options);
+  Begin(cell, {{.name = "plain"}});
+  cr_assert(WaitUntil(kBound, [&] {
+    return !cell.LogLines("calls to workers are spread").empty();
+  }));
+  for (int n = 0; n < 10; ++n) {
+    SubmitAccepted(cell, "plain", JobId(n), 20, 1'000);
+  }
+  const int leader = cell.Leader();
+  cr_assert_geq(leader, 0);
+  cell.controller((leader + 1) % 3).Kill();
+  for (int n = 10; n < 20; ++n) {
+    SubmitAccepted(cell, "plain", JobId(n), 20, 1'000);
+  }
+  for (int n = 0; n < 20; ++n) {
+    cr_expect(cell.WaitForState("plain", JobId(n), "completed", kBound),
+              "job %d", n);
+  }
+  ExpectNoViolations(cell);
+}
+
 // Shows that the logs alone lead from the id of a refused job to its cause.
 Test(platform_cell, logs_explain_a_refused_job) {
   PlatformCell cell({});
