tests: Let the leases of a silent stand-in worker run out

Cause: platform_cell::moves_tasks_off_a_silent_worker failed once after it had passed: the stand-in kept its lock while it stayed silent, so that its own leases did not run out and its tasks ran on beside their successors. Change: it stays silent without the lock.

--- a/tests/support/platform/fleet.cc
+++ b/tests/support/platform/fleet.cc
@@ -140,6 +140,7 @@
   // An answer when the order is not for this worker or has a low fence.
   std::optional<HttpResponse> Check(const HttpRequest& request,
                                     const json_t* body);
+  static HttpResponse StaySilent();
   void Extend(std::int64_t until_ms);
   void End(const Key& key, const char* how);
 
@@ -185,14 +186,6 @@
 
 std::optional<HttpResponse> FleetWorker::Check(const HttpRequest& request,
                                                const json_t* body) {
-  if (silent) {
-    // Longer than every caller waits.
-    std::this_thread::sleep_for(std::chrono::seconds(3));
-    HttpResponse response;
-    response.status = kUnavailable;
-    response.close = true;
-    return response;
-  }
   const auto wanted = request.Header("X-Expect-Instance");
   if (!wanted.empty() && wanted != id_) {
     return Render(kOtherInstance, Json(json_object()));
@@ -205,6 +198,17 @@
   return std::nullopt;
 }
 
+// Runs without the lock, so that leases run out meanwhile.
+HttpResponse FleetWorker::StaySilent() {
+  // Longer than every caller waits.
+  constexpr std::chrono::seconds kSilence{3};
+  std::this_thread::sleep_for(kSilence);
+  HttpResponse response;
+  response.status = kUnavailable;
+  response.close = true;
+  return response;
+}
+
 void FleetWorker::Extend(std::int64_t until_ms) {
   lease_until_ms_ =
       std::max(lease_until_ms_, std::min(until_ms, ClockMs() + kMaxLeaseMs));
@@ -212,6 +216,9 @@
 
 HttpResponse FleetWorker::OnStart(const HttpRequest& request) {
   const Json body = ParseJson(std::string(request.body()));
+  if (silent) {
+    return StaySilent();
+  }
   const std::lock_guard lock(mutex_);
   if (auto refused = Check(request, body.get())) {
     return std::move(*refused);
@@ -250,6 +257,9 @@
 
 HttpResponse FleetWorker::OnStop(const HttpRequest& request) {
   const Json body = ParseJson(std::string(request.body()));
+  if (silent) {
+    return StaySilent();
+  }
   const std::lock_guard lock(mutex_);
   if (auto refused = Check(request, body.get())) {
     return std::move(*refused);
@@ -267,6 +277,9 @@
 
 HttpResponse FleetWorker::OnHold(const HttpRequest& request) {
   const Json body = ParseJson(std::string(request.body()));
+  if (silent) {
+    return StaySilent();
+  }
   std::unique_lock lock(mutex_);
   if (auto refused = Check(request, body.get())) {
     return std::move(*refused);
