tests: Give each test process loopback addresses of its own

Cause: tests that run at the same time took ports of 127.0.0.1 from one range. A test whose entry had closed its listener could reach another test's server at the same port, and was cut off when that one ended. Change: the entry, wire, consensus and controller tests use the loopback address of their process.

--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -19,6 +19,7 @@
 #include "cranberryshunt/consensus/thrift_peer_transport.h"
 #include "cranberryshunt/storage/file_system.h"
 #include "cranberryshunt/wire/controller_server.h"
+#include "support/loopback.h"
 
 namespace cranberryshunt::consensus {
 
@@ -130,10 +131,11 @@
     auto node = std::make_unique<Node>();
     node->id = "c" + std::to_string(nodes.size());
     node->directory = (directory_ / node->id).string();
-    // Tests run at the same time, so a port that is taken is skipped.
+    // Each test is a process with a loopback address of its own, but it may
+    // have several clusters.
     for (int port = 22000 + static_cast<int>(nodes.size());
          port < 23000 && !node->server; ++port) {
-      node->address = "127.0.0.1:" + std::to_string(port);
+      node->address = test::OwnLoopbackIp() + ":" + std::to_string(port);
       auto server = wire::ControllerServer::Start(
           node->address, "secret", node->handler, [](const auto&) {});
       if (server) {
--- a/tests/controller/controller_test.cc
+++ b/tests/controller/controller_test.cc
@@ -13,6 +13,7 @@
 #include "cranberryshunt/base/clock.h"
 #include "cranberryshunt/controller/controller.h"
 #include "cranberryshunt/wire/controller_client.h"
+#include "support/loopback.h"
 
 namespace cranberryshunt::controller {
 
@@ -44,7 +45,8 @@
     for (int i = 0; i < size; ++i) {
       wire::Member member;
       member.id = "c" + std::to_string(i);
-      member.address = "127.0.0.1:" + std::to_string(first_port + i);
+      member.address =
+          test::OwnLoopbackIp() + ":" + std::to_string(first_port + i);
       member.voter = true;
       members_.members.push_back(member);
       addresses.push_back(member.address);
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -2,16 +2,16 @@
 #ifndef CRANBERRYSHUNT_TESTS_ENTRY_ENTRY_FIXTURE_H_
 #define CRANBERRYSHUNT_TESTS_ENTRY_ENTRY_FIXTURE_H_
 
-#include <unistd.h>
-
 #include <curl/curl.h>
 
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
 #include "cranberryshunt/entry/entry.h"
 #include "fake_controller.h"
+#include "support/loopback.h"
 
 namespace cranberryshunt::entry {
 
@@ -81,28 +81,21 @@
     options.operator_token = "operator";
     options.entry_count = 1;
     options.drain_grace = std::chrono::milliseconds(100);
-    // Tests run at the same time, each in a process. A port that is taken is
-    // skipped, and each process begins at another one, so that the port of an
-    // entry that was stopped is not taken by the next test at once.
-    constexpr int kPorts = 400;
-    const int first = getpid() % kPorts;
-    for (int i = 0; !server && i < kPorts; ++i) {
-      const std::string address =
-          "127.0.0.1:" + std::to_string(22000 + (first + i) % kPorts);
-      auto started = wire::ControllerServer::Start(
-          address, "secret", controller, [](const std::string&) {});
-      if (started) {
-        server = std::move(*started);
-        options.controllers = {address};
-      }
+    // Each test is a process with a loopback address of its own.
+    const std::string controller_address = test::OwnLoopbackIp() + ":22000";
+    auto controller_started = wire::ControllerServer::Start(
+        controller_address, "secret", controller, [](const std::string&) {});
+    if (!controller_started) {
+      throw std::runtime_error(controller_started.error().message());
     }
-    for (int i = 0; !entry && i < kPorts; ++i) {
-      options.listen_address =
-          "127.0.0.1:" + std::to_string(23000 + (first + i) % kPorts);
-      if (auto started = Entry::Start(options)) {
-        entry = std::move(*started);
-      }
+    server = std::move(*controller_started);
+    options.controllers = {controller_address};
+    options.listen_address = test::OwnLoopbackIp() + ":23000";
+    auto entry_started = Entry::Start(options);
+    if (!entry_started) {
+      throw std::runtime_error(entry_started.error().message());
     }
+    entry = std::move(*entry_started);
     url = "http://" + options.listen_address;
   }
 
--- a/tests/policy/graph_admission_test.cc
+++ b/tests/policy/graph_admission_test.cc
@@ -68,3 +68,24 @@
   cr_expect(decision.accepted);
   cr_expect_eq(decision.expected_wait_ms, 0);
 }
+
+// Load pattern: more starts a second than the leader has processor time for.
+// Guards against work that is taken on while leases run out unrenewed, and
+// against refusing urgent work first.
+Test(graph_admission, refuses_while_the_leader_is_overloaded) {
+  auto load = Waiting(0);
+  NewJob job;
+  job.slack_ms = 5'000;
+  NewJob urgent = job;
+  urgent.urgent = true;
+  load.answer_ms = 40;
+  cr_expect(DecideAdmission(load, job).accepted);
+  load.answer_ms = 400;
+  const auto refused = DecideAdmission(load, job);
+  cr_expect_not(refused.accepted);
+  cr_expect(refused.overloaded);
+  cr_expect_geq(refused.retry_after_ms, 1'000);
+  cr_expect(DecideAdmission(load, urgent).accepted);
+  load.answer_ms = 900;
+  cr_expect_not(DecideAdmission(load, urgent).accepted);
+}
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -13,6 +13,7 @@
 #include "cranberryshunt/wire/codec.h"
 #include "cranberryshunt/wire/controller_client.h"
 #include "cranberryshunt/wire/controller_server.h"
+#include "support/loopback.h"
 
 namespace cranberryshunt::wire {
 
@@ -39,9 +40,10 @@
 
 std::unique_ptr<RunningServer> StartServer() {
   auto running = std::make_unique<RunningServer>();
-  // Tests run at the same time, so a port that is taken is skipped.
+  // Each test is a process with a loopback address of its own, but it may start
+  // several servers.
   for (int port = 21000; port < 21100; ++port) {
-    running->address = "127.0.0.1:" + std::to_string(port);
+    running->address = test::OwnLoopbackIp() + ":" + std::to_string(port);
     auto server =
         ControllerServer::Start(running->address, "secret", running->handler,
                                 [raw = running.get()](const std::string& peer) {
