http: Close connections that send no whole request line

Cause: a connection that sends half a request line held its thread for the idle time-out of 75 s, so 500 of them held 500 threads of an entry.

--- a/libraries/http/include/cranberryshunt/http/http_server.h
+++ b/libraries/http/include/cranberryshunt/http/http_server.h
@@ -64,6 +64,9 @@
   std::string listen_address;  // "ip:port".
   std::size_t max_body_bytes = 0;
   unsigned int max_connections = 0;
+  // Silence after which a new connection is closed that has not sent its first
+  // request, and a connection between requests.
+  std::chrono::seconds header_timeout{10};
   std::chrono::seconds idle_timeout{75};
   // Handles requests that no route matches; without it they get 404.
   std::function<HttpResponse(const HttpRequest&)> fallback;
--- a/libraries/http/src/http_server.cc
+++ b/libraries/http/src/http_server.cc
@@ -229,6 +229,7 @@
   int listen_socket = -1;
   std::atomic<bool> closing = false;
   std::atomic<std::int64_t> in_flight = 0;
+  unsigned int idle_timeout_s = 0;
   std::vector<std::unique_ptr<RouteState>> routes;
   std::unique_ptr<RouteState> fallback;
   RenderErrorFunction render_error;
@@ -259,7 +260,11 @@
                                              void** context,
                                              MHD_RequestTerminationCode code) {
   mhd_request_completed(nullptr, connection, context, code);
-  --static_cast<Implementation*>(self)->in_flight;
+  auto& server = *static_cast<Implementation*>(self);
+  // Until here the shorter time-out for new connections applies.
+  MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                            server.idle_timeout_s);
+  --server.in_flight;
 }
 
 Result<void> HttpServer::Implementation::Listen(
@@ -282,6 +287,7 @@
     return Fail(ResultCode::kUnavailable, "cannot set up the HTTP server");
   }
   initialized = true;
+  idle_timeout_s = static_cast<unsigned int>(options.idle_timeout.count());
   // One byte more than allowed shows the handler that a body is too large;
   // ulfius cuts bodies off at its limit without an error.
   instance.max_post_body_size = options.max_body_bytes + 1;
@@ -303,7 +309,7 @@
        this},
       {MHD_OPTION_SOCK_ADDR, 0, &address},
       {MHD_OPTION_CONNECTION_LIMIT, options.max_connections, nullptr},
-      {MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout.count(), nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT, options.header_timeout.count(), nullptr},
       {MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes, nullptr},
       {MHD_OPTION_THREAD_STACK_SIZE, kThreadStackBytes, nullptr},
       {MHD_OPTION_END, 0, nullptr},
