policy, cell: Refuse jobs while the leader is short of processor time

Change: the median time in which workers answered the latest 64 starts counts as a sign of overload; above 250 ms other work is refused, above 500 ms urgent work as well. The admission line names it (answer_ms).

--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -162,11 +162,14 @@
        {"slack_ms", asked.slack_ms},
        {"expected_wait_ms", decision.expected_wait_ms},
        {"advice_wait_ms", load.advice_wait_ms},
+       {"answer_ms", load.answer_ms},
        {"retry_after_ms", decision.retry_after_ms}});
   if (!decision.accepted) {
     ++metrics_.Counter("jobs_refused_total{queue=\"" + queue.name + "\"}");
     call.reply(ReplyWith(ResultCode::kQueueFull,
-                         "the job would end after its objective",
+                         decision.overloaded
+                             ? "the leader is short of processor time"
+                             : "the job would end after its objective",
                          decision.retry_after_ms));
     return;
   }
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -250,6 +250,7 @@
       load.memory.waiting_urgent += memory;
     }
   }
+  load.answer_ms = book_.MedianAnswerMs(now_ms_);
   load.advice_wait_ms = static_cast<double>(
       desk_.ExpectedWaitMs(now_ms_, job.urgent, now_ms_ + job.slack_ms));
   return load;
--- a/libraries/cell/src/worker_book.h
+++ b/libraries/cell/src/worker_book.h
@@ -4,6 +4,7 @@
 #define CRANBERRYSHUNT_CELL_WORKER_BOOK_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -100,6 +101,9 @@
   // Sends what is due and concludes what time alone tells.
   void Advance(std::int64_t now_ms, BookOutput& out);
 
+  // Median time in which the latest starts were answered, those without an
+  // answer included; 0 when there were none for a while.
+  double MedianAnswerMs(std::int64_t now_ms) const;
   // The last Advance() came too early to look at the workers.
   bool behind() const { return behind_; }
 
@@ -158,6 +162,7 @@
                    BookOutput& out);
   void OnStartReply(WorkerSlot& slot,
                     const StartOrder& order,
+                    std::int64_t sent_ms,
                     const WorkerReply& reply,
                     std::int64_t now_ms,
                     BookOutput& out);
@@ -176,6 +181,8 @@
   // Runs that may need a stop; others are never looked at for it.
   std::set<std::pair<WorkerNumber, RunKey>> stops_;
   std::set<WorkerNumber> touched_;
+  // When the latest starts were answered, and after how long.
+  std::deque<std::pair<std::int64_t, std::int64_t>> answers_;
   OrderId next_order_;
   std::int64_t advanced_ms_;
   bool behind_ = false;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -15,6 +15,11 @@
 constexpr std::int64_t kMaxHoldRetryMs = 2'000;
 // After an overloaded or unhealthy answer to a start.
 constexpr std::int64_t kAvoidMs = 1'500;
+// Answers to starts that tell how fast the leader is now: a tenth of a second
+// of a large cell's.
+constexpr std::size_t kAnswersKept = 64;
+constexpr std::int64_t kAnswersKeptMs = 1'000;
+constexpr std::size_t kMinAnswers = 8;
 
 }  // namespace
 
@@ -55,7 +60,7 @@
       }
     }
   } else if (const auto* start = std::get_if<StartOrder>(&sent.order)) {
-    OnStartReply(*slot, *start, reply, now_ms, out);
+    OnStartReply(*slot, *start, sent_ms, reply, now_ms, out);
   } else if (const auto* stop = std::get_if<StopOrder>(&sent.order)) {
     OnStopReply(*slot, *stop, reply, now_ms);
   }
@@ -183,11 +188,32 @@
   }
 }
 
+double WorkerBook::MedianAnswerMs(std::int64_t now_ms) const {
+  std::vector<std::int64_t> recent;
+  for (const auto& [at_ms, took_ms] : answers_) {
+    if (now_ms - at_ms <= kAnswersKeptMs) {
+      recent.push_back(took_ms);
+    }
+  }
+  if (recent.size() < kMinAnswers) {
+    return 0;
+  }
+  const auto middle =
+      recent.begin() + static_cast<std::ptrdiff_t>(recent.size() / 2);
+  std::nth_element(recent.begin(), middle, recent.end());
+  return static_cast<double>(*middle);
+}
+
 void WorkerBook::OnStartReply(WorkerSlot& slot,
                               const StartOrder& order,
+                              std::int64_t sent_ms,
                               const WorkerReply& reply,
                               std::int64_t now_ms,
                               BookOutput& out) {
+  answers_.emplace_back(now_ms, now_ms - sent_ms);
+  if (answers_.size() > kAnswersKept) {
+    answers_.pop_front();
+  }
   const auto it = slot.runs.find({order.task, order.run});
   if (it == slot.runs.end() || it->second.phase != RunPhase::kSending) {
     return;
--- a/libraries/policy/include/cranberryshunt/policy/graph_admission.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_admission.h
@@ -26,6 +26,9 @@
   DimensionLoad memory;
   // Expected time until a new question to the advice service is taken up.
   double advice_wait_ms = 0;
+  // Median time in which workers answered the latest starts. It grows when the
+  // leader is short of processor time.
+  double answer_ms = 0;
 };
 
 struct NewJob {
@@ -37,6 +40,8 @@
 struct AdmissionDecision {
   bool accepted = true;
   std::int64_t expected_wait_ms = 0;
+  // Refused because the leader is short of processor time.
+  bool overloaded = false;
   // When room is expected for it; meaningful when it is refused.
   std::int64_t retry_after_ms = 0;
 };
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -13,6 +13,12 @@
 constexpr double kUsableSlack = 0.8;
 // Expected wait that counts as room.
 constexpr std::int64_t kWaitWithoutSlackMs = 150;
+// Starts are answered within two round trips between regions, 50 ms, while the
+// leader keeps up. Beyond these limits it takes no further work, urgent work
+// last: leases that run out late cost more than jobs that come again.
+constexpr double kBusyAnswerMs = 250;
+constexpr double kBusyAnswerUrgentMs = 500;
+constexpr std::int64_t kBusyRetryMs = 1'000;
 constexpr std::int64_t kMinRetryMs = 300;
 constexpr std::int64_t kMaxRetryMs = 10'000;
 
@@ -39,6 +45,8 @@
   const double room =
       std::max(RoomMs(load.cpus, job.urgent), RoomMs(load.memory, job.urgent));
   AdmissionDecision decision;
+  decision.overloaded =
+      load.answer_ms > (job.urgent ? kBusyAnswerUrgentMs : kBusyAnswerMs);
   decision.expected_wait_ms =
       static_cast<std::int64_t>(std::max(room, load.advice_wait_ms));
   // A job that is late already is still worth something to its caller while
@@ -52,6 +60,10 @@
     decision.retry_after_ms = std::clamp(decision.expected_wait_ms - usable,
                                          kMinRetryMs, kMaxRetryMs);
   }
+  if (decision.overloaded) {
+    decision.accepted = false;
+    decision.retry_after_ms = std::max(decision.retry_after_ms, kBusyRetryMs);
+  }
   return decision;
 }
 
