http: Notice each time-out and each reused socket in the client

Besides, a socket whose connection fails is closed without a callback, so that the next socket with its number was taken for watched (the log says cannot watch a socket, errno 2). Change: while calls are open and libcurl has named no time, the client looks again after 5 ms. Sockets are opened by the client, which forgets what it knew of the number.

--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -25,6 +26,7 @@
 constexpr int kIdleWaitMs = 1'000;
 constexpr std::size_t kMaxPooledHandles = 256;
 constexpr int kEventsPerWait = 64;
+constexpr std::chrono::milliseconds kTimerCheck{5};
 // Most answers are small; libcurl would allocate 16 KB for each call, and 64 KB
 // for each larger body.
 constexpr long kReceiveBufferBytes = 4L << 10;
@@ -82,6 +84,9 @@
                             void* self,
                             void* socket_data);
   static int OnTimerChange(CURLM* multi, long timeout_ms, void* self);
+  static curl_socket_t OnOpenSocket(void* self,
+                                    curlsocktype purpose,
+                                    curl_sockaddr* address);
   static int OnCloseSocket(void* self, curl_socket_t socket);
 
   HttpClientOptions options;
@@ -204,6 +209,19 @@
   return 0;
 }
 
+// A socket whose connection failed is closed without a callback. Its number may
+// come again, and then the set does not know it.
+curl_socket_t HttpClient::Implementation::OnOpenSocket(void* self,
+                                                       curlsocktype /*purpose*/,
+                                                       curl_sockaddr* address) {
+  auto& client = *static_cast<Implementation*>(self);
+  const int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                        address->protocol);
+  client.registered.erase(fd);
+  client.wanted.erase(fd);
+  return fd;
+}
+
 int HttpClient::Implementation::OnCloseSocket(void* self,
                                               curl_socket_t socket) {
   auto& client = *static_cast<Implementation*>(self);
@@ -249,6 +267,8 @@
                    call.fresh_connection ? 1L : 0L);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
+  curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
   if (call.method == "POST") {
@@ -351,6 +371,11 @@
     int running = 0;
     curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
   }
+  // When the timer fired before libcurl's own clock had reached it, libcurl
+  // does not name it again, and no call would time out any more.
+  if (!timer && !open.empty()) {
+    timer = SteadyClock::now() + kTimerCheck;
+  }
 }
 
 void HttpClient::Implementation::Run() {
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -143,3 +143,49 @@
   client.reset();
   cr_expect_eq(ended, 4);
 }
+
+// Guards against a connection whose descriptor was that of a failed one, and
+// which nobody watches.
+Test(http_client, connects_after_refused_connections) {
+  std::string refusing;
+  {
+    const ScriptedServer gone([](int, int) { return std::string(); });
+    refusing = gone.url();
+  }
+  const auto client = MakeClient();
+  for (int n = 0; n < 10; ++n) {
+    cr_assert_eq(client->Call(MakeCall(refusing)).status, 0);
+    ScriptedServer server([](int, int) { return Answer("ok"); });
+    const auto begin = steady_clock::now();
+    cr_assert_eq(client->Call(MakeCall(server.url())).status, 200);
+    cr_expect_lt(steady_clock::now() - begin, milliseconds(500));
+  }
+}
+
+// Guards against time-outs that are never noticed, because a timer fired before
+// the clock of the library had reached it.
+Test(http_client, gives_up_on_each_of_many_silent_calls) {
+  ScriptedServer server([](int, int) { return std::string(); });
+  HttpClientOptions options;
+  constexpr int kCalls = 400;
+  options.max_connections_per_address = kCalls;
+  const auto client = std::move(*HttpClient::Create(options));
+  std::atomic<int> ended = 0;
+  std::atomic<int> late = 0;
+  for (int n = 0; n < kCalls; ++n) {
+    auto call = MakeCall(server.url());
+    call.timeout = milliseconds(200 + n);
+    const auto due = steady_clock::now() + call.timeout;
+    client->Send(std::move(call), [&, due](const HttpAnswer&) {
+      constexpr milliseconds kSlack{300};
+      late += steady_clock::now() > due + kSlack ? 1 : 0;
+      ++ended;
+    });
+  }
+  const auto until = steady_clock::now() + std::chrono::seconds(5);
+  while (ended < kCalls && steady_clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  cr_expect_eq(ended, kCalls);
+  cr_expect_eq(late, 0);
+}
