--- a/benchmarks/platform_benchmark.cc
+++ b/benchmarks/platform_benchmark.cc
@@ -195,6 +195,8 @@
   std::vector<test::ProcessUsage> before;
   const auto read_all = [&] {
     std::vector<test::ProcessUsage> out;
+    out.reserve(
+        static_cast<std::size_t>(options.controllers + options.entries));
     for (int n = 0; n < options.controllers; ++n) {
       out.push_back(test::ReadUsage(cell.controller(n).pid()));
     }
@@ -244,15 +246,15 @@
 
 int main(int argc, char** argv) {
   using cranberryshunt::benchmark::Options;
-  CLI::App app("Programs of the users' platform under load");
-  Options options;
-  app.add_option("--controllers", options.controllers, "Controllers");
-  app.add_option("--entries", options.entries, "Entries");
-  app.add_option("--workers", options.workers, "Workers");
-  app.add_option("--factor", options.factor, "Load; 1: of 48 workers");
-  app.add_option("--seconds", options.seconds, "Measured time");
-  CLI11_PARSE(app, argc, argv);
   try {
+    CLI::App app("Programs of the users' platform under load");
+    Options options;
+    app.add_option("--controllers", options.controllers, "Controllers");
+    app.add_option("--entries", options.entries, "Entries");
+    app.add_option("--workers", options.workers, "Workers");
+    app.add_option("--factor", options.factor, "Load; 1: of 48 workers");
+    app.add_option("--seconds", options.seconds, "Measured time");
+    CLI11_PARSE(app, argc, argv);
     return cranberryshunt::benchmark::Measure(options);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "platform_benchmark: %s\n", error.what());
