cell: Keep ends of runs that could not be stored

Cause: when a batch was refused for good, because the log was full, the ends of runs in it were forgotten, and their workers were not called again. Change: such ends go into the next batch, and the worker's list is read again. Test: leader::keeps_ends_that_could_not_be_stored failed before.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -217,6 +217,10 @@
       open_proposals_.insert(std::move(node));
       return;
     }
+    // The ends of runs are facts that no caller will tell again.
+    auto& lost = proposal.batch.results;
+    batch_.results.insert(batch_.results.end(), lost.begin(), lost.end());
+    batch_used_ = batch_used_ || !lost.empty();
   }
   for (const auto& it : proposal.continuations) {
     it(result.has_value());
@@ -267,6 +271,8 @@
     continuations_.emplace_back([this, worker, number](bool committed) {
       if (committed) {
         book_.Acknowledge(worker, number);
+      } else {
+        book_.ReadEndsAgain(worker);
       }
     });
   }
--- a/libraries/cell/src/worker_book.cc
+++ b/libraries/cell/src/worker_book.cc
@@ -382,6 +382,14 @@
   }
 }
 
+void WorkerBook::ReadEndsAgain(WorkerNumber number) {
+  const auto slot = slots_.find(number);
+  if (slot != slots_.end()) {
+    slot->second.seen_end = slot->second.acknowledged_end;
+    slot->second.ends_in_commit = false;
+  }
+}
+
 void WorkerBook::SendHold(WorkerSlot& slot,
                           std::int64_t now_ms,
                           BookOutput& out) {
--- a/libraries/cell/src/worker_book.h
+++ b/libraries/cell/src/worker_book.h
@@ -93,6 +93,9 @@
   // The ends up to `number_of_end` are committed.
   void Acknowledge(WorkerNumber number, std::int64_t number_of_end);
 
+  // The ends of the worker that were read last were not committed.
+  void ReadEndsAgain(WorkerNumber number);
+
   void OnReply(const SentOrder& sent,
                std::int64_t sent_ms,
                const WorkerReply& reply,
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -196,6 +196,11 @@
   for (auto& it : out.proposals) {
     At(options_.commit_ms, [this, it, term] {
       const CpuTimer timer(engine_ms_);
+      if (log_is_full) {
+        engine_.OnProposalDone(
+            term, it.id, Fail(ResultCode::kStorageFull, "no room"), Now());
+        return;
+      }
       (void)engine_.OnCommitted({next_index_++, term, it.data}, Now());
       engine_.OnProposalDone(term, it.id, next_index_ - 1, Now());
     });
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -86,6 +86,7 @@
   std::vector<StandInWorker> workers;
   std::map<graph::JobId, JobOutcome> jobs;
   bool has_lease = true;
+  bool log_is_full = false;  // Nothing more is committed.
   std::int64_t starts = 0;
   std::int64_t refused_starts = 0;
   // Run time of a task; its declared time unless a test sets another one.
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -177,3 +177,26 @@
   cell.Run(10'000);
   ExpectNoViolations(cell);
 }
+
+// Guards against ends of runs that are forgotten when the log is full for a
+// while, and against workers that are not called any more afterwards.
+Test(leader, keeps_ends_that_could_not_be_stored) {
+  CellHarness cell({.workers = 4});
+  Begin(cell, {MakeQueue("a", 1)});
+  for (graph::JobId id = 1; id <= 6; ++id) {
+    cell.Submit(id, "a", MakeJob(3, 4'000, 800));
+  }
+  cell.Run(500);
+  cell.log_is_full = true;
+  cell.Run(2'500);
+  cell.log_is_full = false;
+  cell.Run(4'000);
+  for (graph::JobId id = 1; id <= 6; ++id) {
+    cr_expect(cell.StateOf(id) == wire::GraphJobState::kCompleted, "job %d",
+              static_cast<int>(id));
+  }
+  cell.Submit(20, "a", MakeJob(8, 4'000, 300));
+  cell.Run(2'000);
+  cr_expect(cell.StateOf(20) == wire::GraphJobState::kCompleted);
+  ExpectNoViolations(cell);
+}
