--- a/benchmarks/platform_benchmark.cc
+++ b/benchmarks/platform_benchmark.cc
@@ -195,8 +195,8 @@
   std::vector<test::ProcessUsage> before;
   const auto read_all = [&] {
     std::vector<test::ProcessUsage> out;
-    out.reserve(
-        static_cast<std::size_t>(options.controllers + options.entries));
+    out.reserve(static_cast<std::size_t>(options.controllers) +
+                static_cast<std::size_t>(options.entries));
     for (int n = 0; n < options.controllers; ++n) {
       out.push_back(test::ReadUsage(cell.controller(n).pid()));
     }
--- a/tests/support/platform/platform_cell.cc
+++ b/tests/support/platform/platform_cell.cc
@@ -45,6 +45,7 @@
 
 std::vector<std::string> ControlAddresses(int controllers) {
   std::vector<std::string> out;
+  out.reserve(static_cast<std::size_t>(controllers));
   for (int n = 0; n < controllers; ++n) {
     out.push_back(At(ControllerIp(n), kControlPort));
   }
@@ -278,12 +279,12 @@
                                 static_cast<json_int_t>(milli_cpus), "memMb",
                                 static_cast<json_int_t>(kMemoryMb),
                                 "estimateMs", static_cast<json_int_t>(run_ms)));
+  const auto path = fmt::format("/{}/{}", queue, id);
+  const auto body = DumpJson(job.get());
   int status = 0;
   int entry = 0;
   WaitUntil(kStartBound, [&] {
-    status = Call(entry++ % options_.entries, "POST", "/" + queue + "/" + id,
-                  DumpJson(job.get()))
-                 .status;
+    status = Call(entry++ % options_.entries, "POST", path, body).status;
     constexpr int kNoAnswer = 504;
     return status != 0 && status != kNoAnswer;
   });
@@ -292,8 +293,9 @@
 
 std::string PlatformCell::StateOf(const std::string& queue,
                                   const std::string& id) {
+  const auto path = fmt::format("/{}/{}", queue, id);
   for (int n = 0; n < options_.entries; ++n) {
-    const auto answer = Call(n, "GET", "/" + queue + "/" + id);
+    const auto answer = Call(n, "GET", path);
     if (answer.status == 200) {
       return TextOf(ParseJson(answer.body).get(), "state");
     }
