--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -157,12 +157,13 @@
       ring_.Push(ProposalDoneEvent{term, id, std::move(result)});
     });
   }
-  if (!out.orders.empty()) {
-    workers_->Send(std::move(out.orders));
-  }
+  // Before the orders: the first ones of a leader are the most at a time.
   if (out.helpers) {
     workers_->SetHelpers(std::move(*out.helpers));
   }
+  if (!out.orders.empty()) {
+    workers_->Send(std::move(out.orders));
+  }
   if (out.membership_change) {
     const auto& change = *out.membership_change;
     Log(LogLevel::kInfo, "cell", "membership is being changed",
--- a/libraries/cell/src/membership_keeper.cc
+++ b/libraries/cell/src/membership_keeper.cc
@@ -42,9 +42,10 @@
 std::vector<std::string> MembershipKeeper::LiveOthers(
     const wire::Membership& current,
     std::int64_t now_ms) const {
+  const bool presumed = now_ms - began_ms_ < kAliveMs;
   std::vector<std::string> out;
   for (const auto& it : current.members) {
-    if (it.id != own_id_ && Alive(it.id, now_ms)) {
+    if (it.id != own_id_ && (presumed || Alive(it.id, now_ms))) {
       out.push_back(it.address);
     }
   }
--- a/libraries/cell/src/membership_keeper.h
+++ b/libraries/cell/src/membership_keeper.h
@@ -22,7 +22,8 @@
 
   // `member` is alive and asks to be part of the cell.
   void Heard(const wire::Member& member, std::int64_t now_ms);
-  // Addresses of the other members that are alive.
+  // Addresses of the other members that are alive. Those that had no time yet
+  // to say so after this leader began are taken for alive.
   std::vector<std::string> LiveOthers(const wire::Membership& current,
                                       std::int64_t now_ms) const;
   // The next change of the membership, if one is due. At most one each second.
--- a/libraries/cell/src/relay.cc
+++ b/libraries/cell/src/relay.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::seconds kAvoidHelper{5};
 // A cut between a helper and a worker lasts some seconds.
 constexpr std::chrono::seconds kDirect{10};
+// A leader that calls more workers itself is short of processor time.
+constexpr std::size_t kMaxDirectWorkers = 40;
 
 bool IsUnreached(WorkerAnswer answer) {
   return answer == WorkerAnswer::kNoAnswer || answer == WorkerAnswer::kNotSent;
@@ -36,20 +38,25 @@
 }
 
 std::string Relay::HelperFor(const SentOrder& order, TimePoint now) const {
-  // A fresh connection is asked for when earlier orders were not answered,
-  // which may be the helper's fault.
-  if (helpers_.empty() || order.fresh_connection) {
-    return {};
-  }
   const auto direct = direct_workers_.find(order.worker.id);
   if (direct != direct_workers_.end() && now < direct->second) {
     return {};
   }
-  const auto n = std::hash<std::string>()(order.worker.id) % helpers_.size();
-  const auto avoided = avoided_helpers_.find(helpers_[n]);
-  return avoided != avoided_helpers_.end() && now < avoided->second
-             ? std::string()
-             : helpers_[n];
+  // A fresh connection is asked for when earlier orders were not answered,
+  // which may be the helper's fault. Then the next helper is taken, which has
+  // no connection to the worker yet.
+  const auto first = std::hash<std::string>()(order.worker.id) +
+                     (order.fresh_connection ? 1 : 0);
+  const std::size_t tries =
+      order.fresh_connection && helpers_.size() == 1 ? 0 : helpers_.size();
+  for (std::size_t n = 0; n < tries; ++n) {
+    const auto& helper = helpers_[(first + n) % helpers_.size()];
+    const auto avoided = avoided_helpers_.find(helper);
+    if (avoided == avoided_helpers_.end() || now >= avoided->second) {
+      return helper;
+    }
+  }
+  return {};
 }
 
 void Relay::Send(std::vector<SentOrder> orders) {
@@ -97,7 +104,8 @@
       if (node.empty()) {
         continue;
       }
-      if (IsUnreached(reply.answer)) {
+      if (IsUnreached(reply.answer) &&
+          direct_workers_.size() < kMaxDirectWorkers) {
         direct_workers_[node.mapped().worker] = clock_.Now() + kDirect;
       }
     }
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -187,3 +187,36 @@
     cr_expect_geq(n, kWorkers / 8, "%s has %d", controller.c_str(), n);
   }
 }
+
+// Load pattern: a takeover, or a helper that is gone, so that many workers did
+// not answer. Guards against a leader that calls all of them itself.
+Test(relay, goes_another_way_before_it_calls_workers_itself) {
+  Fixture it;
+  it.relay.SetHelpers({"a", "b"});
+  std::vector<SentOrder> orders;
+  constexpr OrderId kWorkers = 200;
+  for (OrderId n = 1; n <= kWorkers; ++n) {
+    orders.push_back(MakeOrder(n, "w" + std::to_string(n)));
+  }
+  it.relay.Send(orders);
+  std::map<std::string, std::string> first;
+  for (const auto& [helper, order] : it.link.orders) {
+    first[order.worker] = helper;
+  }
+  it.link.orders.clear();
+  for (auto& order : orders) {
+    order.id += kWorkers;
+    order.fresh_connection = true;
+  }
+  it.relay.Send(orders);
+  cr_assert_eq(it.link.orders.size(), kWorkers);
+  cr_expect(it.own.empty());
+  std::vector<wire::RelayedReply> unreached;
+  for (const auto& [helper, order] : it.link.orders) {
+    cr_expect(helper != first[order.worker]);
+    unreached.push_back(ToWire(static_cast<OrderId>(order.id), WorkerReply()));
+  }
+  it.relay.OnReplies(unreached);
+  it.relay.Send(orders);
+  cr_expect_eq(it.own.size(), 40);
+}
