entry: Leave results of jobs that were not added to the leader

An entry at which a caller waits for a job that it did not submit as interactive keeps a record without payload, key or number of tasks. When that entry looked a start up after a fault and the target told of its end, Deliver() took this for the whole answer of a job of one task without key: it marked the answer as relayed, so that the leader stored no copy, and showed a gang as done after one task.

Change: only jobs that were added take results straight from the target.

Ruled out: the stand-in's answers and the checker; the answer's length was stored, its bytes were not.

Before: pending_jobs_test fails.

--- a/libraries/entry/src/pending_jobs.cc
+++ b/libraries/entry/src/pending_jobs.cc
@@ -122,6 +122,11 @@
     return false;
   }
   Job& job = *it->second;
+  if (!job.payload) {
+    // Callers only wait here for a job that was not added: its size and key are
+    // unknown, and other callers read its answer from the leader.
+    return false;
+  }
   wire::TaskStatus task;
   task.index = record.attempt.index;
   task.state = wire::TaskState::kFinal;
--- a/libraries/entry/src/pending_jobs.h
+++ b/libraries/entry/src/pending_jobs.h
@@ -43,8 +43,9 @@
   // Takes over a status from the leader and wakes the callers that wait.
   void Update(const wire::JobStatus& status);
 
-  // Takes a result that came straight from the target. Returns whether a
-  // waiting caller gets the answer now and no copy is needed elsewhere.
+  // Takes a result of an added job that came straight from the target. Returns
+  // whether a waiting caller gets the answer now and no copy is needed
+  // elsewhere.
   bool Deliver(const wire::AttemptReport& record, const std::string& worker);
 
   // Keeps a job in the table for one caller who waits, or is going to, so that
