graph, cell: Count jobs as pending until a worker confirms a start

A job counted as running from the commit of its first start, also while that start was not answered, and after it was refused.

Change: the leader counts a job as begun once a worker confirms a run of it. In the state a job goes back to queued when its runs never started. The number is kept up to date instead of counted over all jobs for each question.

Before: leader::counts_jobs_without_a_confirmed_start_as_pending tells 0 of 4. After: it passes.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -74,6 +74,7 @@
         }
       }
     }
+    pending_.Update(id, &job);
     if (job.active()) {
       board_.Refresh(id, now_ms_, wall_ms_);
     } else {
@@ -136,6 +137,7 @@
   StopLeftovers(batch);
   for (const auto it : jobs) {
     LogIfEnded(it, batch.at_ms);
+    pending_.Update(it, store_.FindJob(it));
     board_.Refresh(it, now_ms_, wall_ms_);
   }
   plan_due_ = true;
@@ -261,6 +263,11 @@
     batch_.results.push_back(std::move(result));
     batch_used_ = true;
   }
+  for (const auto it : out.begun) {
+    if (const auto* job = store_.FindJob(it); job != nullptr && job->active()) {
+      pending_.OnBegun(it);
+    }
+  }
   for (const auto& it : out.ends) {
     const auto worker = it.first;
     const auto number = it.second;
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -17,6 +17,7 @@
 #include "cranberryshunt/policy/worker_health.h"
 #include "job_board.h"
 #include "membership_keeper.h"
+#include "pending_counter.h"
 #include "run_times.h"
 #include "worker_book.h"
 
@@ -74,7 +75,6 @@
   void Submit(GraphCall call, const wire::JobQueue& queue, graph::JobId id);
   void Show(const GraphCall& call, graph::JobId id) const;
   void Cancel(GraphCall call, graph::JobId id);
-  std::int64_t CountPending(const std::string& queue) const;
   void HandleReport(ReportCall call);
   void HandleDeparture(DepartureCall call);
   void HandlePublish(PublishTableCall call);
@@ -108,6 +108,7 @@
   WorkerBook book_;
   AdviceDesk desk_;
   MembershipKeeper members_;
+  PendingCounter pending_;
   policy::WorkerHealth health_;
 
   wire::GraphBatch batch_;  // To be proposed next.
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -74,7 +74,7 @@
   const auto rest = request.path.substr(queue->path_prefix.size());
   if (rest.empty() && request.operation == wire::GraphOperation::kShow) {
     wire::GraphReply reply;
-    reply.pending = CountPending(queue->name);
+    reply.pending = pending_.Count(queue->name);
     call.reply(std::move(reply));
     return;
   }
@@ -228,17 +228,6 @@
   });
 }
 
-std::int64_t Leader::CountPending(const std::string& queue) const {
-  std::int64_t n = 0;
-  for (const auto& [id, job] : store_.jobs()) {
-    if (job.state() == wire::GraphJobState::kQueued &&
-        job.queue().name == queue) {
-      ++n;
-    }
-  }
-  return n;
-}
-
 void Leader::HandleReport(ReportCall call) {
   const auto& report = call.report;
   const auto& worker = report.worker;
--- a/libraries/cell/src/worker_book.h
+++ b/libraries/cell/src/worker_book.h
@@ -43,6 +43,8 @@
   // Workers whose rows up to the given number are in `finished`; call
   // Acknowledge() once these are committed.
   std::vector<std::pair<WorkerNumber, std::int64_t>> ends;
+  // Jobs of which a worker confirmed a run for the first time.
+  std::vector<graph::JobId> begun;
   std::vector<SentOrder> orders;
 };
 
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -165,6 +165,7 @@
     if (run.phase == RunPhase::kSending || run.phase == RunPhase::kInherited) {
       run.phase = RunPhase::kRunning;
       run.settled_ms = now_ms;
+      out.begun.push_back(row.task.job);
     }
   }
   if (reply.unreadable_rows > 0) {
@@ -222,6 +223,7 @@
     case WorkerAnswer::kDone:
       it->second.phase = RunPhase::kRunning;
       it->second.settled_ms = now_ms;
+      out.begun.push_back(order.task.job);
       return;
     case WorkerAnswer::kNoAnswer:
       Log(LogLevel::kWarning, "workers", "start was not answered",
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -52,6 +52,8 @@
            state_ == wire::GraphJobState::kRunning;
   }
   std::int64_t finished_ms() const { return finished_ms_; }
+  // Whether a run has ended that is known to have begun on a worker.
+  bool started() const { return started_; }
 
   const TaskState& task(const TaskKey& key) const {
     return tasks_[IndexOf(key)];
@@ -80,6 +82,8 @@
   wire::AcceptedGraphJob accepted_;
   wire::GraphJobState::type state_ = wire::GraphJobState::kQueued;
   std::int64_t finished_ms_ = 0;
+  bool started_ = false;
+  std::int32_t open_runs_ = 0;
   std::vector<std::int32_t> step_offsets_;
   std::int32_t tasks_per_occurrence_ = 0;
   std::vector<TaskState> tasks_;
@@ -120,6 +124,7 @@
   void ApplyCancel(JobId id, std::int64_t at_ms);
   void ApplyStart(const wire::RunStart& start);
   void ApplyResult(const wire::RunResult& result, std::int64_t at_ms);
+  static void CloseRun(Job& job, TaskState& task);
   void MarkDone(Job& job, const TaskKey& key);
   void CountFailure(Job& job, const TaskKey& key, std::int64_t at_ms);
   static void Finish(Job& job,
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -94,6 +94,7 @@
   task.run = start.run;
   task.last_run = start.run;
   task.worker = start.worker;
+  ++job->second.open_runs_;
   job->second.state_ = wire::GraphJobState::kRunning;
 }
 
@@ -109,14 +110,19 @@
   if (!job.Expects(key, result.run, result.how)) {
     return;
   }
-  task.run = 0;
-  task.worker = 0;
+  CloseRun(job, task);
   if (!result.checkpoint.empty()) {
     task.checkpoint = result.checkpoint;
   }
   if (!job.active()) {
     return;
   }
+  // Of a lost run it is not known whether it ever began.
+  job.started_ = job.started_ || (result.how != wire::RunEnd::kNotStarted &&
+                                  result.how != wire::RunEnd::kLost);
+  if (!job.started_ && job.open_runs_ == 0) {
+    job.state_ = wire::GraphJobState::kQueued;
+  }
   const bool long_running = job.step(key.step).long_running;
   if (result.how == wire::RunEnd::kDone && !long_running) {
     MarkDone(job, key);
@@ -130,6 +136,12 @@
   }
 }
 
+void GraphStore::CloseRun(Job& job, TaskState& task) {
+  job.open_runs_ -= task.run != 0 ? 1 : 0;
+  task.run = 0;
+  task.worker = 0;
+}
+
 // The end of one member of a gang as done stands for all of them.
 void GraphStore::MarkDone(Job& job, const TaskKey& key) {
   const bool gang = job.step(key.step).gang;
@@ -141,8 +153,7 @@
     auto& task = job.tasks_[job.IndexOf(it)];
     if (!task.done) {
       task.done = true;
-      task.run = 0;
-      task.worker = 0;
+      CloseRun(job, task);
       --open;
       --job.open_total_;
     }
@@ -231,6 +242,7 @@
     image.accepted = job.accepted_;
     image.state = job.state_;
     image.finished_ms = job.finished_ms_;
+    image.started = job.started_;
     for (const auto& task : job.tasks_) {
       auto& it = image.tasks.emplace_back();
       it.last_run = task.last_run;
@@ -264,6 +276,7 @@
     }
     job.state_ = static_cast<wire::GraphJobState::type>(image.state);
     job.finished_ms_ = image.finished_ms;
+    job.started_ = image.started;
     for (std::size_t i = 0; i < image.tasks.size(); ++i) {
       auto& it = image.tasks[i];
       job.tasks_[i] = {it.last_run,
@@ -273,6 +286,7 @@
                        it.worker,
                        it.done,
                        std::move(it.checkpoint)};
+      job.open_runs_ += it.run != 0 ? 1 : 0;
       if (it.done) {
         --job.open_total_;
         const auto per = static_cast<std::size_t>(job.tasks_per_occurrence_);
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -161,6 +161,19 @@
   return job == nullptr ? std::nullopt : std::optional(job->state());
 }
 
+std::int64_t CellHarness::PendingOf(const std::string& queue) {
+  std::int64_t pending = -1;
+  GraphCall call;
+  call.request.operation = wire::GraphOperation::kShow;
+  call.request.host = queues_.at(queue).host;
+  call.request.path = queues_.at(queue).path_prefix;
+  call.reply = [&](const wire::GraphReply& reply) {
+    pending = reply.status.code == 0 ? reply.pending : -1;
+  };
+  engine_.Handle(std::move(call), Now());
+  return pending;
+}
+
 void CellHarness::Run(std::int64_t duration_ms) {
   const auto end = now_ms_ + duration_ms;
   while (now_ms_ < end) {
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -77,6 +77,8 @@
               const wire::GraphJob& job);
   void Cancel(graph::JobId id, const std::string& queue);
   std::optional<wire::GraphJobState::type> StateOf(graph::JobId id) const;
+  // What the leader tells as the number of pending jobs; -1 without an answer.
+  std::int64_t PendingOf(const std::string& queue);
 
   // Moves time on in steps of a millisecond.
   void Run(std::int64_t duration_ms);
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -220,3 +220,31 @@
   cr_expect_eq(cell.starts, 2);
   ExpectNoViolations(cell);
 }
+
+// Guards against telling that a job has begun while its only start was not
+// answered and is being barred.
+Test(leader, counts_jobs_without_a_confirmed_start_as_pending) {
+  CellHarness cell({.workers = 2});
+  Begin(cell, {MakeQueue("a", 1)});
+  cr_expect_eq(cell.PendingOf("a"), 0);
+  for (auto& it : cell.workers) {
+    it.silent = true;
+  }
+  for (graph::JobId id = 1; id <= 4; ++id) {
+    cell.Submit(id, "a", MakeJob(1, 4'000, 2'000));
+  }
+  cell.Run(1'500);
+  cr_expect_eq(cell.starts, 0);
+  cr_expect_eq(cell.PendingOf("a"), 4);
+  cell.Run(10'000);
+  cr_expect_eq(cell.PendingOf("a"), 4);
+  cell.ChangeLeader();
+  cr_expect_eq(cell.PendingOf("a"), 4);
+  for (auto& it : cell.workers) {
+    it.silent = false;
+  }
+  cell.Run(3'000);
+  cr_expect_eq(cell.starts, 4);
+  cr_expect_eq(cell.PendingOf("a"), 0);
+  ExpectNoViolations(cell);
+}
