http: Tell when the client's loop is held up

Change: the client logs the part of a turn of its loop that took 250 ms longer than it should. Two tests guard that calls which wait for a connection, and calls to many peers that freeze, all end; they pass on the earlier code too, so the library was ruled out as the cause.

--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -27,6 +27,9 @@
 constexpr std::size_t kMaxPooledHandles = 256;
 constexpr int kEventsPerWait = 64;
 constexpr std::chrono::milliseconds kTimerCheck{5};
+// A turn of the loop takes some milliseconds. All calls are late by a turn that
+// takes longer than this.
+constexpr std::chrono::milliseconds kSlowTurn{250};
 // Most answers are small; libcurl would allocate 16 KB for each call, and 64 KB
 // for each larger body.
 constexpr long kReceiveBufferBytes = 4L << 10;
@@ -76,6 +79,7 @@
   void OnEvent(const epoll_event& event);
   void Watch(int socket, std::uint32_t events);
   int WaitMs() const;
+  void NoteDuration(const char* part, SteadyClock::time_point expected) const;
 
   // Callbacks of libcurl.
   static int OnSocketChange(CURL* handle,
@@ -362,15 +366,22 @@
 
 void HttpClient::Implementation::WaitForEvents() {
   std::array<epoll_event, kEventsPerWait> events;
-  const int n = epoll_wait(epoll_fd, events.data(), kEventsPerWait, WaitMs());
+  const int wait_ms = WaitMs();
+  const auto begin = SteadyClock::now();
+  const int n = epoll_wait(epoll_fd, events.data(), kEventsPerWait, wait_ms);
+  NoteDuration("wait", begin + std::chrono::milliseconds(wait_ms));
+  auto part_begin = SteadyClock::now();
   for (int i = 0; i < n; ++i) {
     OnEvent(events[static_cast<std::size_t>(i)]);
   }
-  if (timer && *timer <= SteadyClock::now()) {
+  NoteDuration("events", part_begin);
+  part_begin = SteadyClock::now();
+  if (timer && *timer <= part_begin) {
     timer.reset();
     int running = 0;
     curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
   }
+  NoteDuration("timers", part_begin);
   // When the timer fired before libcurl's own clock had reached it, libcurl
   // does not name it again, and no call would time out any more.
   if (!timer && !open.empty()) {
@@ -378,11 +389,28 @@
   }
 }
 
+// Logs when a part of a turn that should have ended at `expected` took much
+// longer.
+void HttpClient::Implementation::NoteDuration(
+    const char* part,
+    SteadyClock::time_point expected) const {
+  const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
+      SteadyClock::now() - expected);
+  if (late > kSlowTurn) {
+    Log(LogLevel::kWarning, "http", "the client was held up",
+        {{"part", part}, {"late_ms", late.count()}, {"open", open.size()}});
+  }
+}
+
 void HttpClient::Implementation::Run() {
   while (!stopping) {
+    auto begin = SteadyClock::now();
     BeginQueued();
+    NoteDuration("begin", begin);
     WaitForEvents();
+    begin = SteadyClock::now();
     FinishDone();
+    NoteDuration("finish", begin);
   }
 }
 
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -189,3 +189,36 @@
   cr_expect_eq(ended, kCalls);
   cr_expect_eq(late, 0);
 }
+
+// Guards against calls that never end because all connections to their address
+// are taken by calls without an answer, and against waiting beyond the time of
+// a call.
+Test(http_client, ends_calls_that_wait_for_a_connection_in_time) {
+  ScriptedServer silent([](int, int) { return std::string(); });
+  ScriptedServer sound([](int, int) { return Answer("ok"); });
+  const auto client = MakeClient();
+  constexpr int kCalls = 60;
+  std::atomic<int> ended = 0;
+  std::atomic<int> late = 0;
+  std::atomic<int> unsent = 0;
+  for (int n = 0; n < kCalls; ++n) {
+    auto call = MakeCall(silent.url());
+    call.timeout = milliseconds(300);
+    call.fresh_connection = n % 3 == 0;
+    const auto due = steady_clock::now() + call.timeout;
+    client->Send(std::move(call), [&, due](const HttpAnswer& answer) {
+      constexpr milliseconds kSlack{300};
+      late += steady_clock::now() > due + kSlack ? 1 : 0;
+      unsent += answer.sent ? 0 : 1;
+      ++ended;
+    });
+  }
+  cr_expect_eq(client->Call(MakeCall(sound.url())).status, 200);
+  const auto until = steady_clock::now() + std::chrono::seconds(5);
+  while (ended < kCalls && steady_clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  cr_expect_eq(ended, kCalls);
+  cr_expect_eq(late, 0);
+  cr_expect_eq(unsent, kCalls - 6, "only the first six were sent");
+}
--- /dev/null
+++ b/tests/http/many_peers_test.cc
@@ -0,0 +1,184 @@
+// The HTTP client with calls to many addresses at a time.
+#include <criterion/criterion.h>
+#include <sys/epoll.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "cranberryshunt/http/http_client.h"
+#include "socket_peer.h"
+
+using namespace cranberryshunt;        // NOLINT
+using namespace cranberryshunt::http;  // NOLINT
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int kAddresses = 150;
+
+// Listens on many loopback addresses and answers each request after the number
+// of milliseconds that its path names; "/0" is not answered.
+class PeerGroup {
+ public:
+  PeerGroup() : epoll_(epoll_create1(0)) {
+    for (int n = 0; n < kAddresses; ++n) {
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      sockaddr_in address{};
+      address.sin_family = AF_INET;
+      inet_pton(AF_INET, test::LoopbackIp(n).c_str(), &address.sin_addr);
+      socklen_t size = sizeof(address);
+      auto* const raw = reinterpret_cast<sockaddr*>(&address);
+      if (bind(fd, raw, size) != 0 || listen(fd, 64) != 0 ||
+          getsockname(fd, raw, &size) != 0) {
+        std::abort();
+      }
+      urls_.push_back("http://" + test::LoopbackIp(n) + ":" +
+                      std::to_string(ntohs(address.sin_port)));
+      listeners_.push_back(fd);
+      Watch(fd);
+    }
+    thread_ = std::thread([this] { Run(); });
+  }
+  ~PeerGroup() {
+    stopping_ = true;
+    thread_.join();
+    for (const auto& [fd, text] : received_) {
+      close(fd);
+    }
+    for (const int it : listeners_) {
+      close(it);
+    }
+    close(epoll_);
+  }
+  PeerGroup(const PeerGroup&) = delete;
+  PeerGroup& operator=(const PeerGroup&) = delete;
+
+  const std::string& url(int n) const {
+    return urls_[static_cast<std::size_t>(n)];
+  }
+  // Nothing is accepted or answered meanwhile.
+  void set_frozen(bool frozen) { frozen_ = frozen; }
+
+ private:
+  void Watch(int fd) const {
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = fd;
+    epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &event);
+  }
+  void Run() {
+    while (!stopping_) {
+      if (frozen_) {
+        std::this_thread::sleep_for(milliseconds(1));
+        continue;
+      }
+      std::array<epoll_event, 256> events{};
+      const int n = epoll_wait(epoll_, events.data(), 256, 1);
+      for (int i = 0; i < n; ++i) {
+        OnReadable(events[static_cast<std::size_t>(i)].data.fd);
+      }
+      AnswerDue();
+    }
+  }
+  void OnReadable(int fd) {
+    if (std::find(listeners_.begin(), listeners_.end(), fd) !=
+        listeners_.end()) {
+      const int accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK);
+      if (accepted >= 0) {
+        received_[accepted] = {};
+        Watch(accepted);
+      }
+      return;
+    }
+    std::array<char, 4096> buf{};
+    const auto n = recv(fd, buf.data(), buf.size(), 0);
+    if (n <= 0) {
+      received_.erase(fd);
+      std::erase_if(due_, [&](const auto& it) { return it.second == fd; });
+      close(fd);
+      return;
+    }
+    auto& text = received_[fd];
+    text.append(buf.data(), static_cast<std::size_t>(n));
+    const auto end = text.find("\r\n\r\n");
+    if (end == std::string::npos) {
+      return;
+    }
+    const int delay_ms = std::atoi(text.c_str() + text.find('/') + 1);
+    text.erase(0, end + 4);
+    if (delay_ms > 0) {
+      due_.emplace(steady_clock::now() + milliseconds(delay_ms), fd);
+    }
+  }
+  void AnswerDue() {
+    while (!due_.empty() && due_.begin()->first <= steady_clock::now()) {
+      static const std::string kAnswer =
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+      (void)!send(due_.begin()->second, kAnswer.data(), kAnswer.size(),
+                  MSG_NOSIGNAL);
+      due_.erase(due_.begin());
+    }
+  }
+
+  const int epoll_;
+  std::vector<int> listeners_;
+  std::vector<std::string> urls_;
+  std::map<int, std::string> received_;
+  std::multimap<steady_clock::time_point, int> due_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<bool> frozen_ = false;
+  std::thread thread_;
+};
+
+}  // namespace
+
+// Guards against calls that never end when many peers stop answering for some
+// seconds while calls to them wait for a connection.
+Test(http_client, ends_every_call_to_many_peers) {
+  PeerGroup peers;
+  const auto client = std::move(*HttpClient::Create({}));
+  std::atomic<int> open = 0;
+  std::atomic<int> answered = 0;
+  std::mt19937 random(1);
+  const auto send = [&](int peer, int delay_ms, int timeout_ms, bool fresh) {
+    HttpCall call;
+    call.method = "POST";
+    call.body = "{}";
+    call.headers = {"Expect:"};
+    call.url = peers.url(peer) + "/" + std::to_string(delay_ms);
+    call.timeout = milliseconds(timeout_ms);
+    call.fresh_connection = fresh;
+    ++open;
+    client->Send(std::move(call), [&](const HttpAnswer& answer) {
+      answered += answer.status == 200 ? 1 : 0;
+      --open;
+    });
+  };
+  const auto begin = steady_clock::now();
+  for (int turn = 0; steady_clock::now() - begin < milliseconds(6'000);
+       ++turn) {
+    const auto at = steady_clock::now() - begin;
+    const bool frozen = at > milliseconds(1'500) && at < milliseconds(4'500);
+    peers.set_frozen(frozen);
+    for (int n = 0; n < 20; ++n) {
+      const int peer = static_cast<int>(random() % kAddresses);
+      const int delay = random() % 20 == 0 ? 0 : 1 + random() % 60;
+      send(peer, delay, 1'000, frozen && n % 3 == 0);
+    }
+    for (int n = 0; n < 3; ++n) {
+      send((3 * turn + n) % kAddresses, 1'000, 2'000, frozen);
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  peers.set_frozen(false);
+  const auto until = steady_clock::now() + std::chrono::seconds(5);
+  while (open > 0 && steady_clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  cr_expect_eq(open, 0, "%d calls never ended", open.load());
+  cr_expect_gt(answered, 2'000);
+}
