--- a/libraries/cell/src/relay.cc
+++ b/libraries/cell/src/relay.cc
@@ -37,7 +37,10 @@
   driver_.reset();
 }
 
-std::string Relay::HelperFor(const SentOrder& order, TimePoint now) const {
+std::string Relay::HelperFor(const SentOrder& order, TimePoint now) {
+  if (helpers_.empty()) {
+    return {};
+  }
   const auto direct = direct_workers_.find(order.worker.id);
   if (direct != direct_workers_.end() && now < direct->second) {
     return {};
@@ -56,7 +59,11 @@
       return helper;
     }
   }
-  return {};
+  if (direct_workers_.size() < kMaxDirectWorkers) {
+    direct_workers_[order.worker.id] = now + kAvoidHelper;
+    return {};
+  }
+  return helpers_[first % helpers_.size()];
 }
 
 void Relay::Send(std::vector<SentOrder> orders) {
@@ -72,7 +79,7 @@
         continue;
       }
       relayed[helper].push_back(ToWire(it));
-      outstanding_[it.id] = {std::move(helper), it.worker.id,
+      outstanding_[it.id] = {std::move(helper), it.worker.id, now,
                              now + it.timeout + kRelayMargin};
     }
   }
@@ -104,6 +111,7 @@
       if (node.empty()) {
         continue;
       }
+      heard_[node.mapped().helper] = clock_.Now();
       if (IsUnreached(reply.answer) &&
           direct_workers_.size() < kMaxDirectWorkers) {
         direct_workers_[node.mapped().worker] = clock_.Now() + kDirect;
@@ -113,6 +121,21 @@
   }
 }
 
+// A helper that answers other orders is only slow, or this worker is.
+bool Relay::IsSilentSince(const std::string& helper, TimePoint time) const {
+  const auto heard = heard_.find(helper);
+  return heard == heard_.end() || heard->second < time;
+}
+
+void Relay::Avoid(const Outstanding& order, TimePoint now) {
+  const auto known = avoided_helpers_.find(order.helper);
+  if (known == avoided_helpers_.end() || known->second <= now) {
+    Log(LogLevel::kWarning, "cell", "helper does not answer",
+        {{"helper", order.helper}, {"worker", order.worker}});
+  }
+  avoided_helpers_[order.helper] = now + kAvoidHelper;
+}
+
 void Relay::Advance() {
   std::vector<OrderId> over;
   {
@@ -123,13 +146,9 @@
         ++it;
         continue;
       }
-      const auto& helper = it->second.helper;
-      const auto known = avoided_helpers_.find(helper);
-      if (known == avoided_helpers_.end() || known->second <= now) {
-        Log(LogLevel::kWarning, "cell", "helper does not answer",
-            {{"helper", helper}, {"worker", it->second.worker}});
+      if (IsSilentSince(it->second.helper, it->second.sent_at)) {
+        Avoid(it->second, now);
       }
-      avoided_helpers_[helper] = now + kAvoidHelper;
       over.push_back(it->first);
       it = outstanding_.erase(it);
     }
--- a/libraries/cell/src/relay.h
+++ b/libraries/cell/src/relay.h
@@ -57,11 +57,14 @@
   struct Outstanding {
     std::string helper;
     std::string worker;
+    TimePoint sent_at;
     TimePoint deadline;
   };
 
   // The helper for a worker; empty: this controller calls it itself.
-  std::string HelperFor(const SentOrder& order, TimePoint now) const;
+  std::string HelperFor(const SentOrder& order, TimePoint now);
+  bool IsSilentSince(const std::string& helper, TimePoint time) const;
+  void Avoid(const Outstanding& order, TimePoint now);
 
   const ReplySink sink_;
   RelayLink& link_;
@@ -71,6 +74,7 @@
   std::mutex mutex_;
   std::vector<std::string> helpers_;
   std::unordered_map<OrderId, Outstanding> outstanding_;
+  std::unordered_map<std::string, TimePoint> heard_;  // Last reply of a helper.
   // Helpers that left an order unanswered are avoided until then, and workers
   // that could not be reached through their helper are called directly.
   std::map<std::string, TimePoint> avoided_helpers_;
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -220,3 +220,40 @@
   it.relay.Send(orders);
   cr_expect_eq(it.own.size(), 40);
 }
+
+// Load pattern: a takeover, in which helpers connect to all workers at once and
+// some workers are gone. Guards against giving up a helper that answers.
+Test(relay, keeps_a_helper_that_answers_other_orders) {
+  Fixture it;
+  it.relay.SetHelpers({"helper"});
+  it.relay.Send({MakeOrder(1, "w1"), MakeOrder(2, "w2")});
+  it.Pass(std::chrono::milliseconds(500));
+  it.relay.OnReplies({ToWire(OrderId{2}, Done())});
+  it.Pass(std::chrono::milliseconds(1'000));
+  cr_assert_eq(it.told.size(), 2);
+  cr_expect(it.told[1].second.answer == WorkerAnswer::kNoAnswer);
+  it.relay.Send({MakeOrder(3, "w3")});
+  cr_expect(it.own.empty());
+  cr_expect_eq(it.link.orders.size(), 3);
+}
+
+// Load pattern: a leader that was frozen, so that no order was answered in
+// time. Guards against a leader that then calls all workers itself and falls
+// ever further behind.
+Test(relay, calls_only_some_workers_itself_when_no_helper_answers) {
+  Fixture it;
+  it.relay.SetHelpers({"a", "b"});
+  constexpr OrderId kWorkers = 200;
+  const auto send_all = [&](OrderId first) {
+    for (OrderId n = 0; n < kWorkers; ++n) {
+      it.relay.Send({MakeOrder(first + n, "w" + std::to_string(n))});
+    }
+  };
+  send_all(1);
+  it.Pass(std::chrono::milliseconds(1'500));
+  cr_assert_eq(it.told.size(), kWorkers);
+  it.link.orders.clear();
+  send_all(1'000);
+  cr_expect_eq(it.own.size(), 40);
+  cr_expect_eq(it.link.orders.size(), kWorkers - 40);
+}
