cell: Log the load of the cell

Change: a line every 2 s with the room in use, held and asked for, the usable workers, the open questions and how fast workers answer.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -26,6 +26,8 @@
 // Also without events, because tickets, leases and quarantines run out.
 constexpr std::int64_t kIdlePlanMs = 50;
 constexpr std::int64_t kMaintenanceMs = 500;
+// How often the load of the cell is logged.
+constexpr std::int64_t kLoadLogMs = 2'000;
 // Leases and polls run out without an event.
 constexpr std::int64_t kMaxIdleMs = 20;
 // A worker whose leases ran out and that is silent for this long is forgotten.
@@ -426,6 +428,10 @@
   ExpireJobs();
   RemoveSilentWorkers();
   GiveUpLostOrders();
+  if (now_ms_ - load_logged_ms_ >= kLoadLogMs) {
+    load_logged_ms_ = now_ms_;
+    LogLoad();
+  }
   const auto membership = host_.Membership();
   out.membership_change = members_.Next(membership, now_ms_);
   out.helpers.emplace();
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -98,6 +98,7 @@
   void TakeAdvice();
   policy::LoadSummary Load(const policy::NewJob& job);
   policy::LoadSummary SumUpRoom() const;
+  void LogLoad() const;
 
   const EngineOptions& options_;
   const graph::GraphStore& store_;
@@ -132,6 +133,7 @@
   bool plan_due_ = true;
   std::int64_t planned_ms_ = 0;
   std::int64_t maintained_ms_ = 0;
+  std::int64_t load_logged_ms_ = 0;
   std::int64_t usability_checked_ms_ = 0;
   std::int64_t proposed_ms_ = 0;
 
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -268,4 +268,40 @@
   return load;
 }
 
+// What an operator needs to tell a full cell from one that waits for advice,
+// for gangs or for workers.
+void Leader::LogLoad() const {
+  policy::Demand capacity;
+  policy::Demand used;
+  policy::Demand held;
+  std::size_t usable = 0;
+  for (const auto& [number, worker] : planner_.workers()) {
+    capacity += worker.capacity;
+    used += worker.used;
+    held += worker.held;
+    usable += worker.usable ? 1 : 0;
+  }
+  std::int64_t waiting_tasks = 0;
+  std::int64_t waiting_cpus = 0;
+  for (const auto& [id, step] : planner_.steps()) {
+    const auto tasks = static_cast<std::int64_t>(step.waiting.size());
+    waiting_tasks += tasks;
+    waiting_cpus += tasks * step.demand.milli_cpus;
+  }
+  Log(LogLevel::kInfo, "cell", "load",
+      {{"workers", planner_.workers().size()},
+       {"usable", usable},
+       {"cpus", capacity.milli_cpus / 1'000},
+       {"cpus_used", used.milli_cpus / 1'000},
+       {"cpus_held", held.milli_cpus / 1'000},
+       {"cpus_waiting", waiting_cpus / 1'000},
+       {"memory_gb", capacity.memory_mb / 1'024},
+       {"memory_used_gb", used.memory_mb / 1'024},
+       {"steps", planner_.steps().size()},
+       {"waiting_tasks", waiting_tasks},
+       {"questions_waiting", desk_.waiting()},
+       {"callers_idle", desk_.callers()},
+       {"answer_ms", book_.MedianAnswerMs(now_ms_)}});
+}
+
 }  // namespace cranberryshunt::cell
