policy: Hold the openings that come first for a gang

Load pattern: wide gangs among many small tasks on a fleet that is nine tenths full.

Cause: a waiting gang held whole workers until as many tasks fitted as an empty one can take, so that much room stood idle for long, while the openings that would have done went to smaller steps. Tasks over their declared time counted as about to end. A first question named 60 workers, of which 18 are allowed, and further ones were asked while room on the known workers was about to come.

Change: each opening for one task counts by itself, and the first ones are held; a late task is expected to run on for as long as it is late; steps of 8 tasks or more ask about 100 workers, and about others only when the room is further off than an answer.

Before: the three tests of graph_planner fail. After: they pass.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -117,7 +117,10 @@
   // Set by whoever changes any of the above. Steps that did not change are
   // looked at again only when a worker of theirs did, and in full rounds.
   bool changed = true;
-  std::vector<HeldRoom> held;  // Of a gang; kept by the planner.
+  // Of a gang; kept by the planner: the room that it waits for, and when all of
+  // it is expected.
+  std::vector<HeldRoom> held;
+  std::int64_t held_ready_ms = 0;
 };
 
 struct PlannedStart {
@@ -143,8 +146,10 @@
 };
 
 struct PlannerOptions {
-  // Workers named in one question; the service takes at most 100.
+  // Workers named in a first question about a step of fewer tasks than
+  // `wide_step_tasks`.
   std::size_t max_workers_asked = 60;
+  std::size_t wide_step_tasks = 8;
   // A ticket must stay valid this long to be used: commit of the start and the
   // way to the worker.
   std::int64_t ticket_margin_ms = 150;
@@ -184,8 +189,10 @@
   void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
   void PlaceSingles(PlanStep& step, const Candidates& workers, Round& round);
   void ChooseHeldRoom(PlanStep& step, const Candidates& workers, Round& round);
+  void AskForHeldRoom(PlanStep& step, Round& round);
   void HoldRoom(const PlanStep& step);
   void Start(PlanStep& step, PlanWorker& worker, Round& round);
+  std::size_t AskedLimit(const PlanStep& step) const;
   void AskNew(PlanStep& step, Round& round);
   void AskAgain(PlanStep& step,
                 const std::vector<std::int64_t>& workers,
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -64,6 +63,15 @@
 
 namespace {
 
+// The service takes this many workers in one question.
+constexpr std::size_t kMaxAsked = 100;
+
+// Time that the service takes for a question about `n` workers.
+std::int64_t AnswerMs(const PlanStep& step, std::size_t n) {
+  return static_cast<std::int64_t>(
+      step.advice.base_ms + step.advice.per_worker_ms * static_cast<double>(n));
+}
+
 // Share of the worker's larger dimension that would stay free; the smallest
 // wins, so that tasks are packed and whole workers stay open for wide steps.
 double LeftoverShare(const PlanWorker& worker, const Demand& demand) {
@@ -90,22 +98,42 @@
          (running == step.running.end() ? 0 : running->second);
 }
 
-// When the worker is expected to have room for `fit` tasks of this size.
-std::optional<std::int64_t> ReadyAt(const PlanWorker& worker,
-                                    const Demand& task,
-                                    std::int64_t fit,
-                                    std::int64_t now_ms) {
+// Room for one task of a gang on a worker, and when it is expected.
+struct Opening {
+  std::int64_t ready_ms = 0;
+  PlanWorker* worker = nullptr;
+};
+
+// A task that runs longer than expected is expected to run on for as long as it
+// is late.
+std::int64_t EndOf(const ExpectedEnd& end, std::int64_t now_ms) {
+  return end.at_ms >= now_ms ? end.at_ms : now_ms + (now_ms - end.at_ms);
+}
+
+// Adds the openings for up to `limit` tasks of this size on the worker.
+void AddOpenings(PlanWorker& worker,
+                 const Demand& task,
+                 std::int64_t limit,
+                 std::int64_t now_ms,
+                 std::vector<Opening>& out) {
   Demand room = worker.Room();
-  if (FitCount(task, room, fit) >= fit) {
-    return now_ms;
-  }
+  std::int64_t fit = 0;
+  const auto add = [&](std::int64_t ready_ms) {
+    const auto next = FitCount(task, room, limit);
+    for (; fit < next; ++fit) {
+      out.push_back({ready_ms, &worker});
+    }
+  };
+  add(now_ms);
+  std::int64_t at_ms = now_ms;
   for (const auto& it : worker.ends) {
-    room += it.demand;
-    if (FitCount(task, room, fit) >= fit) {
-      return std::max(it.at_ms, now_ms);
+    if (fit >= limit) {
+      break;
     }
+    room += it.demand;
+    at_ms = std::max(at_ms, EndOf(it, now_ms));
+    add(at_ms);
   }
-  return std::nullopt;
 }
 
 }  // namespace
@@ -360,70 +388,68 @@
 }
 
 // Keeps the room that a gang will get first, so that smaller work does not take
-// it again and again: the allowed workers that can hold its tasks soonest.
+// it again and again. Each opening counts by itself: draining whole workers
+// would leave more of them idle for longer.
 void GraphPlanner::ChooseHeldRoom(PlanStep& step,
                                   const Candidates& workers,
                                   Round& round) {
-  struct Option {
-    PlanWorker* worker;
-    std::int64_t ready_ms;
-    std::int64_t fit;
-  };
   step.held.clear();
-  const auto count = static_cast<std::int64_t>(step.waiting.size());
-  std::vector<Option> options;
+  step.held_ready_ms = 0;
+  const auto count = step.waiting.size();
+  std::vector<Opening> openings;
   for (auto* it : workers) {
     // Held for an earlier gang.
     if (it->held != Demand()) {
       continue;
     }
-    const auto fit = FitCount(step.demand, it->capacity,
-                              std::min(count, PerWorkerLimit(step, *it)));
-    if (fit <= 0) {
-      continue;
-    }
-    if (const auto at = ReadyAt(*it, step.demand, fit, round.now_ms)) {
-      options.push_back({it, *at, fit});
-    }
-  }
-  std::sort(options.begin(), options.end(), [](const auto& a, const auto& b) {
-    return std::tuple(a.ready_ms, -a.fit, a.worker->number) <
-           std::tuple(b.ready_ms, -b.fit, b.worker->number);
-  });
-  std::int64_t found = 0;
-  std::size_t used = 0;
-  while (used < options.size() && found < count) {
-    found += options[used].fit;
-    ++used;
+    const auto limit =
+        std::min(static_cast<std::int64_t>(count), PerWorkerLimit(step, *it));
+    AddOpenings(*it, step.demand, limit, round.now_ms, openings);
   }
-  if (found < count) {
+  if (openings.size() < count) {
     return;
   }
-  std::vector<std::int64_t> stale;
-  const auto until = round.now_ms + options_.ticket_margin_ms;
-  std::int64_t ready = round.now_ms;
-  for (std::size_t i = 0; i < used; ++i) {
-    const auto& option = options[i];
-    auto& held = step.held.emplace_back();
-    held.worker = option.worker->number;
-    for (std::int64_t n = 0; n < option.fit; ++n) {
-      held.demand += step.demand;
+  std::sort(openings.begin(), openings.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.ready_ms, a.worker->number) <
+           std::pair(b.ready_ms, b.worker->number);
+  });
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto number = openings[i].worker->number;
+    auto held =
+        std::find_if(step.held.begin(), step.held.end(),
+                     [&](const auto& it) { return it.worker == number; });
+    if (held == step.held.end()) {
+      held = step.held.insert(held, {number, {}});
     }
-    ready = std::max(ready, option.ready_ms);
-    if (!step.advice.HasTicket(option.worker->number, until)) {
-      stale.push_back(option.worker->number);
+    held->demand += step.demand;
+  }
+  step.held_ready_ms = openings[count - 1].ready_ms;
+  AskForHeldRoom(step, round);
+}
+
+// Asks for tickets so that they arrive together with the room.
+void GraphPlanner::AskForHeldRoom(PlanStep& step, Round& round) {
+  const auto until = round.now_ms + options_.ticket_margin_ms;
+  std::vector<std::int64_t> stale;
+  for (const auto& it : step.held) {
+    if (!step.advice.HasTicket(it.worker, until)) {
+      stale.push_back(it.worker);
     }
   }
-  // Asks for tickets so that they arrive together with the room.
-  const auto answer_ms =
-      step.advice.base_ms +
-      step.advice.per_worker_ms * static_cast<double>(stale.size());
   if (!stale.empty() &&
-      static_cast<double>(ready - round.now_ms) <= answer_ms) {
+      step.held_ready_ms - round.now_ms <= AnswerMs(step, stale.size())) {
     AskAgain(step, stale, round);
   }
 }
 
+// Wide steps need many allowed workers, and most of an answer's time does not
+// depend on how many are named.
+std::size_t GraphPlanner::AskedLimit(const PlanStep& step) const {
+  return step.waiting.size() >= options_.wide_step_tasks
+             ? kMaxAsked
+             : options_.max_workers_asked;
+}
+
 // Asks about workers that the service has not been asked about yet, the
 // emptiest first.
 void GraphPlanner::AskNew(PlanStep& step, Round& round) {
@@ -434,7 +460,11 @@
   const bool worth =
       known.empty() || step.advice.allowed.empty() ||
       usable_[step.service_name] * kFew > known.size() * (kFew + 1);
-  if (!worth || round.plan.questions.size() >= options_.max_questions) {
+  const auto limit = AskedLimit(step);
+  // Room that comes sooner than an answer makes further workers useless.
+  const bool soon = !step.held.empty() &&
+                    step.held_ready_ms - round.now_ms <= AnswerMs(step, limit);
+  if (!worth || soon || round.plan.questions.size() >= options_.max_questions) {
     return;
   }
   // The share that stays free orders them; computed once for each.
@@ -447,7 +477,7 @@
   if (unknown.empty()) {
     return;
   }
-  const auto asked = std::min(unknown.size(), options_.max_workers_asked);
+  const auto asked = std::min(unknown.size(), limit);
   std::partial_sort(unknown.begin(),
                     unknown.begin() + static_cast<std::ptrdiff_t>(asked),
                     unknown.end());
@@ -468,12 +498,10 @@
   PlannedQuestion question;
   question.step = step.id;
   question.workers = workers;
-  if (question.workers.size() > options_.max_workers_asked) {
-    question.workers.resize(options_.max_workers_asked);
+  if (question.workers.size() > kMaxAsked) {
+    question.workers.resize(kMaxAsked);
   }
-  question.expected_ms = static_cast<std::int64_t>(
-      step.advice.base_ms +
-      step.advice.per_worker_ms * static_cast<double>(question.workers.size()));
+  question.expected_ms = AnswerMs(step, question.workers.size());
   step.advice.asking = true;
   round.plan.questions.push_back(std::move(question));
 }
--- /dev/null
+++ b/tests/policy/graph_planner_test.cc
@@ -0,0 +1,143 @@
+// Placement of step-graph tasks under load.
+#include "cranberryshunt/policy/graph_planner.h"
+
+#include <criterion/criterion.h>
+
+#include <numeric>
+
+using namespace cranberryshunt::policy;  // NOLINT
+
+namespace {
+
+constexpr std::int64_t kMemoryMb = 256'000;
+
+PlanWorker MakeWorker(std::int64_t number) {
+  PlanWorker worker;
+  worker.number = number;
+  worker.service_name = "fleet";
+  worker.capacity = {64'000, kMemoryMb, 0};
+  worker.usable = true;
+  return worker;
+}
+
+void Run(PlanWorker& worker, std::int64_t milli_cpus, std::int64_t end_ms) {
+  const Demand demand{milli_cpus, 1'000, 0};
+  worker.used += demand;
+  worker.AddEnd({end_ms, demand});
+}
+
+void End(GraphPlanner& planner, std::int64_t number, std::int64_t end_ms) {
+  auto& worker = planner.workers().at(number);
+  std::erase_if(worker.ends, [&](const auto& it) {
+    if (it.at_ms == end_ms) {
+      worker.used -= it.demand;
+    }
+    return it.at_ms == end_ms;
+  });
+  planner.Touch(number);
+}
+
+PlanStep& AddStep(GraphPlanner& planner,
+                  StepId id,
+                  std::int32_t tasks,
+                  std::int64_t milli_cpus,
+                  std::int64_t objective_ms) {
+  PlanStep step;
+  step.id = id;
+  step.service_name = "fleet";
+  step.priority = 1;
+  step.demand = {milli_cpus, 1'000, 0};
+  step.expected_run_ms = 4'000;
+  step.remaining_ms = 4'000;
+  step.objective_ms = objective_ms;
+  step.waiting.resize(static_cast<std::size_t>(tasks));
+  std::iota(step.waiting.begin(), step.waiting.end(), 0);
+  return planner.steps()[id] = step;
+}
+
+int StartsOf(const Plan& plan, StepId id) {
+  return static_cast<int>(
+      std::count_if(plan.starts.begin(), plan.starts.end(),
+                    [&](const auto& it) { return it.step == id; }));
+}
+
+}  // namespace
+
+// Load pattern: a wide gang on a nearly full fleet. Guards against waiting for
+// whole workers to drain while smaller steps take each opening that would do.
+Test(graph_planner, holds_the_openings_that_come_first_for_a_gang) {
+  GraphPlanner planner;
+  planner.workers()[1] = MakeWorker(1);
+  Run(planner.workers()[1], 64'000, 5'000);
+  for (std::int64_t n = 2; n <= 5; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    Run(planner.workers()[n], 32'000, 500);
+    Run(planner.workers()[n], 32'000, 9'000);
+  }
+  AddStep(planner, 1, 4, 18'000, 9'000).gang = true;
+  cr_expect(planner.Decide(100).starts.empty());
+  AddStep(planner, 2, 4, 20'000, 30'000);
+  for (std::int64_t n = 2; n <= 4; ++n) {
+    End(planner, n, 500);
+  }
+  cr_expect_eq(StartsOf(planner.Decide(510), 2), 0,
+               "smaller work took the gang's room");
+  End(planner, 5, 500);
+  const auto plan = planner.Decide(520);
+  cr_expect_eq(StartsOf(plan, 1), 4);
+}
+
+// Load pattern: tasks that run longer than declared. Guards against holding
+// room on a worker whose task was expected to end long ago.
+Test(graph_planner, expects_late_tasks_to_run_on) {
+  GraphPlanner planner;
+  planner.workers()[1] = MakeWorker(1);
+  Run(planner.workers()[1], 64'000, 1'000);
+  planner.workers()[2] = MakeWorker(2);
+  Run(planner.workers()[2], 64'000, 6'000);
+  AddStep(planner, 1, 2, 30'000, 30'000).gang = true;
+  (void)planner.Decide(5'000);
+  const auto& held = planner.steps().at(1).held;
+  cr_assert_eq(held.size(), 1);
+  cr_expect_eq(held.front().worker, 2);
+}
+
+// Load pattern: wide gangs under slow advice. Guards against a second question
+// when the room on the known workers comes before its answer.
+Test(graph_planner, asks_about_more_workers_only_when_room_is_far_off) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 300; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    Run(planner.workers()[n], 64'000, n <= 10 ? 400 : 8'000);
+  }
+  auto& step = AddStep(planner, 1, 10, 30'000, 30'000);
+  step.gang = true;
+  step.advice.needed = true;
+  step.advice.base_ms = 500;
+  step.advice.per_worker_ms = 6;
+  auto plan = planner.Decide(100);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect_eq(plan.questions.front().workers.size(), 100);
+  step.advice.asking = false;
+  step.changed = true;
+  for (const auto it : plan.questions.front().workers) {
+    step.advice.known.insert(it);
+  }
+  for (std::int64_t n = 1; n <= 10; ++n) {
+    step.advice.known.insert(n);
+    step.advice.allowed[n] = {"t", 2'000};
+  }
+  plan = planner.Decide(150);
+  cr_expect(plan.questions.empty());
+  // With only a few of them allowed, more are needed.
+  step.advice.allowed.erase(1);
+  step.advice.allowed.erase(2);
+  step.advice.allowed.erase(3);
+  step.advice.allowed.erase(4);
+  step.advice.allowed.erase(5);
+  step.advice.allowed.erase(6);
+  step.changed = true;
+  plan = planner.Decide(210);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect_eq(plan.questions.front().workers.size(), 100);
+}
