policy: Limit what waiting gangs and late steps keep from each other

Load pattern: more wide gangs than a nearly full fleet can take.

Change: room is held for the first gangs up to a quarter of the fleet. Steps ask about further workers only when the allowed ones cannot hold their tasks, or when the room is far off; gangs also when more than twelve callers are idle. While a gang that is still on time waits, late steps use a tenth of the fleet at most.

Before: four tests of graph_planner fail. After: they pass.

--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -80,7 +80,9 @@
     desk_.Forget(it);
   }
   UpdatePlanWorkers();
-  const auto plan = planner_.Decide(now_ms_);
+  const auto spare = static_cast<std::int64_t>(desk_.callers()) -
+                     static_cast<std::int64_t>(desk_.waiting());
+  const auto plan = planner_.Decide(now_ms_, spare);
   std::map<policy::StepId, std::int32_t> gang_runs;
   for (const auto& it : plan.starts) {
     BeginStart(it, gang_runs);
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -153,8 +153,18 @@
   // A ticket must stay valid this long to be used: commit of the start and the
   // way to the worker.
   std::int64_t ticket_margin_ms = 150;
+  // Callers that are left free for first questions when steps that know enough
+  // workers ask about more of them.
+  std::int64_t reserved_callers = 12;
   // Questions that may be open at a time; callers are few.
   std::size_t max_questions = 64;
+  // Room is held for the first gangs up to this share of the usable workers.
+  // The openings of a worker come one by one, so gangs that wait side by side
+  // keep each other's idle for longer than they run.
+  double max_held_share = 0.25;
+  // While a gang waits that can still make its objective, tasks of late steps
+  // use up to this share of the usable workers.
+  double max_late_share = 0.1;
   // All steps are looked at this often, because tickets, holds and quarantines
   // run out without an event.
   std::int64_t full_round_ms = 50;
@@ -172,8 +182,9 @@
   // A worker was added or changed since the last decision.
   void Touch(std::int64_t worker) { touched_.insert(worker); }
   // Plans starts and questions for now. Starts are reserved on the workers and
-  // removed from the waiting tasks.
-  Plan Decide(std::int64_t now_ms);
+  // removed from the waiting tasks. `spare_callers` of the advice service have
+  // nothing to ask.
+  Plan Decide(std::int64_t now_ms, std::int64_t spare_callers = 0);
 
  private:
   struct Round;
@@ -186,13 +197,17 @@
   // Workers that advice allows; with `touched_only`, of those that changed.
   Candidates Allowed(const PlanStep& step, bool touched_only);
   void PlaceStep(PlanStep& step, Round& round);
+  bool MayStartLate(const PlanStep& step, Round& round);
   void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
   void PlaceSingles(PlanStep& step, const Candidates& workers, Round& round);
   void ChooseHeldRoom(PlanStep& step, const Candidates& workers, Round& round);
   void AskForHeldRoom(PlanStep& step, Round& round);
-  void HoldRoom(const PlanStep& step);
+  void HoldRoom(const PlanStep& step, Round& round);
   void Start(PlanStep& step, PlanWorker& worker, Round& round);
   std::size_t AskedLimit(const PlanStep& step) const;
+  bool KnowsEnough(const PlanStep& step,
+                   std::size_t limit,
+                   std::int64_t now_ms) const;
   void AskNew(PlanStep& step, Round& round);
   void AskAgain(PlanStep& step,
                 const std::vector<std::int64_t>& workers,
@@ -207,6 +222,7 @@
   std::int64_t full_round_at_ms_ = 0;
   // Usable workers of each service, as of the last full round.
   std::map<std::string, std::size_t> usable_;
+  std::map<std::string, Demand> capacity_;  // Of these.
 };
 
 }  // namespace cranberryshunt::policy
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -72,16 +72,19 @@
       step.advice.base_ms + step.advice.per_worker_ms * static_cast<double>(n));
 }
 
+// The larger share of the processors and of the memory.
+double ShareOf(const Demand& part, const Demand& whole) {
+  const auto share = [](std::int64_t a, std::int64_t b) {
+    return b > 0 ? static_cast<double>(a) / static_cast<double>(b) : 0.0;
+  };
+  return std::max(share(part.milli_cpus, whole.milli_cpus),
+                  share(part.memory_mb, whole.memory_mb));
+}
+
 // Share of the worker's larger dimension that would stay free; the smallest
 // wins, so that tasks are packed and whole workers stay open for wide steps.
 double LeftoverShare(const PlanWorker& worker, const Demand& demand) {
-  const Demand room = worker.Room() - demand;
-  const auto share = [](std::int64_t part, std::int64_t whole) {
-    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole)
-                     : 0.0;
-  };
-  return std::max(share(room.milli_cpus, worker.capacity.milli_cpus),
-                  share(room.memory_mb, worker.capacity.memory_mb));
+  return ShareOf(worker.Room() - demand, worker.capacity);
 }
 
 bool HasLabel(const PlanWorker& worker, const std::string& label) {
@@ -145,10 +148,25 @@
   ends.insert(after, end);
 }
 
+namespace {
+
+bool IsLate(const PlanStep& step, std::int64_t now_ms) {
+  return now_ms + step.remaining_ms > step.objective_ms;
+}
+
+}  // namespace
+
 // State of one call of Decide().
 struct GraphPlanner::Round {
   std::int64_t now_ms = 0;
   bool full = false;
+  // Of the usable workers' room, what is held for gangs so far.
+  double held_share = 0;
+  std::int64_t spare_callers = 0;
+  // A gang that can still make its objective waits for room.
+  bool gang_waits = false;
+  // Of the usable workers' room, what tasks of late steps use.
+  double late_share = 0;
   Plan plan;
 };
 
@@ -165,7 +183,7 @@
     }
   }
   const auto key = [now_ms](const PlanStep& step) {
-    const bool late = now_ms + step.remaining_ms > step.objective_ms;
+    const bool late = IsLate(step, now_ms);
     const auto urgency =
         late ? step.accepted_ms : step.objective_ms - step.remaining_ms;
     return std::tuple(late, step.priority > 0, urgency, step.id);
@@ -226,13 +244,15 @@
   return preferred.empty() && !touched_only ? out : preferred;
 }
 
-Plan GraphPlanner::Decide(std::int64_t now_ms) {
+Plan GraphPlanner::Decide(std::int64_t now_ms, std::int64_t spare_callers) {
   Round round;
   round.now_ms = now_ms;
+  round.spare_callers = spare_callers;
   round.full = now_ms - full_round_at_ms_ >= options_.full_round_ms;
   if (round.full) {
     full_round_at_ms_ = now_ms;
     usable_.clear();
+    capacity_.clear();
   }
   for (const auto number : with_held_room_) {
     if (const auto it = workers_.find(number); it != workers_.end()) {
@@ -242,7 +262,10 @@
   with_held_room_.clear();
   if (round.full) {
     for (const auto& [number, worker] : workers_) {
-      usable_[worker.service_name] += worker.usable ? 1 : 0;
+      if (worker.usable) {
+        ++usable_[worker.service_name];
+        capacity_[worker.service_name] += worker.capacity;
+      }
     }
   }
   for (auto* step : InOrder(now_ms)) {
@@ -252,25 +275,55 @@
   return std::move(round.plan);
 }
 
+// Late steps take the openings that a gang needs to end in time, and are worth
+// less. While such a gang waits they use a small part of the fleet, so that
+// each of them ends at last.
+bool GraphPlanner::MayStartLate(const PlanStep& step, Round& round) {
+  std::int64_t running = 0;
+  for (const auto& [worker, tasks] : step.running) {
+    running += tasks;
+  }
+  round.late_share += static_cast<double>(running) *
+                      ShareOf(step.demand, capacity_[step.service_name]);
+  return !round.gang_waits || round.late_share < options_.max_late_share;
+}
+
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
   const bool whole = round.full || step.changed;
   if (!whole && !IsConcerned(step)) {
-    HoldRoom(step);
+    if (round.held_share >= options_.max_held_share) {
+      step.held.clear();
+    }
+    HoldRoom(step, round);
+    round.gang_waits =
+        round.gang_waits || (step.gang && !IsLate(step, round.now_ms));
+    return;
+  }
+  const bool late = IsLate(step, round.now_ms);
+  if (late && !MayStartLate(step, round)) {
     return;
   }
   step.changed = false;
+  const auto waited = step.waiting.size();
   if (step.gang) {
     const auto allowed = Allowed(step, false);
     PlaceGang(step, allowed, round);
-    if (step.waiting.empty()) {
+    if (step.waiting.empty() || round.held_share >= options_.max_held_share) {
       step.held.clear();
     } else if (whole) {
       ChooseHeldRoom(step, allowed, round);
     }
-    HoldRoom(step);
+    HoldRoom(step, round);
+    round.gang_waits = round.gang_waits || (!late && !step.waiting.empty());
   } else {
     PlaceSingles(step, Allowed(step, !whole), round);
   }
+  if (late) {
+    const auto started =
+        static_cast<std::int64_t>(waited - step.waiting.size());
+    round.late_share += static_cast<double>(started) *
+                        ShareOf(step.demand, capacity_[step.service_name]);
+  }
   if (whole && step.advice.needed && !step.advice.asking &&
       !step.waiting.empty()) {
     AskNew(step, round);
@@ -377,14 +430,17 @@
   }
 }
 
-void GraphPlanner::HoldRoom(const PlanStep& step) {
+void GraphPlanner::HoldRoom(const PlanStep& step, Round& round) {
+  Demand held;
   for (const auto& it : step.held) {
     const auto worker = workers_.find(it.worker);
     if (worker != workers_.end()) {
       worker->second.held += it.demand;
       with_held_room_.push_back(it.worker);
+      held += it.demand;
     }
   }
+  round.held_share += ShareOf(held, capacity_[step.service_name]);
 }
 
 // Keeps the room that a gang will get first, so that smaller work does not take
@@ -450,23 +506,49 @@
              : options_.max_workers_asked;
 }
 
+// Whether the workers that the service has allowed will do, so that the callers
+// of the service stay free for other steps.
+bool GraphPlanner::KnowsEnough(const PlanStep& step,
+                               std::size_t limit,
+                               std::int64_t now_ms) const {
+  if (step.advice.known.empty()) {
+    return false;
+  }
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  // A gang needs all its places at the same time, so it needs a choice.
+  const auto wanted = step.gang ? 2 * count : count;
+  std::int64_t places = 0;
+  for (const auto& [number, ticket] : step.advice.allowed) {
+    const auto it = workers_.find(number);
+    if (it != workers_.end() && IsEligible(step, it->second)) {
+      places += FitCount(step.demand, it->second.capacity,
+                         std::min(count, PerWorkerLimit(step, it->second)));
+    }
+    if (places >= wanted) {
+      break;
+    }
+  }
+  const bool far_off =
+      !step.held.empty() && step.held_ready_ms - now_ms > AnswerMs(step, limit);
+  return places >= wanted && !far_off;
+}
+
 // Asks about workers that the service has not been asked about yet, the
 // emptiest first.
 void GraphPlanner::AskNew(PlanStep& step, Round& round) {
-  // New workers are not worth a question of their own while few are unknown
-  // and the allowed ones suffice.
-  constexpr std::size_t kFew = 4;
   const auto& known = step.advice.known;
-  const bool worth =
-      known.empty() || step.advice.allowed.empty() ||
-      usable_[step.service_name] * kFew > known.size() * (kFew + 1);
   const auto limit = AskedLimit(step);
-  // Room that comes sooner than an answer makes further workers useless.
-  const bool soon = !step.held.empty() &&
-                    step.held_ready_ms - round.now_ms <= AnswerMs(step, limit);
-  if (!worth || soon || round.plan.questions.size() >= options_.max_questions) {
+  if (known.size() >= usable_[step.service_name] ||
+      round.plan.questions.size() >= options_.max_questions) {
     return;
   }
+  if (KnowsEnough(step, limit, round.now_ms)) {
+    // A gang starts sooner with more workers to choose from.
+    if (!step.gang || round.spare_callers <= options_.reserved_callers) {
+      return;
+    }
+    --round.spare_callers;
+  }
   // The share that stays free orders them; computed once for each.
   std::vector<std::pair<double, std::int64_t>> unknown;
   for (const auto& [number, worker] : workers_) {
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -141,3 +141,91 @@
   cr_assert_eq(plan.questions.size(), 1);
   cr_expect_eq(plan.questions.front().workers.size(), 100);
 }
+
+// Load pattern: several wide gangs among many small tasks. Guards against gangs
+// that hold most of the fleet side by side, each of them waiting for long.
+Test(graph_planner, holds_room_for_the_first_gangs_only) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 20; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    Run(planner.workers()[n], 32'000, 2'000);
+  }
+  AddStep(planner, 1, 8, 40'000, 9'000).gang = true;
+  AddStep(planner, 2, 8, 40'000, 9'500).gang = true;
+  AddStep(planner, 3, 60, 10'000, 40'000);
+  const auto plan = planner.Decide(100);
+  cr_expect_eq(planner.steps().at(1).held.size(), 8);
+  cr_expect(planner.steps().at(2).held.empty());
+  cr_expect_eq(StartsOf(plan, 3), 36, "the other twelve workers are used");
+}
+
+// Load pattern: advice is short. Guards against asking about further workers
+// when those that are allowed can hold all tasks.
+Test(graph_planner, asks_no_further_when_enough_workers_are_allowed) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 300; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    Run(planner.workers()[n], 64'000, 8'000);
+  }
+  auto& step = AddStep(planner, 1, 20, 10'000, 30'000);
+  step.advice.needed = true;
+  step.advice.base_ms = 50;
+  for (std::int64_t n = 1; n <= 60; ++n) {
+    step.advice.known.insert(n);
+  }
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    step.advice.allowed[n] = {"t", 2'000};
+  }
+  cr_expect(planner.Decide(100).questions.empty());
+  step.advice.allowed.erase(1);
+  step.changed = true;
+  cr_expect_eq(planner.Decide(200).questions.size(), 1);
+}
+
+// Load pattern: a wide gang on a nearly full fleet while callers of the advice
+// service are free. Guards against a gang that waits for the few workers it
+// knows while there is room elsewhere.
+Test(graph_planner, asks_for_a_gang_about_more_workers_with_free_callers) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 300; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    Run(planner.workers()[n], 64'000, 300);
+  }
+  auto& step = AddStep(planner, 1, 10, 30'000, 30'000);
+  step.gang = true;
+  step.advice.needed = true;
+  step.advice.base_ms = 500;
+  for (std::int64_t n = 1; n <= 60; ++n) {
+    step.advice.known.insert(n);
+    step.advice.allowed[n] = {"t", 2'000};
+  }
+  cr_expect(planner.Decide(100, 12).questions.empty());
+  step.changed = true;
+  const auto plan = planner.Decide(200, 13);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect_eq(plan.questions.front().workers.size(), 100);
+}
+
+// Load pattern: more work than the fleet can take, so that much of it is late.
+// Guards against late steps that take each opening which a gang still on time
+// needs.
+Test(graph_planner, keeps_late_steps_small_while_a_gang_waits) {
+  GraphPlanner planner({.max_held_share = 0});
+  for (std::int64_t n = 1; n <= 20; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    Run(planner.workers()[n], 32'000, 2'000);
+  }
+  AddStep(planner, 1, 8, 40'000, 9'000).gang = true;
+  for (StepId id = 2; id <= 11; ++id) {
+    AddStep(planner, id, 6, 10'000, 1'000);
+  }
+  const auto late = planner.Decide(100).starts.size();
+  cr_expect_leq(late, 18, "%zu late tasks were started", late);
+  cr_expect_geq(late, 6, "late steps must not starve");
+  planner.steps().erase(1);
+  for (auto& [id, step] : planner.steps()) {
+    step.changed = true;
+  }
+  cr_expect_eq(late + planner.Decide(200).starts.size(), 60,
+               "without the gang all of them start");
+}
