cell: Expect the wait for advice from when each caller is free

Load pattern: long questions of batch steps while some callers are idle, and callers that return after a takeover.

Change: the wait is when the first caller is free behind the questions that go first. After a takeover one caller for ten workers is assumed, eight at least.

Before: advice_desk::expects_no_wait_while_a_host_is_free fails: a wait is expected with an idle caller. After: it passes.

--- a/libraries/cell/src/advice_desk.cc
+++ b/libraries/cell/src/advice_desk.cc
@@ -1,6 +1,8 @@
 #include "advice_desk.h"
 
 #include <algorithm>
+#include <functional>
+#include <queue>
 #include <tuple>
 #include <utility>
 
@@ -15,10 +17,9 @@
 constexpr std::int64_t kCallerTimeoutMs = 1'500;
 // A caller that has not polled for this long is not counted any more.
 constexpr std::int64_t kCallerGoneMs = 5'000;
-// Callers find a new leader one after the other. Until then a small cell's
-// number of entries is assumed, or each new leader would refuse for nothing.
+// Callers find a new leader one after the other. Until then a number is
+// assumed, or each new leader would refuse for nothing.
 constexpr std::int64_t kCallersArriveMs = 2'500;
-constexpr std::size_t kAssumedCallers = 8;
 
 // On-time steps of urgent queues first, then other on-time steps, then late
 // ones; within each by the latest start.
@@ -96,7 +97,7 @@
     order.expected_ms = question.expected_ms;
     reply.controllers = controllers_;
     const auto deadline = now_ms + question.expected_ms + kCallerTimeoutMs;
-    assigned_[id] = {std::move(question), poll.key(), deadline};
+    assigned_[id] = {std::move(question), poll.key(), now_ms, deadline};
     poll.mapped().call.reply(std::move(reply));
   }
   waiting_.erase(waiting_.begin(),
@@ -157,17 +158,28 @@
   asked.urgent_queue = urgent_queue;
   asked.latest_start_ms = latest_start_ms;
   const auto order = OrderOf(asked, now_ms);
-  std::int64_t total = 0;
-  for (const auto& it : waiting_) {
-    total += OrderOf(it, now_ms) <= order ? it.expected_ms : 0;
-  }
+  // When each caller is free; those that neither wait nor ask are about to
+  // poll.
+  std::priority_queue<std::int64_t, std::vector<std::int64_t>, std::greater<>>
+      free_in_ms;
   for (const auto& [id, it] : assigned_) {
-    total += it.question.expected_ms / 2;
+    const auto left = it.given_ms + it.question.expected_ms - now_ms;
+    free_in_ms.push(std::max<std::int64_t>(0, left));
   }
   const auto assumed =
-      now_ms - began_ms_ < kCallersArriveMs ? kAssumedCallers : std::size_t{1};
+      now_ms - began_ms_ < kCallersArriveMs ? assumed_callers_ : std::size_t{1};
   const auto callers = std::max(assumed, seen_ms_.size());
-  return total / static_cast<std::int64_t>(callers);
+  while (free_in_ms.size() < callers) {
+    free_in_ms.push(0);
+  }
+  for (const auto& it : waiting_) {
+    if (OrderOf(it, now_ms) <= order) {
+      const auto begin = free_in_ms.top();
+      free_in_ms.pop();
+      free_in_ms.push(begin + it.expected_ms);
+    }
+  }
+  return free_in_ms.top();
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/advice_desk.h
+++ b/libraries/cell/src/advice_desk.h
@@ -34,7 +34,9 @@
 
 class AdviceDesk {
  public:
-  explicit AdviceDesk(std::int64_t now_ms) : began_ms_(now_ms) {}
+  // `assumed_callers` counts until the callers have found this leader.
+  explicit AdviceDesk(std::int64_t now_ms, std::size_t assumed_callers = 8)
+      : began_ms_(now_ms), assumed_callers_(assumed_callers) {}
 
   void Ask(Question question);
   // Drops the questions about a step that no caller has taken.
@@ -65,6 +67,7 @@
   struct Assigned {
     Question question;
     std::string caller;
+    std::int64_t given_ms = 0;
     std::int64_t deadline_ms = 0;
   };
 
@@ -79,6 +82,7 @@
   std::vector<std::string> controllers_;
   std::int64_t next_id_ = 1;
   const std::int64_t began_ms_;
+  const std::size_t assumed_callers_;
 };
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -12,6 +12,10 @@
 
 // Batches in the log at a time; more would only grow the queue of the disk.
 constexpr std::size_t kMaxOpenProposals = 8;
+// Hosts that ask for advice, as assumed until they have found a new leader: the
+// entries of the small deployments, and one for ten workers of the large ones.
+constexpr std::size_t kMinAssumedCallers = 8;
+constexpr std::size_t kWorkersPerCaller = 10;
 // What comes within this time goes into one batch. Each batch is sent to all
 // members and synced to disk, which takes longer than this.
 constexpr std::int64_t kProposeIntervalMs = 4;
@@ -61,7 +65,9 @@
            .lease_ms = std::min(options.worker_lease, options.max_worker_lease)
                            .count()},
           now_ms_),
-      desk_(now_ms_),
+      desk_(now_ms_,
+            std::max(kMinAssumedCallers,
+                     store.workers().size() / kWorkersPerCaller)),
       members_(options.cell_size, options.id, now_ms_) {
   Begin();
 }
--- a/tests/cell/advice_desk_test.cc
+++ b/tests/cell/advice_desk_test.cc
@@ -113,3 +113,32 @@
   }
   cr_expect_eq(desk.waiting(), 0);
 }
+
+// Load pattern: many long questions while some hosts are free. Guards against
+// refusing urgent jobs for a wait that they would not have.
+Test(advice_desk, expects_no_wait_while_a_host_is_free) {
+  AdviceDesk desk(0);
+  constexpr int kHosts = 10;
+  const auto poll = [&](int n) {
+    AdviceCall call;
+    call.poll.caller = "host-" + std::to_string(n);
+    call.poll.wait_ms = 60'000;
+    call.reply = [](const wire::AdviceOrders&) {};
+    desk.OnPoll(std::move(call), 10'000);
+  };
+  for (int n = 0; n < kHosts; ++n) {
+    poll(n);
+  }
+  for (policy::StepId n = 1; n < kHosts; ++n) {
+    auto question = MakeQuestion(n, false, 20'000);
+    question.expected_ms = 1'000;
+    desk.Ask(std::move(question));
+  }
+  desk.Advance(10'000);
+  cr_expect_eq(desk.ExpectedWaitMs(10'000, true, 10'500), 0);
+  auto last = MakeQuestion(kHosts, false, 20'000);
+  last.expected_ms = 1'000;
+  desk.Ask(std::move(last));
+  desk.Advance(10'000);
+  cr_expect_eq(desk.ExpectedWaitMs(10'400, true, 10'900), 600);
+}
