--- a/tests/support/fault_proxy.cc
+++ b/tests/support/fault_proxy.cc
@@ -100,9 +100,15 @@
   tcp::acceptor acceptor;
   std::string destination;
   std::uint16_t listen_port = 0;
-  std::uint16_t target_port = 0;
+  tcp::endpoint target;
 };
 
+tcp::endpoint EndpointOf(const std::string& address) {
+  const auto colon = address.rfind(':');
+  return {asio::ip::make_address(address.substr(0, colon)),
+          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
 }  // namespace
 
 struct FaultProxy::Implementation {
@@ -215,10 +221,8 @@
     return;
   }
   connections.push_back(connection);
-  const tcp::endpoint target(asio::ip::address_v4::loopback(),
-                             listener.target_port);
   connection->server.async_connect(
-      target, [this, connection](error_code connect_error) {
+      listener.target, [this, connection](error_code connect_error) {
         if (connect_error) {
           connection->Close();
           return;
@@ -313,14 +317,22 @@
 bool FaultProxy::Listen(const std::string& destination,
                         std::uint16_t listen_port,
                         std::uint16_t target_port) {
+  const std::string ip = "127.0.0.1:";
+  return ListenAt(destination, ip + std::to_string(listen_port),
+                  ip + std::to_string(target_port));
+}
+
+bool FaultProxy::ListenAt(const std::string& destination,
+                          const std::string& listen_address,
+                          const std::string& target_address) {
   bool listening = false;
   implementation_->Do([&] {
     auto& listeners = implementation_->listeners;
     auto& listener =
         listeners.emplace_back(implementation_->context, destination);
-    listener.listen_port = listen_port;
-    listener.target_port = target_port;
-    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), listen_port);
+    const auto endpoint = EndpointOf(listen_address);
+    listener.listen_port = endpoint.port();
+    listener.target = EndpointOf(target_address);
     error_code ec;
     listener.acceptor.open(tcp::v4(), ec);
     listener.acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
--- a/tests/support/fault_proxy.h
+++ b/tests/support/fault_proxy.h
@@ -37,6 +37,11 @@
               std::uint16_t listen_port,
               std::uint16_t target_port);
 
+  // The same with other addresses, "ip:port".
+  bool ListenAt(const std::string& destination,
+                const std::string& listen_address,
+                const std::string& target_address);
+
   // Each lasts until Heal() of the same link.
   void Delay(const Link& link, std::chrono::milliseconds one_way);
   // Closes open connections and refuses new ones.
--- a/tests/support/platform/fleet.cc
+++ b/tests/support/platform/fleet.cc
@@ -29,6 +29,10 @@
 constexpr std::int64_t kStopMs = 50;
 constexpr milliseconds kTick{2};
 
+int PortOf(int worker) {
+  return kFirstPort + 1 + worker;
+}
+
 std::int64_t NowMs() {
   return std::chrono::duration_cast<milliseconds>(
              steady_clock::now().time_since_epoch())
@@ -88,6 +92,18 @@
   violations_.push_back(text);
 }
 
+TaskLedger::JobCounts TaskLedger::CountsOf(const std::string& job) const {
+  const std::lock_guard lock(mutex_);
+  JobCounts counts;
+  for (auto it = tasks_.lower_bound(job);
+       it != tasks_.end() && it->first.starts_with(job); ++it) {
+    ++counts.started;
+    counts.done += it->second.done ? 1 : 0;
+    counts.live += it->second.live;
+  }
+  return counts;
+}
+
 std::int64_t TaskLedger::starts() const {
   const std::lock_guard lock(mutex_);
   return starts_;
@@ -102,12 +118,12 @@
  public:
   FleetWorker(const FleetOptions& options,
               int n,
-              std::string address,
+              std::string reported_address,
               TaskLedger& ledger)
       : options_(options),
         id_(fmt::format("i-{:04}", n)),
         rack_(fmt::format("r-{}", n / 8)),
-        address_(std::move(address)),
+        address_(std::move(reported_address)),
         born_ms_(UnixMs()),
         clock_offset_ms_(NowMs()),
         ledger_(ledger) {}
@@ -120,8 +136,9 @@
   void Close();
 
   const std::string& id() const { return id_; }
-  const std::string& address() const { return address_; }
+  const std::string& reported_address() const { return address_; }
   std::atomic<bool> silent = false;
+  std::atomic<bool> loses_answers = false;
   std::atomic<std::int64_t> next_report_ms = 0;
   std::atomic<std::size_t> controller = 0;
 
@@ -219,7 +236,7 @@
   if (silent) {
     return StaySilent();
   }
-  const std::lock_guard lock(mutex_);
+  std::unique_lock lock(mutex_);
   if (auto refused = Check(request, body.get())) {
     return std::move(*refused);
   }
@@ -252,7 +269,8 @@
   }
   runs_[key] = run;
   ledger_.Started(key.first);
-  return Render(200, Json(json_object()));
+  lock.unlock();
+  return loses_answers ? StaySilent() : Render(200, Json(json_object()));
 }
 
 HttpResponse FleetWorker::OnStop(const HttpRequest& request) {
@@ -260,7 +278,7 @@
   if (silent) {
     return StaySilent();
   }
-  const std::lock_guard lock(mutex_);
+  std::unique_lock lock(mutex_);
   if (auto refused = Check(request, body.get())) {
     return std::move(*refused);
   }
@@ -272,7 +290,8 @@
     run->second.stopped = true;
     run->second.end_ms = std::min(run->second.end_ms, ClockMs() + kStopMs);
   }
-  return Render(200, Json(json_object()));
+  lock.unlock();
+  return loses_answers ? StaySilent() : Render(200, Json(json_object()));
 }
 
 HttpResponse FleetWorker::OnHold(const HttpRequest& request) {
@@ -415,11 +434,10 @@
     return false;
   }
   for (int n = 0; n < options_.workers; ++n) {
-    const int port = kFirstPort + 1 + n;
     workers_.push_back(std::make_unique<FleetWorker>(
-        options_, n, fmt::format("{}:{}", OwnLoopbackIp(), port), ledger_));
+        options_, n, ReportedAddress(n), ledger_));
     auto* worker = workers_.back().get();
-    if (!start(port,
+    if (!start(PortOf(n),
                {{"POST", "/run-start",
                  [worker](const auto& it) { return worker->OnStart(it); }},
                 {"POST", "/run-stop",
@@ -489,6 +507,19 @@
   return response;
 }
 
+std::string Fleet::ListenAddress(int worker) const {
+  return fmt::format("{}:{}", OwnLoopbackIp(), PortOf(worker));
+}
+
+std::string Fleet::ReportedAddress(int worker) const {
+  return fmt::format("{}:{}", OwnLoopbackIp(),
+                     PortOf(worker) + options_.reported_port_offset);
+}
+
+void Fleet::LoseAnswers(int worker, bool lost) {
+  workers_[static_cast<std::size_t>(worker)]->loses_answers = lost;
+}
+
 void Fleet::Silence(int worker, bool silent) {
   workers_[static_cast<std::size_t>(worker)]->silent = silent;
 }
--- a/tests/support/platform/fleet.h
+++ b/tests/support/platform/fleet.h
@@ -25,6 +25,8 @@
   std::int64_t milli_cpus = 32'000;
   std::int64_t memory_mb = 65'536;
   int heartbeat_ms = 500;
+  // Added to the ports that workers report, so that a proxy can stand between.
+  int reported_port_offset = 0;
   // Share of the workers that the advice service allows for a step.
   double allowed_share = 1;
 };
@@ -39,6 +41,13 @@
 
   std::int64_t starts() const;
   std::vector<std::string> violations() const;
+  // Tasks of the job that have started, have ended as done, or run now.
+  struct JobCounts {
+    std::int64_t started = 0;
+    std::int64_t done = 0;
+    std::int64_t live = 0;
+  };
+  JobCounts CountsOf(const std::string& job) const;
 
  private:
   struct State {
@@ -68,6 +77,12 @@
   const TaskLedger& ledger() const { return ledger_; }
   // The worker answers nothing and reports nothing any more.
   void Silence(int worker, bool silent);
+  // The worker carries orders out and holds its answers to starts and stops
+  // back until their callers have given up.
+  void LoseAnswers(int worker, bool lost);
+  // "ip:port" where the worker listens, and where it says that it does.
+  std::string ListenAddress(int worker) const;
+  std::string ReportedAddress(int worker) const;
 
  private:
   Fleet(const FleetOptions& options, std::vector<std::string> controllers);
