cell: Let a list of the same millisecond settle no run

A hold was sent in the millisecond in which a start was confirmed. The worker had made its list before it took the start; the list came back without the run, "worker does not list it" was concluded, and the task started again.

Change: a list settles only runs that were confirmed in an earlier millisecond than the one in which it was asked for.

Before: worker_book::a_list_of_the_same_millisecond_settles_nothing fails. After: it passes.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -178,7 +178,7 @@
     const bool settled =
         (run.phase == RunPhase::kRunning || run.phase == RunPhase::kBarred ||
          run.phase == RunPhase::kInherited) &&
-        run.settled_ms <= sent_ms;
+        run.settled_ms < sent_ms;
     if (settled && !listed.contains(it->first)) {
       Conclude(slot, it,
                run.phase == RunPhase::kRunning ? wire::RunEnd::kLost
--- a/libraries/cell/src/worker_slot.h
+++ b/libraries/cell/src/worker_slot.h
@@ -28,8 +28,8 @@
 
 struct Run {
   RunPhase phase = RunPhase::kProposed;
-  // A list of the worker that was asked for after this time and does not show
-  // the run proves that it is over. Meaningful in kRunning, kBarred,
+  // A list of the worker that was asked for in a later millisecond and does not
+  // show the run proves that it is over. Meaningful in kRunning, kBarred,
   // kInherited.
   std::int64_t settled_ms = 0;
   policy::Demand demand;
--- a/tests/cell/worker_book_test.cc
+++ b/tests/cell/worker_book_test.cc
@@ -185,3 +185,21 @@
   cr_assert_eq(out.finished.size(), 1);
   cr_expect_eq(out.finished[0].run, 1);
 }
+
+// Guards against a second run when a list and the confirmation of a start cross
+// within one millisecond: the worker made the list before it took the start.
+Test(worker_book, a_list_of_the_same_millisecond_settles_nothing) {
+  auto book = MakeBook(100);
+  const auto start = SendStart(book, 200);
+  BookOutput out;
+  book.Advance(205, out);
+  const auto hold = LastHold(out);
+  book.OnReply(start, 200, Lists(1'105, 50), 205, out);
+  book.OnReply(hold, 205, Lists(1'104, 50), 206, out);
+  cr_expect(out.finished.empty());
+  out = {};
+  book.Advance(210, out);
+  book.OnReply(LastHold(out), 210, Lists(1'111, 50), 212, out);
+  cr_assert_eq(out.finished.size(), 1);
+  cr_expect_eq(out.finished[0].how, wire::RunEnd::kLost);
+}
