--- a/tests/http/many_peers_test.cc
+++ b/tests/http/many_peers_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "cranberryshunt/http/http_client.h"
 #include "socket_peer.h"
@@ -116,7 +117,7 @@
   }
   void AnswerDue() {
     while (!due_.empty() && due_.begin()->first <= steady_clock::now()) {
-      static const std::string kAnswer =
+      constexpr std::string_view kAnswer =
           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
       (void)!send(due_.begin()->second, kAnswer.data(), kAnswer.size(),
                   MSG_NOSIGNAL);
@@ -166,7 +167,8 @@
     peers.set_frozen(frozen);
     for (int n = 0; n < 20; ++n) {
       const int peer = static_cast<int>(random() % kAddresses);
-      const int delay = random() % 20 == 0 ? 0 : 1 + random() % 60;
+      const bool silent = random() % 20 == 0;
+      const int delay = silent ? 0 : 1 + static_cast<int>(random() % 60);
       send(peer, delay, 1'000, frozen && n % 3 == 0);
     }
     for (int n = 0; n < 3; ++n) {
