http: Let calls wait for a connection in a queue for each address

Cause: libcurl keeps the calls that wait for a connection to any address in one list. A connection that becomes free takes the first of the list, which may be for another address whose connections are all busy with calls to a silent peer; the others stay. Ruled out: the relay, whose orders all were reported; the rings between threads (no drop was logged); lost replies.

Change: the client keeps the calls that wait, for each address, and hands a call to libcurl only when a connection is free. Calls that wait end at their deadline as not sent. libcurl's own bound is not set any more.

Test: answers_in_time_beside_calls_that_wait_for_connections.

--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <cerrno>
 #include <future>
+#include <list>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -42,14 +43,25 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
-// Open calls by the time at which they end without an answer.
-using Deadlines = std::multimap<SteadyClock::time_point, CURL*>;
+struct Transfer;
+
+// Calls by the time at which they end without an answer.
+using Deadlines = std::multimap<SteadyClock::time_point, Transfer*>;
+
+// The calls to one address.
+struct Address {
+  long open = 0;
+  std::list<std::unique_ptr<Transfer>> waiting;  // For an open one to end.
+};
+using Addresses = std::unordered_map<std::string, Address>;
 
 struct Transfer {
   HttpCall call;
   HttpClient::Callback callback;
   SteadyClock::time_point due;
   Deadlines::iterator deadline;
+  Addresses::iterator address;
+  CURL* handle = nullptr;  // Null while it waits.
   curl_slist* headers = nullptr;
   HttpAnswer answer;
   std::size_t max_bytes = 0;
@@ -57,6 +69,13 @@
   ~Transfer() { curl_slist_free_all(headers); }
 };
 
+// The part of an URL that names the peer.
+std::string AddressOf(const std::string& url) {
+  const auto scheme = url.find("://");
+  const auto begin = scheme == std::string::npos ? 0 : scheme + 3;
+  return url.substr(0, url.find('/', begin));
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* self) {
   auto& transfer = *static_cast<Transfer*>(self);
   const std::size_t bytes = size * n;
@@ -81,7 +100,11 @@
   void Wake() const;
   void Run();
   void BeginQueued();
+  // Opens the call, or lets it wait while its address has too many open.
   void Begin(std::unique_ptr<Transfer> transfer);
+  void Open(std::unique_ptr<Transfer> transfer);
+  void OpenNext(Addresses::iterator address);
+  void GiveUpWaiting(Transfer& transfer);
   void FinishDone();
   void FinishOverdue();
   void Finish(CURL* handle, CURLcode code);
@@ -116,6 +139,10 @@
   // its connection is idle, so that the next call needs no system call for it.
   std::unordered_map<int, std::uint32_t> registered;
   std::unordered_map<int, std::uint32_t> wanted;  // By libcurl; absent: none.
+  // The bound on connections to an address is kept here: libcurl has one queue
+  // for the calls to all addresses, in which calls that could be sent stay
+  // behind others that cannot.
+  Addresses addresses;
   // libcurl looks at the time of a call once, when the timer that it set for it
   // fires. A look that comes early by the time between two steps of starting
   // the call finds nothing to end, and no other follows. So calls are ended
@@ -139,6 +166,13 @@
     transfer->answer.error = "the client is shutting down";
     transfer->callback(std::move(transfer->answer));
   }
+  for (auto& [name, address] : addresses) {
+    for (auto& it : address.waiting) {
+      it->answer.sent = false;
+      it->answer.error = "the client is shutting down";
+      it->callback(std::move(it->answer));
+    }
+  }
   for (auto* it : pooled) {
     curl_easy_cleanup(it);
   }
@@ -162,8 +196,6 @@
       wake_fd < 0 || epoll_ctl(epoll_fd, EPOLL_CTL_ADD, wake_fd, &event) != 0) {
     return Fail(ResultCode::kUnavailable, "cannot set up the HTTP client");
   }
-  curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                    options.max_connections_per_address);
   curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, options.max_idle_connections);
   curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &OnSocketChange);
   curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
@@ -263,8 +295,45 @@
 }
 
 void HttpClient::Implementation::Begin(std::unique_ptr<Transfer> transfer) {
+  const auto address =
+      addresses.try_emplace(AddressOf(transfer->call.url)).first;
+  transfer->address = address;
+  transfer->deadline = deadlines.emplace(transfer->due, transfer.get());
+  address->second.waiting.push_back(std::move(transfer));
+  OpenNext(address);
+}
+
+void HttpClient::Implementation::OpenNext(Addresses::iterator address) {
+  auto& [open_calls, waiting] = address->second;
+  while (!waiting.empty() && open_calls < options.max_connections_per_address) {
+    auto transfer = std::move(waiting.front());
+    waiting.pop_front();
+    Open(std::move(transfer));
+  }
+  if (waiting.empty() && open_calls == 0) {
+    addresses.erase(address);
+  }
+}
+
+// Ends a call whose time passed before it could be sent.
+void HttpClient::Implementation::GiveUpWaiting(Transfer& transfer) {
+  auto& waiting = transfer.address->second.waiting;
+  const auto it =
+      std::find_if(waiting.begin(), waiting.end(),
+                   [&](const auto& entry) { return entry.get() == &transfer; });
+  const auto taken = std::move(*it);
+  waiting.erase(it);
+  deadlines.erase(taken->deadline);
+  OpenNext(taken->address);
+  taken->answer.sent = false;
+  taken->answer.error = "no connection was free in time";
+  taken->callback(std::move(taken->answer));
+}
+
+void HttpClient::Implementation::Open(std::unique_ptr<Transfer> transfer) {
   CURL* handle = TakeHandle();
   if (handle == nullptr) {
+    deadlines.erase(transfer->deadline);
     transfer->answer.sent = false;
     transfer->answer.error = "no memory for a call";
     transfer->callback(std::move(transfer->answer));
@@ -298,7 +367,8 @@
   } else if (call.method != "GET") {
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
   }
-  transfer->deadline = deadlines.emplace(transfer->due, handle);
+  transfer->handle = handle;
+  ++transfer->address->second.open;
   open[handle] = std::move(transfer);
   curl_multi_add_handle(multi, handle);
 }
@@ -325,6 +395,8 @@
   } else {
     curl_easy_cleanup(handle);
   }
+  --transfer->address->second.open;
+  OpenNext(transfer->address);
   transfer->callback(std::move(answer));
 }
 
@@ -351,7 +423,12 @@
 void HttpClient::Implementation::FinishOverdue() {
   const auto now = SteadyClock::now();
   while (!deadlines.empty() && deadlines.begin()->first <= now) {
-    Finish(deadlines.begin()->second, CURLE_OPERATION_TIMEDOUT);
+    auto& transfer = *deadlines.begin()->second;
+    if (transfer.handle == nullptr) {
+      GiveUpWaiting(transfer);
+    } else {
+      Finish(transfer.handle, CURLE_OPERATION_TIMEDOUT);
+    }
   }
 }
 
--- a/tests/http/many_peers_test.cc
+++ b/tests/http/many_peers_test.cc
@@ -219,3 +219,49 @@
   cr_expect_eq(open, 0, "%d calls never ended", open.load());
   cr_expect_eq(late, 0, "%d calls ended late", late.load());
 }
+
+// Guards against calls to sound peers that wait for calls that no free
+// connection takes.
+Test(http_client, answers_in_time_beside_calls_that_wait_for_connections) {
+  PeerGroup peers;
+  const auto client = std::move(*HttpClient::Create({}));
+  constexpr int kRounds = 1'000;
+  constexpr int kSilent = kAddresses / 3;
+  std::atomic<int> open = 0;
+  std::atomic<int> unanswered = 0;
+  std::atomic<int> late = 0;
+  const auto send = [&](int peer, int delay_ms) {
+    HttpCall call;
+    call.method = "GET";
+    call.url = peers.url(peer) + "/" + std::to_string(delay_ms);
+    call.timeout = milliseconds(1'000);
+    const auto due = steady_clock::now() + milliseconds(delay_ms);
+    ++open;
+    client->Send(std::move(call), [&, due, delay_ms](const HttpAnswer& answer) {
+      constexpr milliseconds kSlack{200};
+      if (delay_ms > 0) {
+        unanswered += answer.status == 200 ? 0 : 1;
+        late += steady_clock::now() > due + kSlack ? 1 : 0;
+      }
+      --open;
+    });
+  };
+  for (int round = 0; round < kRounds; ++round) {
+    // Silent peers answered some calls before, and have idle connections.
+    const bool silent = round >= kRounds / 4;
+    send(round % kSilent, silent ? 0 : 1);
+    send(round % kSilent, silent ? 0 : 1);
+    // More than the connections to an address.
+    for (int n = 0; n < 8 && round % 4 == 0; ++n) {
+      send(kSilent + round / 4 % (kAddresses - kSilent), 10);
+    }
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  const auto until = steady_clock::now() + std::chrono::seconds(3);
+  while (open > 0 && steady_clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  cr_expect_eq(open, 0, "%d calls never ended", open.load());
+  cr_expect_eq(unanswered, 0, "%d calls had no answer", unanswered.load());
+  cr_expect_eq(late, 0, "%d calls were answered late", late.load());
+}
