http: Spread idle connections over handles and close them after 5 s

Cause of the turns of up to 19 s in which the HTTP client does nothing else: libcurl looks at every idle connection of a handle once a second when a call begins, with a system call for each, and begins anew after each dead one that it closes.

Change: 32 handles of libcurl share the addresses of a client, so that one look covers a thirty-second of the connections; connections that are idle for 5 s are closed.

Test: closes_connections_that_are_idle_for_long; the option is new, so that the test does not build without the change.

--- a/libraries/http/include/cranberryshunt/http/http_client.h
+++ b/libraries/http/include/cranberryshunt/http/http_client.h
@@ -37,6 +37,9 @@
   // Connections to one address; further calls wait for one of them.
   long max_connections_per_address = 6;
   long max_idle_connections = 1'024;
+  // Beyond the pause between two holds of a worker. Idle connections cost a
+  // system call each second.
+  std::chrono::seconds max_idle_time{5};
   std::chrono::milliseconds connect_timeout{600};
   std::size_t max_answer_bytes = 4U << 20;
 };
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -26,6 +26,13 @@
 namespace {
 
 constexpr int kIdleWaitMs = 1'000;
+// libcurl looks at all idle connections of a handle each second, with a system
+// call for each, and starts anew after each dead one. A leader with 500 of them
+// on a busy machine, where another thread runs at each such call, was held up
+// for up to 19 s, so the addresses are spread over handles.
+constexpr std::size_t kShards = 32;
+// Room for an uneven spread.
+constexpr long kShardIdleFactor = 2;
 constexpr std::size_t kMaxPooledHandles = 256;
 constexpr int kEventsPerWait = 64;
 // After a pause of the process, answers that came meanwhile are read before
@@ -50,6 +57,7 @@
 
 // The calls to one address.
 struct Address {
+  std::size_t shard = 0;
   long open = 0;
   std::list<std::unique_ptr<Transfer>> waiting;  // For an open one to end.
 };
@@ -96,7 +104,20 @@
   Implementation(const Implementation&) = delete;
   Implementation& operator=(const Implementation&) = delete;
 
+  // libcurl's state of a part of the addresses.
+  struct Shard {
+    Implementation* client = nullptr;
+    CURLM* multi = nullptr;  // Null until it is first used.
+    std::optional<SteadyClock::time_point> timer;
+    bool timer_checked = false;  // A timer that led to no other; tried again.
+  };
+  struct Interest {
+    std::uint32_t events = 0;
+    Shard* shard = nullptr;
+  };
+
   Result<void> SetUp();
+  bool SetUpShard(Shard& shard);
   void Wake() const;
   void Run();
   void BeginQueued();
@@ -106,11 +127,13 @@
   void OpenNext(Addresses::iterator address);
   void GiveUpWaiting(Transfer& transfer);
   void FinishDone();
+  void FinishDone(Shard& shard);
   void FinishOverdue();
   void Finish(CURL* handle, CURLcode code);
   CURL* TakeHandle();
   void WaitForEvents();
   void OnEvent(const epoll_event& event);
+  void OnTimer(Shard& shard);
   void Watch(int socket, std::uint32_t events);
   int WaitMs() const;
   void NoteDuration(const char* part, SteadyClock::time_point expected) const;
@@ -119,16 +142,16 @@
   static int OnSocketChange(CURL* handle,
                             curl_socket_t socket,
                             int what,
-                            void* self,
+                            void* shard,
                             void* socket_data);
-  static int OnTimerChange(CURLM* multi, long timeout_ms, void* self);
+  static int OnTimerChange(CURLM* multi, long timeout_ms, void* shard);
   static curl_socket_t OnOpenSocket(void* self,
                                     curlsocktype purpose,
                                     curl_sockaddr* address);
   static int OnCloseSocket(void* self, curl_socket_t socket);
 
   HttpClientOptions options;
-  CURLM* multi = nullptr;
+  std::array<Shard, kShards> shards;
   int epoll_fd = -1;
   int wake_fd = -1;
   std::mutex mutex;
@@ -138,7 +161,7 @@
   // Events that epoll reports for each socket. A socket stays registered while
   // its connection is idle, so that the next call needs no system call for it.
   std::unordered_map<int, std::uint32_t> registered;
-  std::unordered_map<int, std::uint32_t> wanted;  // By libcurl; absent: none.
+  std::unordered_map<int, Interest> wanted;  // By libcurl; absent: none.
   // The bound on connections to an address is kept here: libcurl has one queue
   // for the calls to all addresses, in which calls that could be sent stay
   // behind others that cannot.
@@ -148,8 +171,6 @@
   // the call finds nothing to end, and no other follows. So calls are ended
   // here.
   Deadlines deadlines;
-  std::optional<SteadyClock::time_point> timer;  // Of libcurl.
-  bool timer_checked = false;  // A timer that led to no other was tried again.
   std::atomic<bool> stopping = false;
   std::thread thread;
 };
@@ -161,7 +182,8 @@
     thread.join();
   }
   for (auto& [handle, transfer] : open) {
-    curl_multi_remove_handle(multi, handle);
+    curl_multi_remove_handle(shards[transfer->address->second.shard].multi,
+                             handle);
     curl_easy_cleanup(handle);
     transfer->answer.error = "the client is shutting down";
     transfer->callback(std::move(transfer->answer));
@@ -176,7 +198,9 @@
   for (auto* it : pooled) {
     curl_easy_cleanup(it);
   }
-  curl_multi_cleanup(multi);
+  for (const auto& it : shards) {
+    curl_multi_cleanup(it.multi);
+  }
   for (const int fd : {epoll_fd, wake_fd}) {
     if (fd >= 0) {
       close(fd);
@@ -186,25 +210,39 @@
 
 Result<void> HttpClient::Implementation::SetUp() {
   static const CURLcode global_code = curl_global_init(CURL_GLOBAL_DEFAULT);
-  multi = curl_multi_init();
   epoll_fd = epoll_create1(EPOLL_CLOEXEC);
   wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
   epoll_event event{};
   event.events = EPOLLIN;
   event.data.fd = wake_fd;
-  if (global_code != CURLE_OK || multi == nullptr || epoll_fd < 0 ||
-      wake_fd < 0 || epoll_ctl(epoll_fd, EPOLL_CTL_ADD, wake_fd, &event) != 0) {
+  if (global_code != CURLE_OK || epoll_fd < 0 || wake_fd < 0 ||
+      epoll_ctl(epoll_fd, EPOLL_CTL_ADD, wake_fd, &event) != 0) {
     return Fail(ResultCode::kUnavailable, "cannot set up the HTTP client");
   }
-  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, options.max_idle_connections);
-  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &OnSocketChange);
-  curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &OnTimerChange);
-  curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
   thread = std::thread([this] { Run(); });
   return {};
 }
 
+bool HttpClient::Implementation::SetUpShard(Shard& shard) {
+  if (shard.multi != nullptr) {
+    return true;
+  }
+  shard.client = this;
+  shard.multi = curl_multi_init();
+  if (shard.multi == nullptr) {
+    return false;
+  }
+  curl_multi_setopt(
+      shard.multi, CURLMOPT_MAXCONNECTS,
+      std::max(1L, kShardIdleFactor * options.max_idle_connections /
+                       static_cast<long>(kShards)));
+  curl_multi_setopt(shard.multi, CURLMOPT_SOCKETFUNCTION, &OnSocketChange);
+  curl_multi_setopt(shard.multi, CURLMOPT_SOCKETDATA, &shard);
+  curl_multi_setopt(shard.multi, CURLMOPT_TIMERFUNCTION, &OnTimerChange);
+  curl_multi_setopt(shard.multi, CURLMOPT_TIMERDATA, &shard);
+  return true;
+}
+
 void HttpClient::Implementation::Wake() const {
   const std::uint64_t one = 1;
   if (write(wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN) {
@@ -216,9 +254,9 @@
 int HttpClient::Implementation::OnSocketChange(CURL* /*handle*/,
                                                curl_socket_t socket,
                                                int what,
-                                               void* self,
+                                               void* shard,
                                                void* /*socket_data*/) {
-  auto& client = *static_cast<Implementation*>(self);
+  auto& client = *static_cast<Shard*>(shard)->client;
   if (what == CURL_POLL_REMOVE) {
     client.wanted.erase(socket);
     return 0;
@@ -231,7 +269,7 @@
   if ((wants & static_cast<unsigned int>(CURL_POLL_OUT)) != 0) {
     events |= EPOLLOUT;
   }
-  client.wanted[socket] = events;
+  client.wanted[socket] = {events, static_cast<Shard*>(shard)};
   client.Watch(socket, events);
   return 0;
 }
@@ -253,12 +291,12 @@
 
 int HttpClient::Implementation::OnTimerChange(CURLM* /*multi*/,
                                               long timeout_ms,
-                                              void* self) {
-  auto& client = *static_cast<Implementation*>(self);
-  client.timer.reset();
-  client.timer_checked = false;
+                                              void* shard) {
+  auto& it = *static_cast<Shard*>(shard);
+  it.timer.reset();
+  it.timer_checked = false;
   if (timeout_ms >= 0) {
-    client.timer = SteadyClock::now() + std::chrono::milliseconds(timeout_ms);
+    it.timer = SteadyClock::now() + std::chrono::milliseconds(timeout_ms);
   }
   return 0;
 }
@@ -297,6 +335,7 @@
 void HttpClient::Implementation::Begin(std::unique_ptr<Transfer> transfer) {
   const auto address =
       addresses.try_emplace(AddressOf(transfer->call.url)).first;
+  address->second.shard = std::hash<std::string>()(address->first) % kShards;
   transfer->address = address;
   transfer->deadline = deadlines.emplace(transfer->due, transfer.get());
   address->second.waiting.push_back(std::move(transfer));
@@ -304,7 +343,8 @@
 }
 
 void HttpClient::Implementation::OpenNext(Addresses::iterator address) {
-  auto& [open_calls, waiting] = address->second;
+  auto& waiting = address->second.waiting;
+  const long& open_calls = address->second.open;
   while (!waiting.empty() && open_calls < options.max_connections_per_address) {
     auto transfer = std::move(waiting.front());
     waiting.pop_front();
@@ -331,7 +371,8 @@
 }
 
 void HttpClient::Implementation::Open(std::unique_ptr<Transfer> transfer) {
-  CURL* handle = TakeHandle();
+  auto& shard = shards[transfer->address->second.shard];
+  CURL* handle = SetUpShard(shard) ? TakeHandle() : nullptr;
   if (handle == nullptr) {
     deadlines.erase(transfer->deadline);
     transfer->answer.sent = false;
@@ -352,6 +393,8 @@
   curl_easy_setopt(handle, CURLOPT_PROXY, "");
   curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(options.connect_timeout.count()));
+  curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(options.max_idle_time.count()));
   curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT,
                    call.fresh_connection ? 1L : 0L);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
@@ -370,13 +413,14 @@
   transfer->handle = handle;
   ++transfer->address->second.open;
   open[handle] = std::move(transfer);
-  curl_multi_add_handle(multi, handle);
+  curl_multi_add_handle(shard.multi, handle);
 }
 
 void HttpClient::Implementation::Finish(CURL* handle, CURLcode code) {
   auto node = open.extract(handle);
-  curl_multi_remove_handle(multi, handle);
   auto transfer = std::move(node.mapped());
+  curl_multi_remove_handle(shards[transfer->address->second.shard].multi,
+                           handle);
   deadlines.erase(transfer->deadline);
   auto& answer = transfer->answer;
   if (code == CURLE_OK) {
@@ -412,8 +456,16 @@
 }
 
 void HttpClient::Implementation::FinishDone() {
+  for (auto& it : shards) {
+    if (it.multi != nullptr) {
+      FinishDone(it);
+    }
+  }
+}
+
+void HttpClient::Implementation::FinishDone(Shard& shard) {
   int left = 0;
-  while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+  while (const CURLMsg* message = curl_multi_info_read(shard.multi, &left)) {
     if (message->msg == CURLMSG_DONE) {
       Finish(message->easy_handle, message->data.result);
     }
@@ -433,7 +485,10 @@
 }
 
 int HttpClient::Implementation::WaitMs() const {
-  auto next = timer.value_or(SteadyClock::time_point::max());
+  auto next = SteadyClock::time_point::max();
+  for (const auto& it : shards) {
+    next = std::min(next, it.timer.value_or(next));
+  }
   if (!deadlines.empty()) {
     next = std::min(next, deadlines.begin()->first);
   }
@@ -454,7 +509,8 @@
     (void)!read(wake_fd, &count, sizeof(count));
     return;
   }
-  if (!wanted.contains(socket)) {
+  const auto interest = wanted.find(socket);
+  if (interest == wanted.end()) {
     // The peer closed an idle connection; libcurl notices when it next wants
     // to use it.
     if (registered.erase(socket) > 0) {
@@ -467,7 +523,21 @@
   ready |= (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
   ready |= (event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
   int running = 0;
-  curl_multi_socket_action(multi, socket, ready, &running);
+  curl_multi_socket_action(interest->second.shard->multi, socket, ready,
+                           &running);
+}
+
+void HttpClient::Implementation::OnTimer(Shard& shard) {
+  shard.timer.reset();
+  const bool checked = std::exchange(shard.timer_checked, false);
+  int running = 0;
+  curl_multi_socket_action(shard.multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  // When the timer fired before libcurl's own clock had reached it, libcurl
+  // does not name it again.
+  if (!shard.timer && !checked) {
+    shard.timer = SteadyClock::now() + kTimerCheck;
+    shard.timer_checked = true;
+  }
 }
 
 void HttpClient::Implementation::WaitForEvents() {
@@ -488,16 +558,9 @@
   }
   NoteDuration("events", part_begin);
   part_begin = SteadyClock::now();
-  if (timer && *timer <= part_begin) {
-    timer.reset();
-    const bool checked = std::exchange(timer_checked, false);
-    int running = 0;
-    curl_multi_socket_action(multi, CURL_SOCKET_TIMEOUT, 0, &running);
-    // When the timer fired before libcurl's own clock had reached it, libcurl
-    // does not name it again.
-    if (!timer && !checked) {
-      timer = SteadyClock::now() + kTimerCheck;
-      timer_checked = true;
+  for (auto& it : shards) {
+    if (it.timer && *it.timer <= part_begin) {
+      OnTimer(it);
     }
   }
   NoteDuration("timers", part_begin);
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -144,6 +144,21 @@
   cr_expect_eq(ended, 4);
 }
 
+// Guards against connections that a former leader keeps to every worker, each
+// of which costs a system call each second.
+Test(http_client, closes_connections_that_are_idle_for_long) {
+  ScriptedServer server([](int, int) { return Answer("ok"); });
+  HttpClientOptions options;
+  options.max_idle_time = std::chrono::seconds(1);
+  const auto client = std::move(*HttpClient::Create(options));
+  cr_assert_eq(client->Call(MakeCall(server.url())).status, 200);
+  cr_assert_eq(client->Call(MakeCall(server.url())).status, 200);
+  cr_expect_eq(server.connections(), 1);
+  std::this_thread::sleep_for(milliseconds(2'100));
+  cr_assert_eq(client->Call(MakeCall(server.url())).status, 200);
+  cr_expect_eq(server.connections(), 2);
+}
+
 // Guards against a connection whose descriptor was that of a failed one, and
 // which nobody watches.
 Test(http_client, connects_after_refused_connections) {
