--- a/libraries/http/include/cranberryshunt/http/http_client.h
+++ b/libraries/http/include/cranberryshunt/http/http_client.h
@@ -34,7 +34,8 @@
 };
 
 struct HttpClientOptions {
-  // Connections to one address; further calls wait for one of them.
+  // Calls that are open to one address; further ones wait. Calls with a fresh
+  // connection leave others idle beside it.
   long max_connections_per_address = 6;
   long max_idle_connections = 1'024;
   // Beyond the pause between two holds of a worker. Idle connections cost a
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -136,10 +136,7 @@
       ended += answer.status == 0;
     });
   }
-  const auto until = steady_clock::now() + std::chrono::seconds(5);
-  while (server.connections() < 4 && steady_clock::now() < until) {
-    std::this_thread::sleep_for(milliseconds(1));
-  }
+  WaitFor([&] { return server.connections() >= 4; }, std::chrono::seconds(5));
   client.reset();
   cr_expect_eq(ended, 4);
 }
@@ -197,10 +194,7 @@
       ++ended;
     });
   }
-  const auto until = steady_clock::now() + std::chrono::seconds(5);
-  while (ended < kCalls && steady_clock::now() < until) {
-    std::this_thread::sleep_for(milliseconds(5));
-  }
+  WaitFor([&] { return ended == kCalls; }, std::chrono::seconds(5));
   cr_expect_eq(ended, kCalls);
   cr_expect_eq(late, 0);
 }
@@ -229,10 +223,7 @@
     });
   }
   cr_expect_eq(client->Call(MakeCall(sound.url())).status, 200);
-  const auto until = steady_clock::now() + std::chrono::seconds(5);
-  while (ended < kCalls && steady_clock::now() < until) {
-    std::this_thread::sleep_for(milliseconds(5));
-  }
+  WaitFor([&] { return ended == kCalls; }, std::chrono::seconds(5));
   cr_expect_eq(ended, kCalls);
   cr_expect_eq(late, 0);
   cr_expect_eq(unsent, kCalls - 6, "only the first six were sent");
--- a/tests/http/many_peers_test.cc
+++ b/tests/http/many_peers_test.cc
@@ -177,10 +177,7 @@
     std::this_thread::sleep_for(milliseconds(20));
   }
   peers.set_frozen(false);
-  const auto until = steady_clock::now() + std::chrono::seconds(5);
-  while (open > 0 && steady_clock::now() < until) {
-    std::this_thread::sleep_for(milliseconds(5));
-  }
+  WaitFor([&] { return open == 0; }, std::chrono::seconds(5));
   cr_expect_eq(open, 0, "%d calls never ended", open.load());
   cr_expect_gt(answered, 2'000);
 }
@@ -212,10 +209,7 @@
       std::this_thread::sleep_for(milliseconds(1));
     }
   }
-  const auto until = steady_clock::now() + std::chrono::seconds(3);
-  while (open > 0 && steady_clock::now() < until) {
-    std::this_thread::sleep_for(milliseconds(5));
-  }
+  WaitFor([&] { return open == 0; }, std::chrono::seconds(3));
   cr_expect_eq(open, 0, "%d calls never ended", open.load());
   cr_expect_eq(late, 0, "%d calls ended late", late.load());
 }
@@ -257,10 +251,7 @@
     }
     std::this_thread::sleep_for(milliseconds(1));
   }
-  const auto until = steady_clock::now() + std::chrono::seconds(3);
-  while (open > 0 && steady_clock::now() < until) {
-    std::this_thread::sleep_for(milliseconds(5));
-  }
+  WaitFor([&] { return open == 0; }, std::chrono::seconds(3));
   cr_expect_eq(open, 0, "%d calls never ended", open.load());
   cr_expect_eq(unanswered, 0, "%d calls had no answer", unanswered.load());
   cr_expect_eq(late, 0, "%d calls were answered late", late.load());
--- a/tests/http/socket_peer.h
+++ b/tests/http/socket_peer.h
@@ -29,6 +29,15 @@
   return address;
 }
 
+// Waits until `condition` holds, or `limit` has passed.
+inline void WaitFor(const std::function<bool()>& condition,
+                    std::chrono::milliseconds limit) {
+  const auto until = std::chrono::steady_clock::now() + limit;
+  while (!condition() && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 // Calls a handler with each whole request (without a body) of each connection.
 // The handler returns the bytes to send; empty: it answers nothing.
 class ScriptedServer {
