http: End calls that wait when the client is destroyed

Cause: a call that was sent but not yet taken up by the client's thread got no end when the client was destroyed; who waited for its answer would wait for ever.

Change: such calls, and those that wait for a connection, end as not sent; one function does so in four places.

Test: ends_waiting_calls_when_it_is_destroyed. Before: fails in the first of 20 rounds (not all of 200 calls ended). After: passes.

--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -61,7 +61,8 @@
   long open = 0;
   std::list<std::unique_ptr<Transfer>> waiting;  // For an open one to end.
 };
-using Addresses = std::unordered_map<std::string, Address>;
+// Calls keep the place of their address, which must last as others come.
+using Addresses = std::map<std::string, Address>;
 
 struct Transfer {
   HttpCall call;
@@ -84,6 +85,12 @@
   return url.substr(0, url.find('/', begin));
 }
 
+void EndUnsent(Transfer& transfer, const char* error) {
+  transfer.answer.sent = false;
+  transfer.answer.error = error;
+  transfer.callback(std::move(transfer.answer));
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t n, void* self) {
   auto& transfer = *static_cast<Transfer*>(self);
   const std::size_t bytes = size * n;
@@ -190,11 +197,12 @@
   }
   for (auto& [name, address] : addresses) {
     for (auto& it : address.waiting) {
-      it->answer.sent = false;
-      it->answer.error = "the client is shutting down";
-      it->callback(std::move(it->answer));
+      EndUnsent(*it, "the client is shutting down");
     }
   }
+  for (auto& it : queued) {
+    EndUnsent(*it, "the client is shutting down");
+  }
   for (auto* it : pooled) {
     curl_easy_cleanup(it);
   }
@@ -365,9 +373,7 @@
   waiting.erase(it);
   deadlines.erase(taken->deadline);
   OpenNext(taken->address);
-  taken->answer.sent = false;
-  taken->answer.error = "no connection was free in time";
-  taken->callback(std::move(taken->answer));
+  EndUnsent(*taken, "no connection was free in time");
 }
 
 void HttpClient::Implementation::Open(std::unique_ptr<Transfer> transfer) {
@@ -375,9 +381,7 @@
   CURL* handle = SetUpShard(shard) ? TakeHandle() : nullptr;
   if (handle == nullptr) {
     deadlines.erase(transfer->deadline);
-    transfer->answer.sent = false;
-    transfer->answer.error = "no memory for a call";
-    transfer->callback(std::move(transfer->answer));
+    EndUnsent(*transfer, "no memory for a call");
     return;
   }
   auto& call = transfer->call;
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -125,6 +125,24 @@
   cr_expect_eq(server.connections(), 2);
 }
 
+// Guards against calls that never end: those that wait for a connection, or
+// were not yet taken up, when the client is destroyed.
+Test(http_client, ends_waiting_calls_when_it_is_destroyed) {
+  ScriptedServer server([](int, int) { return std::string(); });
+  constexpr int kCalls = 200;
+  for (int round = 0; round < 20; ++round) {
+    auto client = MakeClient();
+    std::atomic<int> ended = 0;
+    for (int n = 0; n < kCalls; ++n) {
+      client->Send(MakeCall(server.url()), [&](const HttpAnswer& answer) {
+        ended += answer.status == 0;
+      });
+    }
+    client.reset();
+    cr_expect_eq(ended, kCalls);
+  }
+}
+
 // Guards against calls that are neither answered nor ended when the client is
 // destroyed.
 Test(http_client, ends_open_calls_when_it_is_destroyed) {
