--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
+#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::cell {
 
@@ -81,6 +82,7 @@
 }
 
 void DecisionThread::Run() {
+  const ScopedThreadName name("decisions");
   std::vector<Event> events;
   std::chrono::milliseconds idle{0};
   for (;;) {
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -153,7 +153,10 @@
     jobs.insert(static_cast<graph::JobId>(it.id));
   }
   for (const auto it : batch.cancelled_jobs) {
-    workers_.StopJob(static_cast<graph::JobId>(it));
+    const auto runs = workers_.StopJob(static_cast<graph::JobId>(it));
+    Log(LogLevel::kInfo, "jobs", "job is cancelled",
+        {{"job", graph::FormatJobId(static_cast<graph::JobId>(it))},
+         {"runs_to_stop", runs}});
     jobs.insert(static_cast<graph::JobId>(it));
   }
   for (const auto& it : batch.starts) {
@@ -346,6 +349,8 @@
         tracked_worker == nullptr ? std::string() : tracked_worker->record.id},
        {"run_ms", finished.run_ms},
        {"current", current ? "yes" : "no"},
+       {"stops", finished.stops_sent},
+       {"stop_ms", finished.stop_ms},
        {"reason", finished.reason}});
 }
 
--- a/libraries/cell/src/relay.cc
+++ b/libraries/cell/src/relay.cc
@@ -76,9 +76,11 @@
     for (auto& it : orders) {
       auto helper = SelectHelper(it, now);
       if (helper.empty()) {
+        CountExecuted(it.order);
         own.push_back(std::move(it));
         continue;
       }
+      ++counts_.relayed;
       relayed[helper].push_back(ToWire(it));
       outstanding_[it.id] = {std::move(helper), it.worker.id, now,
                              now + it.timeout + kRelayMargin};
@@ -152,6 +154,7 @@
       if (IsSilentSince(it->second.helper, it->second.sent_at)) {
         AvoidHelper(it->second, now);
       }
+      ++counts_.expired;
       expired.push_back(it->first);
       it = outstanding_.erase(it);
     }
@@ -165,6 +168,22 @@
   }
 }
 
+void Relay::CountExecuted(const WorkerOrder& order) {
+  struct Visitor {
+    CallCounts& counts;
+
+    void operator()(const HoldOrder&) const { ++counts.holds; }
+    void operator()(const StartOrder&) const { ++counts.starts; }
+    void operator()(const StopOrder&) const { ++counts.stops; }
+  };
+  std::visit(Visitor{counts_}, order);
+}
+
+CallCounts Relay::TakeCounts() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(counts_, {});
+}
+
 void Relay::OnOrders(const std::string& leader,
                      const std::vector<wire::RelayedOrder>& orders) {
   std::vector<SentOrder> decoded;
@@ -177,6 +196,7 @@
     }
     const std::lock_guard lock(mutex_);
     leaders_by_order_[order->id] = leader;
+    CountExecuted(order->order);
     decoded.push_back(std::move(*order));
   }
   driver_->Send(std::move(decoded));
@@ -186,6 +206,7 @@
   std::string leader;
   {
     const std::lock_guard lock(mutex_);
+    counts_.unanswered += MayBeUnreachable(reply.answer) ? 1 : 0;
     const auto node = leaders_by_order_.extract(id);
     if (!node.empty()) {
       leader = node.mapped();
--- a/libraries/cell/src/relay.h
+++ b/libraries/cell/src/relay.h
@@ -29,6 +29,22 @@
                            std::vector<wire::RelayedReply> replies) = 0;
 };
 
+// Number of calls since the last report.
+struct CallCounts {
+  // Orders that this controller executed, for itself or for a leader, and those
+  // that were not answered.
+  std::int64_t holds = 0;
+  std::int64_t starts = 0;
+  std::int64_t stops = 0;
+  std::int64_t unanswered = 0;
+  // Orders that this controller had other controllers execute, and those whose
+  // reply did not arrive in time.
+  std::int64_t relayed = 0;
+  std::int64_t expired = 0;
+
+  bool operator==(const CallCounts&) const = default;
+};
+
 // Reports a reply to each order of this controller to the sink exactly once,
 // even if the helper that executes the order fails. Safe for use by several
 // threads.
@@ -56,6 +72,9 @@
                 const std::vector<wire::RelayedOrder>& orders);
   void OnLocalReply(OrderId id, WorkerReply reply);
 
+  // Returns the counts since the last call.
+  CallCounts TakeCounts();
+
  private:
   struct Outstanding {
     std::string helper;
@@ -69,6 +88,7 @@
   std::string SelectHelper(const SentOrder& order, TimePoint now);
   bool IsSilentSince(const std::string& helper, TimePoint time) const;
   void AvoidHelper(const Outstanding& order, TimePoint now);
+  void CountExecuted(const WorkerOrder& order);
 
   const ReplySink sink_;
   RelayLink& link_;
@@ -87,6 +107,7 @@
   std::unordered_map<std::string, TimePoint> direct_workers_;
   // Leaders of the orders that this controller executes as a helper.
   std::unordered_map<OrderId, std::string> leaders_by_order_;
+  CallCounts counts_;
 };
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/thrift_relay_link.cc
+++ b/libraries/cell/src/thrift_relay_link.cc
@@ -7,6 +7,7 @@
 #include "ControllerService.h"
 #include "cranberryshunt/base/bounded_ring.h"
 #include "cranberryshunt/base/log.h"
+#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/wire/controller_client.h"
 
 namespace cranberryshunt::cell {
@@ -54,6 +55,7 @@
 
  private:
   void Run() {
+    const ScopedThreadName name("relay");
     std::vector<Message> batch;
     while (queue_.PopMany(batch, SIZE_MAX, kIdleWait)) {
       if (batch.empty()) {
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -42,6 +42,9 @@
   bool stop_requested = false;
   OrderId stop_order = 0;  // Pending stop order; 0 if none.
   std::int64_t stop_sent_ms = 0;
+  // When the stop was requested, and the number of orders sent for it.
+  std::int64_t stop_requested_ms = 0;
+  std::int32_t stops_sent = 0;
 };
 
 using RunKey = std::pair<TaskKey, std::int32_t>;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -126,6 +126,7 @@
       if (run->second.start_time_known) {
         finished.run_ms = now_ms - run->second.started_ms;
       }
+      RecordStop(run->second, now_ms, finished);
       EraseRun(worker, run);
     }
     out.finished.push_back(std::move(finished));
@@ -261,12 +262,20 @@
     return;
   }
   it->second.stop_order = 0;
-  if (reply.answer == WorkerAnswer::kDone) {
-    it->second.phase = RunPhase::kStopConfirmed;
-    it->second.phase_confirmed_ms = now_ms;
-    // The next hold whose reply does not list the run finishes it.
-    it->second.stop_requested = false;
+  if (reply.answer != WorkerAnswer::kDone) {
+    Log(LogLevel::kWarning, "workers", "stop was not confirmed",
+        {{"task", graph::FormatTask(order.task)},
+         {"run", order.run},
+         {"worker", worker.record.id},
+         {"stops", it->second.stops_sent},
+         {"stop_ms", now_ms - it->second.stop_requested_ms},
+         {"detail", reply.detail}});
+    return;
   }
+  it->second.phase = RunPhase::kStopConfirmed;
+  it->second.phase_confirmed_ms = now_ms;
+  // The next hold whose reply does not list the run finishes it.
+  it->second.stop_requested = false;
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -88,6 +88,15 @@
   return worker.runs.erase(it);
 }
 
+void WorkerTracker::RecordStop(const Run& run,
+                               std::int64_t now_ms,
+                               FinishedRun& finished) {
+  finished.stops_sent = run.stops_sent;
+  if (run.stop_requested_ms > 0 && now_ms > 0) {
+    finished.stop_ms = now_ms - run.stop_requested_ms;
+  }
+}
+
 void WorkerTracker::FinishRun(TrackedWorker& worker,
                               std::map<RunKey, Run>::iterator it,
                               wire::RunEnd::type how,
@@ -104,6 +113,7 @@
   if (it->second.start_time_known && now_ms > 0) {
     finished.run_ms = now_ms - it->second.started_ms;
   }
+  RecordStop(it->second, now_ms, finished);
   finished.reason = std::move(reason);
   finished.checkpoint = it->second.checkpoint;
   out.finished.push_back(std::move(finished));
@@ -384,15 +394,16 @@
   }
 }
 
-void WorkerTracker::StopJob(graph::JobId job) {
+std::size_t WorkerTracker::StopJob(graph::JobId job) {
   const auto job_runs = runs_by_job_.find(job);
   if (job_runs == runs_by_job_.end()) {
-    return;
+    return 0;
   }
   for (const auto& [number, key] : job_runs->second) {
     auto& worker = workers_.at(number);
     RequestStop(worker, key, worker.runs.at(key));
   }
+  return job_runs->second.size();
 }
 
 void WorkerTracker::AcknowledgeEnds(WorkerNumber number,
@@ -442,6 +453,9 @@
       stop_candidates_.erase(current);
       continue;
     }
+    if (run.stop_requested_ms == 0) {
+      run.stop_requested_ms = now_ms;
+    }
     const bool may_send =
         run.phase == RunPhase::kUncertain ||
         (run.phase != RunPhase::kProposed && run.phase != RunPhase::kSending);
@@ -450,6 +464,7 @@
       continue;
     }
     run.stop_sent_ms = now_ms;
+    ++run.stops_sent;
     run.stop_order =
         AddOrder(worker, StopOrder{options_.fence, key.first, key.second},
                  kAnswerTimeoutMs, out, run.phase == RunPhase::kUncertain);
@@ -474,6 +489,12 @@
       Log(LogLevel::kWarning, "workers", "all leases of a worker expired",
           {{"worker", worker.record.id},
            {"silent_ms", now_ms - worker.last_answer_ms},
+           {"reported_ms", now_ms - worker.last_report_ms},
+           {"hold_failures", worker.hold_failures},
+           {"hold_sent_ms", now_ms - worker.hold_sent_ms},
+           {"lease_until_ms", worker.lease_until_ms},
+           {"clock_ms", worker.clock_ms},
+           {"clock_age_ms", now_ms - worker.clock_sampled_ms},
            {"runs", worker.runs.size()}});
       FinishAllRuns(worker, "lease ran out", now_ms, out);
     }
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -35,6 +35,10 @@
   WorkerNumber worker = 0;
   std::int64_t run_ms = 0;  // Run time seen by the leader; 0 if unknown.
   std::string reason;
+  // Stop orders sent to the run, and the time since the first request to stop
+  // it; 0 if none.
+  std::int32_t stops_sent = 0;
+  std::int64_t stop_ms = 0;
 };
 
 // Effects of a call of WorkerTracker.
@@ -94,7 +98,8 @@
   void CancelReservation(const TaskKey& task, std::int32_t run);
   // Stops all runs of the task except `keep_run`.
   void StopTask(const TaskKey& task, std::int32_t keep_run);
-  void StopJob(graph::JobId job);
+  // Returns the number of runs to stop.
+  std::size_t StopJob(graph::JobId job);
 
   // Records that the ends up to `end_number` are committed.
   void AcknowledgeEnds(WorkerNumber number, std::int64_t end_number);
@@ -139,6 +144,10 @@
   void RequestStop(TrackedWorker& worker, const RunKey& key, Run& run);
   std::map<RunKey, Run>::iterator EraseRun(TrackedWorker& worker,
                                            std::map<RunKey, Run>::iterator it);
+  // Copies to `finished` how the run was stopped.
+  static void RecordStop(const Run& run,
+                         std::int64_t now_ms,
+                         FinishedRun& finished);
   // `now_ms` is 0 if the current time is unknown.
   void FinishAllRuns(TrackedWorker& worker,
                      const std::string& reason,
