--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -227,7 +227,7 @@
   std::vector<PendingHold> open;
   for (auto& it : std::exchange(holds_, {})) {
     auto& worker = workers[it.worker];
-    if (worker.silent) {
+    if (worker.silent || worker.unreachable) {
       Schedule(it.sent.timeout.count(), [this, id = it.sent.id] {
         engine_.OnWorkerReply(id, WorkerReply(), Now());
       });
@@ -262,7 +262,7 @@
       engine_.OnWorkerReply(id, WorkerReply(), Now());
     });
   };
-  if (worker->silent) {
+  if (worker->silent || worker->unreachable) {
     reply_after_timeout();
     return;
   }
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -34,6 +34,7 @@
   std::vector<EndedRow> ended;
   std::int64_t next_end = 1;
   bool silent = false;         // Does not reply.
+  bool unreachable = false;    // Gets no orders, but its reports arrive.
   bool fails_all = false;      // Tasks fail 10 ms after their start.
   bool loses_replies = false;  // Carries out orders, but replies only to holds.
   // The driver violates its contract: it neither carries out the worker's
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -224,6 +224,66 @@
   ExpectNoViolations(cell);
 }
 
+// Guards against running a task again that ended as done on a worker which the
+// leader could not reach for longer than the lease.
+Test(leader, reads_the_ends_of_a_worker_before_it_repeats_its_tasks) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.Submit(1, "a", MakeJob(2, 4'000, 300));
+  cell.Run(100);
+  cr_assert_eq(cell.starts, 2);
+  for (auto& it : cell.workers) {
+    it.unreachable = !it.runs.empty();
+  }
+  cell.Run(12'000);
+  cr_expect_eq(cell.starts, 2);
+  for (auto& it : cell.workers) {
+    it.unreachable = false;
+  }
+  cell.Run(5'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cr_expect_eq(cell.starts, 2);
+  ExpectNoViolations(cell);
+}
+
+// Guards against the same after a takeover: the new leader knows the runs but
+// no lease that it granted itself.
+Test(leader, reads_the_ends_of_inherited_runs_before_it_repeats_their_tasks) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.Submit(1, "a", MakeJob(2, 4'000, 300));
+  cell.Run(100);
+  for (auto& it : cell.workers) {
+    it.unreachable = !it.runs.empty();
+  }
+  cell.Run(1'000);
+  cell.ChangeLeader();
+  cell.Run(13'000);
+  cr_expect_eq(cell.starts, 2);
+  for (auto& it : cell.workers) {
+    it.unreachable = false;
+  }
+  cell.Run(5'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cr_expect_eq(cell.starts, 2);
+  ExpectNoViolations(cell);
+}
+
+// Guards against a job that never ends, because a worker goes on reporting but
+// can never be reached.
+Test(leader, gives_up_on_a_worker_that_reports_but_cannot_be_reached) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.Submit(1, "a", MakeJob(2, 4'000, 30'000));
+  cell.Run(100);
+  for (auto& it : cell.workers) {
+    it.unreachable = !it.runs.empty();
+  }
+  cell.Run(70'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  ExpectNoViolations(cell);
+}
+
 // Guards against reporting a job as started while its only start was not
 // answered and is being barred.
 Test(leader, counts_jobs_without_a_confirmed_start_as_pending) {
