cell: Read a worker's ends before its tasks are repeated

Callers saw a task run twice: it had ended as done on a worker that was up and reported, but that the leader could not reach for the length of its lease. The leader took the expired lease for proof that the run had not finished, started the task again, and later dropped and acknowledged the end of the first run.

An expired lease only says that the run is over, not how it ended. Such runs now wait in a phase of their own until the worker's list has been read. They are given up when the worker counts as dead, that is, has neither answered nor reported for 6 s, or after 20 s if it reports but cannot be reached.

--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -24,13 +24,16 @@
   kUncertain,      // The start was not answered; the run is to be stopped.
   kStopConfirmed,  // The worker confirmed that the run stops or never starts.
   kInherited,      // Started by an earlier leader or on an earlier incarnation.
+  // All leases expired, so it is over. It may have ended as done before; the
+  // worker's list tells.
+  kLeaseExpired,
 };
 
 struct Run {
   RunPhase phase = RunPhase::kProposed;
   // When the phase was confirmed. The run has ended if the reply to a hold that
   // was sent in a later millisecond does not list it. Used in kRunning,
-  // kStopConfirmed and kInherited.
+  // kStopConfirmed, kInherited and kLeaseExpired.
   std::int64_t phase_confirmed_ms = 0;
   policy::Demand demand;
   std::int64_t started_ms = 0;
@@ -56,9 +59,10 @@
 
   // Whether this incarnation answered a hold with the fence of this leader.
   bool synced = false;
-  // Whether every lease expired without contact, so that nothing can still run
-  // on the worker.
+  // Whether every lease expired, so that nothing can still run on the worker,
+  // and since when.
   bool leases_expired = false;
+  std::int64_t leases_expired_ms = 0;
 
   // The worker's clock was at least `clock_ms` when the local clock was
   // `clock_sampled_ms`.
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -169,7 +169,8 @@
     if (!row.checkpoint.empty()) {
       run.checkpoint = row.checkpoint;
     }
-    if (run.phase == RunPhase::kSending || run.phase == RunPhase::kInherited) {
+    if (run.phase == RunPhase::kSending || run.phase == RunPhase::kInherited ||
+        run.phase == RunPhase::kLeaseExpired) {
       run.phase = RunPhase::kRunning;
       run.phase_confirmed_ms = now_ms;
       out.started_jobs.push_back(row.task.job);
@@ -184,12 +185,15 @@
     const auto& run = it->second;
     const bool ended_unless_listed = (run.phase == RunPhase::kRunning ||
                                       run.phase == RunPhase::kStopConfirmed ||
-                                      run.phase == RunPhase::kInherited) &&
+                                      run.phase == RunPhase::kInherited ||
+                                      run.phase == RunPhase::kLeaseExpired) &&
                                      run.phase_confirmed_ms < sent_ms;
     if (ended_unless_listed && !listed.contains(it->first)) {
       FinishRun(worker, it,
-                run.phase == RunPhase::kRunning ? wire::RunEnd::kLost
-                                                : wire::RunEnd::kNotStarted,
+                run.phase == RunPhase::kRunning ||
+                        run.phase == RunPhase::kLeaseExpired
+                    ? wire::RunEnd::kLost
+                    : wire::RunEnd::kNotStarted,
                 "worker does not list it", now_ms, out);
     }
     it = next;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -29,6 +29,12 @@
 // A worker that has not answered for this long beyond the wait of a hold gets
 // no starts.
 constexpr std::int64_t kMaxSilenceMs = 1'600;
+// A worker that neither answered nor reported for this long counts as dead, and
+// its ends as lost. It reports several times within this time.
+constexpr std::int64_t kPresumedDeadMs = 6'000;
+// Limit of the wait for the list of a worker that reports but cannot be
+// reached.
+constexpr std::int64_t kMaxListWaitMs = 20'000;
 // Interval at which workers are checked for due holds and expired leases. A
 // check on each turn of the decision thread would take most of the processor
 // time in a large cell.
@@ -138,6 +144,23 @@
   }
 }
 
+void WorkerTracker::ExpireRuns(TrackedWorker& worker, std::int64_t now_ms) {
+  for (auto& [key, run] : worker.runs) {
+    if (run.phase != RunPhase::kProposed) {
+      run.phase = RunPhase::kLeaseExpired;
+      run.phase_confirmed_ms = now_ms;
+    }
+  }
+}
+
+bool WorkerTracker::MayListEnds(const TrackedWorker& worker,
+                                std::int64_t now_ms) {
+  const auto last_contact_ms =
+      std::max(worker.last_answer_ms, worker.last_report_ms);
+  return now_ms - last_contact_ms < kPresumedDeadMs &&
+         now_ms - worker.leases_expired_ms < kMaxListWaitMs;
+}
+
 void WorkerTracker::Register(WorkerNumber number,
                              const wire::CalledWorker& record,
                              std::int64_t now_ms) {
@@ -456,9 +479,9 @@
     if (run.stop_requested_ms == 0) {
       run.stop_requested_ms = now_ms;
     }
-    const bool may_send =
-        run.phase == RunPhase::kUncertain ||
-        (run.phase != RunPhase::kProposed && run.phase != RunPhase::kSending);
+    const bool may_send = run.phase != RunPhase::kProposed &&
+                          run.phase != RunPhase::kSending &&
+                          run.phase != RunPhase::kLeaseExpired;
     if (!may_send || run.stop_order != 0 ||
         now_ms < run.stop_sent_ms + kStopRetryMs) {
       continue;
@@ -496,6 +519,11 @@
            {"clock_ms", worker.clock_ms},
            {"clock_age_ms", now_ms - worker.clock_sampled_ms},
            {"runs", worker.runs.size()}});
+      worker.leases_expired_ms = now_ms;
+      ExpireRuns(worker, now_ms);
+    }
+    if (worker.leases_expired && !worker.runs.empty() &&
+        !MayListEnds(worker, now_ms)) {
       FinishAllRuns(worker, "lease ran out", now_ms, out);
     }
   }
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -144,6 +144,12 @@
   void RequestStop(TrackedWorker& worker, const RunKey& key, Run& run);
   std::map<RunKey, Run>::iterator EraseRun(TrackedWorker& worker,
                                            std::map<RunKey, Run>::iterator it);
+  // Marks the runs of a worker whose leases have all expired.
+  static void ExpireRuns(TrackedWorker& worker, std::int64_t now_ms);
+  // Whether a worker whose leases have expired may still tell how its runs
+  // ended. Until then their tasks must not start again, because a run that
+  // ended as done before the lease expired would be repeated.
+  static bool MayListEnds(const TrackedWorker& worker, std::int64_t now_ms);
   // Copies to `finished` how the run was stopped.
   static void RecordStop(const Run& run,
                          std::int64_t now_ms,
