cell: Stop a run without waiting for the reply to its start

Callers saw a task run on for seconds after its job's cancel had been acknowledged. While the reply to a start was open, no stop was sent, and while a stop was open it was not repeated. Through another controller a lost reply is noticed after 1.4 s, a lost order after 3.5 s, so two losses exceed the 4 s within which a cancelled task has to be gone.

The stop now goes out at once; a stop that arrives before the start bars it. Stops are repeated after 0.7, 1.4, 2.1 and 2.8 s whether or not the earlier one was answered, each over another way.

--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -43,7 +43,6 @@
   std::int64_t expected_run_ms = 0;
   std::string checkpoint;  // Latest one that the worker reported.
   bool stop_requested = false;
-  OrderId stop_order = 0;  // Pending stop order; 0 if none.
   std::int64_t stop_sent_ms = 0;
   // When the stop was requested, and the number of orders sent for it.
   std::int64_t stop_requested_ms = 0;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -227,16 +227,25 @@
     start_answers_.pop_front();
   }
   const auto it = worker.runs.find({order.task, order.run});
-  if (it == worker.runs.end() || it->second.phase != RunPhase::kSending) {
+  if (it == worker.runs.end() ||
+      (it->second.phase != RunPhase::kSending &&
+       it->second.phase != RunPhase::kStopConfirmed)) {
     return;
   }
+  const bool stopped = it->second.phase == RunPhase::kStopConfirmed;
   switch (reply.answer) {
     case WorkerAnswer::kDone:
+      if (stopped) {
+        return;
+      }
       it->second.phase = RunPhase::kRunning;
       it->second.phase_confirmed_ms = now_ms;
       out.started_jobs.push_back(order.task.job);
       return;
     case WorkerAnswer::kNoAnswer:
+      if (stopped) {
+        return;
+      }
       Log(LogLevel::kWarning, "workers", "start was not answered",
           {{"task", graph::FormatTask(order.task)},
            {"run", order.run},
@@ -265,7 +274,6 @@
   if (it == worker.runs.end()) {
     return;
   }
-  it->second.stop_order = 0;
   if (reply.answer != WorkerAnswer::kDone) {
     Log(LogLevel::kWarning, "workers", "stop was not confirmed",
         {{"task", graph::FormatTask(order.task)},
@@ -276,6 +284,9 @@
          {"detail", reply.detail}});
     return;
   }
+  if (it->second.phase == RunPhase::kLeaseExpired) {
+    return;
+  }
   it->second.phase = RunPhase::kStopConfirmed;
   it->second.phase_confirmed_ms = now_ms;
   // The next hold whose reply does not list the run finishes it.
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -24,8 +24,11 @@
 // Timeout of an order beyond the wait of a hold. Covers round trips between
 // regions and a busy worker.
 constexpr std::int64_t kAnswerTimeoutMs = 1'000;
-// Must be shorter than the time within which a cancelled task must be gone.
+// A stop is repeated after this time, and later after multiples of it, whether
+// or not the earlier one was answered: several must fit into the time within
+// which a cancelled task must be gone.
 constexpr std::int64_t kStopRetryMs = 700;
+constexpr std::int32_t kMaxStopBackoff = 4;
 // A worker that has not answered for this long beyond the wait of a hold gets
 // no starts.
 constexpr std::int64_t kMaxSilenceMs = 1'600;
@@ -195,7 +198,8 @@
         run.phase =
             start_may_arrive ? RunPhase::kUncertain : RunPhase::kInherited;
         run.phase_confirmed_ms = 0;
-        run.stop_order = 0;
+        run.stop_sent_ms = 0;
+        run.stops_sent = 0;
       }
       AddRun(added, key, run);
     }
@@ -479,18 +483,21 @@
     if (run.stop_requested_ms == 0) {
       run.stop_requested_ms = now_ms;
     }
+    // A run is stopped even while its start is being sent, because the reply to
+    // the start may be lost. A stop that arrives first bars the run.
     const bool may_send = run.phase != RunPhase::kProposed &&
-                          run.phase != RunPhase::kSending &&
                           run.phase != RunPhase::kLeaseExpired;
-    if (!may_send || run.stop_order != 0 ||
-        now_ms < run.stop_sent_ms + kStopRetryMs) {
+    if (!may_send ||
+        now_ms < run.stop_sent_ms +
+                     kStopRetryMs * std::min(run.stops_sent, kMaxStopBackoff)) {
       continue;
     }
+    const bool fresh_connection =
+        run.phase == RunPhase::kUncertain || run.stops_sent > 0;
     run.stop_sent_ms = now_ms;
     ++run.stops_sent;
-    run.stop_order =
-        AddOrder(worker, StopOrder{options_.fence, key.first, key.second},
-                 kAnswerTimeoutMs, out, run.phase == RunPhase::kUncertain);
+    AddOrder(worker, StopOrder{options_.fence, key.first, key.second},
+             kAnswerTimeoutMs, out, fresh_connection);
   }
 }
 
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -131,6 +131,26 @@
   cr_assert(cell.StateOf(1) == wire::GraphJobState::kCancelled);
 }
 
+// Guards against a cancelled run that goes on for seconds, because the reply to
+// its start and the first stops are lost on the way.
+Test(leader, stops_a_cancelled_job_although_orders_are_lost) {
+  constexpr std::int64_t kCancelMs = 4'000;
+  CellHarness cell({.workers = 1});
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.workers[0].loses_replies = true;
+  cell.Submit(1, "a", MakeJob(1, 4'000, 30'000));
+  while (cell.starts == 0) {
+    cell.Run(1);
+  }
+  cell.workers[0].loses_orders = true;
+  cell.Cancel(1, "a");
+  cell.Run(1'500);
+  cell.workers[0].loses_orders = false;
+  cell.Run(kCancelMs - 1'500);
+  cr_expect(cell.workers[0].runs.empty());
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCancelled);
+}
+
 // Guards against jobs that fail because one worker fails every task that it
 // starts.
 Test(leader, quarantines_a_worker_that_fails_everything) {
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -135,6 +135,31 @@
   cr_expect_eq(out.finished[0].how, wire::RunEnd::kNotStarted);
 }
 
+// Guards against a cancelled run that goes on because the reply to its start is
+// lost: it is stopped without waiting for the reply, and the stop is repeated.
+Test(worker_tracker, stops_a_run_whose_start_is_not_answered_yet) {
+  auto tracker = MakeTracker(100);
+  const auto start = SendStart(tracker, 200);
+  tracker.StopJob(kTask.job);
+  int stops = 0;
+  for (std::int64_t now = 201; now < 4'000; now += 10) {
+    WorkerTrackerOutput out;
+    tracker.Advance(now, out);
+    stops += FindStop(out) != nullptr ? 1 : 0;
+    if (now == 201) {
+      cr_expect_eq(stops, 1);
+    }
+  }
+  cr_expect_geq(stops, 3);
+  // The worker barred the run before the start arrived.
+  WorkerTrackerOutput out;
+  WorkerReply refused;
+  refused.answer = WorkerAnswer::kStaleRun;
+  tracker.OnReply(start, 200, refused, 4'000, out);
+  cr_assert_eq(out.finished.size(), 1);
+  cr_expect_eq(out.finished[0].how, wire::RunEnd::kNotStarted);
+}
+
 // Guards against ending the runs of a silent worker before its lease has
 // expired on a clock that is 2% slow, and against never ending them.
 Test(worker_tracker, waits_for_the_whole_lease_of_a_silent_worker) {
