cell: Stop a run again that goes on after a confirmed stop

A stop that a worker confirmed was never repeated, even if the worker went on listing the run. That happens when a start was delayed and executed after the worker had restarted under its id. The run is now stopped again when a list that was asked for a second after the confirmation shows it. worker_tracker::repeats_a_stop_that_had_no_effect failed before.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// A worker that confirmed a stop no longer lists the run after this time.
+constexpr std::int64_t kMaxStopMs = 1'000;
 // Pause before the next hold of a worker that did not answer. It grows with the
 // number of failures up to the maximum.
 constexpr std::int64_t kHoldRetryMs = 300;
@@ -175,6 +177,17 @@
       run.phase_confirmed_ms = now_ms;
       out.started_jobs.push_back(row.task.job);
     }
+    if (run.phase == RunPhase::kStopConfirmed &&
+        run.phase_confirmed_ms + kMaxStopMs < sent_ms) {
+      Log(LogLevel::kWarning, "workers", "stopped run goes on",
+          {{"worker", worker.record.id},
+           {"task", graph::FormatTask(row.task)},
+           {"run", row.run},
+           {"confirmed_ms", now_ms - run.phase_confirmed_ms}});
+      run.phase = RunPhase::kRunning;
+      run.phase_confirmed_ms = now_ms;
+      RequestStop(worker, key, run);
+    }
   }
   if (reply.unreadable_rows > 0) {
     return;
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -160,6 +160,31 @@
   cr_expect_eq(out.finished[0].how, wire::RunEnd::kNotStarted);
 }
 
+// Guards against a run that goes on although the worker confirmed a stop, for
+// instance because a delayed start was executed after a restart.
+Test(worker_tracker, repeats_a_stop_that_had_no_effect) {
+  auto tracker = MakeTracker(1'000);
+  const auto start = SendStart(tracker, 1'200);
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 1'200, MakeHoldReply(1'210, 50), 1'210, out);
+  tracker.StopJob(kTask.job);
+  tracker.Advance(1'220, out);
+  const auto stop = out.orders.front();
+  cr_assert(std::holds_alternative<StopOrder>(stop.order));
+  const auto first_hold = LastHold(out);
+  tracker.OnReply(stop, 1'220, MakeHoldReply(1'230, 50), 1'230, out);
+  tracker.OnReply(first_hold, 1'220, MakeHoldReply(1'240, 50), 1'240, out);
+  out = {};
+  tracker.Advance(3'000, out);
+  cr_assert_null(FindStop(out));
+  auto listed = MakeHoldReply(3'010, 50);
+  listed.running.push_back(MakeRunningRow(1));
+  tracker.OnReply(LastHold(out), 3'000, listed, 3'010, out);
+  out = {};
+  tracker.Advance(5'000, out);
+  cr_assert_not_null(FindStop(out));
+}
+
 // Guards against ending the runs of a silent worker before its lease has
 // expired on a clock that is 2% slow, and against never ending them.
 Test(worker_tracker, waits_for_the_whole_lease_of_a_silent_worker) {
