cell: Call a worker at its new address

When a registered worker reported another address, replies from the old one were ignored. The open hold order then stayed open for ever, so that the worker got no further hold and its leases expired, and a start in flight stayed open until the same happened. The hold is now sent anew to the new address and the start is barred. worker_tracker::calls_a_worker_at_its_new_address failed before. Found by reading; no caller reported it.

--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -164,12 +164,29 @@
          now_ms - worker.leases_expired_ms < kMaxListWaitMs;
 }
 
+// Their replies will not be read.
+void WorkerTracker::MarkStartsUncertain(TrackedWorker& worker) {
+  for (auto& [key, run] : worker.runs) {
+    if (run.phase == RunPhase::kSending) {
+      run.phase = RunPhase::kUncertain;
+      stop_candidates_.insert({worker.number, key});
+    }
+  }
+}
+
 void WorkerTracker::Register(WorkerNumber number,
                              const wire::CalledWorker& record,
                              std::int64_t now_ms) {
   auto* previous = FindById(record.id);
   changed_workers_.insert(number);
   if (previous != nullptr && previous->number == number) {
+    // Replies from another address are ignored, so orders to it stay open.
+    if (previous->record.address != record.address) {
+      previous->hold_order = 0;
+      previous->next_hold_ms = now_ms;
+      previous->synced = false;
+      MarkStartsUncertain(*previous);
+    }
     previous->record = record;
     return;
   }
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -144,6 +144,7 @@
   void RequestStop(TrackedWorker& worker, const RunKey& key, Run& run);
   std::map<RunKey, Run>::iterator EraseRun(TrackedWorker& worker,
                                            std::map<RunKey, Run>::iterator it);
+  void MarkStartsUncertain(TrackedWorker& worker);
   // Marks the runs of a worker whose leases have all expired.
   static void ExpireRuns(TrackedWorker& worker, std::int64_t now_ms);
   // Whether a worker whose leases have expired may still tell how its runs
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -135,6 +135,24 @@
   cr_expect_eq(out.finished[0].how, wire::RunEnd::kNotStarted);
 }
 
+// Guards against a worker that gets no further orders, and a start that stays
+// open, because its address changed while they were on their way.
+Test(worker_tracker, calls_a_worker_at_its_new_address) {
+  auto tracker = MakeTracker(100);
+  SendStart(tracker, 200);
+  WorkerTrackerOutput out;
+  tracker.Advance(210, out);
+  const auto old_hold = LastHold(out);
+  auto moved = MakeWorker(50);
+  moved.address = "127.0.0.1:2";
+  tracker.Register(1, moved, 300);
+  tracker.OnReply(old_hold, 210, MakeHoldReply(1'200, 50), 310, out);
+  out = {};
+  tracker.Advance(1'000, out);
+  cr_expect_str_eq(LastHold(out).worker.address.c_str(), "127.0.0.1:2");
+  cr_expect_not_null(FindStop(out));
+}
+
 // Guards against a cancelled run that goes on because the reply to its start is
 // lost: it is stopped without waiting for the reply, and the stop is repeated.
 Test(worker_tracker, stops_a_run_whose_start_is_not_answered_yet) {
