cell: Wait for starts that may reach a new incarnation of a worker

Leases of an earlier incarnation counted from the start of the leadership. A worker that restarted under its id later than that counted as having no lease at all, so a start on its way to it was given up although the new incarnation would accept it, and the task could run twice. The time now counts from the registration. The clock in the answer of another worker at the address is not recorded any more. worker_tracker::bars_a_start_that_may_reach_a_new_incarnation failed before. Found by reading.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -43,7 +43,8 @@
                                  reply.born_ms != worker->record.born_ms;
   const bool answered = reply.answer != WorkerAnswer::kNoAnswer &&
                         reply.answer != WorkerAnswer::kNotSent;
-  if (answered && !other_incarnation) {
+  if (answered && !other_incarnation &&
+      reply.answer != WorkerAnswer::kOtherWorker) {
     worker->last_answer_ms = now_ms;
     RecordClock(*worker, reply.clock_ms, now_ms);
   }
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -195,8 +195,10 @@
   worker.record = record;
   worker.last_report_ms = now_ms;
   worker.next_hold_ms = now_ms;
+  // A start that is on its way to the previous incarnation may still begin on
+  // this one, and then gets a whole lease.
   worker.inherited_lease_end_ms =
-      started_ms_ +
+      (previous == nullptr ? started_ms_ : now_ms) +
       static_cast<std::int64_t>(static_cast<double>(options_.max_lease_ms) /
                                 kMinClockRate) +
       kLeaseMarginMs;
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -257,6 +257,25 @@
   cr_expect_eq(out.finished[0].run, 1);
 }
 
+// Guards against a second run when a worker restarts long after a takeover,
+// while a start is on its way that the new incarnation would accept.
+Test(worker_tracker, bars_a_start_that_may_reach_a_new_incarnation) {
+  auto tracker = MakeTracker(100);
+  WorkerTrackerOutput out;
+  tracker.Advance(20'000, out);
+  tracker.OnReply(LastHold(out), 20'000, MakeHoldReply(21'000, 50), 20'010,
+                  out);
+  SendStart(tracker, 20'020);
+  tracker.Register(2, MakeWorker(9'000), 20'100);
+  out = {};
+  tracker.Advance(20'110, out);
+  cr_assert_not_null(FindStop(out));
+  tracker.OnReply(LastHold(out), 20'110, MakeHoldReply(5, 9'000), 20'130, out);
+  tracker.Advance(20'140, out);
+  tracker.OnReply(LastHold(out), 20'140, MakeHoldReply(40, 9'000), 20'160, out);
+  cr_expect(out.finished.empty());
+}
+
 // Guards against a second run when a hold is sent in the millisecond in which a
 // start is confirmed: the worker made its list before it accepted the start.
 Test(worker_tracker, a_list_of_the_same_millisecond_settles_nothing) {
