cell: Renew the lease of a worker that answers other orders

A hold whose reply was lost, and one lost repetition of it, were enough to let the lease of 5 s expire, which killed everything on the worker: a repeated hold renewed no lease. A repeated hold now renews the lease if the worker answered any order since the last one. worker_tracker::renews_the_lease_of_a_worker_that_answers_other_orders failed before.

--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -476,9 +476,12 @@
   HoldOrder order;
   order.fence = options_.fence;
   order.acknowledged_end = worker.acknowledged_end;
-  // A worker that does not answer gets no further lease, so that its runs have
-  // ended once the current lease has expired.
-  if (worker.clock_ms >= 0 && worker.hold_failures == 0) {
+  // A worker that answers nothing gets no further lease, so that its runs have
+  // ended once the current lease has expired. One that answers other orders
+  // keeps its runs, because only the hold or its reply was lost.
+  const bool answers =
+      worker.hold_failures == 0 || worker.last_answer_ms > worker.hold_sent_ms;
+  if (worker.clock_ms >= 0 && answers) {
     order.lease_until_ms = GrantLease(worker, now_ms);
   }
   const bool wait = worker.synced && worker.hold_failures == 0;
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -226,6 +226,27 @@
   cr_expect_eq(late.finished[0].how, wire::RunEnd::kLost);
 }
 
+// Guards against killing all runs of a worker that answers starts, because the
+// replies to its holds were lost twice in a row.
+Test(worker_tracker, renews_the_lease_of_a_worker_that_answers_other_orders) {
+  auto tracker = MakeTracker(100);
+  const auto start = SendStart(tracker, 200);
+  WorkerTrackerOutput out;
+  tracker.Advance(210, out);
+  const auto hold = LastHold(out);
+  tracker.OnReply(start, 200, MakeHoldReply(1'110, 50), 1'000, out);
+  tracker.OnReply(hold, 210, WorkerReply(), 2'300, out);
+  out = {};
+  tracker.Advance(2'700, out);
+  const auto first_retry = LastHold(out);
+  cr_expect_gt(std::get<HoldOrder>(first_retry.order).lease_until_ms, 0);
+  // Nothing was answered since.
+  tracker.OnReply(first_retry, 2'700, WorkerReply(), 3'700, out);
+  out = {};
+  tracker.Advance(5'000, out);
+  cr_expect_eq(std::get<HoldOrder>(LastHold(out).order).lease_until_ms, 0);
+}
+
 // Guards against ignoring an unknown run. It is stopped, and takes capacity
 // until it has ended.
 Test(worker_tracker, stops_runs_that_nobody_asked_for) {
