targets, platform: Read the rows beside one that jansson refuses

A worker that listed one row with a number beyond 64 bits, a number such as 1e999, nesting over 2,048 levels, invalid UTF-8, a lone surrogate or a duplicate name appeared not to answer holds: jansson refuses a whole text because of one such value. While the row stayed listed, the worker counted as silent, its lease expired and all its runs were lost.

ParseReadableParts() is used for these answers. If ParseObject() fails, it splits the object into its members, and lists into their items, with a scan that follows strings and brackets without recursion, parses each by itself, and puts null in the place of those that are not valid. A null row counts as unreadable. A text whose parts cannot be told apart still fails, so a reply that is cut off stays unanswered. Valid answers take the same path as before.

The test of the worker codec failed before the change: the hold counted as not answered and no row was read.

--- a/libraries/targets/include/cranberryshunt/targets/json_reader.h
+++ b/libraries/targets/include/cranberryshunt/targets/json_reader.h
@@ -26,6 +26,13 @@
 // is not an object or has duplicate names.
 Result<JsonPtr> ParseObject(std::string_view text);
 
+// As ParseObject, but an invalid value costs only itself: null takes the place
+// of each invalid member, or of the invalid items of a member that is a list.
+// Invalid are also values that jansson refuses, such as very large numbers and
+// deep nesting. Fails as ParseObject does if the members or items cannot be
+// told apart.
+Result<JsonPtr> ParseReadableParts(std::string_view text);
+
 // Renders `value` without white space.
 std::string RenderJson(const json_t* value);
 
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -202,6 +202,33 @@
                cell::WorkerAnswer::kNoAnswer);
 }
 
+// Guards against losing all rows of a reply, and then the worker's lease,
+// because of one row that jansson refuses.
+Test(worker_codec, reads_the_rows_beside_one_that_is_not_valid) {
+  const std::string nested = std::string(3'000, '[') + std::string(3'000, ']');
+  const std::string rows[] = {
+      "[\"5c0e7a21d94b36f8.0.1.18\",99999999999999999999,\"\",1]",
+      "[\"5c0e7a21d94b36f8.0.1.18\",1e999,\"\",1]",
+      "[\"5c0e7a21d94b36f8.0.1.18\",1,\"\xff\",1]", "{\"task\":1,\"task\":2}",
+      nested};
+  for (const auto& it : rows) {
+    std::string body = R"({"clockMs":9,"running":[)";
+    body.append(it).append(
+        R"(,["5c0e7a21d94b36f8.0.1.17",2,"c",41,300]],
+        "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)");
+    body.append(it).append("]}");
+    const auto reply =
+        DecodeWorkerReply(cell::HoldOrder(), MakeAnswer(200, body));
+    cr_expect_eq(reply.answer, cell::WorkerAnswer::kDone, "%.60s", it.c_str());
+    cr_expect_eq(reply.clock_ms, 9);
+    cr_assert_eq(reply.running.size(), 1, "%.60s", it.c_str());
+    cr_expect_eq(reply.running[0].run, 2);
+    cr_assert_eq(reply.ended.size(), 1);
+    cr_expect_eq(reply.ended[0].number, 58);
+    cr_expect_eq(reply.unreadable_rows, 2);
+  }
+}
+
 // Guards against names with a NUL character, at which logs and ids would cut
 // them off.
 Test(json_reader, refuses_nul_in_names) {
--- a/tests/targets/targets_test.cc
+++ b/tests/targets/targets_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <condition_variable>
 
+#include "cranberryshunt/targets/json_reader.h"
 #include "cranberryshunt/targets/target_client.h"
 #include "fake_target.h"
 
@@ -221,4 +222,67 @@
   cr_assert_eq(fake.max_open_connections(), 1);
 }
 
+// Guards against losing a whole text because of one value that jansson refuses.
+Test(json_reader, reads_what_is_beside_an_invalid_value) {
+  const std::string nested(3'000, '[');
+  const std::string values[] = {"99999999999999999999",
+                                "1e999",
+                                "\"\\ud800\"",
+                                "\"\xff\"",
+                                "{\"a\":1,\"a\":2}",
+                                "nonsense",
+                                nested + std::string(nested.size(), ']'),
+                                "[\"]\\\"\",1e999]"};
+  for (const auto& it : values) {
+    std::string text = "{\"a\":[1, ";
+    text.append(it).append(" ,\"]\"],\"b\": ").append(it);
+    text.append(",\"c\":{\"d\":\"}\"},\"e\":[]}");
+    const auto object = ParseReadableParts(text);
+    cr_assert(object.has_value(), "%s", it.c_str());
+    const auto* list = json_object_get(object->get(), "a");
+    cr_assert_eq(json_array_size(list), 3, "%s", it.c_str());
+    cr_expect_eq(json_integer_value(json_array_get(list, 0)), 1);
+    cr_expect(json_is_null(json_array_get(list, 1)));
+    cr_expect_str_eq(json_string_value(json_array_get(list, 2)), "]");
+    cr_expect(json_is_object(json_object_get(object->get(), "c")));
+    cr_expect_eq(json_array_size(json_object_get(object->get(), "e")), 0);
+  }
+}
+
+// Guards against reading a part of a list of which the items cannot be told
+// apart.
+Test(json_reader, reads_no_part_of_a_list_with_a_missing_item) {
+  for (const char* it : {"{\"a\":[1,1e999,],\"b\":2}",
+                         "{\"a\":[1 1:1],\"b\":2}", "{\"a\":[,],\"b\":2}"}) {
+    const auto object = ParseReadableParts(it);
+    cr_assert(object.has_value(), "%s", it);
+    cr_expect(json_is_null(json_object_get(object->get(), "a")), "%s", it);
+    cr_expect_eq(json_integer_value(json_object_get(object->get(), "b")), 2);
+  }
+}
+
+// Guards against guessing where values end in a text that is cut off or has
+// brackets that do not match.
+Test(json_reader, refuses_values_that_cannot_be_told_apart) {
+  const char* const texts[] = {"",
+                               "{",
+                               "[1e999]",
+                               "{\"a\":[1e999",
+                               "{\"a\":[1e999]",
+                               "{\"a\":[1e999}}",
+                               "{\"a\":1e999,}",
+                               "{\"a\":1e999}x",
+                               "{\"a\":1e999 \"b\":1}",
+                               "{\"a\":1e999,\"a\":1}",
+                               "{\"a\":\"1e999}",
+                               "{\"a\":\"\\",
+                               "{a:1e999}",
+                               "{\"a\\u0000\":1e999}",
+                               "{1e999}"};
+  for (const char* it : texts) {
+    cr_expect_not(ParseReadableParts(it).has_value(), "%s", it);
+  }
+  cr_expect_not(ParseReadableParts(std::string(1U << 20, '[')).has_value());
+}
+
 }  // namespace cranberryshunt::targets
