--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -229,6 +229,19 @@
   }
 }
 
+// Guards against a clock of 0 in place of one that cannot be read: leases that
+// are computed from it have already expired.
+Test(worker_codec, takes_an_unreadable_clock_as_unknown) {
+  for (const char* it : {"\"9\"", "null", "-4", "1e999"}) {
+    const auto reply = DecodeWorkerReply(
+        cell::HoldOrder(),
+        MakeAnswer(200, std::string(R"({"running":[],"ended":[],"clockMs":)") +
+                            it + "}"));
+    cr_expect_eq(reply.answer, cell::WorkerAnswer::kDone, "%s", it);
+    cr_expect_eq(reply.clock_ms, -1, "%s", it);
+  }
+}
+
 // Guards against names with a NUL character, at which logs and ids would cut
 // them off.
 Test(json_reader, refuses_nul_in_names) {
