--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -242,6 +242,51 @@
   }
 }
 
+// Guards against the undefined conversion of numbers out of range, and against
+// taking a row for another run than the one that it names.
+Test(worker_codec, counts_rows_with_unusable_values_as_unreadable) {
+  const std::string task = "\"5c0e7a21d94b36f8.0.1.17\"";
+  const std::string running[] = {
+      "[" + task + ",1e300,\"\",1,1]",
+      "[" + task + ",4294967298,\"\",1,1]",
+      "[" + task + ",0,\"\",1,1]",
+      "[" + task + ",-2,\"\",1,1]",
+      "[" + task + ",1.5,\"\",1,1]",
+      "[" + task + ",\"1\",\"\",1,1]",
+      "[" + task + "]",
+      "[" + task + ",2,\"\",1e300,1]",
+      "[" + task + ",2,\"\",1,-1e300]",
+      "[" + task + ",2,\"\",\"1\",1]",
+      "[\"5c0e7a21d94b36f8.0.1.17\\u0000\",2,\"\",1,1]",
+      "[\"5c0e7a21d94b36f8.0.1.4294967313\",2,\"\",1,1]"};
+  for (const auto& it : running) {
+    const auto reply = DecodeWorkerReply(
+        cell::HoldOrder(),
+        MakeAnswer(200, "{\"ended\":[],\"running\":[" + it + "]}"));
+    cr_expect_eq(reply.unreadable_rows, 1, "%s", it.c_str());
+    cr_expect(reply.running.empty(), "%s", it.c_str());
+  }
+  const std::string ended[] = {
+      "[1e300," + task + ",2,\"done\",\"\"]",
+      "[9007199254740993," + task + ",2,\"done\",\"\"]",
+      "[0," + task + ",2,\"done\",\"\"]",
+      "[58," + task + ",4294967298,\"done\",\"\"]",
+      "[58," + task + ",2,\"done\\u0000\",\"\"]"};
+  for (const auto& it : ended) {
+    const auto reply = DecodeWorkerReply(
+        cell::HoldOrder(),
+        MakeAnswer(200, "{\"running\":[],\"ended\":[" + it + "]}"));
+    cr_expect_eq(reply.unreadable_rows, 1, "%s", it.c_str());
+    cr_expect(reply.ended.empty(), "%s", it.c_str());
+  }
+  const auto fraction = DecodeWorkerReply(
+      cell::HoldOrder(), MakeAnswer(200, "{\"ended\":[],\"running\":[[" + task +
+                                             ",2,\"\",41.5,300.5]]}"));
+  cr_assert_eq(fraction.running.size(), 1);
+  cr_expect_eq(fraction.running[0].percent, 41);
+  cr_expect_eq(fraction.running[0].usage, 300);
+}
+
 // Guards against names with a NUL character, at which logs and ids would cut
 // them off.
 Test(json_reader, refuses_nul_in_names) {
