base, platform: Refuse reports without a usable address

Any text was accepted as a worker's address: no port, port 0 or 65536, a host name, blanks, a path or user information. Such a report registered a worker that no call can reach, which then took holds, room in the planning and a place in the replicated state.

ParseEndpoint() takes "a.b.c.d:port" with a port from 1 to 65535 and nothing else. A report with another address is refused with status 400 and the field `address`.

--- a/tests/base/base_test.cc
+++ b/tests/base/base_test.cc
@@ -6,6 +6,7 @@
 
 #include "cranberryshunt/base/bounded_ring.h"
 #include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/base/endpoint.h"
 #include "cranberryshunt/base/metrics.h"
 #include "cranberryshunt/base/resources.h"
 #include "cranberryshunt/base/timer_service.h"
@@ -108,4 +109,45 @@
   cr_assert_not(ConstantTimeEquals("a", "ab"));
 }
 
+// Guards against addresses that no call can reach, or that are taken for
+// another one: a port out of range, or text around the address.
+Test(endpoint, takes_only_an_ipv4_address_and_a_port) {
+  const auto endpoint = ParseEndpoint("10.0.0.9:65535");
+  cr_assert(endpoint.has_value());
+  cr_expect_eq(ntohs(endpoint->sin_port), 65'535);
+  cr_expect_eq(ntohl(endpoint->sin_addr.s_addr), 0x0a000009U);
+  cr_expect(ParseEndpoint("10.0.0.9:1").has_value());
+  using std::string_view_literals::operator""sv;
+  for (const auto it : {""sv,
+                        ":"sv,
+                        ":80"sv,
+                        "10.0.0.9"sv,
+                        "10.0.0.9:"sv,
+                        "10.0.0.9:0"sv,
+                        "10.0.0.9:65536"sv,
+                        "10.0.0.9:99999"sv,
+                        "10.0.0.9:080"sv,
+                        "10.0.0.9:+80"sv,
+                        "10.0.0.9:-80"sv,
+                        "10.0.0.9: 80"sv,
+                        "10.0.0.9:80 "sv,
+                        " 10.0.0.9:80"sv,
+                        "10.0.0.9:80/"sv,
+                        "10.0.0.9:80\r\n"sv,
+                        "10.0.0:80"sv,
+                        "10.0.0.256:80"sv,
+                        "010.0.0.9:80"sv,
+                        "u@10.0.0.9:80"sv,
+                        "host:80"sv,
+                        "[::1]:80"sv,
+                        "::1:80"sv,
+                        "10.0.0.9:80:80"sv,
+                        "10.0.0.9\0:80"sv,
+                        "10.0.0.9:80\0"sv,
+                        "10.0.0.9:99999999999999999999"sv}) {
+    cr_expect_not(ParseEndpoint(it).has_value(), "%.*s",
+                  static_cast<int>(it.size()), it.data());
+  }
+}
+
 }  // namespace cranberryshunt
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -37,6 +37,12 @@
 "advice":{"decideMs":520.0,"periodMs":7.4,"validMs":1500}}],
 "services":[{"name":"s","enforcesCapacity":false}],"limits":{}})";
 
+constexpr char kReport[] =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
+    "slots":8,"state":"draining","coldLeftMs":0,"born":77,
+    "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],
+    "clockMs":482113,"remainingMs":900,"seq":4})";
+
 std::string Replaced(std::string text,
                      const std::string& from,
                      const std::string& to) {
@@ -148,11 +154,7 @@
 }
 
 Test(control_codec, reads_a_worker_report) {
-  const std::string body =
-      R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
-      "slots":8,"state":"draining","coldLeftMs":0,"born":77,
-      "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],
-      "clockMs":482113,"remainingMs":900,"seq":4})";
+  const std::string body = kReport;
   const auto report = DecodeReport("i-1", body);
   cr_assert(report.has_value());
   cr_expect(report->worker.leaving);
@@ -162,6 +164,21 @@
   cr_expect_not(DecodeReport("i-1", Replaced(body, "\"seq\":4", "\"seq\":{}")));
 }
 
+// Guards against registering a worker that no call can reach.
+Test(control_codec, refuses_reports_without_a_usable_address) {
+  for (const char* it :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9",
+        "10.0.0.9:", "host:80", " 10.0.0.9:80", "10.0.0.9:80/x",
+        "u@10.0.0.9:80", "[::1]:80", "10.0.0.9:080", "10.0.0.9:+80",
+        "10.0.0.9:80\\r\\nX: y", "10.0.0.9:80\\u0000"}) {
+    const auto report =
+        DecodeReport("i-1", Replaced(kReport, "10.0.0.9:80", it));
+    cr_assert_not(report.has_value(), "%s", it);
+    cr_expect(report.error().field() == "address", "%s", it);
+    cr_expect_eq(EncodeError(report.error(), 0, false).status, 400, "%s", it);
+  }
+}
+
 // Guards against treating a reply as a success that is incomplete or has an
 // error status, and against treating an order as not sent that may have been
 // executed.
