platform: Refuse ids of workers that are not short visible text

The id in the path of a report or a departure was taken as it was decoded: empty, with blanks, line breaks or other control characters, invalid UTF-8, or of thousands of bytes. It goes into the replicated state, into logs and into the header X-Expect-Instance of each call of the worker, where a line break adds header lines.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -179,6 +179,21 @@
   }
 }
 
+// Guards against ids that add header lines to calls of the worker or break up
+// lines of the log.
+Test(control_codec, refuses_ids_that_are_not_short_visible_text) {
+  for (const auto& it :
+       {std::string(), std::string("i 1"), std::string("i\r\nX-A: b"),
+        std::string("i\t"), std::string("i\x7f"), std::string("i\xff"),
+        std::string("i\0", 2), std::string(4'000, 'i')}) {
+    const auto report = DecodeReport(it, kReport);
+    cr_assert_not(report.has_value(), "%s", it.c_str());
+    cr_expect(report.error().field() == "id", "%s", it.c_str());
+    cr_expect_not(DecodeDeparture(it, "{}").has_value(), "%s", it.c_str());
+  }
+  cr_expect(DecodeReport("i-7f3a91c2", kReport).has_value());
+}
+
 // Guards against treating a reply as a success that is incomplete or has an
 // error status, and against treating an order as not sent that may have been
 // executed.
