platform: Refuse departures that cannot be read

A departure notice with a body that is not an object, or a `born` of another type or out of range, was read as one without `born`, which matches every incarnation: the worker registered under that id was removed, whichever incarnation had been meant. An empty body and one without `born` are still accepted.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -194,6 +194,19 @@
   cr_expect(DecodeReport("i-7f3a91c2", kReport).has_value());
 }
 
+// Guards against removing whichever incarnation is registered because of a
+// notice that cannot be read.
+Test(control_codec, refuses_unreadable_departures) {
+  cr_expect_eq(DecodeDeparture("i-1", R"({"born":77})").value_or(-1), 77);
+  cr_expect_eq(DecodeDeparture("i-1", "{}").value_or(-1), 0);
+  cr_expect_eq(DecodeDeparture("i-1", "").value_or(-1), 0);
+  for (const char* it :
+       {"{", "[]", R"({"born":"77"})", R"({"born":-1})", R"({"born":1e300})",
+        R"({"born":99999999999999999999})", R"({"born":null})"}) {
+    cr_expect_not(DecodeDeparture("i-1", it).has_value(), "%s", it);
+  }
+}
+
 // Guards against treating a reply as a success that is incomplete or has an
 // error status, and against treating an order as not sent that may have been
 // executed.
