cell: Skip ends of runs whose number is far beyond the others

A worker's list of ends with one number such as 2^52 made the leader acknowledge the ends up to that number. All later ends of this incarnation were then below the last one read: they were skipped, and the worker discarded them. Their runs counted as lost and were started again.

A lone row with a wrong number below 2^31 is still taken.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -22,6 +22,24 @@
 constexpr std::size_t kMaxStartAnswers = 64;
 constexpr std::int64_t kStartAnswerMaxAgeMs = 1'000;
 constexpr std::size_t kMinStartAnswers = 8;
+// A worker numbers its ends from 1 on and lists some hundred at a time. An end
+// whose number is further from the first in its list, or from the last that
+// was read, is not an end of this worker.
+constexpr std::int64_t kMaxListedEndSpan = 1'000'000;
+constexpr std::int64_t kMaxUnreadEnds = std::int64_t{1} << 31;
+
+// Returns the highest number of an end in `rows` that may be read after the end
+// `seen`.
+std::int64_t HighestReadableEnd(const std::vector<EndedRow>& rows,
+                                std::int64_t seen) {
+  std::int64_t out = seen + kMaxUnreadEnds;
+  for (const auto& it : rows) {
+    if (it.number > seen) {
+      out = std::min(out, it.number + kMaxListedEndSpan);
+    }
+  }
+  return out;
+}
 
 }  // namespace
 
@@ -110,8 +128,9 @@
                              std::int64_t now_ms,
                              WorkerTrackerOutput& out) {
   std::int64_t last = worker.seen_end;
+  const auto highest = HighestReadableEnd(reply.ended, worker.seen_end);
   for (const auto& it : reply.ended) {
-    if (it.number <= worker.seen_end) {
+    if (it.number <= worker.seen_end || it.number > highest) {
       continue;
     }
     last = std::max(last, it.number);
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -104,6 +104,52 @@
   cr_expect_eq(out.finished[0].run_ms, 0);
 }
 
+// Guards against one row with a number far beyond the others: once that number
+// is acknowledged, the worker discards all its later ends.
+Test(worker_tracker, skips_ends_with_a_number_far_beyond_the_others) {
+  constexpr std::int64_t kFirst = 5'000'000;
+  for (const std::int64_t odd : {std::int64_t{1} << 52, kFirst * 10}) {
+    for (const bool odd_is_first : {true, false}) {
+      auto tracker = MakeTracker(100);
+      SendStart(tracker, 150);
+      WorkerTrackerOutput out;
+      tracker.Advance(200, out);
+      EndedRow row;
+      row.task = {9, 0, 0, 0};
+      row.run = 1;
+      row.number = odd;
+      auto reply = MakeHoldReply(1'100, 50);
+      // A new leader sees the ends of a worker from any number on.
+      EndedRow end = row;
+      end.number = kFirst;
+      end.task = kTask;
+      end.how = wire::RunEnd::kDone;
+      reply.ended = {odd_is_first ? row : end, odd_is_first ? end : row};
+      tracker.OnReply(LastHold(out), 200, reply, 210, out);
+      cr_assert_eq(out.finished.size(), 1);
+      cr_expect(out.finished[0].task == kTask);
+      cr_assert_eq(out.ends_to_acknowledge.size(), 1);
+      cr_expect_eq(out.ends_to_acknowledge[0].second, kFirst);
+    }
+  }
+}
+
+// Guards against an odd number that is listed before the worker's first end.
+Test(worker_tracker, skips_a_single_end_with_an_impossible_number) {
+  auto tracker = MakeTracker(100);
+  WorkerTrackerOutput out;
+  tracker.Advance(200, out);
+  EndedRow row;
+  row.task = kTask;
+  row.run = 1;
+  row.number = std::int64_t{1} << 40;
+  auto reply = MakeHoldReply(1'100, 50);
+  reply.ended = {row};
+  tracker.OnReply(LastHold(out), 200, reply, 210, out);
+  cr_expect(out.finished.empty());
+  cr_expect(out.ends_to_acknowledge.empty());
+}
+
 // Guards against a second run while a start that was not answered may still be
 // executed. The run is stopped first, and ends when a later list does not have
 // it.
