--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -179,6 +179,23 @@
   }
 }
 
+// Guards against a start in the far future, which makes all later reports of
+// that id outdated, and against capacities of which the sum overflows.
+Test(control_codec, refuses_reports_with_impossible_amounts) {
+  const std::pair<std::string, std::string> cases[] = {
+      {"\"born\":77", "\"born\":4503599627370495"},
+      {"\"cpu\":16000", "\"cpu\":4503599627370495"},
+      {"\"memMb\":32768", "\"memMb\":4503599627370495"},
+      {"\"gpu\":0", "\"gpu\":4503599627370495"},
+      {"\"cpu\":16000", "\"cpu\":-1"}};
+  for (const auto& [from, to] : cases) {
+    cr_expect_not(DecodeReport("i-1", Replaced(kReport, from, to)).has_value(),
+                  "%s", to.c_str());
+  }
+  const auto now = Replaced(kReport, "\"born\":77", "\"born\":1796428800000");
+  cr_expect(DecodeReport("i-1", now).has_value());
+}
+
 // Guards against ids that add header lines to calls of the worker or break up
 // lines of the log.
 Test(control_codec, refuses_ids_that_are_not_short_visible_text) {
