cell: Pause holds of a worker that lists an end that cannot be read

Such an end is not acknowledged unless a later one is, so a worker that waits for an end before it answers a hold answers at once, and the leader sent a hold in each round trip for as long as the row stayed listed.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -129,7 +129,9 @@
                              WorkerTrackerOutput& out) {
   std::int64_t last = worker.seen_end;
   const auto highest = HighestReadableEnd(reply.ended, worker.seen_end);
+  bool unreadable_number = false;
   for (const auto& it : reply.ended) {
+    unreadable_number = unreadable_number || it.number > highest;
     if (it.number <= worker.seen_end || it.number > highest) {
       continue;
     }
@@ -154,6 +156,10 @@
     worker.seen_end = last;
     worker.ends_commit_pending = true;
     out.ends_to_acknowledge.emplace_back(worker.number, last);
+  } else if (reply.unreadable_rows > 0 || unreadable_number) {
+    // The worker answers at once while it lists an end that is not
+    // acknowledged.
+    worker.next_hold_ms = now_ms + kHoldRetryMs;
   }
 }
 
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -150,6 +150,31 @@
   cr_expect(out.ends_to_acknowledge.empty());
 }
 
+// Guards against a hold in each round trip to a worker that lists an end that
+// cannot be read: it is never acknowledged, so the worker answers at once.
+Test(worker_tracker, pauses_holds_while_an_end_cannot_be_read) {
+  for (const bool unreadable : {true, false}) {
+    auto tracker = MakeTracker(100);
+    WorkerTrackerOutput out;
+    tracker.Advance(200, out);
+    auto reply = MakeHoldReply(1'100, 50);
+    reply.unreadable_rows = unreadable ? 1 : 0;
+    if (!unreadable) {
+      EndedRow row;
+      row.task = kTask;
+      row.run = 1;
+      row.number = std::int64_t{1} << 40;
+      reply.ended = {row};
+    }
+    tracker.OnReply(LastHold(out), 200, reply, 210, out);
+    out = {};
+    tracker.Advance(220, out);
+    cr_expect(out.orders.empty());
+    tracker.Advance(210 + 500, out);
+    cr_expect(std::holds_alternative<HoldOrder>(LastHold(out).order));
+  }
+}
+
 // Guards against a second run while a start that was not answered may still be
 // executed. The run is stopped first, and ends when a later list does not have
 // it.
