platform, http, controller: Check addresses in one place

The settings took any text with digits after a colon as an address, so seeds and listening addresses with the port 0 or 99999, or a host name, were accepted, and did not check the end of `portRange`. The metrics server took port 99999 for port 0 and listened on a random one, because from_chars() reaches the end of a number out of range too. The HTTP server read a port with atoi(), which takes "80x" for 80 and is undefined beyond int.

Addresses of the Thrift channels, which may be host names, are not changed.

--- a/libraries/controller/src/metrics_server.cc
+++ b/libraries/controller/src/metrics_server.cc
@@ -1,12 +1,12 @@
 #include "metrics_server.h"
 
-#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <ulfius.h>
 
-#include <charconv>
-#include <cstdint>
 #include <utility>
 
+#include "cranberryshunt/base/endpoint.h"
+
 namespace cranberryshunt::controller {
 
 namespace {
@@ -15,21 +15,12 @@
 
 // Fails with kInvalidSettings when `text` is not "ip:port".
 Result<sockaddr_in> ParseAddress(const std::string& text) {
-  const auto colon = text.rfind(':');
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  std::uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const bool valid =
-      colon != std::string::npos &&
-      std::from_chars(text.data() + colon + 1, end, port).ptr == end &&
-      inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
-  if (!valid) {
+  const auto address = ParseEndpoint(text);
+  if (!address) {
     return Fail(ResultCode::kInvalidSettings, "address must be ip:port",
                 "metrics_address");
   }
-  address.sin_port = htons(port);
-  return address;
+  return *address;
 }
 
 }  // namespace
--- a/libraries/http/src/http_server.cc
+++ b/libraries/http/src/http_server.cc
@@ -15,6 +15,7 @@
 #include <exception>
 #include <string>
 
+#include "cranberryshunt/base/endpoint.h"
 #include "cranberryshunt/base/log.h"
 
 namespace cranberryshunt::http {
@@ -281,20 +282,12 @@
 
 Result<void> HttpServer::Implementation::Listen(
     const HttpServerOptions& options) {
-  const auto colon = options.listen_address.rfind(':');
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  const int port = colon == std::string::npos
-                       ? 0
-                       : std::atoi(options.listen_address.c_str() + colon + 1);
-  if (port <= 0 || port > 65535 ||
-      inet_pton(AF_INET, options.listen_address.substr(0, colon).c_str(),
-                &address.sin_addr) != 1) {
+  auto address = ParseEndpoint(options.listen_address);
+  if (!address) {
     return Fail(ResultCode::kInvalidSettings, "address is not ip:port",
                 "listen-address");
   }
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  if (ulfius_init_instance(&instance, static_cast<unsigned int>(port), &address,
+  if (ulfius_init_instance(&instance, ntohs(address->sin_port), &*address,
                            nullptr) != U_OK) {
     return Fail(ResultCode::kUnavailable, "cannot set up the HTTP server");
   }
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -82,6 +82,24 @@
   }
 }
 
+// Guards against settings that name an address to which nothing can listen or
+// connect.
+Test(settings, refuses_addresses_and_ports_out_of_range) {
+  const std::pair<std::string, std::string> cases[] = {
+      {"10.2.0.33:8166", "10.2.0.33:0"},
+      {"10.2.0.33:8166", "10.2.0.33:99999"},
+      {"10.2.0.33:8166", "host:8166"},
+      {"control = \"10.1.0.16:8166\"", "control = \"10.1.0.16:65536\""},
+      {"10.200.1.9:8169", "10.200.1.9:8169 "},
+      {"[7720,7735]", "[7720,\"x\"]"},
+      {"[7720,7735]", "[7720,7719]"},
+      {"[7720,7735]", "[7720,65536]"}};
+  for (const auto& [from, to] : cases) {
+    cr_expect_not(ParseSettings(Replaced(kSettings, from, to)).has_value(),
+                  "%s", to.c_str());
+  }
+}
+
 Test(job_codec, reads_a_job_of_two_steps) {
   const auto job = DecodeJob(
       R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256},
