--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -37,6 +37,12 @@
 "advice":{"decideMs":520.0,"periodMs":7.4,"validMs":1500}}],
 "services":[{"name":"s","enforcesCapacity":false}],"limits":{}})";
 
+constexpr char kReport[] =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
+    "slots":8,"state":"draining","coldLeftMs":0,"born":77,
+    "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],
+    "clockMs":482113,"remainingMs":900,"seq":4})";
+
 std::string Replaced(std::string text,
                      const std::string& from,
                      const std::string& to) {
@@ -76,6 +82,24 @@
   }
 }
 
+// Guards against settings that name an address to which nothing can listen or
+// connect.
+Test(settings, refuses_addresses_and_ports_out_of_range) {
+  const std::pair<std::string, std::string> cases[] = {
+      {"10.2.0.33:8166", "10.2.0.33:0"},
+      {"10.2.0.33:8166", "10.2.0.33:99999"},
+      {"10.2.0.33:8166", "host:8166"},
+      {"control = \"10.1.0.16:8166\"", "control = \"10.1.0.16:65536\""},
+      {"10.200.1.9:8169", "10.200.1.9:8169 "},
+      {"[7720,7735]", "[7720,\"x\"]"},
+      {"[7720,7735]", "[7720,7719]"},
+      {"[7720,7735]", "[7720,65536]"}};
+  for (const auto& [from, to] : cases) {
+    cr_expect_not(ParseSettings(Replaced(kSettings, from, to)).has_value(),
+                  "%s", to.c_str());
+  }
+}
+
 Test(job_codec, reads_a_job_of_two_steps) {
   const auto job = DecodeJob(
       R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256},
@@ -148,11 +172,7 @@
 }
 
 Test(control_codec, reads_a_worker_report) {
-  const std::string body =
-      R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
-      "slots":8,"state":"draining","coldLeftMs":0,"born":77,
-      "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],
-      "clockMs":482113,"remainingMs":900,"seq":4})";
+  const std::string body = kReport;
   const auto report = DecodeReport("i-1", body);
   cr_assert(report.has_value());
   cr_expect(report->worker.leaving);
@@ -162,6 +182,66 @@
   cr_expect_not(DecodeReport("i-1", Replaced(body, "\"seq\":4", "\"seq\":{}")));
 }
 
+// Guards against registering a worker that no call can reach.
+Test(control_codec, refuses_reports_without_a_usable_address) {
+  for (const char* it :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999", "10.0.0.9",
+        "10.0.0.9:", "host:80", " 10.0.0.9:80", "10.0.0.9:80/x",
+        "u@10.0.0.9:80", "[::1]:80", "10.0.0.9:080", "10.0.0.9:+80",
+        "10.0.0.9:80\\r\\nX: y", "10.0.0.9:80\\u0000"}) {
+    const auto report =
+        DecodeReport("i-1", Replaced(kReport, "10.0.0.9:80", it));
+    cr_assert_not(report.has_value(), "%s", it);
+    cr_expect(report.error().field() == "address", "%s", it);
+    cr_expect_eq(EncodeError(report.error(), 0, false).status, 400, "%s", it);
+  }
+}
+
+// Guards against a start in the far future, which makes all later reports of
+// that id outdated, and against capacities of which the sum overflows.
+Test(control_codec, refuses_reports_with_impossible_amounts) {
+  const std::pair<std::string, std::string> cases[] = {
+      {"\"born\":77", "\"born\":4503599627370495"},
+      {"\"cpu\":16000", "\"cpu\":4503599627370495"},
+      {"\"memMb\":32768", "\"memMb\":4503599627370495"},
+      {"\"gpu\":0", "\"gpu\":4503599627370495"},
+      {"\"cpu\":16000", "\"cpu\":-1"}};
+  for (const auto& [from, to] : cases) {
+    cr_expect_not(DecodeReport("i-1", Replaced(kReport, from, to)).has_value(),
+                  "%s", to.c_str());
+  }
+  const auto now = Replaced(kReport, "\"born\":77", "\"born\":1796428800000");
+  cr_expect(DecodeReport("i-1", now).has_value());
+}
+
+// Guards against ids that add header lines to calls of the worker or break up
+// lines of the log.
+Test(control_codec, refuses_ids_that_are_not_short_visible_text) {
+  for (const auto& it :
+       {std::string(), std::string("i 1"), std::string("i\r\nX-A: b"),
+        std::string("i\t"), std::string("i\x7f"), std::string("i\xff"),
+        std::string("i\0", 2), std::string(4'000, 'i')}) {
+    const auto report = DecodeReport(it, kReport);
+    cr_assert_not(report.has_value(), "%s", it.c_str());
+    cr_expect(report.error().field() == "id", "%s", it.c_str());
+    cr_expect_not(DecodeDeparture(it, "{}").has_value(), "%s", it.c_str());
+  }
+  cr_expect(DecodeReport("i-7f3a91c2", kReport).has_value());
+}
+
+// Guards against removing whichever incarnation is registered because of a
+// notice that cannot be read.
+Test(control_codec, refuses_unreadable_departures) {
+  cr_expect_eq(DecodeDeparture("i-1", R"({"born":77})").value_or(-1), 77);
+  cr_expect_eq(DecodeDeparture("i-1", "{}").value_or(-1), 0);
+  cr_expect_eq(DecodeDeparture("i-1", "").value_or(-1), 0);
+  for (const char* it :
+       {"{", "[]", R"({"born":"77"})", R"({"born":-1})", R"({"born":1e300})",
+        R"({"born":99999999999999999999})", R"({"born":null})"}) {
+    cr_expect_not(DecodeDeparture("i-1", it).has_value(), "%s", it);
+  }
+}
+
 // Guards against treating a reply as a success that is incomplete or has an
 // error status, and against treating an order as not sent that may have been
 // executed.
@@ -202,6 +282,91 @@
                cell::WorkerAnswer::kNoAnswer);
 }
 
+// Guards against losing all rows of a reply, and then the worker's lease,
+// because of one row that jansson refuses.
+Test(worker_codec, reads_the_rows_beside_one_that_is_not_valid) {
+  const std::string nested = std::string(3'000, '[') + std::string(3'000, ']');
+  const std::string rows[] = {
+      "[\"5c0e7a21d94b36f8.0.1.18\",99999999999999999999,\"\",1]",
+      "[\"5c0e7a21d94b36f8.0.1.18\",1e999,\"\",1]",
+      "[\"5c0e7a21d94b36f8.0.1.18\",1,\"\xff\",1]", "{\"task\":1,\"task\":2}",
+      nested};
+  for (const auto& it : rows) {
+    std::string body = R"({"clockMs":9,"running":[)";
+    body.append(it).append(
+        R"(,["5c0e7a21d94b36f8.0.1.17",2,"c",41,300]],
+        "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)");
+    body.append(it).append("]}");
+    const auto reply =
+        DecodeWorkerReply(cell::HoldOrder(), MakeAnswer(200, body));
+    cr_expect_eq(reply.answer, cell::WorkerAnswer::kDone, "%.60s", it.c_str());
+    cr_expect_eq(reply.clock_ms, 9);
+    cr_assert_eq(reply.running.size(), 1, "%.60s", it.c_str());
+    cr_expect_eq(reply.running[0].run, 2);
+    cr_assert_eq(reply.ended.size(), 1);
+    cr_expect_eq(reply.ended[0].number, 58);
+    cr_expect_eq(reply.unreadable_rows, 2);
+  }
+}
+
+// Guards against a clock of 0 in place of one that cannot be read: leases that
+// are computed from it have already expired.
+Test(worker_codec, takes_an_unreadable_clock_as_unknown) {
+  for (const char* it : {"\"9\"", "null", "-4", "1e999"}) {
+    const auto reply = DecodeWorkerReply(
+        cell::HoldOrder(),
+        MakeAnswer(200, std::string(R"({"running":[],"ended":[],"clockMs":)") +
+                            it + "}"));
+    cr_expect_eq(reply.answer, cell::WorkerAnswer::kDone, "%s", it);
+    cr_expect_eq(reply.clock_ms, -1, "%s", it);
+  }
+}
+
+// Guards against the undefined conversion of numbers out of range, and against
+// taking a row for another run than the one that it names.
+Test(worker_codec, counts_rows_with_unusable_values_as_unreadable) {
+  const std::string task = "\"5c0e7a21d94b36f8.0.1.17\"";
+  const std::string running[] = {
+      "[" + task + ",1e300,\"\",1,1]",
+      "[" + task + ",4294967298,\"\",1,1]",
+      "[" + task + ",0,\"\",1,1]",
+      "[" + task + ",-2,\"\",1,1]",
+      "[" + task + ",1.5,\"\",1,1]",
+      "[" + task + ",\"1\",\"\",1,1]",
+      "[" + task + "]",
+      "[" + task + ",2,\"\",1e300,1]",
+      "[" + task + ",2,\"\",1,-1e300]",
+      "[" + task + ",2,\"\",\"1\",1]",
+      "[\"5c0e7a21d94b36f8.0.1.17\\u0000\",2,\"\",1,1]",
+      "[\"5c0e7a21d94b36f8.0.1.4294967313\",2,\"\",1,1]"};
+  for (const auto& it : running) {
+    const auto reply = DecodeWorkerReply(
+        cell::HoldOrder(),
+        MakeAnswer(200, "{\"ended\":[],\"running\":[" + it + "]}"));
+    cr_expect_eq(reply.unreadable_rows, 1, "%s", it.c_str());
+    cr_expect(reply.running.empty(), "%s", it.c_str());
+  }
+  const std::string ended[] = {
+      "[1e300," + task + ",2,\"done\",\"\"]",
+      "[9007199254740993," + task + ",2,\"done\",\"\"]",
+      "[0," + task + ",2,\"done\",\"\"]",
+      "[58," + task + ",4294967298,\"done\",\"\"]",
+      "[58," + task + ",2,\"done\\u0000\",\"\"]"};
+  for (const auto& it : ended) {
+    const auto reply = DecodeWorkerReply(
+        cell::HoldOrder(),
+        MakeAnswer(200, "{\"running\":[],\"ended\":[" + it + "]}"));
+    cr_expect_eq(reply.unreadable_rows, 1, "%s", it.c_str());
+    cr_expect(reply.ended.empty(), "%s", it.c_str());
+  }
+  const auto fraction = DecodeWorkerReply(
+      cell::HoldOrder(), MakeAnswer(200, "{\"ended\":[],\"running\":[[" + task +
+                                             ",2,\"\",41.5,300.5]]}"));
+  cr_assert_eq(fraction.running.size(), 1);
+  cr_expect_eq(fraction.running[0].percent, 41);
+  cr_expect_eq(fraction.running[0].usage, 300);
+}
+
 // Guards against names with a NUL character, at which logs and ids would cut
 // them off.
 Test(json_reader, refuses_nul_in_names) {
