policy: Look at fewer workers between full planning rounds

A leader of 350 workers that was asked for twice the usual load spent most of its decision time in GraphPlanner::AllowedWorkers: for each waiting step it walked the tree of the workers that advice allows and looked each of them up in the tree of all workers, although hardly any of them had room.

Between full rounds a step is now planned only if a changed worker has free capacity for one of its tasks. Allowed and asked workers are kept in sorted vectors, workers are looked up in an array that each round builds, and the sort key of a step is computed once a round. Late steps that are not planned still count towards the share of late steps while a gang waits.

--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -31,9 +31,10 @@
   }
   last_usability_check_ms_ = now_ms_;
   for (const auto& [number, tracked_worker] : workers_.workers()) {
-    auto& worker = planner_.workers()[number];
-    if (worker.usable != IsUsable(tracked_worker) ||
-        worker.probing != health_.IsProbing(number)) {
+    const auto worker = planner_.workers().find(number);
+    if (worker == planner_.workers().end() ||
+        worker->second.usable != IsUsable(tracked_worker) ||
+        worker->second.probing != health_.IsProbing(number)) {
       RefreshPlanWorker(number);
     }
   }
@@ -139,7 +140,7 @@
   }
   std::string ticket;
   if (step.advice.needed) {
-    ticket = step.advice.allowed.at(start.worker).text;
+    ticket = step.advice.allowed.find(start.worker)->second.text;
   }
   ++metrics_.Counter("starts_total");
   workers_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms);
@@ -206,7 +207,7 @@
 }
 
 void Leader::ApplyAdvice() {
-  for (const auto& it : advice_dispatcher_.TakeAnswers()) {
+  for (auto& it : advice_dispatcher_.TakeAnswers()) {
     plan_due_ = true;
     if (!step_tracker_.Has(it.question.step)) {
       continue;
@@ -225,11 +226,12 @@
     const auto valid_ms = store_.QueueOf(*job).advice.ticket_valid_ms;
     advice.asked_workers.insert(it.question.worker_numbers.begin(),
                                 it.question.worker_numbers.end());
-    for (const auto& row : it.allowed) {
+    for (auto& row : it.allowed) {
       const auto number = store_.FindWorker(row.worker);
       if (number) {
         advice.allowed[*number] = {
-            row.ticket, it.answered_at_ms - kAnswerTransitMs + valid_ms};
+            std::move(row.ticket),
+            it.answered_at_ms - kAnswerTransitMs + valid_ms};
       }
     }
     Log(LogLevel::kInfo, "advice", "advice service answered a question",
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "cranberryshunt/base/flat_containers.h"
+
 namespace cranberryshunt::policy {
 
 // Resources that a task needs, or that a worker has or has reserved.
@@ -81,8 +83,8 @@
   // `per_worker_ms` for each worker in the question.
   double base_ms = 0;
   double per_worker_ms = 0;
-  std::set<std::int64_t> asked_workers;    // Workers with an answer.
-  std::map<std::int64_t, Ticket> allowed;  // By worker.
+  FlatSet<std::int64_t> asked_workers;    // Workers with an answer.
+  FlatMap<std::int64_t, Ticket> allowed;  // By worker.
 
   bool Allows(std::int64_t worker) const;
   // Whether no ticket is needed, or the worker's ticket is valid until
@@ -187,6 +189,7 @@
  public:
   explicit GraphPlanner(PlannerOptions options = {});
 
+  // Workers by number.
   std::map<std::int64_t, PlanWorker>& workers() { return workers_; }
   std::map<StepId, PlanStep>& steps() { return steps_; }
   const std::map<std::int64_t, PlanWorker>& workers() const { return workers_; }
@@ -212,7 +215,11 @@
   // Whether the worker may run tasks of the step, regardless of its free
   // capacity and of advice.
   static bool IsEligible(const PlanStep& step, const PlanWorker& worker);
-  // Whether advice allows any of the changed workers for the step.
+  // Fills `all_workers_` and `changed_candidates_`.
+  void IndexWorkers();
+  PlanWorker* FindWorker(std::int64_t number) const;
+  // Whether advice allows any of the changed workers for the step, and that
+  // worker has free capacity for a task of it.
   bool IsAffectedByChangedWorkers(const PlanStep& step) const;
   // Returns the eligible workers that advice allows. With `changed_only`,
   // considers only changed workers.
@@ -241,6 +248,10 @@
   std::map<std::int64_t, PlanWorker> workers_;
   std::map<StepId, PlanStep> steps_;
   std::set<std::int64_t> changed_workers_;
+  // Used within a call of Decide(): all workers and the changed ones among
+  // them, both ordered by number.
+  std::vector<PlanWorker*> all_workers_;
+  Candidates changed_candidates_;
   // Workers with capacity that the last Decide() held for gangs.
   std::vector<std::int64_t> workers_with_held_capacity_;
   std::int64_t full_round_at_ms_ = 0;
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -188,22 +188,25 @@
 // ordered by the latest time at which they must start, or, if they are late, by
 // the time at which they were accepted.
 std::vector<PlanStep*> GraphPlanner::StepsByUrgency(std::int64_t now_ms) {
-  std::vector<PlanStep*> order;
-  order.reserve(steps_.size());
+  using Key = std::tuple<bool, bool, std::int64_t, StepId>;
+  std::vector<std::pair<Key, PlanStep*>> order;
   for (auto& [id, step] : steps_) {
-    if (!step.waiting.empty()) {
-      order.push_back(&step);
+    if (step.waiting.empty()) {
+      continue;
     }
-  }
-  const auto key = [now_ms](const PlanStep& step) {
     const bool late = IsLate(step, now_ms);
     const auto urgency =
         late ? step.accepted_ms : step.objective_ms - step.remaining_ms;
-    return std::tuple(late, step.priority > 0, urgency, step.id);
-  };
+    order.emplace_back(Key(late, step.priority > 0, urgency, id), &step);
+  }
   std::sort(order.begin(), order.end(),
-            [&](const auto* a, const auto* b) { return key(*a) < key(*b); });
-  return order;
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<PlanStep*> out;
+  out.reserve(order.size());
+  for (const auto& [key, step] : order) {
+    out.push_back(step);
+  }
+  return out;
 }
 
 bool GraphPlanner::IsEligible(const PlanStep& step, const PlanWorker& worker) {
@@ -215,33 +218,44 @@
          step.demand.FitsIn(worker.capacity);
 }
 
+PlanWorker* GraphPlanner::FindWorker(std::int64_t number) const {
+  const auto it = std::lower_bound(
+      all_workers_.begin(), all_workers_.end(), number,
+      [](const auto* worker, auto key) { return worker->number < key; });
+  return it != all_workers_.end() && (*it)->number == number ? *it : nullptr;
+}
+
 bool GraphPlanner::IsAffectedByChangedWorkers(const PlanStep& step) const {
-  return std::any_of(changed_workers_.begin(), changed_workers_.end(),
-                     [&](auto it) { return step.advice.Allows(it); });
+  return std::any_of(changed_candidates_.begin(), changed_candidates_.end(),
+                     [&](const auto* it) {
+                       return step.demand.FitsIn(it->FreeCapacity()) &&
+                              step.advice.Allows(it->number);
+                     });
 }
 
 GraphPlanner::Candidates GraphPlanner::AllowedWorkers(const PlanStep& step,
                                                       bool changed_only) {
   Candidates out;
-  const auto add = [&](std::int64_t number) {
-    const auto it = workers_.find(number);
-    if (it != workers_.end() && IsEligible(step, it->second)) {
-      out.push_back(&it->second);
+  const auto add = [&](PlanWorker* worker) {
+    if (worker != nullptr && IsEligible(step, *worker)) {
+      out.push_back(worker);
     }
   };
   if (changed_only) {
-    for (const auto number : changed_workers_) {
-      if (step.advice.Allows(number)) {
-        add(number);
+    for (auto* it : changed_candidates_) {
+      if (step.advice.Allows(it->number)) {
+        add(it);
       }
     }
   } else if (step.advice.needed) {
+    out.reserve(step.advice.allowed.size());
     for (const auto& [number, ticket] : step.advice.allowed) {
-      add(number);
+      add(FindWorker(number));
     }
   } else {
-    for (const auto& [number, worker] : workers_) {
-      add(number);
+    out.reserve(all_workers_.size());
+    for (auto* it : all_workers_) {
+      add(it);
     }
   }
   if (step.avoided.empty()) {
@@ -257,6 +271,19 @@
   return preferred.empty() && !changed_only ? out : preferred;
 }
 
+void GraphPlanner::IndexWorkers() {
+  all_workers_.clear();
+  for (auto& [number, worker] : workers_) {
+    all_workers_.push_back(&worker);
+  }
+  changed_candidates_.clear();
+  for (const auto number : changed_workers_) {
+    if (auto* worker = FindWorker(number); worker != nullptr) {
+      changed_candidates_.push_back(worker);
+    }
+  }
+}
+
 Plan GraphPlanner::Decide(std::int64_t now_ms, std::int64_t idle_callers) {
   Round round;
   round.now_ms = now_ms;
@@ -267,9 +294,10 @@
     usable_workers_.clear();
     usable_capacity_.clear();
   }
+  IndexWorkers();
   for (const auto number : workers_with_held_capacity_) {
-    if (const auto it = workers_.find(number); it != workers_.end()) {
-      it->second.held = {};
+    if (auto* worker = FindWorker(number); worker != nullptr) {
+      worker->held = {};
     }
   }
   workers_with_held_capacity_.clear();
@@ -304,6 +332,9 @@
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
   const bool plan_fully = round.full || step.changed;
   if (!plan_fully && !IsAffectedByChangedWorkers(step)) {
+    if (IsLate(step, round.now_ms)) {
+      (void)MayStartLate(step, round);
+    }
     if (round.held_share >= options_.max_held_share) {
       step.held.clear();
     }
@@ -451,9 +482,9 @@
 void GraphPlanner::HoldCapacity(const PlanStep& step, Round& round) {
   Demand held;
   for (const auto& it : step.held) {
-    const auto worker = workers_.find(it.worker);
-    if (worker != workers_.end()) {
-      worker->second.held += it.demand;
+    auto* worker = FindWorker(it.worker);
+    if (worker != nullptr) {
+      worker->held += it.demand;
       workers_with_held_capacity_.push_back(it.worker);
       held += it.demand;
     }
@@ -542,10 +573,10 @@
   const auto wanted = step.gang ? 2 * count : count;
   std::int64_t fit = 0;
   for (const auto& [number, ticket] : step.advice.allowed) {
-    const auto it = workers_.find(number);
-    if (it != workers_.end() && IsEligible(step, it->second)) {
-      fit += FitCount(step.demand, it->second.capacity,
-                      std::min(count, PerWorkerLimit(step, it->second)));
+    const auto* worker = FindWorker(number);
+    if (worker != nullptr && IsEligible(step, *worker)) {
+      fit += FitCount(step.demand, worker->capacity,
+                      std::min(count, PerWorkerLimit(step, *worker)));
     }
     if (fit >= wanted) {
       break;
@@ -575,9 +606,9 @@
   }
   // Computes the sort key once for each worker.
   std::vector<std::pair<double, std::int64_t>> candidates;
-  for (const auto& [number, worker] : workers_) {
-    if (!asked_workers.contains(number) && IsEligible(step, worker)) {
-      candidates.emplace_back(-LeftoverShare(worker, step.demand), number);
+  for (const auto* it : all_workers_) {
+    if (!asked_workers.contains(it->number) && IsEligible(step, *it)) {
+      candidates.emplace_back(-LeftoverShare(*it, step.demand), it->number);
     }
   }
   if (candidates.empty()) {
--- a/tests/base/base_test.cc
+++ b/tests/base/base_test.cc
@@ -6,12 +6,38 @@
 
 #include "cranberryshunt/base/bounded_ring.h"
 #include "cranberryshunt/base/bytes.h"
+#include "cranberryshunt/base/flat_containers.h"
 #include "cranberryshunt/base/metrics.h"
 #include "cranberryshunt/base/resources.h"
 #include "cranberryshunt/base/timer_service.h"
 
 namespace cranberryshunt {
 
+// Guards against lost, doubled or unordered elements when keys arrive in any
+// order.
+Test(flat_containers, keep_one_element_for_each_key_in_order) {
+  FlatMap<int, int> map;
+  FlatSet<int> set;
+  for (const int key : {5, 1, 9, 5, 3}) {
+    map[key] = map.contains(key) ? -key : key;
+    set.insert(key);
+  }
+  const std::vector<int> more = {9, 4, 4, 1};
+  set.insert(more.begin(), more.end());
+  const std::vector<std::pair<int, int>> elements(map.begin(), map.end());
+  const std::vector<std::pair<int, int>> expected = {
+      {1, 1}, {3, 3}, {5, -5}, {9, 9}};
+  cr_expect(elements == expected);
+  cr_expect(std::vector<int>(set.begin(), set.end()) ==
+            std::vector<int>({1, 3, 4, 5, 9}));
+  cr_expect_eq(map.erase(3), 1U);
+  cr_expect_eq(map.erase(3), 0U);
+  cr_expect(map.find(3) == map.end());
+  cr_expect_eq(map.find(9)->second, 9);
+  cr_expect(set.contains(4));
+  cr_expect_not(set.contains(2));
+}
+
 // Guards against a ring that grows or loses items when producers are faster
 // than the consumer.
 Test(bounded_ring, refuses_when_full_and_keeps_order) {
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -234,3 +234,50 @@
   cr_expect_eq(late + planner.Decide(200).starts.size(), 60,
                "without the gang, all late tasks must start");
 }
+
+// Tasks end on some workers between two full rounds, and on the first ones they
+// leave too little room. Guards against a step that then waits for the next
+// full round although one of the changed workers has room.
+Test(graph_planner, starts_on_a_changed_worker_behind_ones_without_room) {
+  GraphPlanner planner({.full_round_ms = 10'000});
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    AddRunningTask(planner.workers()[n], 60'000, n <= 3 ? 8'000 : 500);
+    AddRunningTask(planner.workers()[n], 4'000, n <= 3 ? 500 : 8'000);
+  }
+  auto& step = AddStep(planner, 1, 2, 30'000, 30'000);
+  step.advice.needed = true;
+  for (std::int64_t n = 2; n <= 4; ++n) {
+    step.advice.asked_workers.insert(n);
+    step.advice.allowed[n] = {"t", 20'000};
+  }
+  cr_expect(planner.Decide(10'000).starts.empty());
+  for (std::int64_t n = 1; n <= 3; ++n) {
+    EndTasks(planner, n, 500);
+  }
+  cr_expect(planner.Decide(10'010).starts.empty());
+  EndTasks(planner, 4, 500);
+  planner.MarkWorkerChanged(2);
+  const auto plan = planner.Decide(10'020);
+  cr_assert_eq(plan.starts.size(), 2);
+  cr_expect_eq(plan.starts.front().worker, 4);
+  cr_expect_eq(plan.starts.back().worker, 4);
+}
+
+// Late steps wait beside a gang, and some of them have no room on the workers
+// that changed. Guards against a round between two full ones that leaves their
+// running tasks out of the share that late steps may use.
+Test(graph_planner, counts_late_steps_without_room_while_a_gang_waits) {
+  GraphPlanner planner({.max_held_share = 0, .full_round_ms = 10'000});
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    AddRunningTask(planner.workers()[n], n == 4 ? 44'000 : 64'000, 60'000);
+  }
+  AddStep(planner, 1, 8, 40'000, 90'000).gang = true;
+  // Uses more than the share of late steps, and fits nowhere.
+  AddStep(planner, 2, 1, 30'000, 1'000).running[1] = 2;
+  (void)planner.Decide(10'000);
+  AddStep(planner, 3, 6, 10'000, 1'000).changed = false;
+  planner.MarkWorkerChanged(4);
+  cr_expect_eq(CountStarts(planner.Decide(10'010), 3), 0);
+}
