policy, cell: Walk only waiting steps when planning and admitting

The planner now keeps the steps with waiting tasks and the totals of all workers, which change only in a round. Steps are added and removed through the planner, so that it knows them.

--- a/libraries/base/include/cranberryshunt/base/flat_containers.h
+++ b/libraries/base/include/cranberryshunt/base/flat_containers.h
@@ -44,6 +44,11 @@
     return 1;
   }
 
+  template <typename Predicate>
+  void erase_if(Predicate predicate) {
+    std::erase_if(elements_, predicate);
+  }
+
   bool contains(const Key& key) const { return find(key) != end(); }
   const_iterator begin() const { return elements_.begin(); }
   const_iterator end() const { return elements_.end(); }
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -212,7 +212,7 @@
     if (!step_tracker_.Has(it.question.step)) {
       continue;
     }
-    auto& step = planner_.steps().at(it.question.step);
+    auto& step = *planner_.FindStep(it.question.step);
     auto& advice = step.advice;
     advice.question_pending = false;
     step.changed = true;
@@ -256,16 +256,13 @@
 
 policy::LoadSummary Leader::SummarizeLoad() const {
   policy::LoadSummary load;
-  for (const auto& [number, worker] : planner_.workers()) {
-    if (worker.usable) {
-      const auto free_capacity = worker.FreeCapacity();
-      load.cpus.free += static_cast<double>(free_capacity.milli_cpus);
-      load.memory.free += static_cast<double>(free_capacity.memory_mb);
-    }
-    load.cpus.released_per_ms += worker.milli_cpus_per_ms;
-    load.memory.released_per_ms += worker.memory_mb_per_ms;
-  }
-  for (const auto& [id, step] : planner_.steps()) {
+  const auto& workers = planner_.worker_totals();
+  load.cpus.free = static_cast<double>(workers.free.milli_cpus);
+  load.memory.free = static_cast<double>(workers.free.memory_mb);
+  load.cpus.released_per_ms = workers.milli_cpus_per_ms;
+  load.memory.released_per_ms = workers.memory_mb_per_ms;
+  for (const auto& [id, waiting_step] : planner_.waiting_steps()) {
+    const auto& step = *waiting_step;
     const auto tasks = static_cast<double>(step.waiting.size());
     const auto cpus = tasks * static_cast<double>(step.demand.milli_cpus);
     const auto memory = tasks * static_cast<double>(step.demand.memory_mb);
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -125,6 +125,9 @@
     step.waiting.clear();
   }
   step.changed = step.changed || step.waiting != before;
+  if (before.empty() && !step.waiting.empty()) {
+    planner_.MarkStepWaiting(step);
+  }
 }
 
 policy::PlanStep& StepTracker::Add(const graph::Job& job,
@@ -162,13 +165,12 @@
   step.advice.per_worker_ms = queue.advice.per_worker_ms;
   ids_[key] = step.id;
   keys_[step.id] = key;
-  const auto id = step.id;
-  return planner_.steps()[id] = std::move(step);
+  return planner_.AddStep(std::move(step));
 }
 
 policy::PlanStep* StepTracker::Find(const graph::StepKey& key) {
   const auto id = ids_.find(key);
-  return id == ids_.end() ? nullptr : &planner_.steps().at(id->second);
+  return id == ids_.end() ? nullptr : planner_.FindStep(id->second);
 }
 
 void StepTracker::Remove(const graph::StepKey& key) {
@@ -176,7 +178,7 @@
   if (id == ids_.end()) {
     return;
   }
-  planner_.steps().erase(id->second);
+  planner_.RemoveStep(id->second);
   keys_.erase(id->second);
   removed_steps_.push_back(id->second);
   ids_.erase(id);
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -157,6 +157,13 @@
   std::vector<PlannedQuestion> questions;
 };
 
+struct WorkerTotals {
+  Demand free;  // Capacity that is free on usable workers.
+  // Average resources that the tasks of all workers release per millisecond.
+  double milli_cpus_per_ms = 0;
+  double memory_mb_per_ms = 0;
+};
+
 struct PlannerOptions {
   // Limit of workers in one question about new workers, for a step with fewer
   // waiting tasks than `wide_step_tasks`. For other steps, only the limit of
@@ -191,9 +198,24 @@
 
   // Workers by number.
   std::map<std::int64_t, PlanWorker>& workers() { return workers_; }
-  std::map<StepId, PlanStep>& steps() { return steps_; }
   const std::map<std::int64_t, PlanWorker>& workers() const { return workers_; }
   const std::map<StepId, PlanStep>& steps() const { return steps_; }
+  // The steps that may have waiting tasks.
+  const FlatMap<StepId, PlanStep*>& waiting_steps() const {
+    return waiting_steps_;
+  }
+  // Of all workers, as of the last Decide() and with the starts that it
+  // planned.
+  const WorkerTotals& worker_totals() const { return worker_totals_; }
+
+  // Adds the step, or replaces the one with the same id. The reference stays
+  // valid until the step is removed.
+  PlanStep& AddStep(PlanStep step);
+  // Returns null if there is no such step.
+  PlanStep* FindStep(StepId id);
+  void RemoveStep(StepId id);
+  // Must be called when a step without waiting tasks gets some.
+  void MarkStepWaiting(PlanStep& step) { waiting_steps_[step.id] = &step; }
 
   // Must be called when a worker was added or changed, so that the next
   // Decide() plans the steps that may use it.
@@ -215,7 +237,7 @@
   // Whether the worker may run tasks of the step, regardless of its free
   // capacity and of advice.
   static bool IsEligible(const PlanStep& step, const PlanWorker& worker);
-  // Fills `all_workers_` and `changed_candidates_`.
+  // Fills `all_workers_`, `changed_candidates_` and `worker_totals_`.
   void IndexWorkers();
   PlanWorker* FindWorker(std::int64_t number) const;
   // Whether advice allows any of the changed workers for the step, and that
@@ -247,6 +269,10 @@
   const PlannerOptions options_;
   std::map<std::int64_t, PlanWorker> workers_;
   std::map<StepId, PlanStep> steps_;
+  // The steps with waiting tasks, and steps that had some when the last round
+  // began.
+  FlatMap<StepId, PlanStep*> waiting_steps_;
+  WorkerTotals worker_totals_;
   std::set<std::int64_t> changed_workers_;
   // Used within a call of Decide(): all workers and the changed ones among
   // them, both ordered by number.
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -183,6 +183,23 @@
 
 GraphPlanner::GraphPlanner(PlannerOptions options) : options_(options) {}
 
+PlanStep& GraphPlanner::AddStep(PlanStep step) {
+  auto& added = steps_[step.id];
+  added = std::move(step);
+  MarkStepWaiting(added);
+  return added;
+}
+
+PlanStep* GraphPlanner::FindStep(StepId id) {
+  const auto it = steps_.find(id);
+  return it == steps_.end() ? nullptr : &it->second;
+}
+
+void GraphPlanner::RemoveStep(StepId id) {
+  waiting_steps_.erase(id);
+  steps_.erase(id);
+}
+
 // Steps that can still meet their objective precede late ones. Within each of
 // these groups, urgent queues precede others. Steps with equal rank so far are
 // ordered by the latest time at which they must start, or, if they are late, by
@@ -190,14 +207,14 @@
 std::vector<PlanStep*> GraphPlanner::StepsByUrgency(std::int64_t now_ms) {
   using Key = std::tuple<bool, bool, std::int64_t, StepId>;
   std::vector<std::pair<Key, PlanStep*>> order;
-  for (auto& [id, step] : steps_) {
-    if (step.waiting.empty()) {
-      continue;
-    }
-    const bool late = IsLate(step, now_ms);
+  waiting_steps_.erase_if(
+      [](const auto& it) { return it.second->waiting.empty(); });
+  order.reserve(waiting_steps_.size());
+  for (const auto& [id, step] : waiting_steps_) {
+    const bool late = IsLate(*step, now_ms);
     const auto urgency =
-        late ? step.accepted_ms : step.objective_ms - step.remaining_ms;
-    order.emplace_back(Key(late, step.priority > 0, urgency, id), &step);
+        late ? step->accepted_ms : step->objective_ms - step->remaining_ms;
+    order.emplace_back(Key(late, step->priority > 0, urgency, id), step);
   }
   std::sort(order.begin(), order.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -273,8 +290,14 @@
 
 void GraphPlanner::IndexWorkers() {
   all_workers_.clear();
+  worker_totals_ = {};
   for (auto& [number, worker] : workers_) {
     all_workers_.push_back(&worker);
+    if (worker.usable) {
+      worker_totals_.free += worker.FreeCapacity();
+    }
+    worker_totals_.milli_cpus_per_ms += worker.milli_cpus_per_ms;
+    worker_totals_.memory_mb_per_ms += worker.memory_mb_per_ms;
   }
   changed_candidates_.clear();
   for (const auto number : changed_workers_) {
@@ -377,6 +400,7 @@
 
 void GraphPlanner::Start(PlanStep& step, PlanWorker& worker, Round& round) {
   worker.used += step.demand;
+  worker_totals_.free -= step.demand;
   worker.AddEnd({round.now_ms + step.expected_run_ms, step.demand});
   ++step.running[worker.number];
   round.plan.starts.push_back({step.id, step.waiting.back(), worker.number});
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -54,7 +54,7 @@
   step.objective_ms = objective_ms;
   step.waiting.resize(static_cast<std::size_t>(tasks));
   std::iota(step.waiting.begin(), step.waiting.end(), 0);
-  return planner.steps()[id] = step;
+  return planner.AddStep(step);
 }
 
 int CountStarts(const Plan& plan, StepId id) {
@@ -227,9 +227,9 @@
   const auto late = planner.Decide(100).starts.size();
   cr_expect_leq(late, 18, "%zu late tasks were started", late);
   cr_expect_geq(late, 6, "late steps must not starve");
-  planner.steps().erase(1);
-  for (auto& [id, step] : planner.steps()) {
-    step.changed = true;
+  planner.RemoveStep(1);
+  for (StepId id = 2; id <= 11; ++id) {
+    planner.FindStep(id)->changed = true;
   }
   cr_expect_eq(late + planner.Decide(200).starts.size(), 60,
                "without the gang, all late tasks must start");
