--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "cranberryshunt/base/result.h"
@@ -146,7 +147,7 @@
   wire::RoutingTable table_;
   WorkerNumber next_worker_ = 1;
   std::map<WorkerNumber, wire::CalledWorker> workers_;
-  std::map<std::string, WorkerNumber> workers_by_id_;
+  std::unordered_map<std::string, WorkerNumber> workers_by_id_;
   std::map<JobId, Job> jobs_;
 };
 
