--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -31,9 +31,10 @@
   }
   last_usability_check_ms_ = now_ms_;
   for (const auto& [number, tracked_worker] : workers_.workers()) {
-    auto& worker = planner_.workers()[number];
-    if (worker.usable != IsUsable(tracked_worker) ||
-        worker.probing != health_.IsProbing(number)) {
+    const auto worker = planner_.workers().find(number);
+    if (worker == planner_.workers().end() ||
+        worker->second.usable != IsUsable(tracked_worker) ||
+        worker->second.probing != health_.IsProbing(number)) {
       RefreshPlanWorker(number);
     }
   }
@@ -139,7 +140,7 @@
   }
   std::string ticket;
   if (step.advice.needed) {
-    ticket = step.advice.allowed.at(start.worker).text;
+    ticket = step.advice.allowed.find(start.worker)->second.text;
   }
   ++metrics_.Counter("starts_total");
   workers_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms);
@@ -208,12 +209,12 @@
 }
 
 void Leader::ApplyAdvice() {
-  for (const auto& it : advice_dispatcher_.TakeAnswers()) {
+  for (auto& it : advice_dispatcher_.TakeAnswers()) {
     plan_due_ = true;
     if (!step_tracker_.Has(it.question.step)) {
       continue;
     }
-    auto& step = planner_.steps().at(it.question.step);
+    auto& step = *planner_.FindStep(it.question.step);
     auto& advice = step.advice;
     advice.question_pending = false;
     step.changed = true;
@@ -227,11 +228,12 @@
     const auto valid_ms = store_.QueueOf(*job).advice.ticket_valid_ms;
     advice.asked_workers.insert(it.question.worker_numbers.begin(),
                                 it.question.worker_numbers.end());
-    for (const auto& row : it.allowed) {
+    for (auto& row : it.allowed) {
       const auto number = store_.FindWorker(row.worker);
       if (number) {
         advice.allowed[*number] = {
-            row.ticket, it.answered_at_ms - kAnswerTransitMs + valid_ms};
+            std::move(row.ticket),
+            it.answered_at_ms - kAnswerTransitMs + valid_ms};
       }
     }
     Log(LogLevel::kInfo, "advice", "advice service answered a question",
@@ -256,16 +258,13 @@
 
 policy::LoadSummary Leader::SummarizeLoad() const {
   policy::LoadSummary load;
-  for (const auto& [number, worker] : planner_.workers()) {
-    if (worker.usable) {
-      const auto free_capacity = worker.FreeCapacity();
-      load.cpus.free += static_cast<double>(free_capacity.milli_cpus);
-      load.memory.free += static_cast<double>(free_capacity.memory_mb);
-    }
-    load.cpus.released_per_ms += worker.milli_cpus_per_ms;
-    load.memory.released_per_ms += worker.memory_mb_per_ms;
-  }
-  for (const auto& [id, step] : planner_.steps()) {
+  const auto& workers = planner_.worker_totals();
+  load.cpus.free = static_cast<double>(workers.free.milli_cpus);
+  load.memory.free = static_cast<double>(workers.free.memory_mb);
+  load.cpus.released_per_ms = workers.milli_cpus_per_ms;
+  load.memory.released_per_ms = workers.memory_mb_per_ms;
+  for (const auto& [id, waiting_step] : planner_.waiting_steps()) {
+    const auto& step = *waiting_step;
     const auto tasks = static_cast<double>(step.waiting.size());
     const auto cpus = tasks * static_cast<double>(step.demand.milli_cpus);
     const auto memory = tasks * static_cast<double>(step.demand.memory_mb);
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "cranberryshunt/base/flat_containers.h"
+
 namespace cranberryshunt::policy {
 
 // Resources that a task needs, or that a worker has or has reserved.
@@ -81,8 +83,8 @@
   // `per_worker_ms` for each worker in the question.
   double base_ms = 0;
   double per_worker_ms = 0;
-  std::set<std::int64_t> asked_workers;    // Workers with an answer.
-  std::map<std::int64_t, Ticket> allowed;  // By worker.
+  FlatSet<std::int64_t> asked_workers;    // Workers with an answer.
+  FlatMap<std::int64_t, Ticket> allowed;  // By worker.
 
   bool Allows(std::int64_t worker) const;
   // Whether no ticket is needed, or the worker's ticket is valid until
@@ -155,6 +157,16 @@
   std::vector<PlannedQuestion> questions;
 };
 
+struct WorkerTotals {
+  Demand free;  // Capacity that is free on usable workers.
+  // Average resources that the tasks of all workers release per millisecond.
+  double milli_cpus_per_ms = 0;
+  double memory_mb_per_ms = 0;
+
+  WorkerTotals& operator+=(const WorkerTotals& other);
+  WorkerTotals& operator-=(const WorkerTotals& other);
+};
+
 struct PlannerOptions {
   // Limit of workers in one question about new workers, for a step with fewer
   // waiting tasks than `wide_step_tasks`. For other steps, only the limit of
@@ -187,10 +199,26 @@
  public:
   explicit GraphPlanner(PlannerOptions options = {});
 
+  // Workers by number.
   std::map<std::int64_t, PlanWorker>& workers() { return workers_; }
-  std::map<StepId, PlanStep>& steps() { return steps_; }
   const std::map<std::int64_t, PlanWorker>& workers() const { return workers_; }
   const std::map<StepId, PlanStep>& steps() const { return steps_; }
+  // The steps that may have waiting tasks.
+  const FlatMap<StepId, PlanStep*>& waiting_steps() const {
+    return waiting_steps_;
+  }
+  // Of all workers, as of the last Decide() and with the starts that it
+  // planned.
+  const WorkerTotals& worker_totals() const { return worker_totals_; }
+
+  // Adds the step, or replaces the one with the same id. The reference stays
+  // valid until the step is removed.
+  PlanStep& AddStep(PlanStep step);
+  // Returns null if there is no such step.
+  PlanStep* FindStep(StepId id);
+  void RemoveStep(StepId id);
+  // Must be called when a step without waiting tasks gets some.
+  void MarkStepWaiting(PlanStep& step) { waiting_steps_[step.id] = &step; }
 
   // Must be called when a worker was added or changed, so that the next
   // Decide() plans the steps that may use it.
@@ -212,7 +240,23 @@
   // Whether the worker may run tasks of the step, regardless of its free
   // capacity and of advice.
   static bool IsEligible(const PlanStep& step, const PlanWorker& worker);
-  // Whether advice allows any of the changed workers for the step.
+  // What `worker_totals_` contains of a worker.
+  struct IndexedWorker {
+    std::int64_t number = 0;
+    PlanWorker* worker = nullptr;
+    WorkerTotals part;
+  };
+
+  // Brings `all_workers_`, `changed_candidates_` and `worker_totals_` up to
+  // date.
+  void IndexWorkers(bool full);
+  // Returns false if a changed worker was added or removed.
+  bool IndexChangedWorkers();
+  void IndexAllWorkers();
+  IndexedWorker* FindIndexed(std::int64_t number);
+  PlanWorker* FindWorker(std::int64_t number);
+  // Whether advice allows any of the changed workers for the step, and that
+  // worker has free capacity for a task of it.
   bool IsAffectedByChangedWorkers(const PlanStep& step) const;
   // Returns the eligible workers that advice allows. With `changed_only`,
   // considers only changed workers.
@@ -231,7 +275,7 @@
   std::size_t MaxWorkersToAsk(const PlanStep& step) const;
   bool HasEnoughAllowedWorkers(const PlanStep& step,
                                std::size_t limit,
-                               std::int64_t now_ms) const;
+                               std::int64_t now_ms);
   void AskAboutNewWorkers(PlanStep& step, Round& round);
   void PlanQuestion(PlanStep& step,
                     const std::vector<std::int64_t>& workers,
@@ -240,7 +284,15 @@
   const PlannerOptions options_;
   std::map<std::int64_t, PlanWorker> workers_;
   std::map<StepId, PlanStep> steps_;
+  // The steps with waiting tasks, and steps that had some when the last round
+  // began.
+  FlatMap<StepId, PlanStep*> waiting_steps_;
+  WorkerTotals worker_totals_;
   std::set<std::int64_t> changed_workers_;
+  // All workers and the changed ones among them, both ordered by number. Valid
+  // within a call of Decide().
+  std::vector<IndexedWorker> all_workers_;
+  Candidates changed_candidates_;
   // Workers with capacity that the last Decide() held for gangs.
   std::vector<std::int64_t> workers_with_held_capacity_;
   std::int64_t full_round_at_ms_ = 0;
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -21,6 +21,20 @@
   return *this;
 }
 
+WorkerTotals& WorkerTotals::operator+=(const WorkerTotals& other) {
+  free += other.free;
+  milli_cpus_per_ms += other.milli_cpus_per_ms;
+  memory_mb_per_ms += other.memory_mb_per_ms;
+  return *this;
+}
+
+WorkerTotals& WorkerTotals::operator-=(const WorkerTotals& other) {
+  free -= other.free;
+  milli_cpus_per_ms -= other.milli_cpus_per_ms;
+  memory_mb_per_ms -= other.memory_mb_per_ms;
+  return *this;
+}
+
 bool Demand::FitsIn(const Demand& available) const {
   return milli_cpus <= available.milli_cpus &&
          memory_mb <= available.memory_mb &&
@@ -159,6 +173,16 @@
 
 namespace {
 
+WorkerTotals PartOf(const PlanWorker& worker) {
+  WorkerTotals part;
+  if (worker.usable) {
+    part.free = worker.FreeCapacity();
+  }
+  part.milli_cpus_per_ms = worker.milli_cpus_per_ms;
+  part.memory_mb_per_ms = worker.memory_mb_per_ms;
+  return part;
+}
+
 // Whether the step's job is expected to end after its objective even if the
 // step started now.
 bool IsLate(const PlanStep& step, std::int64_t now_ms) {
@@ -183,27 +207,47 @@
 
 GraphPlanner::GraphPlanner(PlannerOptions options) : options_(options) {}
 
+PlanStep& GraphPlanner::AddStep(PlanStep step) {
+  auto& added = steps_[step.id];
+  added = std::move(step);
+  MarkStepWaiting(added);
+  return added;
+}
+
+PlanStep* GraphPlanner::FindStep(StepId id) {
+  const auto it = steps_.find(id);
+  return it == steps_.end() ? nullptr : &it->second;
+}
+
+void GraphPlanner::RemoveStep(StepId id) {
+  waiting_steps_.erase(id);
+  steps_.erase(id);
+}
+
 // Steps that can still meet their objective precede late ones. Within each of
 // these groups, urgent queues precede others. Steps with equal rank so far are
 // ordered by the latest time at which they must start, or, if they are late, by
 // the time at which they were accepted.
 std::vector<PlanStep*> GraphPlanner::StepsByUrgency(std::int64_t now_ms) {
-  std::vector<PlanStep*> order;
-  order.reserve(steps_.size());
-  for (auto& [id, step] : steps_) {
-    if (!step.waiting.empty()) {
-      order.push_back(&step);
-    }
-  }
-  const auto key = [now_ms](const PlanStep& step) {
-    const bool late = IsLate(step, now_ms);
+  using Key = std::tuple<bool, bool, std::int64_t, StepId>;
+  std::vector<std::pair<Key, PlanStep*>> order;
+  waiting_steps_.erase_if(
+      [](const auto& it) { return it.second->waiting.empty(); });
+  order.reserve(waiting_steps_.size());
+  for (const auto& [id, step] : waiting_steps_) {
+    const bool late = IsLate(*step, now_ms);
     const auto urgency =
-        late ? step.accepted_ms : step.objective_ms - step.remaining_ms;
-    return std::tuple(late, step.priority > 0, urgency, step.id);
-  };
+        late ? step->accepted_ms : step->objective_ms - step->remaining_ms;
+    order.emplace_back(Key(late, step->priority > 0, urgency, id), step);
+  }
   std::sort(order.begin(), order.end(),
-            [&](const auto* a, const auto* b) { return key(*a) < key(*b); });
-  return order;
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<PlanStep*> out;
+  out.reserve(order.size());
+  for (const auto& [key, step] : order) {
+    out.push_back(step);
+  }
+  return out;
 }
 
 bool GraphPlanner::IsEligible(const PlanStep& step, const PlanWorker& worker) {
@@ -215,33 +259,49 @@
          step.demand.FitsIn(worker.capacity);
 }
 
+GraphPlanner::IndexedWorker* GraphPlanner::FindIndexed(std::int64_t number) {
+  const auto it = std::lower_bound(
+      all_workers_.begin(), all_workers_.end(), number,
+      [](const auto& entry, auto key) { return entry.number < key; });
+  return it != all_workers_.end() && it->number == number ? &*it : nullptr;
+}
+
+PlanWorker* GraphPlanner::FindWorker(std::int64_t number) {
+  const auto* entry = FindIndexed(number);
+  return entry == nullptr ? nullptr : entry->worker;
+}
+
 bool GraphPlanner::IsAffectedByChangedWorkers(const PlanStep& step) const {
-  return std::any_of(changed_workers_.begin(), changed_workers_.end(),
-                     [&](auto it) { return step.advice.Allows(it); });
+  return std::any_of(changed_candidates_.begin(), changed_candidates_.end(),
+                     [&](const auto* it) {
+                       return step.demand.FitsIn(it->FreeCapacity()) &&
+                              step.advice.Allows(it->number);
+                     });
 }
 
 GraphPlanner::Candidates GraphPlanner::AllowedWorkers(const PlanStep& step,
                                                       bool changed_only) {
   Candidates out;
-  const auto add = [&](std::int64_t number) {
-    const auto it = workers_.find(number);
-    if (it != workers_.end() && IsEligible(step, it->second)) {
-      out.push_back(&it->second);
+  const auto add = [&](PlanWorker* worker) {
+    if (worker != nullptr && IsEligible(step, *worker)) {
+      out.push_back(worker);
     }
   };
   if (changed_only) {
-    for (const auto number : changed_workers_) {
-      if (step.advice.Allows(number)) {
-        add(number);
+    for (auto* it : changed_candidates_) {
+      if (step.advice.Allows(it->number)) {
+        add(it);
       }
     }
   } else if (step.advice.needed) {
+    out.reserve(step.advice.allowed.size());
     for (const auto& [number, ticket] : step.advice.allowed) {
-      add(number);
+      add(FindWorker(number));
     }
   } else {
-    for (const auto& [number, worker] : workers_) {
-      add(number);
+    out.reserve(all_workers_.size());
+    for (const auto& it : all_workers_) {
+      add(it.worker);
     }
   }
   if (step.avoided.empty()) {
@@ -257,6 +317,43 @@
   return preferred.empty() && !changed_only ? out : preferred;
 }
 
+void GraphPlanner::IndexWorkers(bool full) {
+  if (full || workers_.size() != all_workers_.size() ||
+      !IndexChangedWorkers()) {
+    IndexAllWorkers();
+  }
+  changed_candidates_.clear();
+  for (const auto number : changed_workers_) {
+    if (auto* worker = FindWorker(number); worker != nullptr) {
+      changed_candidates_.push_back(worker);
+    }
+  }
+}
+
+bool GraphPlanner::IndexChangedWorkers() {
+  for (const auto number : changed_workers_) {
+    const auto worker = workers_.find(number);
+    auto* entry = FindIndexed(number);
+    if (worker == workers_.end() || entry == nullptr ||
+        entry->worker != &worker->second) {
+      return false;
+    }
+    worker_totals_ -= entry->part;
+    entry->part = PartOf(*entry->worker);
+    worker_totals_ += entry->part;
+  }
+  return true;
+}
+
+void GraphPlanner::IndexAllWorkers() {
+  all_workers_.clear();
+  worker_totals_ = {};
+  for (auto& [number, worker] : workers_) {
+    all_workers_.push_back({number, &worker, PartOf(worker)});
+    worker_totals_ += all_workers_.back().part;
+  }
+}
+
 Plan GraphPlanner::Decide(std::int64_t now_ms, std::int64_t idle_callers) {
   Round round;
   round.now_ms = now_ms;
@@ -267,9 +364,10 @@
     usable_workers_.clear();
     usable_capacity_.clear();
   }
+  IndexWorkers(round.full);
   for (const auto number : workers_with_held_capacity_) {
-    if (const auto it = workers_.find(number); it != workers_.end()) {
-      it->second.held = {};
+    if (auto* worker = FindWorker(number); worker != nullptr) {
+      worker->held = {};
     }
   }
   workers_with_held_capacity_.clear();
@@ -304,6 +402,9 @@
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
   const bool plan_fully = round.full || step.changed;
   if (!plan_fully && !IsAffectedByChangedWorkers(step)) {
+    if (IsLate(step, round.now_ms)) {
+      (void)MayStartLate(step, round);
+    }
     if (round.held_share >= options_.max_held_share) {
       step.held.clear();
     }
@@ -346,6 +447,10 @@
 
 void GraphPlanner::Start(PlanStep& step, PlanWorker& worker, Round& round) {
   worker.used += step.demand;
+  auto& indexed = *FindIndexed(worker.number);
+  worker_totals_ -= indexed.part;
+  indexed.part = PartOf(worker);
+  worker_totals_ += indexed.part;
   worker.AddEnd({round.now_ms + step.expected_run_ms, step.demand});
   ++step.running[worker.number];
   round.plan.starts.push_back({step.id, step.waiting.back(), worker.number});
@@ -451,9 +556,9 @@
 void GraphPlanner::HoldCapacity(const PlanStep& step, Round& round) {
   Demand held;
   for (const auto& it : step.held) {
-    const auto worker = workers_.find(it.worker);
-    if (worker != workers_.end()) {
-      worker->second.held += it.demand;
+    auto* worker = FindWorker(it.worker);
+    if (worker != nullptr) {
+      worker->held += it.demand;
       workers_with_held_capacity_.push_back(it.worker);
       held += it.demand;
     }
@@ -532,7 +637,7 @@
 // not enough if a further answer would come before the held capacity is free.
 bool GraphPlanner::HasEnoughAllowedWorkers(const PlanStep& step,
                                            std::size_t limit,
-                                           std::int64_t now_ms) const {
+                                           std::int64_t now_ms) {
   if (step.advice.asked_workers.empty()) {
     return false;
   }
@@ -542,10 +647,10 @@
   const auto wanted = step.gang ? 2 * count : count;
   std::int64_t fit = 0;
   for (const auto& [number, ticket] : step.advice.allowed) {
-    const auto it = workers_.find(number);
-    if (it != workers_.end() && IsEligible(step, it->second)) {
-      fit += FitCount(step.demand, it->second.capacity,
-                      std::min(count, PerWorkerLimit(step, it->second)));
+    const auto* worker = FindWorker(number);
+    if (worker != nullptr && IsEligible(step, *worker)) {
+      fit += FitCount(step.demand, worker->capacity,
+                      std::min(count, PerWorkerLimit(step, *worker)));
     }
     if (fit >= wanted) {
       break;
@@ -575,18 +680,19 @@
   }
   // Computes the sort key once for each worker.
   std::vector<std::pair<double, std::int64_t>> candidates;
-  for (const auto& [number, worker] : workers_) {
-    if (!asked_workers.contains(number) && IsEligible(step, worker)) {
-      candidates.emplace_back(-LeftoverShare(worker, step.demand), number);
+  for (const auto& it : all_workers_) {
+    if (!asked_workers.contains(it.number) && IsEligible(step, *it.worker)) {
+      candidates.emplace_back(-LeftoverShare(*it.worker, step.demand),
+                              it.number);
     }
   }
   if (candidates.empty()) {
     return;
   }
   const auto asked = std::min(candidates.size(), limit);
-  std::partial_sort(candidates.begin(),
-                    candidates.begin() + static_cast<std::ptrdiff_t>(asked),
-                    candidates.end());
+  const auto last = candidates.begin() + static_cast<std::ptrdiff_t>(asked);
+  std::nth_element(candidates.begin(), last, candidates.end());
+  std::sort(candidates.begin(), last);
   std::vector<std::int64_t> numbers;
   for (std::size_t i = 0; i < asked; ++i) {
     numbers.push_back(candidates[i].second);
