cell, wire: Repeat relayed messages that were not delivered

In a large cell, replies of workers did not reach the leader after a takeover, although other controllers had executed its orders. A call with relayed messages, and each step of opening its connection, had 300 ms. A receiver short of processor time took longer; all messages of the batch were then dropped and the next batch began with another handshake, which costs the receiver more again.

A call and each step of its handshake now have 1 s, about the time of an order. Messages that were not delivered are kept in their order and sent again until their deadline has passed, in a bounded queue; the number of dropped messages is logged. A controller ignores an order that it executes or has executed in the last 8 s, so that a repetition is harmless; replies were matched by their id already. Orders and replies to the same controller use separate threads and connections. A first failed attempt is logged as well; before, a controller that could never be reached was not mentioned.

--- a/libraries/cell/src/controller.cc
+++ b/libraries/cell/src/controller.cc
@@ -181,7 +181,7 @@
                   clock,
                   host,
                   metrics),
-        link(options.replica.address, options.cluster_secret),
+        link(options.replica.address, options.cluster_secret, clock),
         relay(
             [this](OrderId id, WorkerReply reply) {
               decisions.OnWorkerReply(id, std::move(reply));
--- a/libraries/cell/src/relay.cc
+++ b/libraries/cell/src/relay.cc
@@ -13,6 +13,9 @@
 // Added to the timeout of a relayed order: two transits between regions, and
 // batches that wait for the previous one.
 constexpr std::chrono::milliseconds kRelayMargin{400};
+// How long the id of an executed order is kept, so that a repeated message is
+// recognized. Longer than a message is repeated.
+constexpr std::chrono::seconds kKeepExecutedTime{8};
 // How long a helper that did not answer is avoided. A helper that was frozen or
 // disconnected works again after some seconds.
 constexpr std::chrono::seconds kAvoidHelperTime{5};
@@ -69,7 +72,7 @@
 
 void Relay::Send(std::vector<SentOrder> orders) {
   std::vector<SentOrder> own;
-  std::map<std::string, std::vector<wire::RelayedOrder>> relayed;
+  std::map<std::string, std::vector<Expiring<wire::RelayedOrder>>> relayed;
   {
     const std::lock_guard lock(mutex_);
     const auto now = clock_.Now();
@@ -81,9 +84,9 @@
         continue;
       }
       ++counts_.relayed;
-      relayed[helper].push_back(ToWire(it));
-      outstanding_[it.id] = {std::move(helper), it.worker.id, now,
-                             now + it.timeout + kRelayMargin};
+      const auto deadline = now + it.timeout + kRelayMargin;
+      relayed[helper].push_back({ToWire(it), deadline});
+      outstanding_[it.id] = {std::move(helper), it.worker.id, now, deadline};
     }
   }
   for (auto& [helper, batch] : relayed) {
@@ -160,6 +163,7 @@
     }
     std::erase_if(direct_workers_,
                   [&](const auto& it) { return it.second <= now; });
+    ForgetExecuted(now);
   }
   for (const auto it : expired) {
     WorkerReply reply;
@@ -195,27 +199,43 @@
       continue;
     }
     const std::lock_guard lock(mutex_);
-    leaders_by_order_[order->id] = leader;
+    const auto now = clock_.Now();
+    const auto deadline = now + order->timeout + kRelayMargin;
+    if (!executed_.try_emplace(order->id, Executed{leader, deadline}).second) {
+      continue;
+    }
+    executed_ids_.push_back({order->id, now + kKeepExecutedTime});
     CountExecuted(order->order);
     decoded.push_back(std::move(*order));
   }
-  driver_->Send(std::move(decoded));
+  if (!decoded.empty()) {
+    driver_->Send(std::move(decoded));
+  }
+}
+
+void Relay::ForgetExecuted(TimePoint now) {
+  while (!executed_ids_.empty() && executed_ids_.front().deadline <= now) {
+    executed_.erase(executed_ids_.front().message);
+    executed_ids_.pop_front();
+  }
 }
 
 void Relay::OnLocalReply(OrderId id, WorkerReply reply) {
   std::string leader;
+  TimePoint deadline;
   {
     const std::lock_guard lock(mutex_);
     counts_.unanswered += MayBeUnreachable(reply.answer) ? 1 : 0;
-    const auto node = leaders_by_order_.extract(id);
-    if (!node.empty()) {
-      leader = node.mapped();
+    const auto it = executed_.find(id);
+    if (it != executed_.end()) {
+      leader = it->second.leader;
+      deadline = it->second.deadline;
     }
   }
   if (leader.empty()) {
     sink_(id, std::move(reply));
   } else {
-    link_.SendReplies(leader, {ToWire(id, reply)});
+    link_.SendReplies(leader, {{ToWire(id, reply), deadline}});
   }
 }
 
--- a/libraries/cell/src/relay.h
+++ b/libraries/cell/src/relay.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -16,17 +17,20 @@
 #include "cranberryshunt/base/clock.h"
 #include "cranberryshunt/cell/controller.h"
 #include "cranberryshunt/cell/worker_driver.h"
+#include "relay_queue.h"
 
 namespace cranberryshunt::cell {
 
-// Interface to the other controllers. Messages may be lost.
+// Interface to the other controllers. Messages may arrive more than once. A
+// message is lost if it cannot be delivered before its deadline.
 class RelayLink {
  public:
   virtual ~RelayLink() = default;
   virtual void SendOrders(const std::string& controller,
-                          std::vector<wire::RelayedOrder> orders) = 0;
-  virtual void SendReplies(const std::string& controller,
-                           std::vector<wire::RelayedReply> replies) = 0;
+                          std::vector<Expiring<wire::RelayedOrder>> orders) = 0;
+  virtual void SendReplies(
+      const std::string& controller,
+      std::vector<Expiring<wire::RelayedReply>> replies) = 0;
 };
 
 // Number of calls since the last report.
@@ -83,12 +87,19 @@
     TimePoint deadline;
   };
 
+  // An order of another controller that this controller executes as a helper.
+  struct Executed {
+    std::string leader;
+    TimePoint deadline;
+  };
+
   // Selects the helper for a worker. Returns an empty string if this controller
   // is to call the worker directly.
   std::string SelectHelper(const SentOrder& order, TimePoint now);
   bool IsSilentSince(const std::string& helper, TimePoint time) const;
   void AvoidHelper(const Outstanding& order, TimePoint now);
   void CountExecuted(const WorkerOrder& order);
+  void ForgetExecuted(TimePoint now);
 
   const ReplySink sink_;
   RelayLink& link_;
@@ -105,8 +116,11 @@
   // Time until which a worker is called directly, because its helper did not
   // reach it or no helper could be used.
   std::unordered_map<std::string, TimePoint> direct_workers_;
-  // Leaders of the orders that this controller executes as a helper.
-  std::unordered_map<OrderId, std::string> leaders_by_order_;
+  // Orders that this controller executes as a helper or has executed recently.
+  std::unordered_map<OrderId, Executed> executed_;
+  // The orders in `executed_` in the order of the time at which they are
+  // forgotten.
+  std::deque<Expiring<OrderId>> executed_ids_;
   CallCounts counts_;
 };
 
--- a/libraries/cell/src/thrift_relay_link.cc
+++ b/libraries/cell/src/thrift_relay_link.cc
@@ -1,11 +1,11 @@
 #include "thrift_relay_link.h"
 
+#include <condition_variable>
 #include <thread>
+#include <type_traits>
 #include <utility>
-#include <variant>
 
 #include "ControllerService.h"
-#include "cranberryshunt/base/bounded_ring.h"
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/wire/controller_client.h"
@@ -16,120 +16,165 @@
 
 // Holds one helper's share of the orders of a large cell for some seconds.
 constexpr std::size_t kMaxQueuedMessages = 4'096;
-// Several round trips between regions; see ThriftPeerTransportOptions.
-constexpr std::chrono::milliseconds kCallTimeout{300};
-constexpr std::chrono::seconds kIdleWait{1};
+// Keeps a call short on a connection with a small window.
+constexpr std::size_t kMaxMessagesPerCall = 512;
+// Timeout of each step of a connection attempt and of a call, about that of an
+// order. A controller that is short of processor time would have to execute a
+// repeated handshake and call as well.
+constexpr std::chrono::milliseconds kCallTimeout{1'000};
+constexpr std::chrono::milliseconds kRetryPause{50};
 // Messages that arrive within this time share a call. Each call wakes a thread
 // on both sides, which costs more than its contents.
 constexpr std::chrono::milliseconds kBatchTime{4};
 
-using Message = std::variant<wire::RelayedOrder, wire::RelayedReply>;
-
 }  // namespace
 
-class ThriftRelayLink::Peer {
+template <typename T>
+class ThriftRelayLink::Sender {
  public:
-  Peer(const std::string& address,
-       const std::string& own_address,
-       const std::string& cluster_secret)
+  Sender(const std::string& address,
+         const std::string& own_address,
+         const std::string& cluster_secret,
+         const Clock& clock)
       : own_address_(own_address),
-        channel_(address, own_address, cluster_secret),
+        clock_(clock),
+        channel_(address, own_address, cluster_secret, kCallTimeout),
         queue_(kMaxQueuedMessages),
         thread_([this] { Run(); }) {}
 
-  ~Peer() {
-    queue_.Close();
+  ~Sender() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    changed_.notify_all();
     thread_.join();
   }
 
-  template <typename T>
-  void Post(std::vector<T> messages) {
-    for (auto& it : messages) {
-      if (!queue_.TryPush(Message(std::move(it)))) {
-        Log(LogLevel::kWarning, "cell", "relayed messages were dropped",
-            {{"controller", channel_.address()}});
-        return;
+  void Post(std::vector<Expiring<T>> messages) {
+    {
+      const std::lock_guard lock(mutex_);
+      for (auto& it : messages) {
+        queue_.Push(std::move(it));
       }
     }
+    changed_.notify_all();
   }
 
  private:
+  static constexpr bool kSendsOrders = std::is_same_v<T, wire::RelayedOrder>;
+
   void Run() {
     const ScopedThreadName name("relay");
-    std::vector<Message> batch;
-    while (queue_.PopMany(batch, SIZE_MAX, kIdleWait)) {
-      if (batch.empty()) {
-        continue;
+    std::unique_lock lock(mutex_);
+    while (true) {
+      changed_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+      if (!Pause(lock, kBatchTime)) {
+        return;
       }
-      std::this_thread::sleep_for(kBatchTime);
-      queue_.PopMany(batch, SIZE_MAX, std::chrono::microseconds(0));
-      std::vector<wire::RelayedOrder> orders;
-      std::vector<wire::RelayedReply> replies;
-      for (auto& it : batch) {
-        if (auto* order = std::get_if<wire::RelayedOrder>(&it)) {
-          orders.push_back(std::move(*order));
-        } else {
-          replies.push_back(std::move(std::get<wire::RelayedReply>(it)));
+      auto batch = queue_.TakeBatch(kMaxMessagesPerCall, clock_.Now());
+      const auto dropped = queue_.TakeDropped();
+      lock.unlock();
+      LogDropped(dropped);
+      const bool delivered = batch.empty() || Deliver(batch);
+      lock.lock();
+      if (!delivered) {
+        queue_.PutBack(std::move(batch));
+        if (!Pause(lock, kRetryPause)) {
+          return;
         }
       }
-      batch.clear();
-      if (!orders.empty()) {
-        Deliver([&](auto& client) { client.RelayOrders(own_address_, orders); },
-                orders.size());
-      }
-      if (!replies.empty()) {
-        Deliver([&](auto& client) { client.RelayReplies(replies); },
-                replies.size());
-      }
     }
   }
 
-  // Lost messages are not sent again; the deadline of their order detects them.
-  void Deliver(const wire::ControllerChannel::Call& call,
-               std::size_t message_count) {
-    const auto sent = channel_.Run(kCallTimeout, call);
-    if (sent.has_value() != reachable_) {
-      reachable_ = sent.has_value();
-      Log(reachable_ ? LogLevel::kInfo : LogLevel::kWarning, "cell",
-          reachable_ ? "relay reaches the controller"
-                     : "relay does not reach the controller",
+  // Returns false if the sender is stopping.
+  bool Pause(std::unique_lock<std::mutex>& lock, Duration time) {
+    return !changed_.wait_until(lock, std::chrono::steady_clock::now() + time,
+                                [this] { return stopping_; });
+  }
+
+  void LogDropped(std::size_t count) const {
+    if (count > 0) {
+      Log(LogLevel::kWarning, "cell", "relayed messages were dropped",
+          {{"controller", channel_.address()},
+           {"kind", kSendsOrders ? "orders" : "replies"},
+           {"messages", count}});
+    }
+  }
+
+  bool Deliver(const std::vector<Expiring<T>>& batch) {
+    std::vector<T> messages;
+    messages.reserve(batch.size());
+    for (const auto& it : batch) {
+      messages.push_back(it.message);
+    }
+    const auto sent = channel_.Run(kCallTimeout, [&](auto& client) {
+      if constexpr (kSendsOrders) {
+        client.RelayOrders(own_address_, messages);
+      } else {
+        client.RelayReplies(messages);
+      }
+    });
+    const auto reachability =
+        sent ? Reachability::kReachable : Reachability::kUnreachable;
+    if (reachability != reachability_) {
+      reachability_ = reachability;
+      Log(sent ? LogLevel::kInfo : LogLevel::kWarning, "cell",
+          sent ? "relay reaches the controller"
+               : "relay does not reach the controller",
           {{"controller", channel_.address()},
-           {"messages", message_count},
-           {"error", reachable_ ? std::string() : sent.error().message()}});
+           {"kind", kSendsOrders ? "orders" : "replies"},
+           {"messages", messages.size()},
+           {"error", sent ? std::string() : sent.error().message()}});
     }
+    return sent.has_value();
   }
 
+  enum class Reachability { kUnknown, kReachable, kUnreachable };
+
   const std::string own_address_;
+  const Clock& clock_;
   wire::ControllerChannel channel_;
-  BoundedRing<Message> queue_;
-  bool reachable_ = false;
+  Reachability reachability_ = Reachability::kUnknown;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  RelayQueue<T> queue_;
+  bool stopping_ = false;
   std::thread thread_;
 };
 
 ThriftRelayLink::ThriftRelayLink(std::string own_address,
-                                 std::string cluster_secret)
+                                 std::string cluster_secret,
+                                 const Clock& clock)
     : own_address_(std::move(own_address)),
-      cluster_secret_(std::move(cluster_secret)) {}
+      cluster_secret_(std::move(cluster_secret)),
+      clock_(clock) {}
 
 ThriftRelayLink::~ThriftRelayLink() = default;
 
-ThriftRelayLink::Peer& ThriftRelayLink::Find(const std::string& controller) {
+template <typename T>
+ThriftRelayLink::Sender<T>& ThriftRelayLink::Find(
+    Senders<T>& senders,
+    const std::string& controller) {
   const std::lock_guard lock(mutex_);
-  auto& peer = peers_[controller];
-  if (!peer) {
-    peer = std::make_unique<Peer>(controller, own_address_, cluster_secret_);
+  auto& sender = senders[controller];
+  if (!sender) {
+    sender = std::make_unique<Sender<T>>(controller, own_address_,
+                                         cluster_secret_, clock_);
   }
-  return *peer;
+  return *sender;
 }
 
-void ThriftRelayLink::SendOrders(const std::string& controller,
-                                 std::vector<wire::RelayedOrder> orders) {
-  Find(controller).Post(std::move(orders));
+void ThriftRelayLink::SendOrders(
+    const std::string& controller,
+    std::vector<Expiring<wire::RelayedOrder>> orders) {
+  Find(order_senders_, controller).Post(std::move(orders));
 }
 
-void ThriftRelayLink::SendReplies(const std::string& controller,
-                                  std::vector<wire::RelayedReply> replies) {
-  Find(controller).Post(std::move(replies));
+void ThriftRelayLink::SendReplies(
+    const std::string& controller,
+    std::vector<Expiring<wire::RelayedReply>> replies) {
+  Find(reply_senders_, controller).Post(std::move(replies));
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/thrift_relay_link.h
+++ b/libraries/cell/src/thrift_relay_link.h
@@ -8,33 +8,45 @@
 #include <string>
 #include <vector>
 
+#include "cranberryshunt/base/clock.h"
 #include "relay.h"
 
 namespace cranberryshunt::cell {
 
-// Uses one thread and one bounded queue for each destination. Queued orders are
-// sent in one call, and queued replies in another. Messages that do not fit
-// into the queue are dropped.
+// Uses a thread, a connection and a bounded queue for the orders to each
+// destination, and others for the replies to it, so that neither a destination
+// that does not answer nor orders delay other messages. Queued messages are
+// sent together, in their order. They are sent again after a failure until
+// their deadline has passed. Messages that do not fit into the queue are
+// dropped.
 class ThriftRelayLink final : public RelayLink {
  public:
   // `own_address` is the address to which replies are sent, "ip:port".
-  ThriftRelayLink(std::string own_address, std::string cluster_secret);
+  ThriftRelayLink(std::string own_address,
+                  std::string cluster_secret,
+                  const Clock& clock);
   ~ThriftRelayLink() override;
 
   void SendOrders(const std::string& controller,
-                  std::vector<wire::RelayedOrder> orders) override;
+                  std::vector<Expiring<wire::RelayedOrder>> orders) override;
   void SendReplies(const std::string& controller,
-                   std::vector<wire::RelayedReply> replies) override;
+                   std::vector<Expiring<wire::RelayedReply>> replies) override;
 
  private:
-  class Peer;
+  template <typename T>
+  class Sender;
+  template <typename T>
+  using Senders = std::map<std::string, std::unique_ptr<Sender<T>>>;
 
-  Peer& Find(const std::string& controller);
+  template <typename T>
+  Sender<T>& Find(Senders<T>& senders, const std::string& controller);
 
   const std::string own_address_;
   const std::string cluster_secret_;
+  const Clock& clock_;
   std::mutex mutex_;
-  std::map<std::string, std::unique_ptr<Peer>> peers_;
+  Senders<wire::RelayedOrder> order_senders_;
+  Senders<wire::RelayedReply> reply_senders_;
 };
 
 }  // namespace cranberryshunt::cell
--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -22,10 +22,17 @@
  public:
   using Call = std::function<void(ControllerServiceClient&)>;
 
+  // Enough for a few round trips between regions. It is short, because a host
+  // that cannot be reached delays a call that another controller could answer.
+  static constexpr std::chrono::milliseconds kDefaultHandshakeTimeout{300};
+
   // `address` is "ip:port". `own_id` names this process in the peer's logs.
-  ControllerChannel(std::string address,
-                    std::string own_id,
-                    std::string cluster_secret);
+  // Each step of opening a connection must finish within `handshake_timeout`.
+  ControllerChannel(
+      std::string address,
+      std::string own_id,
+      std::string cluster_secret,
+      std::chrono::milliseconds handshake_timeout = kDefaultHandshakeTimeout);
   ~ControllerChannel();
 
   // Runs `call` on an authenticated connection. Each read and write must finish
@@ -56,6 +63,7 @@
   const std::string address_;
   const std::string own_id_;
   const std::string cluster_secret_;
+  const std::chrono::milliseconds handshake_timeout_;
   mutable std::mutex mutex_;
   std::vector<std::unique_ptr<Connection>> idle_;
   std::uint64_t next_sequence_ = 1;
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -25,9 +25,6 @@
 // Larger frames are refused. The largest frames in use are snapshot chunks and
 // batches of log entries.
 constexpr std::uint32_t kMaxFrameBytes = 64U << 20;
-// Enough for a few round trips between regions. It is short, because a host
-// that cannot be reached delays a call that another controller could answer.
-constexpr std::chrono::milliseconds kHandshakeTimeout{300};
 // For this time after a failed connection attempt, replies that name the
 // controller as the leader are ignored.
 constexpr std::chrono::seconds kUnreachablePeriod{1};
@@ -59,12 +56,15 @@
   std::unique_ptr<ControllerServiceClient> client;
 };
 
-ControllerChannel::ControllerChannel(std::string address,
-                                     std::string own_id,
-                                     std::string cluster_secret)
+ControllerChannel::ControllerChannel(
+    std::string address,
+    std::string own_id,
+    std::string cluster_secret,
+    std::chrono::milliseconds handshake_timeout)
     : address_(std::move(address)),
       own_id_(std::move(own_id)),
-      cluster_secret_(std::move(cluster_secret)) {}
+      cluster_secret_(std::move(cluster_secret)),
+      handshake_timeout_(handshake_timeout) {}
 
 ControllerChannel::~ControllerChannel() = default;
 
@@ -94,7 +94,7 @@
 
 Result<std::unique_ptr<ControllerChannel::Connection>>
 ControllerChannel::OpenConnection(std::chrono::milliseconds timeout) {
-  auto connection = Handshake(std::min(timeout, kHandshakeTimeout));
+  auto connection = Handshake(std::min(timeout, handshake_timeout_));
   std::lock_guard lock(mutex_);
   const auto now = std::chrono::steady_clock::now();
   unreachable_until_ = connection ? now : now + kUnreachablePeriod;
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -24,15 +24,15 @@
 class RecordingLink final : public RelayLink {
  public:
   void SendOrders(const std::string& controller,
-                  std::vector<wire::RelayedOrder> batch) override {
+                  std::vector<Expiring<wire::RelayedOrder>> batch) override {
     for (auto& it : batch) {
-      orders.emplace_back(controller, std::move(it));
+      orders.emplace_back(controller, std::move(it.message));
     }
   }
   void SendReplies(const std::string& controller,
-                   std::vector<wire::RelayedReply> batch) override {
+                   std::vector<Expiring<wire::RelayedReply>> batch) override {
     for (auto& it : batch) {
-      replies.emplace_back(controller, std::move(it));
+      replies.emplace_back(controller, std::move(it.message));
     }
   }
 
@@ -131,6 +131,22 @@
   cr_expect_eq(it.link.replies[0].second.id, 1);
 }
 
+// Guards against an order that is executed twice, or replied to twice, because
+// the leader repeated a message that had arrived.
+Test(relay, executes_a_repeated_order_once) {
+  Fixture it;
+  const auto order = ToWire(MakeOrder(1, "w"));
+  it.relay.OnOrders("leader", {order});
+  it.relay.OnOrders("leader", {order});
+  cr_expect_eq(it.own.size(), 1);
+  it.relay.OnLocalReply(1, MakeDoneReply());
+  it.AdvanceTime(std::chrono::seconds(3));
+  it.relay.OnOrders("leader", {order, ToWire(MakeOrder(2, "w"))});
+  cr_assert_eq(it.own.size(), 2);
+  cr_expect_eq(it.own[1].id, 2);
+  cr_expect_eq(it.link.replies.size(), 1);
+}
+
 // Guards against an order that is never reported, or is reported twice, when
 // its helper has failed, and against further orders to that helper.
 Test(relay, gives_up_on_a_silent_helper) {
