tests: Run a cell whose workers list a row that cannot be read

The stand-in workers and the advice service can put a text of choice at the front of each of their lists. With a number beyond 64 bits and deep nesting in each list, and 180 reports that cannot be read, jobs end, a run of 11 s keeps its lease, and the controllers go on.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -230,4 +230,50 @@
   cr_expect(entry_line.find("may_be_accepted=no") != std::string::npos);
 }
 
+// Guards against losing workers and tickets because of one row in their lists
+// that cannot be read, and against controllers that end, or workers that are
+// forgotten, because of reports that cannot be read.
+Test(platform_cell, keeps_workers_beside_what_cannot_be_read) {
+  PlatformCellOptions options;
+  options.fleet.odd_row = "[\"odd\",99999999999999999999," +
+                          std::string(3'000, '[') + std::string(3'000, ']') +
+                          "]";
+  PlatformCell cell(options);
+  StartAndPublish(cell,
+                  {{.name = "plain"}, {.name = "advised", .advice = true}});
+  // Longer than a worker's lease.
+  constexpr std::int64_t kLongRunMs = 11'000;
+  SubmitAccepted(cell, "plain", JobId(0), 4, kLongRunMs);
+  SubmitAccepted(cell, "advised", JobId(1), 4, 200);
+  const std::string fields =
+      R"("service":"fleet","zone":"z","state":"ready","seq":1,"capacity":{})";
+  const std::pair<std::string, std::string> reports[] = {
+      {"odd", ""},
+      {"odd", std::string(100'000, '[')},
+      {"odd", "{\"a\":" + std::string(100'000, '[')},
+      {"odd", "{" + fields + ",\"address\":\"127.0.0.1:99999\"}"},
+      {"odd", "{" + fields + ",\"address\":\"127.0.0.1:0\"}"},
+      {"odd", "{" + fields + ",\"address\":[]}"},
+      {"odd", "{" + fields + R"(,"address":"127.0.0.1:9","born":1e999})"},
+      {"odd%0D%0AX-Odd:%201", "{" + fields + R"(,"address":"127.0.0.1:9"})"},
+      {std::string(3'000, 'i'), "{" + fields + R"(,"address":"127.0.0.1:9"})"}};
+  for (int round = 0; round < 20; ++round) {
+    for (const auto& [id, body] : reports) {
+      const auto status =
+          cell.CallController(round % 3, "POST", "/Instances.Heartbeat/" + id,
+                              body)
+              .status;
+      cr_expect_eq(status, 400, "%.30s %.80s: %d", id.c_str(), body.c_str(),
+                   status);
+    }
+  }
+  cr_expect(cell.WaitForState("advised", JobId(1), "completed", kBound));
+  cr_expect(cell.WaitForState("plain", JobId(0), "completed", kBound));
+  cr_expect_eq(cell.fleet().ledger().starts(), 8);
+  for (int n = 0; n < 3; ++n) {
+    cr_expect(cell.controller(n).running(), "controller %d", n);
+  }
+  ExpectNoViolations(cell);
+}
+
 }  // namespace cranberryshunt::test
--- a/tests/support/platform/fleet.cc
+++ b/tests/support/platform/fleet.cc
@@ -52,6 +52,20 @@
              : std::atoll(spec.c_str() + at + name.size() + 1);
 }
 
+// Inserts `row`, unless it is empty, at the front of the list `name` of the
+// JSON object `body`.
+void InsertRow(const std::string& name,
+               const std::string& row,
+               std::string& body) {
+  const auto list = "\"" + name + "\":[";
+  const auto at = body.find(list);
+  if (row.empty() || at == std::string::npos) {
+    return;
+  }
+  const auto first = at + list.size();
+  body.insert(first, body[first] == ']' ? row : row + ",");
+}
+
 }  // namespace
 
 std::string TaskSpec(std::int64_t run_ms,
@@ -344,7 +358,10 @@
   }
   json_object_set_new(response_body.get(), "running", running);
   json_object_set_new(response_body.get(), "ended", ended);
-  return MakeResponse(200, std::move(response_body));
+  auto response = MakeResponse(200, std::move(response_body));
+  InsertRow("running", options_.odd_row, response.body);
+  InsertRow("ended", options_.odd_row, response.body);
+  return response;
 }
 
 void FleetWorker::EndRun(const Key& key, const char* outcome) {
@@ -519,6 +536,7 @@
   json_object_set_new(response_body.get(), "allowed", allowed);
   HttpResponse response;
   response.body = DumpJson(response_body.get());
+  InsertRow("allowed", options_.odd_row, response.body);
   return response;
 }
 
--- a/tests/support/platform/fleet.h
+++ b/tests/support/platform/fleet.h
@@ -31,6 +31,9 @@
   // Share of the workers, from 0 to 1, that the advice service allows for a
   // step.
   double allowed_share = 1;
+  // JSON text that is listed as the first row of each list in responses, for as
+  // long as the fleet runs.
+  std::string odd_row;
 };
 
 // Starts, ends and acknowledgements of each task at all workers. Thread-safe.
