platform: Refuse configurations with an advice policy that cannot be read

The errors of the fields under `advice` were not looked at: a configuration with a `decideMs` that is a string or out of range was acknowledged, and 0 was used. It is now refused with the field, as for other parts. More malformed jobs are tested as well; those were refused already.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -123,6 +123,12 @@
       {R"({"steps":[{"count":"4"}]})", "steps[0].count"},
       {R"({"steps":[{"dependsOn":[0]}]})", "steps[0].dependsOn"},
       {R"({"steps":[{"count":20000}],"repetitions":90000})", "steps"},
+      {R"({"steps":[{"count":1e300}]})", "steps[0].count"},
+      {R"({"steps":[{"cpu":99999999999999999999}]})", ""},
+      {R"({"steps":[{"count":1}],"repetitions":4503599627370495})",
+       "repetitions"},
+      {R"({"steps":[{},{"dependsOn":[4294967296]}]})", "steps[1].dependsOn"},
+      {R"({"steps":[{},{"dependsOn":[-1]}]})", "steps[1].dependsOn"},
   };
   for (const auto& [body, field] : cases) {
     const auto job = DecodeJob(body);
@@ -171,6 +177,19 @@
                     .has_value());
 }
 
+// Guards against acknowledging a configuration with an advice policy that
+// cannot be read, and taking 0 for its values.
+Test(control_codec, refuses_configurations_with_unreadable_advice) {
+  for (const char* it : {"\"520\"", "null", "-1", "1e300", "{}"}) {
+    const auto table =
+        DecodeRoutingTable(Replaced(kConfiguration, "\"decideMs\":520.0",
+                                    std::string("\"decideMs\":") + it));
+    cr_assert_not(table.has_value(), "%s", it);
+    cr_expect(table.error().field() == "routes[0].advice.decideMs", "%s",
+              table.error().field().c_str());
+  }
+}
+
 Test(control_codec, reads_a_worker_report) {
   const std::string body = kReport;
   const auto report = DecodeReport("i-1", body);
