--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -100,6 +100,16 @@
   }
 }
 
+// Guards against the undefined conversion of durations out of range.
+Test(settings, refuses_numbers_out_of_range) {
+  for (const char* it : {"1e300", "inf", "nan", "-1", "\"6\""}) {
+    const auto value = std::string("graceS = ") + it;
+    cr_expect_not(
+        ParseSettings(Replaced(kSettings, "graceS = 6", value)).has_value(),
+        "%s", it);
+  }
+}
+
 Test(job_codec, reads_a_job_of_two_steps) {
   const auto job = DecodeJob(
       R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256},
