--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -243,6 +243,14 @@
   cr_expect(DecodeReport("i-1", now).has_value());
 }
 
+// Guards against taking a label for another one that it begins with.
+Test(control_codec, reads_the_whole_of_a_label) {
+  const auto report =
+      DecodeReport("i-1", Replaced(kReport, "\"r1-3\"", "\"r1-3\\u0000x\""));
+  cr_assert(report.has_value());
+  cr_expect(report->worker.rack != "r1-3");
+}
+
 // Guards against ids that add header lines to calls of the worker or break up
 // lines of the log.
 Test(control_codec, refuses_ids_that_are_not_short_visible_text) {
