tests: Send jobs and ids that cannot be read to real processes

The test of the cell also sends an id with invalid UTF-8 and control characters, and malformed jobs to an entry, of which a path is not UTF-8. All are refused with 400, and no process ends.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -231,8 +231,8 @@
 }
 
 // Guards against losing workers and tickets because of one row in their lists
-// that cannot be read, and against controllers that end, or workers that are
-// forgotten, because of reports that cannot be read.
+// that cannot be read, and against processes that end, or workers that are
+// forgotten, because of reports and jobs that cannot be read.
 Test(platform_cell, keeps_workers_beside_what_cannot_be_read) {
   PlatformCellOptions options;
   options.fleet.odd_row = "[\"odd\",99999999999999999999," +
@@ -256,6 +256,7 @@
       {"odd", "{" + fields + ",\"address\":[]}"},
       {"odd", "{" + fields + R"(,"address":"127.0.0.1:9","born":1e999})"},
       {"odd%0D%0AX-Odd:%201", "{" + fields + R"(,"address":"127.0.0.1:9"})"},
+      {"odd%FF%00%1B[0m", "{" + fields + R"(,"address":"127.0.0.1:9"})"},
       {std::string(3'000, 'i'), "{" + fields + R"(,"address":"127.0.0.1:9"})"}};
   for (int round = 0; round < 20; ++round) {
     for (const auto& [id, body] : reports) {
@@ -267,12 +268,22 @@
                    status);
     }
   }
+  const std::string jobs[] = {"", std::string(100'000, '['),
+                              R"({"steps":[{"count":1e300}]})",
+                              R"({"steps":[{"count":99999999999999999999}]})"};
+  for (const char* path : {"/plain/%FF", "/plain/aaaaaaaaaaaaaaaa"}) {
+    for (const auto& it : jobs) {
+      cr_expect_eq(cell.CallEntry(0, "POST", path, it).status, 400, "%.80s",
+                   it.c_str());
+    }
+  }
   cr_expect(cell.WaitForState("advised", JobId(1), "completed", kBound));
   cr_expect(cell.WaitForState("plain", JobId(0), "completed", kBound));
   cr_expect_eq(cell.fleet().ledger().starts(), 8);
   for (int n = 0; n < 3; ++n) {
     cr_expect(cell.controller(n).running(), "controller %d", n);
   }
+  cr_expect(cell.entry(0).running());
   ExpectNoViolations(cell);
 }
 
