--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -100,6 +100,16 @@
   }
 }
 
+// Guards against the undefined conversion of durations out of range.
+Test(settings, refuses_numbers_out_of_range) {
+  for (const char* it : {"1e300", "inf", "nan", "-1", "\"6\""}) {
+    const auto value = std::string("graceS = ") + it;
+    cr_expect_not(
+        ParseSettings(Replaced(kSettings, "graceS = 6", value)).has_value(),
+        "%s", it);
+  }
+}
+
 Test(job_codec, reads_a_job_of_two_steps) {
   const auto job = DecodeJob(
       R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256},
@@ -123,6 +133,12 @@
       {R"({"steps":[{"count":"4"}]})", "steps[0].count"},
       {R"({"steps":[{"dependsOn":[0]}]})", "steps[0].dependsOn"},
       {R"({"steps":[{"count":20000}],"repetitions":90000})", "steps"},
+      {R"({"steps":[{"count":1e300}]})", "steps[0].count"},
+      {R"({"steps":[{"cpu":99999999999999999999}]})", ""},
+      {R"({"steps":[{"count":1}],"repetitions":4503599627370495})",
+       "repetitions"},
+      {R"({"steps":[{},{"dependsOn":[4294967296]}]})", "steps[1].dependsOn"},
+      {R"({"steps":[{},{"dependsOn":[-1]}]})", "steps[1].dependsOn"},
   };
   for (const auto& [body, field] : cases) {
     const auto job = DecodeJob(body);
@@ -171,6 +187,19 @@
                     .has_value());
 }
 
+// Guards against acknowledging a configuration with an advice policy that
+// cannot be read, and taking 0 for its values.
+Test(control_codec, refuses_configurations_with_unreadable_advice) {
+  for (const char* it : {"\"520\"", "null", "-1", "1e300", "{}"}) {
+    const auto table =
+        DecodeRoutingTable(Replaced(kConfiguration, "\"decideMs\":520.0",
+                                    std::string("\"decideMs\":") + it));
+    cr_assert_not(table.has_value(), "%s", it);
+    cr_expect(table.error().field() == "routes[0].advice.decideMs", "%s",
+              table.error().field().c_str());
+  }
+}
+
 Test(control_codec, reads_a_worker_report) {
   const std::string body = kReport;
   const auto report = DecodeReport("i-1", body);
@@ -214,6 +243,14 @@
   cr_expect(DecodeReport("i-1", now).has_value());
 }
 
+// Guards against taking a label for another one that it begins with.
+Test(control_codec, reads_the_whole_of_a_label) {
+  const auto report =
+      DecodeReport("i-1", Replaced(kReport, "\"r1-3\"", "\"r1-3\\u0000x\""));
+  cr_assert(report.has_value());
+  cr_expect(report->worker.rack != "r1-3");
+}
+
 // Guards against ids that add header lines to calls of the worker or break up
 // lines of the log.
 Test(control_codec, refuses_ids_that_are_not_short_visible_text) {
