cell: Use a controller again whose replies come late

In a large cell, a controller from which nothing came within the time of an order was avoided for 5 s, even if its replies arrived a moment later: replies to orders that had been given up were ignored.

The ids of orders that were given up are now kept for 5 s, and a late reply ends the avoidance. Silent controllers are avoided only while the others are more than half of all. Only a leader with a single other controller calls up to 40 workers directly when that one is silent. The share of an avoided controller is spread over all others; before, its successor got all of it.

--- a/libraries/cell/src/relay.cc
+++ b/libraries/cell/src/relay.cc
@@ -1,15 +1,20 @@
 #include "relay.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
+#include "helper_selection.h"
 #include "relay_codec.h"
 
 namespace cranberryshunt::cell {
 
 namespace {
 
+// How long the id of an order that was given up is kept, to recognize a late
+// reply.
+constexpr std::chrono::seconds kKeepGivenUpTime{5};
 // Added to the timeout of a relayed order: two transits between regions, and
 // batches that wait for the previous one.
 constexpr std::chrono::milliseconds kRelayMargin{400};
@@ -41,7 +46,20 @@
   driver_.reset();
 }
 
-std::string Relay::SelectHelper(const SentOrder& order, TimePoint now) {
+std::vector<std::size_t> Relay::FindUsableHelpers(TimePoint now) const {
+  std::vector<bool> silent;
+  silent.reserve(helpers_.size());
+  for (const auto& it : helpers_) {
+    const auto avoided = avoided_helpers_.find(it);
+    silent.push_back(avoided != avoided_helpers_.end() &&
+                     now < avoided->second);
+  }
+  return UsableHelpers(silent);
+}
+
+std::string Relay::SelectHelper(const SentOrder& order,
+                                const std::vector<std::size_t>& usable,
+                                TimePoint now) {
   if (helpers_.empty()) {
     return {};
   }
@@ -52,22 +70,21 @@
   // A new connection is requested when earlier orders were not answered, which
   // may be the fault of the helper. In this case the next helper is tried
   // first, which has no connection to the worker yet.
-  const auto first = std::hash<std::string>()(order.worker.id) +
-                     (order.fresh_connection ? 1 : 0);
-  const std::size_t tries =
-      order.fresh_connection && helpers_.size() == 1 ? 0 : helpers_.size();
-  for (std::size_t n = 0; n < tries; ++n) {
-    const auto& helper = helpers_[(first + n) % helpers_.size()];
-    const auto avoided = avoided_helpers_.find(helper);
-    if (avoided == avoided_helpers_.end() || now >= avoided->second) {
-      return helper;
+  const auto hash = std::hash<std::string>()(order.worker.id) +
+                    (order.fresh_connection ? 1 : 0);
+  const auto assigned = hash % helpers_.size();
+  if (usable.empty() || (order.fresh_connection && helpers_.size() == 1)) {
+    if (direct_workers_.size() < kMaxDirectWorkers) {
+      direct_workers_[order.worker.id] = now + kAvoidHelperTime;
+      return {};
     }
+    return helpers_[assigned];
   }
-  if (direct_workers_.size() < kMaxDirectWorkers) {
-    direct_workers_[order.worker.id] = now + kAvoidHelperTime;
-    return {};
+  if (std::find(usable.begin(), usable.end(), assigned) != usable.end()) {
+    return helpers_[assigned];
   }
-  return helpers_[first % helpers_.size()];
+  // Spreads the workers of a helper that is not used over all others.
+  return helpers_[usable[hash / helpers_.size() % usable.size()]];
 }
 
 void Relay::Send(std::vector<SentOrder> orders) {
@@ -76,8 +93,9 @@
   {
     const std::lock_guard lock(mutex_);
     const auto now = clock_.Now();
+    const auto usable = FindUsableHelpers(now);
     for (auto& it : orders) {
-      auto helper = SelectHelper(it, now);
+      auto helper = SelectHelper(it, usable, now);
       if (helper.empty()) {
         CountExecuted(it.order);
         own.push_back(std::move(it));
@@ -112,21 +130,32 @@
     const auto id = static_cast<OrderId>(it.id);
     {
       const std::lock_guard lock(mutex_);
+      const auto now = clock_.Now();
       const auto node = outstanding_.extract(id);
-      // The order was already answered or given up.
       if (node.empty()) {
+        const auto late = given_up_.find(id);
+        if (late != given_up_.end()) {
+          RecordReplyOf(late->second, now);
+        }
         continue;
       }
-      last_reply_[node.mapped().helper] = clock_.Now();
+      RecordReplyOf(node.mapped().helper, now);
       if (MayBeUnreachable(reply.answer) &&
           direct_workers_.size() < kMaxDirectWorkers) {
-        direct_workers_[node.mapped().worker] = clock_.Now() + kDirectCallTime;
+        direct_workers_[node.mapped().worker] = now + kDirectCallTime;
       }
     }
     sink_(id, std::move(reply));
   }
 }
 
+void Relay::RecordReplyOf(const std::string& helper, TimePoint now) {
+  last_reply_[helper] = now;
+  if (avoided_helpers_.erase(helper) > 0) {
+    Log(LogLevel::kInfo, "cell", "helper answers again", {{"helper", helper}});
+  }
+}
+
 // Returns whether the helper has not answered any order since `time`. A helper
 // that has answered another order since then has not failed. In this case the
 // helper or the worker is only slow.
@@ -159,11 +188,13 @@
       }
       ++counts_.expired;
       expired.push_back(it->first);
+      given_up_[it->first] = it->second.helper;
+      given_up_ids_.push_back({it->first, now + kKeepGivenUpTime});
       it = outstanding_.erase(it);
     }
     std::erase_if(direct_workers_,
                   [&](const auto& it) { return it.second <= now; });
-    ForgetExecuted(now);
+    ForgetOldOrders(now);
   }
   for (const auto it : expired) {
     WorkerReply reply;
@@ -213,7 +244,11 @@
   }
 }
 
-void Relay::ForgetExecuted(TimePoint now) {
+void Relay::ForgetOldOrders(TimePoint now) {
+  while (!given_up_ids_.empty() && given_up_ids_.front().deadline <= now) {
+    given_up_.erase(given_up_ids_.front().message);
+    given_up_ids_.pop_front();
+  }
   while (!executed_ids_.empty() && executed_ids_.front().deadline <= now) {
     executed_.erase(executed_ids_.front().message);
     executed_ids_.pop_front();
--- a/libraries/cell/src/relay.h
+++ b/libraries/cell/src/relay.h
@@ -93,13 +93,17 @@
     TimePoint deadline;
   };
 
-  // Selects the helper for a worker. Returns an empty string if this controller
-  // is to call the worker directly.
-  std::string SelectHelper(const SentOrder& order, TimePoint now);
+  // Selects the helper for a worker. `usable` holds indices into `helpers_`.
+  // Returns an empty string if this controller is to call the worker directly.
+  std::string SelectHelper(const SentOrder& order,
+                           const std::vector<std::size_t>& usable,
+                           TimePoint now);
+  std::vector<std::size_t> FindUsableHelpers(TimePoint now) const;
+  void RecordReplyOf(const std::string& helper, TimePoint now);
   bool IsSilentSince(const std::string& helper, TimePoint time) const;
   void AvoidHelper(const Outstanding& order, TimePoint now);
   void CountExecuted(const WorkerOrder& order);
-  void ForgetExecuted(TimePoint now);
+  void ForgetOldOrders(TimePoint now);
 
   const ReplySink sink_;
   RelayLink& link_;
@@ -109,6 +113,11 @@
   std::mutex mutex_;
   std::vector<std::string> helpers_;
   std::unordered_map<OrderId, Outstanding> outstanding_;
+  // Helpers of the orders that were recently given up, and these orders in the
+  // order of the time at which they are forgotten. A late reply shows that the
+  // helper is alive.
+  std::unordered_map<OrderId, std::string> given_up_;
+  std::deque<Expiring<OrderId>> given_up_ids_;
   // Time of the last reply of each helper.
   std::unordered_map<std::string, TimePoint> last_reply_;
   // Time until which a helper that left an order unanswered is avoided.
