cell: Keep calling through controllers that answer

In a large cell, a controller whose request to join did not reach the leader for 2.5 s got no orders any more, although it answered those that it had, and its share moved to the others.

A controller that has replied to an order in the last 2.5 s now keeps its share. Controllers are sorted by address, so that the assignment of workers to them does not depend on which source names them. If no request to join arrives at all, the leader still calls workers itself.

The new test keeps_a_helper_that_answers_although_it_seems_gone fails without the fix.

--- a/libraries/cell/src/relay.cc
+++ b/libraries/cell/src/relay.cc
@@ -24,6 +24,9 @@
 // How long a helper that did not answer is avoided. A helper that was frozen or
 // disconnected works again after some seconds.
 constexpr std::chrono::seconds kAvoidHelperTime{5};
+// A helper that answered an order within this time is alive. Helpers answer the
+// holds of their workers about every second.
+constexpr std::chrono::milliseconds kAnsweringTime{2'500};
 // A network failure between a helper and a worker lasts some seconds.
 constexpr std::chrono::seconds kDirectCallTime{10};
 // A leader that calls more workers directly runs short of processor time.
@@ -115,8 +118,25 @@
   }
 }
 
+// Adds current helpers that answer orders although their requests to join do
+// not get through.
+void Relay::AddAnsweringHelpers(std::vector<std::string>& helpers,
+                                TimePoint now) const {
+  for (const auto& it : helpers_) {
+    if (!IsSilentSince(it, now - kAnsweringTime) &&
+        std::find(helpers.begin(), helpers.end(), it) == helpers.end()) {
+      helpers.push_back(it);
+    }
+  }
+  // The position of a helper determines the workers that it calls.
+  std::sort(helpers.begin(), helpers.end());
+}
+
 void Relay::SetHelpers(std::vector<std::string> helpers) {
   const std::lock_guard lock(mutex_);
+  if (!helpers.empty()) {
+    AddAnsweringHelpers(helpers, clock_.Now());
+  }
   if (helpers.size() != helpers_.size()) {
     Log(LogLevel::kInfo, "cell", "calls to workers are spread",
         {{"helpers", helpers.size()}});
--- a/libraries/cell/src/relay.h
+++ b/libraries/cell/src/relay.h
@@ -63,8 +63,9 @@
 
   // Sends orders of this controller, which is the leader.
   void Send(std::vector<SentOrder> orders) override;
-  // Sets the controllers that execute orders from now on. If there are none,
-  // this controller executes them.
+  // Sets the controllers that execute orders from now on. Helpers that still
+  // answer orders are kept, unless there are no controllers: then this
+  // controller executes the orders itself.
   void SetHelpers(std::vector<std::string> helpers);
   void OnReplies(const std::vector<wire::RelayedReply>& replies);
   // Gives up on orders whose deadline has passed. To be called about every
@@ -99,6 +100,8 @@
                            const std::vector<std::size_t>& usable,
                            TimePoint now);
   std::vector<std::size_t> FindUsableHelpers(TimePoint now) const;
+  void AddAnsweringHelpers(std::vector<std::string>& helpers,
+                           TimePoint now) const;
   void RecordReplyOf(const std::string& helper, TimePoint now);
   bool IsSilentSince(const std::string& helper, TimePoint time) const;
   void AvoidHelper(const Outstanding& order, TimePoint now);
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
+
 #include "relay_codec.h"
 
 using namespace cranberryshunt;        // NOLINT
@@ -301,6 +303,40 @@
   cr_expect(send_all(2'000) == before);
 }
 
+// Load pattern: a takeover, after which a helper's requests to join reach the
+// leader late. Guards against dropping a helper that answers orders, whose load
+// then moves to the others.
+Test(relay, keeps_a_helper_that_answers_although_it_seems_gone) {
+  Fixture it;
+  const auto send_some = [&](OrderId first) {
+    it.link.orders.clear();
+    std::set<std::string> helpers;
+    for (OrderId n = 0; n < 50; ++n) {
+      it.relay.Send({MakeOrder(first + n, "w" + std::to_string(n))});
+    }
+    for (const auto& [helper, order] : it.link.orders) {
+      helpers.insert(helper);
+    }
+    return helpers;
+  };
+  it.relay.SetHelpers({"a", "b", "c"});
+  cr_expect_eq(send_some(1).size(), 3);
+  for (const auto& [helper, order] : it.link.orders) {
+    if (helper == "b") {
+      it.relay.OnReplies(
+          {ToWire(static_cast<OrderId>(order.id), MakeDoneReply())});
+    }
+  }
+  it.clock.Advance(std::chrono::seconds(2));
+  it.relay.SetHelpers({"a", "c"});
+  cr_expect(send_some(100).contains("b"));
+  it.clock.Advance(std::chrono::seconds(1));
+  it.relay.SetHelpers({"a", "c"});
+  cr_expect_not(send_some(200).contains("b"));
+  it.relay.SetHelpers({});
+  cr_expect(send_some(300).empty());
+}
+
 // Load pattern: a leader that was frozen, so that no order was answered in
 // time. Guards against a leader that then calls workers directly and overloads
 // itself more and more.
