tests/integration: Wait for the lines that explain a refused job

platform_cell::logs_explain_a_refused_job read the logs right after the reply 429, while a thread of each process writes its log. It now waits for the line of the leader and the line of the entry, up to the bound of the other tests; what the lines must hold is unchanged.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -207,15 +207,19 @@
     }
   }
   cr_assert_geq(refused, 0);
-  const auto lines = cell.LogLines(JobId(refused));
   const auto find_line = [&](const std::string& text) {
-    for (const auto& it : lines) {
+    for (const auto& it : cell.LogLines(JobId(refused))) {
       if (it.find(text) != std::string::npos) {
         return it;
       }
     }
     return std::string();
   };
+  // A process writes its log on a thread of its own.
+  cr_expect(WaitUntil(kBound, [&] {
+    return !find_line("component=admission").empty() &&
+           !find_line("component=entry").empty();
+  }));
   const auto admission_line = find_line("component=admission");
   cr_expect(admission_line.find("message=\"job refused\"") !=
             std::string::npos);
