--- a/libraries/base/src/batch_appender.cc
+++ b/libraries/base/src/batch_appender.cc
@@ -5,10 +5,12 @@
 #include <log4cxx/layout.h>
 #include <log4cxx/level.h>
 #include <log4cxx/spi/loggingevent.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
-#include <cstdio>
 #include <memory>
+#include <string_view>
 
 #include "cranberryshunt/base/thread_times.h"
 
@@ -24,6 +26,20 @@
 constexpr std::chrono::seconds kIdleWait{10};
 constexpr char kLogger[] = "cranberryshunt.log";
 
+// Passes all lines to the system at once, so that a reader of the file does not
+// see a part of a line. There is no other place to report a failure of standard
+// output, so the lines are lost then.
+void WriteToOutput(std::string_view text) {
+  while (!text.empty()) {
+    const auto written = write(STDOUT_FILENO, text.data(), text.size());
+    if (written >= 0) {
+      text.remove_prefix(static_cast<std::size_t>(written));
+    } else if (errno != EINTR) {
+      return;
+    }
+  }
+}
+
 }  // namespace
 
 BatchAppender::BatchAppender(const log4cxx::LayoutPtr& layout)
@@ -73,9 +89,7 @@
                LOG4CXX_LOCATION),
            text);
   }
-  // There is no other place to report a failure of standard output.
-  (void)std::fwrite(text.data(), 1, text.size(), stdout);
-  (void)std::fflush(stdout);
+  WriteToOutput(text);
 }
 
 void BatchAppender::Format(const log4cxx::spi::LoggingEventPtr& event,
