--- a/libraries/base/src/batch_appender.cc
+++ b/libraries/base/src/batch_appender.cc
@@ -12,7 +12,6 @@
 #include <memory>
 #include <string_view>
 
-#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt {
 
@@ -64,7 +63,6 @@
 }
 
 void BatchAppender::Run() {
-  const ScopedThreadName name("log");
   std::vector<log4cxx::spi::LoggingEventPtr> events;
   while (queue_.PopMany(events, kMaxQueuedLines, kIdleWait)) {
     if (!events.empty()) {
--- a/libraries/cell/src/controller.cc
+++ b/libraries/cell/src/controller.cc
@@ -7,7 +7,6 @@
 #include "ControllerService.h"
 #include "call_handler.h"
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/base/timer_service.h"
 #include "cranberryshunt/consensus/thrift_peer_transport.h"
 #include "cranberryshunt/storage/file_system.h"
@@ -122,51 +121,17 @@
 
 }  // namespace
 
-// Logs the calls to workers and the processor time since the last call, by
-// thread. Time of threads without a name is in `other_ms`.
-class UsageLog {
- public:
-  explicit UsageLog(Relay& relay) : relay_(relay) {}
-
-  void Write() {
-    const auto times = ThreadTimes();
-    std::string by_thread;
-    std::int64_t named_ms = 0;
-    for (const auto& [name, time] : times) {
-      if (name != "process") {
-        const auto spent_ms = SpentMs(name, time);
-        named_ms += spent_ms;
-        by_thread += (by_thread.empty() ? "" : ",") + name + ":" +
-                     std::to_string(spent_ms);
-      }
-    }
-    const auto total_ms = SpentMs("process", times.at("process"));
-    previous_ = times;
-    const auto calls = relay_.TakeCounts();
-    Log(LogLevel::kInfo, "cell", "usage",
-        {{"holds", calls.holds},
-         {"starts", calls.starts},
-         {"stops", calls.stops},
-         {"unanswered", calls.unanswered},
-         {"relayed", calls.relayed},
-         {"expired", calls.expired},
-         {"cpu_ms", total_ms},
-         {"threads_ms", by_thread},
-         {"other_ms", total_ms - named_ms}});
-  }
-
- private:
-  std::int64_t SpentMs(const std::string& name,
-                       std::chrono::microseconds time) const {
-    const auto previous = previous_.find(name);
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               previous == previous_.end() ? time : time - previous->second)
-        .count();
-  }
-
-  Relay& relay_;
-  std::map<std::string, std::chrono::microseconds> previous_;
-};
+// Logs the calls to workers since the last call.
+void LogUsage(Relay& relay) {
+  const auto calls = relay.TakeCounts();
+  Log(LogLevel::kInfo, "cell", "usage",
+      {{"holds", calls.holds},
+       {"starts", calls.starts},
+       {"stops", calls.stops},
+       {"unanswered", calls.unanswered},
+       {"relayed", calls.relayed},
+       {"expired", calls.expired}});
+}
 
 // Members are destroyed in the reverse order of their declaration.
 struct Controller::Implementation {
@@ -187,8 +152,7 @@
               decisions.OnWorkerReply(id, std::move(reply));
             },
             link,
-            clock),
-        usage_log(relay) {}
+            clock) {}
 
   ~Implementation() {
     join_requester.reset();
@@ -210,7 +174,6 @@
   std::unique_ptr<consensus::Replica> replica;
   ThriftRelayLink link;
   Relay relay;
-  UsageLog usage_log;
   TimerService timers;
   TimerService::Subscription relay_timer;
   TimerService::Subscription usage_timer;
@@ -246,7 +209,7 @@
   parts->relay_timer = parts->timers.RunEvery(
       kRelayCheckInterval, [raw = parts.get()] { raw->relay.Advance(); });
   parts->usage_timer = parts->timers.RunEvery(
-      kUsageLogInterval, [raw = parts.get()] { raw->usage_log.Write(); });
+      kUsageLogInterval, [raw = parts.get()] { LogUsage(raw->relay); });
   parts->decisions.Start(*parts->replica, parts->relay);
   parts->handler = std::make_unique<CallHandler>(parts->decisions,
                                                  *parts->replica, parts->relay);
--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::cell {
 
@@ -82,7 +81,6 @@
 }
 
 void DecisionThread::Run() {
-  const ScopedThreadName name("decisions");
   std::vector<Event> events;
   std::chrono::milliseconds idle{0};
   for (;;) {
--- a/libraries/cell/src/thrift_relay_link.cc
+++ b/libraries/cell/src/thrift_relay_link.cc
@@ -7,7 +7,6 @@
 
 #include "ControllerService.h"
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/wire/controller_client.h"
 
 namespace cranberryshunt::cell {
@@ -65,7 +64,6 @@
   static constexpr bool kSendsOrders = std::is_same_v<T, wire::RelayedOrder>;
 
   void Run() {
-    const ScopedThreadName name("relay");
     std::unique_lock lock(mutex_);
     while (true) {
       changed_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
--- a/libraries/consensus/src/replica_thread.cc
+++ b/libraries/consensus/src/replica_thread.cc
@@ -7,7 +7,6 @@
 
 #include "cranberryshunt/base/bytes.h"
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::consensus {
 
@@ -116,7 +115,6 @@
 }
 
 void ReplicaThread::Run() {
-  const ScopedThreadName name("consensus");
   if (raft_->snapshot()) {
     observer_.OnSnapshot(raft_->snapshot()->index, raft_->snapshot()->data);
   }
--- a/libraries/consensus/src/thrift_peer_transport.cc
+++ b/libraries/consensus/src/thrift_peer_transport.cc
@@ -7,7 +7,6 @@
 #include "ControllerService.h"
 #include "cranberryshunt/base/bounded_ring.h"
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/wire/controller_client.h"
 
 namespace cranberryshunt::consensus {
@@ -59,7 +58,6 @@
 
  private:
   void Run() {
-    const ScopedThreadName name("peer_sender");
     std::vector<wire::RaftMessage> queued;
     while (queue_.PopMany(queued, SIZE_MAX, kIdleWait)) {
       auto next = queued.begin();
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -20,7 +20,6 @@
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
-#include "cranberryshunt/base/thread_times.h"
 
 namespace cranberryshunt::http {
 
@@ -613,7 +612,6 @@
 }
 
 void HttpClient::Implementation::Run() {
-  const ScopedThreadName name("http_client");
   while (!stopping) {
     auto begin = SteadyClock::now();
     StartSubmitted();
--- a/libraries/wire/src/controller_server.cc
+++ b/libraries/wire/src/controller_server.cc
@@ -13,7 +13,6 @@
 
 #include "ControllerService.h"
 #include "cranberryshunt/base/bytes.h"
-#include "cranberryshunt/base/thread_times.h"
 #include "cranberryshunt/wire/authentication.h"
 
 namespace cranberryshunt::wire {
@@ -22,7 +21,6 @@
 
 using apache::thrift::TConnectionInfo;
 using apache::thrift::protocol::TBinaryProtocolFactory;
-using apache::thrift::protocol::TProtocol;
 using apache::thrift::server::TServerEventHandler;
 using apache::thrift::server::TThreadedServer;
 using apache::thrift::transport::TFramedTransportFactory;
@@ -196,16 +194,6 @@
 class ListenSignal final : public TServerEventHandler {
  public:
   void preServe() override { Set(true); }
-  // Each connection has a thread of its own, which runs these two functions.
-  void* createContext(std::shared_ptr<TProtocol> /*input*/,
-                      std::shared_ptr<TProtocol> /*output*/) override {
-    return new ScopedThreadName("inbound_calls");
-  }
-  void deleteContext(void* context,
-                     std::shared_ptr<TProtocol> /*input*/,
-                     std::shared_ptr<TProtocol> /*output*/) override {
-    delete static_cast<ScopedThreadName*>(context);
-  }
 
   void Set(bool listening) {
     std::lock_guard lock(mutex_);
