--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -382,3 +382,52 @@
   }
   ExpectNoViolations(cell);
 }
+
+// Guards against dropping the end as done of a run when a later run of the task
+// was given up as well and the task waits.
+Test(leader, takes_the_done_end_of_a_run_before_the_last_one) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.run_time = [&](const graph::TaskKey&, std::int64_t declared) {
+    return cell.starts == 0 ? declared : 60'000;
+  };
+  cell.Submit(1, "a", MakeJob(1, 4'000, 300));
+  while (cell.starts == 0) {
+    cell.Run(1);
+  }
+  auto* first = &cell.workers[cell.workers[0].runs.empty() ? 1 : 0];
+  first->silent = true;
+  cell.Run(15'000);
+  cr_assert_eq(cell.starts, 2);
+  for (auto& it : cell.workers) {
+    it.silent = true;
+  }
+  cell.Run(14'000);
+  cr_assert_eq(cell.starts, 2);
+  first->silent = false;
+  cell.Run(5'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cr_expect_eq(cell.starts, 2);
+}
+
+// Guards against a service that stays down although no end can change what
+// follows: its worker reports but cannot be reached.
+Test(leader, restarts_a_long_running_task_once_its_lease_has_expired) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell, {MakeQueue("a", 1)});
+  auto job = MakeJob(1, 4'000, 600'000);
+  job.steps[0].long_running = true;
+  cell.Submit(1, "a", job);
+  cell.Run(500);
+  cr_assert_eq(cell.starts, 1);
+  for (auto& it : cell.workers) {
+    it.unreachable = !it.runs.empty();
+  }
+  std::int64_t waited_ms = 0;
+  while (cell.starts == 1 && waited_ms < 40'000) {
+    cell.Run(100);
+    waited_ms += 100;
+  }
+  cr_expect_lt(waited_ms, 10'000, "waited %ld ms",
+               static_cast<long>(waited_ms));
+}
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -399,3 +399,107 @@
   cr_assert_eq(out.finished.size(), 1);
   cr_expect_eq(out.finished[0].run_ms, 59'800);
 }
+
+// Guards against a run that never ends, because a worker refuses every hold:
+// a refused hold renews no lease on the worker.
+Test(worker_tracker, gives_up_runs_of_a_worker_that_refuses_holds) {
+  auto tracker = MakeTracker(100);
+  const auto start = SendStart(tracker, 200);
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 200, MakeHoldReply(1'110, 50), 210, out);
+  for (std::int64_t now = 220; now < 60'000; now += 10) {
+    WorkerTrackerOutput sent;
+    tracker.Advance(now, sent);
+    out.finished.insert(out.finished.end(), sent.finished.begin(),
+                        sent.finished.end());
+    for (const auto& it : sent.orders) {
+      WorkerReply refused;
+      refused.answer = WorkerAnswer::kOverloaded;
+      refused.clock_ms = now + 900;
+      refused.born_ms = 50;
+      tracker.OnReply(it, now, refused, now + 5, out);
+    }
+  }
+  cr_expect_eq(out.finished.size(), 1);
+}
+
+// Guards against a task that waits for ever, because the worker that lost its
+// lease can be reached again but lists a row that cannot be read.
+Test(worker_tracker, gives_up_expired_runs_despite_unreadable_rows) {
+  auto tracker = MakeTracker(100);
+  const auto start = SendStart(tracker, 200);
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 200, MakeHoldReply(1'110, 50), 210, out);
+  for (std::int64_t now = 220; now < 60'000; now += 10) {
+    WorkerTrackerOutput sent;
+    tracker.Advance(now, sent);
+    out.finished.insert(out.finished.end(), sent.finished.begin(),
+                        sent.finished.end());
+    tracker.OnReport(1, now, now + 900, now);
+    for (const auto& it : sent.orders) {
+      WorkerReply reply;
+      if (now > 10'000) {
+        reply = MakeHoldReply(now + 900, 50);
+        reply.unreadable_rows = 1;
+      }
+      tracker.OnReply(it, now, reply, now + 5, out);
+    }
+  }
+  cr_expect_eq(out.finished.size(), 1);
+}
+
+// Guards against repeating a task whose end is not on the first page of a
+// worker's list.
+Test(worker_tracker, reads_all_pages_of_ends_before_runs_count_as_lost) {
+  constexpr std::int64_t kPageRows = 500;
+  auto tracker = MakeTracker(100);
+  const auto start = SendStart(tracker, 200);
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 200, MakeHoldReply(1'110, 50), 210, out);
+  tracker.Advance(300, out);
+  auto reply = MakeHoldReply(1'210, 50);
+  for (std::int64_t n = 1; n <= kPageRows; ++n) {
+    EndedRow row;
+    row.number = n;
+    row.task = {9, 0, 0, static_cast<std::int32_t>(n)};
+    row.run = 1;
+    row.how = wire::RunEnd::kDone;
+    reply.ended.push_back(row);
+  }
+  const auto hold = LastHold(out);
+  out = {};
+  tracker.OnReply(hold, 300, reply, 310, out);
+  for (const auto& it : out.finished) {
+    cr_expect(it.task != kTask);
+  }
+}
+
+// Guards against repeating a task whose start was executed: a worker that got
+// no stop refuses a run as old only if that run has ended there.
+Test(worker_tracker, waits_for_the_end_of_a_run_that_was_refused_as_old) {
+  auto tracker = MakeTracker(100);
+  const auto start = SendStart(tracker, 200);
+  WorkerTrackerOutput out;
+  WorkerReply refused = MakeHoldReply(1'110, 50);
+  refused.answer = WorkerAnswer::kStaleRun;
+  tracker.OnReply(start, 200, refused, 210, out);
+  cr_expect(out.finished.empty());
+}
+
+// Guards against a second run, because the previous incarnation confirmed a
+// stop of a start that the new one may still execute.
+Test(worker_tracker, ignores_a_stop_that_an_earlier_incarnation_confirmed) {
+  auto tracker = MakeTracker(1'000);
+  SendStart(tracker, 1'200);
+  tracker.StopJob(kTask.job);
+  WorkerTrackerOutput out;
+  tracker.Advance(1'210, out);
+  const auto stop = out.orders.front();
+  cr_assert(std::holds_alternative<StopOrder>(stop.order));
+  tracker.Register(2, MakeWorker(9'000), 1'300);
+  tracker.OnReply(stop, 1'210, MakeHoldReply(1'400, 50), 1'400, out);
+  out = {};
+  tracker.Advance(1'500, out);
+  tracker.OnReply(LastHold(out), 1'500, MakeHoldReply(5, 9'000), 1'510, out);
+  cr_expect(out.finished.empty());
+}
