--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -431,3 +431,28 @@
   cr_expect_lt(waited_ms, 10'000, "waited %ld ms",
                static_cast<long>(waited_ms));
 }
+
+// Guards against losing the end as done of a run that was given up while the
+// start of the next run is being committed, and against sending that start.
+Test(leader, takes_the_done_end_while_the_next_start_is_being_committed) {
+  CellHarness cell({.workers = 2, .commit_ms = 3'000});
+  cell.Run(8'000);
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.Run(8'000);
+  cell.Submit(1, "a", MakeJob(1, 4'000, 300));
+  while (cell.starts == 0) {
+    cell.Run(1);
+  }
+  const std::size_t first = cell.workers[0].runs.empty() ? 1 : 0;
+  cell.workers[first].silent = true;
+  const auto lost_ms = cell.now_ms();
+  while (cell.engine().store().FindJob(1)->task({1, 0, 0, 0}).run != 0 &&
+         cell.now_ms() < lost_ms + 30'000) {
+    cell.Run(1);
+  }
+  cell.workers[first].silent = false;
+  cell.Run(15'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cr_expect_eq(cell.starts, 1);
+  cr_expect_eq(cell.refused_starts, 0);
+}
