--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -456,3 +456,38 @@
   cr_expect_eq(cell.starts, 1);
   cr_expect_eq(cell.refused_starts, 0);
 }
+
+// Guards against other members of a gang that go on after a member of an
+// earlier run, which was given up, has ended as done.
+Test(leader, stops_all_members_of_a_gang_whose_earlier_run_was_done) {
+  CellHarness cell({.workers = 4});
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.run_time = [&](const graph::TaskKey& key, std::int64_t declared) {
+    return cell.starts < 2 && key.index == 0 ? declared : 60'000;
+  };
+  auto job = MakeJob(2, 4'000, 300);
+  job.steps[0].gang = true;
+  job.steps[0].max_per_worker = 1;
+  cell.Submit(1, "a", job);
+  while (cell.starts < 2) {
+    cell.Run(1);
+  }
+  FakeWorker* first = nullptr;
+  for (auto& it : cell.workers) {
+    if (it.runs.contains({{1, 0, 0, 0}, 1})) {
+      first = &it;
+    }
+  }
+  cr_assert_not_null(first);
+  first->silent = true;
+  for (int n = 0; n < 3'000 && cell.starts < 4; ++n) {
+    cell.Run(10);
+  }
+  cr_assert_eq(cell.starts, 4);
+  first->silent = false;
+  cell.Run(5'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  for (const auto& it : cell.workers) {
+    cr_expect(it.runs.empty());
+  }
+}
