--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -382,3 +382,112 @@
   }
   ExpectNoViolations(cell);
 }
+
+// Guards against dropping the end as done of a run when a later run of the task
+// was given up as well and the task waits.
+Test(leader, takes_the_done_end_of_a_run_before_the_last_one) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.run_time = [&](const graph::TaskKey&, std::int64_t declared) {
+    return cell.starts == 0 ? declared : 60'000;
+  };
+  cell.Submit(1, "a", MakeJob(1, 4'000, 300));
+  while (cell.starts == 0) {
+    cell.Run(1);
+  }
+  auto* first = &cell.workers[cell.workers[0].runs.empty() ? 1 : 0];
+  first->silent = true;
+  cell.Run(15'000);
+  cr_assert_eq(cell.starts, 2);
+  for (auto& it : cell.workers) {
+    it.silent = true;
+  }
+  cell.Run(14'000);
+  cr_assert_eq(cell.starts, 2);
+  first->silent = false;
+  cell.Run(5'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cr_expect_eq(cell.starts, 2);
+}
+
+// Guards against a service that stays down although no end can change what
+// follows: its worker reports but cannot be reached.
+Test(leader, restarts_a_long_running_task_once_its_lease_has_expired) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell, {MakeQueue("a", 1)});
+  auto job = MakeJob(1, 4'000, 600'000);
+  job.steps[0].long_running = true;
+  cell.Submit(1, "a", job);
+  cell.Run(500);
+  cr_assert_eq(cell.starts, 1);
+  for (auto& it : cell.workers) {
+    it.unreachable = !it.runs.empty();
+  }
+  std::int64_t waited_ms = 0;
+  while (cell.starts == 1 && waited_ms < 40'000) {
+    cell.Run(100);
+    waited_ms += 100;
+  }
+  cr_expect_lt(waited_ms, 10'000, "waited %ld ms",
+               static_cast<long>(waited_ms));
+}
+
+// Guards against losing the end as done of a run that was given up while the
+// start of the next run is being committed, and against sending that start.
+Test(leader, takes_the_done_end_while_the_next_start_is_being_committed) {
+  CellHarness cell({.workers = 2, .commit_ms = 3'000});
+  cell.Run(8'000);
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.Run(8'000);
+  cell.Submit(1, "a", MakeJob(1, 4'000, 300));
+  while (cell.starts == 0) {
+    cell.Run(1);
+  }
+  const std::size_t first = cell.workers[0].runs.empty() ? 1 : 0;
+  cell.workers[first].silent = true;
+  const auto lost_ms = cell.now_ms();
+  while (cell.engine().store().FindJob(1)->task({1, 0, 0, 0}).run != 0 &&
+         cell.now_ms() < lost_ms + 30'000) {
+    cell.Run(1);
+  }
+  cell.workers[first].silent = false;
+  cell.Run(15'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cr_expect_eq(cell.starts, 1);
+  cr_expect_eq(cell.refused_starts, 0);
+}
+
+// Guards against other members of a gang that go on after a member of an
+// earlier run, which was given up, has ended as done.
+Test(leader, stops_all_members_of_a_gang_whose_earlier_run_was_done) {
+  CellHarness cell({.workers = 4});
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.run_time = [&](const graph::TaskKey& key, std::int64_t declared) {
+    return cell.starts < 2 && key.index == 0 ? declared : 60'000;
+  };
+  auto job = MakeJob(2, 4'000, 300);
+  job.steps[0].gang = true;
+  job.steps[0].max_per_worker = 1;
+  cell.Submit(1, "a", job);
+  while (cell.starts < 2) {
+    cell.Run(1);
+  }
+  FakeWorker* first = nullptr;
+  for (auto& it : cell.workers) {
+    if (it.runs.contains({{1, 0, 0, 0}, 1})) {
+      first = &it;
+    }
+  }
+  cr_assert_not_null(first);
+  first->silent = true;
+  for (int n = 0; n < 3'000 && cell.starts < 4; ++n) {
+    cell.Run(10);
+  }
+  cr_assert_eq(cell.starts, 4);
+  first->silent = false;
+  cell.Run(5'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  for (const auto& it : cell.workers) {
+    cr_expect(it.runs.empty());
+  }
+}
