cell: Take the end of any earlier run of a task

The end as done of a run that had been given up was dropped while its task waited after a later run had been given up as well, or if the batch with the start of the next run was refused. It is now written for each run that may be the current one; the task is reserved until that is committed. leader::takes_the_done_end_of_a_run_before_the_last_one failed before.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -92,8 +92,8 @@
           if (task.run != 0) {
             workers_.AddInheritedRun(
                 task.worker, key, task.run, DemandOf(step),
-                run_times_.Expected(queue.name, step.estimate_ms), now_ms_,
-                out);
+                run_times_.Expected(queue.name, step.estimate_ms), now_ms_, out,
+                step.long_running);
           }
         }
       }
@@ -354,29 +354,46 @@
        {"reason", finished.reason}});
 }
 
-// Returns the run that was started, or is being started, after this one was
-// given up, if this one has ended as done after all; otherwise 0.
-std::int32_t Leader::FindLaterRun(const FinishedRun& finished) const {
+// Returns the runs of the task after this one, if this one has ended as done
+// although it was given up. A start that is being committed may or may not take
+// effect, so there may be two.
+std::set<std::int32_t> Leader::FindLaterRuns(
+    const FinishedRun& finished) const {
   const auto* job = store_.FindJob(finished.task.job);
   const auto* task = job == nullptr ? nullptr : job->FindTask(finished.task);
   if (task == nullptr || !job->active() || task->done ||
       finished.how != wire::RunEnd::kDone ||
       job->step(finished.task.step).long_running) {
-    return 0;
+    return {};
+  }
+  std::set<std::int32_t> out;
+  if (task->last_run > finished.run) {
+    out.insert(task->last_run);
   }
   const auto proposed = proposed_runs_.find(finished.task);
-  const auto run =
-      proposed == proposed_runs_.end() ? task->run : proposed->second;
-  return run > finished.run ? run : 0;
+  if (proposed != proposed_runs_.end()) {
+    out.insert(proposed->second);
+  }
+  return out;
+}
+
+// The task must not start while the end of its earlier run is being committed.
+void Leader::ReserveUntilCommitted(const FinishedRun& finished) {
+  step_tracker_.Reserve(finished.task, finished.worker);
+  step_tracker_.RefreshStep(finished.task.step_key(), now_ms_, wall_ms_);
+  continuations_.emplace_back([this, key = finished.task](bool) {
+    step_tracker_.EndReservation(key);
+    step_tracker_.RefreshStep(key.step_key(), now_ms_, wall_ms_);
+  });
 }
 
 // Stops what runs of a task whose earlier run has ended as done. For a gang
 // that is every member.
-void Leader::StopLaterRun(const FinishedRun& finished, std::int32_t later_run) {
+void Leader::StopLaterRuns(const FinishedRun& finished, std::int32_t last_run) {
   Log(LogLevel::kWarning, "runs", "run ended as done after it was given up",
       {{"task", graph::FormatTask(finished.task)},
        {"run", finished.run},
-       {"later_run", later_run}});
+       {"last_run", last_run}});
   const auto& step =
       store_.FindJob(finished.task.job)->step(finished.task.step);
   graph::TaskKey member = finished.task;
@@ -395,24 +412,20 @@
       job != nullptr &&
       job->AcceptsResult(finished.task, finished.run, finished.how);
   LogRun(finished, current);
-  if (const auto later_run = FindLaterRun(finished); later_run != 0) {
-    StopLaterRun(finished, later_run);
-    current_runs.push_back(finished);
-    current_runs.back().run = later_run;
+  if (const auto later_runs = FindLaterRuns(finished); !later_runs.empty()) {
+    StopLaterRuns(finished, *later_runs.rbegin());
+    ReserveUntilCommitted(finished);
+    for (const auto it : later_runs) {
+      current_runs.push_back(finished);
+      current_runs.back().run = it;
+    }
   }
   if (!current) {
     return;
   }
   if (task->run != finished.run) {
-    // The leader had given up this run, but it had ended as done. The task
-    // waits for another start, which must not happen while this result is being
-    // committed.
-    step_tracker_.Reserve(finished.task, finished.worker);
-    step_tracker_.RefreshStep(finished.task.step_key(), now_ms_, wall_ms_);
-    continuations_.emplace_back([this, key = finished.task](bool) {
-      step_tracker_.EndReservation(key);
-      step_tracker_.RefreshStep(key.step_key(), now_ms_, wall_ms_);
-    });
+    // The leader had given up this run, but it had ended as done.
+    ReserveUntilCommitted(finished);
   }
   if (finished.how == wire::RunEnd::kDone) {
     health_.RecordSuccess(finished.worker);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -70,8 +70,9 @@
   void ApplyOutput(WorkerTrackerOutput out);
   void OnFinished(const FinishedRun& finished,
                   std::vector<FinishedRun>& current_runs);
-  std::int32_t FindLaterRun(const FinishedRun& finished) const;
-  void StopLaterRun(const FinishedRun& finished, std::int32_t later_run);
+  std::set<std::int32_t> FindLaterRuns(const FinishedRun& finished) const;
+  void StopLaterRuns(const FinishedRun& finished, std::int32_t last_run);
+  void ReserveUntilCommitted(const FinishedRun& finished);
   void LogRun(const FinishedRun& finished, bool current);
   void LogEnds(graph::JobId id, std::int64_t at_ms);
   void StopObsoleteRuns(const wire::GraphBatch& batch);
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -320,9 +320,10 @@
   for (auto& it : cell.workers) {
     it.silent = !it.runs.empty();
   }
-  while (cell.starts == 1) {
+  for (int n = 0; n < 3'000 && cell.starts == 1; ++n) {
     cell.Run(10);
   }
+  cr_assert_eq(cell.starts, 2);
   for (auto& it : cell.workers) {
     it.silent = false;
   }
