--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Ends that a worker lists at a time.
+constexpr std::size_t kEndsPerPage = 500;
 // A worker that confirmed a stop no longer lists the run after this time.
 constexpr std::int64_t kMaxStopMs = 1'000;
 // Pause before the next hold of a worker that did not answer. It grows with the
@@ -215,7 +217,8 @@
       RequestStop(worker, key, run);
     }
   }
-  if (reply.unreadable_rows > 0) {
+  // The run may be in a row that is unreadable or on the next page.
+  if (reply.unreadable_rows > 0 || reply.ended.size() >= kEndsPerPage) {
     return;
   }
   auto it = worker.runs.begin();
