cell: Ignore replies of an earlier incarnation to starts and stops

A stop that the earlier incarnation of a worker had confirmed settled a start that was still on its way to the new one. worker_tracker::ignores_a_stop_that_an_earlier_incarnation_confirmed failed before.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -87,6 +87,9 @@
         worker->next_hold_ms = now_ms + kHoldRetryMs;
       }
     }
+  } else if (other_incarnation) {
+    // Says nothing about the runs of the registered incarnation.
+    return;
   } else if (const auto* start = std::get_if<StartOrder>(&sent.order)) {
     OnStartReply(*worker, *start, sent_ms, reply, now_ms, out);
   } else if (const auto* stop = std::get_if<StopOrder>(&sent.order)) {
