--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -279,6 +279,12 @@
   }
   const bool stopped = it->second.phase == RunPhase::kStopConfirmed;
   switch (reply.answer) {
+    case WorkerAnswer::kStaleRun:
+      // An earlier delivery of the start may have run to its end. The list
+      // tells.
+      it->second.phase = RunPhase::kRunning;
+      it->second.phase_confirmed_ms = now_ms;
+      return;
     case WorkerAnswer::kDone:
       if (stopped) {
         return;
