cell: Bound the time that an expired run waits, and repeat fewer stops

Only orders that are carried out count now, for up to three unanswered holds. - The wait for a worker's list was counted from the expiry of its lease, and began anew with each renewal, so a run beside an unreadable row waited for ever. Each run now has its own limit. - Long-running tasks waited for a list that cannot complete them; they are restarted at the end of the lease.

--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -143,7 +143,8 @@
     ticket = step.advice.allowed.find(start.worker)->second.text;
   }
   ++metrics_.Counter("starts_total");
-  workers_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms);
+  workers_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms,
+                   job.step(task.step).long_running);
   step_tracker_.Reserve(task, start.worker);
   wire::RunStart record;
   record.task = graph::ToWire(task);
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -41,7 +41,8 @@
   // time.
   bool start_time_known = false;
   std::int64_t expected_run_ms = 0;
-  std::string checkpoint;  // Latest one that the worker reported.
+  bool long_running = false;  // Runs until it is stopped.
+  std::string checkpoint;     // Latest one that the worker reported.
   bool stop_requested = false;
   std::int64_t stop_sent_ms = 0;
   // When the stop was requested, and the number of orders sent for it.
@@ -58,10 +59,9 @@
 
   // Whether this incarnation answered a hold with the fence of this leader.
   bool synced = false;
-  // Whether every lease expired, so that nothing can still run on the worker,
-  // and since when.
+  // Whether every lease expired, so that nothing can still run on the worker.
   bool leases_expired = false;
-  std::int64_t leases_expired_ms = 0;
+  bool has_expired_runs = false;  // Whether runs may be in kLeaseExpired.
 
   // The worker's clock was at least `clock_ms` when the local clock was
   // `clock_sampled_ms`.
@@ -84,6 +84,7 @@
   std::int64_t next_hold_ms = 0;
   std::int32_t hold_failures = 0;
   std::int64_t last_answer_ms = 0;  // Last answer to any order.
+  std::int64_t last_done_ms = 0;    // Last order that was carried out.
   std::int64_t last_report_ms = 0;  // Last report, or the registration.
   std::int64_t report_sequence = -1;
   std::int64_t avoid_until_ms = 0;  // End of the pause after a refused start.
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -66,6 +66,9 @@
   if (answered && !other_incarnation &&
       reply.answer != WorkerAnswer::kOtherWorker) {
     worker->last_answer_ms = now_ms;
+    if (reply.answer == WorkerAnswer::kDone) {
+      worker->last_done_ms = now_ms;
+    }
     RecordClock(*worker, reply.clock_ms, now_ms);
   }
   if (reply.answer == WorkerAnswer::kOtherWorker) {
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -32,6 +32,9 @@
 // A worker that has not answered for this long beyond the wait of a hold gets
 // no starts.
 constexpr std::int64_t kMaxSilenceMs = 1'600;
+// Holds in a row without an answer up to which the lease is renewed because
+// other orders are carried out.
+constexpr std::int32_t kMaxUnansweredRenewals = 3;
 // A worker that neither answered nor reported for this long counts as dead, and
 // its ends as lost. It reports several times within this time.
 constexpr std::int64_t kPresumedDeadMs = 6'000;
@@ -148,21 +151,46 @@
   }
 }
 
-void WorkerTracker::ExpireRuns(TrackedWorker& worker, std::int64_t now_ms) {
-  for (auto& [key, run] : worker.runs) {
-    if (run.phase != RunPhase::kProposed) {
+void WorkerTracker::ExpireRuns(TrackedWorker& worker,
+                               std::int64_t now_ms,
+                               WorkerTrackerOutput& out) {
+  auto it = worker.runs.begin();
+  while (it != worker.runs.end()) {
+    const auto next = std::next(it);
+    auto& run = it->second;
+    if (run.long_running && run.phase != RunPhase::kProposed) {
+      FinishRun(worker, it, wire::RunEnd::kLost, "lease ran out", now_ms, out);
+    } else if (run.phase != RunPhase::kProposed &&
+               run.phase != RunPhase::kLeaseExpired) {
       run.phase = RunPhase::kLeaseExpired;
       run.phase_confirmed_ms = now_ms;
+      worker.has_expired_runs = true;
     }
+    it = next;
   }
 }
 
-bool WorkerTracker::MayListEnds(const TrackedWorker& worker,
-                                std::int64_t now_ms) {
+void WorkerTracker::GiveUpExpiredRuns(TrackedWorker& worker,
+                                      std::int64_t now_ms,
+                                      WorkerTrackerOutput& out) {
   const auto last_contact_ms =
       std::max(worker.last_answer_ms, worker.last_report_ms);
-  return now_ms - last_contact_ms < kPresumedDeadMs &&
-         now_ms - worker.leases_expired_ms < kMaxListWaitMs;
+  const bool presumed_dead = now_ms - last_contact_ms >= kPresumedDeadMs;
+  worker.has_expired_runs = false;
+  auto it = worker.runs.begin();
+  while (it != worker.runs.end()) {
+    const auto next = std::next(it);
+    if (it->second.phase == RunPhase::kLeaseExpired) {
+      if (presumed_dead ||
+          now_ms - it->second.phase_confirmed_ms >= kMaxListWaitMs) {
+        FinishRun(worker, it, wire::RunEnd::kLost, "lease ran out", now_ms,
+                  out);
+      } else {
+        worker.has_expired_runs = true;
+      }
+    }
+    it = next;
+  }
 }
 
 // Their replies will not be read.
@@ -250,7 +278,8 @@
                                     const policy::Demand& demand,
                                     std::int64_t expected_run_ms,
                                     std::int64_t now_ms,
-                                    WorkerTrackerOutput& out) {
+                                    WorkerTrackerOutput& out,
+                                    bool long_running) {
   const auto worker = workers_.find(number);
   if (worker == workers_.end()) {
     // That incarnation of the worker has ended.
@@ -267,6 +296,7 @@
   it.demand = demand;
   it.started_ms = now_ms;
   it.expected_run_ms = expected_run_ms;
+  it.long_running = long_running;
   AddRun(worker->second, {task, run}, it);
 }
 
@@ -353,7 +383,8 @@
                             const TaskKey& task,
                             std::int32_t run,
                             const policy::Demand& demand,
-                            std::int64_t expected_run_ms) {
+                            std::int64_t expected_run_ms,
+                            bool long_running) {
   const auto worker = workers_.find(number);
   if (worker == workers_.end()) {
     return;
@@ -361,6 +392,7 @@
   Run it;
   it.demand = demand;
   it.expected_run_ms = expected_run_ms;
+  it.long_running = long_running;
   AddRun(worker->second, {task, run}, it);
 }
 
@@ -485,8 +517,9 @@
   // A worker that answers nothing gets no further lease, so that its runs have
   // ended once the current lease has expired. One that answers other orders
   // keeps its runs, because only the hold or its reply was lost.
-  const bool answers =
-      worker.hold_failures == 0 || worker.last_answer_ms > worker.hold_sent_ms;
+  const bool answers = worker.hold_failures == 0 ||
+                       (worker.hold_failures <= kMaxUnansweredRenewals &&
+                        worker.last_done_ms > worker.hold_sent_ms);
   if (worker.clock_ms >= 0 && answers) {
     order.lease_until_ms = GrantLease(worker, now_ms);
   }
@@ -498,6 +531,13 @@
 }
 
 void WorkerTracker::SendStops(std::int64_t now_ms, WorkerTrackerOutput& out) {
+  if (stop_candidates_.empty()) {
+    return;
+  }
+  // An overloaded cell answers late, and must not be sent more stops for that.
+  const auto retry_ms =
+      std::clamp(static_cast<std::int64_t>(MedianStartAnswerMs(now_ms)),
+                 kStopRetryMs, kAnswerTimeoutMs);
   auto it = stop_candidates_.begin();
   while (it != stop_candidates_.end()) {
     const auto current = it++;
@@ -515,13 +555,14 @@
     // the start may be lost. A stop that arrives first bars the run.
     const bool may_send = run.phase != RunPhase::kProposed &&
                           run.phase != RunPhase::kLeaseExpired;
+    const auto since_last_ms = now_ms - run.stop_sent_ms;
     if (!may_send ||
-        now_ms < run.stop_sent_ms +
-                     kStopRetryMs * std::min(run.stops_sent, kMaxStopBackoff)) {
+        since_last_ms < retry_ms * std::min(run.stops_sent, kMaxStopBackoff)) {
       continue;
     }
     const bool fresh_connection =
-        run.phase == RunPhase::kUncertain || run.stops_sent > 0;
+        run.phase == RunPhase::kUncertain ||
+        (run.stops_sent > 0 && since_last_ms >= kAnswerTimeoutMs);
     run.stop_sent_ms = now_ms;
     ++run.stops_sent;
     AddOrder(worker, StopOrder{options_.fence, key.first, key.second},
@@ -554,12 +595,10 @@
            {"clock_ms", worker.clock_ms},
            {"clock_age_ms", now_ms - worker.clock_sampled_ms},
            {"runs", worker.runs.size()}});
-      worker.leases_expired_ms = now_ms;
-      ExpireRuns(worker, now_ms);
+      ExpireRuns(worker, now_ms, out);
     }
-    if (worker.leases_expired && !worker.runs.empty() &&
-        !MayListEnds(worker, now_ms)) {
-      FinishAllRuns(worker, "lease ran out", now_ms, out);
+    if (worker.has_expired_runs) {
+      GiveUpExpiredRuns(worker, now_ms, out);
     }
   }
 }
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -72,7 +72,8 @@
                        const policy::Demand& demand,
                        std::int64_t expected_run_ms,
                        std::int64_t now_ms,
-                       WorkerTrackerOutput& out);
+                       WorkerTrackerOutput& out,
+                       bool long_running = false);
 
   // Handles a report that a worker sent about itself. Reports that are not
   // newer than the last one are ignored.
@@ -85,7 +86,8 @@
                const TaskKey& task,
                std::int32_t run,
                const policy::Demand& demand,
-               std::int64_t expected_run_ms);
+               std::int64_t expected_run_ms,
+               bool long_running = false);
   // Sends a start that has been committed. Reports the run as not started if a
   // stop was requested meanwhile or the worker is no longer usable.
   void SendStart(WorkerNumber number,
@@ -149,12 +151,16 @@
   std::map<RunKey, Run>::iterator EraseRun(TrackedWorker& worker,
                                            std::map<RunKey, Run>::iterator it);
   void MarkStartsUncertain(TrackedWorker& worker);
-  // Marks the runs of a worker whose leases have all expired.
-  static void ExpireRuns(TrackedWorker& worker, std::int64_t now_ms);
-  // Whether a worker whose leases have expired may still tell how its runs
-  // ended. Until then their tasks must not start again, because a run that
+  // Marks the runs of a worker whose leases have all expired. Their tasks must
+  // not start again before the worker has listed its ends, because a run that
   // ended as done before the lease expired would be repeated.
-  static bool MayListEnds(const TrackedWorker& worker, std::int64_t now_ms);
+  void ExpireRuns(TrackedWorker& worker,
+                  std::int64_t now_ms,
+                  WorkerTrackerOutput& out);
+  // Finishes the expired runs of a worker that will not list its ends any more.
+  void GiveUpExpiredRuns(TrackedWorker& worker,
+                         std::int64_t now_ms,
+                         WorkerTrackerOutput& out);
   // Copies to `finished` how the run was stopped.
   static void RecordStop(const Run& run,
                          std::int64_t now_ms,
