wire: Keep connections to a controller that answers

When one call timed out, all older connections to the controller were closed, although it was only slow. Only connections on which nothing was answered since the call began are closed now. keeps_connections_to_a_controller_that_answers failed before.

--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -39,9 +39,9 @@
   // within `timeout`. Fails with kTimeout, kUnavailable or kNotAuthenticated,
   // or with kInvalidSettings if the address is not "ip:port". The controller
   // may have executed a call that fails. After a transport error, such as a
-  // timeout, the connection and all older ones are closed and not used again,
-  // because a middlebox that lost the state of one connection has usually lost
-  // that of the older ones too.
+  // timeout, the connection and all others on which nothing was answered since
+  // the call began are closed, because a middlebox that lost the state of one
+  // connection has usually lost that of others too.
   Result<void> Run(std::chrono::milliseconds timeout, const Call& call);
 
   const std::string& address() const { return address_; }
@@ -58,7 +58,8 @@
   Result<std::unique_ptr<Connection>> Handshake(
       std::chrono::milliseconds timeout);
   std::unique_ptr<Connection> TakeIdleConnection();
-  void RetireConnectionsUpTo(std::uint64_t sequence);
+  void CloseConnectionsWithoutReplySince(
+      std::chrono::steady_clock::time_point time);
 
   const std::string address_;
   const std::string own_id_;
@@ -66,8 +67,6 @@
   const std::chrono::milliseconds handshake_timeout_;
   mutable std::mutex mutex_;
   std::vector<std::unique_ptr<Connection>> idle_;
-  std::uint64_t next_sequence_ = 1;
-  std::uint64_t retired_up_to_ = 0;
   std::chrono::steady_clock::time_point unreachable_until_{};
 };
 
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -51,7 +51,7 @@
 }  // namespace
 
 struct ControllerChannel::Connection {
-  std::uint64_t sequence = 0;
+  std::chrono::steady_clock::time_point last_reply;
   std::shared_ptr<TSocket> socket;
   std::unique_ptr<ControllerServiceClient> client;
 };
@@ -79,11 +79,11 @@
   return connection;
 }
 
-void ControllerChannel::RetireConnectionsUpTo(std::uint64_t sequence) {
-  std::lock_guard lock(mutex_);
-  retired_up_to_ = std::max(retired_up_to_, sequence);
+void ControllerChannel::CloseConnectionsWithoutReplySince(
+    std::chrono::steady_clock::time_point time) {
+  const std::lock_guard lock(mutex_);
   std::erase_if(idle_, [&](const auto& connection) {
-    return connection->sequence <= retired_up_to_;
+    return connection->last_reply < time;
   });
 }
 
@@ -108,10 +108,6 @@
     return tl::unexpected(host_port.error());
   }
   auto connection = std::make_unique<Connection>();
-  {
-    std::lock_guard lock(mutex_);
-    connection->sequence = next_sequence_++;
-  }
   connection->socket =
       std::make_shared<TSocket>(host_port->first, host_port->second);
   connection->socket->setConnTimeout(static_cast<int>(timeout.count()));
@@ -163,17 +159,18 @@
   }
   connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
   connection->socket->setSendTimeout(static_cast<int>(timeout.count()));
+  const auto begin = std::chrono::steady_clock::now();
   try {
     call(*connection->client);
   } catch (const TTransportException& error) {
-    RetireConnectionsUpTo(connection->sequence);
+    CloseConnectionsWithoutReplySince(begin);
     return Fail(ToResultCode(error), error.what());
   } catch (const apache::thrift::TException& error) {
     return Fail(ResultCode::kUnavailable, error.what());
   }
   std::lock_guard lock(mutex_);
-  if (connection->sequence > retired_up_to_ &&
-      idle_.size() < kMaxIdleConnections) {
+  connection->last_reply = std::chrono::steady_clock::now();
+  if (idle_.size() < kMaxIdleConnections) {
     idle_.push_back(std::move(connection));
   }
   return {};
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -6,7 +6,11 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
+#include <mutex>
+#include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "ControllerService.h"
@@ -26,9 +30,23 @@
   void GetCluster(ClusterReply& reply) override {
     ++calls;
     reply.term = 7;
+    const std::lock_guard lock(mutex);
+    threads.insert(std::this_thread::get_id());
+  }
+  // Does not return before `released` is ready.
+  void GetAudit(AuditReply& /*reply*/,
+                const std::int64_t /*after_sequence*/,
+                const std::int32_t /*limit*/) override {
+    entered.set_value();
+    released.get_future().wait();
   }
 
   std::atomic<int> calls = 0;
+  std::promise<void> entered;
+  std::promise<void> released;
+  std::mutex mutex;
+  // The server has a thread for each connection.
+  std::set<std::thread::id> threads;
 };
 
 struct RunningServer {
@@ -178,4 +196,35 @@
   cr_assert_lt(calls, 30);
 }
 
+// Guards against new connections to a slow controller for all callers, because
+// one call was not answered in time while others were.
+Test(controller_channel, keeps_connections_to_a_controller_that_answers) {
+  constexpr std::chrono::milliseconds kShortTimeout{300};
+  auto running = StartServer();
+  cr_assert_not_null(running.get());
+  auto& handler = running->handler;
+  ControllerChannel channel(running->address, "e1", "secret");
+  const auto call = [](auto& client) {
+    ClusterReply reply;
+    client.GetCluster(reply);
+  };
+  std::thread slow_caller;
+  const auto result = channel.Run(kTimeout, [&](auto& client) {
+    slow_caller = std::thread([&] {
+      (void)channel.Run(kShortTimeout, [](auto& slow_client) {
+        AuditReply reply;
+        slow_client.GetAudit(reply, 0, 0);
+      });
+    });
+    handler.entered.get_future().wait();
+    call(client);
+  });
+  cr_assert(result.has_value());
+  slow_caller.join();
+  cr_assert(channel.Run(kTimeout, call).has_value());
+  cr_expect_eq(handler.calls, 2);
+  cr_expect_eq(handler.threads.size(), 1);
+  handler.released.set_value();
+}
+
 }  // namespace cranberryshunt::wire
