wire: Ask less often while there is no leader

Each call that waits for a leader asked the other controllers again after 25 ms. With a few hundred waiting calls that took the processor time that the election and the recovery need. The pause now grows to 200 ms. asks_seldom_while_there_is_no_leader failed before.

--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -29,6 +29,9 @@
 // controller as the leader are ignored.
 constexpr std::chrono::seconds kUnreachablePeriod{1};
 constexpr std::chrono::milliseconds kRetryPause{25};
+// The pause grows to this, because the calls that wait for a leader would
+// otherwise take the processor time of all controllers.
+constexpr std::chrono::milliseconds kMaxRetryPause{200};
 constexpr std::size_t kMaxIdleConnections = 64;
 constexpr std::size_t kAttemptsBeforePause = 2;
 
@@ -276,7 +279,9 @@
     // During an election, controllers may name each other as leader. Retrying
     // at once each time would be a busy loop.
     if ((!leader_named && !retry_same) || attempt >= kAttemptsBeforePause) {
-      std::this_thread::sleep_for(std::min(remaining, kRetryPause));
+      const auto pause = std::min(
+          kMaxRetryPause, kRetryPause * static_cast<int>(1 + attempt / 2));
+      std::this_thread::sleep_for(std::min(remaining, pause));
     }
   }
 }
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -227,4 +227,32 @@
   handler.released.set_value();
 }
 
+// Load pattern: the leader has stopped, and many callers wait for the next one.
+// Guards against calls that take the processor time that the election needs.
+Test(leader_client, asks_seldom_while_there_is_no_leader) {
+  constexpr int kCallers = 10;
+  constexpr int kMaxCallsPerCaller = 20;
+  auto first = StartServer();
+  auto second = StartServer();
+  cr_assert_not_null(first.get());
+  cr_assert_not_null(second.get());
+  LeaderClient leader_client({first->address, second->address}, "e1", "secret");
+  std::atomic<int> calls = 0;
+  std::vector<std::thread> callers;
+  for (int n = 0; n < kCallers; ++n) {
+    callers.emplace_back([&] {
+      (void)leader_client.Run(kTimeout, kTimeout, [&](auto& client) {
+        ClusterReply reply;
+        client.GetCluster(reply);
+        ++calls;
+        return CallStatus{static_cast<int>(ResultCode::kNotLeader), ""};
+      });
+    });
+  }
+  for (auto& it : callers) {
+    it.join();
+  }
+  cr_expect_lt(calls.load(), kCallers * kMaxCallsPerCaller);
+}
+
 }  // namespace cranberryshunt::wire
