--- a/libraries/base/include/cranberryshunt/base/flat_containers.h
+++ b/libraries/base/include/cranberryshunt/base/flat_containers.h
@@ -1,5 +1,7 @@
 // A map and a set that keep their elements in one sorted vector. Walks and
 // look-ups touch little memory; an insertion moves the elements behind it.
+// Boost's containers cannot be used in headers that tests include, because they
+// collide with Criterion's macro `Test`.
 #ifndef CRANBERRYSHUNT_BASE_FLAT_CONTAINERS_H_
 #define CRANBERRYSHUNT_BASE_FLAT_CONTAINERS_H_
 
--- a/libraries/base/src/batch_appender.cc
+++ b/libraries/base/src/batch_appender.cc
@@ -12,7 +12,6 @@
 #include <memory>
 #include <string_view>
 
-
 namespace cranberryshunt {
 
 namespace {
