--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -239,6 +239,7 @@
   LeaderClient leader_client({first->address, second->address}, "e1", "secret");
   std::atomic<int> calls = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int n = 0; n < kCallers; ++n) {
     callers.emplace_back([&] {
       (void)leader_client.Run(kTimeout, kTimeout, [&](auto& client) {
