--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -193,7 +193,6 @@
   }
 }
 
-// Their replies will not be read.
 void WorkerTracker::MarkStartsUncertain(TrackedWorker& worker) {
   for (auto& [key, run] : worker.runs) {
     if (run.phase == RunPhase::kSending) {
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -150,6 +150,7 @@
   void RequestStop(TrackedWorker& worker, const RunKey& key, Run& run);
   std::map<RunKey, Run>::iterator EraseRun(TrackedWorker& worker,
                                            std::map<RunKey, Run>::iterator it);
+  // Bars the starts in flight, whose replies will be ignored.
   void MarkStartsUncertain(TrackedWorker& worker);
   // Marks the runs of a worker whose leases have all expired. Their tasks must
   // not start again before the worker has listed its ends, because a run that
