policy: Remove the entries of a worker whose number has ended

The planner kept the numbers of ended workers in the advice, the avoided and the running tasks of each step, and in the capacity held for gangs, for as long as the step waited. Among other things, they counted as workers that the step had asked about.

GraphPlanner::RemoveWorker() removes the worker and these entries, and plans the steps that lost one again. Whoever owns the numbers of workers calls it.

--- a/libraries/base/include/cranberryshunt/base/flat_containers.h
+++ b/libraries/base/include/cranberryshunt/base/flat_containers.h
@@ -88,6 +88,16 @@
     keys_.erase(std::unique(keys_.begin(), keys_.end()), keys_.end());
   }
 
+  // Returns the number of erased keys.
+  std::size_t erase(const Key& key) {
+    const auto it = std::lower_bound(keys_.begin(), keys_.end(), key);
+    if (it == keys_.end() || *it != key) {
+      return 0;
+    }
+    keys_.erase(it);
+    return 1;
+  }
+
   bool contains(const Key& key) const {
     return std::binary_search(keys_.begin(), keys_.end(), key);
   }
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -46,12 +46,12 @@
 }
 
 void Leader::RefreshPlanWorker(graph::WorkerNumber number) {
-  planner_.MarkWorkerChanged(number);
   const auto* tracked_worker = workers_.Find(number);
   if (tracked_worker == nullptr) {
-    planner_.workers().erase(number);
+    planner_.RemoveWorker(number);
     return;
   }
+  planner_.MarkWorkerChanged(number);
   policy::PlanWorker worker;
   worker.number = number;
   worker.service_name = tracked_worker->record.service_name;
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -225,6 +225,9 @@
   void MarkWorkerChanged(std::int64_t worker) {
     changed_workers_.insert(worker);
   }
+  // Must be called when the number of a worker has ended. Removes the worker,
+  // and all entries of it in the steps.
+  void RemoveWorker(std::int64_t number);
   // Plans the starts and questions for this time. Planned starts are added to
   // the used capacity of their workers and removed from the waiting tasks.
   // `idle_callers` is the number of callers of the advice service without a
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -224,6 +224,20 @@
   steps_.erase(id);
 }
 
+void GraphPlanner::RemoveWorker(std::int64_t number) {
+  workers_.erase(number);
+  MarkWorkerChanged(number);
+  for (auto& [id, step] : steps_) {
+    step.advice.asked_workers.erase(number);
+    const auto removed =
+        step.advice.allowed.erase(number) + step.avoided.erase(number) +
+        step.running.erase(number) +
+        std::erase_if(step.held,
+                      [&](const auto& it) { return it.worker == number; });
+    step.changed = step.changed || removed > 0;
+  }
+}
+
 // Steps that can still meet their objective precede late ones. Within each of
 // these groups, urgent queues precede others. Steps with equal rank so far are
 // ordered by the latest time at which they must start, or, if they are late, by
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -281,3 +281,38 @@
   planner.MarkWorkerChanged(4);
   cr_expect_eq(CountStarts(planner.Decide(10'010), 3), 0);
 }
+
+// Guards against a worker whose number has ended and whose entries stay in a
+// step for as long as the step waits.
+Test(graph_planner, removes_all_entries_of_a_worker_that_ended) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    AddRunningTask(planner.workers()[n], 40'000, 2'000);
+  }
+  auto& step = AddStep(planner, 1, 2, 40'000, 30'000);
+  step.gang = true;
+  step.advice.needed = true;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    step.advice.asked_workers.insert(n);
+    step.advice.allowed[n] = {"t", 20'000};
+    step.avoided.insert(n);
+    step.running[n] = 1;
+  }
+  (void)planner.Decide(100);
+  cr_assert_eq(step.held.size(), 2);
+  planner.RemoveWorker(1);
+  const std::vector<std::int64_t> asked(step.advice.asked_workers.begin(),
+                                        step.advice.asked_workers.end());
+  cr_expect(asked == std::vector<std::int64_t>{2});
+  cr_expect_not(step.advice.allowed.contains(1));
+  cr_expect(step.advice.allowed.contains(2));
+  cr_expect(step.avoided == std::set<std::int64_t>{2});
+  cr_expect_eq(step.running.size(), 1);
+  cr_expect(step.running.contains(2));
+  cr_assert_eq(step.held.size(), 1);
+  cr_expect_eq(step.held.front().worker, 2);
+  cr_expect(step.changed);
+  cr_expect(planner.Decide(110).starts.empty());
+  cr_expect_not(planner.workers().contains(1));
+}
