cell: Tell the planner which worker numbers have ended

A worker that came back with a later birth time got a new number, and the old one stayed in the planner as usable: WorkerTracker::Register() marked only the new number as changed, and Remove() of a worker without runs marked none. The leader then placed tasks on the old number and crashed in LogStarts(), where the tracker doesn't know it any more.

Both now mark the number that has ended, so the planner removes it.

--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -250,6 +250,7 @@
       }
       AddRun(added, key, run);
     }
+    changed_workers_.insert(previous->number);
     workers_.erase(previous->number);
   }
   numbers_by_id_[record.id] = number;
@@ -267,6 +268,7 @@
               out);
     it = worker->second.runs.begin();
   }
+  changed_workers_.insert(number);
   numbers_by_id_.erase(worker->second.record.id);
   workers_.erase(worker);
 }
