policy: Compare exactly which workers a step has asked about

A step stopped asking when it had asked about as many workers as are usable. Workers that were replaced or are merely not usable at the moment counted too, so a step never asked about those that came later, and its allowed workers dwindled. A step now asks while an eligible worker without an answer is there. The planner counts a version that increases when a worker may have become eligible, and a step that has an answer about each eligible worker remembers it, so that the workers are not searched again before one changes.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -85,6 +85,9 @@
   double per_worker_ms = 0;
   FlatSet<std::int64_t> asked_workers;    // Workers with an answer.
   FlatMap<std::int64_t, Ticket> allowed;  // By worker.
+  // Set by the planner: the version of the workers at which there was an answer
+  // about each eligible one; 0 if there was none.
+  std::int64_t complete_at_version = 0;
 
   bool Allows(std::int64_t worker) const;
   // Whether no ticket is needed, or the worker's ticket is valid until
@@ -250,6 +253,18 @@
     WorkerTotals part;
   };
 
+  // What decides, apart from time and free capacity, for which steps a worker
+  // is eligible.
+  struct Offer {
+    bool open = false;
+    std::string service_name;
+    std::vector<std::string> labels;
+    Demand capacity;
+  };
+
+  // Brings `offers_` and `workers_version_` up to date.
+  void UpdateOffers();
+  void UpdateOffer(std::int64_t number, const PlanWorker& worker);
   // Brings `all_workers_`, `changed_candidates_` and `worker_totals_` up to
   // date.
   void IndexWorkers(bool full);
@@ -292,6 +307,9 @@
   FlatMap<StepId, PlanStep*> waiting_steps_;
   WorkerTotals worker_totals_;
   std::set<std::int64_t> changed_workers_;
+  std::map<std::int64_t, Offer> offers_;  // By worker.
+  // Increases when a worker may have become eligible for a step.
+  std::int64_t workers_version_ = 1;
   // All workers and the changed ones among them, both ordered by number. Valid
   // within a call of Decide().
   std::vector<IndexedWorker> all_workers_;
@@ -299,9 +317,8 @@
   // Workers with capacity that the last Decide() held for gangs.
   std::vector<std::int64_t> workers_with_held_capacity_;
   std::int64_t full_round_at_ms_ = 0;
-  // Number and total capacity of the usable workers of each service, as of the
-  // last full round.
-  std::map<std::string, std::size_t> usable_workers_;
+  // Total capacity of the usable workers of each service, as of the last full
+  // round.
   std::map<std::string, Demand> usable_capacity_;
 };
 
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -183,6 +183,13 @@
   return part;
 }
 
+// Whether the worker may be given tasks, apart from its free capacity.
+bool IsOpen(const PlanWorker& worker) {
+  const bool probe_busy =
+      worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
+  return worker.usable && !probe_busy;
+}
+
 // Whether the step's job is expected to end after its objective even if the
 // step started now.
 bool IsLate(const PlanStep& step, std::int64_t now_ms) {
@@ -226,6 +233,7 @@
 
 void GraphPlanner::RemoveWorker(std::int64_t number) {
   workers_.erase(number);
+  offers_.erase(number);
   MarkWorkerChanged(number);
   for (auto& [id, step] : steps_) {
     step.advice.asked_workers.erase(number);
@@ -265,10 +273,7 @@
 }
 
 bool GraphPlanner::IsEligible(const PlanStep& step, const PlanWorker& worker) {
-  const bool probe_busy =
-      worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
-  return worker.usable && !probe_busy &&
-         worker.service_name == step.service_name &&
+  return IsOpen(worker) && worker.service_name == step.service_name &&
          HasLabel(worker, step.required_label) &&
          step.demand.FitsIn(worker.capacity);
 }
@@ -331,7 +336,42 @@
   return preferred.empty() && !changed_only ? out : preferred;
 }
 
+void GraphPlanner::UpdateOffers() {
+  for (const auto number : changed_workers_) {
+    if (const auto it = workers_.find(number); it != workers_.end()) {
+      UpdateOffer(number, it->second);
+    } else {
+      offers_.erase(number);
+    }
+  }
+  if (offers_.size() != workers_.size()) {
+    std::erase_if(offers_,
+                  [&](const auto& it) { return !workers_.contains(it.first); });
+    for (const auto& [number, worker] : workers_) {
+      UpdateOffer(number, worker);
+    }
+  }
+}
+
+void GraphPlanner::UpdateOffer(std::int64_t number, const PlanWorker& worker) {
+  auto& known = offers_[number];
+  // Starts and ends of tasks change only `open`, and that only while the worker
+  // is probed.
+  const bool unchanged = known.open == IsOpen(worker) &&
+                         known.service_name == worker.service_name &&
+                         known.labels == worker.labels &&
+                         known.capacity == worker.capacity;
+  if (unchanged) {
+    return;
+  }
+  known = {IsOpen(worker), worker.service_name, worker.labels, worker.capacity};
+  if (known.open) {
+    ++workers_version_;
+  }
+}
+
 void GraphPlanner::IndexWorkers(bool full) {
+  UpdateOffers();
   if (full || workers_.size() != all_workers_.size() ||
       !IndexChangedWorkers()) {
     IndexAllWorkers();
@@ -375,7 +415,6 @@
   round.full = now_ms - full_round_at_ms_ >= options_.full_round_ms;
   if (round.full) {
     full_round_at_ms_ = now_ms;
-    usable_workers_.clear();
     usable_capacity_.clear();
   }
   IndexWorkers(round.full);
@@ -388,7 +427,6 @@
   if (round.full) {
     for (const auto& [number, worker] : workers_) {
       if (worker.usable) {
-        ++usable_workers_[worker.service_name];
         usable_capacity_[worker.service_name] += worker.capacity;
       }
     }
@@ -680,7 +718,7 @@
 void GraphPlanner::AskAboutNewWorkers(PlanStep& step, Round& round) {
   const auto& asked_workers = step.advice.asked_workers;
   const auto limit = MaxWorkersToAsk(step);
-  if (asked_workers.size() >= usable_workers_[step.service_name] ||
+  if (step.advice.complete_at_version == workers_version_ ||
       round.plan.questions.size() >= options_.max_questions) {
     return;
   }
@@ -701,6 +739,7 @@
     }
   }
   if (candidates.empty()) {
+    step.advice.complete_at_version = workers_version_;
     return;
   }
   const auto asked = std::min(candidates.size(), limit);
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -176,6 +176,16 @@
   return pending;
 }
 
+void CellHarness::Restart(FakeWorker& worker) {
+  worker.record.born_ms = now_ms_;
+  worker.fence = 0;
+  worker.lease_until_ms = 0;
+  worker.runs.clear();
+  worker.barred.clear();
+  worker.ended.clear();
+  worker.next_end = 1;
+}
+
 void CellHarness::Run(std::int64_t duration_ms) {
   const auto end = now_ms_ + duration_ms;
   while (now_ms_ < end) {
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -85,6 +85,9 @@
   // Number of pending jobs that the leader reports; -1 if it does not answer.
   std::int64_t PendingOf(const std::string& queue);
 
+  // Ends the worker with all its runs. A new incarnation of it begins at once.
+  void Restart(FakeWorker& worker);
+
   // Advances time in steps of one millisecond.
   void Run(std::int64_t duration_ms);
   // Starts a new term with a new leader. The volatile state of the old one is
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -492,3 +492,37 @@
     cr_expect(it.runs.empty());
   }
 }
+
+// Guards against accepted gangs that are never placed again after many workers
+// were replaced: the step asks the advice service about no further worker.
+Test(leader, places_gangs_after_many_workers_were_replaced) {
+  constexpr std::size_t kWorkers = 48;
+  CellHarness cell(
+      {.workers = kWorkers, .advice_callers = 14, .allowed_share = 0.3});
+  auto queue = MakeQueue("a", 1);
+  queue.needs_advice = true;
+  queue.advice.base_ms = 100;
+  queue.advice.per_worker_ms = 2;
+  queue.advice.ticket_valid_ms = 1'500;
+  StartCell(cell, {queue});
+  auto gang = MakeJob(7, 16'000, 8'000);
+  gang.steps[0].gang = true;
+  constexpr graph::JobId kGangs = 6;
+  for (graph::JobId id = 1; id <= kGangs; ++id) {
+    cell.Submit(id, "a", gang);
+  }
+  for (std::size_t wave = 0; wave < 5; ++wave) {
+    cell.Run(5'000);
+    const auto count = kWorkers * (wave % 2 == 0 ? 2 : 3) / 10;
+    for (std::size_t n = 0; n < count; ++n) {
+      cell.Restart(cell.workers[(wave * 13 + n) % kWorkers]);
+    }
+  }
+  cell.Run(60'000);
+  for (graph::JobId id = 1; id <= kGangs; ++id) {
+    cr_expect_eq(cell.jobs[id].code, 0);
+    cr_expect(cell.StateOf(id) == wire::GraphJobState::kCompleted,
+              "job %d was not completed", static_cast<int>(id));
+  }
+  ExpectNoViolations(cell);
+}
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -316,3 +316,52 @@
   cr_expect(planner.Decide(110).starts.empty());
   cr_expect_not(planner.workers().contains(1));
 }
+
+// All workers that a step asked about are replaced. Guards against comparing
+// the number of workers asked about with the number of usable ones.
+Test(graph_planner, asks_about_workers_that_replaced_the_known_ones) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  auto& step = AddStep(planner, 1, 2, 30'000, 30'000);
+  step.gang = true;
+  step.advice.needed = true;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    step.advice.asked_workers.insert(n);
+  }
+  cr_expect(planner.Decide(100).questions.empty());
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers().erase(n);
+    planner.workers()[n + 4] = MakeWorker(n + 4);
+    planner.MarkWorkerChanged(n);
+    planner.MarkWorkerChanged(n + 4);
+  }
+  const auto plan = planner.Decide(200);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers ==
+            std::vector<std::int64_t>({5, 6, 7, 8}));
+}
+
+// As many workers as the step has asked about are usable, but not the same.
+// Guards against a step that asks about none of the others.
+Test(graph_planner, asks_about_workers_that_become_usable) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    planner.workers()[n].usable = n <= 2;
+  }
+  auto& step = AddStep(planner, 1, 2, 30'000, 30'000);
+  step.advice.needed = true;
+  step.advice.asked_workers.insert(1);
+  step.advice.asked_workers.insert(2);
+  cr_expect(planner.Decide(100).questions.empty());
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n].usable = n > 2;
+    planner.MarkWorkerChanged(n);
+  }
+  const auto plan = planner.Decide(200);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers ==
+            std::vector<std::int64_t>({3, 4}));
+}
