policy: Use avoided workers if the others cannot hold the step

A gang of which a task had failed on a worker was never placed if it needed that worker: avoided workers were left out as soon as any other was allowed, also if the others couldn't hold the whole gang. The same held for tasks with a limit on each worker next to tasks that don't end. Also, avoided workers counted as enough allowed workers, so that the step asked about no further one.

Avoided workers are now left out only if the others can hold the waiting tasks once they are idle, they come last if they are used, and they don't count as allowed when the step decides whether to ask.

Before the change:

graph_planner_test.cc:380: (planner.Decide(100).starts.size()) == (3) is false. [FAIL] graph_planner::uses_avoided_workers_if_the_others_cannot_hold_a_gang graph_planner_test.cc:395: (plan.starts.size()) == (1) is false. [FAIL] graph_planner::uses_avoided_workers_if_the_others_are_at_their_limit graph_planner_test.cc:431: (plan.questions.size()) == (1) is false. [FAIL] graph_planner::asks_about_more_workers_than_the_avoided_ones

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -125,8 +125,8 @@
   std::vector<std::int32_t> waiting;  // Indexes of tasks.
   // Number of running tasks of the step on each worker.
   std::map<std::int64_t, std::int32_t> running;
-  // Workers on which a task of the step failed. They are used only if no other
-  // eligible worker is allowed.
+  // Workers on which a task of the step failed. They are used only if the other
+  // eligible workers that are allowed cannot hold the step.
   std::set<std::int64_t> avoided;
   StepAdvice advice;
   // Must be set by the code that changes any of the fields above. An unchanged
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -120,6 +120,23 @@
          (running == step.running.end() ? 0 : running->second);
 }
 
+// Whether the workers have room for the waiting tasks once they are idle. Tasks
+// that need not run at the same time can use the same room one after another.
+bool CanHold(const PlanStep& step, const std::vector<PlanWorker*>& workers) {
+  const bool together = step.gang || step.max_per_worker > 0;
+  const auto wanted =
+      together ? static_cast<std::int64_t>(step.waiting.size()) : 1;
+  std::int64_t fit = 0;
+  for (const auto* it : workers) {
+    fit += FitCount(step.demand, it->capacity,
+                    std::min(wanted, PerWorkerLimit(step, *it)));
+    if (fit >= wanted) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // Capacity for one task of a gang on a worker, and the time at which it is
 // expected to be free.
 struct ExpectedCapacity {
@@ -326,14 +343,15 @@
   if (step.avoided.empty()) {
     return out;
   }
-  // Avoids workers on which a task of the step failed if there are others.
+  // Avoids workers on which a task of the step failed if the others can hold
+  // the step.
   Candidates preferred;
   for (auto* it : out) {
     if (!step.avoided.contains(it->number)) {
       preferred.push_back(it);
     }
   }
-  return preferred.empty() && !changed_only ? out : preferred;
+  return changed_only || CanHold(step, preferred) ? preferred : out;
 }
 
 void GraphPlanner::UpdateOffers() {
@@ -516,7 +534,7 @@
   std::vector<std::int64_t> without_ticket;
   while (!step.waiting.empty()) {
     PlanWorker* best = nullptr;
-    std::pair<bool, double> best_key;
+    std::tuple<bool, bool, double> best_key;
     without_ticket.clear();
     for (auto* it : workers) {
       if (!step.demand.FitsIn(it->AvailableCapacity()) ||
@@ -529,7 +547,8 @@
       }
       const bool other_rack =
           !step.data_rack.empty() && it->rack != step.data_rack;
-      const std::pair key(other_rack, LeftoverShare(*it, step.demand));
+      const std::tuple key(step.avoided.contains(it->number), other_rack,
+                           LeftoverShare(*it, step.demand));
       if (best == nullptr || key < best_key) {
         best = it;
         best_key = key;
@@ -586,9 +605,12 @@
     if (ticketed >= count) {
       // Workers with the least capacity left over come first, so that the gang
       // uses few workers.
-      std::sort(fitting.begin(), fitting.end(), [&](auto* a, auto* b) {
-        return LeftoverShare(*a, step.demand) < LeftoverShare(*b, step.demand);
-      });
+      const auto key = [&](const auto* it) {
+        return std::pair(step.avoided.contains(it->number),
+                         LeftoverShare(*it, step.demand));
+      };
+      std::sort(fitting.begin(), fitting.end(),
+                [&](auto* a, auto* b) { return key(a) < key(b); });
       for (auto* it : fitting) {
         while (!step.waiting.empty() &&
                step.demand.FitsIn(it->AvailableCapacity()) &&
@@ -700,7 +722,8 @@
   std::int64_t fit = 0;
   for (const auto& [number, ticket] : step.advice.allowed) {
     const auto* worker = FindWorker(number);
-    if (worker != nullptr && IsEligible(step, *worker)) {
+    if (worker != nullptr && IsEligible(step, *worker) &&
+        !step.avoided.contains(number)) {
       fit += FitCount(step.demand, worker->capacity,
                       std::min(count, PerWorkerLimit(step, *worker)));
     }
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -365,3 +365,70 @@
   cr_expect(plan.questions.front().workers ==
             std::vector<std::int64_t>({3, 4}));
 }
+
+// A task of a gang failed on a worker that the gang can't do without. Guards
+// against a gang that is never placed because the other allowed workers can't
+// hold it.
+Test(graph_planner, uses_avoided_workers_if_the_others_cannot_hold_a_gang) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 3; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  auto& step = AddStep(planner, 1, 3, 40'000, 30'000);
+  step.gang = true;
+  step.avoided.insert(1);
+  cr_expect_eq(planner.Decide(100).starts.size(), 3);
+}
+
+// The same for single tasks with a limit on each worker, next to a task of the
+// step that runs on without an end.
+Test(graph_planner, uses_avoided_workers_if_the_others_are_at_their_limit) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  auto& step = AddStep(planner, 1, 1, 10'000, 30'000);
+  step.max_per_worker = 1;
+  step.running[2] = 1;
+  step.avoided.insert(1);
+  const auto plan = planner.Decide(100);
+  cr_assert_eq(plan.starts.size(), 1);
+  cr_expect_eq(plan.starts.front().worker, 1);
+}
+
+// Guards against using a worker on which a task of the step failed while others
+// can hold the tasks but have no free capacity now.
+Test(graph_planner, avoids_workers_while_the_others_can_hold_the_tasks) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[4], 60'000, 5'000);
+  auto& gang = AddStep(planner, 1, 3, 40'000, 30'000);
+  gang.gang = true;
+  gang.avoided.insert(1);
+  auto& single = AddStep(planner, 2, 2, 60'000, 30'000);
+  single.avoided = {1, 2, 3};
+  cr_expect(planner.Decide(100).starts.empty());
+}
+
+// The service has allowed two workers, and the step avoids one of them. Guards
+// against a gang that takes them for enough and asks about no further one.
+Test(graph_planner, asks_about_more_workers_than_the_avoided_ones) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    AddRunningTask(planner.workers()[n], 64'000, 8'000);
+  }
+  auto& step = AddStep(planner, 1, 2, 30'000, 30'000);
+  step.advice.needed = true;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    step.advice.asked_workers.insert(n);
+    step.advice.allowed[n] = {"t", 20'000};
+    step.avoided.insert(n);
+  }
+  const auto plan = planner.Decide(100);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers ==
+            std::vector<std::int64_t>({3, 4}));
+}
