cell, policy: Take an answer only for the incarnations it was asked about

When a worker was replaced while the advice service decided about it, the leader took the ticket for the new incarnation, because it looked the number up by the id. The worker refused the start for its ticket, and the leader sent it again until the ticket had expired. An answer also counted as one about numbers that had ended meanwhile.

The leader now maps the rows to the numbers in the question, without those that have ended. An answer that leaves out a worker which an earlier one allowed takes it from the allowed workers; before, its expired ticket was asked for again and again. The worker can be asked about once more, since the service doesn't change its decision about an incarnation.

The harness now issues tickets for an incarnation, and its workers refuse others. Before the change:

leader_test.cc:544: 14 starts were refused [FAIL] leader::uses_no_ticket_of_an_earlier_incarnation

graph_planner::forgets_a_worker_that_an_answer_leaves_out fails without the branch that removes the worker. With the change policy_test passes 46 of 46 and cell_test 72 of 72.

--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -227,16 +227,27 @@
     }
     const auto* job = store_.FindJob(step_tracker_.KeyOf(it.question.step).job);
     const auto valid_ms = store_.QueueOf(*job).advice.ticket_valid_ms;
-    advice.asked_workers.insert(it.question.worker_numbers.begin(),
-                                it.question.worker_numbers.end());
+    // The answer is valid only for the incarnations that were asked about.
+    const auto& question = it.question;
+    std::vector<std::int64_t> asked;
+    std::map<std::string, std::int64_t> numbers;
+    for (std::size_t n = 0; n < question.worker_numbers.size(); ++n) {
+      const auto number = question.worker_numbers[n];
+      if (workers_.Find(number) != nullptr) {
+        asked.push_back(number);
+        numbers[question.workers[n]] = number;
+      }
+    }
+    std::map<std::int64_t, policy::Ticket> tickets;
     for (auto& row : it.allowed) {
-      const auto number = store_.FindWorker(row.worker);
-      if (number) {
-        advice.allowed[*number] = {
+      const auto number = numbers.find(row.worker);
+      if (number != numbers.end()) {
+        tickets[number->second] = {
             std::move(row.ticket),
             it.answered_at_ms - kAnswerTransitMs + valid_ms};
       }
     }
+    advice.RecordAnswer(asked, std::move(tickets));
     Log(LogLevel::kInfo, "advice", "advice service answered a question",
         {{"step", it.question.step_name},
          {"asked", it.question.worker_numbers.size()},
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -89,6 +89,10 @@
   // about each eligible one; 0 if there was none.
   std::int64_t complete_at_version = 0;
 
+  // Records an answer about the workers `asked`: the service allows those in
+  // `tickets`.
+  void RecordAnswer(const std::vector<std::int64_t>& asked,
+                    std::map<std::int64_t, Ticket> tickets);
   bool Allows(std::int64_t worker) const;
   // Whether no ticket is needed, or the worker's ticket is valid until
   // `until_ms` at least.
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -64,6 +64,22 @@
   return limit;
 }
 
+void StepAdvice::RecordAnswer(const std::vector<std::int64_t>& asked,
+                              std::map<std::int64_t, Ticket> tickets) {
+  asked_workers.insert(asked.begin(), asked.end());
+  for (const auto it : asked) {
+    if (auto ticket = tickets.extract(it); !ticket.empty()) {
+      allowed[it] = std::move(ticket.mapped());
+    } else if (allowed.erase(it) > 0) {
+      // The service does not change its mind about a worker, so it may have
+      // answered about another incarnation. The worker can be asked about once
+      // more.
+      asked_workers.erase(it);
+      complete_at_version = 0;
+    }
+  }
+}
+
 bool StepAdvice::Allows(std::int64_t worker) const {
   return !needed || allowed.contains(worker);
 }
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -356,6 +356,11 @@
     return reply;
   }
   worker.lease_until_ms = std::max(worker.lease_until_ms, until);
+  if (!order.ticket.empty() && order.ticket != TicketFor(worker.record.id)) {
+    reply.answer = WorkerAnswer::kTicketRefused;
+    ++refused_starts;
+    return reply;
+  }
   const auto* job = engine_.store().FindJob(order.task.job);
   const auto& step = job->step(order.task.step);
   if (options_.check) {
@@ -446,6 +451,13 @@
   }
 }
 
+std::string CellHarness::TicketFor(const std::string& worker) const {
+  const auto it = std::find_if(
+      workers.begin(), workers.end(),
+      [&](const auto& other) { return other.record.id == worker; });
+  return fmt::format("{}/{}", worker, it->record.born_ms);
+}
+
 void CellHarness::PollAdvice(std::int32_t caller, wire::AdvicePoll poll) {
   constexpr std::int32_t kWaitMs = 500;
   constexpr std::int64_t kPauseMs = 10;
@@ -466,7 +478,7 @@
         if (static_cast<double>(draw) < options_.allowed_share * 1'000) {
           auto& ticket = result.allowed.emplace_back();
           ticket.worker = worker;
-          ticket.ticket = "t";
+          ticket.ticket = TicketFor(worker);
         }
       }
       delay += it.expected_ms;
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -127,6 +127,8 @@
               const std::pair<graph::TaskKey, std::int32_t>& key,
               wire::RunEnd::type how);
   void AdvanceWorker(FakeWorker& worker);
+  // Ticket for the present incarnation of the worker.
+  std::string TicketFor(const std::string& worker) const;
   void PollAdvice(std::int32_t caller, wire::AdvicePoll poll);
   void CheckInvariants(const FakeWorker& worker);
   void CheckStart(const FakeWorker& worker,
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -526,3 +526,22 @@
   }
   ExpectNoViolations(cell);
 }
+
+// A worker is replaced while the advice service decides about it. Guards
+// against starts on the new incarnation with the ticket of the old one, which
+// are refused until that ticket expires.
+Test(leader, uses_no_ticket_of_an_earlier_incarnation) {
+  CellHarness cell({.workers = 2});
+  auto queue = MakeQueue("a", 1);
+  queue.needs_advice = true;
+  queue.advice.base_ms = 2'500;
+  queue.advice.ticket_valid_ms = 10'000;
+  StartCell(cell, {queue});
+  cell.Submit(1, "a", MakeJob(2, 20'000, 500));
+  cell.Run(500);
+  cell.Restart(cell.workers[0]);
+  cell.Run(10'000);
+  cr_expect_eq(cell.refused_starts, 0, "%d starts were refused",
+               static_cast<int>(cell.refused_starts));
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+}
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -432,3 +432,22 @@
   cr_expect(plan.questions.front().workers ==
             std::vector<std::int64_t>({3, 4}));
 }
+
+// An answer leaves out a worker that an earlier one allowed. Guards against a
+// worker that stays allowed and whose ticket is asked for again and again.
+Test(graph_planner, forgets_a_worker_that_an_answer_leaves_out) {
+  StepAdvice advice;
+  advice.needed = true;
+  advice.RecordAnswer({1, 2, 3}, {{1, {"a", 500}}, {2, {"b", 500}}});
+  cr_expect(advice.Allows(1));
+  cr_expect(advice.Allows(2));
+  cr_expect_not(advice.Allows(3));
+  cr_expect_eq(advice.asked_workers.size(), 3);
+  advice.RecordAnswer({1, 2}, {{2, {"c", 900}}, {3, {"d", 900}}});
+  cr_expect_not(advice.Allows(1));
+  cr_expect(advice.HasTicket(2, 900));
+  cr_expect_not(advice.Allows(3), "the question was not about this worker");
+  cr_expect_not(advice.asked_workers.contains(1));
+  advice.RecordAnswer({1}, {});
+  cr_expect(advice.asked_workers.contains(1), "asked about once more only");
+}
