--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -511,6 +511,7 @@
   if (now_ms_ - last_load_log_ms_ >= kLoadLogMs) {
     last_load_log_ms_ = now_ms_;
     LogLoad();
+    LogLongWaits();
   }
   const auto membership = environment_.Membership();
   out.membership_change = members_.NextChange(membership, now_ms_);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -106,6 +106,10 @@
   policy::LoadSummary LoadFor(const policy::NewJob& job);
   policy::LoadSummary SummarizeLoad() const;
   void LogLoad() const;
+  void LogLongWaits() const;
+  // The first run of the step in the committed state, and the worker that has
+  // it. Empty if there is none.
+  std::string DescribeRun(const graph::StepKey& key) const;
 
   const EngineOptions& options_;
   const graph::GraphStore& store_;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -17,6 +17,9 @@
 // Jobs that arrive within this time see the same load summary. The steps of
 // accepted jobs enter it only once they are committed, which takes longer.
 constexpr std::int64_t kMaxCellLoadAgeMs = 5;
+// Steps that have waited for this long are logged, up to a number of them.
+constexpr std::int64_t kLongWaitMs = 3'000;
+constexpr std::size_t kMaxLongWaitsLogged = 3;
 
 }  // namespace
 
@@ -143,6 +146,7 @@
     ticket = step.advice.allowed.find(start.worker)->second.text;
   }
   ++metrics_.Counter("starts_total");
+  planner_.FindStep(start.step)->waiting_since_ms = now_ms_;
   workers_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms,
                    job.step(task.step).long_running);
   step_tracker_.Reserve(task, start.worker);
@@ -326,4 +330,68 @@
        {"answer_ms", workers_.MedianStartAnswerMs(now_ms_)}});
 }
 
+std::string Leader::DescribeRun(const graph::StepKey& key) const {
+  const auto* job = store_.FindJob(key.job);
+  graph::TaskKey task{key.job, key.occurrence, key.step, 0};
+  for (; task.index < job->step(key.step).task_count; ++task.index) {
+    const auto& state = job->task(task);
+    if (state.done || state.run == 0) {
+      continue;
+    }
+    const auto* worker = workers_.FindWorkerOf(task, state.run);
+    return std::to_string(task.index) + "." + std::to_string(state.run) + "@" +
+           (worker == nullptr ? "unknown" : worker->record.id);
+  }
+  return {};
+}
+
+// Logs what the steps that have waited longest wait for.
+void Leader::LogLongWaits() const {
+  std::vector<std::pair<std::int64_t, const policy::PlanStep*>> waits;
+  for (const auto& [id, step] : planner_.steps()) {
+    const bool waits_long = (!step.waiting.empty() || step.blocked > 0) &&
+                            now_ms_ - step.waiting_since_ms >= kLongWaitMs;
+    if (waits_long) {
+      waits.emplace_back(step.waiting_since_ms, &step);
+    }
+  }
+  const auto count = std::min(waits.size(), kMaxLongWaitsLogged);
+  std::partial_sort(waits.begin(),
+                    waits.begin() + static_cast<std::ptrdiff_t>(count),
+                    waits.end(), [](const auto& a, const auto& b) {
+                      return std::pair(a.first, a.second->id) <
+                             std::pair(b.first, b.second->id);
+                    });
+  for (std::size_t n = 0; n < count; ++n) {
+    const auto& step = *waits[n].second;
+    const auto& key = step_tracker_.KeyOf(step.id);
+    const auto workers = planner_.WorkersOf(step);
+    const auto tasks = static_cast<std::int64_t>(step.waiting.size());
+    std::string reason = "capacity";
+    if (step.blocked > 0) {
+      reason = "run";
+    } else if (step.advice.question_pending) {
+      reason = "advice";
+    } else if (workers.allowed == 0) {
+      reason = "workers";
+    }
+    const auto& advice = step.advice;
+    Log(LogLevel::kInfo, "runs", "step waits",
+        {{"step", graph::FormatStep(key)},
+         {"tasks", tasks + step.blocked},
+         {"waited_ms", now_ms_ - waits[n].first},
+         {"for", reason},
+         {"run", DescribeRun(key)},
+         {"eligible", workers.eligible},
+         {"asked", advice.asked_workers.size()},
+         {"allowed", workers.allowed},
+         {"fit", workers.fit},
+         {"question_age_ms", advice.last_question_ms == 0
+                                 ? std::int64_t{-1}
+                                 : now_ms_ - advice.last_question_ms},
+         {"avoided", step.avoided.size()},
+         {"more_steps", waits.size() - count}});
+  }
+}
+
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -91,12 +91,14 @@
   }
   auto* step = Find(key);
   UpdateWaitingTasks(*job, key,
-                     step != nullptr ? *step : Add(*job, key, now_ms));
+                     step != nullptr ? *step : Add(*job, key, now_ms), now_ms);
 }
 
 void StepTracker::UpdateWaitingTasks(const graph::Job& job,
                                      const graph::StepKey& key,
-                                     policy::PlanStep& step) const {
+                                     policy::PlanStep& step,
+                                     std::int64_t now_ms) const {
+  const bool waited = !step.waiting.empty() || step.blocked > 0;
   const auto before = std::exchange(step.waiting, {});
   step.running.clear();
   const auto count = job.step(key.step).task_count;
@@ -121,9 +123,14 @@
   }
   // A gang starts as a whole, so it waits until no task of its previous run
   // remains.
+  step.blocked = 0;
   if (step.gang && static_cast<std::int32_t>(step.waiting.size()) < count) {
+    step.blocked = static_cast<std::int32_t>(step.waiting.size());
     step.waiting.clear();
   }
+  if (!waited) {
+    step.waiting_since_ms = now_ms;
+  }
   step.changed = step.changed || step.waiting != before;
   if (before.empty() && !step.waiting.empty()) {
     planner_.MarkStepWaiting(step);
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -59,7 +59,8 @@
                         std::int64_t now_ms);
   void UpdateWaitingTasks(const graph::Job& job,
                           const graph::StepKey& key,
-                          policy::PlanStep& step) const;
+                          policy::PlanStep& step,
+                          std::int64_t now_ms) const;
 
   const graph::GraphStore& store_;
   policy::GraphPlanner& planner_;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -65,6 +65,18 @@
   return it == workers_.end() ? nullptr : &it->second;
 }
 
+const TrackedWorker* WorkerTracker::FindWorkerOf(const TaskKey& task,
+                                                 std::int32_t run) const {
+  const auto runs = runs_by_job_.find(task.job);
+  if (runs == runs_by_job_.end()) {
+    return nullptr;
+  }
+  const auto it = std::find_if(
+      runs->second.begin(), runs->second.end(),
+      [&](const auto& entry) { return entry.second == RunKey(task, run); });
+  return it == runs->second.end() ? nullptr : Find(it->first);
+}
+
 TrackedWorker* WorkerTracker::FindById(const std::string& id) {
   const auto it = numbers_by_id_.find(id);
   return it == numbers_by_id_.end() ? nullptr : &workers_.at(it->second);
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -139,6 +139,10 @@
     return std::exchange(changed_workers_, {});
   }
   const TrackedWorker* Find(WorkerNumber number) const;
+  // Returns the worker with this run, or null if there is none. After a restart
+  // of the worker that is its present incarnation.
+  const TrackedWorker* FindWorkerOf(const TaskKey& task,
+                                    std::int32_t run) const;
   // Whether starts may be sent to the worker now.
   bool IsUsable(const TrackedWorker& worker, std::int64_t now_ms) const;
   std::int64_t fence() const { return options_.fence; }
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -79,6 +79,7 @@
 struct StepAdvice {
   bool needed = false;  // Whether a start of the step needs a ticket.
   bool question_pending = false;
+  std::int64_t last_question_ms = 0;  // 0: none yet.
   // The service is expected to answer a question within `base_ms` plus
   // `per_worker_ms` for each worker in the question.
   double base_ms = 0;
@@ -127,6 +128,10 @@
   // Expected time from the start of this step to the end of the job.
   std::int64_t remaining_ms = 0;
   std::vector<std::int32_t> waiting;  // Indexes of tasks.
+  // Number of tasks of a gang that wait for the end of other members' runs.
+  std::int32_t blocked = 0;
+  // Since when tasks wait or are blocked and none was placed.
+  std::int64_t waiting_since_ms = 0;
   // Number of running tasks of the step on each worker.
   std::map<std::int64_t, std::int32_t> running;
   // Workers on which a task of the step failed. They are used only if the other
@@ -142,6 +147,15 @@
   std::int64_t held_ready_ms = 0;
 };
 
+// The workers that a waiting step may use.
+struct StepWorkers {
+  std::size_t eligible = 0;
+  std::size_t allowed = 0;  // Eligible and allowed by the advice service.
+  std::int64_t fit = 0;     // Tasks that fit into the free capacity of these.
+
+  bool operator==(const StepWorkers&) const = default;
+};
+
 struct PlannedStart {
   StepId step = 0;
   std::int32_t index = 0;
@@ -227,6 +241,8 @@
   // Must be called when a step without waiting tasks gets some.
   void MarkStepWaiting(PlanStep& step) { waiting_steps_[step.id] = &step; }
 
+  StepWorkers WorkersOf(const PlanStep& step) const;
+
   // Must be called when a worker was added or changed, so that the next
   // Decide() plans the steps that may use it.
   void MarkWorkerChanged(std::int64_t worker) {
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -311,6 +311,23 @@
          step.demand.FitsIn(worker.capacity);
 }
 
+StepWorkers GraphPlanner::WorkersOf(const PlanStep& step) const {
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  StepWorkers out;
+  for (const auto& [number, worker] : workers_) {
+    if (!IsEligible(step, worker)) {
+      continue;
+    }
+    ++out.eligible;
+    if (step.advice.Allows(number)) {
+      ++out.allowed;
+      out.fit += FitCount(step.demand, worker.FreeCapacity(),
+                          std::min(count, PerWorkerLimit(step, worker)));
+    }
+  }
+  return out;
+}
+
 GraphPlanner::IndexedWorker* GraphPlanner::FindIndexed(std::int64_t number) {
   const auto it = std::lower_bound(
       all_workers_.begin(), all_workers_.end(), number,
@@ -807,6 +824,7 @@
   }
   question.expected_ms = AnswerMs(step, question.workers.size());
   step.advice.question_pending = true;
+  step.advice.last_question_ms = round.now_ms;
   round.plan.questions.push_back(std::move(question));
 }
 
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -451,3 +451,21 @@
   advice.RecordAnswer({1}, {});
   cr_expect(advice.asked_workers.contains(1), "asked about once more only");
 }
+
+// Guards against a description of a waiting step that counts workers which it
+// may not use.
+Test(graph_planner, counts_the_workers_of_a_waiting_step) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  planner.workers()[1].usable = false;
+  AddRunningTask(planner.workers()[3], 60'000, 5'000);
+  auto& step = AddStep(planner, 1, 5, 20'000, 30'000);
+  cr_expect(planner.WorkersOf(step) ==
+            StepWorkers({.eligible = 3, .allowed = 3, .fit = 6}));
+  step.advice.needed = true;
+  step.advice.RecordAnswer({1, 2, 3}, {{1, {"t", 900}}, {3, {"t", 900}}});
+  cr_expect(planner.WorkersOf(step) ==
+            StepWorkers({.eligible = 3, .allowed = 1, .fit = 0}));
+}
