policy: Let late steps ask again if their allowed workers stay full

A step of single tasks didn't ask about further workers once the allowed ones could hold it when idle. If these were full of tasks that don't end, such as services, the step waited for ever beside free workers and callers. The same held for gangs in cells with few callers.

A late step of which no task was placed for 3 s now asks while a caller is idle, if the free capacity of its allowed workers doesn't hold its tasks.

Before the change:

graph_planner_test.cc:488: (plan.questions.size()) == (1) is false. [FAIL] graph_planner::asks_about_more_workers_if_the_allowed_ones_stay_full

With it policy_test passes 48 of 48, cell_test 72 of 72.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -201,6 +201,9 @@
   // without enough allowed workers. A gang that has enough allowed workers asks
   // about further workers only while more callers than this are idle.
   std::int64_t reserved_callers = 12;
+  // A late step of which no task was placed for this long asks about further
+  // workers while a caller is idle, if its allowed workers have no room now.
+  std::int64_t long_wait_ms = 3'000;
   // Limit of questions in one plan, because callers are few.
   std::size_t max_questions = 64;
   // No capacity is held for further gangs once this share of the usable
@@ -314,6 +317,9 @@
   bool HasEnoughAllowedWorkers(const PlanStep& step,
                                std::size_t limit,
                                std::int64_t now_ms);
+  // Whether a late step has waited long and its allowed workers have too little
+  // free capacity.
+  bool LacksFreeCapacity(const PlanStep& step, std::int64_t now_ms) const;
   void AskAboutNewWorkers(PlanStep& step, Round& round);
   void PlanQuestion(PlanStep& step,
                     const std::vector<std::int64_t>& workers,
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -769,6 +769,13 @@
   return fit >= wanted && !answer_comes_first;
 }
 
+bool GraphPlanner::LacksFreeCapacity(const PlanStep& step,
+                                     std::int64_t now_ms) const {
+  return IsLate(step, now_ms) &&
+         now_ms - step.waiting_since_ms >= options_.long_wait_ms &&
+         WorkersOf(step).fit < static_cast<std::int64_t>(step.waiting.size());
+}
+
 // Asks about eligible workers that the service has not been asked about yet,
 // those with the most free capacity first.
 void GraphPlanner::AskAboutNewWorkers(PlanStep& step, Round& round) {
@@ -780,8 +787,12 @@
   }
   if (HasEnoughAllowedWorkers(step, limit, round.now_ms)) {
     // A gang can start sooner with more workers to choose from, so it asks
-    // while enough callers are idle.
-    if (!step.gang || round.idle_callers <= options_.reserved_callers) {
+    // while enough callers are idle. The tasks on the allowed workers may go on
+    // for very long, so a step doesn't rely on their end for ever.
+    const bool gang_may_ask =
+        step.gang && round.idle_callers > options_.reserved_callers;
+    if (!gang_may_ask &&
+        (round.idle_callers <= 0 || !LacksFreeCapacity(step, round.now_ms))) {
       return;
     }
     --round.idle_callers;
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -469,3 +469,23 @@
   cr_expect(planner.WorkersOf(step) ==
             StepWorkers({.eligible = 3, .allowed = 1, .fit = 0}));
 }
+
+// The only allowed worker is full of tasks that don't end. Guards against a
+// late step that never asks about workers with free capacity.
+Test(graph_planner, asks_about_more_workers_if_the_allowed_ones_stay_full) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 3; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[1], 64'000, 1'000'000);
+  auto& step = AddStep(planner, 1, 1, 30'000, 6'000);
+  step.advice.needed = true;
+  step.advice.RecordAnswer({1}, {{1, {"t", 20'000}}});
+  cr_expect(planner.Decide(100, 1).questions.empty());
+  cr_expect(planner.Decide(9'000, 0).questions.empty(),
+            "no caller is idle for it");
+  const auto plan = planner.Decide(9'100, 1);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers ==
+            std::vector<std::int64_t>({2, 3}));
+}
