tests: Commit a new leader's log as the consensus does

CellHarness::ChangeLeader() left the proposals of the old leader in the event queue and committed them after the new leader had begun to lead. The consensus never does that: a leader leads only after an entry of its own term is committed, so all earlier entries are applied before or are lost. Jobs that waited after a change of the leader alone were this artefact.

A random number of the first uncommitted proposals is now applied before the change, and the others are lost. Entries are committed in the order of the log, their times can be random, and the result of a proposal may come a turn after the entry. Workers can crash, depart, and restart under the same id with a later birth time.

--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "cranberryshunt/wire/codec.h"
+
 namespace cranberryshunt::cell {
 
 namespace {
@@ -93,6 +95,16 @@
   change.role = consensus::Role::kFollower;
   change.term = term_++;
   engine_.OnRoleChange(change, Now());
+  // A leader leads only after an entry of its own term is committed, so it has
+  // applied all earlier entries that are not lost.
+  if (!uncommitted_.empty()) {
+    auto kept = std::uniform_int_distribution<std::size_t>(
+        0, uncommitted_.size())(random_);
+    for (; kept > 0; --kept) {
+      CommitFirstProposal();
+    }
+    uncommitted_.clear();
+  }
   change.role = consensus::Role::kLeader;
   change.term = term_;
   change.leader_id = "own";
@@ -104,14 +116,18 @@
   events_.emplace(now_ms_ + delay_ms, std::move(action));
 }
 
+void CellHarness::ReportOnce(const FakeWorker& worker) {
+  WorkerReport report;
+  report.worker = worker.record;
+  report.sequence = now_ms_;
+  report.clock_ms = now_ms_ + worker.clock_offset_ms;
+  const CpuTimer timer(engine_ms_);
+  engine_.Handle(ReportCall{report, [](const Result<void>&) {}}, Now());
+}
+
 void CellHarness::Report(const FakeWorker& worker) {
-  if (!worker.silent) {
-    WorkerReport report;
-    report.worker = worker.record;
-    report.sequence = now_ms_;
-    report.clock_ms = now_ms_ + worker.clock_offset_ms;
-    const CpuTimer timer(engine_ms_);
-    engine_.Handle(ReportCall{report, [](const Result<void>&) {}}, Now());
+  if (!worker.silent && !worker.gone) {
+    ReportOnce(worker);
   }
   const auto n = static_cast<std::size_t>(&worker - workers.data());
   Schedule(kReportIntervalMs, [this, n] { Report(workers[n]); });
@@ -207,18 +223,8 @@
     return engine_.Advance(Now());
   };
   auto out = advance();
-  const auto term = engine_.leading_term();
   for (auto& it : out.proposals) {
-    Schedule(options_.commit_ms, [this, it, term] {
-      const CpuTimer timer(engine_ms_);
-      if (log_is_full) {
-        engine_.OnProposalDone(
-            term, it.id, Fail(ResultCode::kStorageFull, "no room"), Now());
-        return;
-      }
-      (void)engine_.OnCommitted({next_index_++, term, it.data}, Now());
-      engine_.OnProposalDone(term, it.id, next_index_ - 1, Now());
-    });
+    Propose(it);
   }
   for (auto& it : out.orders) {
     Schedule(options_.network_ms, [this, it] { CarryOut(it); });
@@ -250,6 +256,104 @@
   holds_.insert(holds_.end(), open.begin(), open.end());
 }
 
+void CellHarness::Propose(const Proposal& proposal) {
+  auto delay_ms = options_.commit_ms;
+  if (options_.max_commit_ms > options_.commit_ms) {
+    delay_ms = std::uniform_int_distribution(options_.commit_ms,
+                                             options_.max_commit_ms)(random_);
+  }
+  // Entries are committed in the order of the log.
+  last_commit_ms_ = std::max(last_commit_ms_, now_ms_ + delay_ms);
+  const auto term = engine_.leading_term();
+  uncommitted_.push_back({term, proposal});
+  Schedule(last_commit_ms_ - now_ms_, [this, term, id = proposal.id] {
+    const bool pending = !uncommitted_.empty() &&
+                         uncommitted_.front().term == term &&
+                         uncommitted_.front().proposal.id == id;
+    if (!pending) {
+      return;
+    }
+    if (log_is_full) {
+      uncommitted_.pop_front();
+      const CpuTimer timer(engine_ms_);
+      engine_.OnProposalDone(term, id,
+                             Fail(ResultCode::kStorageFull, "no room"), Now());
+      return;
+    }
+    CommitFirstProposal();
+    const auto index = next_index_ - 1;
+    const auto done = [this, term, id, index] {
+      const CpuTimer timer(engine_ms_);
+      engine_.OnProposalDone(term, id, index, Now());
+    };
+    // The result may come in a later turn than the entry.
+    const bool later = options_.max_commit_ms > options_.commit_ms &&
+                       std::uniform_int_distribution(0, 1)(random_) == 1;
+    if (later) {
+      Schedule(1, done);
+    } else {
+      done();
+    }
+  });
+}
+
+void CellHarness::CommitFirstProposal() {
+  const auto first = std::move(uncommitted_.front());
+  uncommitted_.pop_front();
+  const CpuTimer timer(engine_ms_);
+  const auto applied = engine_.OnCommitted(
+      {next_index_++, first.term, first.proposal.data}, Now());
+  if (!applied) {
+    violations.push_back("entry not applied: " + applied.error().message());
+  }
+}
+
+void CellHarness::Commit(const wire::GraphBatch& batch) {
+  const auto applied = engine_.OnCommitted(
+      {next_index_++, engine_.leading_term(), wire::Encode(batch)}, Now());
+  if (!applied) {
+    violations.push_back("entry not applied: " + applied.error().message());
+  }
+}
+
+void CellHarness::Crash(FakeWorker& worker) {
+  worker.gone = true;
+  worker.runs.clear();
+  // Tasks whose ends nobody has read may run again.
+  for (const auto& it : worker.ended) {
+    done_.erase(it.task);
+  }
+  worker.ended.clear();
+  worker.barred.clear();
+  worker.next_end = 1;
+  worker.fence = 0;
+  worker.lease_until_ms = 0;
+  const auto number = static_cast<std::size_t>(&worker - workers.data());
+  std::erase_if(holds_, [&](const auto& it) {
+    if (it.worker != number) {
+      return false;
+    }
+    Schedule(options_.network_ms, [this, id = it.sent.id] {
+      engine_.OnWorkerReply(id, WorkerReply(), Now());
+    });
+    return true;
+  });
+}
+
+void CellHarness::Depart(FakeWorker& worker) {
+  Crash(worker);
+  engine_.Handle(DepartureCall{worker.record.id, worker.record.born_ms,
+                               [](const Result<void>&) {}},
+                 Now());
+}
+
+void CellHarness::Restart(FakeWorker& worker) {
+  Crash(worker);
+  worker.gone = false;
+  worker.record.born_ms += 1'000;
+  ReportOnce(worker);
+}
+
 void CellHarness::CarryOut(const SentOrder& sent) {
   const auto worker = std::find_if(
       workers.begin(), workers.end(),
@@ -257,6 +361,14 @@
   if (worker->loses_orders) {
     return;
   }
+  if (worker->gone) {
+    WorkerReply reply;
+    reply.answer = WorkerAnswer::kNotSent;
+    Schedule(options_.network_ms, [this, id = sent.id, reply] {
+      engine_.OnWorkerReply(id, reply, Now());
+    });
+    return;
+  }
   const auto reply_after_timeout = [&] {
     Schedule(sent.timeout.count(), [this, id = sent.id] {
       engine_.OnWorkerReply(id, WorkerReply(), Now());
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -40,6 +40,7 @@
   // The driver violates its contract: it neither carries out the worker's
   // orders nor reports replies to them.
   bool loses_orders = false;
+  bool gone = false;  // No process runs at its address.
 };
 
 struct HarnessOptions {
@@ -47,6 +48,8 @@
   std::int64_t milli_cpus = 32'000;
   std::int64_t memory_mb = 65'536;
   std::int64_t commit_ms = 15;
+  // If greater than `commit_ms`, the times of commits are random between both.
+  std::int64_t max_commit_ms = 0;
   std::int64_t network_ms = 5;
   std::int32_t advice_callers = 6;
   double allowed_share = 1;
@@ -88,8 +91,18 @@
   // Advances time in steps of one millisecond.
   void Run(std::int64_t duration_ms);
   // Starts a new term with a new leader. The volatile state of the old one is
-  // lost.
+  // lost. Of the proposals that are not committed yet, a random number of the
+  // first ones is committed before the new leader leads; the others are lost.
   void ChangeLeader();
+  // Ends the worker's process, with its runs and unread ends.
+  void Crash(FakeWorker& worker);
+  // Crashes the worker, and the leader is told that it has left.
+  void Depart(FakeWorker& worker);
+  // Crashes the worker if it is not gone, and starts it again under the same id
+  // with a later birth time.
+  void Restart(FakeWorker& worker);
+  // Commits an entry that no leader of this test has proposed.
+  void Commit(const wire::GraphBatch& batch);
 
   std::vector<FakeWorker> workers;
   std::map<graph::JobId, JobOutcome> jobs;
@@ -109,14 +122,19 @@
   Engine& engine() { return engine_; }
   // Processor time spent in calls of the engine.
   double engine_ms() const { return engine_ms_; }
+  MetricsRegistry& metrics() { return metrics_; }
 
  private:
   TimePoint Now() const {
     return TimePoint(std::chrono::milliseconds(now_ms_));
   }
   void Schedule(std::int64_t delay_ms, std::function<void()> action);
+  void ReportOnce(const FakeWorker& worker);
+  // Reports at intervals while the worker is there.
   void Report(const FakeWorker& worker);
   void AdvanceEngine();
+  void Propose(const Proposal& proposal);
+  void CommitFirstProposal();
   void CarryOut(const SentOrder& sent);
   WorkerReply Serve(FakeWorker& worker, const WorkerOrder& order);
   WorkerReply ServeStart(FakeWorker& worker, const StartOrder& order);
@@ -139,6 +157,13 @@
   double engine_ms_ = 0;
   std::multimap<std::int64_t, std::function<void()>> events_;
   std::int64_t next_index_ = 1;
+  // Proposals that are not committed yet, in the order of the log.
+  struct UncommittedProposal {
+    std::int64_t term = 0;
+    Proposal proposal;
+  };
+  std::deque<UncommittedProposal> uncommitted_;
+  std::int64_t last_commit_ms_ = 0;
   std::set<graph::TaskKey> done_;
   std::map<std::string, wire::JobQueue> queues_;
   struct PendingHold {
