wire: Log when a controller becomes unreachable

Entries held calls until their deadline although the leader was idle, and their logs named only the outcome of the last attempt. The line says which step of a new connection failed, how many calls are opening connections, how many connections are idle and when the controller replied last.

--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,8 @@
   std::unique_ptr<Connection> TakeIdleConnection();
   void CloseConnectionsWithoutReplySince(
       std::chrono::steady_clock::time_point time);
+  void LogUnreachable(const Error& error,
+                      std::chrono::steady_clock::time_point now) const;
 
   const std::string address_;
   const std::string own_id_;
@@ -67,6 +70,9 @@
   const std::chrono::milliseconds handshake_timeout_;
   mutable std::mutex mutex_;
   std::vector<std::unique_ptr<Connection>> idle_;
+  // How many calls are opening a connection.
+  std::size_t opening_ = 0;
+  std::optional<std::chrono::steady_clock::time_point> last_reply_;
   std::chrono::steady_clock::time_point unreachable_until_{};
 };
 
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -97,13 +97,36 @@
 
 Result<std::unique_ptr<ControllerChannel::Connection>>
 ControllerChannel::OpenConnection(std::chrono::milliseconds timeout) {
+  {
+    const std::lock_guard lock(mutex_);
+    ++opening_;
+  }
   auto connection = Handshake(std::min(timeout, handshake_timeout_));
   std::lock_guard lock(mutex_);
   const auto now = std::chrono::steady_clock::now();
+  if (!connection && now >= unreachable_until_) {
+    LogUnreachable(connection.error(), now);
+  }
+  --opening_;
   unreachable_until_ = connection ? now : now + kUnreachablePeriod;
   return connection;
 }
 
+void ControllerChannel::LogUnreachable(
+    const Error& error,
+    std::chrono::steady_clock::time_point now) const {
+  Log(LogLevel::kInfo, "wire", "controller is not reachable",
+      {{"controller", address_},
+       {"error", error.message()},
+       {"opening", opening_},
+       {"idle", idle_.size()},
+       {"last_reply_ms",
+        last_reply_ ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now - *last_reply_)
+                          .count()
+                    : -1}});
+}
+
 Result<std::unique_ptr<ControllerChannel::Connection>>
 ControllerChannel::Handshake(std::chrono::milliseconds timeout) {
   const auto host_port = SplitAddress(address_);
@@ -173,6 +196,7 @@
   }
   std::lock_guard lock(mutex_);
   connection->last_reply = std::chrono::steady_clock::now();
+  last_reply_ = connection->last_reply;
   if (idle_.size() < kMaxIdleConnections) {
     idle_.push_back(std::move(connection));
   }
