cell: Forget a worker's number everywhere when it ends

The leader crashed in Leader::LogStarts(): workers_.Find() returned null for the worker of a planned start. WorkerTracker::Register() replaced the number of a restarted worker, and Remove() erased one without runs, without a note among the changed workers. The planner kept such a number as usable and placed tasks on it. The health records, the advice of the steps and queued questions kept it as well.

The tracker now collects the numbers that end, and one function of the leader removes them from the planner, the health records and the queued questions after each change of the workers. An answer of the advice service is used only for the incarnations that the question was about, because a ticket holds for one life of a worker.

--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -44,6 +44,23 @@
   std::erase_if(queued_, [&](const auto& it) { return it.step == step; });
 }
 
+void AdviceDispatcher::RemoveWorker(std::int64_t worker) {
+  for (auto it = queued_.begin(); it != queued_.end();) {
+    auto& numbers = it->worker_numbers;
+    const auto found = std::find(numbers.begin(), numbers.end(), worker);
+    if (found != numbers.end()) {
+      it->workers.erase(it->workers.begin() + (found - numbers.begin()));
+      numbers.erase(found);
+      if (numbers.empty()) {
+        RecordFailure(std::move(*it));
+        it = queued_.erase(it);
+        continue;
+      }
+    }
+    ++it;
+  }
+}
+
 void AdviceDispatcher::OnPoll(AdviceCall call, std::int64_t now_ms) {
   // Copied because the call is moved below.
   const std::string caller = call.poll.caller;
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -46,6 +46,9 @@
   // Removes the queued questions about a step. Those that a caller has already
   // taken stay.
   void CancelQueued(policy::StepId step);
+  // Removes the worker from the queued questions. A question about no other
+  // worker fails.
+  void RemoveWorker(std::int64_t worker);
   // Takes the results that a caller reports and holds its poll open until there
   // is a question for it or the wait is over.
   void OnPoll(AdviceCall call, std::int64_t now_ms);
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -138,11 +138,19 @@
   }
   for (const auto it : removed) {
     workers_.Remove(it, out);
-    health_.Remove(it);
   }
+  ForgetEndedWorkers();
   ApplyOutput(std::move(out));
 }
 
+void Leader::ForgetEndedWorkers() {
+  for (const auto number : workers_.TakeEndedWorkers()) {
+    planner_.RemoveWorker(number);
+    health_.Remove(number);
+    advice_dispatcher_.RemoveWorker(number);
+  }
+}
+
 void Leader::OnApplied(const wire::GraphBatch& batch, TimePoint now) {
   SetNow(now);
   if (!batch.workers.empty() || !batch.removed_workers.empty()) {
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -62,6 +62,10 @@
   void RebuildState();
   void SetNow(TimePoint now);
   void SyncWorkers();
+  // Removes the numbers that the tracker has ended from every other place that
+  // holds worker numbers, so that nothing is placed on them or asked about
+  // them.
+  void ForgetEndedWorkers();
   void RunMaintenance(EngineOutput& out);
   void Propose(EngineOutput& out);
   std::chrono::milliseconds MaxWait() const;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -227,11 +227,18 @@
     }
     const auto* job = store_.FindJob(step_tracker_.KeyOf(it.question.step).job);
     const auto valid_ms = store_.QueueOf(*job).advice.ticket_valid_ms;
-    advice.asked_workers.insert(it.question.worker_numbers.begin(),
-                                it.question.worker_numbers.end());
+    // An answer holds for the incarnations that were asked about, and not for
+    // those that have replaced them.
+    std::set<graph::WorkerNumber> asked;
+    for (const auto number : it.question.worker_numbers) {
+      if (workers_.Find(number) != nullptr) {
+        asked.insert(number);
+      }
+    }
+    advice.asked_workers.insert(asked.begin(), asked.end());
     for (auto& row : it.allowed) {
       const auto number = store_.FindWorker(row.worker);
-      if (number) {
+      if (number && asked.contains(*number)) {
         advice.allowed[*number] = {
             std::move(row.ticket),
             it.answered_at_ms - kAnswerTransitMs + valid_ms};
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -250,6 +250,7 @@
       }
       AddRun(added, key, run);
     }
+    ended_workers_.push_back(previous->number);
     workers_.erase(previous->number);
   }
   numbers_by_id_[record.id] = number;
@@ -268,6 +269,7 @@
     it = worker->second.runs.begin();
   }
   numbers_by_id_.erase(worker->second.record.id);
+  ended_workers_.push_back(number);
   workers_.erase(worker);
 }
 
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -138,6 +138,10 @@
   std::set<WorkerNumber> TakeChangedWorkers() {
     return std::exchange(changed_workers_, {});
   }
+  // Returns the numbers that were removed or replaced since the last call.
+  std::vector<WorkerNumber> TakeEndedWorkers() {
+    return std::exchange(ended_workers_, {});
+  }
   const TrackedWorker* Find(WorkerNumber number) const;
   // Whether starts may be sent to the worker now.
   bool IsUsable(const TrackedWorker& worker, std::int64_t now_ms) const;
@@ -237,6 +241,7 @@
   // Runs that may need a stop. SendStops() examines only these.
   std::set<std::pair<WorkerNumber, RunKey>> stop_candidates_;
   std::set<WorkerNumber> changed_workers_;
+  std::vector<WorkerNumber> ended_workers_;
   // Time and response time of the latest answers to starts, in milliseconds.
   std::deque<std::pair<std::int64_t, std::int64_t>> start_answers_;
   OrderId next_order_;
--- a/tests/cell/advice_dispatcher_test.cc
+++ b/tests/cell/advice_dispatcher_test.cc
@@ -142,3 +142,32 @@
   dispatcher.Advance(10'000);
   cr_expect_eq(dispatcher.ExpectedWaitMs(10'400, true, 10'900), 600);
 }
+
+// Guards against questions about a worker whose number has ended, and against a
+// step that waits for the answer to a question without workers.
+Test(advice_dispatcher, asks_nothing_about_a_removed_worker) {
+  AdviceDispatcher dispatcher(0);
+  auto question = MakeQuestion(1, false, 900);
+  question.workers = {"a", "b"};
+  question.worker_numbers = {1, 2};
+  dispatcher.Ask(question);
+  question.step = 2;
+  question.workers = {"a"};
+  question.worker_numbers = {1};
+  dispatcher.Ask(question);
+  dispatcher.RemoveWorker(1);
+  const auto failed = dispatcher.TakeAnswers();
+  cr_assert_eq(failed.size(), 1);
+  cr_expect_eq(failed[0].question.step, 2);
+  cr_expect(!failed[0].answered);
+  std::vector<std::string> asked;
+  AdviceCall call;
+  call.poll.caller = "c";
+  call.reply = [&](const wire::AdviceOrders& orders) {
+    cr_assert_eq(orders.orders.size(), 1);
+    asked = orders.orders[0].workers;
+  };
+  dispatcher.OnPoll(std::move(call), 100);
+  dispatcher.Advance(100);
+  cr_expect(asked == std::vector<std::string>{"b"});
+}
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -333,7 +333,7 @@
     if (it.worker != number) {
       return false;
     }
-    Schedule(options_.network_ms, [this, id = it.sent.id] {
+    Schedule(it.sent.timeout.count(), [this, id = it.sent.id] {
       engine_.OnWorkerReply(id, WorkerReply(), Now());
     });
     return true;
--- /dev/null
+++ b/tests/cell/departed_worker_test.cc
@@ -0,0 +1,51 @@
+// Tests that the leader forgets workers that have left or were replaced, and
+// gives up what was about to start on them.
+#include <criterion/criterion.h>
+
+#include "cell_harness.h"
+
+using namespace cranberryshunt;        // NOLINT
+using namespace cranberryshunt::cell;  // NOLINT
+
+namespace {
+
+constexpr std::int64_t kCommitMs = 15;
+
+void StartCell(CellHarness& cell) {
+  cell.Run(200);
+  cell.Publish({MakeQueue("a", 1)});
+  cell.Run(200);
+}
+
+void ExpectCompleted(CellHarness& cell, graph::JobId id) {
+  cr_assert_eq(cell.jobs[id].code, 0);
+  cr_expect(cell.StateOf(id) == wire::GraphJobState::kCompleted);
+  for (const auto& it : cell.violations) {
+    cr_expect_fail("%s", it.c_str());
+  }
+}
+
+}  // namespace
+
+// Guards against a crash of the leader: it placed tasks on an idle worker after
+// that worker's departure was committed.
+Test(departed_worker, gets_no_tasks_after_it_has_left) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell);
+  cell.Depart(cell.workers[0]);
+  cell.Run(kCommitMs + 5);
+  cell.Submit(1, "a", MakeJob(4, 16'000, 100));
+  cell.Run(1'000);
+  ExpectCompleted(cell, 1);
+}
+
+// Guards against the same after the worker was registered as a new incarnation.
+Test(departed_worker, gets_no_tasks_after_it_was_replaced) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell);
+  cell.Restart(cell.workers[0]);
+  cell.Run(kCommitMs + 5);
+  cell.Submit(1, "a", MakeJob(6, 16'000, 100));
+  cell.Run(1'000);
+  ExpectCompleted(cell, 1);
+}
