wire: Treat a controller that answers calls as reachable

A failed attempt to open a connection hid the controller for a second, also when calls on its other connections were answered. All calls of the process then ignored the replies that name it as the leader and went round the other controllers.

The attempt now counts only if no call was answered since it began, and an answer ends the second. The test failed before: controller_channel_test.cc:82: !(it.channel.unreachable()) is false.

--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -47,8 +47,8 @@
 
   const std::string& address() const { return address_; }
 
-  // Whether the latest attempt to open a connection failed within the last
-  // second.
+  // Whether an attempt to open a connection failed within the last second, and
+  // no call was answered since that attempt began.
   bool unreachable() const;
 
  private:
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -97,6 +97,7 @@
 
 Result<std::unique_ptr<ControllerChannel::Connection>>
 ControllerChannel::OpenConnection(std::chrono::milliseconds timeout) {
+  const auto begin = std::chrono::steady_clock::now();
   {
     const std::lock_guard lock(mutex_);
     ++opening_;
@@ -104,11 +105,12 @@
   auto connection = Handshake(std::min(timeout, handshake_timeout_));
   std::lock_guard lock(mutex_);
   const auto now = std::chrono::steady_clock::now();
-  if (!connection && now >= unreachable_until_) {
+  const bool answers = connection || (last_reply_ && *last_reply_ >= begin);
+  if (!answers && now >= unreachable_until_) {
     LogUnreachable(connection.error(), now);
   }
   --opening_;
-  unreachable_until_ = connection ? now : now + kUnreachablePeriod;
+  unreachable_until_ = answers ? now : now + kUnreachablePeriod;
   return connection;
 }
 
@@ -197,6 +199,7 @@
   std::lock_guard lock(mutex_);
   connection->last_reply = std::chrono::steady_clock::now();
   last_reply_ = connection->last_reply;
+  unreachable_until_ = connection->last_reply;
   if (idle_.size() < kMaxIdleConnections) {
     idle_.push_back(std::move(connection));
   }
--- /dev/null
+++ b/tests/wire/controller_channel_test.cc
@@ -0,0 +1,85 @@
+// Tests of the connections to a controller that is slow to accept new ones.
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "ControllerService.h"
+#include "cranberryshunt/wire/controller_client.h"
+#include "cranberryshunt/wire/controller_server.h"
+#include "support/fault_proxy.h"
+#include "support/loopback.h"
+
+namespace cranberryshunt::wire {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTimeout{2'000};
+constexpr char kServer[] = "controller";
+
+class RecordingHandler final : public ControllerServiceNull {
+ public:
+  void GetCluster(ClusterReply& /*reply*/) override {
+    const std::lock_guard lock(mutex);
+    threads.insert(std::this_thread::get_id());
+  }
+
+  std::mutex mutex;
+  // The server has a thread for each connection.
+  std::set<std::thread::id> threads;
+};
+
+void CallCluster(ControllerServiceClient& client) {
+  ClusterReply reply;
+  client.GetCluster(reply);
+}
+
+// A controller behind a proxy that injects faults.
+struct Fixture {
+  Fixture()
+      : proxy([](std::uint16_t, std::uint16_t) { return std::string(); }),
+        address(test::LoopbackIp(0) + ":21000"),
+        channel(address, "e1", "secret") {
+    const auto target = test::LoopbackIp(1) + ":21000";
+    auto started = ControllerServer::Start(target, "secret", handler,
+                                           [](const std::string& /*peer*/) {});
+    cr_assert(started.has_value());
+    server = std::move(*started);
+    cr_assert(proxy.ListenAt(kServer, address, target));
+  }
+
+  const test::Link to_server{"", kServer};
+  RecordingHandler handler;
+  std::unique_ptr<ControllerServer> server;
+  test::FaultProxy proxy;
+  const std::string address;
+  ControllerChannel channel;
+};
+
+}  // namespace
+
+// Guards against calls that avoid a leader which answers, because one new
+// connection to it could not be opened.
+Test(controller_channel, reachable_while_it_answers) {
+  Fixture it;
+  const auto result = it.channel.Run(kTimeout, [&](auto& client) {
+    it.proxy.Freeze(it.to_server, test::Direction::kBoth);
+    std::thread other([&] {
+      cr_expect_not(it.channel.Run(kTimeout, CallCluster).has_value());
+    });
+    other.join();
+    cr_expect(it.channel.unreachable());
+    it.proxy.Heal(it.to_server);
+    CallCluster(client);
+  });
+  cr_assert(result.has_value());
+  cr_expect_not(it.channel.unreachable());
+}
+
+}  // namespace cranberryshunt::wire
