wire: Limit the calls that open connections to a controller

When a leader was lost, each waiting call of a process opened a connection of its own to the next one. A leader in a large cell gets these from all entries at the same moment, answers many later than the timeout of a handshake, and each that is given up is repeated. The state lasted as long as the traffic.

Two calls open connections to a controller at a time; the others take the first connection that is free, and fail together once none can be opened. The test failed before: controller_channel_test.cc:105: (it.handler.threads.size()) <= (kCallers / 2) is false.

--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -3,6 +3,7 @@
 #define CRANBERRYSHUNT_WIRE_CONTROLLER_CLIENT_H_
 
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -36,13 +37,14 @@
       std::chrono::milliseconds handshake_timeout = kDefaultHandshakeTimeout);
   ~ControllerChannel();
 
-  // Runs `call` on an authenticated connection. Each read and write must finish
-  // within `timeout`. Fails with kTimeout, kUnavailable or kNotAuthenticated,
-  // or with kInvalidSettings if the address is not "ip:port". The controller
-  // may have executed a call that fails. After a transport error, such as a
-  // timeout, the connection and all others on which nothing was answered since
-  // the call began are closed, because a middlebox that lost the state of one
-  // connection has usually lost that of others too.
+  // Runs `call` on an authenticated connection. Each read and write, and the
+  // wait for a connection, must finish within `timeout`. Fails with kTimeout,
+  // kUnavailable or kNotAuthenticated, or with kInvalidSettings if the address
+  // is not "ip:port". The controller may have executed a call that fails. After
+  // a transport error, such as a timeout, the connection and all others on
+  // which nothing was answered since the call began are closed, because a
+  // middlebox that lost the state of one connection has usually lost that of
+  // others too.
   Result<void> Run(std::chrono::milliseconds timeout, const Call& call);
 
   const std::string& address() const { return address_; }
@@ -58,7 +60,8 @@
       std::chrono::milliseconds timeout);
   Result<std::unique_ptr<Connection>> Handshake(
       std::chrono::milliseconds timeout);
-  std::unique_ptr<Connection> TakeIdleConnection();
+  Result<std::unique_ptr<Connection>> TakeIdleConnection(
+      std::chrono::milliseconds timeout);
   void CloseConnectionsWithoutReplySince(
       std::chrono::steady_clock::time_point time);
   void LogUnreachable(const Error& error,
@@ -70,8 +73,12 @@
   const std::chrono::milliseconds handshake_timeout_;
   mutable std::mutex mutex_;
   std::vector<std::unique_ptr<Connection>> idle_;
-  // How many calls are opening a connection.
+  // Signals an idle connection and the end of an attempt to open one.
+  std::condition_variable changed_;
+  // How many calls are opening a connection, and how many attempts have shown
+  // that the controller is unreachable.
   std::size_t opening_ = 0;
+  std::uint64_t failures_ = 0;
   std::optional<std::chrono::steady_clock::time_point> last_reply_;
   std::chrono::steady_clock::time_point unreachable_until_{};
 };
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -33,6 +33,10 @@
 // otherwise take the processor time of all controllers.
 constexpr std::chrono::milliseconds kMaxRetryPause{200};
 constexpr std::size_t kMaxIdleConnections = 64;
+// How many calls open a connection to the same controller at a time. The others
+// wait for a connection, since a controller that many callers reach at once
+// answers none of them in time.
+constexpr std::size_t kMaxOpening = 2;
 constexpr std::size_t kAttemptsBeforePause = 2;
 
 Result<std::pair<std::string, int>> SplitAddress(const std::string& address) {
@@ -71,15 +75,28 @@
 
 ControllerChannel::~ControllerChannel() = default;
 
-std::unique_ptr<ControllerChannel::Connection>
-ControllerChannel::TakeIdleConnection() {
-  std::lock_guard lock(mutex_);
-  if (idle_.empty()) {
-    return nullptr;
+// Returns an idle connection, or null if the caller is to open one. Waits while
+// enough calls are opening connections.
+Result<std::unique_ptr<ControllerChannel::Connection>>
+ControllerChannel::TakeIdleConnection(std::chrono::milliseconds timeout) {
+  std::unique_lock lock(mutex_);
+  const auto failures = failures_;
+  const bool ready = changed_.wait_for(lock, timeout, [&] {
+    return !idle_.empty() || opening_ < kMaxOpening || failures_ != failures;
+  });
+  if (!ready) {
+    return Fail(ResultCode::kTimeout, "no connection became free");
   }
-  auto connection = std::move(idle_.back());
-  idle_.pop_back();
-  return connection;
+  if (!idle_.empty()) {
+    auto connection = std::move(idle_.back());
+    idle_.pop_back();
+    return connection;
+  }
+  if (failures_ != failures) {
+    return Fail(ResultCode::kUnavailable, "no connection could be opened");
+  }
+  ++opening_;
+  return nullptr;
 }
 
 void ControllerChannel::CloseConnectionsWithoutReplySince(
@@ -98,10 +115,6 @@
 Result<std::unique_ptr<ControllerChannel::Connection>>
 ControllerChannel::OpenConnection(std::chrono::milliseconds timeout) {
   const auto begin = std::chrono::steady_clock::now();
-  {
-    const std::lock_guard lock(mutex_);
-    ++opening_;
-  }
   auto connection = Handshake(std::min(timeout, handshake_timeout_));
   std::lock_guard lock(mutex_);
   const auto now = std::chrono::steady_clock::now();
@@ -110,6 +123,8 @@
     LogUnreachable(connection.error(), now);
   }
   --opening_;
+  failures_ += answers ? 0 : 1;
+  changed_.notify_all();
   unreachable_until_ = answers ? now : now + kUnreachablePeriod;
   return connection;
 }
@@ -177,14 +192,14 @@
 
 Result<void> ControllerChannel::Run(std::chrono::milliseconds timeout,
                                     const Call& call) {
-  auto connection = TakeIdleConnection();
-  if (!connection) {
-    auto opened = OpenConnection(timeout);
-    if (!opened) {
-      return tl::unexpected(opened.error());
-    }
-    connection = std::move(*opened);
+  auto taken = TakeIdleConnection(timeout);
+  if (taken && *taken == nullptr) {
+    taken = OpenConnection(timeout);
+  }
+  if (!taken) {
+    return tl::unexpected(taken.error());
   }
+  auto connection = std::move(*taken);
   connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
   connection->socket->setSendTimeout(static_cast<int>(timeout.count()));
   const auto begin = std::chrono::steady_clock::now();
@@ -202,6 +217,7 @@
   unreachable_until_ = connection->last_reply;
   if (idle_.size() < kMaxIdleConnections) {
     idle_.push_back(std::move(connection));
+    changed_.notify_one();
   }
   return {};
 }
--- a/tests/wire/controller_channel_test.cc
+++ b/tests/wire/controller_channel_test.cc
@@ -82,4 +82,47 @@
   cr_expect_not(it.channel.unreachable());
 }
 
+// Load pattern: many calls wait for a new leader and reach it at the same
+// moment. Guards against a connection for each of them, which the leader of a
+// large cell cannot open in time.
+Test(controller_channel, shares_connections_among_waiting_calls) {
+  constexpr int kCallers = 40;
+  constexpr std::chrono::milliseconds kOneWay{5};
+  Fixture it;
+  it.proxy.Delay(it.to_server, kOneWay);
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int n = 0; n < kCallers; ++n) {
+    callers.emplace_back([&] {
+      answered += it.channel.Run(kTimeout, CallCluster).has_value() ? 1 : 0;
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  cr_expect_eq(answered.load(), kCallers);
+  cr_expect_leq(it.handler.threads.size(), kCallers / 2);
+}
+
+// Guards against calls that wait one after another for a controller to which no
+// connection can be opened.
+Test(controller_channel, waiting_calls_fail_together) {
+  constexpr int kCallers = 20;
+  Fixture it;
+  it.proxy.Freeze(it.to_server, test::Direction::kBoth);
+  const auto begin = std::chrono::steady_clock::now();
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int n = 0; n < kCallers; ++n) {
+    callers.emplace_back([&] {
+      cr_expect_not(it.channel.Run(kTimeout, CallCluster).has_value());
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  cr_expect_lt(std::chrono::steady_clock::now() - begin, kTimeout);
+}
+
 }  // namespace cranberryshunt::wire
