cell: End each committed start that is not sent

A job waited until a new leader came when its worker was removed while a start on it was being committed. WorkerTracker::Remove() ended the run as not started, which Leader::OnFinished() dropped because the store did not know the run yet. Then the start was committed, SendStart() found neither worker nor run, and returned. The store showed the task as running on nobody.

Before the change, departed_worker::gives_up_starts_that_were_being_committed failed for several times of the departure: The expression cell.StateOf(id) == wire::GraphJobState::kCompleted is false.

Every start that is the current run in the store is now either sent or gets the result not_started: also if its worker or its reservation is gone, and if the job ended meanwhile, whose run stayed open in the store before. A reservation is only dropped without a result if the store has no such run.

--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -171,11 +171,19 @@
                        graph::WorkerNumber worker,
                        const std::string& ticket) {
   const auto* job = store_.FindJob(task.job);
-  // The job may have ended while the start was being committed.
-  if (job == nullptr || job->task(task).run != run || !job->active()) {
+  const auto* state = job == nullptr ? nullptr : job->FindTask(task);
+  if (state == nullptr || state->run != run) {
+    // The start had no effect, or the run has a result already.
     workers_.CancelReservation(task, run);
     return;
   }
+  WorkerTrackerOutput out;
+  if (!job->active()) {
+    workers_.RejectStart(worker, task, run,
+                         "job ended before the start was sent", now_ms_, out);
+    ApplyOutput(std::move(out));
+    return;
+  }
   StartOrder order;
   order.task = task;
   order.run = run;
@@ -187,7 +195,6 @@
     checkpoint_task.index = 0;
   }
   order.checkpoint = job->task(checkpoint_task).checkpoint;
-  WorkerTrackerOutput out;
   workers_.SendStart(worker, task, run, std::move(order), now_ms_, out);
   ApplyOutput(std::move(out));
 }
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -418,38 +418,69 @@
                               StartOrder order,
                               std::int64_t now_ms,
                               WorkerTrackerOutput& out) {
-  auto worker = workers_.find(number);
-  if (worker == workers_.end()) {
-    // The worker was registered as a new incarnation while the start was being
-    // committed.
-    const auto& job_runs = runs_by_job_[task.job];
-    const auto found = std::find_if(
-        job_runs.begin(), job_runs.end(),
-        [&](const auto& it) { return it.second == RunKey(task, run); });
-    worker =
-        found == job_runs.end() ? workers_.end() : workers_.find(found->first);
-  }
-  if (worker == workers_.end()) {
+  const auto found = FindRun(number, task, run);
+  if (!found) {
+    RejectStart(number, task, run, "worker left before the start was sent",
+                now_ms, out);
     return;
   }
-  const auto it = worker->second.runs.find({task, run});
-  if (it == worker->second.runs.end()) {
+  auto& worker = workers_.at(*found);
+  auto& it = worker.runs.at({task, run});
+  if (it.stop_requested || *found != number || !IsUsable(worker, now_ms)) {
+    RejectStart(number, task, run,
+                it.stop_requested ? "stopped before the start was sent"
+                                  : "worker is not usable any more",
+                now_ms, out);
     return;
   }
-  if (it->second.stop_requested || worker->second.number != number ||
-      !IsUsable(worker->second, now_ms)) {
-    FinishRun(worker->second, it, wire::RunEnd::kNotStarted,
-              it->second.stop_requested ? "stopped before the start was sent"
-                                        : "worker is not usable any more",
-              now_ms, out);
+  it.phase = RunPhase::kSending;
+  it.started_ms = now_ms;
+  it.start_time_known = true;
+  order.fence = options_.fence;
+  order.lease_until_ms = GrantLease(worker, now_ms);
+  AddOrder(worker, std::move(order), kAnswerTimeoutMs, out);
+}
+
+void WorkerTracker::RejectStart(WorkerNumber number,
+                                const TaskKey& task,
+                                std::int32_t run,
+                                std::string reason,
+                                std::int64_t now_ms,
+                                WorkerTrackerOutput& out) {
+  if (const auto found = FindRun(number, task, run)) {
+    auto& worker = workers_.at(*found);
+    FinishRun(worker, worker.runs.find({task, run}), wire::RunEnd::kNotStarted,
+              std::move(reason), now_ms, out);
     return;
   }
-  it->second.phase = RunPhase::kSending;
-  it->second.started_ms = now_ms;
-  it->second.start_time_known = true;
-  order.fence = options_.fence;
-  order.lease_until_ms = GrantLease(worker->second, now_ms);
-  AddOrder(worker->second, std::move(order), kAnswerTimeoutMs, out);
+  FinishedRun finished;
+  finished.task = task;
+  finished.run = run;
+  finished.how = wire::RunEnd::kNotStarted;
+  finished.worker = number;
+  finished.reason = std::move(reason);
+  out.finished.push_back(std::move(finished));
+}
+
+std::optional<WorkerNumber> WorkerTracker::FindRun(WorkerNumber number,
+                                                   const TaskKey& task,
+                                                   std::int32_t run) const {
+  const RunKey key(task, run);
+  if (const auto* worker = Find(number);
+      worker != nullptr && worker->runs.contains(key)) {
+    return number;
+  }
+  const auto job_runs = runs_by_job_.find(task.job);
+  if (job_runs == runs_by_job_.end()) {
+    return std::nullopt;
+  }
+  const auto found =
+      std::find_if(job_runs->second.begin(), job_runs->second.end(),
+                   [&](const auto& it) { return it.second == key; });
+  if (found == job_runs->second.end()) {
+    return std::nullopt;
+  }
+  return found->first;
 }
 
 void WorkerTracker::CancelReservation(const TaskKey& task, std::int32_t run) {
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -89,13 +89,22 @@
                std::int64_t expected_run_ms,
                bool long_running = false);
   // Sends a start that has been committed. Reports the run as not started if a
-  // stop was requested meanwhile or the worker is no longer usable.
+  // stop was requested meanwhile, or the worker has left, was replaced or is no
+  // longer usable.
   void SendStart(WorkerNumber number,
                  const TaskKey& task,
                  std::int32_t run,
                  StartOrder order,
                  std::int64_t now_ms,
                  WorkerTrackerOutput& out);
+  // Reports a committed run as not started, whether or not its reservation
+  // still exists.
+  void RejectStart(WorkerNumber number,
+                   const TaskKey& task,
+                   std::int32_t run,
+                   std::string reason,
+                   std::int64_t now_ms,
+                   WorkerTrackerOutput& out);
   // Drops a reserved run whose start was not committed and never will be.
   void CancelReservation(const TaskKey& task, std::int32_t run);
   // Stops all runs of the task except `keep_run`.
@@ -143,6 +152,11 @@
     return std::exchange(ended_workers_, {});
   }
   const TrackedWorker* Find(WorkerNumber number) const;
+  // Returns the worker that has the run: `number`, or a later incarnation of
+  // it.
+  std::optional<WorkerNumber> FindRun(WorkerNumber number,
+                                      const TaskKey& task,
+                                      std::int32_t run) const;
   // Whether starts may be sent to the worker now.
   bool IsUsable(const TrackedWorker& worker, std::int64_t now_ms) const;
   std::int64_t fence() const { return options_.fence; }
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -39,6 +39,22 @@
   ExpectCompleted(cell, 1);
 }
 
+// Guards against a job that waits for a new leader: a departure is committed
+// before a start on that worker, whose run nobody then ends.
+Test(departed_worker, gives_up_starts_that_were_being_committed) {
+  for (std::int64_t wait_ms = 0; wait_ms <= 3 * kCommitMs; ++wait_ms) {
+    CellHarness cell({.workers = 1, .commit_ms = kCommitMs});
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(4, 8'000, 100));
+    cell.Run(wait_ms);
+    cell.Depart(cell.workers[0]);
+    cell.Run(200);
+    cell.Restart(cell.workers[0]);
+    cell.Run(3'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
 // Guards against the same after the worker was registered as a new incarnation.
 Test(departed_worker, gets_no_tasks_after_it_was_replaced) {
   CellHarness cell({.workers = 2});
