--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -247,7 +247,11 @@
       open.push_back(std::move(it));
       continue;
     }
-    const auto reply = Serve(worker, it.sent.order);
+    // The worker forgot the acknowledged ends when the hold arrived. Numbers of
+    // ends start anew when it restarts.
+    auto listing = hold;
+    listing.acknowledged_end = 0;
+    const auto reply = Serve(worker, listing);
     Schedule(options_.network_ms, [this, id = it.sent.id, reply] {
       const CpuTimer timer(engine_ms_);
       engine_.OnWorkerReply(id, reply, Now());
@@ -348,10 +352,18 @@
 }
 
 void CellHarness::Restart(FakeWorker& worker) {
+  constexpr std::int64_t kRestartMs = 50;
   Crash(worker);
-  worker.gone = false;
-  worker.record.born_ms += 1'000;
-  ReportOnce(worker);
+  const auto number = static_cast<std::size_t>(&worker - workers.data());
+  Schedule(kRestartMs, [this, number] {
+    auto& restarted = workers[number];
+    if (!restarted.gone) {
+      return;  // Another restart came first.
+    }
+    restarted.gone = false;
+    restarted.record.born_ms += 1'000;
+    ReportOnce(restarted);
+  });
 }
 
 void CellHarness::CarryOut(const SentOrder& sent) {
