cell: Send no start to a worker that said it has left

A start that was sent while the departure of its worker was being committed reached the worker's next incarnation.

Before the change: departed_worker::gets_no_starts_while_its_departure_is_committed The expression (cell.starts) == (3) is false.

The worker counts as unusable from the call on, and as usable again if the departure is not committed.

--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -295,11 +295,16 @@
   }
   Log(LogLevel::kInfo, "workers", "worker has left",
       {{"worker", call.worker_id}, {"number", *number}});
+  workers_.SetDeparted(*number, true);
   batch_.removed_workers.push_back(*number);
   batch_has_content_ = true;
-  continuations_.emplace_back([reply = std::move(call.reply)](bool committed) {
-    reply(committed ? Result<void>() : tl::unexpected(NotCommitted()));
-  });
+  continuations_.emplace_back(
+      [this, number = *number, reply = std::move(call.reply)](bool committed) {
+        if (!committed) {
+          workers_.SetDeparted(number, false);
+        }
+        reply(committed ? Result<void>() : tl::unexpected(NotCommitted()));
+      });
 }
 
 void Leader::HandlePublish(PublishTableCall call) {
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -59,6 +59,8 @@
 
   // Whether this incarnation answered a hold with the fence of this leader.
   bool synced = false;
+  // Whether the worker said that it has left, and this is being committed.
+  bool departed = false;
   // Whether every lease expired, so that nothing can still run on the worker.
   bool leases_expired = false;
   bool has_expired_runs = false;  // Whether runs may be in kLeaseExpired.
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -256,6 +256,14 @@
   numbers_by_id_[record.id] = number;
 }
 
+void WorkerTracker::SetDeparted(WorkerNumber number, bool departed) {
+  const auto worker = workers_.find(number);
+  if (worker != workers_.end()) {
+    worker->second.departed = departed;
+    changed_workers_.insert(number);
+  }
+}
+
 void WorkerTracker::Remove(WorkerNumber number, WorkerTrackerOutput& out) {
   const auto worker = workers_.find(number);
   if (worker == workers_.end()) {
@@ -374,8 +382,8 @@
 
 bool WorkerTracker::IsUsable(const TrackedWorker& worker,
                              std::int64_t now_ms) const {
-  return worker.synced && !worker.record.leaving && !worker.leases_expired &&
-         worker.clock_ms >= 0 &&
+  return worker.synced && !worker.record.leaving && !worker.departed &&
+         !worker.leases_expired && worker.clock_ms >= 0 &&
          now_ms - worker.last_answer_ms < HoldWaitMs() + kMaxSilenceMs &&
          worker.hold_failures == 0 && now_ms >= worker.avoid_until_ms;
 }
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -62,6 +62,9 @@
   void Register(WorkerNumber number,
                 const wire::CalledWorker& record,
                 std::int64_t now_ms);
+  // Sets whether the worker has said that it has left. Such a worker gets no
+  // starts, because its next incarnation would carry them out.
+  void SetDeparted(WorkerNumber number, bool departed);
   // Removes a worker that has ended and reports all of its runs as finished.
   void Remove(WorkerNumber number, WorkerTrackerOutput& out);
   // Adds a run that is current in the committed state when this leader starts.
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -55,6 +55,25 @@
   }
 }
 
+// Guards against a task that runs twice: a start is sent to a worker whose
+// departure is being committed, and reaches the next incarnation, which the
+// leader doesn't know yet.
+Test(departed_worker, gets_no_starts_while_its_departure_is_committed) {
+  constexpr std::int64_t kSlowCommitMs = 100;
+  for (std::int64_t wait_ms = 110; wait_ms <= 150; wait_ms += 5) {
+    CellHarness cell({.workers = 2, .commit_ms = kSlowCommitMs});
+    cell.Run(1'000);
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(3, 16'000, 2'000));
+    cell.Run(wait_ms);
+    cell.Depart(cell.workers[0]);
+    cell.Restart(cell.workers[0]);
+    cell.Run(8'000);
+    ExpectCompleted(cell, 1);
+    cr_expect_eq(cell.starts, 3);
+  }
+}
+
 // Guards against the same after the worker was registered as a new incarnation.
 Test(departed_worker, gets_no_tasks_after_it_was_replaced) {
   CellHarness cell({.workers = 2});
