wire: End calls to the leader at their deadline

Each step of opening a connection, and the call after it, had the time that was left when the attempt began. Over a slow link a call took a multiple of it, so the refusal of an entry could reach its caller after the caller's deadline.

All steps now share the deadline, and a call whose deadline has passed is not sent. The test failed before: it took 0.73 s with a deadline of 0.5 s.

--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -23,6 +23,7 @@
 class ControllerChannel {
  public:
   using Call = std::function<void(ControllerServiceClient&)>;
+  using TimePoint = std::chrono::steady_clock::time_point;
 
   // Enough for a few round trips between regions. It is short, because a host
   // that cannot be reached delays a call that another controller could answer.
@@ -46,6 +47,10 @@
   // middlebox that lost the state of one connection has usually lost that of
   // others too.
   Result<void> Run(std::chrono::milliseconds timeout, const Call& call);
+  // The same, but ends at `deadline`. The call is not sent after it.
+  Result<void> Run(std::chrono::milliseconds timeout,
+                   TimePoint deadline,
+                   const Call& call);
 
   const std::string& address() const { return address_; }
 
@@ -56,12 +61,11 @@
  private:
   struct Connection;
 
-  Result<std::unique_ptr<Connection>> OpenConnection(
-      std::chrono::milliseconds timeout);
-  Result<std::unique_ptr<Connection>> Handshake(
-      std::chrono::milliseconds timeout);
-  Result<std::unique_ptr<Connection>> TakeIdleConnection(
-      std::chrono::milliseconds timeout);
+  Result<std::unique_ptr<Connection>> OpenConnection(TimePoint deadline);
+  Result<std::unique_ptr<Connection>> Handshake(TimePoint deadline);
+  Result<std::unique_ptr<Connection>> TakeIdleConnection(TimePoint deadline);
+  // Requires `mutex_` to be locked.
+  void ReturnConnection(std::unique_ptr<Connection> connection);
   void CloseConnectionsWithoutReplySince(
       std::chrono::steady_clock::time_point time);
   void LogUnreachable(const Error& error,
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -49,12 +49,33 @@
                    std::atoi(address.c_str() + colon + 1));
 }
 
+std::chrono::milliseconds RemainingUntil(
+    std::chrono::steady_clock::time_point deadline) {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      deadline - std::chrono::steady_clock::now());
+}
+
 ResultCode ToResultCode(const TTransportException& error) {
   return error.getType() == TTransportException::TIMED_OUT
              ? ResultCode::kTimeout
              : ResultCode::kUnavailable;
 }
 
+// Limits each read and write to `timeout` and to the time until `deadline`.
+void SetTimeout(TSocket& socket,
+                std::chrono::milliseconds timeout,
+                std::chrono::steady_clock::time_point deadline) {
+  const auto remaining = RemainingUntil(deadline);
+  if (remaining <= std::chrono::milliseconds::zero()) {
+    throw TTransportException(TTransportException::TIMED_OUT,
+                              "the deadline has passed");
+  }
+  const auto limit = static_cast<int>(std::min(timeout, remaining).count());
+  socket.setConnTimeout(limit);
+  socket.setRecvTimeout(limit);
+  socket.setSendTimeout(limit);
+}
+
 }  // namespace
 
 struct ControllerChannel::Connection {
@@ -78,10 +99,10 @@
 // Returns an idle connection, or null if the caller is to open one. Waits while
 // enough calls are opening connections.
 Result<std::unique_ptr<ControllerChannel::Connection>>
-ControllerChannel::TakeIdleConnection(std::chrono::milliseconds timeout) {
+ControllerChannel::TakeIdleConnection(TimePoint deadline) {
   std::unique_lock lock(mutex_);
   const auto failures = failures_;
-  const bool ready = changed_.wait_for(lock, timeout, [&] {
+  const bool ready = changed_.wait_until(lock, deadline, [&] {
     return !idle_.empty() || opening_ < kMaxOpening || failures_ != failures;
   });
   if (!ready) {
@@ -113,9 +134,9 @@
 }
 
 Result<std::unique_ptr<ControllerChannel::Connection>>
-ControllerChannel::OpenConnection(std::chrono::milliseconds timeout) {
+ControllerChannel::OpenConnection(TimePoint deadline) {
   const auto begin = std::chrono::steady_clock::now();
-  auto connection = Handshake(std::min(timeout, handshake_timeout_));
+  auto connection = Handshake(deadline);
   std::lock_guard lock(mutex_);
   const auto now = std::chrono::steady_clock::now();
   const bool answers = connection || (last_reply_ && *last_reply_ >= begin);
@@ -145,7 +166,7 @@
 }
 
 Result<std::unique_ptr<ControllerChannel::Connection>>
-ControllerChannel::Handshake(std::chrono::milliseconds timeout) {
+ControllerChannel::Handshake(TimePoint deadline) {
   const auto host_port = SplitAddress(address_);
   if (!host_port) {
     return tl::unexpected(host_port.error());
@@ -153,16 +174,15 @@
   auto connection = std::make_unique<Connection>();
   connection->socket =
       std::make_shared<TSocket>(host_port->first, host_port->second);
-  connection->socket->setConnTimeout(static_cast<int>(timeout.count()));
-  connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
-  connection->socket->setSendTimeout(static_cast<int>(timeout.count()));
   connection->socket->setNoDelay(true);
   auto framed =
       std::make_shared<TFramedTransport>(connection->socket, kMaxFrameBytes);
   connection->client = std::make_unique<ControllerServiceClient>(
       std::make_shared<TBinaryProtocol>(framed));
   try {
+    SetTimeout(*connection->socket, handshake_timeout_, deadline);
     connection->socket->open();
+    SetTimeout(*connection->socket, handshake_timeout_, deadline);
     const std::string client_nonce = RandomBytes(kNonceBytes);
     std::string challenge;
     connection->client->Challenge(challenge, own_id_, client_nonce);
@@ -176,6 +196,7 @@
       return Fail(ResultCode::kNotAuthenticated,
                   "controller does not know the cluster secret");
     }
+    SetTimeout(*connection->socket, handshake_timeout_, deadline);
     std::string ignored;
     connection->client->Authenticate(
         ignored,
@@ -192,18 +213,30 @@
 
 Result<void> ControllerChannel::Run(std::chrono::milliseconds timeout,
                                     const Call& call) {
-  auto taken = TakeIdleConnection(timeout);
+  return Run(timeout, std::chrono::steady_clock::now() + 2 * timeout, call);
+}
+
+Result<void> ControllerChannel::Run(std::chrono::milliseconds timeout,
+                                    TimePoint deadline,
+                                    const Call& call) {
+  const auto open_deadline =
+      std::min(deadline, std::chrono::steady_clock::now() + timeout);
+  auto taken = TakeIdleConnection(open_deadline);
   if (taken && *taken == nullptr) {
-    taken = OpenConnection(timeout);
+    taken = OpenConnection(open_deadline);
   }
   if (!taken) {
     return tl::unexpected(taken.error());
   }
   auto connection = std::move(*taken);
-  connection->socket->setRecvTimeout(static_cast<int>(timeout.count()));
-  connection->socket->setSendTimeout(static_cast<int>(timeout.count()));
   const auto begin = std::chrono::steady_clock::now();
+  if (begin >= deadline) {
+    const std::lock_guard lock(mutex_);
+    ReturnConnection(std::move(connection));
+    return Fail(ResultCode::kTimeout, "the deadline has passed");
+  }
   try {
+    SetTimeout(*connection->socket, timeout, deadline);
     call(*connection->client);
   } catch (const TTransportException& error) {
     CloseConnectionsWithoutReplySince(begin);
@@ -215,11 +248,16 @@
   connection->last_reply = std::chrono::steady_clock::now();
   last_reply_ = connection->last_reply;
   unreachable_until_ = connection->last_reply;
+  ReturnConnection(std::move(connection));
+  return {};
+}
+
+void ControllerChannel::ReturnConnection(
+    std::unique_ptr<Connection> connection) {
   if (idle_.size() < kMaxIdleConnections) {
     idle_.push_back(std::move(connection));
     changed_.notify_one();
   }
-  return {};
 }
 
 LeaderClient::LeaderClient(const std::vector<std::string>& addresses,
@@ -286,9 +324,7 @@
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   Error last_error(ResultCode::kNoLeader, "no controller answered as leader");
   for (std::size_t attempt = 0;; ++attempt) {
-    const auto remaining =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            deadline - std::chrono::steady_clock::now());
+    const auto remaining = RemainingUntil(deadline);
     if (remaining <= std::chrono::milliseconds::zero()) {
       return tl::unexpected(last_error);
     }
@@ -301,7 +337,7 @@
     }
     CallStatus status;
     const auto call_result =
-        channel->Run(std::min(remaining, attempt_timeout),
+        channel->Run(attempt_timeout, deadline,
                      [&](auto& client) { status = call(client); });
     const auto code = static_cast<ResultCode>(status.code);
     if (call_result && code != ResultCode::kNotLeader) {
--- a/tests/wire/controller_channel_test.cc
+++ b/tests/wire/controller_channel_test.cc
@@ -125,4 +125,21 @@
   cr_expect_lt(std::chrono::steady_clock::now() - begin, kTimeout);
 }
 
+// Guards against a refusal that reaches the caller after its deadline, because
+// each step of a call over a slow link had the whole time.
+Test(leader_client, ends_at_the_deadline) {
+  constexpr std::chrono::milliseconds kDeadline{500};
+  constexpr std::chrono::milliseconds kOneWay{120};
+  constexpr std::chrono::milliseconds kMargin{150};
+  Fixture it;
+  it.proxy.Delay(it.to_server, kOneWay);
+  LeaderClient leader({it.address}, "e1", "secret");
+  const auto begin = std::chrono::steady_clock::now();
+  (void)leader.Run(kDeadline, kTimeout, [](auto& client) {
+    CallCluster(client);
+    return CallStatus{};
+  });
+  cr_expect_lt(std::chrono::steady_clock::now() - begin, kDeadline + kMargin);
+}
+
 }  // namespace cranberryshunt::wire
