wire: Ignore attempts to connect that ran out of time

A call with only milliseconds left until its deadline could not finish the handshake, and then all other calls of the process avoided the controller for a second.

Such an attempt no longer counts against the controller. The test failed before: controller_channel_test: !(it.channel.unreachable()) is false.

--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -139,14 +139,21 @@
   auto connection = Handshake(deadline);
   std::lock_guard lock(mutex_);
   const auto now = std::chrono::steady_clock::now();
+  // A caller without time left learns nothing about the controller.
+  const bool out_of_time = now >= deadline;
   const bool answers = connection || (last_reply_ && *last_reply_ >= begin);
-  if (!answers && now >= unreachable_until_) {
+  const bool failed = !answers && !out_of_time;
+  if (failed && now >= unreachable_until_) {
     LogUnreachable(connection.error(), now);
   }
+  if (answers) {
+    unreachable_until_ = now;
+  } else if (failed) {
+    unreachable_until_ = now + kUnreachablePeriod;
+    ++failures_;
+  }
   --opening_;
-  failures_ += answers ? 0 : 1;
   changed_.notify_all();
-  unreachable_until_ = answers ? now : now + kUnreachablePeriod;
   return connection;
 }
 
--- a/tests/wire/controller_channel_test.cc
+++ b/tests/wire/controller_channel_test.cc
@@ -142,4 +142,15 @@
   cr_expect_lt(std::chrono::steady_clock::now() - begin, kDeadline + kMargin);
 }
 
+// Guards against a controller that is avoided by all callers, because one of
+// them had too little time left to open a connection to it.
+Test(controller_channel, late_caller_does_not_hide_the_controller) {
+  constexpr std::chrono::milliseconds kTimeLeft{20};
+  Fixture it;
+  it.proxy.Delay(it.to_server, kTimeLeft);
+  const auto deadline = std::chrono::steady_clock::now() + kTimeLeft;
+  cr_expect_not(it.channel.Run(kTimeout, deadline, CallCluster).has_value());
+  cr_expect_not(it.channel.unreachable());
+}
+
 }  // namespace cranberryshunt::wire
