cell: Give up open runs that nobody follows

A run that is open in the committed state and unknown to the leader's tracker held its task until a new leader came, whatever the cause. The leader now compares both: 1,000 tasks each 50 ms, so 200,000 in 10 s. A run without a tracked run, an open start or a result on its way for the longest lease gets the result lost, an error line and the counter runs_without_owner_total. Jobs without open runs cost one step.

Without the call in Leader::Advance(): run_check::gives_up_a_run_that_the_leader_does_not_follow The expression cell.StateOf(1) == wire::GraphJobState::kCompleted is false.

The processor time of the check was not measured.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -43,9 +43,6 @@
 // this long.
 constexpr std::int64_t kRemoveWorkerMs = 20'000;
 constexpr std::size_t kMaxExpiredPerBatch = 500;
-// An order counts as lost if no reply was reported this long after its timeout.
-// This covers the margin of the relay and delays on a busy host.
-constexpr std::int64_t kLostOrderMarginMs = 2'500;
 // From this number of workers on, the leader is short of processor time. Other
 // controllers then call the workers, and events are handled in larger groups.
 constexpr std::size_t kLargeCellWorkers = 150;
@@ -74,7 +71,8 @@
       advice_dispatcher_(now_ms_,
                          std::max(kMinAssumedCallers,
                                   store.workers().size() / kWorkersPerCaller)),
-      members_(options.cell_size, options.id, now_ms_) {
+      members_(options.cell_size, options.id, now_ms_),
+      run_check_(store) {
   RebuildState();
 }
 
@@ -477,6 +475,7 @@
   if (now_ms_ - last_maintenance_ms_ >= kMaintenanceMs) {
     RunMaintenance(out);
   }
+  FailRunsWithoutOwner();
   advice_dispatcher_.Advance(now_ms_);
   Propose(out);
   for (auto& it : orders_) {
@@ -560,30 +559,6 @@
   }
 }
 
-// The worker driver must report one reply for every order. If there is none,
-// this function reports that the worker did not answer. Otherwise the order's
-// run would stay open for ever, or its worker would get no further hold.
-void Leader::FailLostOrders() {
-  std::vector<OrderId> lost;
-  for (const auto& [id, order] : open_orders_) {
-    if (now_ms_ - order.sent_ms >
-        order.sent.timeout.count() + kLostOrderMarginMs) {
-      lost.push_back(id);
-    }
-  }
-  for (const auto id : lost) {
-    const auto& order = open_orders_.at(id);
-    Log(LogLevel::kError, "workers", "no reply was reported for an order",
-        {{"worker", order.sent.worker.id},
-         {"kind", order.sent.order.index()},
-         {"age_ms", now_ms_ - order.sent_ms}});
-    ++metrics_.Counter("orders_lost_total");
-    WorkerReply reply;
-    reply.detail = "the order was not reported";
-    OnWorkerReply(id, reply, TimePoint(std::chrono::milliseconds(now_ms_)));
-  }
-}
-
 void Leader::RemoveSilentWorkers() {
   for (const auto& [number, tracked_worker] : workers_.workers()) {
     const auto last_contact_ms =
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -18,6 +18,7 @@
 #include "cranberryshunt/policy/worker_health.h"
 #include "membership_manager.h"
 #include "pending_counter.h"
+#include "run_check.h"
 #include "run_times.h"
 #include "step_tracker.h"
 #include "worker_tracker.h"
@@ -83,6 +84,12 @@
   void ExpireJobs();
   void RemoveSilentWorkers();
   void FailLostOrders();
+  // Gives up runs that are open in the store and that neither the tracker nor
+  // an open proposal will end.
+  void FailRunsWithoutOwner();
+  bool HasOwner(const graph::TaskKey& task,
+                std::int32_t run,
+                graph::WorkerNumber worker) const;
 
   // leader_calls.cc
   void HandleGraph(GraphCall call);
@@ -126,6 +133,7 @@
   MembershipManager members_;
   PendingCounter pending_;
   policy::WorkerHealth health_;
+  RunCheck run_check_;
 
   wire::GraphBatch batch_;  // Contents of the next proposal.
   std::vector<Continuation> continuations_;
@@ -147,6 +155,7 @@
   std::int64_t last_plan_ms_ = 0;
   std::int64_t last_maintenance_ms_ = 0;
   std::int64_t last_load_log_ms_ = 0;
+  std::int64_t last_run_check_ms_ = 0;
   std::int64_t last_usability_check_ms_ = 0;
   std::int64_t last_propose_ms_ = 0;
 
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -59,6 +59,8 @@
   // Returns whether at least one run of the job has ended that is known to have
   // begun on a worker. Lost runs do not count.
   bool started() const { return started_; }
+  // Number of tasks with a current run.
+  std::int32_t open_runs() const { return open_runs_; }
 
   const TaskState& task(const TaskKey& key) const {
     return tasks_[IndexOf(key)];
