cell: Log and count committed starts that are not sent

A start that was committed and not sent left no trace, so the record of a held-back task could not say why no worker had seen its run. Each now gets a warning with the reason and the counter starts_not_sent_total.

A test of the tracker covers a start whose worker was removed before it was committed; the test of the leader no longer reaches that case, because a departed worker is unusable at once.

--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -112,6 +112,11 @@
                  std::int32_t run,
                  graph::WorkerNumber worker,
                  const std::string& ticket);
+  // Logs and counts a committed start that is not sent.
+  void RecordUnsentStart(const graph::TaskKey& task,
+                         std::int32_t run,
+                         graph::WorkerNumber worker,
+                         const std::string& reason);
   void AskAdvice(const policy::PlannedQuestion& question);
   void ApplyAdvice();
   policy::LoadSummary LoadFor(const policy::NewJob& job);
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -174,13 +174,15 @@
   const auto* state = job == nullptr ? nullptr : job->FindTask(task);
   if (state == nullptr || state->run != run) {
     // The start had no effect, or the run has a result already.
+    RecordUnsentStart(task, run, worker, "run is not current");
     workers_.CancelReservation(task, run);
     return;
   }
   WorkerTrackerOutput out;
   if (!job->active()) {
-    workers_.RejectStart(worker, task, run,
-                         "job ended before the start was sent", now_ms_, out);
+    const std::string reason = "job ended before the start was sent";
+    RecordUnsentStart(task, run, worker, reason);
+    workers_.RejectStart(worker, task, run, reason, now_ms_, out);
     ApplyOutput(std::move(out));
     return;
   }
@@ -196,9 +198,27 @@
   }
   order.checkpoint = job->task(checkpoint_task).checkpoint;
   workers_.SendStart(worker, task, run, std::move(order), now_ms_, out);
+  for (const auto& it : out.finished) {
+    RecordUnsentStart(task, run, worker, it.reason);
+  }
   ApplyOutput(std::move(out));
 }
 
+void Leader::RecordUnsentStart(const graph::TaskKey& task,
+                               std::int32_t run,
+                               graph::WorkerNumber worker,
+                               const std::string& reason) {
+  const auto* tracked_worker = workers_.Find(worker);
+  Log(LogLevel::kWarning, "runs", "committed start was not sent",
+      {{"task", graph::FormatTask(task)},
+       {"run", run},
+       {"worker_number", worker},
+       {"worker",
+        tracked_worker == nullptr ? std::string() : tracked_worker->record.id},
+       {"reason", reason}});
+  ++metrics_.Counter("starts_not_sent_total{reason=\"" + reason + "\"}");
+}
+
 void Leader::AskAdvice(const policy::PlannedQuestion& question) {
   const auto& step = planner_.steps().at(question.step);
   AdviceQuestion advice_question;
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -42,6 +42,7 @@
 // Guards against a job that waits for a new leader: a departure is committed
 // before a start on that worker, whose run nobody then ends.
 Test(departed_worker, gives_up_starts_that_were_being_committed) {
+  std::int64_t unsent_starts = 0;
   for (std::int64_t wait_ms = 0; wait_ms <= 3 * kCommitMs; ++wait_ms) {
     CellHarness cell({.workers = 1, .commit_ms = kCommitMs});
     StartCell(cell);
@@ -52,7 +53,14 @@
     cell.Restart(cell.workers[0]);
     cell.Run(3'000);
     ExpectCompleted(cell, 1);
+    unsent_starts +=
+        cell.metrics()
+            .Counter(
+                "starts_not_sent_total{reason=\"worker is not usable "
+                "any more\"}")
+            .load();
   }
+  cr_expect_gt(unsent_starts, 0);
 }
 
 // Guards against a task that runs twice: a start is sent to a worker whose
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -508,3 +508,20 @@
   tracker.OnReply(LastHold(out), 1'500, MakeHoldReply(5, 9'000), 1'510, out);
   cr_expect(out.finished.empty());
 }
+
+// Guards against a run that stays open for ever, because its worker was removed
+// while the start was being committed.
+Test(worker_tracker, ends_a_committed_start_whose_worker_has_left) {
+  auto tracker = MakeTracker(1'000);
+  tracker.Reserve(1, kTask, 1, {1'000, 100, 0}, 500);
+  WorkerTrackerOutput removal;
+  tracker.Remove(1, removal);
+  WorkerTrackerOutput out;
+  tracker.SendStart(1, kTask, 1, {}, 1'010, out);
+  cr_expect(out.orders.empty());
+  cr_assert_eq(out.finished.size(), 1);
+  cr_expect(out.finished[0].task == kTask);
+  cr_expect_eq(out.finished[0].run, 1);
+  cr_expect_eq(out.finished[0].how, wire::RunEnd::kNotStarted);
+  cr_expect(tracker.TakeEndedWorkers() == std::vector<WorkerNumber>(1, 1));
+}
