--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -486,21 +486,12 @@
                                                    const TaskKey& task,
                                                    std::int32_t run) const {
   const RunKey key(task, run);
-  if (const auto* worker = Find(number);
-      worker != nullptr && worker->runs.contains(key)) {
+  if (const auto* first = Find(number);
+      first != nullptr && first->runs.contains(key)) {
     return number;
   }
-  const auto job_runs = runs_by_job_.find(task.job);
-  if (job_runs == runs_by_job_.end()) {
-    return std::nullopt;
-  }
-  const auto found =
-      std::find_if(job_runs->second.begin(), job_runs->second.end(),
-                   [&](const auto& it) { return it.second == key; });
-  if (found == job_runs->second.end()) {
-    return std::nullopt;
-  }
-  return found->first;
+  const auto* worker = FindWorkerOf(task, run);
+  return worker == nullptr ? std::nullopt : std::optional(worker->number);
 }
 
 void WorkerTracker::CancelReservation(const TaskKey& task, std::int32_t run) {
