tests/cell: Add workers that crash on a task or whose capacity changes

The harness now has workers that lose everything, are silent for some seconds and return under the same id with a later birth time, and workers whose reported capacity changes. A start that brings a worker over its capacity 4 s and a report interval after the report is a violation, as is the third further start of a task after three workers have crashed under it. The other members of a gang end when one is lost.

No product code changes.

--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -12,6 +12,12 @@
 
 constexpr std::int64_t kReportIntervalMs = 1'500;
 constexpr std::int64_t kStopMs = 100;
+// A start must respect a smaller capacity from this time after its report on.
+constexpr std::int64_t kCapacityGraceMs = 4'000 + kReportIntervalMs;
+// A task must not be started this many times more after this many workers have
+// crashed under it.
+constexpr std::int32_t kMaxCrashes = 3;
+constexpr std::int32_t kMaxStartsAfterCrashes = 3;
 
 // Adds the processor time that this thread uses during the timer's lifetime to
 // `total_ms`.
@@ -104,15 +110,89 @@
   events_.emplace(now_ms_ + delay_ms, std::move(action));
 }
 
-void CellHarness::Report(const FakeWorker& worker) {
-  if (!worker.silent) {
-    WorkerReport report;
-    report.worker = worker.record;
-    report.sequence = now_ms_;
-    report.clock_ms = now_ms_ + worker.clock_offset_ms;
-    const CpuTimer timer(engine_ms_);
-    engine_.Handle(ReportCall{report, [](const Result<void>&) {}}, Now());
+void CellHarness::SendReport(const FakeWorker& worker) {
+  if (worker.silent) {
+    return;
   }
+  WorkerReport report;
+  report.worker = worker.record;
+  report.sequence = now_ms_;
+  report.clock_ms = now_ms_ + worker.clock_offset_ms;
+  const CpuTimer timer(engine_ms_);
+  engine_.Handle(ReportCall{report, [](const Result<void>&) {}}, Now());
+}
+
+void CellHarness::Crash(std::size_t n, std::int64_t down_ms) {
+  auto& worker = workers[n];
+  // Ends that were not acknowledged are lost with the worker.
+  for (const auto& it : worker.ended) {
+    done_.erase(it.task);
+  }
+  for (const auto& [key, run] : std::exchange(worker.runs, {})) {
+    BreakGang(key.first, key.second);
+  }
+  worker.barred.clear();
+  worker.ended.clear();
+  worker.next_end = 1;
+  worker.fence = 0;
+  worker.lease_until_ms = 0;
+  worker.silent = true;
+  Schedule(down_ms, [this, n] {
+    auto& restarted = workers[n];
+    restarted.silent = false;
+    restarted.record.born_ms = now_ms_;
+    restarted.clock_offset_ms = -now_ms_;
+    SendReport(restarted);
+  });
+}
+
+// The other members of a gang end when one has ended.
+void CellHarness::BreakGang(const graph::TaskKey& ended, std::int32_t run) {
+  const auto* job = engine_.store().FindJob(ended.job);
+  if (job == nullptr || !job->step(ended.step).gang) {
+    return;
+  }
+  graph::TaskKey member = ended;
+  for (auto& it : workers) {
+    for (member.index = 0; member.index < job->step(ended.step).task_count;
+         ++member.index) {
+      if (it.runs.contains({member, run})) {
+        EndRun(it, {member, run}, wire::RunEnd::kBroken);
+      }
+    }
+  }
+}
+
+void CellHarness::CrashAfterStart(const FakeWorker& worker,
+                                  const graph::TaskKey& task) {
+  const auto n = static_cast<std::size_t>(&worker - workers.data());
+  Schedule(crash_after_ms, [this, n, task, born = worker.record.born_ms] {
+    const auto& runs = workers[n].runs;
+    const bool runs_here =
+        std::any_of(runs.begin(), runs.end(),
+                    [&](const auto& it) { return it.first.first == task; });
+    if (runs_here && !workers[n].silent && workers[n].record.born_ms == born) {
+      ++crashes_by_task[task];
+      Crash(n, crash_down_ms);
+    }
+  });
+}
+
+void CellHarness::SetCapacity(std::size_t n,
+                              std::int64_t milli_cpus,
+                              std::int64_t memory_mb) {
+  auto& worker = workers[n];
+  worker.earlier_milli_cpus = worker.record.milli_cpus;
+  worker.earlier_memory_mb = worker.record.memory_mb;
+  worker.capacity_grace_end_ms = now_ms_ + kCapacityGraceMs;
+  worker.capacity_changed = true;
+  worker.record.milli_cpus = milli_cpus;
+  worker.record.memory_mb = memory_mb;
+  SendReport(worker);
+}
+
+void CellHarness::Report(const FakeWorker& worker) {
+  SendReport(worker);
   const auto n = static_cast<std::size_t>(&worker - workers.data());
   Schedule(kReportIntervalMs, [this, n] { Report(workers[n]); });
 }
@@ -356,6 +436,18 @@
   worker.runs[key] = {now_ms_ + (worker.fails_all ? 10 : length),
                       step.milli_cpus, step.memory_mb};
   ++starts;
+  ++starts_by_task[order.task];
+  if (options_.check) {
+    CheckCapacityAtStart(worker);
+  }
+  if (crashes_worker && crashes_worker(order.task)) {
+    if (crashes_by_task[order.task] >= kMaxCrashes &&
+        ++starts_after_crashes_[order.task] >= kMaxStartsAfterCrashes) {
+      violations.push_back("started again although it crashes its workers: " +
+                           graph::FormatTask(order.task));
+    }
+    CrashAfterStart(worker, order.task);
+  }
   auto& outcome = jobs[order.task.job];
   if (outcome.first_start_ms < 0) {
     outcome.first_start_ms = now_ms_;
@@ -431,11 +523,34 @@
     memory += run.memory_mb;
   }
   used_cpu_ms += static_cast<double>(cpus);
+  // Runs may exceed a capacity that shrinks under them; CheckCapacityAtStart()
+  // checks such a worker.
+  if (worker.capacity_changed) {
+    return;
+  }
   if (cpus > worker.record.milli_cpus || memory > worker.record.memory_mb) {
     violations.push_back("over capacity: " + worker.record.id);
   }
 }
 
+void CellHarness::CheckCapacityAtStart(const FakeWorker& worker) {
+  std::int64_t cpus = 0;
+  std::int64_t memory = 0;
+  for (const auto& [key, run] : worker.runs) {
+    cpus += run.milli_cpus;
+    memory += run.memory_mb;
+  }
+  auto allowed_cpus = worker.record.milli_cpus;
+  auto allowed_memory = worker.record.memory_mb;
+  if (now_ms_ < worker.capacity_grace_end_ms) {
+    allowed_cpus = std::max(allowed_cpus, worker.earlier_milli_cpus);
+    allowed_memory = std::max(allowed_memory, worker.earlier_memory_mb);
+  }
+  if (cpus > allowed_cpus || memory > allowed_memory) {
+    violations.push_back("start over capacity: " + worker.record.id);
+  }
+}
+
 void CellHarness::PollAdvice(std::int32_t caller, wire::AdvicePoll poll) {
   constexpr std::int32_t kWaitMs = 500;
   constexpr std::int64_t kPauseMs = 10;
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -40,6 +41,12 @@
   // The driver violates its contract: it neither carries out the worker's
   // orders nor reports replies to them.
   bool loses_orders = false;
+  // Until this time a start may still fill the capacity from before the last
+  // change.
+  std::int64_t capacity_grace_end_ms = 0;
+  std::int64_t earlier_milli_cpus = 0;
+  std::int64_t earlier_memory_mb = 0;
+  bool capacity_changed = false;
 };
 
 struct HarnessOptions {
@@ -90,6 +97,14 @@
   // Starts a new term with a new leader. The volatile state of the old one is
   // lost.
   void ChangeLeader();
+  // The worker loses everything, is silent for `down_ms`, and returns under the
+  // same id with a later birth time.
+  void Crash(std::size_t worker, std::int64_t down_ms);
+  // Changes the capacity of the worker, which reports it at once. Starts that
+  // exceed it are violations from 4 s and one report interval later on.
+  void SetCapacity(std::size_t worker,
+                   std::int64_t milli_cpus,
+                   std::int64_t memory_mb);
 
   std::vector<FakeWorker> workers;
   std::map<graph::JobId, JobOutcome> jobs;
@@ -101,6 +116,14 @@
   // time.
   std::function<std::int64_t(const graph::TaskKey&, std::int64_t declared)>
       run_time;
+  // Whether a task crashes each worker that starts it, `crash_after_ms` later;
+  // the worker is then down for `crash_down_ms`. Unset: none does.
+  std::function<bool(const graph::TaskKey&)> crashes_worker;
+  std::int64_t crash_after_ms = 30;
+  std::int64_t crash_down_ms = 3'000;
+  // Workers that crashed under each such task, and its starts.
+  std::map<graph::TaskKey, std::int32_t> crashes_by_task;
+  std::map<graph::TaskKey, std::int32_t> starts_by_task;
   // Violated invariants, as text.
   std::vector<std::string> violations;
   double used_cpu_ms = 0;
@@ -116,6 +139,9 @@
   }
   void Schedule(std::int64_t delay_ms, std::function<void()> action);
   void Report(const FakeWorker& worker);
+  void SendReport(const FakeWorker& worker);
+  void BreakGang(const graph::TaskKey& ended, std::int32_t run);
+  void CrashAfterStart(const FakeWorker& worker, const graph::TaskKey& task);
   void AdvanceEngine();
   void CarryOut(const SentOrder& sent);
   WorkerReply Serve(FakeWorker& worker, const WorkerOrder& order);
@@ -126,6 +152,7 @@
   void AdvanceWorker(FakeWorker& worker);
   void PollAdvice(std::int32_t caller, wire::AdvicePoll poll);
   void CheckInvariants(const FakeWorker& worker);
+  void CheckCapacityAtStart(const FakeWorker& worker);
   void CheckStart(const FakeWorker& worker,
                   const graph::TaskKey& task,
                   const wire::GraphStep& step);
@@ -140,6 +167,8 @@
   std::multimap<std::int64_t, std::function<void()>> events_;
   std::int64_t next_index_ = 1;
   std::set<graph::TaskKey> done_;
+  // Starts of each task after three workers had crashed under it.
+  std::map<graph::TaskKey, std::int32_t> starts_after_crashes_;
   std::map<std::string, wire::JobQueue> queues_;
   struct PendingHold {
     std::size_t worker;
