graph, cell: Give up tasks that crash their workers

Callers saw: a task that crashes each worker that starts it was started again without limit and took down one worker after the other; its job never ended.

Cause: only runs that end as failed count towards a limit. A run whose worker crashed ends as lost or as not started, and nothing connects it with the later incarnation of the worker.

When a registration replaces an incarnation that was not leaving, by a later birth time under its id or at its address, the store counts a crash for each run that is open on it or ended as lost on it. The count is part of the replicated state, so it survives a new leader, and does not depend on whether silence or the new incarnation was noticed first. A gang counts one crash for each of its runs. After five crashes the job fails: the task is started at most twice after three workers have crashed under it. A crash that the leader counts against the task (worker_crashed in a result) has the lower limit of three; no such results are sent yet. Workers that left or are only out of contact count for nothing. Long-running tasks have no limit of five, since they see crashes that they did not cause.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -145,10 +145,11 @@
 
 void Leader::OnApplied(const wire::GraphBatch& batch, TimePoint now) {
   SetNow(now);
+  std::set<graph::JobId> jobs;
+  RecordCrashes(jobs);
   if (!batch.workers.empty() || !batch.removed_workers.empty()) {
     SyncWorkers();
   }
-  std::set<graph::JobId> jobs;
   for (const auto& it : batch.jobs) {
     jobs.insert(static_cast<graph::JobId>(it.id));
   }
@@ -170,6 +171,10 @@
   }
   StopObsoleteRuns(batch);
   for (const auto it : jobs) {
+    if (const auto* job = store_.FindJob(it);
+        job != nullptr && job->state() == wire::GraphJobState::kFailed) {
+      workers_.StopJob(it);
+    }
     LogEnds(it, batch.at_ms);
     pending_.Update(it, store_.FindJob(it));
     step_tracker_.Refresh(it, now_ms_, wall_ms_);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -80,6 +80,11 @@
   void RemoveSilentWorkers();
   void FailLostOrders();
 
+  // leader_crashes.cc
+  // Logs the workers that crashed according to the last applied batch, and adds
+  // the jobs of their runs to `jobs`.
+  void RecordCrashes(std::set<graph::JobId>& jobs);
+
   // leader_calls.cc
   void HandleGraph(GraphCall call);
   void Submit(GraphCall call, const wire::JobQueue& queue, graph::JobId id);
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -32,10 +32,38 @@
   WorkerNumber worker = 0;  // Worker of the current run.
   bool done = false;
   std::string checkpoint;
+  // Runs whose worker crashed, and the last run that was counted. The crashes
+  // of a gang are counted in its task with index 0, once for each run.
+  std::int32_t crashes = 0;
+  std::int32_t crashed_run = 0;
+  // Those of these crashes that count against the task.
+  std::int32_t blamed_crashes = 0;
+  std::int32_t blamed_run = 0;
+  // The last run that ended as lost, and its worker, of which a later
+  // incarnation may show that it crashed.
+  std::int32_t lost_run = 0;
+  WorkerNumber lost_worker = 0;
 
   bool operator==(const TaskState&) const = default;
 };
 
+// A run whose worker crashed.
+struct CrashedRun {
+  TaskKey task;
+  std::int32_t run = 0;
+
+  bool operator==(const CrashedRun&) const = default;
+};
+
+// An incarnation of a worker that was replaced by a later one although it had
+// not said that it would leave.
+struct CrashedWorker {
+  WorkerNumber number = 0;
+  wire::CalledWorker record;
+  // Runs on it that were counted as crashed.
+  std::vector<CrashedRun> runs;
+};
+
 class Job {
  public:
   explicit Job(wire::AcceptedGraphJob accepted);
@@ -63,6 +91,9 @@
   const TaskState& task(const TaskKey& key) const {
     return tasks_[IndexOf(key)];
   }
+  // Returns the task that holds the counts of failures and crashes of this one:
+  // for a gang that with index 0.
+  const TaskState& CountedTask(const TaskKey& key) const;
   // Null when the job has no such task.
   const TaskState* FindTask(const TaskKey& key) const;
   // Returns whether the result `how` of the run changes the state of the task.
@@ -84,6 +115,8 @@
   friend class GraphStore;
 
   std::size_t IndexOf(const TaskKey& key) const;
+  std::size_t CountedIndexOf(const TaskKey& key) const;
+  TaskState& MutableCountedTask(const TaskKey& key);
   std::size_t StepIndexOf(const StepKey& key) const;
   bool Contains(const TaskKey& key) const;
 
@@ -128,18 +161,31 @@
   const std::map<WorkerNumber, wire::CalledWorker>& workers() const {
     return workers_;
   }
+  // Returns the workers that crashed according to the last applied batch.
+  const std::vector<CrashedWorker>& crashed_workers() const {
+    return crashed_workers_;
+  }
   // Returns the registered incarnation of the worker with this id, if any.
   std::optional<WorkerNumber> FindWorker(const std::string& id) const;
 
  private:
   void ApplyTable(const wire::RoutingTable& table);
-  void ApplyWorker(const wire::CalledWorker& worker);
+  void ApplyWorker(const wire::CalledWorker& worker, std::int64_t at_ms);
   void ApplyCancel(JobId id, std::int64_t at_ms);
   void ApplyStart(const wire::RunStart& start);
   void ApplyResult(const wire::RunResult& result, std::int64_t at_ms);
   static void CloseRun(Job& job, TaskState& task);
   void MarkDone(Job& job, const TaskKey& key);
   void CountFailure(Job& job, const TaskKey& key, std::int64_t at_ms);
+  // Counts the crash of a worker for the runs that were on it.
+  void ApplyCrash(WorkerNumber number,
+                  const wire::CalledWorker& record,
+                  std::int64_t at_ms);
+  static bool CountCrash(Job& job, const TaskKey& key, std::int32_t run);
+  static void CountBlame(Job& job,
+                         const TaskKey& key,
+                         std::int32_t run,
+                         std::int64_t at_ms);
   static void Finish(Job& job,
                      wire::GraphJobState::type state,
                      std::int64_t at_ms);
@@ -149,6 +195,7 @@
   std::map<WorkerNumber, wire::CalledWorker> workers_;
   std::unordered_map<std::string, WorkerNumber> workers_by_id_;
   std::map<JobId, Job> jobs_;
+  std::vector<CrashedWorker> crashed_workers_;
 };
 
 }  // namespace cranberryshunt::graph
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -16,11 +16,12 @@
 }
 
 void GraphStore::Apply(const wire::GraphBatch& batch) {
+  crashed_workers_.clear();
   if (batch.__isset.table) {
     ApplyTable(batch.table);
   }
   for (const auto& it : batch.workers) {
-    ApplyWorker(it);
+    ApplyWorker(it, batch.at_ms);
   }
   for (const auto it : batch.removed_workers) {
     const auto worker = workers_.find(it);
@@ -53,7 +54,8 @@
   }
 }
 
-void GraphStore::ApplyWorker(const wire::CalledWorker& worker) {
+void GraphStore::ApplyWorker(const wire::CalledWorker& worker,
+                             std::int64_t at_ms) {
   const auto registered = workers_by_id_.find(worker.id);
   if (registered != workers_by_id_.end()) {
     auto& old = workers_.at(registered->second);
@@ -66,8 +68,16 @@
     if (old.born_ms > worker.born_ms) {
       return;
     }
+    ApplyCrash(registered->second, old, at_ms);
     workers_.erase(registered->second);
   }
+  for (const auto& [number, it] : workers_) {
+    // The platform may give the next incarnation at an address another id.
+    if (it.address == worker.address && it.id != worker.id &&
+        it.born_ms < worker.born_ms) {
+      ApplyCrash(number, it, at_ms);
+    }
+  }
   const WorkerNumber number = next_worker_++;
   workers_by_id_[worker.id] = number;
   workers_[number] = worker;
@@ -107,9 +117,17 @@
   }
   Job& job = found->second;
   auto& task = job.tasks_[job.IndexOf(key)];
+  if (result.worker_crashed) {
+    CountBlame(job, key, result.run, at_ms);
+    return;
+  }
   if (!job.AcceptsResult(key, result.run, result.how)) {
     return;
   }
+  if (result.how == wire::RunEnd::kLost) {
+    task.lost_run = result.run;
+    task.lost_worker = task.worker;
+  }
   CloseRun(job, task);
   if (!result.checkpoint.empty()) {
     task.checkpoint = result.checkpoint;
@@ -166,11 +184,7 @@
                               const TaskKey& key,
                               std::int64_t at_ms) {
   auto& task = job.tasks_[job.IndexOf(key)];
-  TaskKey counted_key = key;
-  if (job.step(key.step).gang) {
-    counted_key.index = 0;
-  }
-  auto& counted_task = job.tasks_[job.IndexOf(counted_key)];
+  auto& counted_task = job.MutableCountedTask(key);
   if (counted_task.failed_run >= task.run) {
     return;
   }
@@ -253,6 +267,12 @@
       it.worker = task.worker;
       it.checkpoint = task.checkpoint;
       it.failed_run = task.failed_run;
+      it.crashes = task.crashes;
+      it.crashed_run = task.crashed_run;
+      it.blamed_crashes = task.blamed_crashes;
+      it.blamed_run = task.blamed_run;
+      it.lost_run = task.lost_run;
+      it.lost_worker = task.lost_worker;
     }
   }
   return wire::Encode(out);
@@ -287,7 +307,13 @@
                        it.failed_run,
                        it.worker,
                        it.done,
-                       std::move(it.checkpoint)};
+                       std::move(it.checkpoint),
+                       it.crashes,
+                       it.crashed_run,
+                       it.blamed_crashes,
+                       it.blamed_run,
+                       it.lost_run,
+                       it.lost_worker};
       job.open_runs_ += it.run != 0 ? 1 : 0;
       if (it.done) {
         --job.open_task_count_;
--- a/libraries/graph/src/job.cc
+++ b/libraries/graph/src/job.cc
@@ -28,6 +28,22 @@
          static_cast<std::size_t>(key.index);
 }
 
+std::size_t Job::CountedIndexOf(const TaskKey& key) const {
+  TaskKey counted = key;
+  if (step(key.step).gang) {
+    counted.index = 0;
+  }
+  return IndexOf(counted);
+}
+
+const TaskState& Job::CountedTask(const TaskKey& key) const {
+  return tasks_[CountedIndexOf(key)];
+}
+
+TaskState& Job::MutableCountedTask(const TaskKey& key) {
+  return tasks_[CountedIndexOf(key)];
+}
+
 bool Job::Contains(const TaskKey& key) const {
   return key.occurrence >= 0 && key.occurrence < occurrences() &&
          key.step >= 0 && key.step < step_count() && key.index >= 0 &&
--- a/tests/graph/graph_store_test.cc
+++ b/tests/graph/graph_store_test.cc
@@ -159,6 +159,128 @@
   cr_expect(other.FindJob(kJob)->StepReady({kJob, 0, 1}));
 }
 
+namespace {
+
+void Register(GraphStore& store,
+              const std::string& id,
+              std::int64_t born_ms,
+              bool leaving = false) {
+  wire::GraphBatch batch;
+  auto& worker = batch.workers.emplace_back();
+  worker.id = id;
+  worker.born_ms = born_ms;
+  worker.address = "127.0.0.1:1";
+  worker.leaving = leaving;
+  store.Apply(batch);
+}
+
+void StartOn(GraphStore& store,
+             const TaskKey& key,
+             std::int32_t run,
+             const std::string& worker) {
+  wire::GraphBatch batch;
+  auto& start = batch.starts.emplace_back();
+  start.task = ToWire(key);
+  start.run = run;
+  start.worker = *store.FindWorker(worker);
+  store.Apply(batch);
+}
+
+}  // namespace
+
+// Guards against a crash that is not counted because the run was given up
+// before the worker came back, or because it came back under another id.
+Test(graph_store, counts_runs_whose_worker_crashed) {
+  GraphStore store;
+  Accept(store, MakeJob(1, false));
+  const TaskKey key{kJob, 0, 0, 0};
+  Register(store, "w", 10);
+  StartOn(store, key, 1, "w");
+  Register(store, "w", 20);
+  cr_expect_eq(store.FindJob(kJob)->task(key).crashes, 1);
+  cr_expect_eq(store.crashed_workers().size(), 1);
+  EndRun(store, key, 1, wire::RunEnd::kLost);
+  StartOn(store, key, 2, "w");
+  EndRun(store, key, 2, wire::RunEnd::kLost);
+  Register(store, "w", 30);
+  cr_expect_eq(store.FindJob(kJob)->task(key).crashes, 2);
+  StartOn(store, key, 3, "w");
+  Register(store, "v", 40);
+  cr_expect_eq(store.FindJob(kJob)->task(key).crashes, 3);
+  GraphStore other;
+  cr_assert(other.Restore(store.Snapshot()).has_value());
+  cr_expect(other.FindJob(kJob)->task(key) == store.FindJob(kJob)->task(key));
+}
+
+// Guards against blaming a task for a worker that left, and for a worker on
+// which an earlier run of the task had ended.
+Test(graph_store, counts_no_crash_for_workers_that_leave) {
+  GraphStore store;
+  Accept(store, MakeJob(1, false));
+  const TaskKey key{kJob, 0, 0, 0};
+  Register(store, "w", 10);
+  StartOn(store, key, 1, "w");
+  Register(store, "w", 10, true);
+  Register(store, "w", 20);
+  cr_expect_eq(store.FindJob(kJob)->task(key).crashes, 0);
+  EndRun(store, key, 1, wire::RunEnd::kStopped);
+  StartOn(store, key, 2, "w");
+  EndRun(store, key, 2, wire::RunEnd::kStopped);
+  Register(store, "w", 30);
+  cr_expect_eq(store.FindJob(kJob)->task(key).crashes, 0);
+}
+
+// Guards against a gang that is given up after one run, because each of its
+// members lost its worker.
+Test(graph_store, counts_one_crash_for_each_run_of_a_gang) {
+  GraphStore store;
+  Accept(store, MakeJob(3, true));
+  for (int n = 0; n < 3; ++n) {
+    wire::GraphBatch batch;
+    auto& worker = batch.workers.emplace_back();
+    worker.id = "w" + std::to_string(n);
+    worker.address = worker.id;
+    worker.born_ms = 10;
+    store.Apply(batch);
+    StartOn(store, {kJob, 0, 0, n}, 1, worker.id);
+  }
+  for (int n = 0; n < 3; ++n) {
+    wire::GraphBatch batch;
+    auto& worker = batch.workers.emplace_back();
+    worker.id = "w" + std::to_string(n);
+    worker.address = worker.id;
+    worker.born_ms = 20;
+    store.Apply(batch);
+  }
+  cr_expect_eq(store.FindJob(kJob)->task({kJob, 0, 0, 0}).crashes, 1);
+  cr_expect_eq(store.FindJob(kJob)->task({kJob, 0, 0, 1}).crashes, 0);
+}
+
+// Guards against blaming a task twice for the crash of one run, and against a
+// blame that closes the run.
+Test(graph_store, gives_up_a_task_after_three_blamed_crashes) {
+  GraphStore store;
+  Accept(store, MakeJob(1, false));
+  const TaskKey key{kJob, 0, 0, 0};
+  for (std::int32_t run = 1; run <= 3; ++run) {
+    cr_expect(store.FindJob(kJob)->active());
+    StartRun(store, key, run);
+    for (int n = 0; n < 2; ++n) {
+      wire::GraphBatch batch;
+      auto& result = batch.results.emplace_back();
+      result.task = ToWire(key);
+      result.run = run;
+      result.how = wire::RunEnd::kLost;
+      result.worker_crashed = true;
+      store.Apply(batch);
+    }
+    cr_expect_eq(store.FindJob(kJob)->task(key).run, run);
+    cr_expect_eq(store.FindJob(kJob)->task(key).blamed_crashes, run);
+    EndRun(store, key, run, wire::RunEnd::kLost);
+  }
+  cr_expect(store.FindJob(kJob)->state() == wire::GraphJobState::kFailed);
+}
+
 Test(graph_store, parses_task_names) {
   const auto key = ParseTask("5c0e7a21d94b36f8.0.1.17");
   cr_assert(key.has_value());
