--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -47,6 +47,7 @@
   std::int64_t earlier_milli_cpus = 0;
   std::int64_t earlier_memory_mb = 0;
   bool capacity_changed = false;
+  bool gone = false;  // No process runs at its address.
 };
 
 struct HarnessOptions {
@@ -54,6 +55,8 @@
   std::int64_t milli_cpus = 32'000;
   std::int64_t memory_mb = 65'536;
   std::int64_t commit_ms = 15;
+  // If greater than `commit_ms`, the times of commits are random between both.
+  std::int64_t max_commit_ms = 0;
   std::int64_t network_ms = 5;
   std::int32_t advice_callers = 6;
   double allowed_share = 1;
@@ -95,16 +98,26 @@
   // Advances time in steps of one millisecond.
   void Run(std::int64_t duration_ms);
   // Starts a new term with a new leader. The volatile state of the old one is
-  // lost.
+  // lost. Of the proposals that are not committed yet, a random number of the
+  // first ones is committed before the new leader leads; the others are lost.
   void ChangeLeader();
-  // The worker loses everything, is silent for `down_ms`, and returns under the
-  // same id with a later birth time.
-  void Crash(std::size_t worker, std::int64_t down_ms);
+  // Crashes the worker, which ends the other members of its gangs, and restarts
+  // it `down_ms` later.
+  void CrashFor(std::size_t worker, std::int64_t down_ms);
   // Changes the capacity of the worker, which reports it at once. Starts that
   // exceed it are violations from 4 s and one report interval later on.
   void SetCapacity(std::size_t worker,
                    std::int64_t milli_cpus,
                    std::int64_t memory_mb);
+  // Ends the worker's process, with its runs and unread ends.
+  void Crash(FakeWorker& worker);
+  // Crashes the worker, and the leader is told that it has left.
+  void Depart(FakeWorker& worker);
+  // Crashes the worker if it is not gone, and starts it again under the same id
+  // with a later birth time.
+  void Restart(FakeWorker& worker);
+  // Commits an entry that no leader of this test has proposed.
+  void Commit(const wire::GraphBatch& batch);
 
   std::vector<FakeWorker> workers;
   std::map<graph::JobId, JobOutcome> jobs;
@@ -132,17 +145,21 @@
   Engine& engine() { return engine_; }
   // Processor time spent in calls of the engine.
   double engine_ms() const { return engine_ms_; }
+  MetricsRegistry& metrics() { return metrics_; }
 
  private:
   TimePoint Now() const {
     return TimePoint(std::chrono::milliseconds(now_ms_));
   }
   void Schedule(std::int64_t delay_ms, std::function<void()> action);
+  void ReportOnce(const FakeWorker& worker);
+  // Reports at intervals while the worker is there.
   void Report(const FakeWorker& worker);
-  void SendReport(const FakeWorker& worker);
   void BreakGang(const graph::TaskKey& ended, std::int32_t run);
   void CrashAfterStart(const FakeWorker& worker, const graph::TaskKey& task);
   void AdvanceEngine();
+  void Propose(const Proposal& proposal);
+  void CommitFirstProposal();
   void CarryOut(const SentOrder& sent);
   WorkerReply Serve(FakeWorker& worker, const WorkerOrder& order);
   WorkerReply ServeStart(FakeWorker& worker, const StartOrder& order);
@@ -166,6 +183,13 @@
   double engine_ms_ = 0;
   std::multimap<std::int64_t, std::function<void()>> events_;
   std::int64_t next_index_ = 1;
+  // Proposals that are not committed yet, in the order of the log.
+  struct UncommittedProposal {
+    std::int64_t term = 0;
+    Proposal proposal;
+  };
+  std::deque<UncommittedProposal> uncommitted_;
+  std::int64_t last_commit_ms_ = 0;
   std::set<graph::TaskKey> done_;
   // Starts of each task after three workers had crashed under it.
   std::map<graph::TaskKey, std::int32_t> starts_after_crashes_;
--- a/tests/cell/worker_crash_test.cc
+++ b/tests/cell/worker_crash_test.cc
@@ -101,3 +101,33 @@
   }
   ExpectNoViolations(cell);
 }
+
+// Guards against blaming the tasks of a rack that loses its power repeatedly.
+Test(worker_crash, blames_no_task_for_the_crashes_of_a_rack) {
+  CellHarness cell({.workers = 8});
+  StartCell(cell);
+  // The service of the tasks runs in the rack that crashes, which holds the
+  // workers 0 to 3.
+  for (std::size_t n = 0; n < 4; ++n) {
+    cell.workers[n].record.labels = {"x"};
+  }
+  cell.Run(2'000);
+  for (graph::JobId id = 1; id <= 8; ++id) {
+    auto job = MakeJob(1, 4'000, 9'000);
+    job.steps[0].required_label = "x";
+    cell.Submit(id, "a", job);
+  }
+  for (int round = 0; round < 3; ++round) {
+    cell.Run(4'000);
+    for (std::size_t n = 0; n < 4; ++n) {
+      cell.CrashFor(n, 1'500 + static_cast<std::int64_t>(n) * 100);
+    }
+  }
+  cell.Run(60'000);
+  for (graph::JobId id = 1; id <= 8; ++id) {
+    cr_expect(cell.jobs[id].code != 0 ||
+                  cell.StateOf(id) == wire::GraphJobState::kCompleted,
+              "job %d", static_cast<int>(id));
+  }
+  ExpectNoViolations(cell);
+}
