cell, policy: Respect a capacity that has shrunk before each start

Cause: a changed capacity reaches the planner by a registration that is committed first, and a start that was planned or being committed meanwhile was not checked again before it was sent. Admission knew only the committed capacities.

The tracker keeps the capacity of the latest report. The planner uses the smaller of the reported and the committed one at once. Before a start is sent, everything that is or may be on the worker is added up, including what is being stopped; a start that does not fit ends as not started and is placed again. A task that fits the largest capacity that a registered worker has had, but none now, is refused as retryable; accepted jobs wait. A worker that is over its capacity no longer lowers the free capacity by which jobs are admitted.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -123,12 +123,14 @@
   capacities_.clear();
   for (const auto& [number, worker] : store_.workers()) {
     workers_.Register(number, worker, now_ms_);
-    auto& known = capacities_[worker.service_name];
-    const policy::Demand capacity{worker.milli_cpus, worker.memory_mb,
-                                  worker.accelerators};
-    if (std::find(known.begin(), known.end(), capacity) == known.end()) {
-      known.push_back(capacity);
-    }
+    auto& service = capacities_[worker.service_name];
+    const auto add = [](auto& known, const policy::Demand& capacity) {
+      if (std::find(known.begin(), known.end(), capacity) == known.end()) {
+        known.push_back(capacity);
+      }
+    };
+    add(service.committed, CapacityOf(worker));
+    add(service.full, workers_.Find(number)->full_capacity);
   }
   std::vector<graph::WorkerNumber> removed;
   for (const auto& [number, tracked_worker] : workers_.workers()) {
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -140,8 +140,13 @@
 
   // Runs whose starts are being committed.
   std::map<graph::TaskKey, std::int32_t> proposed_runs_;
-  // Distinct worker capacities, by service.
-  std::map<std::string, std::vector<policy::Demand>> capacities_;
+  // Distinct capacities of the workers of a service: as committed, and the
+  // largest that each of these workers has had.
+  struct ServiceCapacities {
+    std::vector<policy::Demand> committed;
+    std::vector<policy::Demand> full;
+  };
+  std::map<std::string, ServiceCapacities> capacities_;
   // Load of the cell as of `cell_load_ms_`; used for admission.
   policy::LoadSummary cell_load_;
   std::int64_t cell_load_ms_ = 0;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -121,25 +121,35 @@
   for (const auto& step : job.steps) {
     const auto demand = DemandOf(step);
     const bool has_workers = service != capacities_.end();
-    const bool fits =
-        has_workers &&
-        std::any_of(service->second.begin(), service->second.end(),
-                    [&](const auto& it) { return demand.FitsIn(it); });
-    if (!fits) {
-      Log(LogLevel::kInfo, "admission", "job refused",
-          {{"job", graph::FormatJobId(id)},
-           {"queue", queue.name},
-           {"reason", has_workers ? "fits no worker" : "no workers"},
-           {"milli_cpus", demand.milli_cpus},
-           {"memory_mb", demand.memory_mb}});
-      constexpr std::int64_t kNoWorkersRetryMs = 1'000;
-      call.reply(has_workers ? ReplyWith(ResultCode::kImpossible,
-                                         "a task is larger than every worker")
-                             : ReplyWith(ResultCode::kNotReady,
-                                         "the queue has no workers now",
-                                         kNoWorkersRetryMs));
-      return;
+    const auto fits = [&](const std::vector<policy::Demand>& capacities) {
+      return std::any_of(capacities.begin(), capacities.end(),
+                         [&](const auto& it) { return demand.FitsIn(it); });
+    };
+    if (has_workers && fits(service->second.committed)) {
+      continue;
+    }
+    const bool shrunk = has_workers && fits(service->second.full);
+    Log(LogLevel::kInfo, "admission", "job refused",
+        {{"job", graph::FormatJobId(id)},
+         {"queue", queue.name},
+         {"reason", shrunk        ? "fits no worker now"
+                    : has_workers ? "fits no worker"
+                                  : "no workers"},
+         {"milli_cpus", demand.milli_cpus},
+         {"memory_mb", demand.memory_mb}});
+    constexpr std::int64_t kNoWorkersRetryMs = 1'000;
+    if (shrunk) {
+      call.reply(ReplyWith(ResultCode::kNotReady,
+                           "a task is larger than every worker is now",
+                           kNoWorkersRetryMs));
+    } else if (has_workers) {
+      call.reply(ReplyWith(ResultCode::kImpossible,
+                           "a task is larger than every worker"));
+    } else {
+      call.reply(ReplyWith(ResultCode::kNotReady,
+                           "the queue has no workers now", kNoWorkersRetryMs));
     }
+    return;
   }
   const auto remaining = RemainingTimes(queue, job, run_times_);
   new_job.critical_path_ms =
@@ -243,6 +253,7 @@
     }
     if (known.born_ms == worker.born_ms) {
       workers_.OnReport(*number, report.sequence, report.clock_ms, now_ms_);
+      workers_.RecordCapacity(*number, CapacityOf(worker));
       if (MatchesRecord(known, worker)) {
         call.reply({});
         return;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -57,9 +57,7 @@
   worker.service_name = tracked_worker->record.service_name;
   worker.rack = tracked_worker->record.rack;
   worker.labels = tracked_worker->record.labels;
-  worker.capacity = {tracked_worker->record.milli_cpus,
-                     tracked_worker->record.memory_mb,
-                     tracked_worker->record.accelerators};
+  worker.capacity = tracked_worker->Capacity();
   worker.usable = IsUsable(*tracked_worker);
   worker.probing = health_.IsProbing(number);
   worker.ends.reserve(tracked_worker->runs.size());
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -52,9 +52,15 @@
 
 using RunKey = std::pair<TaskKey, std::int32_t>;
 
+policy::Demand CapacityOf(const wire::CalledWorker& record);
+
 struct TrackedWorker {
   WorkerNumber number = 0;
   wire::CalledWorker record;
+  // Capacity in the latest report, which may not be committed yet, and the
+  // largest capacity that this incarnation has had in each resource.
+  policy::Demand reported_capacity;
+  policy::Demand full_capacity;
   std::map<RunKey, Run> runs;
 
   // Whether this incarnation answered a hold with the fence of this leader.
@@ -89,6 +95,9 @@
   std::int64_t report_sequence = -1;
   std::int64_t avoid_until_ms = 0;  // End of the pause after a refused start.
 
+  // Capacity that starts must respect: the smaller of the committed and the
+  // reported one.
+  policy::Demand Capacity() const;
   WorkerAddress Address() const { return {record.id, record.address}; }
 };
 
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -216,11 +216,15 @@
       MarkStartsUncertain(*previous);
     }
     previous->record = record;
+    previous->full_capacity =
+        policy::Max(previous->full_capacity, CapacityOf(record));
     return;
   }
   TrackedWorker worker;
   worker.number = number;
   worker.record = record;
+  worker.reported_capacity = CapacityOf(record);
+  worker.full_capacity = worker.reported_capacity;
   worker.last_report_ms = now_ms;
   worker.next_hold_ms = now_ms;
   // A start that is on its way to the previous incarnation may still begin on
@@ -444,6 +448,12 @@
               now_ms, out);
     return;
   }
+  // The capacity may have shrunk while the start was being committed.
+  if (!HasRoomFor(worker->second, it->second)) {
+    FinishRun(worker->second, it, wire::RunEnd::kNotStarted,
+              "worker has no room any more", now_ms, out);
+    return;
+  }
   it->second.phase = RunPhase::kSending;
   it->second.started_ms = now_ms;
   it->second.start_time_known = true;
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -82,6 +82,10 @@
                 std::int64_t clock_ms,
                 std::int64_t now_ms);
 
+  // Records the capacity in a report that is newer than the last one. A smaller
+  // one applies at once, a larger one when it is committed.
+  void RecordCapacity(WorkerNumber number, const policy::Demand& capacity);
+
   void Reserve(WorkerNumber number,
                const TaskKey& task,
                std::int32_t run,
@@ -189,6 +193,9 @@
   std::int64_t EstimateWorkerClock(const TrackedWorker& worker,
                                    std::int64_t now_ms) const;
   std::int64_t GrantLease(TrackedWorker& worker, std::int64_t now_ms);
+  // Whether the run fits beside all runs that are or may be on the worker,
+  // including those that are being stopped.
+  static bool HasRoomFor(const TrackedWorker& worker, const Run& run);
   // Local time by which every lease of the worker has certainly expired.
   std::int64_t LeaseEnd(const TrackedWorker& worker) const;
 
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -27,6 +27,9 @@
 };
 
 Demand operator-(Demand a, const Demand& b);
+// The smaller or larger amount of each resource.
+Demand Min(const Demand& a, const Demand& b);
+Demand Max(const Demand& a, const Demand& b);
 // Returns how many tasks of size `task` fit into `available`, at most `limit`.
 std::int64_t FitCount(const Demand& task,
                       const Demand& available,
@@ -61,6 +64,7 @@
   // that are planned later in the same call do not use it.
   Demand held;
 
+  // Negative if the capacity has shrunk below what is used.
   Demand FreeCapacity() const { return capacity - used; }
   // Free capacity that is not held for gangs.
   Demand AvailableCapacity() const { return FreeCapacity() - held; }
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -46,6 +46,18 @@
   return a;
 }
 
+Demand Min(const Demand& a, const Demand& b) {
+  return {std::min(a.milli_cpus, b.milli_cpus),
+          std::min(a.memory_mb, b.memory_mb),
+          std::min(a.accelerators, b.accelerators)};
+}
+
+Demand Max(const Demand& a, const Demand& b) {
+  return {std::max(a.milli_cpus, b.milli_cpus),
+          std::max(a.memory_mb, b.memory_mb),
+          std::max(a.accelerators, b.accelerators)};
+}
+
 std::int64_t FitCount(const Demand& task,
                       const Demand& available,
                       std::int64_t limit) {
@@ -176,7 +188,8 @@
 WorkerTotals PartOf(const PlanWorker& worker) {
   WorkerTotals part;
   if (worker.usable) {
-    part.free = worker.FreeCapacity();
+    // A worker whose capacity has shrunk takes nothing from the others.
+    part.free = Max(worker.FreeCapacity(), {});
   }
   part.milli_cpus_per_ms = worker.milli_cpus_per_ms;
   part.memory_mb_per_ms = worker.memory_mb_per_ms;
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -365,3 +365,22 @@
   cr_expect(plan.questions.front().workers ==
             std::vector<std::int64_t>({3, 4}));
 }
+
+// Guards against a worker whose capacity has shrunk below its use and that
+// reduces the free capacity of the others, by which jobs are admitted, or gets
+// tasks that need none of the exhausted resource.
+Test(graph_planner, starts_nothing_on_a_worker_that_is_over_its_capacity) {
+  GraphPlanner planner;
+  planner.workers()[1] = MakeWorker(1);
+  AddRunningTask(planner.workers()[1], 40'000, 5'000);
+  planner.workers()[1].capacity.milli_cpus = 8'000;
+  planner.workers()[2] = MakeWorker(2);
+  AddStep(planner, 1, 40, 4'000, 60'000);
+  const auto plan = planner.Decide(1'000);
+  cr_expect_eq(CountStarts(plan, 1), 16);
+  for (const auto& it : plan.starts) {
+    cr_expect_eq(it.worker, 2);
+  }
+  cr_expect_eq(planner.worker_totals().free.milli_cpus, 0);
+  cr_expect_eq(FitCount({4'000, 1'000, 0}, {-32'000, 9'000, 0}, 10), 0);
+}
