graph, wire: Drop the count of blamed crashes

Nothing reports which crash counts against which task, so the field of a result and the lower limit had no user.

--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -36,9 +36,6 @@
   // of a gang are counted in its task with index 0, once for each run.
   std::int32_t crashes = 0;
   std::int32_t crashed_run = 0;
-  // Those of these crashes that count against the task.
-  std::int32_t blamed_crashes = 0;
-  std::int32_t blamed_run = 0;
   // The last run that ended as lost, and its worker, of which a later
   // incarnation may show that it crashed.
   std::int32_t lost_run = 0;
@@ -182,10 +179,6 @@
                   const wire::CalledWorker& record,
                   std::int64_t at_ms);
   static bool CountCrash(Job& job, const TaskKey& key, std::int32_t run);
-  static void CountBlame(Job& job,
-                         const TaskKey& key,
-                         std::int32_t run,
-                         std::int64_t at_ms);
   static void Finish(Job& job,
                      wire::GraphJobState::type state,
                      std::int64_t at_ms);
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -117,10 +117,6 @@
   }
   Job& job = found->second;
   auto& task = job.tasks_[job.IndexOf(key)];
-  if (result.worker_crashed) {
-    CountBlame(job, key, result.run, at_ms);
-    return;
-  }
   if (!job.AcceptsResult(key, result.run, result.how)) {
     return;
   }
@@ -269,8 +265,6 @@
       it.failed_run = task.failed_run;
       it.crashes = task.crashes;
       it.crashed_run = task.crashed_run;
-      it.blamed_crashes = task.blamed_crashes;
-      it.blamed_run = task.blamed_run;
       it.lost_run = task.lost_run;
       it.lost_worker = task.lost_worker;
     }
@@ -310,8 +304,6 @@
                        std::move(it.checkpoint),
                        it.crashes,
                        it.crashed_run,
-                       it.blamed_crashes,
-                       it.blamed_run,
                        it.lost_run,
                        it.lost_worker};
       job.open_runs_ += it.run != 0 ? 1 : 0;
--- a/libraries/graph/src/worker_crashes.cc
+++ b/libraries/graph/src/worker_crashes.cc
@@ -5,10 +5,9 @@
 
 namespace {
 
-// A task is given up after this many crashes that count against it, or after
-// this many of any kind: excused crashes must not let it crash one worker after
-// the other.
-constexpr std::int32_t kMaxBlamedCrashes = 3;
+// A task is given up after this many crashes of workers on which it ran. Tasks
+// that ran beside the cause of a crash are counted as well, so the limit is
+// above the two crashes that suffice for giving a task up.
 constexpr std::int32_t kMaxCrashes = 5;
 
 // Returns the run of the task that was on the worker, or 0. It may have been
@@ -35,21 +34,6 @@
   return true;
 }
 
-void GraphStore::CountBlame(Job& job,
-                            const TaskKey& key,
-                            std::int32_t run,
-                            std::int64_t at_ms) {
-  auto& counted = job.MutableCountedTask(key);
-  if (!job.active() || counted.done || counted.blamed_run >= run) {
-    return;
-  }
-  counted.blamed_run = run;
-  ++counted.blamed_crashes;
-  if (counted.blamed_crashes >= kMaxBlamedCrashes) {
-    Finish(job, wire::GraphJobState::kFailed, at_ms);
-  }
-}
-
 void GraphStore::ApplyCrash(WorkerNumber number,
                             const wire::CalledWorker& record,
                             std::int64_t at_ms) {
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -610,7 +610,6 @@
   2: i32 run
   3: RunEnd how
   4: string checkpoint
-  5: bool worker_crashed       // The crash of the run's worker counts against the task. The run may have been closed before.
 }
 
 struct AcceptedGraphJob {
@@ -642,10 +641,8 @@
   7: i32 failed_run            // Last run of a gang whose failure was counted.
   8: i32 crashes               // Runs whose worker crashed.
   9: i32 crashed_run           // The last of them.
-  10: i32 blamed_crashes       // Those of them that count against the task.
-  11: i32 blamed_run           // The last of these.
-  12: i32 lost_run             // Last run that ended as lost, and its worker.
-  13: i64 lost_worker
+  10: i32 lost_run             // Last run that ended as lost, and its worker.
+  11: i64 lost_worker
 }
 
 struct GraphJobImage {
