--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -307,7 +307,11 @@
       open.push_back(std::move(it));
       continue;
     }
-    const auto reply = Serve(worker, it.sent.order);
+    // The worker forgot the acknowledged ends when the hold arrived. Numbers of
+    // ends start anew when it restarts.
+    auto listing = hold;
+    listing.acknowledged_end = 0;
+    const auto reply = Serve(worker, listing);
     Schedule(options_.network_ms, [this, id = it.sent.id, reply] {
       const CpuTimer timer(engine_ms_);
       engine_.OnWorkerReply(id, reply, Now());
@@ -408,10 +412,18 @@
 }
 
 void CellHarness::Restart(FakeWorker& worker) {
+  constexpr std::int64_t kRestartMs = 50;
   Crash(worker);
-  worker.gone = false;
-  worker.record.born_ms += 1'000;
-  ReportOnce(worker);
+  const auto number = static_cast<std::size_t>(&worker - workers.data());
+  Schedule(kRestartMs, [this, number] {
+    auto& restarted = workers[number];
+    if (!restarted.gone) {
+      return;  // Another restart came first.
+    }
+    restarted.gone = false;
+    restarted.record.born_ms += 1'000;
+    ReportOnce(restarted);
+  });
 }
 
 void CellHarness::CarryOut(const SentOrder& sent) {
@@ -518,6 +530,11 @@
     return reply;
   }
   worker.lease_until_ms = std::max(worker.lease_until_ms, until);
+  if (!order.ticket.empty() && order.ticket != TicketFor(worker.record.id)) {
+    reply.answer = WorkerAnswer::kTicketRefused;
+    ++refused_starts;
+    return reply;
+  }
   const auto* job = engine_.store().FindJob(order.task.job);
   const auto& step = job->step(order.task.step);
   if (options_.check) {
@@ -643,6 +660,13 @@
   }
 }
 
+std::string CellHarness::TicketFor(const std::string& worker) const {
+  const auto it = std::find_if(
+      workers.begin(), workers.end(),
+      [&](const auto& other) { return other.record.id == worker; });
+  return fmt::format("{}/{}", worker, it->record.born_ms);
+}
+
 void CellHarness::PollAdvice(std::int32_t caller, wire::AdvicePoll poll) {
   constexpr std::int32_t kWaitMs = 500;
   constexpr std::int64_t kPauseMs = 10;
@@ -663,7 +687,7 @@
         if (static_cast<double>(draw) < options_.allowed_share * 1'000) {
           auto& ticket = result.allowed.emplace_back();
           ticket.worker = worker;
-          ticket.ticket = "t";
+          ticket.ticket = TicketFor(worker);
         }
       }
       delay += it.expected_ms;
