--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -121,12 +121,14 @@
   capacities_.clear();
   for (const auto& [number, worker] : store_.workers()) {
     workers_.Register(number, worker, now_ms_);
-    auto& known = capacities_[worker.service_name];
-    const policy::Demand capacity{worker.milli_cpus, worker.memory_mb,
-                                  worker.accelerators};
-    if (std::find(known.begin(), known.end(), capacity) == known.end()) {
-      known.push_back(capacity);
-    }
+    auto& service = capacities_[worker.service_name];
+    const auto add = [](auto& known, const policy::Demand& capacity) {
+      if (std::find(known.begin(), known.end(), capacity) == known.end()) {
+        known.push_back(capacity);
+      }
+    };
+    add(service.committed, CapacityOf(worker));
+    add(service.full, workers_.Find(number)->full_capacity);
   }
   std::vector<graph::WorkerNumber> removed;
   for (const auto& [number, tracked_worker] : workers_.workers()) {
@@ -151,10 +153,11 @@
 
 void Leader::OnApplied(const wire::GraphBatch& batch, TimePoint now) {
   SetNow(now);
+  std::set<graph::JobId> jobs;
+  RecordCrashes(jobs);
   if (!batch.workers.empty() || !batch.removed_workers.empty()) {
     SyncWorkers();
   }
-  std::set<graph::JobId> jobs;
   for (const auto& it : batch.jobs) {
     jobs.insert(static_cast<graph::JobId>(it.id));
   }
@@ -176,6 +179,10 @@
   }
   StopObsoleteRuns(batch);
   for (const auto it : jobs) {
+    if (const auto* job = store_.FindJob(it);
+        job != nullptr && job->state() == wire::GraphJobState::kFailed) {
+      workers_.StopJob(it);
+    }
     LogEnds(it, batch.at_ms);
     pending_.Update(it, store_.FindJob(it));
     step_tracker_.Refresh(it, now_ms_, wall_ms_);
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -228,11 +228,15 @@
       MarkStartsUncertain(*previous);
     }
     previous->record = record;
+    previous->full_capacity =
+        policy::Max(previous->full_capacity, CapacityOf(record));
     return;
   }
   TrackedWorker worker;
   worker.number = number;
   worker.record = record;
+  worker.reported_capacity = CapacityOf(record);
+  worker.full_capacity = worker.reported_capacity;
   worker.last_report_ms = now_ms;
   worker.next_hold_ms = now_ms;
   // A start that is on its way to the previous incarnation may still begin on
@@ -453,6 +457,11 @@
                 now_ms, out);
     return;
   }
+  // The capacity may have shrunk while the start was being committed.
+  if (!HasRoomFor(worker, it)) {
+    RejectStart(number, task, run, "worker has no room any more", now_ms, out);
+    return;
+  }
   it.phase = RunPhase::kSending;
   it.started_ms = now_ms;
   it.start_time_known = true;
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -639,6 +639,10 @@
   5: i64 worker
   6: string checkpoint
   7: i32 failed_run            // Last run of a gang whose failure was counted.
+  8: i32 crashes               // Runs whose worker crashed.
+  9: i32 crashed_run           // The last of them.
+  10: i32 lost_run             // Last run that ended as lost, and its worker.
+  11: i64 lost_worker
 }
 
 struct GraphJobImage {
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -40,6 +41,12 @@
   // The driver violates its contract: it neither carries out the worker's
   // orders nor reports replies to them.
   bool loses_orders = false;
+  // Until this time a start may still fill the capacity from before the last
+  // change.
+  std::int64_t capacity_grace_end_ms = 0;
+  std::int64_t earlier_milli_cpus = 0;
+  std::int64_t earlier_memory_mb = 0;
+  bool capacity_changed = false;
   bool gone = false;  // No process runs at its address.
 };
 
@@ -98,6 +105,14 @@
   // lost. Of the proposals that are not committed yet, a random number of the
   // first ones is committed before the new leader leads; the others are lost.
   void ChangeLeader();
+  // Crashes the worker, which ends the other members of its gangs, and restarts
+  // it `down_ms` later.
+  void CrashFor(std::size_t worker, std::int64_t down_ms);
+  // Changes the capacity of the worker, which reports it at once. Starts that
+  // exceed it are violations from 4 s and one report interval later on.
+  void SetCapacity(std::size_t worker,
+                   std::int64_t milli_cpus,
+                   std::int64_t memory_mb);
   // Ends the worker's process, with its runs and unread ends.
   void Crash(FakeWorker& worker);
   // Crashes the worker, and the leader is told that it has left.
@@ -118,6 +133,14 @@
   // time.
   std::function<std::int64_t(const graph::TaskKey&, std::int64_t declared)>
       run_time;
+  // Whether a task crashes each worker that starts it, `crash_after_ms` later;
+  // the worker is then down for `crash_down_ms`. Unset: none does.
+  std::function<bool(const graph::TaskKey&)> crashes_worker;
+  std::int64_t crash_after_ms = 30;
+  std::int64_t crash_down_ms = 3'000;
+  // Workers that crashed under each such task, and its starts.
+  std::map<graph::TaskKey, std::int32_t> crashes_by_task;
+  std::map<graph::TaskKey, std::int32_t> starts_by_task;
   // Violated invariants, as text.
   std::vector<std::string> violations;
   double used_cpu_ms = 0;
@@ -136,6 +159,8 @@
   void ReportOnce(const FakeWorker& worker);
   // Reports at intervals while the worker is there.
   void Report(const FakeWorker& worker);
+  void BreakGang(const graph::TaskKey& ended, std::int32_t run);
+  void CrashAfterStart(const FakeWorker& worker, const graph::TaskKey& task);
   void AdvanceEngine();
   void Propose(const Proposal& proposal);
   void CommitFirstProposal();
@@ -150,6 +175,7 @@
   std::string TicketFor(const std::string& worker) const;
   void PollAdvice(std::int32_t caller, wire::AdvicePoll poll);
   void CheckInvariants(const FakeWorker& worker);
+  void CheckCapacityAtStart(const FakeWorker& worker);
   void CheckStart(const FakeWorker& worker,
                   const graph::TaskKey& task,
                   const wire::GraphStep& step);
@@ -171,6 +197,8 @@
   std::deque<UncommittedProposal> uncommitted_;
   std::int64_t last_commit_ms_ = 0;
   std::set<graph::TaskKey> done_;
+  // Starts of each task after three workers had crashed under it.
+  std::map<graph::TaskKey, std::int32_t> starts_after_crashes_;
   std::map<std::string, wire::JobQueue> queues_;
   struct PendingHold {
     std::size_t worker;
