wire: Leave a controller that does not accept connections in time

An attempt to connect that ran out of time no longer counted against the controller. The time meant was that of the attempt, and the requests of controllers to join have attempts as short as a handshake may take. So they stayed with a paused leader until it ran again, and the leader that followed it called all workers itself.

The time meant is now that of the whole call, and the steps of opening a connection have the attempt's time each, as before. The test failed before: leaves_a_paused_leader_after_a_short_attempt: result.has_value() is false.

--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -61,8 +61,12 @@
  private:
   struct Connection;
 
-  Result<std::unique_ptr<Connection>> OpenConnection(TimePoint deadline);
-  Result<std::unique_ptr<Connection>> Handshake(TimePoint deadline);
+  Result<std::unique_ptr<Connection>> OpenConnection(
+      std::chrono::milliseconds timeout,
+      TimePoint deadline);
+  Result<std::unique_ptr<Connection>> Handshake(
+      std::chrono::milliseconds timeout,
+      TimePoint deadline);
   Result<std::unique_ptr<Connection>> TakeIdleConnection(TimePoint deadline);
   // Requires `mutex_` to be locked.
   void ReturnConnection(std::unique_ptr<Connection> connection);
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -134,9 +134,10 @@
 }
 
 Result<std::unique_ptr<ControllerChannel::Connection>>
-ControllerChannel::OpenConnection(TimePoint deadline) {
+ControllerChannel::OpenConnection(std::chrono::milliseconds timeout,
+                                  TimePoint deadline) {
   const auto begin = std::chrono::steady_clock::now();
-  auto connection = Handshake(deadline);
+  auto connection = Handshake(std::min(timeout, handshake_timeout_), deadline);
   std::lock_guard lock(mutex_);
   const auto now = std::chrono::steady_clock::now();
   // A caller without time left learns nothing about the controller.
@@ -173,7 +174,8 @@
 }
 
 Result<std::unique_ptr<ControllerChannel::Connection>>
-ControllerChannel::Handshake(TimePoint deadline) {
+ControllerChannel::Handshake(std::chrono::milliseconds timeout,
+                             TimePoint deadline) {
   const auto host_port = SplitAddress(address_);
   if (!host_port) {
     return tl::unexpected(host_port.error());
@@ -187,9 +189,9 @@
   connection->client = std::make_unique<ControllerServiceClient>(
       std::make_shared<TBinaryProtocol>(framed));
   try {
-    SetTimeout(*connection->socket, handshake_timeout_, deadline);
+    SetTimeout(*connection->socket, timeout, deadline);
     connection->socket->open();
-    SetTimeout(*connection->socket, handshake_timeout_, deadline);
+    SetTimeout(*connection->socket, timeout, deadline);
     const std::string client_nonce = RandomBytes(kNonceBytes);
     std::string challenge;
     connection->client->Challenge(challenge, own_id_, client_nonce);
@@ -203,7 +205,7 @@
       return Fail(ResultCode::kNotAuthenticated,
                   "controller does not know the cluster secret");
     }
-    SetTimeout(*connection->socket, handshake_timeout_, deadline);
+    SetTimeout(*connection->socket, timeout, deadline);
     std::string ignored;
     connection->client->Authenticate(
         ignored,
@@ -226,11 +228,10 @@
 Result<void> ControllerChannel::Run(std::chrono::milliseconds timeout,
                                     TimePoint deadline,
                                     const Call& call) {
-  const auto open_deadline =
-      std::min(deadline, std::chrono::steady_clock::now() + timeout);
-  auto taken = TakeIdleConnection(open_deadline);
+  auto taken = TakeIdleConnection(
+      std::min(deadline, std::chrono::steady_clock::now() + timeout));
   if (taken && *taken == nullptr) {
-    taken = OpenConnection(open_deadline);
+    taken = OpenConnection(timeout, deadline);
   }
   if (!taken) {
     return tl::unexpected(taken.error());
--- a/tests/wire/controller_channel_test.cc
+++ b/tests/wire/controller_channel_test.cc
@@ -153,4 +153,23 @@
   cr_expect_not(it.channel.unreachable());
 }
 
+// Guards against calls that stay with a paused leader, because their attempts
+// are as short as the handshake may take.
+Test(leader_client, leaves_a_paused_leader_after_a_short_attempt) {
+  constexpr std::chrono::milliseconds kAttempt =
+      ControllerChannel::kDefaultHandshakeTimeout;
+  Fixture it;
+  it.proxy.Freeze(it.to_server, test::Direction::kBoth);
+  const auto other_address = test::LoopbackIp(2) + ":21000";
+  const auto other = ControllerServer::Start(
+      other_address, "secret", it.handler, [](const std::string& /*peer*/) {});
+  cr_assert(other.has_value());
+  LeaderClient leader({it.address, other_address}, "e1", "secret");
+  const auto result = leader.Run(kTimeout, kAttempt, [](auto& client) {
+    CallCluster(client);
+    return CallStatus{};
+  });
+  cr_expect(result.has_value());
+}
+
 }  // namespace cranberryshunt::wire
