--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -46,12 +46,12 @@
 }
 
 void Leader::RefreshPlanWorker(graph::WorkerNumber number) {
-  planner_.MarkWorkerChanged(number);
   const auto* tracked_worker = workers_.Find(number);
   if (tracked_worker == nullptr) {
-    planner_.workers().erase(number);
+    planner_.RemoveWorker(number);
     return;
   }
+  planner_.MarkWorkerChanged(number);
   policy::PlanWorker worker;
   worker.number = number;
   worker.service_name = tracked_worker->record.service_name;
@@ -171,11 +171,19 @@
                        graph::WorkerNumber worker,
                        const std::string& ticket) {
   const auto* job = store_.FindJob(task.job);
-  // The job may have ended while the start was being committed.
-  if (job == nullptr || job->task(task).run != run || !job->active()) {
+  const auto* state = job == nullptr ? nullptr : job->FindTask(task);
+  if (state == nullptr || state->run != run) {
+    // The start had no effect, or the run has a result already.
     workers_.CancelReservation(task, run);
     return;
   }
+  WorkerTrackerOutput out;
+  if (!job->active()) {
+    workers_.RejectStart(worker, task, run,
+                         "job ended before the start was sent", now_ms_, out);
+    ApplyOutput(std::move(out));
+    return;
+  }
   StartOrder order;
   order.task = task;
   order.run = run;
@@ -187,7 +195,6 @@
     checkpoint_task.index = 0;
   }
   order.checkpoint = job->task(checkpoint_task).checkpoint;
-  WorkerTrackerOutput out;
   workers_.SendStart(worker, task, run, std::move(order), now_ms_, out);
   ApplyOutput(std::move(out));
 }
@@ -227,16 +234,27 @@
     }
     const auto* job = store_.FindJob(step_tracker_.KeyOf(it.question.step).job);
     const auto valid_ms = store_.QueueOf(*job).advice.ticket_valid_ms;
-    advice.asked_workers.insert(it.question.worker_numbers.begin(),
-                                it.question.worker_numbers.end());
+    // The answer is valid only for the incarnations that were asked about.
+    const auto& question = it.question;
+    std::vector<std::int64_t> asked;
+    std::map<std::string, std::int64_t> numbers;
+    for (std::size_t n = 0; n < question.worker_numbers.size(); ++n) {
+      const auto number = question.worker_numbers[n];
+      if (workers_.Find(number) != nullptr) {
+        asked.push_back(number);
+        numbers[question.workers[n]] = number;
+      }
+    }
+    std::map<std::int64_t, policy::Ticket> tickets;
     for (auto& row : it.allowed) {
-      const auto number = store_.FindWorker(row.worker);
-      if (number) {
-        advice.allowed[*number] = {
+      const auto number = numbers.find(row.worker);
+      if (number != numbers.end()) {
+        tickets[number->second] = {
             std::move(row.ticket),
             it.answered_at_ms - kAnswerTransitMs + valid_ms};
       }
     }
+    advice.RecordAnswer(asked, std::move(tickets));
     Log(LogLevel::kInfo, "advice", "advice service answered a question",
         {{"step", it.question.step_name},
          {"asked", it.question.worker_numbers.size()},
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -62,6 +62,9 @@
   void Register(WorkerNumber number,
                 const wire::CalledWorker& record,
                 std::int64_t now_ms);
+  // Sets whether the worker has said that it has left. Such a worker gets no
+  // starts, because its next incarnation would carry them out.
+  void SetDeparted(WorkerNumber number, bool departed);
   // Removes a worker that has ended and reports all of its runs as finished.
   void Remove(WorkerNumber number, WorkerTrackerOutput& out);
   // Adds a run that is current in the committed state when this leader starts.
@@ -89,13 +92,22 @@
                std::int64_t expected_run_ms,
                bool long_running = false);
   // Sends a start that has been committed. Reports the run as not started if a
-  // stop was requested meanwhile or the worker is no longer usable.
+  // stop was requested meanwhile, or the worker has left, was replaced or is no
+  // longer usable.
   void SendStart(WorkerNumber number,
                  const TaskKey& task,
                  std::int32_t run,
                  StartOrder order,
                  std::int64_t now_ms,
                  WorkerTrackerOutput& out);
+  // Reports a committed run as not started, whether or not its reservation
+  // still exists.
+  void RejectStart(WorkerNumber number,
+                   const TaskKey& task,
+                   std::int32_t run,
+                   std::string reason,
+                   std::int64_t now_ms,
+                   WorkerTrackerOutput& out);
   // Drops a reserved run whose start was not committed and never will be.
   void CancelReservation(const TaskKey& task, std::int32_t run);
   // Stops all runs of the task except `keep_run`.
@@ -138,7 +150,16 @@
   std::set<WorkerNumber> TakeChangedWorkers() {
     return std::exchange(changed_workers_, {});
   }
+  // Returns the numbers that were removed or replaced since the last call.
+  std::vector<WorkerNumber> TakeEndedWorkers() {
+    return std::exchange(ended_workers_, {});
+  }
   const TrackedWorker* Find(WorkerNumber number) const;
+  // Returns the worker that has the run: `number`, or a later incarnation of
+  // it.
+  std::optional<WorkerNumber> FindRun(WorkerNumber number,
+                                      const TaskKey& task,
+                                      std::int32_t run) const;
   // Whether starts may be sent to the worker now.
   bool IsUsable(const TrackedWorker& worker, std::int64_t now_ms) const;
   std::int64_t fence() const { return options_.fence; }
@@ -237,6 +258,7 @@
   // Runs that may need a stop. SendStops() examines only these.
   std::set<std::pair<WorkerNumber, RunKey>> stop_candidates_;
   std::set<WorkerNumber> changed_workers_;
+  std::vector<WorkerNumber> ended_workers_;
   // Time and response time of the latest answers to starts, in milliseconds.
   std::deque<std::pair<std::int64_t, std::int64_t>> start_answers_;
   OrderId next_order_;
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -64,6 +64,22 @@
   return limit;
 }
 
+void StepAdvice::RecordAnswer(const std::vector<std::int64_t>& asked,
+                              std::map<std::int64_t, Ticket> tickets) {
+  asked_workers.insert(asked.begin(), asked.end());
+  for (const auto it : asked) {
+    if (auto ticket = tickets.extract(it); !ticket.empty()) {
+      allowed[it] = std::move(ticket.mapped());
+    } else if (allowed.erase(it) > 0) {
+      // The service does not change its mind about a worker, so it may have
+      // answered about another incarnation. The worker can be asked about once
+      // more.
+      asked_workers.erase(it);
+      complete_at_version = 0;
+    }
+  }
+}
+
 bool StepAdvice::Allows(std::int64_t worker) const {
   return !needed || allowed.contains(worker);
 }
@@ -120,6 +136,23 @@
          (running == step.running.end() ? 0 : running->second);
 }
 
+// Whether the workers have room for the waiting tasks once they are idle. Tasks
+// that need not run at the same time can use the same room one after another.
+bool CanHold(const PlanStep& step, const std::vector<PlanWorker*>& workers) {
+  const bool together = step.gang || step.max_per_worker > 0;
+  const auto wanted =
+      together ? static_cast<std::int64_t>(step.waiting.size()) : 1;
+  std::int64_t fit = 0;
+  for (const auto* it : workers) {
+    fit += FitCount(step.demand, it->capacity,
+                    std::min(wanted, PerWorkerLimit(step, *it)));
+    if (fit >= wanted) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // Capacity for one task of a gang on a worker, and the time at which it is
 // expected to be free.
 struct ExpectedCapacity {
@@ -183,6 +216,13 @@
   return part;
 }
 
+// Whether the worker may be given tasks, apart from its free capacity.
+bool IsOpen(const PlanWorker& worker) {
+  const bool probe_busy =
+      worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
+  return worker.usable && !probe_busy;
+}
+
 // Whether the step's job is expected to end after its objective even if the
 // step started now.
 bool IsLate(const PlanStep& step, std::int64_t now_ms) {
@@ -224,6 +264,21 @@
   steps_.erase(id);
 }
 
+void GraphPlanner::RemoveWorker(std::int64_t number) {
+  workers_.erase(number);
+  offers_.erase(number);
+  MarkWorkerChanged(number);
+  for (auto& [id, step] : steps_) {
+    step.advice.asked_workers.erase(number);
+    const auto removed =
+        step.advice.allowed.erase(number) + step.avoided.erase(number) +
+        step.running.erase(number) +
+        std::erase_if(step.held,
+                      [&](const auto& it) { return it.worker == number; });
+    step.changed = step.changed || removed > 0;
+  }
+}
+
 // Steps that can still meet their objective precede late ones. Within each of
 // these groups, urgent queues precede others. Steps with equal rank so far are
 // ordered by the latest time at which they must start, or, if they are late, by
@@ -251,10 +306,7 @@
 }
 
 bool GraphPlanner::IsEligible(const PlanStep& step, const PlanWorker& worker) {
-  const bool probe_busy =
-      worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
-  return worker.usable && !probe_busy &&
-         worker.service_name == step.service_name &&
+  return IsOpen(worker) && worker.service_name == step.service_name &&
          HasLabel(worker, step.required_label) &&
          step.demand.FitsIn(worker.capacity);
 }
@@ -307,17 +359,53 @@
   if (step.avoided.empty()) {
     return out;
   }
-  // Avoids workers on which a task of the step failed if there are others.
+  // Avoids workers on which a task of the step failed if the others can hold
+  // the step.
   Candidates preferred;
   for (auto* it : out) {
     if (!step.avoided.contains(it->number)) {
       preferred.push_back(it);
     }
   }
-  return preferred.empty() && !changed_only ? out : preferred;
+  return changed_only || CanHold(step, preferred) ? preferred : out;
+}
+
+void GraphPlanner::UpdateOffers() {
+  for (const auto number : changed_workers_) {
+    if (const auto it = workers_.find(number); it != workers_.end()) {
+      UpdateOffer(number, it->second);
+    } else {
+      offers_.erase(number);
+    }
+  }
+  if (offers_.size() != workers_.size()) {
+    std::erase_if(offers_,
+                  [&](const auto& it) { return !workers_.contains(it.first); });
+    for (const auto& [number, worker] : workers_) {
+      UpdateOffer(number, worker);
+    }
+  }
+}
+
+void GraphPlanner::UpdateOffer(std::int64_t number, const PlanWorker& worker) {
+  auto& known = offers_[number];
+  // Starts and ends of tasks change only `open`, and that only while the worker
+  // is probed.
+  const bool unchanged = known.open == IsOpen(worker) &&
+                         known.service_name == worker.service_name &&
+                         known.labels == worker.labels &&
+                         known.capacity == worker.capacity;
+  if (unchanged) {
+    return;
+  }
+  known = {IsOpen(worker), worker.service_name, worker.labels, worker.capacity};
+  if (known.open) {
+    ++workers_version_;
+  }
 }
 
 void GraphPlanner::IndexWorkers(bool full) {
+  UpdateOffers();
   if (full || workers_.size() != all_workers_.size() ||
       !IndexChangedWorkers()) {
     IndexAllWorkers();
@@ -361,7 +449,6 @@
   round.full = now_ms - full_round_at_ms_ >= options_.full_round_ms;
   if (round.full) {
     full_round_at_ms_ = now_ms;
-    usable_workers_.clear();
     usable_capacity_.clear();
   }
   IndexWorkers(round.full);
@@ -374,7 +461,6 @@
   if (round.full) {
     for (const auto& [number, worker] : workers_) {
       if (worker.usable) {
-        ++usable_workers_[worker.service_name];
         usable_capacity_[worker.service_name] += worker.capacity;
       }
     }
@@ -464,7 +550,7 @@
   std::vector<std::int64_t> without_ticket;
   while (!step.waiting.empty()) {
     PlanWorker* best = nullptr;
-    std::pair<bool, double> best_key;
+    std::tuple<bool, bool, double> best_key;
     without_ticket.clear();
     for (auto* it : workers) {
       if (!step.demand.FitsIn(it->AvailableCapacity()) ||
@@ -477,7 +563,8 @@
       }
       const bool other_rack =
           !step.data_rack.empty() && it->rack != step.data_rack;
-      const std::pair key(other_rack, LeftoverShare(*it, step.demand));
+      const std::tuple key(step.avoided.contains(it->number), other_rack,
+                           LeftoverShare(*it, step.demand));
       if (best == nullptr || key < best_key) {
         best = it;
         best_key = key;
@@ -534,9 +621,12 @@
     if (ticketed >= count) {
       // Workers with the least capacity left over come first, so that the gang
       // uses few workers.
-      std::sort(fitting.begin(), fitting.end(), [&](auto* a, auto* b) {
-        return LeftoverShare(*a, step.demand) < LeftoverShare(*b, step.demand);
-      });
+      const auto key = [&](const auto* it) {
+        return std::pair(step.avoided.contains(it->number),
+                         LeftoverShare(*it, step.demand));
+      };
+      std::sort(fitting.begin(), fitting.end(),
+                [&](auto* a, auto* b) { return key(a) < key(b); });
       for (auto* it : fitting) {
         while (!step.waiting.empty() &&
                step.demand.FitsIn(it->AvailableCapacity()) &&
@@ -648,7 +738,8 @@
   std::int64_t fit = 0;
   for (const auto& [number, ticket] : step.advice.allowed) {
     const auto* worker = FindWorker(number);
-    if (worker != nullptr && IsEligible(step, *worker)) {
+    if (worker != nullptr && IsEligible(step, *worker) &&
+        !step.avoided.contains(number)) {
       fit += FitCount(step.demand, worker->capacity,
                       std::min(count, PerWorkerLimit(step, *worker)));
     }
@@ -666,7 +757,7 @@
 void GraphPlanner::AskAboutNewWorkers(PlanStep& step, Round& round) {
   const auto& asked_workers = step.advice.asked_workers;
   const auto limit = MaxWorkersToAsk(step);
-  if (asked_workers.size() >= usable_workers_[step.service_name] ||
+  if (step.advice.complete_at_version == workers_version_ ||
       round.plan.questions.size() >= options_.max_questions) {
     return;
   }
@@ -687,6 +778,7 @@
     }
   }
   if (candidates.empty()) {
+    step.advice.complete_at_version = workers_version_;
     return;
   }
   const auto asked = std::min(candidates.size(), limit);
--- /dev/null
+++ b/tests/cell/departed_worker_test.cc
@@ -0,0 +1,86 @@
+// Tests that the leader forgets workers that have left or were replaced, and
+// gives up what was about to start on them.
+#include <criterion/criterion.h>
+
+#include "cell_harness.h"
+
+using namespace cranberryshunt;        // NOLINT
+using namespace cranberryshunt::cell;  // NOLINT
+
+namespace {
+
+constexpr std::int64_t kCommitMs = 15;
+
+void StartCell(CellHarness& cell) {
+  cell.Run(200);
+  cell.Publish({MakeQueue("a", 1)});
+  cell.Run(200);
+}
+
+void ExpectCompleted(CellHarness& cell, graph::JobId id) {
+  cr_assert_eq(cell.jobs[id].code, 0);
+  cr_expect(cell.StateOf(id) == wire::GraphJobState::kCompleted);
+  for (const auto& it : cell.violations) {
+    cr_expect_fail("%s", it.c_str());
+  }
+}
+
+}  // namespace
+
+// Guards against a crash of the leader: it placed tasks on an idle worker after
+// that worker's departure was committed.
+Test(departed_worker, gets_no_tasks_after_it_has_left) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell);
+  cell.Depart(cell.workers[0]);
+  cell.Run(kCommitMs + 5);
+  cell.Submit(1, "a", MakeJob(4, 16'000, 100));
+  cell.Run(1'000);
+  ExpectCompleted(cell, 1);
+}
+
+// Guards against a job that waits for a new leader: a departure is committed
+// before a start on that worker, whose run nobody then ends.
+Test(departed_worker, gives_up_starts_that_were_being_committed) {
+  for (std::int64_t wait_ms = 0; wait_ms <= 3 * kCommitMs; ++wait_ms) {
+    CellHarness cell({.workers = 1, .commit_ms = kCommitMs});
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(4, 8'000, 100));
+    cell.Run(wait_ms);
+    cell.Depart(cell.workers[0]);
+    cell.Run(200);
+    cell.Restart(cell.workers[0]);
+    cell.Run(3'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
+// Guards against a task that runs twice: a start is sent to a worker whose
+// departure is being committed, and reaches the next incarnation, which the
+// leader doesn't know yet.
+Test(departed_worker, gets_no_starts_while_its_departure_is_committed) {
+  constexpr std::int64_t kSlowCommitMs = 100;
+  for (std::int64_t wait_ms = 110; wait_ms <= 150; wait_ms += 5) {
+    CellHarness cell({.workers = 2, .commit_ms = kSlowCommitMs});
+    cell.Run(1'000);
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(3, 16'000, 2'000));
+    cell.Run(wait_ms);
+    cell.Depart(cell.workers[0]);
+    cell.Restart(cell.workers[0]);
+    cell.Run(8'000);
+    ExpectCompleted(cell, 1);
+    cr_expect_eq(cell.starts, 3);
+  }
+}
+
+// Guards against the same after the worker was registered as a new incarnation.
+Test(departed_worker, gets_no_tasks_after_it_was_replaced) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell);
+  cell.Restart(cell.workers[0]);
+  cell.Run(kCommitMs + 5);
+  cell.Submit(1, "a", MakeJob(6, 16'000, 100));
+  cell.Run(1'000);
+  ExpectCompleted(cell, 1);
+}
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -281,3 +281,173 @@
   planner.MarkWorkerChanged(4);
   cr_expect_eq(CountStarts(planner.Decide(10'010), 3), 0);
 }
+
+// Guards against a worker whose number has ended and whose entries stay in a
+// step for as long as the step waits.
+Test(graph_planner, removes_all_entries_of_a_worker_that_ended) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    AddRunningTask(planner.workers()[n], 40'000, 2'000);
+  }
+  auto& step = AddStep(planner, 1, 2, 40'000, 30'000);
+  step.gang = true;
+  step.advice.needed = true;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    step.advice.asked_workers.insert(n);
+    step.advice.allowed[n] = {"t", 20'000};
+    step.avoided.insert(n);
+    step.running[n] = 1;
+  }
+  (void)planner.Decide(100);
+  cr_assert_eq(step.held.size(), 2);
+  planner.RemoveWorker(1);
+  const std::vector<std::int64_t> asked(step.advice.asked_workers.begin(),
+                                        step.advice.asked_workers.end());
+  cr_expect(asked == std::vector<std::int64_t>{2});
+  cr_expect_not(step.advice.allowed.contains(1));
+  cr_expect(step.advice.allowed.contains(2));
+  cr_expect(step.avoided == std::set<std::int64_t>{2});
+  cr_expect_eq(step.running.size(), 1);
+  cr_expect(step.running.contains(2));
+  cr_assert_eq(step.held.size(), 1);
+  cr_expect_eq(step.held.front().worker, 2);
+  cr_expect(step.changed);
+  cr_expect(planner.Decide(110).starts.empty());
+  cr_expect_not(planner.workers().contains(1));
+}
+
+// All workers that a step asked about are replaced. Guards against comparing
+// the number of workers asked about with the number of usable ones.
+Test(graph_planner, asks_about_workers_that_replaced_the_known_ones) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  auto& step = AddStep(planner, 1, 2, 30'000, 30'000);
+  step.gang = true;
+  step.advice.needed = true;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    step.advice.asked_workers.insert(n);
+  }
+  cr_expect(planner.Decide(100).questions.empty());
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers().erase(n);
+    planner.workers()[n + 4] = MakeWorker(n + 4);
+    planner.MarkWorkerChanged(n);
+    planner.MarkWorkerChanged(n + 4);
+  }
+  const auto plan = planner.Decide(200);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers ==
+            std::vector<std::int64_t>({5, 6, 7, 8}));
+}
+
+// As many workers as the step has asked about are usable, but not the same.
+// Guards against a step that asks about none of the others.
+Test(graph_planner, asks_about_workers_that_become_usable) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    planner.workers()[n].usable = n <= 2;
+  }
+  auto& step = AddStep(planner, 1, 2, 30'000, 30'000);
+  step.advice.needed = true;
+  step.advice.asked_workers.insert(1);
+  step.advice.asked_workers.insert(2);
+  cr_expect(planner.Decide(100).questions.empty());
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n].usable = n > 2;
+    planner.MarkWorkerChanged(n);
+  }
+  const auto plan = planner.Decide(200);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers ==
+            std::vector<std::int64_t>({3, 4}));
+}
+
+// A task of a gang failed on a worker that the gang can't do without. Guards
+// against a gang that is never placed because the other allowed workers can't
+// hold it.
+Test(graph_planner, uses_avoided_workers_if_the_others_cannot_hold_a_gang) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 3; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  auto& step = AddStep(planner, 1, 3, 40'000, 30'000);
+  step.gang = true;
+  step.avoided.insert(1);
+  cr_expect_eq(planner.Decide(100).starts.size(), 3);
+}
+
+// The same for single tasks with a limit on each worker, next to a task of the
+// step that runs on without an end.
+Test(graph_planner, uses_avoided_workers_if_the_others_are_at_their_limit) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  auto& step = AddStep(planner, 1, 1, 10'000, 30'000);
+  step.max_per_worker = 1;
+  step.running[2] = 1;
+  step.avoided.insert(1);
+  const auto plan = planner.Decide(100);
+  cr_assert_eq(plan.starts.size(), 1);
+  cr_expect_eq(plan.starts.front().worker, 1);
+}
+
+// Guards against using a worker on which a task of the step failed while others
+// can hold the tasks but have no free capacity now.
+Test(graph_planner, avoids_workers_while_the_others_can_hold_the_tasks) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[4], 60'000, 5'000);
+  auto& gang = AddStep(planner, 1, 3, 40'000, 30'000);
+  gang.gang = true;
+  gang.avoided.insert(1);
+  auto& single = AddStep(planner, 2, 2, 60'000, 30'000);
+  single.avoided = {1, 2, 3};
+  cr_expect(planner.Decide(100).starts.empty());
+}
+
+// The service has allowed two workers, and the step avoids one of them. Guards
+// against a gang that takes them for enough and asks about no further one.
+Test(graph_planner, asks_about_more_workers_than_the_avoided_ones) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    AddRunningTask(planner.workers()[n], 64'000, 8'000);
+  }
+  auto& step = AddStep(planner, 1, 2, 30'000, 30'000);
+  step.advice.needed = true;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    step.advice.asked_workers.insert(n);
+    step.advice.allowed[n] = {"t", 20'000};
+    step.avoided.insert(n);
+  }
+  const auto plan = planner.Decide(100);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers ==
+            std::vector<std::int64_t>({3, 4}));
+}
+
+// An answer leaves out a worker that an earlier one allowed. Guards against a
+// worker that stays allowed and whose ticket is asked for again and again.
+Test(graph_planner, forgets_a_worker_that_an_answer_leaves_out) {
+  StepAdvice advice;
+  advice.needed = true;
+  advice.RecordAnswer({1, 2, 3}, {{1, {"a", 500}}, {2, {"b", 500}}});
+  cr_expect(advice.Allows(1));
+  cr_expect(advice.Allows(2));
+  cr_expect_not(advice.Allows(3));
+  cr_expect_eq(advice.asked_workers.size(), 3);
+  advice.RecordAnswer({1, 2}, {{2, {"c", 900}}, {3, {"d", 900}}});
+  cr_expect_not(advice.Allows(1));
+  cr_expect(advice.HasTicket(2, 900));
+  cr_expect_not(advice.Allows(3), "the question was not about this worker");
+  cr_expect_not(advice.asked_workers.contains(1));
+  advice.RecordAnswer({1}, {});
+  cr_expect(advice.asked_workers.contains(1), "asked about once more only");
+}
