tests: Show further state of the leader without a bound

- Questions to the advice service are numbered from 1 in each term, so a late answer to the earlier leader counts for another step.
- A worker stays in probation while a task without an end runs on it.
- A task without an end waits for others of its kind, because an avoided worker is used only if the others cannot hold the step when idle.
- A step asks about no further workers while the allowed ones are full.
- A call near its deadline makes a controller unreachable for all calls.

The fake advice service names step and worker in its tickets, and the fake workers refuse tickets of others.

--- a/tests/cell/advice_dispatcher_test.cc
+++ b/tests/cell/advice_dispatcher_test.cc
@@ -171,3 +171,36 @@
   dispatcher.Advance(100);
   cr_expect(asked == std::vector<std::string>{"b"});
 }
+
+// Guards against an answer to an earlier leader's question that counts for the
+// question to which this leader gave the same number: the step would take
+// workers as forbidden that the service was not asked about.
+Test(advice_dispatcher, ignores_answers_to_questions_of_an_earlier_leader) {
+  std::int64_t old_id = 0;
+  const auto poll = [](AdviceDispatcher& dispatcher, const std::string& caller,
+                       std::vector<wire::AdviceResult> results,
+                       std::int64_t* id) {
+    AdviceCall call;
+    call.poll.caller = caller;
+    call.poll.wait_ms = 1'000;
+    call.poll.results = std::move(results);
+    call.reply = [id](const wire::AdviceOrders& orders) {
+      if (id != nullptr && !orders.orders.empty()) {
+        *id = orders.orders.front().id;
+      }
+    };
+    dispatcher.OnPoll(std::move(call), 0);
+    dispatcher.Advance(0);
+  };
+  AdviceDispatcher earlier(0);
+  earlier.Ask(MakeQuestion(1, true, 5'000));
+  poll(earlier, "a", {}, &old_id);
+  AdviceDispatcher dispatcher(0);
+  dispatcher.Ask(MakeQuestion(2, true, 5'000));
+  poll(dispatcher, "b", {}, nullptr);
+  wire::AdviceResult late;
+  late.id = old_id;
+  late.answered = true;
+  poll(dispatcher, "a", {late}, nullptr);
+  cr_expect(dispatcher.TakeAnswers().empty());
+}
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -451,6 +451,13 @@
     ++refused_starts;
     return reply;
   }
+  const auto step_name = graph::FormatStep(order.task.step_key());
+  if (!order.ticket.empty() &&
+      order.ticket != step_name + " " + worker.record.id) {
+    reply.answer = WorkerAnswer::kTicketRefused;
+    ++refused_starts;
+    return reply;
+  }
   const auto until = order.lease_until_ms - worker.clock_offset_ms;
   if (until <= now_ms_) {
     reply.answer = WorkerAnswer::kTooLate;
@@ -568,7 +575,7 @@
         if (static_cast<double>(draw) < options_.allowed_share * 1'000) {
           auto& ticket = result.allowed.emplace_back();
           ticket.worker = worker;
-          ticket.ticket = "t";
+          ticket.ticket = it.step + " " + worker;
         }
       }
       delay += it.expected_ms;
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -526,3 +526,70 @@
   }
   ExpectNoViolations(cell);
 }
+
+// A task that runs until it is cancelled failed several times, so its worker is
+// tested with one task at a time, and such a task never ends as done. Guards
+// against a worker that gets no further task until there is a new leader.
+Test(leader, ends_the_probation_of_a_worker_with_a_long_running_task) {
+  CellHarness cell({.workers = 1});
+  StartCell(cell, {MakeQueue("a", 1)});
+  auto service = MakeJob(1, 4'000, 600'000);
+  service.steps[0].long_running = true;
+  cell.workers[0].fails_all = true;
+  cell.Submit(1, "a", service);
+  cell.Run(1'000);
+  cell.workers[0].fails_all = false;
+  cell.Run(10'000);
+  cr_assert_eq(cell.workers[0].runs.size(), 1);
+  cell.Submit(2, "a", MakeJob(1, 4'000, 100));
+  cell.Run(30'000);
+  cr_assert_eq(cell.jobs[2].code, 0);
+  cr_expect(cell.StateOf(2) == wire::GraphJobState::kCompleted);
+  ExpectNoViolations(cell);
+}
+
+// A task that runs until it is cancelled failed on one worker, and tasks of the
+// same kind occupy the other. Guards against a task that waits for them to end.
+Test(leader, restarts_a_long_running_task_if_the_other_workers_are_full) {
+  CellHarness cell({.workers = 2});
+  StartCell(cell, {MakeQueue("a", 1)});
+  auto service = MakeJob(2, 20'000, 600'000);
+  service.steps[0].long_running = true;
+  cell.workers[0].fails_all = true;
+  cell.Submit(1, "a", service);
+  cell.Run(1'000);
+  cell.workers[0].fails_all = false;
+  cell.Run(30'000);
+  cr_expect_eq(cell.workers[0].runs.size() + cell.workers[1].runs.size(), 2);
+  ExpectNoViolations(cell);
+}
+
+// A caller reports its answer to a question of the earlier leader after the new
+// one has asked another question with the same number. Guards against tickets
+// of another step, which all workers refuse, and a job that waits for ever.
+Test(leader, uses_no_answers_to_questions_of_an_earlier_leader) {
+  for (std::int64_t wait_ms = 0; wait_ms <= 200; wait_ms += 10) {
+    CellHarness cell({.workers = 12, .allowed_share = 0.3});
+    auto queue = MakeQueue("a", 1);
+    queue.needs_advice = true;
+    queue.advice.base_ms = 150;
+    queue.advice.per_worker_ms = 5;
+    queue.advice.ticket_valid_ms = 2'000;
+    StartCell(cell, {queue});
+    for (graph::JobId id = 3; id >= 1; --id) {
+      cell.Submit(id, "a", MakeJob(2, 8'000, 300));
+      cell.Run(23);
+    }
+    cell.Run(wait_ms);
+    cell.ChangeLeader();
+    cell.Run(20'000);
+    for (const auto& [id, job] : cell.jobs) {
+      cr_expect(
+          job.code != 0 || cell.StateOf(id) == wire::GraphJobState::kCompleted,
+          "job %d, leader change after %d ms", static_cast<int>(id),
+          static_cast<int>(wait_ms));
+    }
+    cr_expect_eq(cell.refused_starts, 0);
+    ExpectNoViolations(cell);
+  }
+}
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -432,3 +432,27 @@
   cr_expect(plan.questions.front().workers ==
             std::vector<std::int64_t>({3, 4}));
 }
+
+// The workers that the service has allowed are full of tasks that do not end,
+// and others are idle. Guards against a step that never asks about those.
+Test(graph_planner, asks_about_more_workers_while_the_allowed_ones_stay_full) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[1], 64'000, 600'000);
+  AddRunningTask(planner.workers()[2], 64'000, 600'000);
+  auto& step = AddStep(planner, 1, 1, 30'000, 30'000);
+  step.advice.needed = true;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    step.advice.asked_workers.insert(n);
+    step.advice.allowed[n] = {"t", 60'000};
+  }
+  std::vector<std::int64_t> asked;
+  for (std::int64_t now_ms = 100; now_ms <= 20'000; now_ms += 100) {
+    for (const auto& it : planner.Decide(now_ms, 14).questions) {
+      asked = it.workers;
+    }
+  }
+  cr_expect(asked == std::vector<std::int64_t>({3, 4}));
+}
--- a/tests/wire/controller_channel_test.cc
+++ b/tests/wire/controller_channel_test.cc
@@ -142,4 +142,17 @@
   cr_expect_lt(std::chrono::steady_clock::now() - begin, kDeadline + kMargin);
 }
 
+// Guards against calls that avoid a reachable leader for a second, because one
+// call near its deadline had less time than the round trips of a handshake.
+Test(controller_channel, short_deadlines_do_not_make_it_unreachable) {
+  constexpr std::chrono::milliseconds kOneWay{60};
+  constexpr std::chrono::milliseconds kShort{50};
+  Fixture it;
+  it.proxy.Delay(it.to_server, kOneWay);
+  const auto deadline = std::chrono::steady_clock::now() + kShort;
+  cr_expect_not(it.channel.Run(kTimeout, deadline, CallCluster).has_value());
+  cr_expect_not(it.channel.unreachable());
+  cr_expect(it.channel.Run(kTimeout, CallCluster).has_value());
+}
+
 }  // namespace cranberryshunt::wire
