tests: Show capacity that is held for a gang without a bound

A late gang holds free capacity while it waits for a task that does not end. A job that is late, too, and fits into the free capacity is not started in 60 s.

--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -456,3 +456,22 @@
   }
   cr_expect(asked == std::vector<std::int64_t>({3, 4}));
 }
+
+// A late gang needs the capacity of a task that does not end. Guards against a
+// late job that waits for ever behind the capacity held for the gang.
+Test(graph_planner, holds_no_capacity_for_ever_for_a_gang_that_cannot_start) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 3; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[3], 60'000, 600);
+  auto& gang = AddStep(planner, 1, 3, 60'000, 3'000);
+  gang.gang = true;
+  auto& single = AddStep(planner, 2, 1, 10'000, 4'000);
+  single.accepted_ms = 10;
+  std::size_t starts = 0;
+  for (std::int64_t now_ms = 100; now_ms <= 60'000; now_ms += 50) {
+    starts += planner.Decide(now_ms).starts.size();
+  }
+  cr_expect_eq(starts, 1);
+}
