--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -540,7 +540,9 @@
     return reply;
   }
   worker.lease_until_ms = std::max(worker.lease_until_ms, until);
-  if (!order.ticket.empty() && order.ticket != TicketFor(worker.record.id)) {
+  if (!order.ticket.empty() &&
+      order.ticket != TicketFor(graph::FormatStep(order.task.step_key()),
+                                worker.record.id)) {
     reply.answer = WorkerAnswer::kTicketRefused;
     ++refused_starts;
     return reply;
@@ -670,11 +672,12 @@
   }
 }
 
-std::string CellHarness::TicketFor(const std::string& worker) const {
+std::string CellHarness::TicketFor(const std::string& step,
+                                   const std::string& worker) const {
   const auto it = std::find_if(
       workers.begin(), workers.end(),
       [&](const auto& other) { return other.record.id == worker; });
-  return fmt::format("{}/{}", worker, it->record.born_ms);
+  return fmt::format("{}/{}/{}", step, worker, it->record.born_ms);
 }
 
 void CellHarness::PollAdvice(std::int32_t caller, wire::AdvicePoll poll) {
@@ -697,7 +700,7 @@
         if (static_cast<double>(draw) < options_.allowed_share * 1'000) {
           auto& ticket = result.allowed.emplace_back();
           ticket.worker = worker;
-          ticket.ticket = TicketFor(worker);
+          ticket.ticket = TicketFor(it.step, worker);
         }
       }
       delay += it.expected_ms;
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -433,6 +433,49 @@
             std::vector<std::int64_t>({3, 4}));
 }
 
+// The workers that the service has allowed are full of tasks that do not end,
+// and others are idle. Guards against a step that never asks about those.
+Test(graph_planner, asks_about_more_workers_while_the_allowed_ones_stay_full) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[1], 64'000, 600'000);
+  AddRunningTask(planner.workers()[2], 64'000, 600'000);
+  auto& step = AddStep(planner, 1, 1, 30'000, 30'000);
+  step.advice.needed = true;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    step.advice.asked_workers.insert(n);
+    step.advice.allowed[n] = {"t", 60'000};
+  }
+  std::vector<std::int64_t> asked;
+  for (std::int64_t now_ms = 100; now_ms <= 20'000; now_ms += 100) {
+    for (const auto& it : planner.Decide(now_ms, 14).questions) {
+      asked = it.workers;
+    }
+  }
+  cr_expect(asked == std::vector<std::int64_t>({3, 4}));
+}
+
+// A late gang needs the capacity of a task that does not end. Guards against a
+// late job that waits for ever behind the capacity held for the gang.
+Test(graph_planner, holds_no_capacity_for_ever_for_a_gang_that_cannot_start) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 3; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[3], 60'000, 600);
+  auto& gang = AddStep(planner, 1, 3, 60'000, 3'000);
+  gang.gang = true;
+  auto& single = AddStep(planner, 2, 1, 10'000, 4'000);
+  single.accepted_ms = 10;
+  std::size_t starts = 0;
+  for (std::int64_t now_ms = 100; now_ms <= 60'000; now_ms += 50) {
+    starts += planner.Decide(now_ms).starts.size();
+  }
+  cr_expect_eq(starts, 1);
+}
+
 // An answer leaves out a worker that an earlier one allowed. Guards against a
 // worker that stays allowed and whose ticket is asked for again and again.
 Test(graph_planner, forgets_a_worker_that_an_answer_leaves_out) {
