cell: Give questions ids that are unique across leaders

Accepted jobs waited until the next leader although room and callers were free. AdviceDispatcher numbered questions from 1 in each term, and matched a result by this number alone. A caller that was still busy with a question of the earlier leader reported its answer to the new one, where the number belonged to another step. That step got tickets of another step, which all workers refused, counted these workers as asked, and dropped its own answer when it came.

The id of a question now contains the term, as the ids of orders do, and a result counts only from the caller that was asked.

--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -66,12 +66,13 @@
   const std::string caller = call.poll.caller;
   last_poll_ms_[caller] = now_ms;
   for (auto& it : call.poll.results) {
-    auto node = assigned_.extract(it.id);
-    if (node.empty()) {
+    const auto assigned = assigned_.find(it.id);
+    if (assigned == assigned_.end() || assigned->second.caller != caller) {
       continue;
     }
     AdviceOutcome answer;
-    answer.question = std::move(node.mapped().question);
+    answer.question = std::move(assigned->second.question);
+    assigned_.erase(assigned);
     answer.answered = it.answered;
     answer.allowed = std::move(it.allowed);
     answer.answered_at_ms = now_ms - it.age_ms;
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -37,10 +37,14 @@
 class AdviceDispatcher {
  public:
   // At least `assumed_callers` callers are assumed until the callers have had
-  // time to find this leader.
+  // time to find this leader. `term` makes the ids of questions unique across
+  // leaders.
   explicit AdviceDispatcher(std::int64_t now_ms,
-                            std::size_t assumed_callers = 8)
-      : created_ms_(now_ms), assumed_callers_(assumed_callers) {}
+                            std::size_t assumed_callers = 8,
+                            std::int64_t term = 0)
+      : next_id_((term << kQuestionCounterBits) + 1),
+        created_ms_(now_ms),
+        assumed_callers_(assumed_callers) {}
 
   void Ask(AdviceQuestion question);
   // Removes the queued questions about a step. Those that a caller has already
@@ -72,6 +76,9 @@
                               std::int64_t latest_start_ms) const;
 
  private:
+  // The term is stored in the id of a question above this many bits.
+  static constexpr int kQuestionCounterBits = 32;
+
   struct OpenPoll {
     AdviceCall call;
     std::int64_t until_ms = 0;
@@ -94,7 +101,7 @@
   std::map<std::string, std::int64_t> last_poll_ms_;
   std::vector<AdviceOutcome> answers_;
   std::vector<std::string> controllers_;
-  std::int64_t next_id_ = 1;
+  std::int64_t next_id_;
   std::int64_t expiry_checked_ms_ = 0;
   const std::int64_t created_ms_;
   const std::size_t assumed_callers_;
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -70,7 +70,8 @@
           now_ms_),
       advice_dispatcher_(now_ms_,
                          std::max(kMinAssumedCallers,
-                                  store.workers().size() / kWorkersPerCaller)),
+                                  store.workers().size() / kWorkersPerCaller),
+                         term),
       members_(options.cell_size, options.id, now_ms_),
       run_check_(store) {
   RebuildState();
