--- a/tests/cell/worker_churn_test.cc
+++ b/tests/cell/worker_churn_test.cc
@@ -138,9 +138,11 @@
     cell.Run(200);
   }
   for (const auto id : unfinished()) {
-    cr_expect_fail("seed %lu: job %lu is not finished",
+    const auto state = cell.StateOf(id);
+    cr_expect_fail("seed %lu: job %lu is not finished: %s",
                    static_cast<unsigned long>(options.seed),
-                   static_cast<unsigned long>(id));
+                   static_cast<unsigned long>(id),
+                   state ? wire::to_string(*state).c_str() : "unknown");
   }
   cell.Run(2'000);
   std::size_t services = 0;
