policy: End the probation of a worker after a limited time

A worker with three failures in a row gets one task at a time until a task succeeds. A task that runs until it is cancelled never succeeds, so such a worker got no further task, and an accepted job waited, until there was a new leader.

Probation now also ends 10 s after the last quarantine if no task failed since.

--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -37,7 +37,7 @@
     const auto worker = planner_.workers().find(number);
     if (worker == planner_.workers().end() ||
         worker->second.usable != IsUsable(tracked_worker) ||
-        worker->second.probing != health_.IsProbing(number)) {
+        worker->second.probing != health_.IsProbing(number, now_ms_)) {
       RefreshPlanWorker(number);
     }
   }
@@ -62,7 +62,7 @@
   worker.labels = tracked_worker->record.labels;
   worker.capacity = tracked_worker->Capacity();
   worker.usable = IsUsable(*tracked_worker);
-  worker.probing = health_.IsProbing(number);
+  worker.probing = health_.IsProbing(number, now_ms_);
   worker.ends.reserve(tracked_worker->runs.size());
   for (const auto& [key, run] : tracked_worker->runs) {
     worker.used += run.demand;
--- a/libraries/policy/include/cranberryshunt/policy/worker_health.h
+++ b/libraries/policy/include/cranberryshunt/policy/worker_health.h
@@ -8,9 +8,9 @@
 
 namespace cranberryshunt::policy {
 
-// Quarantines a worker after several failures in a row. After a quarantine, and
-// until the next success, each further failure starts another one, which is
-// longer up to a limit.
+// Quarantines a worker after several failures in a row. After a quarantine the
+// worker is on probation until the next success or for a limited time. Each
+// failure meanwhile starts another quarantine, which is longer up to a limit.
 class WorkerHealth {
  public:
   void RecordSuccess(std::int64_t worker);
@@ -19,9 +19,9 @@
   void Remove(std::int64_t worker) { records_.erase(worker); }
 
   bool IsQuarantined(std::int64_t worker, std::int64_t now_ms) const;
-  // Whether the worker was quarantined and has had no success since. Such a
-  // worker is given one task at a time.
-  bool IsProbing(std::int64_t worker) const;
+  // Whether the worker is in quarantine or on probation. Such a worker is given
+  // one task at a time.
+  bool IsProbing(std::int64_t worker, std::int64_t now_ms) const;
 
  private:
   struct Record {
--- a/libraries/policy/src/worker_health.cc
+++ b/libraries/policy/src/worker_health.cc
@@ -11,6 +11,9 @@
 constexpr std::int32_t kFailuresToQuarantine = 3;
 constexpr std::int64_t kFirstQuarantineMs = 1'500;
 constexpr std::int32_t kMaxDoublings = 2;
+// A task that runs until it is cancelled never ends as a success, so probation
+// also ends after this time without a failure.
+constexpr std::int64_t kProbationMs = 10'000;
 
 }  // namespace
 
@@ -20,6 +23,9 @@
 
 bool WorkerHealth::RecordFailure(std::int64_t worker, std::int64_t now_ms) {
   auto& it = records_[worker];
+  if (it.quarantines > 0 && now_ms >= it.quarantined_until_ms + kProbationMs) {
+    it = {};
+  }
   ++it.failures;
   const bool probing = it.quarantines > 0;
   if (!probing && it.failures < kFailuresToQuarantine) {
@@ -40,9 +46,10 @@
   return it != records_.end() && now_ms < it->second.quarantined_until_ms;
 }
 
-bool WorkerHealth::IsProbing(std::int64_t worker) const {
+bool WorkerHealth::IsProbing(std::int64_t worker, std::int64_t now_ms) const {
   const auto it = records_.find(worker);
-  return it != records_.end() && it->second.quarantines > 0;
+  return it != records_.end() && it->second.quarantines > 0 &&
+         now_ms < it->second.quarantined_until_ms + kProbationMs;
 }
 
 }  // namespace cranberryshunt::policy
