--- a/libraries/cell/src/run_check.cc
+++ b/libraries/cell/src/run_check.cc
@@ -49,7 +49,7 @@
       for (key.index = 0; key.index < count; ++key.index) {
         const auto& task = job.task(key);
         if (task.run != 0 && !has_owner(key, task.run, task.worker)) {
-          suspects_.try_emplace({key, task.run}, task.worker, now_ms);
+          suspects_.try_emplace({key, task.run}, Suspect{task.worker, now_ms});
         }
       }
     }
