--- a/tests/cell/run_check_test.cc
+++ b/tests/cell/run_check_test.cc
@@ -41,6 +41,7 @@
 // against giving up a run that has an owner again.
 Test(run_check, examines_all_jobs_in_turns) {
   constexpr std::int32_t kTasks = 10;
+  constexpr std::size_t kMaxTasks = std::size_t{2} * kTasks;
   graph::GraphStore store;
   wire::GraphBatch batch;
   for (std::int64_t id = 1; id <= 5; ++id) {
@@ -63,12 +64,12 @@
   };
   std::int64_t now_ms = 0;
   for (; now_ms < 10; ++now_ms) {
-    cr_expect(check.Advance(now_ms, 100, 2 * kTasks, has_owner).empty());
+    cr_expect(check.Advance(now_ms, 100, kMaxTasks, has_owner).empty());
   }
   job_4_has_owner = true;
   std::set<graph::JobId> found;
   for (; now_ms < 110; ++now_ms) {
-    for (const auto& it : check.Advance(now_ms, 100, 2 * kTasks, has_owner)) {
+    for (const auto& it : check.Advance(now_ms, 100, kMaxTasks, has_owner)) {
       cr_expect_eq(it.key.first.index, 3);
       cr_expect(found.insert(it.key.first.job).second);
     }
--- a/tests/cell/worker_churn_test.cc
+++ b/tests/cell/worker_churn_test.cc
@@ -25,7 +25,8 @@
   const auto draw = [&](int from, int to) {
     return std::uniform_int_distribution(from, to)(random);
   };
-  auto job = MakeJob(draw(1, 4), 1'000 * draw(1, 4), draw(20, 200));
+  auto job =
+      MakeJob(draw(1, 4), std::int64_t{1'000} * draw(1, 4), draw(20, 200));
   switch (draw(0, 3)) {
     case 0:
       job.steps[0].gang = true;
