tests/cell: Let members of a gang wait for each other

The stand-in started a member of a gang at once and ended each member by itself, so no test could show a member that waits for the others. Members now work from the moment when all of one run are there, end together, and end as alone after the gang timeout. On a worker that the leader reaches, that counts as a violation. A crash ends the other members of a gang that is at work, whatever caused it. Workers can lose starts and stops for a time.

leader::stops_all_members_of_a_gang_whose_earlier_run_was_done relied on members that end at different times. Now both workers of the earlier run are silent, and one of them lists its end first; all checks are as before.

--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -4,6 +4,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "cranberryshunt/wire/codec.h"
@@ -132,15 +133,11 @@
 }
 
 void CellHarness::CrashFor(std::size_t n, std::int64_t down_ms) {
-  auto& worker = workers[n];
-  for (const auto& [key, run] : std::exchange(worker.runs, {})) {
-    BreakGang(key.first, key.second);
-  }
-  Crash(worker);
+  Crash(workers[n]);
   Schedule(down_ms, [this, n] { Restart(workers[n]); });
 }
 
-// The other members of a gang end when one has ended.
+// The other members of a gang that works end when one has ended.
 void CellHarness::BreakGang(const graph::TaskKey& ended, std::int32_t run) {
   const auto* job = engine_.store().FindJob(ended.job);
   if (job == nullptr || !job->step(ended.step).gang) {
@@ -150,13 +147,60 @@
   for (auto& it : workers) {
     for (member.index = 0; member.index < job->step(ended.step).task_count;
          ++member.index) {
-      if (it.runs.contains({member, run})) {
+      const auto other = it.runs.find({member, run});
+      if (other != it.runs.end() && !other->second.waits_for_gang) {
         EndRun(it, {member, run}, wire::RunEnd::kBroken);
       }
     }
   }
 }
 
+void CellHarness::AdvanceGangs() {
+  for (auto it = waiting_gangs_.begin(); it != waiting_gangs_.end();) {
+    const auto& [step_key, run] = *it;
+    const auto* job = engine_.store().FindJob(step_key.job);
+    graph::TaskKey member{step_key.job, step_key.occurrence, step_key.step, 0};
+    std::vector<FakeRun*> present;
+    for (; job != nullptr && member.index < job->step(step_key.step).task_count;
+         ++member.index) {
+      for (auto& worker : workers) {
+        const auto found = worker.runs.find({member, run});
+        if (found != worker.runs.end()) {
+          present.push_back(&found->second);
+        }
+      }
+    }
+    const bool complete = static_cast<std::int32_t>(present.size()) ==
+                          member.index;
+    std::int64_t work_ms = 0;
+    for (const auto* other : present) {
+      longest_gang_wait_ms =
+          std::max(longest_gang_wait_ms, now_ms_ - other->started_ms);
+      work_ms = std::max(work_ms, other->work_ms);
+    }
+    for (auto* other : present) {
+      if (complete) {
+        other->waits_for_gang = false;
+        other->end_ms = std::min(other->end_ms, now_ms_ + work_ms);
+      }
+    }
+    it = complete || present.empty() ? waiting_gangs_.erase(it) : std::next(it);
+  }
+}
+
+// A worker that the leader reaches must be told to stop the member before.
+void CellHarness::EndAlone(
+    FakeWorker& worker,
+    const std::pair<graph::TaskKey, std::int32_t>& key) {
+  ++alone_ends;
+  if (!worker.silent && !worker.unreachable &&
+      now_ms_ >= worker.loses_stops_until_ms) {
+    violations.push_back("waited for its gang until the timeout: " +
+                         graph::FormatTask(key.first));
+  }
+  EndRun(worker, key, wire::RunEnd::kAlone);
+}
+
 void CellHarness::CrashAfterStart(const FakeWorker& worker,
                                   const graph::TaskKey& task) {
   const auto n = static_cast<std::size_t>(&worker - workers.data());
@@ -256,7 +300,7 @@
   worker.record.born_ms = now_ms_;
   worker.fence = 0;
   worker.lease_until_ms = 0;
-  worker.runs.clear();
+  EndAllRuns(worker);
   worker.barred.clear();
   worker.ended.clear();
   worker.next_end = 1;
@@ -271,6 +315,7 @@
       events_.erase(events_.begin());
       action();
     }
+    AdvanceGangs();
     for (auto& it : workers) {
       AdvanceWorker(it);
       if (options_.check) {
@@ -390,9 +435,17 @@
   }
 }
 
+void CellHarness::EndAllRuns(FakeWorker& worker) {
+  for (const auto& [key, run] : std::exchange(worker.runs, {})) {
+    if (!run.waits_for_gang) {
+      BreakGang(key.first, key.second);
+    }
+  }
+}
+
 void CellHarness::Crash(FakeWorker& worker) {
   worker.gone = true;
-  worker.runs.clear();
+  EndAllRuns(worker);
   // Tasks whose ends nobody has read may run again.
   for (const auto& it : worker.ended) {
     done_.erase(it.task);
@@ -460,6 +513,13 @@
     reply_after_timeout();
     return;
   }
+  const bool is_start = std::holds_alternative<StartOrder>(sent.order);
+  const bool is_stop = std::holds_alternative<StopOrder>(sent.order);
+  if ((is_start && now_ms_ < worker->loses_starts_until_ms) ||
+      (is_stop && now_ms_ < worker->loses_stops_until_ms)) {
+    reply_after_timeout();
+    return;
+  }
   const auto* hold = std::get_if<HoldOrder>(&sent.order);
   if (hold != nullptr && hold->wait.count() > 0) {
     (void)Serve(*worker, sent.order);
@@ -554,8 +614,21 @@
   }
   const auto length =
       run_time ? run_time(order.task, step.estimate_ms) : step.estimate_ms;
-  worker.runs[key] = {now_ms_ + (worker.fails_all ? 10 : length),
-                      step.milli_cpus, step.memory_mb};
+  FakeRun run;
+  run.milli_cpus = step.milli_cpus;
+  run.memory_mb = step.memory_mb;
+  run.started_ms = now_ms_;
+  run.work_ms = length;
+  run.waits_for_gang = step.gang;
+  run.end_ms = now_ms_ + length;
+  if (step.gang) {
+    run.end_ms = std::numeric_limits<std::int64_t>::max();
+    waiting_gangs_.insert({order.task.step_key(), order.run});
+  }
+  if (worker.fails_all) {
+    run.end_ms = now_ms_ + 10;
+  }
+  worker.runs[key] = run;
   ++starts;
   ++starts_by_task[order.task];
   if (options_.check) {
@@ -615,24 +688,39 @@
 
 void CellHarness::AdvanceWorker(FakeWorker& worker) {
   const bool lapsed = worker.lease_until_ms <= now_ms_;
+  std::vector<std::pair<graph::TaskKey, std::int32_t>> broken;
   for (auto it = worker.runs.begin(); it != worker.runs.end();) {
     const auto key = it->first;
-    const auto end_ms = it->second.end_ms;
+    const auto run = it->second;
+    const auto end_ms = run.end_ms;
     ++it;
     const auto barred = worker.barred.find(key.first);
     const bool stopped =
         barred != worker.barred.end() && barred->second >= key.second;
     if (lapsed) {
       EndRun(worker, key, wire::RunEnd::kLapsed);
+    } else if (run.waits_for_gang &&
+               now_ms_ - run.started_ms >= options_.gang_timeout_ms) {
+      EndAlone(worker, key);
+      continue;
     } else if (end_ms <= now_ms_) {
       const auto how = stopped            ? wire::RunEnd::kStopped
                        : worker.fails_all ? wire::RunEnd::kFailed
                                           : wire::RunEnd::kDone;
+      EndRun(worker, key, how);
       if (how == wire::RunEnd::kDone) {
         done_.insert(key.first);
+        continue;
       }
-      EndRun(worker, key, how);
+    } else {
+      continue;
     }
+    if (!run.waits_for_gang) {
+      broken.push_back(key);
+    }
+  }
+  for (const auto& [task, run] : broken) {
+    BreakGang(task, run);
   }
 }
 
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -21,6 +21,10 @@
   std::int64_t end_ms = 0;
   std::int64_t milli_cpus = 0;
   std::int64_t memory_mb = 0;
+  std::int64_t started_ms = 0;
+  // Time of work. A member of a gang begins to work when all members are there.
+  std::int64_t work_ms = 0;
+  bool waits_for_gang = false;
 };
 
 // A worker that honors leases and fences like a real one.
@@ -38,6 +42,10 @@
   bool unreachable = false;    // Gets no orders, but its reports arrive.
   bool fails_all = false;      // Tasks fail 10 ms after their start.
   bool loses_replies = false;  // Carries out orders, but replies only to holds.
+  // Starts and stops that arrive before these times are neither carried out nor
+  // answered.
+  std::int64_t loses_starts_until_ms = 0;
+  std::int64_t loses_stops_until_ms = 0;
   // The driver violates its contract: it neither carries out the worker's
   // orders nor reports replies to them.
   bool loses_orders = false;
@@ -60,6 +68,8 @@
   std::int64_t network_ms = 5;
   std::int32_t advice_callers = 6;
   double allowed_share = 1;
+  // How long a member of a gang waits for the others.
+  std::int64_t gang_timeout_ms = 3'000;
   std::uint64_t seed = 1;
   // Checks for violations. In large cells this takes more time than the engine
   // itself.
@@ -105,15 +115,15 @@
   // lost. Of the proposals that are not committed yet, a random number of the
   // first ones is committed before the new leader leads; the others are lost.
   void ChangeLeader();
-  // Crashes the worker, which ends the other members of its gangs, and restarts
-  // it `down_ms` later.
+  // Crashes the worker and restarts it `down_ms` later.
   void CrashFor(std::size_t worker, std::int64_t down_ms);
   // Changes the capacity of the worker, which reports it at once. Starts that
   // exceed it are violations from 4 s and one report interval later on.
   void SetCapacity(std::size_t worker,
                    std::int64_t milli_cpus,
                    std::int64_t memory_mb);
-  // Ends the worker's process, with its runs and unread ends.
+  // Ends the worker's process, with its runs and unread ends, and the other
+  // members of the gangs that worked on it.
   void Crash(FakeWorker& worker);
   // Crashes the worker, and the leader is told that it has left.
   void Depart(FakeWorker& worker);
@@ -129,6 +139,10 @@
   bool log_is_full = false;  // Proposals are not committed.
   std::int64_t starts = 0;
   std::int64_t refused_starts = 0;
+  // Members of gangs that ended because the others did not come.
+  std::int64_t alone_ends = 0;
+  // Longest time that a member of a gang has waited for the others.
+  std::int64_t longest_gang_wait_ms = 0;
   // Returns the run time of a task. If unset, tasks run for their declared
   // time.
   std::function<std::int64_t(const graph::TaskKey&, std::int64_t declared)>
@@ -160,6 +174,12 @@
   // Reports at intervals while the worker is there.
   void Report(const FakeWorker& worker);
   void BreakGang(const graph::TaskKey& ended, std::int32_t run);
+  // Lets the gangs of which all members are there begin to work.
+  void AdvanceGangs();
+  void EndAlone(FakeWorker& worker,
+                const std::pair<graph::TaskKey, std::int32_t>& key);
+  // Ends what runs on a worker whose process has ended.
+  void EndAllRuns(FakeWorker& worker);
   void CrashAfterStart(const FakeWorker& worker, const graph::TaskKey& task);
   void AdvanceEngine();
   void Propose(const Proposal& proposal);
@@ -198,6 +218,8 @@
   std::deque<UncommittedProposal> uncommitted_;
   std::int64_t last_commit_ms_ = 0;
   std::set<graph::TaskKey> done_;
+  // Gangs of which a member may be waiting, with their run numbers.
+  std::set<std::pair<graph::StepKey, std::int32_t>> waiting_gangs_;
   // Starts of each task after three workers had crashed under it.
   std::map<graph::TaskKey, std::int32_t> starts_after_crashes_;
   std::map<std::string, wire::JobQueue> queues_;
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -464,7 +464,8 @@
   CellHarness cell({.workers = 4});
   StartCell(cell, {MakeQueue("a", 1)});
   cell.run_time = [&](const graph::TaskKey& key, std::int64_t declared) {
-    return cell.starts < 2 && key.index == 0 ? declared : 60'000;
+    (void)key;
+    return cell.starts < 2 ? declared : 60'000;
   };
   auto job = MakeJob(2, 4'000, 300);
   job.steps[0].gang = true;
@@ -473,19 +474,20 @@
   while (cell.starts < 2) {
     cell.Run(1);
   }
-  FakeWorker* first = nullptr;
+  std::vector<FakeWorker*> first;
   for (auto& it : cell.workers) {
-    if (it.runs.contains({{1, 0, 0, 0}, 1})) {
-      first = &it;
+    if (!it.runs.empty()) {
+      first.push_back(&it);
+      it.silent = true;
     }
   }
-  cr_assert_not_null(first);
-  first->silent = true;
+  cr_assert_eq(first.size(), 2);
   for (int n = 0; n < 3'000 && cell.starts < 4; ++n) {
     cell.Run(10);
   }
   cr_assert_eq(cell.starts, 4);
-  first->silent = false;
+  // Only one of the two ends is read at first.
+  first[0]->silent = false;
   cell.Run(5'000);
   cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
   for (const auto& it : cell.workers) {
