cell: Send the starts of a gang together or not at all

Callers saw gangs that started late, and workers held room for members that waited in vain. Whether a worker is usable, has room and a valid ticket was checked for each member as its start was sent. If a later member was refused, the first ones had been started already; they were stopped only when the end of the refused one was committed.

The starts of a gang now share one continuation, and the leader looks for obstacles to all of them before it sends the first. A ticket that expired while the start was being committed is such an obstacle, too.

Before: gang_assembly::starts_no_member_if_one_has_no_room_any_more fails, 3 of 4 members were started. After: none was; cell_test has no new failure.

--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -111,12 +111,26 @@
   void RefreshPlanWorker(graph::WorkerNumber number);
   bool IsUsable(const TrackedWorker& tracked_worker) const;
   void LogStarts(const std::vector<policy::PlannedStart>& starts) const;
-  void ProposeStart(const policy::PlannedStart& start,
-                    std::map<policy::StepId, std::int32_t>& gang_runs);
-  void SendStart(const graph::TaskKey& task,
-                 std::int32_t run,
-                 graph::WorkerNumber worker,
-                 const std::string& ticket);
+  // A start that is being committed.
+  struct PendingStart {
+    graph::TaskKey task;
+    std::int32_t run = 0;
+    graph::WorkerNumber worker = 0;
+    policy::Ticket ticket;
+  };
+  // Returns the run number of the next start of the task. All members of a gang
+  // get the same one.
+  static std::int32_t NextRun(const graph::Job& job,
+                              const graph::TaskKey& task);
+  PendingStart ProposeStart(const policy::PlannedStart& start);
+  // Sends the starts when the next batch is committed.
+  void SendOnceCommitted(std::vector<PendingStart> starts);
+  // Sends all of these starts, or none if one of them would be in vain.
+  void SendStarts(const std::vector<PendingStart>& starts);
+  // Returns why the start must not be sent; empty if it may be.
+  std::string FindObstacle(const PendingStart& start) const;
+  void RejectStart(const PendingStart& start, const std::string& reason);
+  void SendStart(const PendingStart& start);
   // Logs and counts a committed start that is not sent.
   void RecordUnsentStart(const graph::TaskKey& task,
                          std::int32_t run,
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -89,9 +89,17 @@
       static_cast<std::int64_t>(advice_dispatcher_.open_polls()) -
       static_cast<std::int64_t>(advice_dispatcher_.queued());
   const auto plan = planner_.Decide(now_ms_, spare_callers);
-  std::map<policy::StepId, std::int32_t> gang_runs;
+  std::map<policy::StepId, std::vector<PendingStart>> gangs;
   for (const auto& it : plan.starts) {
-    ProposeStart(it, gang_runs);
+    auto start = ProposeStart(it);
+    if (planner_.steps().at(it.step).gang) {
+      gangs[it.step].push_back(std::move(start));
+    } else {
+      SendOnceCommitted({std::move(start)});
+    }
+  }
+  for (auto& [step, starts] : gangs) {
+    SendOnceCommitted(std::move(starts));
   }
   LogStarts(plan.starts);
   for (const auto& it : plan.questions) {
@@ -119,29 +127,30 @@
   }
 }
 
-void Leader::ProposeStart(const policy::PlannedStart& start,
-                          std::map<policy::StepId, std::int32_t>& gang_runs) {
+std::int32_t Leader::NextRun(const graph::Job& job,
+                             const graph::TaskKey& task) {
+  const auto& step = job.step(task.step);
+  if (!step.gang) {
+    return job.task(task).last_run + 1;
+  }
+  std::int32_t last_run = 0;
+  graph::TaskKey member = task;
+  for (member.index = 0; member.index < step.task_count; ++member.index) {
+    last_run = std::max(last_run, job.task(member).last_run);
+  }
+  return last_run + 1;
+}
+
+Leader::PendingStart Leader::ProposeStart(const policy::PlannedStart& start) {
   const auto& step_key = step_tracker_.KeyOf(start.step);
   const auto& step = planner_.steps().at(start.step);
   const graph::TaskKey task{step_key.job, step_key.occurrence, step_key.step,
                             start.index};
   const auto& job = *store_.FindJob(task.job);
-  std::int32_t run = job.task(task).last_run + 1;
-  if (step.gang) {
-    // All members of a gang get the same run number.
-    auto [it, added] = gang_runs.try_emplace(start.step, run);
-    if (added) {
-      graph::TaskKey member = task;
-      const auto count = job.step(task.step).task_count;
-      for (member.index = 0; member.index < count; ++member.index) {
-        it->second = std::max(it->second, job.task(member).last_run + 1);
-      }
-    }
-    run = it->second;
-  }
-  std::string ticket;
+  const auto run = NextRun(job, task);
+  policy::Ticket ticket;
   if (step.advice.needed) {
-    ticket = step.advice.allowed.find(start.worker)->second.text;
+    ticket = step.advice.allowed.find(start.worker)->second;
   }
   ++metrics_.Counter("starts_total");
   planner_.FindStep(start.step)->waiting_since_ms = now_ms_;
@@ -155,54 +164,93 @@
   batch_.starts.push_back(record);
   batch_has_content_ = true;
   proposed_runs_[task] = run;
+  return {task, run, start.worker, std::move(ticket)};
+}
+
+void Leader::SendOnceCommitted(std::vector<PendingStart> starts) {
   continuations_.emplace_back(
-      [this, task, run, worker = start.worker, ticket](bool committed) {
-        proposed_runs_.erase(task);
-        step_tracker_.EndReservation(task);
+      [this, starts = std::move(starts)](bool committed) {
+        for (const auto& it : starts) {
+          proposed_runs_.erase(it.task);
+          step_tracker_.EndReservation(it.task);
+        }
         if (committed) {
-          SendStart(task, run, worker, ticket);
+          SendStarts(starts);
         } else {
-          workers_.CancelReservation(task, run);
+          for (const auto& it : starts) {
+            workers_.CancelReservation(it.task, it.run);
+          }
         }
-        step_tracker_.RefreshStep(task.step_key(), now_ms_, wall_ms_);
+        step_tracker_.RefreshStep(starts.front().task.step_key(), now_ms_,
+                                  wall_ms_);
       });
 }
 
-void Leader::SendStart(const graph::TaskKey& task,
-                       std::int32_t run,
-                       graph::WorkerNumber worker,
-                       const std::string& ticket) {
-  const auto* job = store_.FindJob(task.job);
-  const auto* state = job == nullptr ? nullptr : job->FindTask(task);
-  if (state == nullptr || state->run != run) {
+void Leader::SendStarts(const std::vector<PendingStart>& starts) {
+  std::vector<std::string> obstacles;
+  for (const auto& it : starts) {
+    obstacles.push_back(FindObstacle(it));
+  }
+  const bool complete =
+      std::all_of(obstacles.begin(), obstacles.end(),
+                  [](const auto& it) { return it.empty(); });
+  for (std::size_t n = 0; n < starts.size(); ++n) {
+    if (complete) {
+      SendStart(starts[n]);
+    } else if (obstacles[n].empty()) {
+      RejectStart(starts[n], "another member of the gang cannot start");
+    } else {
+      RejectStart(starts[n], obstacles[n]);
+    }
+  }
+}
+
+std::string Leader::FindObstacle(const PendingStart& start) const {
+  const auto* job = store_.FindJob(start.task.job);
+  const auto* state = job == nullptr ? nullptr : job->FindTask(start.task);
+  if (state == nullptr || state->run != start.run) {
     // The start had no effect, or the run has a result already.
-    RecordUnsentStart(task, run, worker, "run is not current");
-    workers_.CancelReservation(task, run);
-    return;
+    return "run is not current";
   }
-  WorkerTrackerOutput out;
   if (!job->active()) {
-    const std::string reason = "job ended before the start was sent";
-    RecordUnsentStart(task, run, worker, reason);
-    workers_.RejectStart(worker, task, run, reason, now_ms_, out);
-    ApplyOutput(std::move(out));
+    return "job ended before the start was sent";
+  }
+  if (!start.ticket.text.empty() && start.ticket.valid_until_ms < now_ms_) {
+    return "ticket is not valid any more";
+  }
+  return workers_.FindObstacle(start.worker, start.task, start.run, now_ms_);
+}
+
+void Leader::RejectStart(const PendingStart& start, const std::string& reason) {
+  RecordUnsentStart(start.task, start.run, start.worker, reason);
+  const auto* job = store_.FindJob(start.task.job);
+  const auto* state = job == nullptr ? nullptr : job->FindTask(start.task);
+  if (state == nullptr || state->run != start.run) {
+    workers_.CancelReservation(start.task, start.run);
     return;
   }
+  WorkerTrackerOutput out;
+  workers_.RejectStart(start.worker, start.task, start.run, reason, now_ms_,
+                       out);
+  ApplyOutput(std::move(out));
+}
+
+void Leader::SendStart(const PendingStart& start) {
+  const auto& job = *store_.FindJob(start.task.job);
   StartOrder order;
-  order.task = task;
-  order.run = run;
-  order.payload = job->spec().payload;
-  order.ticket = ticket;
-  graph::TaskKey checkpoint_task = task;
-  if (job->step(task.step).gang) {
+  order.task = start.task;
+  order.run = start.run;
+  order.payload = job.spec().payload;
+  order.ticket = start.ticket.text;
+  graph::TaskKey checkpoint_task = start.task;
+  if (job.step(start.task.step).gang) {
     // All members of a gang resume from the checkpoint of its first task.
     checkpoint_task.index = 0;
   }
-  order.checkpoint = job->task(checkpoint_task).checkpoint;
-  workers_.SendStart(worker, task, run, std::move(order), now_ms_, out);
-  for (const auto& it : out.finished) {
-    RecordUnsentStart(task, run, worker, it.reason);
-  }
+  order.checkpoint = job.task(checkpoint_task).checkpoint;
+  WorkerTrackerOutput out;
+  workers_.SendStart(start.worker, start.task, start.run, std::move(order),
+                     now_ms_, out);
   ApplyOutput(std::move(out));
 }
 
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -436,32 +436,39 @@
   return out.orders.back().id;
 }
 
+std::string WorkerTracker::FindObstacle(WorkerNumber number,
+                                        const TaskKey& task,
+                                        std::int32_t run,
+                                        std::int64_t now_ms) const {
+  const auto found = FindRun(number, task, run);
+  if (!found) {
+    return "worker left before the start was sent";
+  }
+  const auto& worker = workers_.at(*found);
+  const auto& it = worker.runs.at({task, run});
+  if (it.stop_requested) {
+    return "stopped before the start was sent";
+  }
+  if (*found != number || !IsUsable(worker, now_ms)) {
+    return "worker is not usable any more";
+  }
+  // The capacity may have shrunk while the start was being committed.
+  return HasRoomFor(worker, it) ? "" : "worker has no room any more";
+}
+
 void WorkerTracker::SendStart(WorkerNumber number,
                               const TaskKey& task,
                               std::int32_t run,
                               StartOrder order,
                               std::int64_t now_ms,
                               WorkerTrackerOutput& out) {
-  const auto found = FindRun(number, task, run);
-  if (!found) {
-    RejectStart(number, task, run, "worker left before the start was sent",
-                now_ms, out);
+  auto obstacle = FindObstacle(number, task, run, now_ms);
+  if (!obstacle.empty()) {
+    RejectStart(number, task, run, std::move(obstacle), now_ms, out);
     return;
   }
-  auto& worker = workers_.at(*found);
+  auto& worker = workers_.at(number);
   auto& it = worker.runs.at({task, run});
-  if (it.stop_requested || *found != number || !IsUsable(worker, now_ms)) {
-    RejectStart(number, task, run,
-                it.stop_requested ? "stopped before the start was sent"
-                                  : "worker is not usable any more",
-                now_ms, out);
-    return;
-  }
-  // The capacity may have shrunk while the start was being committed.
-  if (!HasRoomFor(worker, it)) {
-    RejectStart(number, task, run, "worker has no room any more", now_ms, out);
-    return;
-  }
   it.phase = RunPhase::kSending;
   it.started_ms = now_ms;
   it.start_time_known = true;
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -95,9 +95,15 @@
                const policy::Demand& demand,
                std::int64_t expected_run_ms,
                bool long_running = false);
-  // Sends a start that has been committed. Reports the run as not started if a
-  // stop was requested meanwhile, or the worker has left, was replaced or is no
-  // longer usable.
+  // Returns why a committed start must not be sent: a stop was requested
+  // meanwhile, or the worker has left, was replaced, is no longer usable or has
+  // no room for it. Empty if it may be sent.
+  std::string FindObstacle(WorkerNumber number,
+                           const TaskKey& task,
+                           std::int32_t run,
+                           std::int64_t now_ms) const;
+  // Sends a start that has been committed. Reports the run as not started if
+  // there is an obstacle.
   void SendStart(WorkerNumber number,
                  const TaskKey& task,
                  std::int32_t run,
--- /dev/null
+++ b/tests/cell/gang_assembly_test.cc
@@ -0,0 +1,86 @@
+// Tests that no member of a gang waits for the others until the worker gives
+// up, whatever delays one of them, in virtual time.
+#include <criterion/criterion.h>
+
+#include "cell_harness.h"
+
+using namespace cranberryshunt;        // NOLINT
+using namespace cranberryshunt::cell;  // NOLINT
+
+namespace {
+
+constexpr std::int64_t kGangTimeoutMs = 3'000;
+// A stop takes effect within this time.
+constexpr std::int64_t kStopMs = 400;
+constexpr graph::JobId kGang = 1;
+
+void ExpectNoViolations(const CellHarness& cell) {
+  for (const auto& it : cell.violations) {
+    cr_expect_fail("%s", it.c_str());
+  }
+}
+
+void ExpectStoppedInTime(const CellHarness& cell) {
+  cr_expect_eq(cell.alone_ends, 0, "%ld members waited until the timeout",
+               static_cast<long>(cell.alone_ends));
+  cr_expect_leq(cell.longest_gang_wait_ms, kGangTimeoutMs - kStopMs,
+                "a member waited for %ld ms",
+                static_cast<long>(cell.longest_gang_wait_ms));
+  ExpectNoViolations(cell);
+}
+
+HarnessOptions OptionsFor(std::int32_t workers) {
+  return {.workers = workers,
+          .commit_ms = 15,
+          .gang_timeout_ms = kGangTimeoutMs,
+          .check = workers < 100};
+}
+
+void StartCell(CellHarness& cell) {
+  cell.Run(200);
+  auto queue = MakeQueue("a", 1);
+  queue.latency_target_ms = 60'000;
+  cell.Publish({queue});
+  cell.Run(200);
+}
+
+// One task on each worker.
+void SubmitGang(CellHarness& cell) {
+  auto gang = MakeJob(static_cast<std::int32_t>(cell.workers.size()),
+                      cell.workers[0].record.milli_cpus, 500);
+  gang.steps[0].gang = true;
+  cell.Submit(kGang, "a", gang);
+}
+
+void RunUntilCompleted(CellHarness& cell, std::int64_t limit_ms) {
+  const auto end_ms = cell.now_ms() + limit_ms;
+  while (cell.StateOf(kGang) != wire::GraphJobState::kCompleted &&
+         cell.now_ms() < end_ms) {
+    cell.Run(10);
+  }
+  cr_expect(cell.StateOf(kGang) == wire::GraphJobState::kCompleted,
+            "the gang is not completed");
+}
+
+}  // namespace
+
+// Guards against a gang of which some members are started although it is known
+// that another one cannot be.
+Test(gang_assembly, starts_no_member_if_one_has_no_room_any_more) {
+  auto options = OptionsFor(4);
+  options.commit_ms = 200;
+  CellHarness cell(options);
+  StartCell(cell);
+  cell.Run(500);
+  SubmitGang(cell);
+  cell.Run(300);
+  cr_assert_eq(cell.starts, 0);
+  const auto full = cell.workers[3].record;
+  cell.SetCapacity(3, full.milli_cpus / 2, full.memory_mb);
+  cell.Run(1'000);
+  cr_expect_eq(cell.starts, 0, "%ld members were started",
+               static_cast<long>(cell.starts));
+  cell.SetCapacity(3, full.milli_cpus, full.memory_mb);
+  RunUntilCompleted(cell, 10'000);
+  ExpectStoppedInTime(cell);
+}
