cell: Stop a gang that does not assemble in time

Nothing owned the assembly of a gang: each member was followed by itself, and the others were stopped only when the run of one had ended and that end was committed. One lost start took a second without an answer, a stop, the hold that was waiting, a list and a commit until then, and up to the end of a lease if the stop was lost as well. Nothing read the setting for the time that a worker lets a member wait.

The leader now follows each gang from the first start that it sends until all members have confirmed theirs (GangAssembly). It stops the whole gang as soon as one member ends, gets no clear answer to its start, or is not confirmed in time: the gang timeout less the time of a stop and of an answer. It does not wait for the member in doubt, whose run number stays barred, nor for a commit; a stop needs none. A log line names the missing members with their phase, and gangs_stopped_total counts by reason.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -27,6 +27,10 @@
   // The longest lease that workers accept.
   std::chrono::milliseconds max_worker_lease{10'000};
   std::chrono::milliseconds worker_lease{5'000};
+  // How long a worker lets a member of a gang wait for the others.
+  std::chrono::milliseconds gang_timeout{3'000};
+  // Longest time in which a worker carries out a stop.
+  std::chrono::milliseconds max_stop_time{400};
   // How long jobs are kept after their end.
   std::chrono::milliseconds job_retention{120'000};
   // Number of voters in a complete cell.
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -43,10 +43,20 @@
 // this long.
 constexpr std::int64_t kRemoveWorkerMs = 20'000;
 constexpr std::size_t kMaxExpiredPerBatch = 500;
+// Time for a worker's answer that is left when an incomplete gang is stopped.
+constexpr std::int64_t kAnswerMs = 1'000;
 // From this number of workers on, the leader is short of processor time. Other
 // controllers then call the workers, and events are handled in larger groups.
 constexpr std::size_t kLargeCellWorkers = 150;
 
+// Time within which all members of a gang must have confirmed their starts, so
+// that they can be stopped before the first one has waited too long.
+std::int64_t GangAssemblyMs(const EngineOptions& options) {
+  const auto timeout_ms = options.gang_timeout.count();
+  return std::max(timeout_ms - options.max_stop_time.count() - kAnswerMs,
+                  timeout_ms / 2);
+}
+
 }  // namespace
 
 Leader::Leader(const EngineOptions& options,
@@ -68,6 +78,7 @@
            .lease_ms = std::min(options.worker_lease, options.max_worker_lease)
                            .count()},
           now_ms_),
+      gang_assembly_(GangAssemblyMs(options)),
       advice_dispatcher_(now_ms_,
                          std::max(kMinAssumedCallers,
                                   store.workers().size() / kWorkersPerCaller),
@@ -233,16 +244,9 @@
       workers_.StopJob(key.job);
       continue;
     }
-    const auto& step = job->step(key.step);
-    if (!step.gang || it.how == wire::RunEnd::kDone ||
-        job->StepDone(key.step_key())) {
-      continue;
-    }
-    graph::TaskKey member = key;
-    for (member.index = 0; member.index < step.task_count; ++member.index) {
-      if (job->task(member).last_run <= it.run) {
-        workers_.StopTask(member, 0);
-      }
+    if (job->step(key.step).gang && it.how != wire::RunEnd::kDone &&
+        !job->StepDone(key.step_key())) {
+      StopMembers(key.step_key(), it.run);
     }
   }
 }
@@ -314,9 +318,11 @@
     batch_.results.push_back(std::move(result));
     batch_has_content_ = true;
   }
-  for (const auto it : out.started_jobs) {
-    if (const auto* job = store_.FindJob(it); job != nullptr && job->active()) {
-      pending_.OnJobStarted(it);
+  for (const auto& [task, run] : out.started_runs) {
+    gang_assembly_.OnMemberStarted(task, run);
+    const auto* job = store_.FindJob(task.job);
+    if (job != nullptr && job->active()) {
+      pending_.OnJobStarted(task.job);
     }
   }
   for (const auto& it : out.ends_to_acknowledge) {
@@ -426,6 +432,11 @@
       job != nullptr &&
       job->AcceptsResult(finished.task, finished.run, finished.how);
   LogRun(finished, current);
+  const auto incomplete = gang_assembly_.Abandon(finished.task, finished.run);
+  if (incomplete && current && job->active() &&
+      finished.how != wire::RunEnd::kDone) {
+    StopGang(*incomplete, "a member has ended");
+  }
   if (const auto later_runs = FindLaterRuns(finished); !later_runs.empty()) {
     StopLaterRuns(finished, *later_runs.rbegin());
     ReserveUntilCommitted(finished);
@@ -469,6 +480,7 @@
   WorkerTrackerOutput tracker_out;
   workers_.Advance(now_ms_, tracker_out);
   ApplyOutput(std::move(tracker_out));
+  StopIncompleteGangs();
   ApplyAdvice();
   for (const auto it : step_tracker_.TakeDueJobs(wall_ms_)) {
     step_tracker_.Refresh(it, now_ms_, wall_ms_);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -16,6 +16,7 @@
 #include "cranberryshunt/cell/engine.h"
 #include "cranberryshunt/policy/graph_admission.h"
 #include "cranberryshunt/policy/worker_health.h"
+#include "gang_assembly.h"
 #include "membership_manager.h"
 #include "pending_counter.h"
 #include "run_check.h"
@@ -91,6 +92,13 @@
                 std::int32_t run,
                 graph::WorkerNumber worker) const;
 
+  // leader_gangs.cc
+  // Stops the gangs that cannot assemble any more.
+  void StopIncompleteGangs();
+  void StopGang(const IncompleteGang& incomplete, const std::string& reason);
+  void StopMembers(const graph::StepKey& key, std::int32_t last_run);
+  std::string DescribeMissing(const IncompleteGang& incomplete) const;
+
   // leader_crashes.cc
   // Logs the workers that crashed according to the last applied batch, and adds
   // the jobs of their runs to `jobs`.
@@ -157,6 +165,7 @@
   policy::GraphPlanner planner_;
   StepTracker step_tracker_;
   WorkerTracker workers_;
+  GangAssembly gang_assembly_;
   AdviceDispatcher advice_dispatcher_;
   MembershipManager members_;
   PendingCounter pending_;
--- /dev/null
+++ b/libraries/cell/src/leader_gangs.cc
@@ -0,0 +1,64 @@
+// Stops the gangs of which not all members start. Their workers would let the
+// others wait, and end them when they have waited too long.
+#include "cranberryshunt/base/log.h"
+#include "leader.h"
+
+namespace cranberryshunt::cell {
+
+void Leader::StopIncompleteGangs() {
+  for (const auto& [task, run] : workers_.TakeUncertainStarts()) {
+    if (const auto incomplete = gang_assembly_.Abandon(task, run)) {
+      StopGang(*incomplete, "a start got no clear answer");
+    }
+  }
+  for (const auto& it : gang_assembly_.TakeOverdue(now_ms_)) {
+    StopGang(it, "not all starts were confirmed in time");
+  }
+}
+
+void Leader::StopGang(const IncompleteGang& incomplete,
+                      const std::string& reason) {
+  Log(LogLevel::kWarning, "runs", "incomplete gang is stopped",
+      {{"step", graph::FormatStep(incomplete.gang.step)},
+       {"run", incomplete.gang.run},
+       {"reason", reason},
+       {"age_ms", now_ms_ - incomplete.began_ms},
+       {"missing", DescribeMissing(incomplete)}});
+  ++metrics_.Counter("gangs_stopped_total{reason=\"" + reason + "\"}");
+  StopMembers(incomplete.gang.step, incomplete.gang.run);
+}
+
+void Leader::StopMembers(const graph::StepKey& key, std::int32_t last_run) {
+  const auto* job = store_.FindJob(key.job);
+  if (job == nullptr) {
+    return;
+  }
+  graph::TaskKey member{key.job, key.occurrence, key.step, 0};
+  for (; member.index < job->step(key.step).task_count; ++member.index) {
+    if (job->task(member).last_run <= last_run) {
+      workers_.StopTask(member, 0);
+    }
+  }
+}
+
+std::string Leader::DescribeMissing(const IncompleteGang& incomplete) const {
+  constexpr std::size_t kMaxListed = 5;
+  const auto& [step, run] = incomplete.gang;
+  std::string out = std::to_string(incomplete.missing.size());
+  std::size_t listed = 0;
+  for (const auto index : incomplete.missing) {
+    if (++listed > kMaxListed) {
+      break;
+    }
+    const graph::TaskKey member{step.job, step.occurrence, step.step, index};
+    const auto* worker = workers_.FindWorkerOf(member, run);
+    out += "," + std::to_string(index) + "@";
+    out += worker == nullptr
+               ? "none"
+               : worker->record.id + ":" +
+                     RunPhaseName(worker->runs.at({member, run}).phase);
+  }
+  return out;
+}
+
+}  // namespace cranberryshunt::cell
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -194,6 +194,11 @@
   const bool complete =
       std::all_of(obstacles.begin(), obstacles.end(),
                   [](const auto& it) { return it.empty(); });
+  const auto& first = starts.front();
+  if (complete && store_.FindJob(first.task.job)->step(first.task.step).gang) {
+    gang_assembly_.Begin({first.task.step_key(), first.run},
+                         static_cast<std::int32_t>(starts.size()), now_ms_);
+  }
   for (std::size_t n = 0; n < starts.size(); ++n) {
     if (complete) {
       SendStart(starts[n]);
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -29,6 +29,9 @@
   kLeaseExpired,
 };
 
+// For log messages.
+const char* RunPhaseName(RunPhase phase);
+
 struct Run {
   RunPhase phase = RunPhase::kProposed;
   // When the phase was confirmed. The run has ended if the reply to a hold that
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -209,7 +209,7 @@
         run.phase == RunPhase::kLeaseExpired) {
       run.phase = RunPhase::kRunning;
       run.phase_confirmed_ms = now_ms;
-      out.started_jobs.push_back(row.task.job);
+      out.started_runs.push_back(key);
     }
     if (run.phase == RunPhase::kStopConfirmed &&
         run.phase_confirmed_ms + kMaxStopMs < sent_ms) {
@@ -294,7 +294,7 @@
       }
       it->second.phase = RunPhase::kRunning;
       it->second.phase_confirmed_ms = now_ms;
-      out.started_jobs.push_back(order.task.job);
+      out.started_runs.push_back(it->first);
       return;
     case WorkerAnswer::kNoAnswer:
       if (stopped) {
@@ -305,8 +305,7 @@
            {"run", order.run},
            {"worker", worker.record.id},
            {"detail", reply.detail}});
-      it->second.phase = RunPhase::kUncertain;
-      stop_candidates_.insert({worker.number, it->first});
+      MarkUncertain(worker, it->first, it->second);
       return;
     case WorkerAnswer::kOverloaded:
     case WorkerAnswer::kNotSent:
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -51,6 +51,26 @@
 
 }  // namespace
 
+const char* RunPhaseName(RunPhase phase) {
+  switch (phase) {
+    case RunPhase::kProposed:
+      return "proposed";
+    case RunPhase::kSending:
+      return "sending";
+    case RunPhase::kRunning:
+      return "running";
+    case RunPhase::kUncertain:
+      return "uncertain";
+    case RunPhase::kStopConfirmed:
+      return "stop confirmed";
+    case RunPhase::kInherited:
+      return "inherited";
+    case RunPhase::kLeaseExpired:
+      return "lease expired";
+  }
+  return "unknown";
+}
+
 WorkerTracker::WorkerTracker(WorkerTrackerOptions options, std::int64_t now_ms)
     : options_(options),
       started_ms_(now_ms),
@@ -205,11 +225,18 @@
   }
 }
 
+void WorkerTracker::MarkUncertain(TrackedWorker& worker,
+                                  const RunKey& key,
+                                  Run& run) {
+  run.phase = RunPhase::kUncertain;
+  stop_candidates_.insert({worker.number, key});
+  uncertain_starts_.push_back(key);
+}
+
 void WorkerTracker::MarkStartsUncertain(TrackedWorker& worker) {
   for (auto& [key, run] : worker.runs) {
     if (run.phase == RunPhase::kSending) {
-      run.phase = RunPhase::kUncertain;
-      stop_candidates_.insert({worker.number, key});
+      MarkUncertain(worker, key, run);
     }
   }
 }
@@ -255,6 +282,9 @@
     for (auto& [key, run] : runs) {
       runs_by_job_[key.first.job].erase({previous->number, key});
       stop_candidates_.erase({previous->number, key});
+      if (run.phase == RunPhase::kSending) {
+        uncertain_starts_.push_back(key);
+      }
       const bool start_may_arrive =
           run.phase == RunPhase::kSending || run.phase == RunPhase::kUncertain;
       if (run.phase != RunPhase::kProposed) {
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -48,8 +48,8 @@
   // rows that were added to `finished`. Call AcknowledgeEnds() with it once
   // these ends are committed.
   std::vector<std::pair<WorkerNumber, std::int64_t>> ends_to_acknowledge;
-  // Jobs of the runs that a worker confirmed to this leader for the first time.
-  std::vector<graph::JobId> started_jobs;
+  // Runs that a worker confirmed to this leader for the first time.
+  std::vector<RunKey> started_runs;
   std::vector<SentOrder> orders;
 };
 
@@ -160,6 +160,11 @@
   std::set<WorkerNumber> TakeChangedWorkers() {
     return std::exchange(changed_workers_, {});
   }
+  // Returns the runs whose starts got no clear answer since the last call. Each
+  // is being stopped.
+  std::vector<RunKey> TakeUncertainStarts() {
+    return std::exchange(uncertain_starts_, {});
+  }
   // Returns the numbers that were removed or replaced since the last call.
   std::vector<WorkerNumber> TakeEndedWorkers() {
     return std::exchange(ended_workers_, {});
@@ -185,6 +190,8 @@
   void RequestStop(TrackedWorker& worker, const RunKey& key, Run& run);
   std::map<RunKey, Run>::iterator EraseRun(TrackedWorker& worker,
                                            std::map<RunKey, Run>::iterator it);
+  // Bars a start that may or may not be carried out.
+  void MarkUncertain(TrackedWorker& worker, const RunKey& key, Run& run);
   // Bars the starts in flight, whose replies will be ignored.
   void MarkStartsUncertain(TrackedWorker& worker);
   // Marks the runs of a worker whose leases have all expired. Their tasks must
@@ -276,6 +283,7 @@
   std::set<std::pair<WorkerNumber, RunKey>> stop_candidates_;
   std::set<WorkerNumber> changed_workers_;
   std::vector<WorkerNumber> ended_workers_;
+  std::vector<RunKey> uncertain_starts_;
   // Time and response time of the latest answers to starts, in milliseconds.
   std::deque<std::pair<std::int64_t, std::int64_t>> start_answers_;
   OrderId next_order_;
--- a/tests/cell/gang_assembly_test.cc
+++ b/tests/cell/gang_assembly_test.cc
@@ -62,8 +62,52 @@
             "the gang is not completed");
 }
 
+void RunWithLostOrders(std::int32_t workers,
+                       std::int64_t starts_ms,
+                       std::int64_t stops_ms) {
+  CellHarness cell(OptionsFor(workers));
+  StartCell(cell);
+  SubmitGang(cell);
+  cell.workers[1].loses_starts_until_ms = cell.now_ms() + starts_ms;
+  cell.workers[1].loses_stops_until_ms = cell.now_ms() + stops_ms;
+  RunUntilCompleted(cell, 30'000);
+  ExpectStoppedInTime(cell);
+}
+
 }  // namespace
 
+// Guards against members that wait for one whose start was lost.
+Test(gang_assembly, stops_the_members_that_wait_for_a_lost_start) {
+  constexpr std::int64_t kFirstStartMs = 500;
+  RunWithLostOrders(4, kFirstStartMs, 0);
+}
+
+// Guards against the same in a large cell, whose holds wait for longer.
+Test(gang_assembly, stops_the_members_that_wait_for_a_lost_start_in_a_large_cell,
+     .timeout = 100) {
+  constexpr std::int64_t kFirstStartMs = 500;
+  RunWithLostOrders(160, kFirstStartMs, 0);
+}
+
+// Guards against members that wait until the missing one can be stopped.
+Test(gang_assembly, stops_the_members_that_wait_for_an_unreachable_one) {
+  for (const std::int64_t lost_ms : {1'500, 3'000, 8'000}) {
+    RunWithLostOrders(4, lost_ms, lost_ms);
+  }
+}
+
+// Guards against members that wait for one whose start got no outcome at all.
+Test(gang_assembly, stops_the_members_that_wait_for_an_unreported_start) {
+  CellHarness cell(OptionsFor(4));
+  StartCell(cell);
+  cell.workers[1].loses_orders = true;
+  SubmitGang(cell);
+  cell.Run(2'000);
+  cell.workers[1].loses_orders = false;
+  RunUntilCompleted(cell, 30'000);
+  ExpectStoppedInTime(cell);
+}
+
 // Guards against a gang of which some members are started although it is known
 // that another one cannot be.
 Test(gang_assembly, starts_no_member_if_one_has_no_room_any_more) {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -26,6 +26,8 @@
 [listen]
 control = "10.1.0.16:8166"
 [bounds]
+gangTimeoutMs = 4000
+stopMs = 350
 maxHoldMs = 6000
 graceS = 6
 )";
@@ -66,6 +68,8 @@
   cr_expect(settings->OwnPeerAddress() == "10.1.0.16:7720");
   cr_expect(settings->PeerAddresses()[1] == "10.2.0.33:7720");
   cr_expect_eq(settings->max_worker_lease.count(), 6'000);
+  cr_expect_eq(settings->gang_timeout.count(), 4'000);
+  cr_expect_eq(settings->max_stop_time.count(), 350);
   cr_expect(settings->bootstrap);
 }
 
