cell: Follow the gangs that a new leader inherits

After a change of the leader, members of a gang waited until their workers ended them. The new leader knows the committed starts, not which of them were sent. It followed each member by itself, and did not stop the others when the end of one had been committed under the earlier leader.

The new leader now follows each inherited gang whose members are all open as if it had sent the starts itself, and stops one of which a member has ended. Progress that a worker lists shows that the gang has assembled, so a gang at work is not stopped because one of its workers answers late.

gang_assembly::stops_the_members_of_a_gang_that_is_inherited_in_part changes the leader at each of 120 ms after a member's worker is lost.

--- a/libraries/cell/src/gang_assembly.cc
+++ b/libraries/cell/src/gang_assembly.cc
@@ -26,6 +26,10 @@
   }
 }
 
+void GangAssembly::OnProgress(const graph::TaskKey& task, std::int32_t run) {
+  (void)Abandon(task, run);
+}
+
 std::optional<IncompleteGang> GangAssembly::Abandon(const graph::TaskKey& task,
                                                     std::int32_t run) {
   const auto it = entries_.find({task.step_key(), run});
--- a/libraries/cell/src/gang_assembly.h
+++ b/libraries/cell/src/gang_assembly.h
@@ -37,10 +37,15 @@
   // All members must have confirmed their starts within `limit_ms`.
   explicit GangAssembly(std::int64_t limit_ms) : limit_ms_(limit_ms) {}
 
-  // Begins when the starts of all members are sent.
+  // Begins when the starts of all members are sent, or with the term of a
+  // leader that inherits them.
   void Begin(const GangRun& gang, std::int32_t members, std::int64_t now_ms);
   // The gang is not followed any longer once all members have started.
   void OnMemberStarted(const graph::TaskKey& task, std::int32_t run);
+  // A gang makes progress only when all members are there. Says so of a gang
+  // that an earlier leader started, whose members may confirm their starts
+  // late.
+  void OnProgress(const graph::TaskKey& task, std::int32_t run);
   // Ends the assembly of the gang to which the run belongs. Empty if the gang
   // has assembled or is not known.
   std::optional<IncompleteGang> Abandon(const graph::TaskKey& task,
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -106,6 +106,7 @@
                 step.long_running);
           }
         }
+        InheritGang(job, {id, k, n});
       }
     }
     pending_.Update(id, &job);
@@ -318,6 +319,9 @@
     batch_.results.push_back(std::move(result));
     batch_has_content_ = true;
   }
+  for (const auto& [task, run] : out.progressing_runs) {
+    gang_assembly_.OnProgress(task, run);
+  }
   for (const auto& [task, run] : out.started_runs) {
     gang_assembly_.OnMemberStarted(task, run);
     const auto* job = store_.FindJob(task.job);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -93,6 +93,9 @@
                 graph::WorkerNumber worker) const;
 
   // leader_gangs.cc
+  // Follows the gang of a step that an earlier leader started, or stops it if a
+  // member has ended already.
+  void InheritGang(const graph::Job& job, const graph::StepKey& key);
   // Stops the gangs that cannot assemble any more.
   void StopIncompleteGangs();
   void StopGang(const IncompleteGang& incomplete, const std::string& reason);
--- a/libraries/cell/src/leader_gangs.cc
+++ b/libraries/cell/src/leader_gangs.cc
@@ -5,6 +5,29 @@
 
 namespace cranberryshunt::cell {
 
+void Leader::InheritGang(const graph::Job& job, const graph::StepKey& key) {
+  const auto& step = job.step(key.step);
+  if (!step.gang || job.StepDone(key)) {
+    return;
+  }
+  std::int32_t members = 0;
+  std::int32_t run = 0;
+  graph::TaskKey member{key.job, key.occurrence, key.step, 0};
+  for (; member.index < step.task_count; ++member.index) {
+    const auto& task = job.task(member);
+    if (task.run != 0) {
+      ++members;
+      run = task.run;
+    }
+  }
+  if (members == step.task_count) {
+    gang_assembly_.Begin({key, run}, members, now_ms_);
+  } else if (members > 0) {
+    StopGang({{key, run}, {}, now_ms_},
+             "a member has ended under another leader");
+  }
+}
+
 void Leader::StopIncompleteGangs() {
   for (const auto& [task, run] : workers_.TakeUncertainStarts()) {
     if (const auto incomplete = gang_assembly_.Abandon(task, run)) {
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -191,9 +191,8 @@
   for (const auto& it : starts) {
     obstacles.push_back(FindObstacle(it));
   }
-  const bool complete =
-      std::all_of(obstacles.begin(), obstacles.end(),
-                  [](const auto& it) { return it.empty(); });
+  const bool complete = std::all_of(obstacles.begin(), obstacles.end(),
+                                    [](const auto& it) { return it.empty(); });
   const auto& first = starts.front();
   if (complete && store_.FindJob(first.task.job)->step(first.task.step).gang) {
     gang_assembly_.Begin({first.task.step_key(), first.run},
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -45,6 +45,7 @@
   bool start_time_known = false;
   std::int64_t expected_run_ms = 0;
   bool long_running = false;  // Runs until it is stopped.
+  bool has_progress = false;  // Whether the worker has listed any progress.
   std::string checkpoint;     // Latest one that the worker reported.
   bool stop_requested = false;
   std::int64_t stop_sent_ms = 0;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -202,6 +202,10 @@
       continue;
     }
     auto& run = it->second;
+    if (row.percent > 0 && !run.has_progress) {
+      run.has_progress = true;
+      out.progressing_runs.push_back(key);
+    }
     if (!row.checkpoint.empty()) {
       run.checkpoint = row.checkpoint;
     }
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -50,6 +50,8 @@
   std::vector<std::pair<WorkerNumber, std::int64_t>> ends_to_acknowledge;
   // Runs that a worker confirmed to this leader for the first time.
   std::vector<RunKey> started_runs;
+  // Runs for which a worker listed progress for the first time.
+  std::vector<RunKey> progressing_runs;
   std::vector<SentOrder> orders;
 };
 
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -170,8 +170,8 @@
         }
       }
     }
-    const bool complete = static_cast<std::int32_t>(present.size()) ==
-                          member.index;
+    const bool complete =
+        static_cast<std::int32_t>(present.size()) == member.index;
     std::int64_t work_ms = 0;
     for (const auto* other : present) {
       longest_gang_wait_ms =
@@ -189,9 +189,8 @@
 }
 
 // A worker that the leader reaches must be told to stop the member before.
-void CellHarness::EndAlone(
-    FakeWorker& worker,
-    const std::pair<graph::TaskKey, std::int32_t>& key) {
+void CellHarness::EndAlone(FakeWorker& worker,
+                           const std::pair<graph::TaskKey, std::int32_t>& key) {
   ++alone_ends;
   if (!worker.silent && !worker.unreachable &&
       now_ms_ >= worker.loses_stops_until_ms) {
@@ -574,6 +573,11 @@
     auto& row = reply.running.emplace_back();
     row.task = key.first;
     row.run = key.second;
+    if (!run.waits_for_gang && run.work_ms > 0) {
+      const auto left_ms = std::max<std::int64_t>(0, run.end_ms - now_ms_);
+      row.percent = static_cast<std::int32_t>(
+          100 - std::min<std::int64_t>(100, 100 * left_ms / run.work_ms));
+    }
   }
   reply.ended = worker.ended;
   return reply;
--- a/tests/cell/gang_assembly_test.cc
+++ b/tests/cell/gang_assembly_test.cc
@@ -83,7 +83,8 @@
 }
 
 // Guards against the same in a large cell, whose holds wait for longer.
-Test(gang_assembly, stops_the_members_that_wait_for_a_lost_start_in_a_large_cell,
+Test(gang_assembly,
+     stops_the_members_that_wait_for_a_lost_start_in_a_large_cell,
      .timeout = 100) {
   constexpr std::int64_t kFirstStartMs = 500;
   RunWithLostOrders(160, kFirstStartMs, 0);
@@ -128,3 +129,23 @@
   RunUntilCompleted(cell, 10'000);
   ExpectStoppedInTime(cell);
 }
+
+// Guards against members that wait for one whose end an earlier leader has
+// committed, without stopping the others.
+Test(gang_assembly, stops_the_members_of_a_gang_that_is_inherited_in_part) {
+  for (std::int64_t change_ms = 0; change_ms < 120; ++change_ms) {
+    auto options = OptionsFor(4);
+    options.seed = static_cast<std::uint64_t>(change_ms) + 1;
+    CellHarness cell(options);
+    StartCell(cell);
+    SubmitGang(cell);
+    cell.Run(20);
+    cell.Crash(cell.workers[1]);
+    cell.Run(change_ms);
+    cell.ChangeLeader();
+    cell.Run(4'000);
+    cell.Restart(cell.workers[1]);
+    RunUntilCompleted(cell, 30'000);
+    ExpectStoppedInTime(cell);
+  }
+}
