cell: Ask for a list at once when a start in doubt is barred

A gang started again late after a lost start. A run whose start was not answered ends when its worker confirms the stop and a later list does not show it. The list was asked for only after the hold that was waiting at the worker: a hold waits for 1 s, in a large cell for 2 s, and nothing ends there that would shorten the wait.

The confirmed stop of such a run now replaces the waiting hold by one that does not wait.

--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -94,6 +94,7 @@
   OrderId hold_order = 0;
   std::int64_t hold_sent_ms = 0;
   std::int64_t next_hold_ms = 0;
+  bool list_due = false;  // Whether the next hold must not wait.
   std::int32_t hold_failures = 0;
   std::int64_t last_answer_ms = 0;  // Last answer to any order.
   std::int64_t last_done_ms = 0;    // Last order that was carried out.
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -344,6 +344,13 @@
   if (it->second.phase == RunPhase::kLeaseExpired) {
     return;
   }
+  // A hold that waits would list a run that never began only when its wait is
+  // over.
+  if (it->second.phase == RunPhase::kUncertain && worker.hold_order != 0) {
+    worker.hold_order = 0;
+    worker.next_hold_ms = now_ms + 1;
+    worker.list_due = true;
+  }
   it->second.phase = RunPhase::kStopConfirmed;
   it->second.phase_confirmed_ms = now_ms;
   // The next hold whose reply does not list the run finishes it.
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -612,7 +612,9 @@
   if (worker.clock_ms >= 0 && answers) {
     order.lease_until_ms = GrantLease(worker, now_ms);
   }
-  const bool wait = worker.synced && worker.hold_failures == 0;
+  const bool wait =
+      worker.synced && worker.hold_failures == 0 && !worker.list_due;
+  worker.list_due = false;
   order.wait = std::chrono::milliseconds(wait ? HoldWaitMs() : 0);
   worker.hold_sent_ms = now_ms;
   worker.hold_order =
--- a/tests/cell/gang_assembly_test.cc
+++ b/tests/cell/gang_assembly_test.cc
@@ -130,6 +130,28 @@
   ExpectStoppedInTime(cell);
 }
 
+// Guards against a gang that starts again late because a worker is asked for
+// its list only when its present hold has been answered.
+Test(gang_assembly, starts_again_as_soon_as_a_lost_start_is_barred) {
+  CellHarness cell(OptionsFor(4));
+  StartCell(cell);
+  SubmitGang(cell);
+  const auto submitted_ms = cell.now_ms();
+  cell.workers[1].loses_starts_until_ms = submitted_ms + 500;
+  while (cell.starts < 7 && cell.now_ms() < submitted_ms + 10'000) {
+    cell.Run(1);
+  }
+  // The answer time, a stop and some messages and commits, but no hold.
+  constexpr std::int64_t kAnswerTimeoutMs = 1'000;
+  constexpr std::int64_t kMessagesMs = 300;
+  cr_expect_leq(cell.now_ms() - submitted_ms,
+                kAnswerTimeoutMs + kStopMs + kMessagesMs,
+                "the second start came after %ld ms",
+                static_cast<long>(cell.now_ms() - submitted_ms));
+  RunUntilCompleted(cell, 5'000);
+  ExpectStoppedInTime(cell);
+}
+
 // Guards against members that wait for one whose end an earlier leader has
 // committed, without stopping the others.
 Test(gang_assembly, stops_the_members_of_a_gang_that_is_inherited_in_part) {
