cell: Bar a start that another incarnation has answered

A start that was answered by another incarnation of its worker stayed open: the reply was dropped without an outcome, so the run kept the phase of being sent until the worker was registered anew, and its gang waited.

Such a start now counts as not clearly answered.

worker_tracker::bars_a_start_that_another_incarnation_answered failed before (no uncertain start, no stop).

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -91,8 +91,15 @@
       }
     }
   } else if (other_incarnation) {
-    // Says nothing about the runs of the registered incarnation.
-    return;
+    // Says nothing about the runs of the registered incarnation. The other one
+    // may have carried out a start, and gets its runs once it is registered.
+    if (const auto* start = std::get_if<StartOrder>(&sent.order)) {
+      const auto run = worker->runs.find({start->task, start->run});
+      if (run != worker->runs.end() &&
+          run->second.phase == RunPhase::kSending) {
+        MarkUncertain(*worker, run->first, run->second);
+      }
+    }
   } else if (const auto* start = std::get_if<StartOrder>(&sent.order)) {
     OnStartReply(*worker, *start, sent_ms, reply, now_ms, out);
   } else if (const auto* stop = std::get_if<StopOrder>(&sent.order)) {
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -525,3 +525,23 @@
   cr_expect_eq(out.finished[0].how, wire::RunEnd::kNotStarted);
   cr_expect(tracker.TakeEndedWorkers() == std::vector<WorkerNumber>(1, 1));
 }
+
+// Guards against a start that stays open because another incarnation of the
+// worker has answered it.
+Test(worker_tracker, bars_a_start_that_another_incarnation_answered) {
+  for (const auto answer : {WorkerAnswer::kDone, WorkerAnswer::kNoCapacity}) {
+    auto tracker = MakeTracker(1'000);
+    const auto start = SendStart(tracker, 1'010);
+    WorkerReply reply;
+    reply.answer = answer;
+    reply.born_ms = 60;
+    WorkerTrackerOutput out;
+    tracker.OnReply(start, 1'010, reply, 1'020, out);
+    cr_expect(out.finished.empty());
+    const auto uncertain = tracker.TakeUncertainStarts();
+    cr_expect_eq(uncertain.size(), 1);
+    tracker.Advance(1'030, out);
+    cr_assert_not_null(FindStop(out));
+    cr_expect(FindStop(out)->task == kTask);
+  }
+}
