tests/cell: Cover gangs at work, expired tickets and the end of an assembly

A gang at work is not stopped when a worker answers a new leader late, no start is sent whose ticket expired during the commit, and a gang is followed only until it is complete, has ended or is overdue.

--- a/tests/cell/gang_assembly_test.cc
+++ b/tests/cell/gang_assembly_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "cell_harness.h"
+#include "gang_assembly.h"
 
 using namespace cranberryshunt;        // NOLINT
 using namespace cranberryshunt::cell;  // NOLINT
@@ -171,3 +172,75 @@
     ExpectStoppedInTime(cell);
   }
 }
+
+// Guards against a gang at work that is stopped because one of its workers
+// answers a new leader late.
+Test(gang_assembly, lets_an_inherited_gang_work) {
+  constexpr std::int64_t kWorkMs = 9'000;
+  CellHarness cell(OptionsFor(4));
+  StartCell(cell);
+  cell.run_time = [](const auto&, std::int64_t) { return kWorkMs; };
+  SubmitGang(cell);
+  cell.Run(2'000);
+  cr_assert_eq(cell.starts, 4);
+  cell.ChangeLeader();
+  cell.workers[1].silent = true;
+  cell.Run(2'500);
+  cell.workers[1].silent = false;
+  RunUntilCompleted(cell, kWorkMs);
+  cr_expect_eq(cell.starts, 4, "%ld starts", static_cast<long>(cell.starts));
+  ExpectNoViolations(cell);
+}
+
+// Guards against starts that are refused because their tickets expired while
+// they were being committed.
+Test(gang_assembly, sends_no_start_whose_ticket_has_expired) {
+  auto options = OptionsFor(4);
+  options.commit_ms = 1'000;
+  CellHarness cell(options);
+  cell.Run(5'000);
+  auto queue = MakeQueue("a", 1);
+  queue.latency_target_ms = 60'000;
+  queue.needs_advice = true;
+  queue.advice.base_ms = 10;
+  queue.advice.per_worker_ms = 0.1;
+  queue.advice.ticket_valid_ms = 500;
+  cell.Publish({queue});
+  cell.Run(5'000);
+  SubmitGang(cell);
+  cell.Run(10'000);
+  cr_expect(cell.StateOf(kGang) != std::nullopt);
+  cr_expect_eq(cell.starts, 0, "%ld starts were sent",
+               static_cast<long>(cell.starts));
+}
+
+// Guards against following a gang for longer than until it is complete, has
+// ended or is overdue.
+Test(gang_assembly, forgets_a_gang_once_it_is_complete_ended_or_overdue) {
+  const GangRun gang{{7, 0, 0}, 1};
+  const auto member = [](std::int32_t n) { return graph::TaskKey{7, 0, 0, n}; };
+  GangAssembly assembly(1'600);
+
+  assembly.Begin(gang, 2, 1'000);
+  assembly.OnMemberStarted(member(0), 1);
+  assembly.OnMemberStarted(member(1), 1);
+  cr_expect(assembly.TakeOverdue(10'000).empty());
+
+  assembly.Begin(gang, 2, 10'000);
+  assembly.OnMemberStarted(member(0), 1);
+  // Another run of the same task.
+  assembly.OnMemberStarted(member(1), 2);
+  cr_expect(assembly.TakeOverdue(11'599).empty());
+  const auto overdue = assembly.TakeOverdue(11'600);
+  cr_assert_eq(overdue.size(), 1);
+  const IncompleteGang expected{gang, {1}, 10'000};
+  cr_expect(overdue[0] == expected);
+  cr_expect(assembly.TakeOverdue(20'000).empty());
+
+  assembly.Begin(gang, 2, 20'000);
+  cr_expect(assembly.Abandon(member(1), 1).has_value());
+  cr_expect_not(assembly.Abandon(member(0), 1).has_value());
+  assembly.Begin(gang, 2, 20'000);
+  assembly.OnProgress(member(0), 1);
+  cr_expect(assembly.TakeOverdue(30'000).empty());
+}
