--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -527,6 +527,9 @@
     return;
   }
   const auto reply = Serve(*worker, sent.order);
+  if (worker->loses_start_outcomes && is_start) {
+    return;
+  }
   if (worker->loses_replies && hold == nullptr) {
     reply_after_timeout();
     return;
@@ -573,6 +576,9 @@
     auto& row = reply.running.emplace_back();
     row.task = key.first;
     row.run = key.second;
+    if (run.waits_for_gang) {
+      row.percent = options_.waiting_percent;
+    }
     if (!run.waits_for_gang && run.work_ms > 0) {
       const auto left_ms = std::max<std::int64_t>(0, run.end_ms - now_ms_);
       row.percent = static_cast<std::int32_t>(
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -42,6 +42,9 @@
   bool unreachable = false;    // Gets no orders, but its reports arrive.
   bool fails_all = false;      // Tasks fail 10 ms after their start.
   bool loses_replies = false;  // Carries out orders, but replies only to holds.
+  // The driver violates its contract: the outcomes of starts, which are carried
+  // out, are never reported.
+  bool loses_start_outcomes = false;
   // Starts and stops that arrive before these times are neither carried out nor
   // answered.
   std::int64_t loses_starts_until_ms = 0;
@@ -70,6 +73,9 @@
   double allowed_share = 1;
   // How long a member of a gang waits for the others.
   std::int64_t gang_timeout_ms = 3'000;
+  // Progress that workers list for a member that waits, as for one that resumes
+  // from a checkpoint.
+  std::int32_t waiting_percent = 0;
   std::uint64_t seed = 1;
   // Checks for violations. In large cells this takes more time than the engine
   // itself.
