tests/cell: Show a task that runs twice after a restart and a new leader

gang_review::runs_once_if_a_start_reaches_the_next_incarnation fails on: the new leader gives up the run at once, because the incarnation of its worker that the state names is no longer registered.

--- a/tests/cell/gang_review_test.cc
+++ b/tests/cell/gang_review_test.cc
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <string>
 
 #include "cell_harness.h"
 #include "worker_tracker.h"
@@ -231,3 +232,35 @@
                static_cast<long>(
                    std::get<HoldOrder>(next.order).wait.count()));
 }
+
+// Guards against a second run of a task whose start reached the next
+// incarnation of its worker, after a change of the leader.
+Test(gang_review, runs_once_if_a_start_reaches_the_next_incarnation,
+     .timeout = 100) {
+  for (const bool gang : {false, true}) {
+    std::int32_t cases = 0;
+    std::string first;
+    for (std::int64_t submit_ms = 25; submit_ms < 50; submit_ms += 5) {
+      for (std::int64_t change_ms = 25; change_ms < 60; ++change_ms) {
+        auto options = OptionsFor(4);
+        options.seed = static_cast<std::uint64_t>(submit_ms * 100 + change_ms);
+        CellHarness cell(options);
+        StartCell(cell);
+        cell.Restart(cell.workers[0]);
+        cell.Run(submit_ms);
+        auto job = MakeJob(3, cell.workers[0].record.milli_cpus / 2, 2'000);
+        job.steps[0].max_per_worker = 1;
+        job.steps[0].gang = gang;
+        cell.Submit(kGang, "a", job);
+        cell.Run(change_ms);
+        cell.ChangeLeader();
+        cell.Run(1'000);
+        if (!cell.violations.empty() && cases++ == 0) {
+          first = cell.violations[0];
+        }
+      }
+    }
+    cr_expect_eq(cases, 0, "gang %d: %d cases, the first one: %s", gang ? 1 : 0,
+                 cases, first.c_str());
+  }
+}
