--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -576,8 +576,8 @@
     auto& row = reply.running.emplace_back();
     row.task = key.first;
     row.run = key.second;
-    if (run.waits_for_gang) {
-      row.percent = options_.waiting_percent;
+    if (run.waits_for_gang && run.resumed) {
+      row.percent = options_.resumed_percent;
     }
     if (!run.waits_for_gang && run.work_ms > 0) {
       const auto left_ms = std::max<std::int64_t>(0, run.end_ms - now_ms_);
@@ -630,6 +630,7 @@
   run.started_ms = now_ms_;
   run.work_ms = length;
   run.waits_for_gang = step.gang;
+  run.resumed = !order.checkpoint.empty();
   run.end_ms = now_ms_ + length;
   if (step.gang) {
     run.end_ms = std::numeric_limits<std::int64_t>::max();
@@ -690,6 +691,7 @@
   row.task = key.first;
   row.run = key.second;
   row.how = how;
+  row.checkpoint = options_.resumed_percent > 0 ? "saved" : "";
   worker.ended.push_back(row);
   auto& barred = worker.barred[key.first];
   barred = std::max(barred, key.second);
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -25,6 +25,7 @@
   // Time of work. A member of a gang begins to work when all members are there.
   std::int64_t work_ms = 0;
   bool waits_for_gang = false;
+  bool resumed = false;  // Started from a checkpoint.
 };
 
 // A worker that honors leases and fences like a real one.
@@ -73,9 +74,9 @@
   double allowed_share = 1;
   // How long a member of a gang waits for the others.
   std::int64_t gang_timeout_ms = 3'000;
-  // Progress that workers list for a member that waits, as for one that resumes
-  // from a checkpoint.
-  std::int32_t waiting_percent = 0;
+  // Progress that workers list for a member that resumes from a checkpoint and
+  // waits. If greater than 0, all ends carry a checkpoint.
+  std::int32_t resumed_percent = 0;
   std::uint64_t seed = 1;
   // Checks for violations. In large cells this takes more time than the engine
   // itself.
--- a/tests/cell/gang_review_test.cc
+++ b/tests/cell/gang_review_test.cc
@@ -133,11 +133,23 @@
 // resumes from a checkpoint, lists the progress that it had before.
 Test(gang_review, stops_the_members_that_wait_with_earlier_progress) {
   auto options = OptionsFor(4);
-  options.waiting_percent = 40;
+  options.resumed_percent = 40;
   CellHarness cell(options);
   StartCell(cell);
   SubmitGang(cell, 4);
+  cell.workers[1].loses_starts_until_ms = cell.now_ms() + 500;
+  const auto no_member_is_left = [&] {
+    return cell.starts == 3 &&
+           std::all_of(cell.workers.begin(), cell.workers.end(),
+                       [](const auto& it) { return it.runs.empty(); });
+  };
+  for (int n = 0; n < 3'000 && !no_member_is_left(); ++n) {
+    cell.Run(1);
+  }
+  cr_assert(no_member_is_left());
+  // The second run resumes from the checkpoint of the first.
   cell.workers[1].loses_starts_until_ms = cell.now_ms() + 3'000;
+  cell.Run(100);
   cell.workers[1].loses_stops_until_ms = cell.now_ms() + 3'000;
   RunUntilCompleted(cell, 30'000);
   cr_expect_eq(cell.alone_ends, 0, "%ld members waited until the timeout",
