cell: Count only progress since the start as a sign that a gang is complete

Members of a gang that resumed from a checkpoint could wait until the timeout again. The leader takes progress as a sign that all members are there, and a resumed member may list the progress that it had before while it waits.

Progress now counts from the start: from 0, or for a resumed run from the first percentage that its worker lists.

--- a/libraries/cell/src/gang_assembly.h
+++ b/libraries/cell/src/gang_assembly.h
@@ -42,9 +42,8 @@
   void Begin(const GangRun& gang, std::int32_t members, std::int64_t now_ms);
   // The gang is not followed any longer once all members have started.
   void OnMemberStarted(const graph::TaskKey& task, std::int32_t run);
-  // A gang makes progress only when all members are there. Says so of a gang
-  // that an earlier leader started, whose members may confirm their starts
-  // late.
+  // A member makes progress only when all members are there, even if some have
+  // not confirmed their starts yet.
   void OnProgress(const graph::TaskKey& task, std::int32_t run);
   // Ends the assembly of the gang to which the run belongs. Empty if the gang
   // has assembled or is not known.
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -103,7 +103,8 @@
             workers_.AddInheritedRun(
                 task.worker, key, task.run, DemandOf(step),
                 run_times_.Expected(queue.name, step.estimate_ms), now_ms_, out,
-                step.long_running);
+                {.long_running = step.long_running,
+                 .resumed = !CheckpointOf(job, key).empty()});
           }
         }
         InheritGang(job, {id, k, n});
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -141,6 +141,10 @@
   // Returns why the start must not be sent; empty if it may be.
   std::string FindObstacle(const PendingStart& start) const;
   void RejectStart(const PendingStart& start, const std::string& reason);
+  // Returns the checkpoint from which the task resumes. All members of a gang
+  // resume from that of its first task.
+  static const std::string& CheckpointOf(const graph::Job& job,
+                                         graph::TaskKey task);
   void SendStart(const PendingStart& start);
   // Logs and counts a committed start that is not sent.
   void RecordUnsentStart(const graph::TaskKey& task,
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -239,6 +239,14 @@
   ApplyOutput(std::move(out));
 }
 
+const std::string& Leader::CheckpointOf(const graph::Job& job,
+                                        graph::TaskKey task) {
+  if (job.step(task.step).gang) {
+    task.index = 0;
+  }
+  return job.task(task).checkpoint;
+}
+
 void Leader::SendStart(const PendingStart& start) {
   const auto& job = *store_.FindJob(start.task.job);
   StartOrder order;
@@ -246,12 +254,7 @@
   order.run = start.run;
   order.payload = job.spec().payload;
   order.ticket = start.ticket.text;
-  graph::TaskKey checkpoint_task = start.task;
-  if (job.step(start.task.step).gang) {
-    // All members of a gang resume from the checkpoint of its first task.
-    checkpoint_task.index = 0;
-  }
-  order.checkpoint = job.task(checkpoint_task).checkpoint;
+  order.checkpoint = CheckpointOf(job, start.task);
   WorkerTrackerOutput out;
   workers_.SendStart(start.worker, start.task, start.run, std::move(order),
                      now_ms_, out);
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -45,7 +45,11 @@
   bool start_time_known = false;
   std::int64_t expected_run_ms = 0;
   bool long_running = false;  // Runs until it is stopped.
-  bool has_progress = false;  // Whether the worker has listed any progress.
+  // Whether the worker has listed progress since the start, beyond `percent`.
+  bool has_progress = false;
+  // Progress at the start: 0, or unknown (-1) until it is listed if the run was
+  // resumed from a checkpoint.
+  std::int32_t percent = 0;
   std::string checkpoint;     // Latest one that the worker reported.
   bool stop_requested = false;
   std::int64_t stop_sent_ms = 0;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -209,7 +209,10 @@
       continue;
     }
     auto& run = it->second;
-    if (row.percent > 0 && !run.has_progress) {
+    if (run.percent < 0) {
+      run.percent = row.percent;
+    }
+    if (row.percent > run.percent && !run.has_progress) {
       run.has_progress = true;
       out.progressing_runs.push_back(key);
     }
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -334,7 +334,7 @@
                                     std::int64_t expected_run_ms,
                                     std::int64_t now_ms,
                                     WorkerTrackerOutput& out,
-                                    bool long_running) {
+                                    InheritedRun how) {
   const auto worker = workers_.find(number);
   if (worker == workers_.end()) {
     // That incarnation of the worker has ended.
@@ -351,7 +351,8 @@
   it.demand = demand;
   it.started_ms = now_ms;
   it.expected_run_ms = expected_run_ms;
-  it.long_running = long_running;
+  it.long_running = how.long_running;
+  it.percent = how.resumed ? -1 : 0;
   AddRun(worker->second, {task, run}, it);
 }
 
@@ -502,6 +503,7 @@
   it.phase = RunPhase::kSending;
   it.started_ms = now_ms;
   it.start_time_known = true;
+  it.percent = order.checkpoint.empty() ? 0 : -1;
   order.fence = options_.fence;
   order.lease_until_ms = GrantLease(worker, now_ms);
   AddOrder(worker, std::move(order), kAnswerTimeoutMs, out);
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -55,6 +55,11 @@
   std::vector<SentOrder> orders;
 };
 
+struct InheritedRun {
+  bool long_running = false;
+  bool resumed = false;  // Started from a checkpoint.
+};
+
 class WorkerTracker {
  public:
   WorkerTracker(WorkerTrackerOptions options, std::int64_t now_ms);
@@ -78,7 +83,7 @@
                        std::int64_t expected_run_ms,
                        std::int64_t now_ms,
                        WorkerTrackerOutput& out,
-                       bool long_running = false);
+                       InheritedRun how = {});
 
   // Handles a report that a worker sent about itself. Reports that are not
   // newer than the last one are ignored.
