cell: Ask for a list for each start that is barred before it is confirmed

A gang still started again late in two cases: a stop that is confirmed while the start is on its way asked for no list, which is usual when a whole gang is stopped; and while the ends of a worker are being committed no hold is waiting, so the next one was sent with its wait of 1 s or 2 s.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -356,7 +356,8 @@
   }
   // A hold that waits would list a run that never began only when its wait is
   // over.
-  if (it->second.phase == RunPhase::kUncertain && worker.hold_order != 0) {
+  if (it->second.phase == RunPhase::kUncertain ||
+      it->second.phase == RunPhase::kSending) {
     worker.hold_order = 0;
     worker.next_hold_ms = now_ms + 1;
     worker.list_due = true;
