cell: Count a start that a stop overtook as not started

If the stop of a start was confirmed first, and the start was then refused because of it, the run went back to the phase of a running one, and its absence in the list ended it as lost.

The refusal now leaves the confirmed stop as it is; the list decides.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -297,6 +297,9 @@
   const bool stopped = it->second.phase == RunPhase::kStopConfirmed;
   switch (reply.answer) {
     case WorkerAnswer::kStaleRun:
+      if (stopped) {
+        return;
+      }
       // An earlier delivery of the start may have run to its end. The list
       // tells.
       it->second.phase = RunPhase::kRunning;
