cell: Avoid a worker that does not answer a start of a step

A gang was started again and again in vain while a worker was idle: nothing made the planner avoid the worker that had not answered.

The worker now joins those that the step avoids, as if a task of the step had failed there. It is used again if the others cannot hold the step.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -485,7 +485,8 @@
   WorkerTrackerOutput tracker_out;
   workers_.Advance(now_ms_, tracker_out);
   ApplyOutput(std::move(tracker_out));
-  StopIncompleteGangs();
+  HandleUncertainStarts();
+  StopOverdueGangs();
   ApplyAdvice();
   for (const auto it : step_tracker_.TakeDueJobs(wall_ms_)) {
     step_tracker_.Refresh(it, now_ms_, wall_ms_);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -96,8 +96,10 @@
   // Follows the gang of a step that an earlier leader started, or stops it if a
   // member has ended already.
   void InheritGang(const graph::Job& job, const graph::StepKey& key);
-  // Stops the gangs that cannot assemble any more.
-  void StopIncompleteGangs();
+  // Stops the gangs of starts that got no clear answer. Their steps avoid the
+  // workers.
+  void HandleUncertainStarts();
+  void StopOverdueGangs();
   void StopGang(const IncompleteGang& incomplete, const std::string& reason);
   void StopMembers(const graph::StepKey& key, std::int32_t last_run);
   std::string DescribeMissing(const IncompleteGang& incomplete) const;
--- a/libraries/cell/src/leader_gangs.cc
+++ b/libraries/cell/src/leader_gangs.cc
@@ -28,12 +28,21 @@
   }
 }
 
-void Leader::StopIncompleteGangs() {
+void Leader::HandleUncertainStarts() {
   for (const auto& [task, run] : workers_.TakeUncertainStarts()) {
+    const auto* worker = workers_.FindWorkerOf(task, run);
+    auto* step = step_tracker_.Find(task.step_key());
+    if (worker != nullptr && step != nullptr) {
+      step->avoided.insert(worker->number);
+      step->changed = true;
+    }
     if (const auto incomplete = gang_assembly_.Abandon(task, run)) {
       StopGang(*incomplete, "a start got no clear answer");
     }
   }
+}
+
+void Leader::StopOverdueGangs() {
   for (const auto& it : gang_assembly_.TakeOverdue(now_ms_)) {
     StopGang(it, "not all starts were confirmed in time");
   }
