cell: Let a gang that is followed anew get a new deadline

A second Begin() for a gang would have left its first deadline behind, and its expiry would have read past the end of the table. Gangs of jobs that have ended are not followed by a new leader any more.

--- a/libraries/cell/src/gang_assembly.cc
+++ b/libraries/cell/src/gang_assembly.cc
@@ -5,6 +5,9 @@
 void GangAssembly::Begin(const GangRun& gang,
                          std::int32_t members,
                          std::int64_t now_ms) {
+  if (const auto known = entries_.find(gang); known != entries_.end()) {
+    Remove(known);
+  }
   Entry entry;
   for (std::int32_t n = 0; n < members; ++n) {
     entry.missing.insert(n);
--- a/libraries/cell/src/leader_gangs.cc
+++ b/libraries/cell/src/leader_gangs.cc
@@ -7,7 +7,7 @@
 
 void Leader::InheritGang(const graph::Job& job, const graph::StepKey& key) {
   const auto& step = job.step(key.step);
-  if (!step.gang || job.StepDone(key)) {
+  if (!step.gang || !job.active() || job.StepDone(key)) {
     return;
   }
   std::int32_t members = 0;
--- a/tests/cell/gang_assembly_test.cc
+++ b/tests/cell/gang_assembly_test.cc
@@ -237,7 +237,10 @@
   cr_expect(overdue[0] == expected);
   cr_expect(assembly.TakeOverdue(20'000).empty());
 
+  // Beginning anew moves the deadline.
+  assembly.Begin(gang, 2, 19'000);
   assembly.Begin(gang, 2, 20'000);
+  cr_expect(assembly.TakeOverdue(21'000).empty());
   cr_expect(assembly.Abandon(member(1), 1).has_value());
   cr_expect_not(assembly.Abandon(member(0), 1).has_value());
   assembly.Begin(gang, 2, 20'000);
