--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -103,7 +103,8 @@
             workers_.AddInheritedRun(
                 task.worker, key, task.run, DemandOf(step),
                 run_times_.Expected(queue.name, step.estimate_ms), now_ms_, out,
-                step.long_running);
+                {.long_running = step.long_running,
+                 .resumed = !CheckpointOf(job, key).empty()});
           }
         }
         InheritGang(job, {id, k, n});
@@ -484,7 +485,8 @@
   WorkerTrackerOutput tracker_out;
   workers_.Advance(now_ms_, tracker_out);
   ApplyOutput(std::move(tracker_out));
-  StopIncompleteGangs();
+  HandleUncertainStarts();
+  StopOverdueGangs();
   ApplyAdvice();
   for (const auto it : step_tracker_.TakeDueJobs(wall_ms_)) {
     step_tracker_.Refresh(it, now_ms_, wall_ms_);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -96,8 +96,10 @@
   // Follows the gang of a step that an earlier leader started, or stops it if a
   // member has ended already.
   void InheritGang(const graph::Job& job, const graph::StepKey& key);
-  // Stops the gangs that cannot assemble any more.
-  void StopIncompleteGangs();
+  // Stops the gangs of starts that got no clear answer. Their steps avoid the
+  // workers.
+  void HandleUncertainStarts();
+  void StopOverdueGangs();
   void StopGang(const IncompleteGang& incomplete, const std::string& reason);
   void StopMembers(const graph::StepKey& key, std::int32_t last_run);
   std::string DescribeMissing(const IncompleteGang& incomplete) const;
@@ -141,6 +143,10 @@
   // Returns why the start must not be sent; empty if it may be.
   std::string FindObstacle(const PendingStart& start) const;
   void RejectStart(const PendingStart& start, const std::string& reason);
+  // Returns the checkpoint from which the task resumes. All members of a gang
+  // resume from that of its first task.
+  static const std::string& CheckpointOf(const graph::Job& job,
+                                         graph::TaskKey task);
   void SendStart(const PendingStart& start);
   // Logs and counts a committed start that is not sent.
   void RecordUnsentStart(const graph::TaskKey& task,
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -209,7 +209,10 @@
       continue;
     }
     auto& run = it->second;
-    if (row.percent > 0 && !run.has_progress) {
+    if (run.percent < 0) {
+      run.percent = row.percent;
+    }
+    if (row.percent > run.percent && !run.has_progress) {
       run.has_progress = true;
       out.progressing_runs.push_back(key);
     }
@@ -294,6 +297,9 @@
   const bool stopped = it->second.phase == RunPhase::kStopConfirmed;
   switch (reply.answer) {
     case WorkerAnswer::kStaleRun:
+      if (stopped) {
+        return;
+      }
       // An earlier delivery of the start may have run to its end. The list
       // tells.
       it->second.phase = RunPhase::kRunning;
@@ -353,7 +359,8 @@
   }
   // A hold that waits would list a run that never began only when its wait is
   // over.
-  if (it->second.phase == RunPhase::kUncertain && worker.hold_order != 0) {
+  if (it->second.phase == RunPhase::kUncertain ||
+      it->second.phase == RunPhase::kSending) {
     worker.hold_order = 0;
     worker.next_hold_ms = now_ms + 1;
     worker.list_due = true;
