policy: Limit how long a step leaves avoided workers alone

A task that runs until it is stopped was never started again if it had failed on one worker and tasks without an end filled the others: the first worker stayed idle for 30 s and longer.

The planner leaves out the workers on which a task of the step failed while the others could hold the step once they are idle. Nothing limited the wait for that, and tasks that run until they are stopped never make it true. The class: a preference makes a step wait, and neither an event nor a time ends that wait.

A step is now held back once no task of it was placed for 1.5 s, or for 10 s if its service is busy and its own tasks end by themselves. This holds for gangs too. In a busy service ordinary steps still wait for the other workers, since their tasks end soon, but not for ever.

Without the limit, graph_planner::uses_avoided_workers_for_a_gang_if_the_others_stay_full fails with 0 of 2 starts, and graph_planner::avoids_workers_for_longer_while_the_service_is_busy with 0 of 1.

--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -152,6 +152,7 @@
   step.required_label = spec.required_label;
   step.data_rack = spec.data_rack;
   step.max_per_worker = spec.max_per_worker;
+  step.long_running = spec.long_running;
   step.expected_run_ms = run_times_.Expected(queue.name, spec.estimate_ms);
   const auto accepted = accepted_ms_.try_emplace(key.job, now_ms).first;
   // The time of a scheduled occurrence counts from when it is due, which is
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -126,6 +126,7 @@
   std::string data_rack;  // Preferred rack of single tasks. Empty: none.
   std::int32_t max_per_worker = 0;  // Running tasks. 0: no limit.
   std::int64_t expected_run_ms = 0;
+  bool long_running = false;  // Tasks run until they are stopped.
   std::int64_t accepted_ms = 0;
   // The job is late if it ends after this time.
   std::int64_t objective_ms = 0;
@@ -139,7 +140,8 @@
   // Number of running tasks of the step on each worker.
   std::map<std::int64_t, std::int32_t> running;
   // Workers on which a task of the step failed. They are used only if the other
-  // eligible workers that are allowed cannot hold the step.
+  // eligible workers that are allowed cannot hold the step, or if the step is
+  // held back.
   std::set<std::int64_t> avoided;
   StepAdvice advice;
   // Must be set by the code that changes any of the fields above. An unchanged
@@ -208,6 +210,15 @@
   // A late step of which no task was placed for this long asks about further
   // workers while a caller is idle, if its allowed workers have no room now.
   std::int64_t long_wait_ms = 3'000;
+  // A step is held back if no task of it was placed for this long and its
+  // service is not busy. So is one whose tasks are long-running, however busy
+  // the service is, because the tasks that it waits for may have no end either.
+  // A step that is held back does without the preferences that delay it.
+  std::int64_t held_back_ms = 1'500;
+  // Any other step is held back after this time.
+  std::int64_t max_wait_ms = 10'000;
+  // A service is busy if more than this share of its usable capacity is used.
+  double busy_share = 0.6;
   // Limit of questions in one plan, because callers are few.
   std::size_t max_questions = 64;
   // No capacity is held for further gangs once this share of the usable
@@ -305,7 +316,11 @@
   bool IsAffectedByChangedWorkers(const PlanStep& step) const;
   // Returns the eligible workers that advice allows. With `changed_only`,
   // considers only changed workers.
-  Candidates AllowedWorkers(const PlanStep& step, bool changed_only);
+  Candidates AllowedWorkers(const PlanStep& step,
+                            bool changed_only,
+                            std::int64_t now_ms);
+  bool IsHeldBack(const PlanStep& step, std::int64_t now_ms) const;
+  void UpdateServices();
   void PlaceStep(PlanStep& step, Round& round);
   bool MayStartLate(const PlanStep& step, Round& round);
   void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
@@ -350,6 +365,8 @@
   // Total capacity of the usable workers of each service, as of the last full
   // round.
   std::map<std::string, Demand> usable_capacity_;
+  // Services that were busy in the last full round.
+  std::set<std::string> busy_services_;
 };
 
 }  // namespace cranberryshunt::policy
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -361,8 +361,16 @@
                      });
 }
 
+bool GraphPlanner::IsHeldBack(const PlanStep& step, std::int64_t now_ms) const {
+  const bool waits_for_short_tasks =
+      !step.long_running && busy_services_.contains(step.service_name);
+  return now_ms - step.waiting_since_ms >=
+         (waits_for_short_tasks ? options_.max_wait_ms : options_.held_back_ms);
+}
+
 GraphPlanner::Candidates GraphPlanner::AllowedWorkers(const PlanStep& step,
-                                                      bool changed_only) {
+                                                      bool changed_only,
+                                                      std::int64_t now_ms) {
   Candidates out;
   const auto add = [&](PlanWorker* worker) {
     if (worker != nullptr && IsEligible(step, *worker)) {
@@ -386,7 +394,7 @@
       add(it.worker);
     }
   }
-  if (step.avoided.empty()) {
+  if (step.avoided.empty() || IsHeldBack(step, now_ms)) {
     return out;
   }
   // Avoids workers on which a task of the step failed if the others can hold
@@ -472,6 +480,23 @@
   }
 }
 
+void GraphPlanner::UpdateServices() {
+  usable_capacity_.clear();
+  busy_services_.clear();
+  std::map<std::string, Demand> used;
+  for (const auto& [number, worker] : workers_) {
+    if (worker.usable) {
+      usable_capacity_[worker.service_name] += worker.capacity;
+      used[worker.service_name] += worker.used;
+    }
+  }
+  for (const auto& [name, capacity] : usable_capacity_) {
+    if (ShareOf(used[name], capacity) > options_.busy_share) {
+      busy_services_.insert(name);
+    }
+  }
+}
+
 Plan GraphPlanner::Decide(std::int64_t now_ms, std::int64_t idle_callers) {
   Round round;
   round.now_ms = now_ms;
@@ -479,7 +504,6 @@
   round.full = now_ms - full_round_at_ms_ >= options_.full_round_ms;
   if (round.full) {
     full_round_at_ms_ = now_ms;
-    usable_capacity_.clear();
   }
   IndexWorkers(round.full);
   for (const auto number : workers_with_held_capacity_) {
@@ -489,11 +513,7 @@
   }
   workers_with_held_capacity_.clear();
   if (round.full) {
-    for (const auto& [number, worker] : workers_) {
-      if (worker.usable) {
-        usable_capacity_[worker.service_name] += worker.capacity;
-      }
-    }
+    UpdateServices();
   }
   for (auto* step : StepsByUrgency(now_ms)) {
     PlaceStep(*step, round);
@@ -536,7 +556,7 @@
   step.changed = false;
   const auto waited = step.waiting.size();
   if (step.gang) {
-    const auto allowed = AllowedWorkers(step, false);
+    const auto allowed = AllowedWorkers(step, false, round.now_ms);
     PlaceGang(step, allowed, round);
     if (step.waiting.empty() || round.held_share >= options_.max_held_share) {
       step.held.clear();
@@ -546,7 +566,7 @@
     HoldCapacity(step, round);
     round.gang_waits = round.gang_waits || (!late && !step.waiting.empty());
   } else {
-    PlaceSingles(step, AllowedWorkers(step, !plan_fully), round);
+    PlaceSingles(step, AllowedWorkers(step, !plan_fully, round.now_ms), round);
   }
   if (late) {
     const auto started =
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -412,6 +412,39 @@
   cr_expect(planner.Decide(100).starts.empty());
 }
 
+// A task of a gang failed on an idle worker, and tasks without an end occupy a
+// part of the others. Guards against a gang that waits for these tasks.
+Test(graph_planner, uses_avoided_workers_for_a_gang_if_the_others_stay_full) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 3; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[3], 60'000, 600'000);
+  auto& gang = AddStep(planner, 1, 2, 40'000, 30'000);
+  gang.gang = true;
+  gang.avoided.insert(1);
+  std::size_t starts = 0;
+  for (std::int64_t now_ms = 100; now_ms <= 3'000; now_ms += 50) {
+    starts += planner.Decide(now_ms).starts.size();
+  }
+  cr_expect_eq(starts, 2);
+}
+
+// The other workers are full of tasks that end soon. Guards against using an
+// avoided worker in a busy service for each step that waits.
+Test(graph_planner, avoids_workers_for_longer_while_the_service_is_busy) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    if (n > 1) {
+      AddRunningTask(planner.workers()[n], 64'000, 5'000);
+    }
+  }
+  AddStep(planner, 1, 1, 40'000, 90'000).avoided.insert(1);
+  cr_expect(planner.Decide(5'000).starts.empty());
+  cr_expect_eq(planner.Decide(10'000).starts.size(), 1);
+}
+
 // The service has allowed two workers, and the step avoids one of them. Guards
 // against a gang that takes them for enough and asks about no further one.
 Test(graph_planner, asks_about_more_workers_than_the_avoided_ones) {
