policy: Ask about idle workers while the allowed ones stay full

A step whose allowed workers were full of tasks without an end asked the advice service about no further worker, although others were idle.

Workers that the service has allowed count as enough if the waiting tasks would fit on them once they are idle. Only late steps gave that up, after 3 s and while a caller was idle; a step with a long objective waited for as long as it was on time, and any step while no caller was idle. Idle workers that the step avoids counted as room.

A step of which no task was placed for 1.5 s now asks about further workers if its allowed ones, without those that it avoids, have no room, and others have. It asks only about these, so that no caller is used for workers that could not run it any sooner. A late step still asks about full workers after 3 s. Without an idle caller the question comes after 10 s.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -207,15 +207,17 @@
   // without enough allowed workers. A gang that has enough allowed workers asks
   // about further workers only while more callers than this are idle.
   std::int64_t reserved_callers = 12;
-  // A late step of which no task was placed for this long asks about further
-  // workers while a caller is idle, if its allowed workers have no room now.
+  // If the allowed workers of a step have no room now, and no task of it was
+  // placed for `held_back_ms`, it asks about further workers that have room. A
+  // late step asks about workers without room too after this time.
   std::int64_t long_wait_ms = 3'000;
   // A step is held back if no task of it was placed for this long and its
   // service is not busy. So is one whose tasks are long-running, however busy
   // the service is, because the tasks that it waits for may have no end either.
   // A step that is held back does without the preferences that delay it.
   std::int64_t held_back_ms = 1'500;
-  // Any other step is held back after this time.
+  // Any other step is held back after this time. Before it, steps that have
+  // enough allowed workers ask only while a caller is idle.
   std::int64_t max_wait_ms = 10'000;
   // A service is busy if more than this share of its usable capacity is used.
   double busy_share = 0.6;
@@ -333,12 +335,21 @@
   void Start(PlanStep& step, PlanWorker& worker, Round& round);
   // Limit of workers in one question about new workers.
   std::size_t MaxWorkersToAsk(const PlanStep& step) const;
+  // Which workers a step may ask about.
+  enum class QuestionScope { kNone, kWithRoom, kAll };
+
+  // Returns how many tasks of the step fit on the workers that advice allows
+  // and that the step does not avoid: now, or once they are idle. Counts up to
+  // `limit`.
+  std::int64_t FitOnAllowedWorkers(const PlanStep& step,
+                                   bool idle,
+                                   std::int64_t limit);
   bool HasEnoughAllowedWorkers(const PlanStep& step,
                                std::size_t limit,
                                std::int64_t now_ms);
-  // Whether a late step has waited long and its allowed workers have too little
-  // free capacity.
-  bool LacksFreeCapacity(const PlanStep& step, std::int64_t now_ms) const;
+  QuestionScope FindQuestionScope(const PlanStep& step,
+                                  std::size_t limit,
+                                  const Round& round);
   void AskAboutNewWorkers(PlanStep& step, Round& round);
   void PlanQuestion(PlanStep& step,
                     const std::vector<std::int64_t>& workers,
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -772,6 +772,26 @@
              : options_.max_workers_asked;
 }
 
+std::int64_t GraphPlanner::FitOnAllowedWorkers(const PlanStep& step,
+                                               bool idle,
+                                               std::int64_t limit) {
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  std::int64_t fit = 0;
+  for (const auto& [number, ticket] : step.advice.allowed) {
+    const auto* worker = FindWorker(number);
+    if (worker != nullptr && IsEligible(step, *worker) &&
+        !step.avoided.contains(number)) {
+      fit += FitCount(step.demand,
+                      idle ? worker->capacity : worker->AvailableCapacity(),
+                      std::min(count, PerWorkerLimit(step, *worker)));
+    }
+    if (fit >= limit) {
+      break;
+    }
+  }
+  return fit;
+}
+
 // Whether the workers that the service has allowed are enough for the waiting
 // tasks, so that callers of the service can stay free for other steps. They are
 // not enough if a further answer would come before the held capacity is free.
@@ -785,28 +805,38 @@
   // A gang needs capacity for all its tasks at the same time, so it needs more
   // workers to choose from.
   const auto wanted = step.gang ? 2 * count : count;
-  std::int64_t fit = 0;
-  for (const auto& [number, ticket] : step.advice.allowed) {
-    const auto* worker = FindWorker(number);
-    if (worker != nullptr && IsEligible(step, *worker) &&
-        !step.avoided.contains(number)) {
-      fit += FitCount(step.demand, worker->capacity,
-                      std::min(count, PerWorkerLimit(step, *worker)));
-    }
-    if (fit >= wanted) {
-      break;
-    }
-  }
   const bool answer_comes_first =
       !step.held.empty() && step.held_ready_ms - now_ms > AnswerMs(step, limit);
-  return fit >= wanted && !answer_comes_first;
+  return !answer_comes_first &&
+         FitOnAllowedWorkers(step, true, wanted) >= wanted;
 }
 
-bool GraphPlanner::LacksFreeCapacity(const PlanStep& step,
-                                     std::int64_t now_ms) const {
-  return IsLate(step, now_ms) &&
-         now_ms - step.waiting_since_ms >= options_.long_wait_ms &&
-         WorkersOf(step).fit < static_cast<std::int64_t>(step.waiting.size());
+// The tasks on the allowed workers may go on for very long, so a step doesn't
+// rely on their end for ever.
+GraphPlanner::QuestionScope GraphPlanner::FindQuestionScope(
+    const PlanStep& step,
+    std::size_t limit,
+    const Round& round) {
+  if (!HasEnoughAllowedWorkers(step, limit, round.now_ms)) {
+    return QuestionScope::kAll;
+  }
+  // A gang can start sooner with more workers to choose from, so it asks while
+  // enough callers are idle.
+  if (step.gang && round.idle_callers > options_.reserved_callers) {
+    return QuestionScope::kAll;
+  }
+  const auto waited_ms = round.now_ms - step.waiting_since_ms;
+  if (waited_ms < options_.held_back_ms ||
+      (round.idle_callers <= 0 && waited_ms < options_.max_wait_ms)) {
+    return QuestionScope::kNone;
+  }
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  if (FitOnAllowedWorkers(step, false, count) >= count) {
+    return QuestionScope::kNone;
+  }
+  return IsLate(step, round.now_ms) && waited_ms >= options_.long_wait_ms
+             ? QuestionScope::kAll
+             : QuestionScope::kWithRoom;
 }
 
 // Asks about eligible workers that the service has not been asked about yet,
@@ -818,30 +848,27 @@
       round.plan.questions.size() >= options_.max_questions) {
     return;
   }
-  if (HasEnoughAllowedWorkers(step, limit, round.now_ms)) {
-    // A gang can start sooner with more workers to choose from, so it asks
-    // while enough callers are idle. The tasks on the allowed workers may go on
-    // for very long, so a step doesn't rely on their end for ever.
-    const bool gang_may_ask =
-        step.gang && round.idle_callers > options_.reserved_callers;
-    if (!gang_may_ask &&
-        (round.idle_callers <= 0 || !LacksFreeCapacity(step, round.now_ms))) {
-      return;
-    }
-    --round.idle_callers;
+  const auto scope = FindQuestionScope(step, limit, round);
+  if (scope == QuestionScope::kNone) {
+    return;
   }
   // Computes the sort key once for each worker.
   std::vector<std::pair<double, std::int64_t>> candidates;
   for (const auto& it : all_workers_) {
-    if (!asked_workers.contains(it.number) && IsEligible(step, *it.worker)) {
-      candidates.emplace_back(-LeftoverShare(*it.worker, step.demand),
-                              it.number);
+    const auto& worker = *it.worker;
+    if (!asked_workers.contains(it.number) && IsEligible(step, worker) &&
+        (scope == QuestionScope::kAll ||
+         step.demand.FitsIn(worker.AvailableCapacity()))) {
+      candidates.emplace_back(-LeftoverShare(worker, step.demand), it.number);
     }
   }
   if (candidates.empty()) {
-    step.advice.complete_at_version = workers_version_;
+    if (scope == QuestionScope::kAll) {
+      step.advice.complete_at_version = workers_version_;
+    }
     return;
   }
+  --round.idle_callers;
   const auto asked = std::min(candidates.size(), limit);
   const auto last = candidates.begin() + static_cast<std::ptrdiff_t>(asked);
   std::nth_element(candidates.begin(), last, candidates.end());
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -490,6 +490,66 @@
   cr_expect(asked == std::vector<std::int64_t>({3, 4}));
 }
 
+// The same while no caller of the advice service ever is idle. Guards against a
+// step that leaves the callers to others for ever.
+Test(graph_planner, asks_about_more_workers_if_no_caller_is_ever_idle) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 2; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[1], 64'000, 600'000);
+  auto& step = AddStep(planner, 1, 1, 30'000, 6'000);
+  step.advice.needed = true;
+  step.advice.RecordAnswer({1}, {{1, {"t", 60'000}}});
+  std::vector<std::int64_t> asked;
+  for (std::int64_t now_ms = 100; now_ms <= 20'000; now_ms += 100) {
+    for (const auto& it : planner.Decide(now_ms, 0).questions) {
+      asked = it.workers;
+    }
+  }
+  cr_expect(asked == std::vector<std::int64_t>({2}));
+}
+
+// All allowed workers are busy, and so are the others but one. Guards against
+// questions about workers that could not run the step any sooner.
+Test(graph_planner, asks_only_about_workers_that_have_room) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    if (n != 3) {
+      AddRunningTask(planner.workers()[n], 64'000, 600'000);
+    }
+  }
+  auto& step = AddStep(planner, 1, 1, 30'000, 30'000);
+  step.advice.needed = true;
+  step.advice.RecordAnswer({1}, {{1, {"t", 60'000}}});
+  cr_expect(planner.Decide(1'000, 14).questions.empty());
+  const auto plan = planner.Decide(2'000, 14);
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers == std::vector<std::int64_t>({3}));
+}
+
+// The step avoids an allowed worker that is idle, and its other allowed worker
+// is full. Guards against counting the avoided one as room for the step.
+Test(graph_planner, asks_about_more_workers_if_only_avoided_ones_are_idle) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 5; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    if (n != 1 && n != 3) {
+      AddRunningTask(planner.workers()[n], 64'000, 600'000);
+    }
+  }
+  AddRunningTask(planner.workers()[3], 10'000, 600'000);
+  auto& step = AddStep(planner, 1, 1, 30'000, 30'000);
+  step.avoided.insert(1);
+  step.advice.needed = true;
+  step.advice.RecordAnswer({1, 2}, {{1, {"t", 60'000}}, {2, {"t", 60'000}}});
+  const auto plan = planner.Decide(3'000, 14);
+  cr_expect(plan.starts.empty());
+  cr_assert_eq(plan.questions.size(), 1);
+  cr_expect(plan.questions.front().workers == std::vector<std::int64_t>({3}));
+}
+
 // A late gang needs the capacity of a task that does not end. Guards against a
 // late job that waits for ever behind the capacity held for the gang.
 Test(graph_planner, holds_no_capacity_for_ever_for_a_gang_that_cannot_start) {
