policy: Limit how long held capacity keeps other work waiting

A late gang that needed the capacity of a task without an end held what was free on other workers for ever. Later steps do not use held capacity, so a late job waited beside idle workers (60 s in the test).

Capacity is held until the gang starts, and the expected end of an overdue task moves on with time, so nothing ended the hold. The same class is found in the share of late steps: while a gang on time waits, late steps start nothing beyond a tenth of the fleet, and late tasks without an end can use that tenth for as long as the gang waits. Gangs behind the first one waited likewise.

A step that is held back (1.5 s; 10 s for ordinary work in a busy service) now uses held capacity, what is not held first, and starts beyond the share of late steps. An ordinary step of single tasks does so only while none of its tasks runs, so that gangs keep most of what is held for them. The limit is on the wait of the step that is kept waiting, so it does not depend on how many gangs hold capacity one after another.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -61,7 +61,8 @@
   double milli_cpus_per_ms = 0;
   double memory_mb_per_ms = 0;
   // Capacity that the current or last Decide() holds for waiting gangs. Steps
-  // that are planned later in the same call do not use it.
+  // that are planned later in the same call do not use it unless they are held
+  // back.
   Demand held;
 
   // Negative if the capacity has shrunk below what is used.
@@ -229,7 +230,8 @@
   // gangs run.
   double max_held_share = 0.25;
   // While a gang that can still meet its objective is waiting, late steps start
-  // further tasks only if they use less than this share of the usable capacity.
+  // further tasks only if they use less than this share of the usable capacity,
+  // or are held back.
   double max_late_share = 0.1;
   // Period of full rounds, which plan all steps. Tickets, holds and quarantines
   // expire without an event.
@@ -322,6 +324,10 @@
                             bool changed_only,
                             std::int64_t now_ms);
   bool IsHeldBack(const PlanStep& step, std::int64_t now_ms) const;
+  // Whether the step may use the capacity that is held for gangs, and start
+  // tasks beyond the share of late steps. An ordinary step may do so only for
+  // its first task.
+  bool MayUseReservedCapacity(const PlanStep& step, std::int64_t now_ms) const;
   void UpdateServices();
   void PlaceStep(PlanStep& step, Round& round);
   bool MayStartLate(const PlanStep& step, Round& round);
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -368,6 +368,12 @@
          (waits_for_short_tasks ? options_.max_wait_ms : options_.held_back_ms);
 }
 
+bool GraphPlanner::MayUseReservedCapacity(const PlanStep& step,
+                                          std::int64_t now_ms) const {
+  return (step.long_running || step.running.empty()) &&
+         IsHeldBack(step, now_ms);
+}
+
 GraphPlanner::Candidates GraphPlanner::AllowedWorkers(const PlanStep& step,
                                                       bool changed_only,
                                                       std::int64_t now_ms) {
@@ -525,6 +531,8 @@
 // Late steps would take the capacity that a gang needs to meet its objective,
 // and they are worth less. While such a gang waits, they may use only a small
 // share of the fleet, which still lets each of them finish eventually.
+// That share has no effect on steps that are held back, because the tasks that
+// use it may have no end.
 bool GraphPlanner::MayStartLate(const PlanStep& step, Round& round) {
   std::int64_t running = 0;
   for (const auto& [worker, tasks] : step.running) {
@@ -532,7 +540,8 @@
   }
   round.late_share += static_cast<double>(running) *
                       ShareOf(step.demand, usable_capacity_[step.service_name]);
-  return !round.gang_waits || round.late_share < options_.max_late_share;
+  return !round.gang_waits || round.late_share < options_.max_late_share ||
+         MayUseReservedCapacity(step, round.now_ms);
 }
 
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
@@ -599,11 +608,13 @@
   const auto until = round.now_ms + options_.ticket_margin_ms;
   std::vector<std::int64_t> without_ticket;
   while (!step.waiting.empty()) {
+    const bool use_held = MayUseReservedCapacity(step, round.now_ms);
     PlanWorker* best = nullptr;
-    std::tuple<bool, bool, double> best_key;
+    std::tuple<bool, bool, bool, double> best_key;
     without_ticket.clear();
     for (auto* it : workers) {
-      if (!step.demand.FitsIn(it->AvailableCapacity()) ||
+      const bool is_held = !step.demand.FitsIn(it->AvailableCapacity());
+      if ((is_held && !(use_held && step.demand.FitsIn(it->FreeCapacity()))) ||
           PerWorkerLimit(step, *it) <= 0) {
         continue;
       }
@@ -613,8 +624,8 @@
       }
       const bool other_rack =
           !step.data_rack.empty() && it->rack != step.data_rack;
-      const std::tuple key(step.avoided.contains(it->number), other_rack,
-                           LeftoverShare(*it, step.demand));
+      const std::tuple key(is_held, step.avoided.contains(it->number),
+                           other_rack, LeftoverShare(*it, step.demand));
       if (best == nullptr || key < best_key) {
         best = it;
         best_key = key;
@@ -635,6 +646,10 @@
                              Round& round) {
   const auto until = round.now_ms + options_.ticket_margin_ms;
   const auto count = static_cast<std::int64_t>(step.waiting.size());
+  const bool use_held = MayUseReservedCapacity(step, round.now_ms);
+  const auto room = [&](const PlanWorker& worker) {
+    return use_held ? worker.FreeCapacity() : worker.AvailableCapacity();
+  };
   // Racks to try. The empty name stands for all racks together; for `same_rack`
   // each single rack is tried first.
   std::vector<std::string> racks;
@@ -655,7 +670,7 @@
       if (!rack.empty() && it->rack != rack) {
         continue;
       }
-      const auto n = FitCount(step.demand, it->AvailableCapacity(),
+      const auto n = FitCount(step.demand, room(*it),
                               std::min(count, PerWorkerLimit(step, *it)));
       if (n <= 0) {
         continue;
@@ -678,8 +693,7 @@
       std::sort(fitting.begin(), fitting.end(),
                 [&](auto* a, auto* b) { return key(a) < key(b); });
       for (auto* it : fitting) {
-        while (!step.waiting.empty() &&
-               step.demand.FitsIn(it->AvailableCapacity()) &&
+        while (!step.waiting.empty() && step.demand.FitsIn(room(*it)) &&
                PerWorkerLimit(step, *it) > 0) {
           Start(step, *it, round);
         }
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -277,7 +277,9 @@
   // Uses more than the share of late steps, and fits nowhere.
   AddStep(planner, 2, 1, 30'000, 1'000).running[1] = 2;
   (void)planner.Decide(10'000);
-  AddStep(planner, 3, 6, 10'000, 1'000).changed = false;
+  auto& late = AddStep(planner, 3, 6, 10'000, 1'000);
+  late.waiting_since_ms = 10'000;
+  late.changed = false;
   planner.MarkWorkerChanged(4);
   cr_expect_eq(CountStarts(planner.Decide(10'010), 3), 0);
 }
@@ -569,6 +571,62 @@
   cr_expect_eq(starts, 1);
 }
 
+// The same for a gang behind the first one, and for a step whose tasks run
+// until they are stopped in a service that is busy.
+Test(graph_planner, uses_capacity_held_for_a_gang_that_cannot_start) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 6; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+    if (n > 2) {
+      AddRunningTask(planner.workers()[n], 60'000, 600);
+    }
+  }
+  AddStep(planner, 1, 3, 60'000, 3'000).gang = true;
+  auto& gang = AddStep(planner, 2, 2, 30'000, 4'000);
+  gang.gang = true;
+  gang.accepted_ms = 10;
+  auto& service = AddStep(planner, 3, 2, 10'000, 4'000);
+  service.long_running = true;
+  service.accepted_ms = 20;
+  (void)planner.Decide(100);
+  cr_assert_eq(planner.steps().at(1).held.size(), 3);
+  int gang_starts = 0;
+  int service_starts = 0;
+  for (std::int64_t now_ms = 150; now_ms <= 20'000; now_ms += 50) {
+    const auto plan = planner.Decide(now_ms);
+    gang_starts += CountStarts(plan, 2);
+    service_starts += CountStarts(plan, 3);
+    if (now_ms == 3'000) {
+      cr_expect_eq(service_starts, 2);
+      cr_expect_eq(gang_starts, 0, "ordinary work waits in a busy service");
+    }
+  }
+  cr_expect_eq(service_starts, 2);
+  cr_expect_eq(gang_starts, 2);
+}
+
+// Late tasks without an end use more than the share of late steps. Guards
+// against a late step that waits beside idle workers for as long as a gang
+// waits.
+Test(graph_planner, starts_a_late_step_behind_late_tasks_without_an_end) {
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 3; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  AddRunningTask(planner.workers()[3], 40'000, 600'000);
+  AddStep(planner, 1, 3, 60'000, 900'000).gang = true;
+  auto& service = AddStep(planner, 2, 1, 40'000, 1'000);
+  service.running[3] = 1;
+  service.long_running = true;
+  auto& single = AddStep(planner, 3, 2, 10'000, 1'000);
+  single.accepted_ms = 10;
+  int starts = 0;
+  for (std::int64_t now_ms = 100; now_ms <= 60'000; now_ms += 50) {
+    starts += CountStarts(planner.Decide(now_ms), 3);
+  }
+  cr_expect_geq(starts, 1);
+}
+
 // An answer leaves out a worker that an earlier one allowed. Guards against a
 // worker that stays allowed and whose ticket is asked for again and again.
 Test(graph_planner, forgets_a_worker_that_an_answer_leaves_out) {
