--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -61,7 +61,8 @@
   double milli_cpus_per_ms = 0;
   double memory_mb_per_ms = 0;
   // Capacity that the current or last Decide() holds for waiting gangs. Steps
-  // that are planned later in the same call do not use it.
+  // that are planned later in the same call do not use it unless they are held
+  // back.
   Demand held;
 
   // Negative if the capacity has shrunk below what is used.
@@ -126,6 +127,7 @@
   std::string data_rack;  // Preferred rack of single tasks. Empty: none.
   std::int32_t max_per_worker = 0;  // Running tasks. 0: no limit.
   std::int64_t expected_run_ms = 0;
+  bool long_running = false;  // Tasks run until they are stopped.
   std::int64_t accepted_ms = 0;
   // The job is late if it ends after this time.
   std::int64_t objective_ms = 0;
@@ -139,7 +141,8 @@
   // Number of running tasks of the step on each worker.
   std::map<std::int64_t, std::int32_t> running;
   // Workers on which a task of the step failed. They are used only if the other
-  // eligible workers that are allowed cannot hold the step.
+  // eligible workers that are allowed cannot hold the step, or if the step is
+  // held back.
   std::set<std::int64_t> avoided;
   StepAdvice advice;
   // Must be set by the code that changes any of the fields above. An unchanged
@@ -205,9 +208,20 @@
   // without enough allowed workers. A gang that has enough allowed workers asks
   // about further workers only while more callers than this are idle.
   std::int64_t reserved_callers = 12;
-  // A late step of which no task was placed for this long asks about further
-  // workers while a caller is idle, if its allowed workers have no room now.
+  // If the allowed workers of a step have no room now, and no task of it was
+  // placed for `held_back_ms`, it asks about further workers that have room. A
+  // late step asks about workers without room too after this time.
   std::int64_t long_wait_ms = 3'000;
+  // A step is held back if no task of it was placed for this long and its
+  // service is not busy. So is one whose tasks are long-running, however busy
+  // the service is, because the tasks that it waits for may have no end either.
+  // A step that is held back does without the preferences that delay it.
+  std::int64_t held_back_ms = 1'500;
+  // Any other step is held back after this time. Before it, steps that have
+  // enough allowed workers ask only while a caller is idle.
+  std::int64_t max_wait_ms = 10'000;
+  // A service is busy if more than this share of its usable capacity is used.
+  double busy_share = 0.6;
   // Limit of questions in one plan, because callers are few.
   std::size_t max_questions = 64;
   // No capacity is held for further gangs once this share of the usable
@@ -216,7 +230,8 @@
   // gangs run.
   double max_held_share = 0.25;
   // While a gang that can still meet its objective is waiting, late steps start
-  // further tasks only if they use less than this share of the usable capacity.
+  // further tasks only if they use less than this share of the usable capacity,
+  // or are held back.
   double max_late_share = 0.1;
   // Period of full rounds, which plan all steps. Tickets, holds and quarantines
   // expire without an event.
@@ -305,7 +320,15 @@
   bool IsAffectedByChangedWorkers(const PlanStep& step) const;
   // Returns the eligible workers that advice allows. With `changed_only`,
   // considers only changed workers.
-  Candidates AllowedWorkers(const PlanStep& step, bool changed_only);
+  Candidates AllowedWorkers(const PlanStep& step,
+                            bool changed_only,
+                            std::int64_t now_ms);
+  bool IsHeldBack(const PlanStep& step, std::int64_t now_ms) const;
+  // Whether the step may use the capacity that is held for gangs, and start
+  // tasks beyond the share of late steps. An ordinary step may do so only for
+  // its first task.
+  bool MayUseReservedCapacity(const PlanStep& step, std::int64_t now_ms) const;
+  void UpdateServices();
   void PlaceStep(PlanStep& step, Round& round);
   bool MayStartLate(const PlanStep& step, Round& round);
   void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
@@ -318,12 +341,21 @@
   void Start(PlanStep& step, PlanWorker& worker, Round& round);
   // Limit of workers in one question about new workers.
   std::size_t MaxWorkersToAsk(const PlanStep& step) const;
+  // Which workers a step may ask about.
+  enum class QuestionScope { kNone, kWithRoom, kAll };
+
+  // Returns how many tasks of the step fit on the workers that advice allows
+  // and that the step does not avoid: now, or once they are idle. Counts up to
+  // `limit`.
+  std::int64_t FitOnAllowedWorkers(const PlanStep& step,
+                                   bool idle,
+                                   std::int64_t limit);
   bool HasEnoughAllowedWorkers(const PlanStep& step,
                                std::size_t limit,
                                std::int64_t now_ms);
-  // Whether a late step has waited long and its allowed workers have too little
-  // free capacity.
-  bool LacksFreeCapacity(const PlanStep& step, std::int64_t now_ms) const;
+  QuestionScope FindQuestionScope(const PlanStep& step,
+                                  std::size_t limit,
+                                  const Round& round);
   void AskAboutNewWorkers(PlanStep& step, Round& round);
   void PlanQuestion(PlanStep& step,
                     const std::vector<std::int64_t>& workers,
@@ -350,6 +382,8 @@
   // Total capacity of the usable workers of each service, as of the last full
   // round.
   std::map<std::string, Demand> usable_capacity_;
+  // Services that were busy in the last full round.
+  std::set<std::string> busy_services_;
 };
 
 }  // namespace cranberryshunt::policy
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -361,8 +361,22 @@
                      });
 }
 
+bool GraphPlanner::IsHeldBack(const PlanStep& step, std::int64_t now_ms) const {
+  const bool waits_for_short_tasks =
+      !step.long_running && busy_services_.contains(step.service_name);
+  return now_ms - step.waiting_since_ms >=
+         (waits_for_short_tasks ? options_.max_wait_ms : options_.held_back_ms);
+}
+
+bool GraphPlanner::MayUseReservedCapacity(const PlanStep& step,
+                                          std::int64_t now_ms) const {
+  return (step.long_running || step.running.empty()) &&
+         IsHeldBack(step, now_ms);
+}
+
 GraphPlanner::Candidates GraphPlanner::AllowedWorkers(const PlanStep& step,
-                                                      bool changed_only) {
+                                                      bool changed_only,
+                                                      std::int64_t now_ms) {
   Candidates out;
   const auto add = [&](PlanWorker* worker) {
     if (worker != nullptr && IsEligible(step, *worker)) {
@@ -386,7 +400,7 @@
       add(it.worker);
     }
   }
-  if (step.avoided.empty()) {
+  if (step.avoided.empty() || IsHeldBack(step, now_ms)) {
     return out;
   }
   // Avoids workers on which a task of the step failed if the others can hold
@@ -472,6 +486,23 @@
   }
 }
 
+void GraphPlanner::UpdateServices() {
+  usable_capacity_.clear();
+  busy_services_.clear();
+  std::map<std::string, Demand> used;
+  for (const auto& [number, worker] : workers_) {
+    if (worker.usable) {
+      usable_capacity_[worker.service_name] += worker.capacity;
+      used[worker.service_name] += worker.used;
+    }
+  }
+  for (const auto& [name, capacity] : usable_capacity_) {
+    if (ShareOf(used[name], capacity) > options_.busy_share) {
+      busy_services_.insert(name);
+    }
+  }
+}
+
 Plan GraphPlanner::Decide(std::int64_t now_ms, std::int64_t idle_callers) {
   Round round;
   round.now_ms = now_ms;
@@ -479,7 +510,6 @@
   round.full = now_ms - full_round_at_ms_ >= options_.full_round_ms;
   if (round.full) {
     full_round_at_ms_ = now_ms;
-    usable_capacity_.clear();
   }
   IndexWorkers(round.full);
   for (const auto number : workers_with_held_capacity_) {
@@ -489,11 +519,7 @@
   }
   workers_with_held_capacity_.clear();
   if (round.full) {
-    for (const auto& [number, worker] : workers_) {
-      if (worker.usable) {
-        usable_capacity_[worker.service_name] += worker.capacity;
-      }
-    }
+    UpdateServices();
   }
   for (auto* step : StepsByUrgency(now_ms)) {
     PlaceStep(*step, round);
@@ -505,6 +531,8 @@
 // Late steps would take the capacity that a gang needs to meet its objective,
 // and they are worth less. While such a gang waits, they may use only a small
 // share of the fleet, which still lets each of them finish eventually.
+// That share has no effect on steps that are held back, because the tasks that
+// use it may have no end.
 bool GraphPlanner::MayStartLate(const PlanStep& step, Round& round) {
   std::int64_t running = 0;
   for (const auto& [worker, tasks] : step.running) {
@@ -512,7 +540,8 @@
   }
   round.late_share += static_cast<double>(running) *
                       ShareOf(step.demand, usable_capacity_[step.service_name]);
-  return !round.gang_waits || round.late_share < options_.max_late_share;
+  return !round.gang_waits || round.late_share < options_.max_late_share ||
+         MayUseReservedCapacity(step, round.now_ms);
 }
 
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
@@ -536,7 +565,7 @@
   step.changed = false;
   const auto waited = step.waiting.size();
   if (step.gang) {
-    const auto allowed = AllowedWorkers(step, false);
+    const auto allowed = AllowedWorkers(step, false, round.now_ms);
     PlaceGang(step, allowed, round);
     if (step.waiting.empty() || round.held_share >= options_.max_held_share) {
       step.held.clear();
@@ -546,7 +575,7 @@
     HoldCapacity(step, round);
     round.gang_waits = round.gang_waits || (!late && !step.waiting.empty());
   } else {
-    PlaceSingles(step, AllowedWorkers(step, !plan_fully), round);
+    PlaceSingles(step, AllowedWorkers(step, !plan_fully, round.now_ms), round);
   }
   if (late) {
     const auto started =
@@ -579,11 +608,13 @@
   const auto until = round.now_ms + options_.ticket_margin_ms;
   std::vector<std::int64_t> without_ticket;
   while (!step.waiting.empty()) {
+    const bool use_held = MayUseReservedCapacity(step, round.now_ms);
     PlanWorker* best = nullptr;
-    std::tuple<bool, bool, double> best_key;
+    std::tuple<bool, bool, bool, double> best_key;
     without_ticket.clear();
     for (auto* it : workers) {
-      if (!step.demand.FitsIn(it->AvailableCapacity()) ||
+      const bool is_held = !step.demand.FitsIn(it->AvailableCapacity());
+      if ((is_held && !(use_held && step.demand.FitsIn(it->FreeCapacity()))) ||
           PerWorkerLimit(step, *it) <= 0) {
         continue;
       }
@@ -593,8 +624,8 @@
       }
       const bool other_rack =
           !step.data_rack.empty() && it->rack != step.data_rack;
-      const std::tuple key(step.avoided.contains(it->number), other_rack,
-                           LeftoverShare(*it, step.demand));
+      const std::tuple key(is_held, step.avoided.contains(it->number),
+                           other_rack, LeftoverShare(*it, step.demand));
       if (best == nullptr || key < best_key) {
         best = it;
         best_key = key;
@@ -615,6 +646,10 @@
                              Round& round) {
   const auto until = round.now_ms + options_.ticket_margin_ms;
   const auto count = static_cast<std::int64_t>(step.waiting.size());
+  const bool use_held = MayUseReservedCapacity(step, round.now_ms);
+  const auto room = [&](const PlanWorker& worker) {
+    return use_held ? worker.FreeCapacity() : worker.AvailableCapacity();
+  };
   // Racks to try. The empty name stands for all racks together; for `same_rack`
   // each single rack is tried first.
   std::vector<std::string> racks;
@@ -635,7 +670,7 @@
       if (!rack.empty() && it->rack != rack) {
         continue;
       }
-      const auto n = FitCount(step.demand, it->AvailableCapacity(),
+      const auto n = FitCount(step.demand, room(*it),
                               std::min(count, PerWorkerLimit(step, *it)));
       if (n <= 0) {
         continue;
@@ -658,8 +693,7 @@
       std::sort(fitting.begin(), fitting.end(),
                 [&](auto* a, auto* b) { return key(a) < key(b); });
       for (auto* it : fitting) {
-        while (!step.waiting.empty() &&
-               step.demand.FitsIn(it->AvailableCapacity()) &&
+        while (!step.waiting.empty() && step.demand.FitsIn(room(*it)) &&
                PerWorkerLimit(step, *it) > 0) {
           Start(step, *it, round);
         }
@@ -752,6 +786,26 @@
              : options_.max_workers_asked;
 }
 
+std::int64_t GraphPlanner::FitOnAllowedWorkers(const PlanStep& step,
+                                               bool idle,
+                                               std::int64_t limit) {
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  std::int64_t fit = 0;
+  for (const auto& [number, ticket] : step.advice.allowed) {
+    const auto* worker = FindWorker(number);
+    if (worker != nullptr && IsEligible(step, *worker) &&
+        !step.avoided.contains(number)) {
+      fit += FitCount(step.demand,
+                      idle ? worker->capacity : worker->AvailableCapacity(),
+                      std::min(count, PerWorkerLimit(step, *worker)));
+    }
+    if (fit >= limit) {
+      break;
+    }
+  }
+  return fit;
+}
+
 // Whether the workers that the service has allowed are enough for the waiting
 // tasks, so that callers of the service can stay free for other steps. They are
 // not enough if a further answer would come before the held capacity is free.
@@ -765,28 +819,38 @@
   // A gang needs capacity for all its tasks at the same time, so it needs more
   // workers to choose from.
   const auto wanted = step.gang ? 2 * count : count;
-  std::int64_t fit = 0;
-  for (const auto& [number, ticket] : step.advice.allowed) {
-    const auto* worker = FindWorker(number);
-    if (worker != nullptr && IsEligible(step, *worker) &&
-        !step.avoided.contains(number)) {
-      fit += FitCount(step.demand, worker->capacity,
-                      std::min(count, PerWorkerLimit(step, *worker)));
-    }
-    if (fit >= wanted) {
-      break;
-    }
-  }
   const bool answer_comes_first =
       !step.held.empty() && step.held_ready_ms - now_ms > AnswerMs(step, limit);
-  return fit >= wanted && !answer_comes_first;
+  return !answer_comes_first &&
+         FitOnAllowedWorkers(step, true, wanted) >= wanted;
 }
 
-bool GraphPlanner::LacksFreeCapacity(const PlanStep& step,
-                                     std::int64_t now_ms) const {
-  return IsLate(step, now_ms) &&
-         now_ms - step.waiting_since_ms >= options_.long_wait_ms &&
-         WorkersOf(step).fit < static_cast<std::int64_t>(step.waiting.size());
+// The tasks on the allowed workers may go on for very long, so a step doesn't
+// rely on their end for ever.
+GraphPlanner::QuestionScope GraphPlanner::FindQuestionScope(
+    const PlanStep& step,
+    std::size_t limit,
+    const Round& round) {
+  if (!HasEnoughAllowedWorkers(step, limit, round.now_ms)) {
+    return QuestionScope::kAll;
+  }
+  // A gang can start sooner with more workers to choose from, so it asks while
+  // enough callers are idle.
+  if (step.gang && round.idle_callers > options_.reserved_callers) {
+    return QuestionScope::kAll;
+  }
+  const auto waited_ms = round.now_ms - step.waiting_since_ms;
+  if (waited_ms < options_.held_back_ms ||
+      (round.idle_callers <= 0 && waited_ms < options_.max_wait_ms)) {
+    return QuestionScope::kNone;
+  }
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  if (FitOnAllowedWorkers(step, false, count) >= count) {
+    return QuestionScope::kNone;
+  }
+  return IsLate(step, round.now_ms) && waited_ms >= options_.long_wait_ms
+             ? QuestionScope::kAll
+             : QuestionScope::kWithRoom;
 }
 
 // Asks about eligible workers that the service has not been asked about yet,
@@ -798,30 +862,27 @@
       round.plan.questions.size() >= options_.max_questions) {
     return;
   }
-  if (HasEnoughAllowedWorkers(step, limit, round.now_ms)) {
-    // A gang can start sooner with more workers to choose from, so it asks
-    // while enough callers are idle. The tasks on the allowed workers may go on
-    // for very long, so a step doesn't rely on their end for ever.
-    const bool gang_may_ask =
-        step.gang && round.idle_callers > options_.reserved_callers;
-    if (!gang_may_ask &&
-        (round.idle_callers <= 0 || !LacksFreeCapacity(step, round.now_ms))) {
-      return;
-    }
-    --round.idle_callers;
+  const auto scope = FindQuestionScope(step, limit, round);
+  if (scope == QuestionScope::kNone) {
+    return;
   }
   // Computes the sort key once for each worker.
   std::vector<std::pair<double, std::int64_t>> candidates;
   for (const auto& it : all_workers_) {
-    if (!asked_workers.contains(it.number) && IsEligible(step, *it.worker)) {
-      candidates.emplace_back(-LeftoverShare(*it.worker, step.demand),
-                              it.number);
+    const auto& worker = *it.worker;
+    if (!asked_workers.contains(it.number) && IsEligible(step, worker) &&
+        (scope == QuestionScope::kAll ||
+         step.demand.FitsIn(worker.AvailableCapacity()))) {
+      candidates.emplace_back(-LeftoverShare(worker, step.demand), it.number);
     }
   }
   if (candidates.empty()) {
-    step.advice.complete_at_version = workers_version_;
+    if (scope == QuestionScope::kAll) {
+      step.advice.complete_at_version = workers_version_;
+    }
     return;
   }
+  --round.idle_callers;
   const auto asked = std::min(candidates.size(), limit);
   const auto last = candidates.begin() + static_cast<std::ptrdiff_t>(asked);
   std::nth_element(candidates.begin(), last, candidates.end());
