cell: Measure the retention of ended jobs without the time of day

Callers saw, in tests: a job that had ended was answered as unknown (410) as soon as the time of day stepped ahead by more than the retention time (120 s), or a controller whose clock was that far ahead took over. A repeated submission of its id was accepted as a new job, and all its tasks ran a second time. A job that ended while the clock was ahead was kept until the clock had caught up.

Cause: the end of a job was stamped with the time of day of the leader of that moment, and compared with the time of day of the present leader. Steps of 2 s to 3 s, which deployments see, shorten the 120 s by that much; only larger ones drop a job at once.

Now each batch carries the time for which the cell has had a leader, by the leader's monotonic clock. A new leader continues from the last batch that is committed, so the time never runs ahead, whatever the clocks of the controllers say. Time between the last batch and a takeover does not count, so a job is kept a little longer after a change of the leader. Times from an existing log continue from the highest one.

Due times of jobs still use the time of day, as they have to.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -71,6 +71,8 @@
       metrics_(metrics),
       now_ms_(ToMilliseconds(now.time_since_epoch())),
       wall_ms_(environment.WallMilliseconds()),
+      first_cell_ms_(store.last_batch_ms()),
+      first_now_ms_(now_ms_),
       step_tracker_(store, planner_, run_times_),
       workers_(
           {.fence = term,
@@ -563,7 +565,7 @@
     return;
   }
   last_propose_ms_ = now_ms_;
-  batch_.at_ms = wall_ms_;
+  batch_.at_ms = CellMs();
   Proposal proposal;
   proposal.id = next_proposal_++;
   proposal.data = wire::Encode(batch_);
@@ -573,8 +575,12 @@
   batch_has_content_ = false;
 }
 
+std::int64_t Leader::CellMs() const {
+  return first_cell_ms_ + now_ms_ - first_now_ms_;
+}
+
 void Leader::ExpireJobs() {
-  const auto cutoff_ms = wall_ms_ - options_.job_retention.count();
+  const auto cutoff_ms = CellMs() - options_.job_retention.count();
   for (const auto& [id, job] : store_.jobs()) {
     if (!job.active() && job.finished_ms() < cutoff_ms &&
         batch_.expired_jobs.size() < kMaxExpiredPerBatch) {
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -82,6 +82,10 @@
   void LogRun(const FinishedRun& finished, bool current);
   void LogEnds(graph::JobId id, std::int64_t at_ms);
   void StopObsoleteRuns(const wire::GraphBatch& batch);
+  // Time for which the cell has had a leader. It continues from the last
+  // committed batch, and does not depend on the time of day, which may step and
+  // differs between controllers.
+  std::int64_t CellMs() const;
   void ExpireJobs();
   void RemoveSilentWorkers();
   void FailLostOrders();
@@ -163,6 +167,9 @@
   MetricsRegistry& metrics_;
   std::int64_t now_ms_ = 0;
   std::int64_t wall_ms_ = 0;
+  // What CellMs() returned when this leader took over, and its own time then.
+  const std::int64_t first_cell_ms_;
+  const std::int64_t first_now_ms_;
 
   RunTimes run_times_;
   policy::GraphPlanner planner_;
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -140,6 +140,9 @@
   void Apply(const wire::GraphBatch& batch);
 
   std::string Snapshot() const;
+  // Latest time of an applied batch. After Restore(), the latest time at which
+  // a job ended.
+  std::int64_t last_batch_ms() const { return last_batch_ms_; }
   // Replaces the whole state. Fails with kCorrupt, without changing the state,
   // when the snapshot cannot be decoded or a job has the wrong number of tasks.
   Result<void> Restore(std::string_view snapshot);
@@ -185,6 +188,7 @@
                      wire::GraphJobState::type state,
                      std::int64_t at_ms);
 
+  std::int64_t last_batch_ms_ = 0;
   wire::RoutingTable table_;
   WorkerNumber next_worker_ = 1;
   std::map<WorkerNumber, wire::CalledWorker> workers_;
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -1,5 +1,6 @@
 #include "cranberryshunt/graph/graph_store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cranberryshunt/wire/codec.h"
@@ -17,6 +18,7 @@
 
 void GraphStore::Apply(const wire::GraphBatch& batch) {
   crashed_workers_.clear();
+  last_batch_ms_ = std::max(last_batch_ms_, batch.at_ms);
   if (batch.__isset.table) {
     ApplyTable(batch.table);
   }
@@ -292,6 +294,7 @@
     }
     job.state_ = static_cast<wire::GraphJobState::type>(image.state);
     job.finished_ms_ = image.finished_ms;
+    next.last_batch_ms_ = std::max(next.last_batch_ms_, job.finished_ms_);
     job.started_ = image.started;
     for (std::size_t i = 0; i < image.tasks.size(); ++i) {
       auto& it = image.tasks[i];
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -620,7 +620,7 @@
 
 // One log entry of a cell with called workers. The fields are applied in their order.
 struct GraphBatch {
-  1: i64 at_ms                 // Leader's wall clock, for retention only.
+  1: i64 at_ms                 // Time for which the cell has had a leader, for retention only.
   2: optional RoutingTable table
   3: list<CalledWorker> workers
   4: list<i64> removed_workers
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -92,7 +92,7 @@
   bool HasLease() const override { return has_lease; }
   wire::Membership Membership() const override { return {}; }
   std::int64_t WallMilliseconds() const override {
-    return 1'700'000'000'000 + now_ms_;
+    return 1'700'000'000'000 + now_ms_ + wall_offset_ms;
   }
 
   // Publishes a routing table with these queues.
@@ -136,6 +136,8 @@
   std::vector<FakeWorker> workers;
   std::map<graph::JobId, JobOutcome> jobs;
   bool has_lease = true;
+  // Added to the time of day.
+  std::int64_t wall_offset_ms = 0;
   bool log_is_full = false;  // Proposals are not committed.
   std::int64_t starts = 0;
   std::int64_t refused_starts = 0;
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -614,3 +614,62 @@
                static_cast<int>(cell.refused_starts));
   cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
 }
+
+// Guards against a finished job that is answered as unknown, and accepted a
+// second time, because the time of day has stepped ahead.
+Test(leader, keeps_finished_jobs_when_the_time_of_day_steps_ahead) {
+  constexpr std::int64_t kStepMs = 3'600'000;
+  CellHarness cell;
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.Submit(1, "a", MakeJob(4, 2'000, 500));
+  cell.Run(2'000);
+  cr_assert(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cell.wall_offset_ms = kStepMs;
+  cell.Run(2'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cell.Submit(1, "a", MakeJob(4, 2'000, 500));
+  cell.Run(2'000);
+  cr_expect_eq(cell.starts, 4);
+  ExpectNoViolations(cell);
+}
+
+// Guards against a finished job that a new leader drops because its time of day
+// is ahead of that of the leader under which the job ended.
+Test(leader, keeps_finished_jobs_if_the_next_leader_has_a_later_time_of_day) {
+  CellHarness cell;
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.Submit(1, "a", MakeJob(4, 2'000, 500));
+  cell.Run(2'000);
+  cr_assert(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  for (int n = 0; n < 3; ++n) {
+    cell.wall_offset_ms += 60'000;
+    cell.ChangeLeader();
+    cell.Run(2'000);
+  }
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  ExpectNoViolations(cell);
+}
+
+// Guards against finished jobs that are kept too long because the time of day
+// was ahead when they ended, or because the leader has changed since.
+Test(leader, drops_finished_jobs_after_the_retention_time) {
+  constexpr std::int64_t kRetentionMs = 120'000;
+  CellHarness cell;
+  StartCell(cell, {MakeQueue("a", 1)});
+  cell.wall_offset_ms = 3'600'000;
+  cell.Submit(1, "a", MakeJob(4, 2'000, 500));
+  cell.Run(2'000);
+  cr_assert(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cell.wall_offset_ms = 0;
+  cell.Run(kRetentionMs / 2);
+  // Commits something, so that the next leader knows how much time has passed.
+  cell.Submit(2, "a", MakeJob(1, 2'000, 500));
+  cell.Run(2'000);
+  cell.ChangeLeader();
+  cell.Run(kRetentionMs / 2 - 10'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cell.Run(15'000);
+  cr_expect(!cell.StateOf(1).has_value());
+  cr_expect(cell.StateOf(2) == wire::GraphJobState::kCompleted);
+  ExpectNoViolations(cell);
+}
--- a/tests/graph/graph_store_test.cc
+++ b/tests/graph/graph_store_test.cc
@@ -159,6 +159,25 @@
   cr_expect(other.FindJob(kJob)->StepReady({kJob, 0, 1}));
 }
 
+// Guards against ended jobs that are kept too long because time begins anew
+// after a snapshot was restored.
+Test(graph_store, continues_its_time_after_a_snapshot) {
+  constexpr std::int64_t kCancelledMs = 5'000;
+  GraphStore store;
+  PutTable(store, 7, "seven");
+  Accept(store, MakeJob(2, false));
+  wire::GraphBatch batch;
+  batch.at_ms = kCancelledMs;
+  batch.cancelled_jobs.push_back(static_cast<std::int64_t>(kJob));
+  store.Apply(batch);
+  GraphStore other;
+  cr_assert(other.Restore(store.Snapshot()).has_value());
+  cr_expect_eq(other.last_batch_ms(), kCancelledMs);
+  batch.at_ms = kCancelledMs - 1;
+  other.Apply(batch);
+  cr_expect_eq(other.last_batch_ms(), kCancelledMs);
+}
+
 namespace {
 
 void Register(GraphStore& store,
