--- /dev/null
+++ b/tests/platform/entry_shutdown_test.cc
@@ -0,0 +1,64 @@
+// Tests how an entry ends its requests when it is shut down.
+#include <criterion/criterion.h>
+
+#include <thread>
+
+#include "cranberryshunt/platform/processes.h"
+#include "http/socket_peer.h"
+
+using namespace cranberryshunt;            // NOLINT
+using namespace cranberryshunt::platform;  // NOLINT
+
+namespace {
+
+using http::RawClient;
+using std::chrono::milliseconds;
+
+constexpr std::uint16_t kCallerPort = 24'100;
+constexpr std::uint16_t kReadinessPort = 24'101;
+constexpr std::int64_t kFirstInternalPort = 24'110;
+
+std::string Address(const std::string& ip, std::uint16_t port) {
+  return ip + ":" + std::to_string(port);
+}
+
+// Settings of an entry that knows one controller, which does not run.
+ProcessSettings MakeSettings() {
+  const auto ip = test::OwnLoopbackIp();
+  ProcessSettings settings;
+  settings.host = "front-0";
+  settings.ip = ip;
+  settings.caller_address = Address(ip, kCallerPort);
+  settings.readiness_address = Address(ip, kReadinessPort);
+  settings.first_internal_port = kFirstInternalPort;
+  settings.seeds = {Address(test::LoopbackIp(1), kCallerPort)};
+  return settings;
+}
+
+}  // namespace
+
+// Guards against a request that arrives during the shutdown, while no leader
+// answers, and whose connection is closed without a response at its end.
+Test(entry_shutdown, answers_requests_that_wait_for_a_leader) {
+  constexpr milliseconds kBeforeRequest{2'300};
+  constexpr milliseconds kStopGrace{6'000};
+  auto entry = StartEntry(MakeSettings());
+  cr_assert(entry.has_value());
+  std::int64_t interrupted = -1;
+  std::thread shutdown([&] {
+    interrupted = (*entry)->Shutdown();
+    entry->reset();
+  });
+  std::this_thread::sleep_for(kBeforeRequest);
+  RawClient client(kCallerPort);
+  cr_assert(client.connected());
+  client.Send(
+      "GET /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
+      "X-Deadline-Ms: 3000\r\n\r\n");
+  const bool closed = client.IsClosedWithin(kStopGrace - kBeforeRequest);
+  shutdown.join();
+  cr_expect(closed);
+  cr_expect_eq(interrupted, 0);
+  cr_expect(client.received.starts_with("HTTP/1.1 503"), "received: %s",
+            client.received.c_str());
+}
