wire: Leave a controller that answers no calls

Callers saw, in the new test: while one controller accepted connections but answered no call, no call reached the leader behind it, for as long as that lasted. In the cell, an entry that follows such a controller answers every request with 503 or 504.

Cause: after a timeout the client of the leader repeats the call with the same controller, as only the connection may be dead. Nothing ended this as long as new connections could be opened, which a controller whose decision thread is stuck or far behind allows: its other threads answer the handshake. It was the only step of the search for a leader without a limit.

After a second timeout in a row the call now goes to the next controller, and with it later calls. If the slow controller does lead, the others name it, and the calls return to it.

Evidence: leader_client::leaves_a_controller_that_answers_no_calls failed before (no call of two answered, 4.2 s) and passes; wire_test passes three times of three, 14 of 14. That a decision thread is stuck for that long was not seen on a deployment.

--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -331,6 +331,7 @@
                                const Call& call) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   Error last_error(ResultCode::kNoLeader, "no controller answered as leader");
+  std::shared_ptr<ControllerChannel> timed_out_before;
   for (std::size_t attempt = 0;; ++attempt) {
     const auto remaining = RemainingUntil(deadline);
     if (remaining <= std::chrono::milliseconds::zero()) {
@@ -355,10 +356,13 @@
                                      "controller is not the leader")
                              : call_result.error();
     // After a timeout, only the connection may be dead. The next attempt opens
-    // a new one to the same controller.
+    // a new one to the same controller. If that one is not answered either, the
+    // controller itself may be stuck.
+    const bool timed_out =
+        !call_result && call_result.error().code() == ResultCode::kTimeout;
     const bool retry_same =
-        !call_result && call_result.error().code() == ResultCode::kTimeout &&
-        !channel->unreachable();
+        timed_out && timed_out_before != channel && !channel->unreachable();
+    timed_out_before = timed_out ? channel : nullptr;
     if (!retry_same) {
       ChooseNextController(index, status);
     }
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -49,6 +49,19 @@
   std::set<std::thread::id> threads;
 };
 
+// Returns from no call before `released` is set.
+class StuckHandler final : public ControllerServiceNull {
+ public:
+  void GetCluster(ClusterReply& /*reply*/) override {
+    constexpr std::chrono::milliseconds kCheckInterval{5};
+    while (!released) {
+      std::this_thread::sleep_for(kCheckInterval);
+    }
+  }
+
+  std::atomic<bool> released = false;
+};
+
 struct RunningServer {
   CountingHandler handler;
   std::vector<std::string> refused;
@@ -174,6 +187,29 @@
                std::chrono::seconds(1));
 }
 
+// Guards against calls that stay with a controller that accepts connections but
+// answers no calls, although another controller leads.
+Test(leader_client, leaves_a_controller_that_answers_no_calls) {
+  constexpr std::chrono::milliseconds kAttempt{300};
+  StuckHandler stuck;
+  const auto stuck_address = test::LoopbackIp(1) + ":21000";
+  const auto stuck_server = ControllerServer::Start(
+      stuck_address, "secret", stuck, [](const std::string& /*peer*/) {});
+  cr_assert(stuck_server.has_value());
+  auto leader = StartServer();
+  cr_assert_not_null(leader.get());
+  LeaderClient client({stuck_address, leader->address}, "e1", "secret");
+  const auto call = [](auto& connection) {
+    ClusterReply reply;
+    connection.GetCluster(reply);
+    return CallStatus{};
+  };
+  cr_expect(client.Run(kTimeout, kAttempt, call).has_value());
+  cr_expect(client.Run(kTimeout, kAttempt, call).has_value());
+  cr_expect_eq(leader->handler.calls, 2);
+  stuck.released = true;
+}
+
 // Guards against a busy loop while two controllers name each other as the
 // leader.
 Test(leader_client, pauses_when_controllers_name_each_other) {
