graph: Move open runs to the next incarnation of their worker

A task ran twice after a change of the leader.

The leader moves the runs to the new incarnation, whose list decides about them. Then the leader changes. In the committed state the runs are still on the number of the incarnation that has ended, which names no worker any more, so the new leader took them for lost and started the tasks elsewhere. The worker listed the runs 10 ms later; until its runs were stopped, each task ran twice.

The class: the leader knew the successor of a worker and the committed state did not. The store now moves the open runs of a replaced worker to its next incarnation when it numbers that, as the tracker does, so each leader waits for the list. A run of a worker that has left is still ended at once.

--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -29,7 +29,9 @@
   // The last run that was counted as a failure. The failures of a gang are
   // counted in its task with index 0.
   std::int32_t failed_run = 0;
-  WorkerNumber worker = 0;  // Worker of the current run.
+  // Worker of the current run. If the worker was replaced, its next
+  // incarnation.
+  WorkerNumber worker = 0;
   bool done = false;
   std::string checkpoint;
   // Runs whose worker crashed, and the last run that was counted. The crashes
@@ -170,6 +172,9 @@
  private:
   void ApplyTable(const wire::RoutingTable& table);
   void ApplyWorker(const wire::CalledWorker& worker, std::int64_t at_ms);
+  // Moves the open runs of a worker to its next incarnation, which may have
+  // carried out their starts. Only its list shows that they have ended.
+  void MoveRuns(WorkerNumber from, WorkerNumber to);
   void ApplyCancel(JobId id, std::int64_t at_ms);
   void ApplyStart(const wire::RunStart& start);
   void ApplyResult(const wire::RunResult& result, std::int64_t at_ms);
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -54,6 +54,19 @@
   }
 }
 
+void GraphStore::MoveRuns(WorkerNumber from, WorkerNumber to) {
+  for (auto& [id, job] : jobs_) {
+    if (job.open_runs_ == 0) {
+      continue;
+    }
+    for (auto& task : job.tasks_) {
+      if (task.run != 0 && task.worker == from) {
+        task.worker = to;
+      }
+    }
+  }
+}
+
 void GraphStore::ApplyWorker(const wire::CalledWorker& worker,
                              std::int64_t at_ms) {
   const auto registered = workers_by_id_.find(worker.id);
@@ -69,6 +82,7 @@
       return;
     }
     ApplyCrash(registered->second, old, at_ms);
+    MoveRuns(registered->second, next_worker_);
     workers_.erase(registered->second);
   }
   for (const auto& [number, it] : workers_) {
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -82,6 +82,33 @@
   }
 }
 
+// Guards against a task that runs twice: a start reaches the next incarnation
+// of its worker, and the leader changes once that one is registered.
+Test(departed_worker, keeps_its_runs_if_the_leader_changes_after_its_return) {
+  constexpr std::int64_t kRestartMs = 50;
+  std::int64_t kept_runs = 0;
+  for (std::int64_t submit_ms = kRestartMs - 40; submit_ms <= kRestartMs;
+       submit_ms += 5) {
+    for (std::int64_t change_ms = kCommitMs; change_ms <= 4 * kCommitMs;
+         ++change_ms) {
+      CellHarness cell({.workers = 2, .commit_ms = kCommitMs});
+      StartCell(cell);
+      cell.Restart(cell.workers[0]);
+      cell.Run(submit_ms);
+      cell.Submit(1, "a", MakeJob(2, 16'000, 300));
+      cell.Run(change_ms);
+      const bool runs_there = !cell.workers[0].runs.empty();
+      cell.ChangeLeader();
+      cell.Run(5'000);
+      if (cell.jobs[1].code == 0) {
+        ExpectCompleted(cell, 1);
+        kept_runs += runs_there && cell.starts == 2 ? 1 : 0;
+      }
+    }
+  }
+  cr_expect_gt(kept_runs, 0);
+}
+
 // Guards against the same after the worker was registered as a new incarnation.
 Test(departed_worker, gets_no_tasks_after_it_was_replaced) {
   CellHarness cell({.workers = 2});
--- a/tests/graph/graph_store_test.cc
+++ b/tests/graph/graph_store_test.cc
@@ -212,6 +212,22 @@
   cr_expect(other.FindJob(kJob)->task(key) == store.FindJob(kJob)->task(key));
 }
 
+// Guards against an open run of which a new leader can't tell where it may be,
+// because its worker was replaced.
+Test(graph_store, moves_open_runs_to_the_next_incarnation) {
+  GraphStore store;
+  Accept(store, MakeJob(2, false));
+  Register(store, "w", 10);
+  StartOn(store, {kJob, 0, 0, 0}, 1, "w");
+  StartOn(store, {kJob, 0, 0, 1}, 1, "w");
+  EndRun(store, {kJob, 0, 0, 1}, 1, wire::RunEnd::kStopped);
+  Register(store, "w", 20);
+  const auto& job = *store.FindJob(kJob);
+  cr_expect_eq(job.task({kJob, 0, 0, 0}).worker, *store.FindWorker("w"));
+  cr_expect_eq(job.task({kJob, 0, 0, 0}).run, 1);
+  cr_expect_eq(job.task({kJob, 0, 0, 1}).worker, 0);
+}
+
 // Guards against blaming a task for a worker that left, and for a worker on
 // which an earlier run of the task had ended.
 Test(graph_store, counts_no_crash_for_workers_that_leave) {
