policy: Renew the tickets of a gang together

A gang needs all its tickets at the same time, but asked only about those that had expired, and one question of a step is open at a time. While the answer was on its way the other tickets expired, the next question was about these, and so on: with answers that take nearly as long as tickets are valid, the gang never had them all.

A question for missing tickets of a gang now also names its workers whose tickets would expire before the answer, so one answer renews them all.

graph_planner::renews_the_tickets_of_a_gang_together fails without the change (0 of 4 starts in 10 s) and passes with it.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -337,6 +337,12 @@
                           const Candidates& workers,
                           Round& round);
   void AskAboutHeldWorkers(PlanStep& step, Round& round);
+  // Returns which of these workers to ask about so that the step has valid
+  // tickets for all of them when the answer comes. Empty if it has them now.
+  std::vector<std::int64_t> MissingTickets(
+      const PlanStep& step,
+      const std::vector<std::int64_t>& workers,
+      std::int64_t now_ms) const;
   void HoldCapacity(const PlanStep& step, Round& round);
   void Start(PlanStep& step, PlanWorker& worker, Round& round);
   // Limit of workers in one question about new workers.
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -665,7 +665,7 @@
     Candidates fitting;
     std::int64_t fit = 0;
     std::int64_t ticketed = 0;
-    std::vector<std::int64_t> without_ticket;
+    std::vector<std::int64_t> with_room;
     for (auto* it : workers) {
       if (!rack.empty() && it->rack != rack) {
         continue;
@@ -676,11 +676,10 @@
         continue;
       }
       fit += n;
+      with_room.push_back(it->number);
       if (step.advice.HasTicket(it->number, until)) {
         ticketed += n;
         fitting.push_back(it);
-      } else {
-        without_ticket.push_back(it->number);
       }
     }
     if (ticketed >= count) {
@@ -701,7 +700,7 @@
       return;
     }
     if (fit >= count) {
-      PlanQuestion(step, without_ticket, round);
+      PlanQuestion(step, MissingTickets(step, with_room, round.now_ms), round);
       break;
     }
   }
@@ -765,19 +764,41 @@
 // Asks for missing tickets once the held capacity is expected to be free by the
 // time of the answer.
 void GraphPlanner::AskAboutHeldWorkers(PlanStep& step, Round& round) {
-  const auto until = round.now_ms + options_.ticket_margin_ms;
-  std::vector<std::int64_t> without_ticket;
+  std::vector<std::int64_t> held;
   for (const auto& it : step.held) {
-    if (!step.advice.HasTicket(it.worker, until)) {
-      without_ticket.push_back(it.worker);
-    }
+    held.push_back(it.worker);
   }
-  if (!without_ticket.empty() && step.held_ready_ms - round.now_ms <=
-                                     AnswerMs(step, without_ticket.size())) {
-    PlanQuestion(step, without_ticket, round);
+  const auto missing = MissingTickets(step, held, round.now_ms);
+  if (!missing.empty() &&
+      step.held_ready_ms - round.now_ms <= AnswerMs(step, missing.size())) {
+    PlanQuestion(step, missing, round);
   }
 }
 
+// A gang needs all its tickets at the same time. Those that would expire before
+// the answer are renewed in the same question, because they would be asked for
+// next while the new ones expire.
+std::vector<std::int64_t> GraphPlanner::MissingTickets(
+    const PlanStep& step,
+    const std::vector<std::int64_t>& workers,
+    std::int64_t now_ms) const {
+  const auto until = now_ms + options_.ticket_margin_ms;
+  const auto answered = until + AnswerMs(step, workers.size());
+  std::vector<std::int64_t> missing;
+  std::vector<std::int64_t> expiring;
+  for (const auto it : workers) {
+    if (!step.advice.HasTicket(it, until)) {
+      missing.push_back(it);
+    } else if (!step.advice.HasTicket(it, answered)) {
+      expiring.push_back(it);
+    }
+  }
+  if (!missing.empty()) {
+    missing.insert(missing.end(), expiring.begin(), expiring.end());
+  }
+  return missing;
+}
+
 // Wide steps need many allowed workers, and most of the answer time does not
 // depend on the number of workers in the question.
 std::size_t GraphPlanner::MaxWorkersToAsk(const PlanStep& step) const {
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -627,6 +627,46 @@
   cr_expect_geq(starts, 1);
 }
 
+// The tickets of a gang expire at different times, and an answer takes nearly
+// as long as they are valid. Guards against a gang that renews some tickets
+// while the others expire, for ever.
+Test(graph_planner, renews_the_tickets_of_a_gang_together) {
+  constexpr std::int64_t kAnswerMs = 600;
+  constexpr std::int64_t kValidMs = 700;
+  GraphPlanner planner;
+  for (std::int64_t n = 1; n <= 4; ++n) {
+    planner.workers()[n] = MakeWorker(n);
+  }
+  auto& step = AddStep(planner, 1, 4, 60'000, 90'000);
+  step.gang = true;
+  step.advice.needed = true;
+  step.advice.base_ms = kAnswerMs;
+  step.advice.RecordAnswer(
+      {1, 2, 3, 4},
+      {{1, {"t", 200}}, {2, {"t", 200}}, {3, {"t", 600}}, {4, {"t", 600}}});
+  std::size_t starts = 0;
+  std::int64_t answer_at_ms = 0;
+  std::vector<std::int64_t> asked;
+  for (std::int64_t now_ms = 100; now_ms <= 10'000; now_ms += 50) {
+    if (step.advice.question_pending && now_ms >= answer_at_ms) {
+      std::map<std::int64_t, Ticket> tickets;
+      for (const auto it : asked) {
+        tickets[it] = {"t", now_ms + kValidMs};
+      }
+      step.advice.RecordAnswer(asked, tickets);
+      step.advice.question_pending = false;
+      step.changed = true;
+    }
+    const auto plan = planner.Decide(now_ms);
+    starts += plan.starts.size();
+    if (!plan.questions.empty()) {
+      asked = plan.questions.front().workers;
+      answer_at_ms = now_ms + kAnswerMs;
+    }
+  }
+  cr_expect_eq(starts, 4);
+}
+
 // An answer leaves out a worker that an earlier one allowed. Guards against a
 // worker that stays allowed and whose ticket is asked for again and again.
 Test(graph_planner, forgets_a_worker_that_an_answer_leaves_out) {
