tests/cell: Show a start that outlives the departure of its worker

A start can be on its way when its worker leaves. The leader ends the run with the departure and starts the task elsewhere; if the worker comes back under the same id soon, the old start reaches the new incarnation and the task runs twice.

Not mended: waiting for the lease of each such run would hold its task back for 10 s after each departure, so the answers to the starts have to be followed beyond it.

--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -109,6 +109,23 @@
   cr_expect_gt(kept_runs, 0);
 }
 
+// Guards against a task that runs twice: a start is on its way when its worker
+// leaves, and reaches the next incarnation after the run was ended.
+Test(departed_worker, runs_nothing_that_was_sent_before_it_left) {
+  constexpr std::int64_t kNetworkMs = 100;
+  for (std::int64_t wait_ms = 20; wait_ms <= 120; wait_ms += 5) {
+    CellHarness cell({.workers = 2, .network_ms = kNetworkMs});
+    cell.Run(1'000);
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(2, 16'000, 500));
+    cell.Run(wait_ms);
+    cell.Depart(cell.workers[0]);
+    cell.Restart(cell.workers[0]);
+    cell.Run(20'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
 // Guards against the same after the worker was registered as a new incarnation.
 Test(departed_worker, gets_no_tasks_after_it_was_replaced) {
   CellHarness cell({.workers = 2});
