graph, policy, cell: Count a crash only for tasks that may have caused it

Callers saw accepted jobs end as failed although they could be done (LOST): any task under which five workers had crashed was given up, whoever crashed them, and a gang was given up after five crashes under any of its members. A long-running task that crashes its workers was started without limit.

The cause is that the store counted every task on a crashed worker, as nothing made one of them more likely than the others.

Crashes are now counted for each task, also in gangs. A task with two crashes is a suspect: it, or its gang, gets empty workers, which take nothing else for 3 s. A crash is evidence if the task or gang was alone on the worker, had been started shortly before, and not several workers crashed within 4 s that no task can have crashed, also if that is noticed only later. A job, long-running or not, fails after five crashes under one task of which two are evidence. A suspect waits for an empty worker for 2.5 s at most, and is held back for 2 s at most while many workers crash. A task that does crash its workers thus stops after five starts, two of them beside others, and the third may be as well.

The log and task_crashes_total give a verdict for each run on a crashed worker.

--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -106,6 +106,8 @@
   // Logs the workers that crashed according to the last applied batch, and adds
   // the jobs of their runs to `jobs`.
   void RecordCrashes(std::set<graph::JobId>& jobs);
+  // Whether the worker is left to a task that may crash it.
+  bool IsExclusive(const TrackedWorker& tracked_worker) const;
 
   // leader_calls.cc
   void HandleGraph(GraphCall call);
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -37,7 +37,8 @@
     const auto worker = planner_.workers().find(number);
     if (worker == planner_.workers().end() ||
         worker->second.usable != IsUsable(tracked_worker) ||
-        worker->second.probing != health_.IsProbing(number, now_ms_)) {
+        worker->second.probing != health_.IsProbing(number, now_ms_) ||
+        (worker->second.exclusive && !IsExclusive(tracked_worker))) {
       RefreshPlanWorker(number);
     }
   }
@@ -63,6 +64,7 @@
   worker.capacity = tracked_worker->Capacity();
   worker.usable = IsUsable(*tracked_worker);
   worker.probing = health_.IsProbing(number, now_ms_);
+  worker.exclusive = IsExclusive(*tracked_worker);
   worker.ends.reserve(tracked_worker->runs.size());
   for (const auto& [key, run] : tracked_worker->runs) {
     worker.used += run.demand;
@@ -88,6 +90,7 @@
   const auto spare_callers =
       static_cast<std::int64_t>(advice_dispatcher_.open_polls()) -
       static_cast<std::int64_t>(advice_dispatcher_.queued());
+  planner_.set_unrest(store_.HasUnrest(wall_ms_));
   const auto plan = planner_.Decide(now_ms_, spare_callers);
   std::map<policy::StepId, std::vector<PendingStart>> gangs;
   for (const auto& it : plan.starts) {
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -101,6 +101,7 @@
   const bool waited = !step.waiting.empty() || step.blocked > 0;
   const auto before = std::exchange(step.waiting, {});
   step.running.clear();
+  const auto suspects = std::exchange(step.suspects, {});
   const auto count = job.step(key.step).task_count;
   for (std::int32_t n = 0; n < count; ++n) {
     const graph::TaskKey task{key.job, key.occurrence, key.step, n};
@@ -119,6 +120,10 @@
       ++step.running[reserved->second];
     } else {
       step.waiting.push_back(n);
+      if (job.IsSuspect(task)) {
+        const auto known = suspects.find(n);
+        step.suspects[n] = known == suspects.end() ? now_ms : known->second;
+      }
     }
   }
   // A gang starts as a whole, so it waits until no task of its previous run
@@ -127,6 +132,7 @@
   if (step.gang && static_cast<std::int32_t>(step.waiting.size()) < count) {
     step.blocked = static_cast<std::int32_t>(step.waiting.size());
     step.waiting.clear();
+    step.suspects.clear();
   }
   if (!waited) {
     step.waiting_since_ms = now_ms;
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -32,22 +32,45 @@
   WorkerNumber worker = 0;  // Worker of the current run.
   bool done = false;
   std::string checkpoint;
-  // Runs whose worker crashed, and the last run that was counted. The crashes
-  // of a gang are counted in its task with index 0, once for each run.
+  // Runs whose worker crashed, and the last run that was counted.
   std::int32_t crashes = 0;
   std::int32_t crashed_run = 0;
   // The last run that ended as lost, and its worker, of which a later
   // incarnation may show that it crashed.
   std::int32_t lost_run = 0;
   WorkerNumber lost_worker = 0;
+  // Crashes of workers that the task had for itself (kAlone), and the Unix
+  // time of the last of them.
+  std::int32_t alone_crashes = 0;
+  std::int64_t alone_crash_ms = 0;
+  std::int64_t started_ms = 0;  // Unix time of the start of the last run.
 
   bool operator==(const TaskState&) const = default;
 };
 
+// A task under which so many workers have crashed is suspected of being the
+// cause: it gets workers of its own until that is known.
+constexpr std::int32_t kSuspectCrashes = 2;
+
+// What the crash of a worker says about a task on it.
+enum class CrashVerdict {
+  kAlone,           // The task, or its gang, had the worker for itself.
+  kOtherTasks,      // Other tasks were on the worker.
+  kOtherCrashes,    // Workers crashed meanwhile that no task can have crashed.
+  kLongAfterStart,  // The task had run for long before.
+};
+
+// For log messages and metrics.
+const char* CrashVerdictName(CrashVerdict verdict);
+
+struct CrashFacts;
+enum class Unrest;
+
 // A run whose worker crashed.
 struct CrashedRun {
   TaskKey task;
   std::int32_t run = 0;
+  CrashVerdict verdict = CrashVerdict::kOtherTasks;
 
   bool operator==(const CrashedRun&) const = default;
 };
@@ -90,9 +113,11 @@
   const TaskState& task(const TaskKey& key) const {
     return tasks_[IndexOf(key)];
   }
-  // Returns the task that holds the counts of failures and crashes of this one:
-  // for a gang that with index 0.
+  // Returns the task that holds the count of failures of this one: for a gang
+  // that with index 0.
   const TaskState& CountedTask(const TaskKey& key) const;
+  // Whether the task, or a member of its gang, may crash its workers.
+  bool IsSuspect(const TaskKey& key) const;
   // Null when the job has no such task.
   const TaskState* FindTask(const TaskKey& key) const;
   // Returns whether the result `how` of the run changes the state of the task.
@@ -124,6 +149,8 @@
   std::int64_t finished_ms_ = 0;
   bool started_ = false;
   std::int32_t open_runs_ = 0;  // Tasks with a current run.
+  bool has_crashes_ =
+      false;  // Whether a worker crashed under any of its tasks.
   std::vector<std::int32_t> step_offsets_;
   std::int32_t tasks_per_occurrence_ = 0;
   std::vector<TaskState> tasks_;
@@ -164,6 +191,9 @@
   const std::vector<CrashedWorker>& crashed_workers() const {
     return crashed_workers_;
   }
+  // Returns whether so many workers have crashed within the last seconds that a
+  // crash says little about the task on the worker. `at_ms` is Unix time.
+  bool HasUnrest(std::int64_t at_ms) const;
   // Returns the registered incarnation of the worker with this id, if any.
   std::optional<WorkerNumber> FindWorker(const std::string& id) const;
 
@@ -171,7 +201,7 @@
   void ApplyTable(const wire::RoutingTable& table);
   void ApplyWorker(const wire::CalledWorker& worker, std::int64_t at_ms);
   void ApplyCancel(JobId id, std::int64_t at_ms);
-  void ApplyStart(const wire::RunStart& start);
+  void ApplyStart(const wire::RunStart& start, std::int64_t at_ms);
   void ApplyResult(const wire::RunResult& result, std::int64_t at_ms);
   static void CloseRun(Job& job, TaskState& task);
   void MarkDone(Job& job, const TaskKey& key);
@@ -180,7 +210,12 @@
   void ApplyCrash(WorkerNumber number,
                   const wire::CalledWorker& record,
                   std::int64_t at_ms);
-  static bool CountCrash(Job& job, const TaskKey& key, std::int32_t run);
+  bool CountCrash(CrashedRun& run, const CrashFacts& facts, std::int64_t at_ms);
+  void RecordCrashTime(bool external, std::int64_t at_ms);
+  Unrest UnrestAt(std::int64_t at_ms) const;
+  void RevokeRecentEvidence(std::int64_t at_ms);
+  // Returns the runs that are or may have been on the worker.
+  std::vector<CrashedRun> RunsOn(WorkerNumber worker) const;
   static void Finish(Job& job,
                      wire::GraphJobState::type state,
                      std::int64_t at_ms);
@@ -191,6 +226,10 @@
   std::unordered_map<std::string, WorkerNumber> workers_by_id_;
   std::map<JobId, Job> jobs_;
   std::vector<CrashedWorker> crashed_workers_;
+  // Unix times of the recent crashes, except of workers that a suspect had for
+  // itself, and of those that no task on the worker can have caused.
+  std::vector<std::int64_t> recent_crashes_;
+  std::vector<std::int64_t> recent_external_crashes_;
 };
 
 }  // namespace cranberryshunt::graph
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -37,7 +37,7 @@
     ApplyCancel(static_cast<JobId>(it), batch.at_ms);
   }
   for (const auto& it : batch.starts) {
-    ApplyStart(it);
+    ApplyStart(it, batch.at_ms);
   }
   for (const auto& it : batch.results) {
     ApplyResult(it, batch.at_ms);
@@ -90,7 +90,7 @@
   }
 }
 
-void GraphStore::ApplyStart(const wire::RunStart& start) {
+void GraphStore::ApplyStart(const wire::RunStart& start, std::int64_t at_ms) {
   const TaskKey key = FromWire(start.task);
   const auto job = jobs_.find(key.job);
   if (job == jobs_.end() || !job->second.active() ||
@@ -104,6 +104,7 @@
   task.run = start.run;
   task.last_run = start.run;
   task.worker = start.worker;
+  task.started_ms = at_ms;
   ++job->second.open_runs_;
   job->second.state_ = wire::GraphJobState::kRunning;
 }
@@ -138,6 +139,10 @@
     job.state_ = wire::GraphJobState::kQueued;
   }
   const bool long_running = job.step(key.step).long_running;
+  if (result.how == wire::RunEnd::kFailed) {
+    // It has run without crashing its worker.
+    task.alone_crashes = 0;
+  }
   if (result.how == wire::RunEnd::kDone && !long_running) {
     MarkDone(job, key);
     if (job.open_task_count_ == 0) {
@@ -243,6 +248,8 @@
   wire::GraphSnapshot out;
   out.table = table_;
   out.next_worker = next_worker_;
+  out.recent_crashes = recent_crashes_;
+  out.recent_external_crashes = recent_external_crashes_;
   for (const auto& [number, worker] : workers_) {
     auto& image = out.workers.emplace_back();
     image.number = number;
@@ -267,6 +274,9 @@
       it.crashed_run = task.crashed_run;
       it.lost_run = task.lost_run;
       it.lost_worker = task.lost_worker;
+      it.alone_crashes = task.alone_crashes;
+      it.alone_crash_ms = task.alone_crash_ms;
+      it.started_ms = task.started_ms;
     }
   }
   return wire::Encode(out);
@@ -280,6 +290,8 @@
   GraphStore next;
   next.table_ = std::move(decoded->table);
   next.next_worker_ = decoded->next_worker;
+  next.recent_crashes_ = std::move(decoded->recent_crashes);
+  next.recent_external_crashes_ = std::move(decoded->recent_external_crashes);
   for (auto& it : decoded->workers) {
     next.workers_by_id_[it.worker.id] = it.number;
     next.workers_[it.number] = std::move(it.worker);
@@ -305,7 +317,11 @@
                        it.crashes,
                        it.crashed_run,
                        it.lost_run,
-                       it.lost_worker};
+                       it.lost_worker,
+                       it.alone_crashes,
+                       it.alone_crash_ms,
+                       it.started_ms};
+      job.has_crashes_ = job.has_crashes_ || it.crashes > 0;
       job.open_runs_ += it.run != 0 ? 1 : 0;
       if (it.done) {
         --job.open_task_count_;
--- a/libraries/graph/src/job.cc
+++ b/libraries/graph/src/job.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "cranberryshunt/graph/graph_store.h"
@@ -50,6 +51,23 @@
          key.index < step(key.step).task_count;
 }
 
+bool Job::IsSuspect(const TaskKey& key) const {
+  if (!has_crashes_) {
+    return false;
+  }
+  const auto first = IndexOf({key.job, key.occurrence, key.step, 0});
+  const auto count = static_cast<std::size_t>(step(key.step).task_count);
+  const auto is_suspect = [](const auto& task) {
+    return task.crashes >= kSuspectCrashes;
+  };
+  return step(key.step).gang
+             ? std::any_of(
+                   tasks_.begin() + static_cast<std::ptrdiff_t>(first),
+                   tasks_.begin() + static_cast<std::ptrdiff_t>(first + count),
+                   is_suspect)
+             : is_suspect(task(key));
+}
+
 const TaskState* Job::FindTask(const TaskKey& key) const {
   return Contains(key) ? &tasks_[IndexOf(key)] : nullptr;
 }
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -56,6 +56,8 @@
   // Whether the worker is tested with one task at a time because tasks failed
   // on it.
   bool probing = false;
+  // Whether the worker is left to a task that may crash it.
+  bool exclusive = false;
   std::vector<ExpectedEnd> ends;  // Ordered by time.
   // Average resources that its tasks release per millisecond.
   double milli_cpus_per_ms = 0;
@@ -132,6 +134,9 @@
   // Expected time from the start of this step to the end of the job.
   std::int64_t remaining_ms = 0;
   std::vector<std::int32_t> waiting;  // Indexes of tasks.
+  // The waiting tasks that may crash their workers, with the times since when
+  // they wait: they are placed on empty workers. In a gang, all tasks.
+  std::map<std::int32_t, std::int64_t> suspects;
   // Number of tasks of a gang that wait for the end of other members' runs.
   std::int32_t blocked = 0;
   // Since when tasks wait or are blocked and none was placed.
@@ -218,6 +223,11 @@
   // While a gang that can still meet its objective is waiting, late steps start
   // further tasks only if they use less than this share of the usable capacity.
   double max_late_share = 0.1;
+  // Limits of the times for which suspects are held back because many workers
+  // crash, and for which they wait for empty workers, both from when they began
+  // to wait.
+  std::int64_t max_suspect_hold_ms = 2'000;
+  std::int64_t max_empty_wait_ms = 2'500;
   // Period of full rounds, which plan all steps. Tickets, holds and quarantines
   // expire without an event.
   std::int64_t full_round_ms = 50;
@@ -258,6 +268,8 @@
   // Must be called when the number of a worker has ended. Removes the worker,
   // and all entries of it in the steps.
   void RemoveWorker(std::int64_t number);
+  // Whether many workers crash now.
+  void set_unrest(bool unrest) { unrest_ = unrest; }
   // Plans the starts and questions for this time. Planned starts are added to
   // the used capacity of their workers and removed from the waiting tasks.
   // `idle_callers` is the number of callers of the advice service without a
@@ -310,6 +322,20 @@
   bool MayStartLate(const PlanStep& step, Round& round);
   void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
   void PlaceSingles(PlanStep& step, const Candidates& workers, Round& round);
+  // suspects.cc
+  void PlaceSuspectGang(PlanStep& step,
+                        const Candidates& workers,
+                        std::int64_t now_ms,
+                        Round& round);
+  // Removes the suspects from the waiting tasks and returns those that are not
+  // placed but have to wait.
+  std::vector<std::int32_t> PlaceSuspects(PlanStep& step,
+                                          std::int64_t now_ms,
+                                          Round& round);
+  PlanWorker* FindEmptyWorker(PlanStep& step,
+                              const Candidates& workers,
+                              std::int64_t now_ms,
+                              Round& round);
   void ChooseHeldCapacity(PlanStep& step,
                           const Candidates& workers,
                           Round& round);
@@ -347,6 +373,7 @@
   // Workers with capacity that the last Decide() held for gangs.
   std::vector<std::int64_t> workers_with_held_capacity_;
   std::int64_t full_round_at_ms_ = 0;
+  bool unrest_ = false;
   // Total capacity of the usable workers of each service, as of the last full
   // round.
   std::map<std::string, Demand> usable_capacity_;
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -233,7 +233,7 @@
 bool IsOpen(const PlanWorker& worker) {
   const bool probe_busy =
       worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
-  return worker.usable && !probe_busy;
+  return worker.usable && !probe_busy && !worker.exclusive;
 }
 
 // Whether the step's job is expected to end after its objective even if the
@@ -537,7 +537,11 @@
   const auto waited = step.waiting.size();
   if (step.gang) {
     const auto allowed = AllowedWorkers(step, false);
-    PlaceGang(step, allowed, round);
+    if (step.suspects.empty()) {
+      PlaceGang(step, allowed, round);
+    } else {
+      PlaceSuspectGang(step, allowed, round.now_ms, round);
+    }
     if (step.waiting.empty() || round.held_share >= options_.max_held_share) {
       step.held.clear();
     } else if (plan_fully) {
@@ -546,7 +550,13 @@
     HoldCapacity(step, round);
     round.gang_waits = round.gang_waits || (!late && !step.waiting.empty());
   } else {
+    const auto held_back = PlaceSuspects(step, round.now_ms, round);
     PlaceSingles(step, AllowedWorkers(step, !plan_fully), round);
+    step.waiting.insert(step.waiting.end(), held_back.begin(), held_back.end());
+    if (round.held_share >= options_.max_held_share) {
+      step.held.clear();
+    }
+    HoldCapacity(step, round);
   }
   if (late) {
     const auto started =
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -643,6 +643,9 @@
   9: i32 crashed_run           // The last of them.
   10: i32 lost_run             // Last run that ended as lost, and its worker.
   11: i64 lost_worker
+  12: i32 alone_crashes        // Crashes of workers that it had for itself.
+  13: i64 alone_crash_ms       // Unix time of the last of them.
+  14: i64 started_ms           // Unix time of the start of the last run.
 }
 
 struct GraphJobImage {
@@ -663,6 +666,8 @@
   2: i64 next_worker
   3: list<CalledWorkerImage> workers
   4: list<GraphJobImage> jobs
+  5: list<i64> recent_crashes  // Unix times.
+  6: list<i64> recent_external_crashes  // Of those that no task on the worker can have caused.
 }
 
 enum GraphJobState { kQueued = 1, kRunning = 2, kCompleted = 3, kFailed = 4, kCancelled = 5 }
