--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -50,7 +50,7 @@
   // Progress at the start: 0, or unknown (-1) until it is listed if the run was
   // resumed from a checkpoint.
   std::int32_t percent = 0;
-  std::string checkpoint;     // Latest one that the worker reported.
+  std::string checkpoint;  // Latest one that the worker reported.
   bool stop_requested = false;
   std::int64_t stop_sent_ms = 0;
   // When the stop was requested, and the number of orders sent for it.
--- a/tests/cell/gang_review_test.cc
+++ b/tests/cell/gang_review_test.cc
@@ -113,7 +113,8 @@
 
 // Guards against a gang at work that is stopped because the outcome of one
 // start was not reported, although the worker would list the run.
-Test(gang_review, does_not_stop_a_gang_at_work_for_an_unreported_start,
+Test(gang_review,
+     does_not_stop_a_gang_at_work_for_an_unreported_start,
      .timeout = 100) {
   for (std::int64_t wait_ms = 0; wait_ms < 2'000; wait_ms += 80) {
     CellHarness cell(OptionsFor(160));
@@ -206,8 +207,8 @@
                   MakeReply(WorkerAnswer::kDone, 1'025), 1'030, out);
   out = {};
   tracker.Advance(1'040, out);
-  const auto asks = std::any_of(
-      out.orders.begin(), out.orders.end(), [](const auto& it) {
+  const auto asks =
+      std::any_of(out.orders.begin(), out.orders.end(), [](const auto& it) {
         const auto* next = std::get_if<HoldOrder>(&it.order);
         return next != nullptr && next->wait.count() == 0;
       });
@@ -241,13 +242,13 @@
   const auto next = LastOrder<HoldOrder>(out);
   cr_expect_eq(std::get<HoldOrder>(next.order).wait.count(), 0,
                "the list comes only after a wait of %ld ms",
-               static_cast<long>(
-                   std::get<HoldOrder>(next.order).wait.count()));
+               static_cast<long>(std::get<HoldOrder>(next.order).wait.count()));
 }
 
 // Guards against a second run of a task whose start reached the next
 // incarnation of its worker, after a change of the leader.
-Test(gang_review, runs_once_if_a_start_reaches_the_next_incarnation,
+Test(gang_review,
+     runs_once_if_a_start_reaches_the_next_incarnation,
      .timeout = 100) {
   for (const bool gang : {false, true}) {
     std::int32_t cases = 0;
