policy: Let only long holds give way to steps that are held back

Gangs could wait for ever. A step that was held back used all capacity that was held for gangs, and in a service that drains for a gang little is used, so that every queued step counted as held back after 1.5 s.

Capacity now gives way to ordinary steps only once it has been held for 10 s, which is when the gang for which it is held has not started for that long. A long-running step that is held back uses all of it, as before. Long-running steps neither count towards nor are bound by the share of late steps, so that share needs no exception for others. A late step asks about full workers only while a caller is idle, as before the limits, and the answer time of a question about many workers is capped like the question.

The tests of the limits pass unchanged.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -66,6 +66,8 @@
   // that are planned later in the same call do not use it unless they are held
   // back.
   Demand held;
+  // The part of `held` that has been held for long.
+  Demand held_long;
 
   // Negative if the capacity has shrunk below what is used.
   Demand FreeCapacity() const { return capacity - used; }
@@ -157,6 +159,7 @@
   // time at which all of this capacity is expected to be free.
   std::vector<HeldCapacity> held;
   std::int64_t held_ready_ms = 0;
+  std::int64_t held_since_ms = 0;  // 0: nothing is held.
 };
 
 // The workers that a waiting step may use.
@@ -223,7 +226,8 @@
   // A step that is held back does without the preferences that delay it.
   std::int64_t held_back_ms = 1'500;
   // Any other step is held back after this time. Before it, steps that have
-  // enough allowed workers ask only while a caller is idle.
+  // enough allowed workers ask only while a caller is idle. Capacity has been
+  // held for long after this time.
   std::int64_t max_wait_ms = 10'000;
   // A service is busy if more than this share of its usable capacity is used.
   double busy_share = 0.6;
@@ -235,8 +239,8 @@
   // gangs run.
   double max_held_share = 0.25;
   // While a gang that can still meet its objective is waiting, late steps start
-  // further tasks only if they use less than this share of the usable capacity,
-  // or are held back.
+  // further tasks only if they use less than this share of the usable capacity.
+  // Long-running steps don't count, and start tasks once they are held back.
   double max_late_share = 0.1;
   // Limits of the times for which suspects are held back because many workers
   // crash, and for which they wait for empty workers, both from when they began
@@ -336,10 +340,13 @@
                             bool changed_only,
                             std::int64_t now_ms);
   bool IsHeldBack(const PlanStep& step, std::int64_t now_ms) const;
-  // Whether the step may use the capacity that is held for gangs, and start
-  // tasks beyond the share of late steps. An ordinary step may do so only for
-  // its first task.
-  bool MayUseReservedCapacity(const PlanStep& step, std::int64_t now_ms) const;
+  // Returns the capacity of the worker that the step may use. If it is held
+  // back, that includes capacity that is held for gangs: for a long-running
+  // step all of it, for the first task of another step what has been held for
+  // long.
+  Demand UsableCapacity(const PlanStep& step,
+                        const PlanWorker& worker,
+                        std::int64_t now_ms) const;
   void UpdateServices();
   void PlaceStep(PlanStep& step, Round& round);
   bool MayStartLate(const PlanStep& step, Round& round);
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -368,10 +368,20 @@
          (waits_for_short_tasks ? options_.max_wait_ms : options_.held_back_ms);
 }
 
-bool GraphPlanner::MayUseReservedCapacity(const PlanStep& step,
-                                          std::int64_t now_ms) const {
-  return (step.long_running || step.running.empty()) &&
-         IsHeldBack(step, now_ms);
+Demand GraphPlanner::UsableCapacity(const PlanStep& step,
+                                    const PlanWorker& worker,
+                                    std::int64_t now_ms) const {
+  if (worker.held == Demand() || !IsHeldBack(step, now_ms)) {
+    return worker.AvailableCapacity();
+  }
+  if (step.long_running) {
+    return worker.FreeCapacity();
+  }
+  auto usable = worker.AvailableCapacity();
+  if (step.running.empty()) {
+    usable += worker.held_long;
+  }
+  return usable;
 }
 
 GraphPlanner::Candidates GraphPlanner::AllowedWorkers(const PlanStep& step,
@@ -515,6 +525,7 @@
   for (const auto number : workers_with_held_capacity_) {
     if (auto* worker = FindWorker(number); worker != nullptr) {
       worker->held = {};
+      worker->held_long = {};
     }
   }
   workers_with_held_capacity_.clear();
@@ -531,17 +542,18 @@
 // Late steps would take the capacity that a gang needs to meet its objective,
 // and they are worth less. While such a gang waits, they may use only a small
 // share of the fleet, which still lets each of them finish eventually.
-// That share has no effect on steps that are held back, because the tasks that
-// use it may have no end.
+// Long-running tasks would use that share for ever, so they don't count.
 bool GraphPlanner::MayStartLate(const PlanStep& step, Round& round) {
+  if (step.long_running) {
+    return !round.gang_waits || IsHeldBack(step, round.now_ms);
+  }
   std::int64_t running = 0;
   for (const auto& [worker, tasks] : step.running) {
     running += tasks;
   }
   round.late_share += static_cast<double>(running) *
                       ShareOf(step.demand, usable_capacity_[step.service_name]);
-  return !round.gang_waits || round.late_share < options_.max_late_share ||
-         MayUseReservedCapacity(step, round.now_ms);
+  return !round.gang_waits || round.late_share < options_.max_late_share;
 }
 
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
@@ -576,6 +588,11 @@
     } else if (plan_fully) {
       ChooseHeldCapacity(step, allowed, round);
     }
+    if (step.held.empty()) {
+      step.held_since_ms = 0;
+    } else if (step.held_since_ms == 0) {
+      step.held_since_ms = round.now_ms;
+    }
     HoldCapacity(step, round);
     round.gang_waits = round.gang_waits || (!late && !step.waiting.empty());
   } else {
@@ -587,7 +604,7 @@
     }
     HoldCapacity(step, round);
   }
-  if (late) {
+  if (late && !step.long_running) {
     const auto started =
         static_cast<std::int64_t>(waited - step.waiting.size());
     round.late_share +=
@@ -618,13 +635,12 @@
   const auto until = round.now_ms + options_.ticket_margin_ms;
   std::vector<std::int64_t> without_ticket;
   while (!step.waiting.empty()) {
-    const bool use_held = MayUseReservedCapacity(step, round.now_ms);
     PlanWorker* best = nullptr;
     std::tuple<bool, bool, bool, double> best_key;
     without_ticket.clear();
     for (auto* it : workers) {
       const bool is_held = !step.demand.FitsIn(it->AvailableCapacity());
-      if ((is_held && !(use_held && step.demand.FitsIn(it->FreeCapacity()))) ||
+      if (!step.demand.FitsIn(UsableCapacity(step, *it, round.now_ms)) ||
           PerWorkerLimit(step, *it) <= 0) {
         continue;
       }
@@ -656,10 +672,12 @@
                              Round& round) {
   const auto until = round.now_ms + options_.ticket_margin_ms;
   const auto count = static_cast<std::int64_t>(step.waiting.size());
-  const bool use_held = MayUseReservedCapacity(step, round.now_ms);
-  const auto room = [&](const PlanWorker& worker) {
-    return use_held ? worker.FreeCapacity() : worker.AvailableCapacity();
-  };
+  // Starting the first member changes what the others may use, so the capacity
+  // is determined before.
+  std::map<const PlanWorker*, Demand> usable;
+  for (const auto* it : workers) {
+    usable[it] = UsableCapacity(step, *it, round.now_ms);
+  }
   // Racks to try. The empty name stands for all racks together; for `same_rack`
   // each single rack is tried first.
   std::vector<std::string> racks;
@@ -680,7 +698,7 @@
       if (!rack.empty() && it->rack != rack) {
         continue;
       }
-      const auto n = FitCount(step.demand, room(*it),
+      const auto n = FitCount(step.demand, usable[it],
                               std::min(count, PerWorkerLimit(step, *it)));
       if (n <= 0) {
         continue;
@@ -702,9 +720,10 @@
       std::sort(fitting.begin(), fitting.end(),
                 [&](auto* a, auto* b) { return key(a) < key(b); });
       for (auto* it : fitting) {
-        while (!step.waiting.empty() && step.demand.FitsIn(room(*it)) &&
+        while (!step.waiting.empty() && step.demand.FitsIn(usable[it]) &&
                PerWorkerLimit(step, *it) > 0) {
           Start(step, *it, round);
+          usable[it] -= step.demand;
         }
       }
       return;
@@ -717,11 +736,17 @@
 }
 
 void GraphPlanner::HoldCapacity(const PlanStep& step, Round& round) {
+  const bool held_long =
+      step.held_since_ms != 0 &&
+      round.now_ms - step.held_since_ms >= options_.max_wait_ms;
   Demand held;
   for (const auto& it : step.held) {
     auto* worker = FindWorker(it.worker);
     if (worker != nullptr) {
       worker->held += it.demand;
+      if (held_long) {
+        worker->held_long += it.demand;
+      }
       workers_with_held_capacity_.push_back(it.worker);
       held += it.demand;
     }
@@ -793,7 +818,8 @@
     const std::vector<std::int64_t>& workers,
     std::int64_t now_ms) const {
   const auto until = now_ms + options_.ticket_margin_ms;
-  const auto answered = until + AnswerMs(step, workers.size());
+  const auto answered =
+      until + AnswerMs(step, std::min(workers.size(), kMaxWorkersPerQuestion));
   std::vector<std::int64_t> missing;
   std::vector<std::int64_t> expiring;
   for (const auto it : workers) {
@@ -879,7 +905,8 @@
   if (FitOnAllowedWorkers(step, false, count) >= count) {
     return QuestionScope::kNone;
   }
-  return IsLate(step, round.now_ms) && waited_ms >= options_.long_wait_ms
+  return IsLate(step, round.now_ms) && waited_ms >= options_.long_wait_ms &&
+                 round.idle_callers > 0
              ? QuestionScope::kAll
              : QuestionScope::kWithRoom;
 }
