--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -169,8 +169,8 @@
   void Apply(const wire::GraphBatch& batch);
 
   std::string Snapshot() const;
-  // Latest time of an applied batch. After Restore(), the latest time at which
-  // a job ended.
+  // Latest time of an applied batch. After Restore() from a snapshot of an
+  // older version, the latest time at which a job ended.
   std::int64_t last_batch_ms() const { return last_batch_ms_; }
   // Replaces the whole state. Fails with kCorrupt, without changing the state,
   // when the snapshot cannot be decoded or a job has the wrong number of tasks.
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -264,6 +264,7 @@
   wire::GraphSnapshot out;
   out.table = table_;
   out.next_worker = next_worker_;
+  out.last_batch_ms = last_batch_ms_;
   out.recent_crashes = recent_crashes_;
   out.recent_external_crashes = recent_external_crashes_;
   for (const auto& [number, worker] : workers_) {
@@ -306,6 +307,7 @@
   GraphStore next;
   next.table_ = std::move(decoded->table);
   next.next_worker_ = decoded->next_worker;
+  next.last_batch_ms_ = decoded->last_batch_ms;
   next.recent_crashes_ = std::move(decoded->recent_crashes);
   next.recent_external_crashes_ = std::move(decoded->recent_external_crashes);
   for (auto& it : decoded->workers) {
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -666,8 +666,9 @@
   2: i64 next_worker
   3: list<CalledWorkerImage> workers
   4: list<GraphJobImage> jobs
-  5: list<i64> recent_crashes  // Unix times.
+  5: list<i64> recent_crashes  // In the time of the batches.
   6: list<i64> recent_external_crashes  // Of those that no task on the worker can have caused.
+  7: i64 last_batch_ms
 }
 
 enum GraphJobState { kQueued = 1, kRunning = 2, kCompleted = 3, kFailed = 4, kCancelled = 5 }
