policy: Let no task keep waiting beside one that restarts

A long-running task waited for 30 s beside an idle worker that the step avoids, while another task of the step was started again each second: the wait is measured for the step, and each placement began it anew.

For a long-running step it now counts since when a task has been waiting without a break.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -145,6 +145,9 @@
   std::int32_t blocked = 0;
   // Since when tasks wait or are blocked and none was placed.
   std::int64_t waiting_since_ms = 0;
+  // Set by the planner: since when there has been a waiting task without a
+  // break; 0 if there is none.
+  std::int64_t unserved_since_ms = 0;
   // Number of running tasks of the step on each worker.
   std::map<std::int64_t, std::int32_t> running;
   // Workers on which a task of the step failed. They are used only if the other
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -364,7 +364,12 @@
 bool GraphPlanner::IsHeldBack(const PlanStep& step, std::int64_t now_ms) const {
   const bool waits_for_short_tasks =
       !step.long_running && busy_services_.contains(step.service_name);
-  return now_ms - step.waiting_since_ms >=
+  // Tasks of a long-running step that start again and again must not keep the
+  // others waiting.
+  const auto since_ms = step.long_running && step.unserved_since_ms != 0
+                            ? step.unserved_since_ms
+                            : step.waiting_since_ms;
+  return now_ms - since_ms >=
          (waits_for_short_tasks ? options_.max_wait_ms : options_.held_back_ms);
 }
 
@@ -557,6 +562,9 @@
 }
 
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
+  if (step.unserved_since_ms == 0) {
+    step.unserved_since_ms = round.now_ms;
+  }
   const bool plan_fully = round.full || step.changed;
   if (!plan_fully && !IsAffectedByChangedWorkers(step)) {
     if (IsLate(step, round.now_ms)) {
@@ -627,6 +635,9 @@
   ++step.running[worker.number];
   round.plan.starts.push_back({step.id, step.waiting.back(), worker.number});
   step.waiting.pop_back();
+  if (step.waiting.empty()) {
+    step.unserved_since_ms = 0;
+  }
 }
 
 void GraphPlanner::PlaceSingles(PlanStep& step,
