cell: Count no time of a blocked gang as waiting

A gang whose last run took over 1.5 s to stop counted as held back as soon as it could start again, and was placed on a worker that it avoids.

Its wait now begins when it is not blocked any more. While it is blocked, the line about long waits still counts from the beginning.

--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -98,7 +98,8 @@
                                      const graph::StepKey& key,
                                      policy::PlanStep& step,
                                      std::int64_t now_ms) const {
-  const bool waited = !step.waiting.empty() || step.blocked > 0;
+  const bool waited = !step.waiting.empty();
+  const bool was_blocked = step.blocked > 0;
   const auto before = std::exchange(step.waiting, {});
   step.running.clear();
   const auto suspects = std::exchange(step.suspects, {});
@@ -134,8 +135,10 @@
     step.waiting.clear();
     step.suspects.clear();
   }
-  if (!waited) {
+  const bool still_blocked = was_blocked && step.blocked > 0;
+  if (!waited && !still_blocked) {
     step.waiting_since_ms = now_ms;
+    step.unserved_since_ms = 0;
   }
   step.changed = step.changed || step.waiting != before;
   if (before.empty() && !step.waiting.empty()) {
