--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -191,6 +191,7 @@
 
 void Leader::SendStarts(const std::vector<PendingStart>& starts) {
   std::vector<std::string> obstacles;
+  obstacles.reserve(starts.size());
   for (const auto& it : starts) {
     obstacles.push_back(FindObstacle(it));
   }
