--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -90,7 +90,7 @@
   const auto spare_callers =
       static_cast<std::int64_t>(advice_dispatcher_.open_polls()) -
       static_cast<std::int64_t>(advice_dispatcher_.queued());
-  planner_.set_unrest(store_.HasUnrest(wall_ms_));
+  planner_.set_unrest(store_.HasUnrest(CellMs()));
   const auto plan = planner_.Decide(now_ms_, spare_callers);
   std::map<policy::StepId, std::vector<PendingStart>> gangs;
   for (const auto& it : plan.starts) {
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -41,11 +41,11 @@
   // incarnation may show that it crashed.
   std::int32_t lost_run = 0;
   WorkerNumber lost_worker = 0;
-  // Crashes of workers that the task had for itself (kAlone), and the Unix
-  // time of the last of them.
+  // Crashes of workers that the task had for itself (kAlone), and the time of
+  // the last of them. All times are those of the batches.
   std::int32_t alone_crashes = 0;
   std::int64_t alone_crash_ms = 0;
-  std::int64_t started_ms = 0;  // Unix time of the start of the last run.
+  std::int64_t started_ms = 0;  // Start of the last run.
 
   bool operator==(const TaskState&) const = default;
 };
@@ -151,8 +151,8 @@
   std::int64_t finished_ms_ = 0;
   bool started_ = false;
   std::int32_t open_runs_ = 0;  // Tasks with a current run.
-  bool has_crashes_ =
-      false;  // Whether a worker crashed under any of its tasks.
+  // Whether a worker crashed under any of its tasks.
+  bool has_crashes_ = false;
   std::vector<std::int32_t> step_offsets_;
   std::int32_t tasks_per_occurrence_ = 0;
   std::vector<TaskState> tasks_;
@@ -197,7 +197,7 @@
     return crashed_workers_;
   }
   // Returns whether so many workers have crashed within the last seconds that a
-  // crash says little about the task on the worker. `at_ms` is Unix time.
+  // crash says little about the task on the worker.
   bool HasUnrest(std::int64_t at_ms) const;
   // Returns the registered incarnation of the worker with this id, if any.
   std::optional<WorkerNumber> FindWorker(const std::string& id) const;
@@ -235,7 +235,7 @@
   std::unordered_map<std::string, WorkerNumber> workers_by_id_;
   std::map<JobId, Job> jobs_;
   std::vector<CrashedWorker> crashed_workers_;
-  // Unix times of the recent crashes, except of workers that a suspect had for
+  // Times of the recent crashes, except of workers that a suspect had for
   // itself, and of those that no task on the worker can have caused.
   std::vector<std::int64_t> recent_crashes_;
   std::vector<std::int64_t> recent_external_crashes_;
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -644,8 +644,8 @@
   10: i32 lost_run             // Last run that ended as lost, and its worker.
   11: i64 lost_worker
   12: i32 alone_crashes        // Crashes of workers that it had for itself.
-  13: i64 alone_crash_ms       // Unix time of the last of them.
-  14: i64 started_ms           // Unix time of the start of the last run.
+  13: i64 alone_crash_ms       // Time of the last of them, in the time of the batches.
+  14: i64 started_ms           // Start of the last run, in the time of the batches.
 }
 
 struct GraphJobImage {
