--- a/libraries/cell/src/gang_assembly.h
+++ b/libraries/cell/src/gang_assembly.h
@@ -19,6 +19,8 @@
   graph::StepKey step;
   std::int32_t run = 0;
 
+  // The linter mistakes the 0 in the generated comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const GangRun&) const = default;
 };
 
