--- a/tests/cell/gang_assembly_test.cc
+++ b/tests/cell/gang_assembly_test.cc
@@ -176,7 +176,7 @@
 // Guards against a gang at work that is stopped because one of its workers
 // answers a new leader late.
 Test(gang_assembly, lets_an_inherited_gang_work) {
-  constexpr std::int64_t kWorkMs = 9'000;
+  static constexpr std::int64_t kWorkMs = 9'000;
   CellHarness cell(OptionsFor(4));
   StartCell(cell);
   cell.run_time = [](const auto&, std::int64_t) { return kWorkMs; };
--- a/tests/cell/gang_review_test.cc
+++ b/tests/cell/gang_review_test.cc
@@ -166,8 +166,10 @@
     cell.workers[bad].loses_starts_until_ms = cell.now_ms() + 60'000;
     SubmitGang(cell, 4);
     RunUntilCompleted(cell, 10'000);
-    cr_expect_leq(cell.starts, 3 * 4, "worker %zu: %ld members were started",
-                  bad, static_cast<long>(cell.starts));
+    constexpr std::int64_t kMaxStarts = 12;  // Of three runs.
+    cr_expect_leq(cell.starts, kMaxStarts,
+                  "worker %zu: %ld members were started", bad,
+                  static_cast<long>(cell.starts));
   }
 }
 
--- a/tests/policy/planner_review_test.cc
+++ b/tests/policy/planner_review_test.cc
@@ -32,7 +32,8 @@
 }
 
 void EndDueTasks(GraphPlanner& planner, std::int64_t now_ms) {
-  for (auto& [number, worker] : planner.workers()) {
+  for (auto& entry : planner.workers()) {
+    auto& worker = entry.second;
     const auto ended = std::erase_if(worker.ends, [&](const auto& it) {
       if (it.at_ms <= now_ms) {
         worker.used -= it.demand;
@@ -40,7 +41,7 @@
       return it.at_ms <= now_ms;
     });
     if (ended > 0) {
-      planner.MarkWorkerChanged(number);
+      planner.MarkWorkerChanged(entry.first);
     }
   }
 }
