--- a/tests/graph/graph_store_test.cc
+++ b/tests/graph/graph_store_test.cc
@@ -320,6 +320,26 @@
   }
 }
 
+// Guards against a gang that is given up after one run, because each of its
+// members lost its worker.
+Test(graph_store, counts_one_crash_for_each_member_that_lost_its_worker) {
+  constexpr int kMembers = 6;
+  GraphStore store;
+  Accept(store, MakeJob(kMembers, true));
+  const auto name = [](int n) { return "w" + std::to_string(n); };
+  for (int n = 0; n < kMembers; ++n) {
+    RegisterAt(store, name(n), 10, 0);
+    StartOnAt(store, {kJob, 0, 0, n}, 1, name(n), 0);
+  }
+  for (int n = 0; n < kMembers; ++n) {
+    RegisterAt(store, name(n), 20, 100);
+  }
+  cr_expect(store.FindJob(kJob)->active());
+  for (int n = 0; n < kMembers; ++n) {
+    cr_expect_eq(store.FindJob(kJob)->task({kJob, 0, 0, n}).crashes, 1);
+  }
+}
+
 // Guards against a task that is started for ever because its workers crash,
 // also across snapshots.
 Test(graph_store, gives_up_a_task_after_five_crashes) {
