consensus, cell, controller: Propose in the term of the decision only

A leader's decision thread may be seconds behind the role changes of its replica when the process was paused or is short of processor time. Callers saw nothing yet, but its proposals were accepted, and its orders were sent, as long as the replica led in any term: a controller that lost the lead and got it back acted on the state of its earlier term. A result of that state, such as a run given up as lost, would have ended a run that another leader had kept, and the task would have run twice.

Propose() and HasLease() now name the term; a proposal of another term is refused and never committed.

--- a/benchmarks/commit_benchmark.cc
+++ b/benchmarks/commit_benchmark.cc
@@ -173,7 +173,7 @@
 void ProposeOne(consensus::Replica& leader, ProposalRecorder& recorder) {
   const auto start = steady_clock::now();
   ++recorder.in_flight;
-  leader.Propose(std::string(kPayloadBytes, 'x'),
+  leader.Propose(leader.role().term, std::string(kPayloadBytes, 'x'),
                  [&recorder, start](const auto& index) {
                    const std::chrono::duration<double, std::milli> elapsed =
                        steady_clock::now() - start;
--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -41,7 +41,8 @@
 class EngineEnvironment {
  public:
   virtual ~EngineEnvironment() = default;
-  virtual bool HasLease() const = 0;
+  // Whether this member leads in `term` and no other leader can exist now.
+  virtual bool HasLease(std::int64_t term) const = 0;
   virtual wire::Membership Membership() const = 0;
   virtual std::int64_t WallMilliseconds() const = 0;
 };
--- a/libraries/cell/src/controller.cc
+++ b/libraries/cell/src/controller.cc
@@ -33,7 +33,9 @@
  public:
   void set_replica(const consensus::Replica* replica) { replica_ = replica; }
 
-  bool HasLease() const override { return replica_->HasLease(); }
+  bool HasLease(std::int64_t term) const override {
+    return replica_->HasLease(term);
+  }
   wire::Membership Membership() const override {
     return replica_->membership();
   }
--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -158,10 +158,11 @@
 void DecisionThread::Execute(EngineOutput out) {
   const std::int64_t term = engine_.leading_term();
   for (auto& it : out.proposals) {
-    replica_->Propose(std::move(it.data), [this, term, id = it.id](
-                                              Result<std::int64_t> result) {
-      events_.Push(ProposalDoneEvent{term, id, std::move(result)});
-    });
+    replica_->Propose(
+        term, std::move(it.data),
+        [this, term, id = it.id](Result<std::int64_t> result) {
+          events_.Push(ProposalDoneEvent{term, id, std::move(result)});
+        });
   }
   // Set the helpers before sending orders, because the first batch of a new
   // leader is its largest.
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -78,7 +78,7 @@
 }
 
 void Engine::Handle(Call call, TimePoint now) {
-  if (!leader_ || !environment_.HasLease()) {
+  if (!leader_ || !environment_.HasLease(role_.term)) {
     // Calls during shutdown are also refused with kNotLeader, so that callers
     // try another controller.
     Refuse(call,
@@ -91,7 +91,7 @@
 EngineOutput Engine::Advance(TimePoint now) {
   // Another leader may exist if this member does not hold the lease, so no
   // orders or proposals are sent.
-  if (!leader_ || !environment_.HasLease()) {
+  if (!leader_ || !environment_.HasLease(role_.term)) {
     EngineOutput out;
     out.max_wait = leader_ ? kNoLeaseMaxWait : kFollowerMaxWait;
     return out;
--- a/libraries/consensus/include/cranberryshunt/consensus/replica.h
+++ b/libraries/consensus/include/cranberryshunt/consensus/replica.h
@@ -129,11 +129,17 @@
   // Queues messages from peers for the consensus thread. They are dropped if
   // the queue is full.
   void Receive(std::vector<wire::RaftMessage> messages);
-  void Propose(std::string data, ProposalCallback callback);
+  // Proposes an entry that was decided on as the leader of `term`. In any other
+  // term it fails with kNotLeader and is never committed, because other leaders
+  // may have committed entries that the decision did not know.
+  void Propose(std::int64_t term, std::string data, ProposalCallback callback);
 
   // Returns whether this replica is the leader and currently holds a lease, so
   // that no other leader can exist. May be called on any thread.
   bool HasLease() const;
+  // The same for the leader of this term. Code that is behind the role changes
+  // of this replica must not take the lease of a later term for its own.
+  bool HasLease(std::int64_t term) const;
   RoleChange role() const;
   wire::Membership membership() const;
   std::string disk_identity() const;
--- a/libraries/consensus/src/replica.cc
+++ b/libraries/consensus/src/replica.cc
@@ -41,14 +41,20 @@
   (void)implementation_->thread.Post(QueueItem(std::move(messages)));
 }
 
-void Replica::Propose(std::string data, ProposalCallback callback) {
-  implementation_->thread.Propose({std::move(data), std::move(callback)});
+void Replica::Propose(std::int64_t term,
+                      std::string data,
+                      ProposalCallback callback) {
+  implementation_->thread.Propose({term, std::move(data), std::move(callback)});
 }
 
 bool Replica::HasLease() const {
   return implementation_->thread.HasLease();
 }
 
+bool Replica::HasLease(std::int64_t term) const {
+  return implementation_->thread.HasLease(term);
+}
+
 RoleChange Replica::role() const {
   return implementation_->thread.role();
 }
--- a/libraries/consensus/src/replica_failures.cc
+++ b/libraries/consensus/src/replica_failures.cc
@@ -119,6 +119,10 @@
 }
 
 void ReplicaThread::PublishStatus() {
+  if (lease_term_ != raft_->term()) {
+    lease_until_us_ = 0;
+    lease_term_ = raft_->term();
+  }
   lease_until_us_ = raft_->LeaseUntil() * 1000;
   if (auto contacts = raft_->KnownMembers(); contacts != known_members_) {
     known_members_ = std::move(contacts);
--- a/libraries/consensus/src/replica_thread.cc
+++ b/libraries/consensus/src/replica_thread.cc
@@ -90,6 +90,12 @@
   return now < lease_until_us_.load();
 }
 
+bool ReplicaThread::HasLease(std::int64_t term) const {
+  // Terms only grow, so the lease that is read between two equal terms is of
+  // that term.
+  return lease_term_ == term && HasLease() && lease_term_ == term;
+}
+
 RoleChange ReplicaThread::role() const {
   std::lock_guard lock(mutex_);
   return role_;
@@ -179,6 +185,11 @@
   pending.bytes = proposal.data.size();
   pending.counted = true;
   pending.callback = std::move(proposal.callback);
+  if (proposal.term != raft_->term()) {
+    FinishProposal(pending, Fail(ResultCode::kNotLeader,
+                                 "the term of the proposal has ended"));
+    return;
+  }
   const auto index = raft_->Propose(std::move(proposal.data));
   if (!index) {
     FinishProposal(pending, index);
--- a/libraries/consensus/src/replica_thread.h
+++ b/libraries/consensus/src/replica_thread.h
@@ -22,6 +22,7 @@
 namespace cranberryshunt::consensus {
 
 struct Proposal {
+  std::int64_t term = 0;
   std::string data;
   Replica::ProposalCallback callback;
 };
@@ -69,6 +70,7 @@
   bool Post(QueueItem&& item) { return queue_.TryPush(std::move(item)); }
 
   bool HasLease() const;
+  bool HasLease(std::int64_t term) const;
   RoleChange role() const;
   wire::Membership membership() const;
   ReplicaStats stats() const;
@@ -115,6 +117,8 @@
   BoundedRing<QueueItem> queue_;
   std::atomic<std::size_t> open_proposals_ = 0;
   std::atomic<std::size_t> open_proposal_bytes_ = 0;
+  // Term of `lease_until_us_`. Changes only while `lease_until_us_` is 0.
+  std::atomic<std::int64_t> lease_term_ = 0;
   std::atomic<std::int64_t> lease_until_us_ = 0;
 
   // Used only on the consensus thread.
--- a/libraries/controller/src/controller.cc
+++ b/libraries/controller/src/controller.cc
@@ -33,7 +33,9 @@
  public:
   void set_replica(const consensus::Replica* replica) { replica_ = replica; }
 
-  bool HasLease() const override { return replica_->HasLease(); }
+  bool HasLease(std::int64_t term) const override {
+    return replica_->HasLease(term);
+  }
 
   ReplicationStatus ReadReplicationStatus() const override {
     ReplicationStatus status;
--- a/libraries/controller/src/core.cc
+++ b/libraries/controller/src/core.cc
@@ -98,7 +98,7 @@
   if (stopped_) {
     RefuseCall(call, wire::ToStatus(Error(ResultCode::kShuttingDown,
                                           "controller is shutting down")));
-  } else if (!leader_ || !environment_.HasLease()) {
+  } else if (!leader_ || !environment_.HasLease(role_.term)) {
     RefuseCall(call, NotLeaderStatus());
   } else {
     leader_->Handle(std::move(call), now);
--- a/libraries/controller/src/core_types.h
+++ b/libraries/controller/src/core_types.h
@@ -96,9 +96,9 @@
 class CoreEnvironment {
  public:
   virtual ~CoreEnvironment() = default;
-  // Returns whether this replica holds the leader lease, that is, whether no
-  // other leader can exist now.
-  virtual bool HasLease() const = 0;
+  // Returns whether this replica holds the leader lease of `term`, that is,
+  // whether it leads in this term and no other leader can exist now.
+  virtual bool HasLease(std::int64_t term) const = 0;
   virtual ReplicationStatus ReadReplicationStatus() const = 0;
   virtual std::int64_t WallMilliseconds() const = 0;
 };
--- a/libraries/controller/src/decision_thread.cc
+++ b/libraries/controller/src/decision_thread.cc
@@ -152,7 +152,7 @@
   while (auto proposal = core_.TakeProposal()) {
     ++metrics_.Counter("proposals_total");
     replica_->Propose(
-        wire::Encode(*proposal->batch),
+        term, wire::Encode(*proposal->batch),
         [this, term, id = proposal->id](Result<std::int64_t> result) {
           ring_.Push(ProposalDoneEvent{term, id, std::move(result)});
         });
--- a/libraries/controller/src/leader.cc
+++ b/libraries/controller/src/leader.cc
@@ -200,7 +200,7 @@
   Decide(now);
   // Without the lease, another leader may have withdrawn the orders that a poll
   // would return.
-  if (context_.environment.HasLease()) {
+  if (context_.environment.HasLease(context_.term)) {
     polls_.Serve(now);
   }
 }
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -96,7 +96,9 @@
  public:
   explicit CellHarness(HarnessOptions options = {});
 
-  bool HasLease() const override { return has_lease; }
+  bool HasLease(std::int64_t term) const override {
+    return has_lease && term == lease_term.value_or(term_);
+  }
   wire::Membership Membership() const override { return {}; }
   std::int64_t WallMilliseconds() const override {
     return 1'700'000'000'000 + now_ms_ + wall_offset_ms;
@@ -143,6 +145,8 @@
   std::vector<FakeWorker> workers;
   std::map<graph::JobId, JobOutcome> jobs;
   bool has_lease = true;
+  // Term of the lease if it is not that of the engine's leader.
+  std::optional<std::int64_t> lease_term;
   // Added to the time of day.
   std::int64_t wall_offset_ms = 0;
   bool log_is_full = false;  // Proposals are not committed.
--- a/tests/consensus/replica_test.cc
+++ b/tests/consensus/replica_test.cc
@@ -95,7 +95,8 @@
   constexpr int kEntries = 5'000;
   std::atomic<int> pending = kEntries;
   for (int i = 0; i < kEntries; ++i) {
-    first.replica->Propose("x", [&](const auto&) { --pending; });
+    first.replica->Propose(first.replica->role().term, "x",
+                           [&](const auto&) { --pending; });
   }
   cr_assert(Eventually([&] { return pending == 0; }));
   cr_assert(cluster.Commit("b"));
@@ -139,6 +140,32 @@
       single.nodes[0]->replica->TransferLeadership(std::chrono::seconds(5)));
 }
 
+// Guards against decisions of an earlier term that are committed in a later one
+// of the same replica: its decision thread was behind the role changes.
+Test(replica, commits_nothing_that_was_decided_in_another_term) {
+  Cluster cluster(1);
+  cluster.StartAll();
+  cr_assert(cluster.Commit("a"));
+  auto& node = *cluster.nodes[0];
+  const auto earlier_term = node.replica->role().term;
+  cluster.Stop(node);
+  cr_assert(cluster.Start(node).has_value());
+  cr_assert(cluster.Commit("b"));
+  const auto term = node.replica->role().term;
+  cr_assert_gt(term, earlier_term);
+  cr_assert_not(node.replica->HasLease(earlier_term));
+  cr_assert(Eventually([&] { return node.replica->HasLease(term); }));
+  for (const auto it : {earlier_term, term + 1}) {
+    std::promise<Result<std::int64_t>> refused;
+    node.replica->Propose(
+        it, "stale", [&](const auto& result) { refused.set_value(result); });
+    const auto result = refused.get_future().get();
+    cr_assert(!result && result.error().code() == ResultCode::kNotLeader);
+  }
+  cr_assert(cluster.Commit("c"));
+  cr_assert(Eventually([&] { return node.observer->state() == "a;b;c;"; }));
+}
+
 // Guards against committing a proposal that was refused with kStorageFull,
 // against lost entries, and against needing a restart once the disk has space
 // again.
@@ -150,7 +177,8 @@
   auto& node = *cluster.nodes[0];
   files.set_capacity(files.used() + 10);
   std::promise<Result<std::int64_t>> refused;
-  node.replica->Propose("b", [&](const auto& it) { refused.set_value(it); });
+  node.replica->Propose(node.replica->role().term, "b",
+                        [&](const auto& it) { refused.set_value(it); });
   const auto result = refused.get_future().get();
   cr_assert(!result && result.error().code() == ResultCode::kStorageFull);
   cr_assert(Eventually([&] { return node.observer->failures == 1; }));
@@ -173,7 +201,8 @@
   files.FailAfter(0);
   for (int i = 0; i < 2; ++i) {
     std::promise<Result<std::int64_t>> failed;
-    node.replica->Propose("b", [&](const auto& it) { failed.set_value(it); });
+    node.replica->Propose(node.replica->role().term, "b",
+                          [&](const auto& it) { failed.set_value(it); });
     const auto result = failed.get_future().get();
     cr_assert(!result && result.error().code() == ResultCode::kIoError);
   }
--- a/tests/controller/core_harness.h
+++ b/tests/controller/core_harness.h
@@ -23,7 +23,7 @@
 
 class FakeHost final : public CoreEnvironment {
  public:
-  bool HasLease() const override { return lease; }
+  bool HasLease(std::int64_t /*term*/) const override { return lease; }
   ReplicationStatus ReadReplicationStatus() const override { return {}; }
   std::int64_t WallMilliseconds() const override {
     return 1'700'000'000'000 + ToMilliseconds(clock.Now().time_since_epoch());
