cell: Acknowledge an end only once the committed state shows it

A worker forgets an end when it is acknowledged. The leader acknowledged the ends of a batch when the batch was committed, whether or not the results had an effect: if another entry had changed the task in between, the result was ignored, the end was forgotten, and the task ran again.

Ends that the state does not show are now read and decided on once more.

Test: hand_over::keeps_an_end_until_the_state_shows_it (failed before: 2 starts, "started again after it was done").

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -333,19 +333,7 @@
     }
   }
   for (const auto& it : out.ends_to_acknowledge) {
-    const auto worker = it.first;
-    const auto number = it.second;
-    if (!batch_has_content_) {
-      workers_.AcknowledgeEnds(worker, number);
-      continue;
-    }
-    continuations_.emplace_back([this, worker, number](bool committed) {
-      if (committed) {
-        workers_.AcknowledgeEnds(worker, number);
-      } else {
-        workers_.ReprocessEnds(worker);
-      }
-    });
+    AcknowledgeOnceCommitted(it.first, it.second, out.finished);
   }
   for (auto& it : out.orders) {
     orders_.push_back(std::move(it));
@@ -353,6 +341,46 @@
   plan_due_ = plan_due_ || !out.finished.empty();
 }
 
+// A worker forgets an end once it is acknowledged, so the committed state must
+// show it by then.
+void Leader::AcknowledgeOnceCommitted(
+    graph::WorkerNumber worker,
+    std::int64_t number,
+    const std::vector<FinishedRun>& finished) {
+  if (!batch_has_content_) {
+    workers_.AcknowledgeEnds(worker, number);
+    return;
+  }
+  std::vector<RunKey> done;
+  for (const auto& it : finished) {
+    if (it.worker == worker && it.how == wire::RunEnd::kDone) {
+      done.emplace_back(it.task, it.run);
+    }
+  }
+  continuations_.emplace_back(
+      [this, worker, number, done = std::move(done)](bool committed) {
+        const bool recorded =
+            committed &&
+            std::none_of(done.begin(), done.end(), [&](const auto& it) {
+              return IsUnrecorded(it.first, it.second);
+            });
+        if (recorded) {
+          workers_.AcknowledgeEnds(worker, number);
+        } else {
+          workers_.ReprocessEnds(worker);
+        }
+      });
+}
+
+// Whether the committed state lacks the end of a run that has ended as done:
+// another batch may have changed the task before the result was applied.
+bool Leader::IsUnrecorded(const graph::TaskKey& key, std::int32_t run) const {
+  const auto* job = store_.FindJob(key.job);
+  const auto* task = job == nullptr ? nullptr : job->FindTask(key);
+  return task != nullptr && job->active() && !task->done &&
+         run <= task->last_run && !job->step(key.step).long_running;
+}
+
 // Current runs that ended as done are logged in one line when their step is
 // done. Every other run has a line of its own.
 void Leader::LogRun(const FinishedRun& finished, bool current) {
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -74,6 +74,12 @@
   bool IsLargeCell() const;
   std::int64_t ProposeIntervalMs() const;
   void ApplyOutput(WorkerTrackerOutput out);
+  // Acknowledges the worker's ends up to `number` when the next batch, which
+  // has the results of `finished`, is committed.
+  void AcknowledgeOnceCommitted(graph::WorkerNumber worker,
+                                std::int64_t number,
+                                const std::vector<FinishedRun>& finished);
+  bool IsUnrecorded(const graph::TaskKey& key, std::int32_t run) const;
   void OnFinished(const FinishedRun& finished,
                   std::vector<FinishedRun>& current_runs);
   std::set<std::int32_t> FindLaterRuns(const FinishedRun& finished) const;
--- a/tests/cell/hand_over_test.cc
+++ b/tests/cell/hand_over_test.cc
@@ -39,3 +39,36 @@
   cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
   ExpectNoViolations(cell);
 }
+
+// Guards against a task that runs again although the end of its run was
+// acknowledged: the result had no effect, because another entry had changed the
+// task before it was applied.
+Test(hand_over, keeps_an_end_until_the_state_shows_it) {
+  constexpr std::int64_t kRunMs = 300;
+  constexpr std::int64_t kCommitMs = 40;
+  CellHarness cell({.workers = 2, .commit_ms = kCommitMs});
+  StartCell(cell);
+  cell.Submit(1, "a", MakeJob(1, 2'000, kRunMs));
+  const graph::TaskKey task{1, 0, 0, 0};
+  while (cell.starts == 0) {
+    cell.Run(1);
+  }
+  cell.Run(kRunMs + kCommitMs / 2);
+  cr_assert_eq(cell.engine().store().FindJob(1)->task(task).run, 1);
+  wire::GraphBatch other;
+  auto& lost = other.results.emplace_back();
+  lost.task = graph::ToWire(task);
+  lost.run = 1;
+  lost.how = wire::RunEnd::kLost;
+  cell.Commit(other);
+  other = {};
+  auto& start = other.starts.emplace_back();
+  start.task = graph::ToWire(task);
+  start.run = 2;
+  start.worker = 2;
+  cell.Commit(other);
+  cell.Run(15'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  cr_expect_eq(cell.starts, 1);
+  ExpectNoViolations(cell);
+}
