graph, cell, wire: Keep starts in flight open when their worker leaves

A start that is on its way when its worker leaves may reach the next incarnation under the same id, because the platform names incarnations by id only.

Such runs now stay open, in the committed state too, until the next incarnation is registered, which bars them and lists what runs, or until a lease that such a start could have got is over.

Tests: departed_worker::runs_nothing_that_was_sent_before_it_left (was known to fail), runs_nothing_twice_if_the_leader_changes_meanwhile, gives_up_its_starts_if_it_does_not_return.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -92,6 +92,9 @@
 
 void Leader::RebuildState() {
   SyncWorkers();
+  for (const auto& [id, number] : store_.departed_workers()) {
+    workers_.AddDeparted(number, id, now_ms_);
+  }
   WorkerTrackerOutput out;
   for (const auto& [id, job] : store_.jobs()) {
     const auto& queue = store_.QueueOf(job);
@@ -153,7 +156,7 @@
     }
   }
   for (const auto it : removed) {
-    workers_.Remove(it, out);
+    workers_.Remove(it, now_ms_, out);
   }
   ForgetEndedWorkers();
   ApplyOutput(std::move(out));
--- a/libraries/cell/src/leader_checks.cc
+++ b/libraries/cell/src/leader_checks.cc
@@ -75,7 +75,8 @@
 bool Leader::HasOwner(const graph::TaskKey& task,
                       std::int32_t run,
                       graph::WorkerNumber worker) const {
-  if (workers_.FindRun(worker, task, run)) {
+  if (workers_.FindRun(worker, task, run) ||
+      workers_.IsOpenAtDeparted(task, run)) {
     return true;
   }
   const auto proposed = proposed_runs_.find(task);
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -268,13 +268,16 @@
   worker.next_hold_ms = now_ms;
   // A start that is on its way to the previous incarnation may still begin on
   // this one, and then gets a whole lease.
+  const bool replaced =
+      previous != nullptr || departed_workers_.contains(record.id);
   worker.inherited_lease_end_ms =
-      (previous == nullptr ? started_ms_ : now_ms) +
+      (replaced ? now_ms : started_ms_) +
       static_cast<std::int64_t>(static_cast<double>(options_.max_lease_ms) /
                                 kMinClockRate) +
       kLeaseMarginMs;
   workers_[number] = std::move(worker);
   auto& added = workers_[number];
+  MoveDepartedRuns(added);
   if (previous != nullptr) {
     // Orders to the previous incarnation may still reach the new one, so the
     // runs that the new one lists decide whether a run has ended.
@@ -310,11 +313,84 @@
   }
 }
 
-void WorkerTracker::Remove(WorkerNumber number, WorkerTrackerOutput& out) {
+std::int64_t WorkerTracker::StartExpiry(std::int64_t now_ms) const {
+  return now_ms +
+         static_cast<std::int64_t>(static_cast<double>(options_.lease_ms) /
+                                   kMinClockRate) +
+         kLeaseMarginMs;
+}
+
+void WorkerTracker::MoveDepartedRuns(TrackedWorker& worker) {
+  auto departed = departed_workers_.extract(worker.record.id);
+  if (departed.empty()) {
+    return;
+  }
+  for (auto& [key, run] : departed.mapped().runs) {
+    run.phase = RunPhase::kUncertain;
+    run.phase_confirmed_ms = 0;
+    run.stop_sent_ms = 0;
+    run.stops_sent = 0;
+    AddRun(worker, key, run);
+  }
+}
+
+void WorkerTracker::ExpireDepartedRuns(std::int64_t now_ms,
+                                       WorkerTrackerOutput& out) {
+  for (auto it = departed_workers_.begin(); it != departed_workers_.end();) {
+    if (now_ms < it->second.until_ms) {
+      ++it;
+      continue;
+    }
+    for (const auto& [key, run] : it->second.runs) {
+      FinishedRun finished;
+      finished.task = key.first;
+      finished.run = key.second;
+      finished.worker = it->second.number;
+      finished.reason = "worker left and did not return";
+      out.finished.push_back(std::move(finished));
+    }
+    it = departed_workers_.erase(it);
+  }
+}
+
+void WorkerTracker::AddDeparted(WorkerNumber number,
+                                const std::string& id,
+                                std::int64_t now_ms) {
+  departed_workers_[id] = {number, StartExpiry(now_ms), {}};
+}
+
+bool WorkerTracker::IsOpenAtDeparted(const TaskKey& task,
+                                     std::int32_t run) const {
+  return std::any_of(departed_workers_.begin(), departed_workers_.end(),
+                     [&](const auto& it) {
+                       return it.second.runs.contains({task, run});
+                     });
+}
+
+void WorkerTracker::Remove(WorkerNumber number,
+                           std::int64_t now_ms,
+                           WorkerTrackerOutput& out) {
   const auto worker = workers_.find(number);
   if (worker == workers_.end()) {
     return;
   }
+  DepartedWorker departed{number, StartExpiry(now_ms), {}};
+  for (auto it = worker->second.runs.begin();
+       it != worker->second.runs.end();) {
+    const auto next = std::next(it);
+    if (it->second.phase == RunPhase::kSending) {
+      uncertain_starts_.push_back(it->first);
+    }
+    if (it->second.phase == RunPhase::kSending ||
+        it->second.phase == RunPhase::kUncertain) {
+      departed.runs.insert(*it);
+      EraseRun(worker->second, it);
+    }
+    it = next;
+  }
+  if (!departed.runs.empty()) {
+    departed_workers_[worker->second.record.id] = std::move(departed);
+  }
   FinishAllRuns(worker->second, "worker left", 0, out);
   auto it = worker->second.runs.begin();
   while (it != worker->second.runs.end()) {
@@ -335,17 +411,6 @@
                                     std::int64_t now_ms,
                                     WorkerTrackerOutput& out,
                                     InheritedRun how) {
-  const auto worker = workers_.find(number);
-  if (worker == workers_.end()) {
-    // That incarnation of the worker has ended.
-    FinishedRun finished;
-    finished.task = task;
-    finished.run = run;
-    finished.worker = number;
-    finished.reason = "worker is not registered any more";
-    out.finished.push_back(std::move(finished));
-    return;
-  }
   Run it;
   it.phase = RunPhase::kInherited;
   it.demand = demand;
@@ -353,7 +418,26 @@
   it.expected_run_ms = expected_run_ms;
   it.long_running = how.long_running;
   it.percent = how.resumed ? -1 : 0;
-  AddRun(worker->second, {task, run}, it);
+  const auto worker = workers_.find(number);
+  if (worker != workers_.end()) {
+    AddRun(worker->second, {task, run}, it);
+    return;
+  }
+  const auto departed = std::find_if(
+      departed_workers_.begin(), departed_workers_.end(),
+      [&](const auto& entry) { return entry.second.number == number; });
+  if (departed != departed_workers_.end()) {
+    departed->second.runs[{task, run}] = it;
+    uncertain_starts_.emplace_back(task, run);
+    return;
+  }
+  // That incarnation of the worker has ended.
+  FinishedRun finished;
+  finished.task = task;
+  finished.run = run;
+  finished.worker = number;
+  finished.reason = "worker is not registered any more";
+  out.finished.push_back(std::move(finished));
 }
 
 void WorkerTracker::RecordClock(TrackedWorker& worker,
@@ -670,6 +754,7 @@
     return;
   }
   scanned_ms_ = now_ms;
+  ExpireDepartedRuns(now_ms, out);
   for (auto& [number, worker] : workers_) {
     if (worker.hold_order == 0 && !worker.ends_commit_pending &&
         now_ms >= worker.next_hold_ms) {
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -72,10 +72,19 @@
   // Sets whether the worker has said that it has left. Such a worker gets no
   // starts, because its next incarnation would carry them out.
   void SetDeparted(WorkerNumber number, bool departed);
-  // Removes a worker that has ended and reports all of its runs as finished.
-  void Remove(WorkerNumber number, WorkerTrackerOutput& out);
+  // Removes a worker that has ended and reports its runs as finished. Starts
+  // that may be on their way stay open until the next incarnation with the same
+  // id is registered, which bars them, or until they are too late.
+  void Remove(WorkerNumber number,
+              std::int64_t now_ms,
+              WorkerTrackerOutput& out);
+  // Adds a worker that had left, with open runs, before this leader took over.
+  void AddDeparted(WorkerNumber number,
+                   const std::string& id,
+                   std::int64_t now_ms);
   // Adds a run that is current in the committed state when this leader starts.
-  // Reports the run as finished if the worker is not registered.
+  // Reports the run as finished if the worker is neither registered nor among
+  // those that have left with open runs.
   void AddInheritedRun(WorkerNumber number,
                        const TaskKey& task,
                        std::int32_t run,
@@ -186,6 +195,8 @@
   // of the worker that is its present incarnation.
   const TrackedWorker* FindWorkerOf(const TaskKey& task,
                                     std::int32_t run) const;
+  // Whether the run waits for the next incarnation of a worker that has left.
+  bool IsOpenAtDeparted(const TaskKey& task, std::int32_t run) const;
   // Whether starts may be sent to the worker now.
   bool IsUsable(const TrackedWorker& worker, std::int64_t now_ms) const;
   std::int64_t fence() const { return options_.fence; }
@@ -193,6 +204,21 @@
   bool fenced() const { return fenced_; }
 
  private:
+  // A worker that has left, and the runs that its next incarnation may start.
+  struct DepartedWorker {
+    WorkerNumber number = 0;
+    std::int64_t until_ms = 0;
+    std::map<RunKey, Run> runs;
+  };
+
+  // Local time by which a start that may have been sent until now is refused
+  // as too late, or its lease has expired.
+  std::int64_t StartExpiry(std::int64_t now_ms) const;
+  // Moves runs of a worker whose starts may still arrive to its next
+  // incarnation, which is registered now.
+  void MoveDepartedRuns(TrackedWorker& worker);
+  // Finishes the runs of departed workers whose starts are too late by now.
+  void ExpireDepartedRuns(std::int64_t now_ms, WorkerTrackerOutput& out);
   void AddRun(TrackedWorker& worker, const RunKey& key, Run run);
   void RequestStop(TrackedWorker& worker, const RunKey& key, Run& run);
   std::map<RunKey, Run>::iterator EraseRun(TrackedWorker& worker,
@@ -283,6 +309,7 @@
   const std::int64_t started_ms_;
   std::map<WorkerNumber, TrackedWorker> workers_;
   std::map<std::string, WorkerNumber> numbers_by_id_;
+  std::map<std::string, DepartedWorker> departed_workers_;
   // The runs of each job, by worker, task and run number.
   std::map<graph::JobId, std::set<std::pair<WorkerNumber, RunKey>>>
       runs_by_job_;
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -192,6 +192,11 @@
   const std::map<WorkerNumber, wire::CalledWorker>& workers() const {
     return workers_;
   }
+  // Returns the numbers, by worker id, of workers that have left while runs on
+  // them were open. The next incarnation of such a worker gets these runs.
+  const std::map<std::string, WorkerNumber>& departed_workers() const {
+    return departed_workers_;
+  }
   // Returns the workers that crashed according to the last applied batch.
   const std::vector<CrashedWorker>& crashed_workers() const {
     return crashed_workers_;
@@ -205,6 +210,8 @@
  private:
   void ApplyTable(const wire::RoutingTable& table);
   void ApplyWorker(const wire::CalledWorker& worker, std::int64_t at_ms);
+  void ApplyRemoval(WorkerNumber number);
+  void ForgetIdleDepartedWorkers();
   // Moves the open runs of a worker to its next incarnation, which may have
   // carried out their starts. Only its list shows that they have ended.
   void MoveRuns(WorkerNumber from, WorkerNumber to);
@@ -233,6 +240,7 @@
   WorkerNumber next_worker_ = 1;
   std::map<WorkerNumber, wire::CalledWorker> workers_;
   std::unordered_map<std::string, WorkerNumber> workers_by_id_;
+  std::map<std::string, WorkerNumber> departed_workers_;
   std::map<JobId, Job> jobs_;
   std::vector<CrashedWorker> crashed_workers_;
   // Times of the recent crashes, except of workers that a suspect had for
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -1,6 +1,7 @@
 #include "cranberryshunt/graph/graph_store.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "cranberryshunt/wire/codec.h"
@@ -26,11 +27,10 @@
     ApplyWorker(it, batch.at_ms);
   }
   for (const auto it : batch.removed_workers) {
-    const auto worker = workers_.find(it);
-    if (worker != workers_.end()) {
-      workers_by_id_.erase(worker->second.id);
-      workers_.erase(worker);
-    }
+    ApplyRemoval(it);
+  }
+  if (!batch.removed_workers.empty()) {
+    ForgetIdleDepartedWorkers();
   }
   for (const auto& it : batch.jobs) {
     jobs_.try_emplace(static_cast<JobId>(it.id), it);
@@ -56,6 +56,32 @@
   }
 }
 
+void GraphStore::ApplyRemoval(WorkerNumber number) {
+  const auto worker = workers_.find(number);
+  if (worker == workers_.end()) {
+    return;
+  }
+  departed_workers_[worker->second.id] = number;
+  workers_by_id_.erase(worker->second.id);
+  workers_.erase(worker);
+}
+
+void GraphStore::ForgetIdleDepartedWorkers() {
+  std::set<WorkerNumber> with_runs;
+  for (const auto& [id, job] : jobs_) {
+    if (job.open_runs_ == 0) {
+      continue;
+    }
+    for (const auto& task : job.tasks_) {
+      if (task.run != 0) {
+        with_runs.insert(task.worker);
+      }
+    }
+  }
+  std::erase_if(departed_workers_,
+                [&](const auto& it) { return !with_runs.contains(it.second); });
+}
+
 void GraphStore::MoveRuns(WorkerNumber from, WorkerNumber to) {
   for (auto& [id, job] : jobs_) {
     if (job.open_runs_ == 0) {
@@ -95,6 +121,10 @@
     }
   }
   const WorkerNumber number = next_worker_++;
+  if (const auto departed = departed_workers_.extract(worker.id);
+      !departed.empty()) {
+    MoveRuns(departed.mapped(), number);
+  }
   workers_by_id_[worker.id] = number;
   workers_[number] = worker;
 }
@@ -265,6 +295,7 @@
   out.table = table_;
   out.next_worker = next_worker_;
   out.last_batch_ms = last_batch_ms_;
+  out.departed_workers = departed_workers_;
   out.recent_crashes = recent_crashes_;
   out.recent_external_crashes = recent_external_crashes_;
   for (const auto& [number, worker] : workers_) {
@@ -308,6 +339,7 @@
   next.table_ = std::move(decoded->table);
   next.next_worker_ = decoded->next_worker;
   next.last_batch_ms_ = decoded->last_batch_ms;
+  next.departed_workers_ = std::move(decoded->departed_workers);
   next.recent_crashes_ = std::move(decoded->recent_crashes);
   next.recent_external_crashes_ = std::move(decoded->recent_external_crashes);
   for (auto& it : decoded->workers) {
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -669,6 +669,7 @@
   5: list<i64> recent_crashes  // In the time of the batches.
   6: list<i64> recent_external_crashes  // Of those that no task on the worker can have caused.
   7: i64 last_batch_ms
+  8: map<string, i64> departed_workers  // Numbers, by worker id, of those with open runs.
 }
 
 enum GraphJobState { kQueued = 1, kRunning = 2, kCompleted = 3, kFailed = 4, kCancelled = 5 }
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -126,6 +126,40 @@
   }
 }
 
+// Guards against the same if the leader changes between the departure and the
+// next incarnation: the new leader knows the worker only from the state.
+Test(departed_worker, runs_nothing_twice_if_the_leader_changes_meanwhile) {
+  constexpr std::int64_t kNetworkMs = 100;
+  for (std::int64_t wait_ms = 20; wait_ms <= 120; wait_ms += 5) {
+    CellHarness cell({.workers = 2, .network_ms = kNetworkMs});
+    cell.Run(1'000);
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(2, 16'000, 500));
+    cell.Run(wait_ms);
+    cell.Depart(cell.workers[0]);
+    cell.Run(kCommitMs + 5);
+    cell.ChangeLeader();
+    cell.Restart(cell.workers[0]);
+    cell.Run(20'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
+// Guards against a task that waits for ever for a worker that never returns.
+Test(departed_worker, gives_up_its_starts_if_it_does_not_return) {
+  constexpr std::int64_t kNetworkMs = 100;
+  for (std::int64_t wait_ms = 20; wait_ms <= 120; wait_ms += 5) {
+    CellHarness cell({.workers = 2, .network_ms = kNetworkMs});
+    cell.Run(1'000);
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(2, 16'000, 500));
+    cell.Run(wait_ms);
+    cell.Depart(cell.workers[0]);
+    cell.Run(10'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
 // Guards against the same after the worker was registered as a new incarnation.
 Test(departed_worker, gets_no_tasks_after_it_was_replaced) {
   CellHarness cell({.workers = 2});
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -515,7 +515,7 @@
   auto tracker = MakeTracker(1'000);
   tracker.Reserve(1, kTask, 1, {1'000, 100, 0}, 500);
   WorkerTrackerOutput removal;
-  tracker.Remove(1, removal);
+  tracker.Remove(1, 0, removal);
   WorkerTrackerOutput out;
   tracker.SendStart(1, kTask, 1, {}, 1'010, out);
   cr_expect(out.orders.empty());
