--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -25,6 +25,8 @@
   // its objective.
   std::int64_t latest_start_ms = 0;
   bool urgent_queue = false;
+  // Whether it asks for new tickets of workers that are allowed already.
+  bool renewal = false;
 };
 
 struct AdviceOutcome {
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -168,7 +168,6 @@
   void AskAdvice(const policy::PlannedQuestion& question);
   void ApplyAdvice();
   policy::LoadSummary LoadFor(const policy::NewJob& job);
-  policy::LoadSummary SummarizeLoad() const;
   void LogLoad() const;
   void LogLongWaits() const;
   // The first run of the step in the committed state, and the worker that has
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -290,6 +290,7 @@
     advice_question.workers.push_back(workers_.Find(it)->record.id);
   }
   advice_question.worker_numbers = question.workers;
+  advice_question.renewal = question.renewal;
   advice_question.expected_ms = question.expected_ms;
   advice_question.latest_start_ms = step.objective_ms - step.remaining_ms;
   advice_question.urgent_queue = step.priority == 0;
@@ -305,7 +306,7 @@
     }
     auto& step = *planner_.FindStep(it.question.step);
     auto& advice = step.advice;
-    advice.question_pending = false;
+    advice.EndQuestion(it.question.worker_numbers, it.question.renewal);
     step.changed = true;
     if (!it.answered) {
       Log(LogLevel::kWarning, "advice",
@@ -346,7 +347,7 @@
 
 policy::LoadSummary Leader::LoadFor(const policy::NewJob& job) {
   if (now_ms_ >= cell_load_ms_ + kMaxCellLoadAgeMs) {
-    cell_load_ = SummarizeLoad();
+    cell_load_ = planner_.SummarizeLoad();
     cell_load_ms_ = now_ms_;
   }
   auto load = cell_load_;
@@ -356,28 +357,6 @@
   return load;
 }
 
-policy::LoadSummary Leader::SummarizeLoad() const {
-  policy::LoadSummary load;
-  const auto& workers = planner_.worker_totals();
-  load.cpus.free = static_cast<double>(workers.free.milli_cpus);
-  load.memory.free = static_cast<double>(workers.free.memory_mb);
-  load.cpus.released_per_ms = workers.milli_cpus_per_ms;
-  load.memory.released_per_ms = workers.memory_mb_per_ms;
-  for (const auto& [id, waiting_step] : planner_.waiting_steps()) {
-    const auto& step = *waiting_step;
-    const auto tasks = static_cast<double>(step.waiting.size());
-    const auto cpus = tasks * static_cast<double>(step.demand.milli_cpus);
-    const auto memory = tasks * static_cast<double>(step.demand.memory_mb);
-    load.cpus.waiting += cpus;
-    load.memory.waiting += memory;
-    if (step.priority == 0) {
-      load.cpus.waiting_urgent += cpus;
-      load.memory.waiting_urgent += memory;
-    }
-  }
-  return load;
-}
-
 // Logs what an operator needs to tell a fully used cell from one that waits for
 // advice, for gangs or for workers.
 void Leader::LogLoad() const {
@@ -454,7 +433,7 @@
     std::string reason = "capacity";
     if (step.blocked > 0) {
       reason = "run";
-    } else if (step.advice.question_pending) {
+    } else if (step.advice.open_questions > 0 || step.advice.renewal_pending) {
       reason = "advice";
     } else if (workers.allowed == 0) {
       reason = "workers";
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cranberryshunt/base/flat_containers.h"
+#include "cranberryshunt/policy/graph_admission.h"
 
 namespace cranberryshunt::policy {
 
@@ -87,7 +88,13 @@
 // is allowed does not change during its life; only its ticket expires.
 struct StepAdvice {
   bool needed = false;  // Whether a start of the step needs a ticket.
-  bool question_pending = false;
+  // Questions about workers without an answer, and these workers.
+  std::int32_t open_questions = 0;
+  FlatSet<std::int64_t> pending_workers;
+  // A question for new tickets of allowed workers, and when they are expected.
+  bool renewal_pending = false;
+  FlatSet<std::int64_t> renewing;
+  std::int64_t renewal_due_ms = 0;
   std::int64_t last_question_ms = 0;  // 0: none yet.
   // The service is expected to answer a question within `base_ms` plus
   // `per_worker_ms` for each worker in the question.
@@ -99,6 +106,12 @@
   // about each eligible one; 0 if there was none.
   std::int64_t complete_at_version = 0;
 
+  // Must be called when a question is planned, and when it was answered or
+  // given up. `due_ms` is when its answer is expected.
+  void BeginQuestion(const std::vector<std::int64_t>& workers,
+                     bool renewal,
+                     std::int64_t due_ms);
+  void EndQuestion(const std::vector<std::int64_t>& workers, bool renewal);
   // Records an answer about the workers `asked`: the service allows those in
   // `tickets`.
   void RecordAnswer(const std::vector<std::int64_t>& asked,
@@ -159,7 +172,8 @@
   // step is planned only in a full round, or when one of its workers changed.
   bool changed = true;
   // Set by the planner for a waiting gang: the capacity held for it, and the
-  // time at which all of this capacity is expected to be free.
+  // time at which it is expected to have room and tickets for all its tasks; 0
+  // if the allowed workers cannot hold it.
   std::vector<HeldCapacity> held;
   std::int64_t held_ready_ms = 0;
   std::int64_t held_since_ms = 0;  // 0: nothing is held.
@@ -185,6 +199,8 @@
 struct PlannedQuestion {
   StepId step = 0;
   std::vector<std::int64_t> workers;
+  // Whether it asks for new tickets of workers that are allowed already.
+  bool renewal = false;
   std::int64_t expected_ms = 0;  // Expected answer time of the service.
 
   bool operator==(const PlannedQuestion&) const = default;
@@ -212,6 +228,17 @@
   // the advice service applies.
   std::size_t max_workers_asked = 60;
   std::size_t wide_step_tasks = 8;
+  // Limit of workers in one question for new tickets of single tasks.
+  std::size_t max_workers_renewed = 40;
+  // Questions about new workers that a gang may have open at the same time.
+  std::int32_t max_open_questions = 3;
+  // Time in which the workers that a gang was allowed are expected to give it
+  // room after the answer.
+  std::int64_t gather_ms = 500;
+  // Capacity is held for a gang that is expected to start within this time, and
+  // the time for which it has waited: about as long as a ticket is valid and
+  // an answer takes.
+  std::int64_t max_hold_ms = 3'000;
   // A ticket is used only if it stays valid for at least this long, to cover
   // the commit of the start and its delivery to the worker.
   std::int64_t ticket_margin_ms = 150;
@@ -281,6 +308,9 @@
   void MarkStepWaiting(PlanStep& step) { waiting_steps_[step.id] = &step; }
 
   StepWorkers WorkersOf(const PlanStep& step) const;
+  // What waits, is free and is given back, as of the last Decide(). The times
+  // of answers are left at 0.
+  LoadSummary SummarizeLoad() const;
 
   // Must be called when a worker was added or changed, so that the next
   // Decide() plans the steps that may use it.
@@ -353,7 +383,6 @@
   void UpdateServices();
   void PlaceStep(PlanStep& step, Round& round);
   bool MayStartLate(const PlanStep& step, Round& round);
-  void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
   void PlaceSingles(PlanStep& step, const Candidates& workers, Round& round);
   // suspects.cc
   void PlaceSuspectGang(PlanStep& step,
@@ -369,18 +398,18 @@
                               const Candidates& workers,
                               std::int64_t now_ms,
                               Round& round);
-  void ChooseHeldCapacity(PlanStep& step,
-                          const Candidates& workers,
-                          Round& round);
-  void AskAboutHeldWorkers(PlanStep& step, Round& round);
+  // gang_placement.cc
+  void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
+  void AssembleGang(PlanStep& step, const Candidates& workers, Round& round);
+  void HoldCapacity(const PlanStep& step, Round& round);
+  void Start(PlanStep& step, PlanWorker& worker, Round& round);
+  // advice_questions.cc
   // Returns which of these workers to ask about so that the step has valid
   // tickets for all of them when the answer comes. Empty if it has them now.
   std::vector<std::int64_t> MissingTickets(
       const PlanStep& step,
       const std::vector<std::int64_t>& workers,
       std::int64_t now_ms) const;
-  void HoldCapacity(const PlanStep& step, Round& round);
-  void Start(PlanStep& step, PlanWorker& worker, Round& round);
   // Limit of workers in one question about new workers.
   std::size_t MaxWorkersToAsk(const PlanStep& step) const;
   // Which workers a step may ask about.
@@ -399,8 +428,15 @@
                                   std::size_t limit,
                                   const Round& round);
   void AskAboutNewWorkers(PlanStep& step, Round& round);
+  void RenewTickets(PlanStep& step,
+                    std::vector<std::int64_t> workers,
+                    Round& round);
+  void PlanRenewal(PlanStep& step,
+                   std::vector<std::int64_t> workers,
+                   Round& round);
   void PlanQuestion(PlanStep& step,
-                    const std::vector<std::int64_t>& workers,
+                    std::vector<std::int64_t> workers,
+                    bool renewal,
                     Round& round);
 
   const PlannerOptions options_;
--- /dev/null
+++ b/libraries/policy/src/gang_placement.cc
@@ -0,0 +1,238 @@
+// Places the tasks of gangs, which start together or not at all. A gang needs
+// room for all its tasks and a valid ticket for each of their workers at the
+// same moment, and both last for a short time only.
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "plan_round.h"
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+// Room for one task of a gang on a worker.
+struct Opening {
+  // When both the room and the ticket are expected to be there.
+  std::int64_t ready_ms = 0;
+  std::int64_t room_ms = 0;  // When the room is.
+  bool needs_ticket = false;
+  PlanWorker* worker = nullptr;
+};
+
+bool IsEarlier(const Opening& a, const Opening& b) {
+  return std::tuple(a.ready_ms, a.needs_ticket, a.room_ms, a.worker->number) <
+         std::tuple(b.ready_ms, b.needs_ticket, b.room_ms, b.worker->number);
+}
+
+// Expected end of a task. A task that is overdue is expected to run on for as
+// long as it is already overdue.
+std::int64_t EndOf(const ExpectedEnd& end, std::int64_t now_ms) {
+  return end.at_ms >= now_ms ? end.at_ms : now_ms + (now_ms - end.at_ms);
+}
+
+// Returns the times at which the worker is expected to have room for one, two
+// and more tasks of size `task`, up to `limit`: now, or when other tasks on it
+// have ended.
+std::vector<std::int64_t> ExpectedRoom(const PlanWorker& worker,
+                                       const Demand& task,
+                                       std::int64_t limit,
+                                       std::int64_t now_ms) {
+  std::vector<std::int64_t> out;
+  Demand free = worker.FreeCapacity();
+  const auto add = [&](std::int64_t at_ms) {
+    const auto fit = static_cast<std::size_t>(FitCount(task, free, limit));
+    if (fit > out.size()) {
+      out.resize(fit, at_ms);
+    }
+  };
+  add(now_ms);
+  std::int64_t at_ms = now_ms;
+  for (const auto& it : worker.ends) {
+    if (static_cast<std::int64_t>(out.size()) >= limit) {
+      break;
+    }
+    free += it.demand;
+    at_ms = std::max(at_ms, EndOf(it, now_ms));
+    add(at_ms);
+  }
+  return out;
+}
+
+void AddHeld(std::vector<HeldCapacity>& held,
+             std::int64_t worker,
+             const Demand& demand) {
+  auto it = std::find_if(held.begin(), held.end(), [&](const auto& entry) {
+    return entry.worker == worker;
+  });
+  if (it == held.end()) {
+    it = held.insert(it, {worker, {}});
+  }
+  it->demand += demand;
+}
+
+}  // namespace
+
+void GraphPlanner::PlaceGang(PlanStep& step,
+                             const Candidates& workers,
+                             Round& round) {
+  const auto until = round.now_ms + options_.ticket_margin_ms;
+  const auto count = static_cast<std::int64_t>(step.waiting.size());
+  // Starting the first member changes what the others may use, so the capacity
+  // is determined before.
+  std::map<const PlanWorker*, Demand> usable;
+  for (const auto* it : workers) {
+    usable[it] = UsableCapacity(step, *it, round.now_ms);
+  }
+  // Racks to try. The empty name stands for all racks together; for `same_rack`
+  // each single rack is tried first.
+  std::vector<std::string> racks;
+  if (step.same_rack) {
+    for (const auto* it : workers) {
+      if (std::find(racks.begin(), racks.end(), it->rack) == racks.end()) {
+        racks.push_back(it->rack);
+      }
+    }
+  }
+  racks.emplace_back();
+  for (const auto& rack : racks) {
+    Candidates fitting;
+    std::int64_t fit = 0;
+    std::int64_t ticketed = 0;
+    std::vector<std::int64_t> with_room;
+    for (auto* it : workers) {
+      if (!rack.empty() && it->rack != rack) {
+        continue;
+      }
+      const auto n = FitCount(step.demand, usable[it],
+                              std::min(count, PerWorkerLimit(step, *it)));
+      if (n <= 0) {
+        continue;
+      }
+      fit += n;
+      with_room.push_back(it->number);
+      if (step.advice.HasTicket(it->number, until)) {
+        ticketed += n;
+        fitting.push_back(it);
+      }
+    }
+    if (ticketed >= count) {
+      // Workers with the least capacity left over come first, so that the gang
+      // uses few workers.
+      const auto key = [&](const auto* it) {
+        return std::pair(step.avoided.contains(it->number),
+                         LeftoverShare(*it, step.demand));
+      };
+      std::sort(fitting.begin(), fitting.end(),
+                [&](auto* a, auto* b) { return key(a) < key(b); });
+      for (auto* it : fitting) {
+        while (!step.waiting.empty() && step.demand.FitsIn(usable[it]) &&
+               PerWorkerLimit(step, *it) > 0) {
+          Start(step, *it, round);
+          usable[it] -= step.demand;
+        }
+      }
+      return;
+    }
+    if (fit >= count) {
+      PlanRenewal(step, MissingTickets(step, with_room, round.now_ms), round);
+      break;
+    }
+  }
+}
+
+void GraphPlanner::HoldCapacity(const PlanStep& step, Round& round) {
+  const bool held_long =
+      step.held_since_ms != 0 &&
+      round.now_ms - step.held_since_ms >= options_.max_wait_ms;
+  Demand held;
+  for (const auto& it : step.held) {
+    auto* worker = FindWorker(it.worker);
+    if (worker != nullptr) {
+      worker->held += it.demand;
+      if (held_long) {
+        worker->held_long += it.demand;
+      }
+      workers_with_held_capacity_.push_back(it.worker);
+      held += it.demand;
+    }
+  }
+  round.held_share += ShareOf(held, usable_capacity_[step.service_name]);
+}
+
+// Holds for a gang that cannot start yet the openings of which room and ticket
+// are expected first, since other tasks would otherwise keep taking them. They
+// are held for each task separately: draining whole workers would leave more
+// of them idle for longer. Nothing is held for a start that is far off.
+void GraphPlanner::AssembleGang(PlanStep& step,
+                                const Candidates& workers,
+                                Round& round) {
+  step.held.clear();
+  step.held_ready_ms = 0;
+  const auto now_ms = round.now_ms;
+  const auto count = step.waiting.size();
+  const auto& advice = step.advice;
+  const auto renewal_ms =
+      AnswerMs(step, std::min(count + count / 2, kMaxWorkersPerQuestion)) +
+      kAnswerTransitMs;
+  std::vector<Opening> openings;
+  for (auto* it : workers) {
+    // Skips workers with capacity held for a gang that precedes this one.
+    if (it->held != Demand()) {
+      continue;
+    }
+    const auto limit =
+        std::min(static_cast<std::int64_t>(count), PerWorkerLimit(step, *it));
+    for (const auto room_ms : ExpectedRoom(*it, step.demand, limit, now_ms)) {
+      Opening opening{room_ms, room_ms, false, it};
+      if (!advice.HasTicket(it->number, room_ms + options_.ticket_margin_ms)) {
+        const bool renewing =
+            advice.renewal_pending && advice.renewing.contains(it->number);
+        opening.needs_ticket = !renewing;
+        opening.ready_ms = std::max(
+            room_ms, renewing ? advice.renewal_due_ms : now_ms + renewal_ms);
+      }
+      openings.push_back(opening);
+    }
+  }
+  if (openings.size() < count) {
+    return;
+  }
+  std::sort(openings.begin(), openings.end(), IsEarlier);
+  step.held_ready_ms = openings[count - 1].ready_ms;
+  // The limit grows while the gang waits, so that others do not take each
+  // opening before it comes near.
+  const auto waited_ms = now_ms - step.waiting_since_ms;
+  if (step.held_ready_ms - now_ms > options_.max_hold_ms + waited_ms ||
+      round.held_share >= options_.max_held_share) {
+    return;
+  }
+  std::int64_t room_ms = 0;
+  bool needs_ticket = false;
+  for (std::size_t i = 0; i < count; ++i) {
+    AddHeld(step.held, openings[i].worker->number, step.demand);
+    room_ms = std::max(room_ms, openings[i].room_ms);
+    needs_ticket = needs_ticket || openings[i].needs_ticket;
+  }
+  if (!needs_ticket || room_ms - now_ms > renewal_ms) {
+    return;
+  }
+  // The tickets of some further openings are renewed too, in case a task runs
+  // longer than expected.
+  const auto usable_from_ms =
+      std::max(step.held_ready_ms, now_ms + renewal_ms) +
+      options_.ticket_margin_ms;
+  std::vector<std::int64_t> missing;
+  const auto renewed = std::min(openings.size(), count + count / 2);
+  for (std::size_t i = 0; i < renewed; ++i) {
+    const auto number = openings[i].worker->number;
+    if (!advice.HasTicket(number, usable_from_ms) &&
+        std::find(missing.begin(), missing.end(), number) == missing.end()) {
+      missing.push_back(number);
+    }
+  }
+  PlanRenewal(step, missing, round);
+}
+
+}  // namespace cranberryshunt::policy
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -1,10 +1,11 @@
 #include "cranberryshunt/policy/graph_planner.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 #include <utility>
 
+#include "plan_round.h"
+
 namespace cranberryshunt::policy {
 
 Demand& Demand::operator+=(const Demand& other) {
@@ -92,6 +93,36 @@
   }
 }
 
+void StepAdvice::BeginQuestion(const std::vector<std::int64_t>& workers,
+                               bool renewal,
+                               std::int64_t due_ms) {
+  if (renewal) {
+    renewal_pending = true;
+    renewal_due_ms = due_ms;
+    renewing = {};
+    renewing.insert(workers.begin(), workers.end());
+  } else {
+    ++open_questions;
+    pending_workers.insert(workers.begin(), workers.end());
+  }
+}
+
+void StepAdvice::EndQuestion(const std::vector<std::int64_t>& workers,
+                             bool renewal) {
+  if (renewal) {
+    renewal_pending = false;
+    renewing = {};
+    return;
+  }
+  if (--open_questions == 0) {
+    pending_workers = {};
+    return;
+  }
+  for (const auto it : workers) {
+    pending_workers.erase(it);
+  }
+}
+
 bool StepAdvice::Allows(std::int64_t worker) const {
   return !needed || allowed.contains(worker);
 }
@@ -104,50 +135,20 @@
   return ticket != allowed.end() && ticket->second.valid_until_ms >= until_ms;
 }
 
-namespace {
-
-// The advice service accepts up to this many workers in one question.
-constexpr std::size_t kMaxWorkersPerQuestion = 100;
-
-// Expected time in which the service answers a question about `n` workers.
-std::int64_t AnswerMs(const PlanStep& step, std::size_t n) {
-  return static_cast<std::int64_t>(
-      step.advice.base_ms + step.advice.per_worker_ms * static_cast<double>(n));
-}
-
-// The larger of the processor share and the memory share of `part` in `whole`.
-double ShareOf(const Demand& part, const Demand& whole) {
-  const auto share = [](std::int64_t a, std::int64_t b) {
-    return b > 0 ? static_cast<double>(a) / static_cast<double>(b) : 0.0;
-  };
-  return std::max(share(part.milli_cpus, whole.milli_cpus),
-                  share(part.memory_mb, whole.memory_mb));
+void PlanWorker::AddEnd(const ExpectedEnd& end) {
+  const auto after = std::upper_bound(
+      ends.begin(), ends.end(), end,
+      [](const auto& a, const auto& b) { return a.at_ms < b.at_ms; });
+  ends.insert(after, end);
 }
 
-// Larger of the processor and memory shares of the worker that would stay free
-// after a task of this size is placed on it. Workers with the smallest share
-// are preferred, which packs tasks tightly and keeps whole workers free for
-// wide steps.
-double LeftoverShare(const PlanWorker& worker, const Demand& demand) {
-  return ShareOf(worker.FreeCapacity() - demand, worker.capacity);
-}
+namespace {
 
 bool HasLabel(const PlanWorker& worker, const std::string& label) {
   return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
                                     label) != worker.labels.end();
 }
 
-// How many further tasks of the step the worker may run, according to
-// `max_per_worker`.
-std::int64_t PerWorkerLimit(const PlanStep& step, const PlanWorker& worker) {
-  if (step.max_per_worker <= 0) {
-    return std::numeric_limits<std::int32_t>::max();
-  }
-  const auto running = step.running.find(worker.number);
-  return step.max_per_worker -
-         (running == step.running.end() ? 0 : running->second);
-}
-
 // Whether the workers have room for the waiting tasks once they are idle. Tasks
 // that need not run at the same time can use the same room one after another.
 bool CanHold(const PlanStep& step, const std::vector<PlanWorker*>& workers) {
@@ -165,59 +166,6 @@
   return false;
 }
 
-// Capacity for one task of a gang on a worker, and the time at which it is
-// expected to be free.
-struct ExpectedCapacity {
-  std::int64_t ready_ms = 0;
-  PlanWorker* worker = nullptr;
-};
-
-// Expected end of a task. A task that is overdue is expected to run on for as
-// long as it is already overdue.
-std::int64_t EndOf(const ExpectedEnd& end, std::int64_t now_ms) {
-  return end.at_ms >= now_ms ? end.at_ms : now_ms + (now_ms - end.at_ms);
-}
-
-// Appends one element to `out` for each task of size `task` that the worker can
-// run, up to `limit` elements. Each element contains the time at which the
-// capacity is expected to be free. This is `now_ms`, or a later time at which
-// other tasks on the worker have ended.
-void AddExpectedCapacity(PlanWorker& worker,
-                         const Demand& task,
-                         std::int64_t limit,
-                         std::int64_t now_ms,
-                         std::vector<ExpectedCapacity>& out) {
-  Demand free = worker.FreeCapacity();
-  std::int64_t fit = 0;
-  const auto add = [&](std::int64_t ready_ms) {
-    const auto next = FitCount(task, free, limit);
-    for (; fit < next; ++fit) {
-      out.push_back({ready_ms, &worker});
-    }
-  };
-  add(now_ms);
-  std::int64_t at_ms = now_ms;
-  for (const auto& it : worker.ends) {
-    if (fit >= limit) {
-      break;
-    }
-    free += it.demand;
-    at_ms = std::max(at_ms, EndOf(it, now_ms));
-    add(at_ms);
-  }
-}
-
-}  // namespace
-
-void PlanWorker::AddEnd(const ExpectedEnd& end) {
-  const auto after = std::upper_bound(
-      ends.begin(), ends.end(), end,
-      [](const auto& a, const auto& b) { return a.at_ms < b.at_ms; });
-  ends.insert(after, end);
-}
-
-namespace {
-
 WorkerTotals PartOf(const PlanWorker& worker) {
   WorkerTotals part;
   if (worker.usable) {
@@ -236,28 +184,8 @@
   return worker.usable && !probe_busy && !worker.exclusive;
 }
 
-// Whether the step's job is expected to end after its objective even if the
-// step started now.
-bool IsLate(const PlanStep& step, std::int64_t now_ms) {
-  return now_ms + step.remaining_ms > step.objective_ms;
-}
-
 }  // namespace
 
-// State of one call of Decide().
-struct GraphPlanner::Round {
-  std::int64_t now_ms = 0;
-  bool full = false;
-  // Share of the usable capacity that is held for gangs so far.
-  double held_share = 0;
-  std::int64_t idle_callers = 0;
-  // Whether a gang that can still meet its objective waits for capacity.
-  bool gang_waits = false;
-  // Share of the usable capacity that tasks of late steps use.
-  double late_share = 0;
-  Plan plan;
-};
-
 GraphPlanner::GraphPlanner(PlannerOptions options) : options_(options) {}
 
 PlanStep& GraphPlanner::AddStep(PlanStep step) {
@@ -518,6 +446,27 @@
   }
 }
 
+LoadSummary GraphPlanner::SummarizeLoad() const {
+  LoadSummary load;
+  load.cpus.free = static_cast<double>(worker_totals_.free.milli_cpus);
+  load.memory.free = static_cast<double>(worker_totals_.free.memory_mb);
+  load.cpus.released_per_ms = worker_totals_.milli_cpus_per_ms;
+  load.memory.released_per_ms = worker_totals_.memory_mb_per_ms;
+  for (const auto& [id, waiting_step] : waiting_steps_) {
+    const auto& step = *waiting_step;
+    const auto tasks = static_cast<double>(step.waiting.size());
+    const auto cpus = tasks * static_cast<double>(step.demand.milli_cpus);
+    const auto memory = tasks * static_cast<double>(step.demand.memory_mb);
+    load.cpus.waiting += cpus;
+    load.memory.waiting += memory;
+    if (step.priority == 0) {
+      load.cpus.waiting_urgent += cpus;
+      load.memory.waiting_urgent += memory;
+    }
+  }
+  return load;
+}
+
 Plan GraphPlanner::Decide(std::int64_t now_ms, std::int64_t idle_callers) {
   Round round;
   round.now_ms = now_ms;
@@ -594,7 +543,7 @@
     if (step.waiting.empty() || round.held_share >= options_.max_held_share) {
       step.held.clear();
     } else if (plan_fully) {
-      ChooseHeldCapacity(step, allowed, round);
+      AssembleGang(step, allowed, round);
     }
     if (step.held.empty()) {
       step.held_since_ms = 0;
@@ -619,8 +568,7 @@
         static_cast<double>(started) *
         ShareOf(step.demand, usable_capacity_[step.service_name]);
   }
-  if (plan_fully && step.advice.needed && !step.advice.question_pending &&
-      !step.waiting.empty()) {
+  if (plan_fully && step.advice.needed && !step.waiting.empty()) {
     AskAboutNewWorkers(step, round);
   }
 }
@@ -674,312 +622,8 @@
     Start(step, *best, round);
   }
   if (!step.waiting.empty() && !without_ticket.empty()) {
-    PlanQuestion(step, without_ticket, round);
-  }
-}
-
-void GraphPlanner::PlaceGang(PlanStep& step,
-                             const Candidates& workers,
-                             Round& round) {
-  const auto until = round.now_ms + options_.ticket_margin_ms;
-  const auto count = static_cast<std::int64_t>(step.waiting.size());
-  // Starting the first member changes what the others may use, so the capacity
-  // is determined before.
-  std::map<const PlanWorker*, Demand> usable;
-  for (const auto* it : workers) {
-    usable[it] = UsableCapacity(step, *it, round.now_ms);
-  }
-  // Racks to try. The empty name stands for all racks together; for `same_rack`
-  // each single rack is tried first.
-  std::vector<std::string> racks;
-  if (step.same_rack) {
-    for (const auto* it : workers) {
-      if (std::find(racks.begin(), racks.end(), it->rack) == racks.end()) {
-        racks.push_back(it->rack);
-      }
-    }
-  }
-  racks.emplace_back();
-  for (const auto& rack : racks) {
-    Candidates fitting;
-    std::int64_t fit = 0;
-    std::int64_t ticketed = 0;
-    std::vector<std::int64_t> with_room;
-    for (auto* it : workers) {
-      if (!rack.empty() && it->rack != rack) {
-        continue;
-      }
-      const auto n = FitCount(step.demand, usable[it],
-                              std::min(count, PerWorkerLimit(step, *it)));
-      if (n <= 0) {
-        continue;
-      }
-      fit += n;
-      with_room.push_back(it->number);
-      if (step.advice.HasTicket(it->number, until)) {
-        ticketed += n;
-        fitting.push_back(it);
-      }
-    }
-    if (ticketed >= count) {
-      // Workers with the least capacity left over come first, so that the gang
-      // uses few workers.
-      const auto key = [&](const auto* it) {
-        return std::pair(step.avoided.contains(it->number),
-                         LeftoverShare(*it, step.demand));
-      };
-      std::sort(fitting.begin(), fitting.end(),
-                [&](auto* a, auto* b) { return key(a) < key(b); });
-      for (auto* it : fitting) {
-        while (!step.waiting.empty() && step.demand.FitsIn(usable[it]) &&
-               PerWorkerLimit(step, *it) > 0) {
-          Start(step, *it, round);
-          usable[it] -= step.demand;
-        }
-      }
-      return;
-    }
-    if (fit >= count) {
-      PlanQuestion(step, MissingTickets(step, with_room, round.now_ms), round);
-      break;
-    }
-  }
-}
-
-void GraphPlanner::HoldCapacity(const PlanStep& step, Round& round) {
-  const bool held_long =
-      step.held_since_ms != 0 &&
-      round.now_ms - step.held_since_ms >= options_.max_wait_ms;
-  Demand held;
-  for (const auto& it : step.held) {
-    auto* worker = FindWorker(it.worker);
-    if (worker != nullptr) {
-      worker->held += it.demand;
-      if (held_long) {
-        worker->held_long += it.demand;
-      }
-      workers_with_held_capacity_.push_back(it.worker);
-      held += it.demand;
-    }
-  }
-  round.held_share += ShareOf(held, usable_capacity_[step.service_name]);
-}
-
-// Holds for the gang the capacity that becomes free first, since smaller tasks
-// would otherwise keep taking it. Capacity is held for each task separately:
-// draining whole workers would leave more of them idle for longer.
-void GraphPlanner::ChooseHeldCapacity(PlanStep& step,
-                                      const Candidates& workers,
-                                      Round& round) {
-  step.held.clear();
-  step.held_ready_ms = 0;
-  const auto count = step.waiting.size();
-  std::vector<ExpectedCapacity> expected_capacity;
-  for (auto* it : workers) {
-    // Skips workers with capacity held for a gang that precedes this one.
-    if (it->held != Demand()) {
-      continue;
-    }
-    const auto limit =
-        std::min(static_cast<std::int64_t>(count), PerWorkerLimit(step, *it));
-    AddExpectedCapacity(*it, step.demand, limit, round.now_ms,
-                        expected_capacity);
-  }
-  if (expected_capacity.size() < count) {
-    return;
-  }
-  std::sort(expected_capacity.begin(), expected_capacity.end(),
-            [](const auto& a, const auto& b) {
-              return std::pair(a.ready_ms, a.worker->number) <
-                     std::pair(b.ready_ms, b.worker->number);
-            });
-  for (std::size_t i = 0; i < count; ++i) {
-    const auto number = expected_capacity[i].worker->number;
-    auto held =
-        std::find_if(step.held.begin(), step.held.end(),
-                     [&](const auto& it) { return it.worker == number; });
-    if (held == step.held.end()) {
-      held = step.held.insert(held, {number, {}});
-    }
-    held->demand += step.demand;
-  }
-  step.held_ready_ms = expected_capacity[count - 1].ready_ms;
-  AskAboutHeldWorkers(step, round);
-}
-
-// Asks for missing tickets once the held capacity is expected to be free by the
-// time of the answer.
-void GraphPlanner::AskAboutHeldWorkers(PlanStep& step, Round& round) {
-  std::vector<std::int64_t> held;
-  for (const auto& it : step.held) {
-    held.push_back(it.worker);
-  }
-  const auto missing = MissingTickets(step, held, round.now_ms);
-  if (!missing.empty() &&
-      step.held_ready_ms - round.now_ms <= AnswerMs(step, missing.size())) {
-    PlanQuestion(step, missing, round);
-  }
-}
-
-// A gang needs all its tickets at the same time. Those that would expire before
-// the answer are renewed in the same question, because they would be asked for
-// next while the new ones expire.
-std::vector<std::int64_t> GraphPlanner::MissingTickets(
-    const PlanStep& step,
-    const std::vector<std::int64_t>& workers,
-    std::int64_t now_ms) const {
-  const auto until = now_ms + options_.ticket_margin_ms;
-  const auto answered =
-      until + AnswerMs(step, std::min(workers.size(), kMaxWorkersPerQuestion));
-  std::vector<std::int64_t> missing;
-  std::vector<std::int64_t> expiring;
-  for (const auto it : workers) {
-    if (!step.advice.HasTicket(it, until)) {
-      missing.push_back(it);
-    } else if (!step.advice.HasTicket(it, answered)) {
-      expiring.push_back(it);
-    }
-  }
-  if (!missing.empty()) {
-    missing.insert(missing.end(), expiring.begin(), expiring.end());
-  }
-  return missing;
-}
-
-// Wide steps need many allowed workers, and most of the answer time does not
-// depend on the number of workers in the question.
-std::size_t GraphPlanner::MaxWorkersToAsk(const PlanStep& step) const {
-  return step.waiting.size() >= options_.wide_step_tasks
-             ? kMaxWorkersPerQuestion
-             : options_.max_workers_asked;
-}
-
-std::int64_t GraphPlanner::FitOnAllowedWorkers(const PlanStep& step,
-                                               bool idle,
-                                               std::int64_t limit) {
-  const auto count = static_cast<std::int64_t>(step.waiting.size());
-  std::int64_t fit = 0;
-  for (const auto& [number, ticket] : step.advice.allowed) {
-    const auto* worker = FindWorker(number);
-    if (worker != nullptr && IsEligible(step, *worker) &&
-        !step.avoided.contains(number)) {
-      fit += FitCount(step.demand,
-                      idle ? worker->capacity : worker->AvailableCapacity(),
-                      std::min(count, PerWorkerLimit(step, *worker)));
-    }
-    if (fit >= limit) {
-      break;
-    }
-  }
-  return fit;
-}
-
-// Whether the workers that the service has allowed are enough for the waiting
-// tasks, so that callers of the service can stay free for other steps. They are
-// not enough if a further answer would come before the held capacity is free.
-bool GraphPlanner::HasEnoughAllowedWorkers(const PlanStep& step,
-                                           std::size_t limit,
-                                           std::int64_t now_ms) {
-  if (step.advice.asked_workers.empty()) {
-    return false;
-  }
-  const auto count = static_cast<std::int64_t>(step.waiting.size());
-  // A gang needs capacity for all its tasks at the same time, so it needs more
-  // workers to choose from.
-  const auto wanted = step.gang ? 2 * count : count;
-  const bool answer_comes_first =
-      !step.held.empty() && step.held_ready_ms - now_ms > AnswerMs(step, limit);
-  return !answer_comes_first &&
-         FitOnAllowedWorkers(step, true, wanted) >= wanted;
-}
-
-// The tasks on the allowed workers may go on for very long, so a step doesn't
-// rely on their end for ever.
-GraphPlanner::QuestionScope GraphPlanner::FindQuestionScope(
-    const PlanStep& step,
-    std::size_t limit,
-    const Round& round) {
-  if (!HasEnoughAllowedWorkers(step, limit, round.now_ms)) {
-    return QuestionScope::kAll;
-  }
-  // A gang can start sooner with more workers to choose from, so it asks while
-  // enough callers are idle.
-  if (step.gang && round.idle_callers > options_.reserved_callers) {
-    return QuestionScope::kAll;
-  }
-  const auto waited_ms = round.now_ms - step.waiting_since_ms;
-  if (waited_ms < options_.held_back_ms ||
-      (round.idle_callers <= 0 && waited_ms < options_.max_wait_ms)) {
-    return QuestionScope::kNone;
-  }
-  const auto count = static_cast<std::int64_t>(step.waiting.size());
-  if (FitOnAllowedWorkers(step, false, count) >= count) {
-    return QuestionScope::kNone;
-  }
-  return IsLate(step, round.now_ms) && waited_ms >= options_.long_wait_ms &&
-                 round.idle_callers > 0
-             ? QuestionScope::kAll
-             : QuestionScope::kWithRoom;
-}
-
-// Asks about eligible workers that the service has not been asked about yet,
-// those with the most free capacity first.
-void GraphPlanner::AskAboutNewWorkers(PlanStep& step, Round& round) {
-  const auto& asked_workers = step.advice.asked_workers;
-  const auto limit = MaxWorkersToAsk(step);
-  if (step.advice.complete_at_version == workers_version_ ||
-      round.plan.questions.size() >= options_.max_questions) {
-    return;
-  }
-  const auto scope = FindQuestionScope(step, limit, round);
-  if (scope == QuestionScope::kNone) {
-    return;
-  }
-  // Computes the sort key once for each worker.
-  std::vector<std::pair<double, std::int64_t>> candidates;
-  for (const auto& it : all_workers_) {
-    const auto& worker = *it.worker;
-    if (!asked_workers.contains(it.number) && IsEligible(step, worker) &&
-        (scope == QuestionScope::kAll ||
-         step.demand.FitsIn(worker.AvailableCapacity()))) {
-      candidates.emplace_back(-LeftoverShare(worker, step.demand), it.number);
-    }
-  }
-  if (candidates.empty()) {
-    if (scope == QuestionScope::kAll) {
-      step.advice.complete_at_version = workers_version_;
-    }
-    return;
-  }
-  --round.idle_callers;
-  const auto asked = std::min(candidates.size(), limit);
-  const auto last = candidates.begin() + static_cast<std::ptrdiff_t>(asked);
-  std::nth_element(candidates.begin(), last, candidates.end());
-  std::sort(candidates.begin(), last);
-  std::vector<std::int64_t> numbers;
-  for (std::size_t i = 0; i < asked; ++i) {
-    numbers.push_back(candidates[i].second);
-  }
-  PlanQuestion(step, numbers, round);
-}
-
-void GraphPlanner::PlanQuestion(PlanStep& step,
-                                const std::vector<std::int64_t>& workers,
-                                Round& round) {
-  if (step.advice.question_pending || !step.advice.needed || workers.empty() ||
-      round.plan.questions.size() >= options_.max_questions) {
-    return;
-  }
-  PlannedQuestion question;
-  question.step = step.id;
-  question.workers = workers;
-  if (question.workers.size() > kMaxWorkersPerQuestion) {
-    question.workers.resize(kMaxWorkersPerQuestion);
+    RenewTickets(step, std::move(without_ticket), round);
   }
-  question.expected_ms = AnswerMs(step, question.workers.size());
-  step.advice.question_pending = true;
-  step.advice.last_question_ms = round.now_ms;
-  round.plan.questions.push_back(std::move(question));
 }
 
 }  // namespace cranberryshunt::policy
--- a/libraries/policy/src/suspects.cc
+++ b/libraries/policy/src/suspects.cc
@@ -77,7 +77,7 @@
     }
   }
   if (best == nullptr) {
-    PlanQuestion(step, without_ticket, round);
+    PlanRenewal(step, without_ticket, round);
   }
   return best;
 }
--- /dev/null
+++ b/tests/policy/fleet_replay.cc
@@ -0,0 +1,378 @@
+#include "fleet_replay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <tuple>
+#include <utility>
+
+namespace cranberryshunt::policy {
+
+namespace {
+
+// Workers in the question that an objective counts for each step.
+constexpr double kTypicalWorkersPerQuestion = 30;
+constexpr std::int32_t kMaxAttempts = 5;
+constexpr std::int64_t kMeasureEveryMs = 100;
+constexpr double kLateWorthShare = 0.2;
+// A job that ends later than this many times its objective earns nothing.
+constexpr std::int64_t kLateLimit = 3;
+constexpr std::int64_t kQuestionTransitMs = 30;
+
+double AdviceMs(const ReplayKind& kind) {
+  return kind.advice_base_ms +
+         kTypicalWorkersPerQuestion * kind.advice_per_worker_ms;
+}
+
+bool AllowedByHash(std::int64_t step, std::int64_t worker, double share) {
+  std::mt19937_64 random(static_cast<std::uint64_t>(step * 100'003 + worker));
+  return std::uniform_real_distribution<>(0, 1)(random) < share;
+}
+
+}  // namespace
+
+FleetReplay::FleetReplay(ReplayOptions options, std::vector<ReplayKind> kinds)
+    : options_(std::move(options)),
+      kinds_(std::move(kinds)),
+      random_(options_.seed),
+      idle_callers_(options_.callers) {
+  for (std::int64_t n = 1; n <= options_.workers; ++n) {
+    PlanWorker worker;
+    worker.number = n;
+    worker.service_name = "fleet";
+    worker.capacity = {options_.worker_milli_cpus, 1'000'000, 0};
+    worker.usable = true;
+    planner_.workers()[n] = worker;
+  }
+  for (const auto& it : kinds_) {
+    outcomes_[it.name] = {};
+    arrivals_[it.name].seed(options_.seed + arrivals_.size());
+    At(1, [this, &it] { Arrive(it); });
+  }
+  At(kMeasureEveryMs, [this] { Measure(); });
+}
+
+void FleetReplay::At(std::int64_t at_ms, std::function<void()> action) {
+  events_.emplace(at_ms, std::move(action));
+}
+
+void FleetReplay::Run() {
+  const auto end_ms = options_.traffic_ms + options_.drain_ms;
+  for (; now_ms_ < end_ms; ++now_ms_) {
+    while (!events_.empty() && events_.begin()->first <= now_ms_) {
+      const auto action = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      action();
+    }
+    const auto since_ms = now_ms_ - planned_ms_;
+    if (since_ms >= 50 || (plan_due_ && since_ms >= options_.plan_every_ms)) {
+      Plan();
+    }
+    AssignQuestions();
+  }
+  for (auto& [id, job] : jobs_) {
+    ++outcomes_[job.kind->name].unfinished;
+  }
+  const auto samples = static_cast<double>(std::max<std::int64_t>(1, samples_));
+  used_share_ /= samples;
+  held_share_ /= samples;
+  busy_callers_ /= samples;
+  used_share_while_work_waits_ /=
+      static_cast<double>(std::max<std::int64_t>(1, waiting_samples_));
+}
+
+std::int64_t FleetReplay::ChainMs(const ReplayKind& kind, std::size_t steps) {
+  return static_cast<std::int64_t>(
+      static_cast<double>(steps) *
+      (static_cast<double>(kind.run_ms) + AdviceMs(kind)));
+}
+
+void FleetReplay::Arrive(const ReplayKind& kind) {
+  if (now_ms_ >= options_.traffic_ms) {
+    return;
+  }
+  auto& random = arrivals_.at(kind.name);
+  Job job;
+  job.kind = &kind;
+  job.id = next_id_++;
+  job.sent_ms = now_ms_;
+  const bool two =
+      std::uniform_real_distribution<>(0, 1)(random) < kind.second_step_share;
+  double width = 1;
+  if (kind.vary_tasks) {
+    // Mean 1; the widest steps are three times as wide as the average.
+    width = std::min(3.0, std::lognormal_distribution<>(-0.14, 0.55)(random));
+  }
+  const auto tasks = std::max<std::int32_t>(
+      1, static_cast<std::int32_t>(std::lround(kind.tasks * width)));
+  double chain_ms = 0;
+  for (int n = 0; n < (two ? 2 : 1); ++n) {
+    const auto spread = options_.run_time_spread;
+    const auto factor =
+        std::lognormal_distribution<>(-spread * spread / 2, spread)(random);
+    const auto run_ms = static_cast<double>(kind.run_ms) * factor;
+    job.steps.push_back({tasks, tasks, std::llround(run_ms)});
+    chain_ms += run_ms + AdviceMs(kind);
+  }
+  const auto size = static_cast<double>(tasks) / kind.tasks *
+                    static_cast<double>(job.steps.size()) /
+                    (1 + kind.second_step_share);
+  job.worth = kind.worth * std::min(4.0, 0.3 + 0.7 * size);
+  job.objective_ms = kind.latency_target_ms +
+                     static_cast<std::int64_t>(kind.stretch * chain_ms);
+  auto& outcome = outcomes_[kind.name];
+  ++outcome.owed;
+  outcome.worth_owed += job.worth;
+  const auto id = job.id;
+  jobs_[id] = std::move(job);
+  Submit(id);
+  const double factor = options_.load ? options_.load(now_ms_) : 1.0;
+  const double rate = kind.jobs_per_s * factor;
+  const double gap_ms = std::exponential_distribution<>(rate / 1'000)(random);
+  At(now_ms_ + std::max<std::int64_t>(1, std::llround(gap_ms)),
+     [this, &kind] { Arrive(kind); });
+}
+
+LoadSummary FleetReplay::Load(const ReplayKind& kind,
+                              std::int64_t slack_ms) const {
+  auto load = planner_.SummarizeLoad();
+  // Questions of urgent steps go first.
+  double ahead_ms = 0;
+  for (const auto& it : queued_) {
+    const auto step = planner_.steps().find(it.step);
+    const bool before =
+        step != planner_.steps().end() &&
+        (step->second.priority == 0 ||
+         (kind.priority > 0 &&
+          step->second.objective_ms - step->second.remaining_ms <=
+              now_ms_ + slack_ms));
+    ahead_ms += before ? static_cast<double>(it.expected_ms) : 0;
+  }
+  load.advice_wait_ms = idle_callers_ > 0 ? 0 : ahead_ms / options_.callers;
+  return load;
+}
+
+void FleetReplay::Submit(std::int64_t id) {
+  auto& job = jobs_.at(id);
+  const auto& kind = *job.kind;
+  NewJob new_job;
+  new_job.urgent = kind.priority == 0;
+  new_job.critical_path_ms =
+      kind.run_ms * static_cast<std::int64_t>(job.steps.size());
+  new_job.slack_ms =
+      kind.latency_target_ms +
+      static_cast<std::int64_t>((kind.stretch - 1) *
+                                static_cast<double>(new_job.critical_path_ms)) -
+      (now_ms_ - job.sent_ms);
+  const auto decision = DecideAdmission(Load(kind, new_job.slack_ms), new_job);
+  if (!decision.accepted) {
+    if (++job.attempts >= kMaxAttempts) {
+      ++outcomes_[kind.name].refused;
+      jobs_.erase(id);
+      return;
+    }
+    At(now_ms_ + decision.retry_after_ms, [this, id] { Submit(id); });
+    return;
+  }
+  job.accepted_ms = now_ms_;
+  At(now_ms_ + options_.commit_ms, [this, id] { AddPlanStep(jobs_.at(id)); });
+}
+
+void FleetReplay::AddPlanStep(Job& job) {
+  const auto& kind = *job.kind;
+  const auto& current = job.steps[job.current];
+  PlanStep step;
+  step.id = next_id_++;
+  step.service_name = "fleet";
+  step.priority = kind.priority;
+  step.demand = {kind.milli_cpus, 100, 0};
+  step.gang = kind.gang;
+  step.expected_run_ms = kind.run_ms;
+  step.accepted_ms = job.sent_ms;
+  step.objective_ms =
+      job.sent_ms + kind.latency_target_ms +
+      static_cast<std::int64_t>(
+          kind.stretch * static_cast<double>(ChainMs(kind, job.steps.size())));
+  const auto left = job.steps.size() - job.current;
+  step.remaining_ms = kind.run_ms + ChainMs(kind, left - 1);
+  step.waiting_since_ms = now_ms_;
+  step.waiting.resize(static_cast<std::size_t>(current.tasks));
+  std::iota(step.waiting.begin(), step.waiting.end(), 0);
+  step.advice.needed = kind.advice_base_ms > 0;
+  step.advice.base_ms = kind.advice_base_ms;
+  step.advice.per_worker_ms = kind.advice_per_worker_ms;
+  jobs_by_step_[step.id] = job.id;
+  planner_.AddStep(std::move(step));
+  plan_due_ = true;
+}
+
+void FleetReplay::Plan() {
+  planned_ms_ = now_ms_;
+  plan_due_ = false;
+  const auto spare = idle_callers_ - static_cast<std::int64_t>(queued_.size());
+  const auto plan = planner_.Decide(now_ms_, spare);
+  for (const auto& it : plan.starts) {
+    planner_.FindStep(it.step)->waiting_since_ms = now_ms_;
+    StartTask(it);
+  }
+  for (const auto& it : plan.questions) {
+    ++questions_;
+    queued_.push_back(it);
+  }
+}
+
+void FleetReplay::StartTask(const PlannedStart& start) {
+  auto& job = jobs_.at(jobs_by_step_.at(start.step));
+  const auto& kind = *job.kind;
+  const auto begins_ms = now_ms_ + options_.commit_ms + options_.transit_ms;
+  if (job.first_start_ms < 0) {
+    job.first_start_ms = begins_ms;
+    outcomes_[kind.name].first_start_ms.push_back(begins_ms - job.accepted_ms);
+  }
+  const auto run_ms = job.steps[job.current].run_ms;
+  const auto expected_end_ms = now_ms_ + kind.run_ms;
+  At(begins_ms + run_ms + options_.transit_ms,
+     [this, step = start.step, worker = start.worker, expected_end_ms] {
+       EndTask(step, worker, expected_end_ms);
+     });
+}
+
+void FleetReplay::EndTask(StepId id,
+                          std::int64_t worker_number,
+                          std::int64_t expected_end_ms) {
+  auto& worker = planner_.workers().at(worker_number);
+  auto& job = jobs_.at(jobs_by_step_.at(id));
+  const Demand demand{job.kind->milli_cpus, 100, 0};
+  worker.used -= demand;
+  const auto end =
+      std::find_if(worker.ends.begin(), worker.ends.end(), [&](const auto& it) {
+        return it.at_ms == expected_end_ms && it.demand == demand;
+      });
+  worker.ends.erase(end);
+  planner_.MarkWorkerChanged(worker_number);
+  plan_due_ = true;
+  auto* step = planner_.FindStep(id);
+  if (--step->running[worker_number] == 0) {
+    step->running.erase(worker_number);
+  }
+  auto& current = job.steps[job.current];
+  if (--current.open > 0) {
+    return;
+  }
+  planner_.RemoveStep(id);
+  jobs_by_step_.erase(id);
+  if (++job.current < job.steps.size()) {
+    At(now_ms_ + options_.commit_ms,
+       [this, job_id = job.id] { AddPlanStep(jobs_.at(job_id)); });
+  } else {
+    EndJob(job);
+  }
+}
+
+void FleetReplay::EndJob(Job& job) {
+  auto& outcome = outcomes_[job.kind->name];
+  const auto took_ms = now_ms_ + options_.commit_ms - job.sent_ms;
+  if (took_ms <= job.objective_ms) {
+    ++outcome.in_time;
+    outcome.worth_earned += job.worth;
+  } else {
+    ++outcome.late;
+    if (took_ms <= kLateLimit * job.objective_ms) {
+      outcome.worth_earned += kLateWorthShare * job.worth;
+    }
+  }
+  jobs_.erase(job.id);
+}
+
+void FleetReplay::AssignQuestions() {
+  if (queued_.empty() || idle_callers_ == 0) {
+    return;
+  }
+  const auto key = [&](const PlannedQuestion& it) {
+    const auto step = planner_.steps().find(it.step);
+    if (step == planner_.steps().end()) {
+      return std::tuple(true, true, std::int64_t{0});
+    }
+    const auto latest = step->second.objective_ms - step->second.remaining_ms;
+    return std::tuple(now_ms_ > latest, step->second.priority > 0, latest);
+  };
+  std::stable_sort(
+      queued_.begin(), queued_.end(),
+      [&](const auto& a, const auto& b) { return key(a) < key(b); });
+  while (!queued_.empty() && idle_callers_ > 0) {
+    auto question = std::move(queued_.front());
+    queued_.pop_front();
+    if (planner_.FindStep(question.step) == nullptr) {
+      continue;
+    }
+    --idle_callers_;
+    At(now_ms_ + question.expected_ms + 2 * kQuestionTransitMs,
+       [this, question] {
+         ++idle_callers_;
+         Answer(question);
+       });
+  }
+}
+
+void FleetReplay::Answer(const PlannedQuestion& question) {
+  plan_due_ = true;
+  auto* step = planner_.FindStep(question.step);
+  if (step == nullptr) {
+    return;
+  }
+  const auto valid_until_ms =
+      now_ms_ - 2 * kQuestionTransitMs + options_.ticket_valid_ms;
+  std::map<std::int64_t, Ticket> tickets;
+  for (const auto it : question.workers) {
+    if (AllowedByHash(question.step, it, options_.allowed_share)) {
+      tickets[it] = {"t", valid_until_ms};
+    }
+  }
+  step->advice.EndQuestion(question.workers, question.renewal);
+  step->advice.RecordAnswer(question.workers, std::move(tickets));
+  step->changed = true;
+}
+
+double FleetReplay::Worth() const {
+  double owed = 0;
+  double earned = 0;
+  for (const auto& [name, it] : outcomes_) {
+    owed += it.worth_owed;
+    earned += it.worth_earned;
+  }
+  return owed > 0 ? earned / owed : 1;
+}
+
+void FleetReplay::Measure() {
+  if (now_ms_ >= options_.traffic_ms) {
+    return;
+  }
+  At(now_ms_ + kMeasureEveryMs, [this] { Measure(); });
+  if (now_ms_ < kWarmUpMs) {
+    return;
+  }
+  double capacity = 0;
+  double used = 0;
+  double held = 0;
+  for (const auto& [number, worker] : planner_.workers()) {
+    capacity += static_cast<double>(worker.capacity.milli_cpus);
+    used += static_cast<double>(worker.used.milli_cpus);
+    held += static_cast<double>(
+        std::min(worker.held.milli_cpus, worker.FreeCapacity().milli_cpus));
+  }
+  double waiting = 0;
+  for (const auto& [id, step] : planner_.steps()) {
+    waiting += static_cast<double>(step.waiting.size()) *
+               static_cast<double>(step.demand.milli_cpus);
+  }
+  ++samples_;
+  used_share_ += used / capacity;
+  held_share_ += held / capacity;
+  busy_callers_ += options_.callers - idle_callers_;
+  if (waiting > capacity - used) {
+    ++waiting_samples_;
+    used_share_while_work_waits_ += used / capacity;
+  }
+}
+
+}  // namespace cranberryshunt::policy
--- /dev/null
+++ b/tests/policy/fleet_replay.h
@@ -0,0 +1,159 @@
+// Replays a load of step-graph jobs in virtual time against the planner and the
+// admission control, with stand-ins for the workers, for the callers of the
+// advice service and for the delays of commits and calls.
+#ifndef CRANBERRYSHUNT_TESTS_POLICY_FLEET_REPLAY_H_
+#define CRANBERRYSHUNT_TESTS_POLICY_FLEET_REPLAY_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cranberryshunt/policy/graph_admission.h"
+#include "cranberryshunt/policy/graph_planner.h"
+
+namespace cranberryshunt::policy {
+
+// A kind of job: its steps follow one another, and all its tasks are alike.
+struct ReplayKind {
+  std::string name;
+  double jobs_per_s = 0;
+  double second_step_share = 0;  // Share of the jobs that have two steps.
+  std::int32_t tasks = 1;        // Of a step, on average.
+  bool vary_tasks = false;       // Whether steps differ in width.
+  std::int64_t milli_cpus = 0;
+  std::int64_t run_ms = 0;
+  bool gang = false;
+  std::int32_t priority = 1;
+  double stretch = 1;
+  std::int64_t latency_target_ms = 0;
+  double advice_base_ms = 0;
+  double advice_per_worker_ms = 0;
+  // Worth of a job of average size that ends in time. A late one has a fifth.
+  double worth = 1;
+};
+
+struct ReplayOptions {
+  std::int32_t workers = 0;
+  std::int64_t worker_milli_cpus = 32'000;
+  std::int32_t callers = 0;  // Of the advice service.
+  double allowed_share = 0.3;
+  std::int64_t ticket_valid_ms = 2'000;
+  std::int64_t traffic_ms = 30'000;
+  // Time after the end of the traffic in which jobs may still end.
+  std::int64_t drain_ms = 14'000;
+  std::int64_t commit_ms = 30;   // From a decision to its commit.
+  std::int64_t transit_ms = 20;  // Between the leader and a worker.
+  std::int64_t plan_every_ms = 5;
+  // Deviation of the logarithm of the steps' run times. The planner expects the
+  // same run time of all steps of a kind, and objectives follow the real ones.
+  double run_time_spread = 0.45;
+  std::uint64_t seed = 1;
+  // Factor of the traffic at a time; 1 if unset.
+  std::function<double(std::int64_t)> load;
+};
+
+struct ReplayOutcome {
+  std::int64_t owed = 0;
+  std::int64_t in_time = 0;
+  std::int64_t late = 0;
+  std::int64_t refused = 0;  // Also after all attempts.
+  std::int64_t unfinished = 0;
+  double worth_owed = 0;
+  double worth_earned = 0;
+  // From the acceptance of each job to the start of its first task.
+  std::vector<std::int64_t> first_start_ms;
+
+  double Share() const {
+    return worth_owed > 0 ? worth_earned / worth_owed : 1;
+  }
+};
+
+class FleetReplay {
+ public:
+  FleetReplay(ReplayOptions options, std::vector<ReplayKind> kinds);
+
+  void Run();
+
+  const std::map<std::string, ReplayOutcome>& outcomes() const {
+    return outcomes_;
+  }
+  double Worth() const;
+  // Mean shares of the fleet's processors while traffic comes, after the first
+  // `kWarmUpMs`: in use, and held for gangs.
+  double used_share() const { return used_share_; }
+  double held_share() const { return held_share_; }
+  // The share in use, averaged over the moments at which waiting tasks ask for
+  // more than is free.
+  double used_share_while_work_waits() const {
+    return used_share_while_work_waits_;
+  }
+  std::int64_t questions() const { return questions_; }
+  double busy_callers() const { return busy_callers_; }
+
+  static constexpr std::int64_t kWarmUpMs = 5'000;
+
+ private:
+  struct Step {
+    std::int32_t tasks = 0;
+    std::int32_t open = 0;
+    std::int64_t run_ms = 0;
+  };
+  struct Job {
+    const ReplayKind* kind = nullptr;
+    std::int64_t id = 0;
+    std::int64_t sent_ms = 0;
+    std::int64_t accepted_ms = -1;
+    std::int64_t objective_ms = 0;  // Relative to `sent_ms`.
+    std::int64_t first_start_ms = -1;
+    std::int32_t attempts = 0;
+    std::size_t current = 0;
+    std::vector<Step> steps;
+    double worth = 0;
+  };
+  void At(std::int64_t at_ms, std::function<void()> action);
+  void Arrive(const ReplayKind& kind);
+  void Submit(std::int64_t id);
+  void AddPlanStep(Job& job);
+  void Plan();
+  void StartTask(const PlannedStart& start);
+  void EndTask(StepId step, std::int64_t worker, std::int64_t expected_end_ms);
+  void AssignQuestions();
+  void Answer(const PlannedQuestion& question);
+  void EndJob(Job& job);
+  LoadSummary Load(const ReplayKind& kind, std::int64_t slack_ms) const;
+  // Expected time of steps that follow one another, with advice.
+  static std::int64_t ChainMs(const ReplayKind& kind, std::size_t steps);
+  void Measure();
+
+  const ReplayOptions options_;
+  const std::vector<ReplayKind> kinds_;
+  std::mt19937_64 random_;
+  // Of the arrivals of each kind, so that all ways of placement get one load.
+  std::map<std::string, std::mt19937_64> arrivals_;
+  GraphPlanner planner_;
+  std::int64_t now_ms_ = 0;
+  std::multimap<std::int64_t, std::function<void()>> events_;
+  std::map<std::int64_t, Job> jobs_;
+  std::map<StepId, std::int64_t> jobs_by_step_;
+  std::int64_t next_id_ = 1;
+  std::deque<PlannedQuestion> queued_;
+  std::int32_t idle_callers_ = 0;
+  bool plan_due_ = false;
+  std::int64_t planned_ms_ = 0;
+  std::int64_t questions_ = 0;
+  std::map<std::string, ReplayOutcome> outcomes_;
+  double used_share_ = 0;
+  double held_share_ = 0;
+  double used_share_while_work_waits_ = 0;
+  double busy_callers_ = 0;
+  std::int64_t samples_ = 0;
+  std::int64_t waiting_samples_ = 0;
+};
+
+}  // namespace cranberryshunt::policy
+
+#endif  // CRANBERRYSHUNT_TESTS_POLICY_FLEET_REPLAY_H_
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <numeric>
+#include <optional>
 
 using namespace cranberryshunt::policy;  // NOLINT
 
@@ -122,7 +123,7 @@
   auto plan = planner.Decide(100);
   cr_assert_eq(plan.questions.size(), 1);
   cr_expect_eq(plan.questions.front().workers.size(), 100);
-  step.advice.question_pending = false;
+  step.advice.EndQuestion(plan.questions.front().workers, false);
   step.changed = true;
   for (const auto it : plan.questions.front().workers) {
     step.advice.asked_workers.insert(it);
@@ -646,21 +647,23 @@
       {{1, {"t", 200}}, {2, {"t", 200}}, {3, {"t", 600}}, {4, {"t", 600}}});
   std::size_t starts = 0;
   std::int64_t answer_at_ms = 0;
-  std::vector<std::int64_t> asked;
+  std::optional<PlannedQuestion> asked;
   for (std::int64_t now_ms = 100; now_ms <= 10'000; now_ms += 50) {
-    if (step.advice.question_pending && now_ms >= answer_at_ms) {
+    if (asked && now_ms >= answer_at_ms) {
       std::map<std::int64_t, Ticket> tickets;
-      for (const auto it : asked) {
+      for (const auto it : asked->workers) {
         tickets[it] = {"t", now_ms + kValidMs};
       }
-      step.advice.RecordAnswer(asked, tickets);
-      step.advice.question_pending = false;
+      step.advice.EndQuestion(asked->workers, asked->renewal);
+      step.advice.RecordAnswer(asked->workers, tickets);
       step.changed = true;
+      asked.reset();
     }
     const auto plan = planner.Decide(now_ms);
     starts += plan.starts.size();
     if (!plan.questions.empty()) {
-      asked = plan.questions.front().workers;
+      cr_assert_not(asked.has_value());
+      asked = plan.questions.front();
       answer_at_ms = now_ms + kAnswerMs;
     }
   }
--- /dev/null
+++ b/tests/policy/wide_gangs_replay_test.cc
@@ -0,0 +1,92 @@
+// Replays loads in which half of the work is wide gangs, on hundreds of workers
+// with an advice service that allows three of ten.
+#include <criterion/criterion.h>
+
+#include "fleet_replay.h"
+
+using namespace cranberryshunt::policy;  // NOLINT
+
+namespace {
+
+// Offered load of these kinds, with `factor` 1: 0.88 of the processors.
+std::vector<ReplayKind> MakeKinds(double factor) {
+  ReplayKind wide;
+  wide.name = "wide gangs";
+  wide.jobs_per_s = 7.31 * factor;
+  wide.second_step_share = 0.2;
+  wide.tasks = 20;
+  wide.vary_tasks = true;
+  wide.milli_cpus = 9'000;
+  wide.run_ms = 5'000;
+  wide.gang = true;
+  wide.stretch = 2.2;
+  wide.latency_target_ms = 1'200;
+  wide.advice_base_ms = 637;
+  wide.advice_per_worker_ms = 9.1;
+  wide.worth = 5.9;
+  ReplayKind batch;
+  batch.name = "batch";
+  batch.jobs_per_s = 12.2 * factor;
+  batch.second_step_share = 0.5;
+  batch.tasks = 24;
+  batch.vary_tasks = true;
+  batch.milli_cpus = 5'500;
+  batch.run_ms = 2'200;
+  batch.priority = 2;
+  batch.stretch = 4;
+  batch.latency_target_ms = 3'000;
+  batch.advice_base_ms = 182;
+  batch.advice_per_worker_ms = 2.6;
+  batch.worth = 2.21;
+  ReplayKind urgent;
+  urgent.name = "urgent";
+  urgent.jobs_per_s = 86.7 * factor;
+  urgent.tasks = 3;
+  urgent.milli_cpus = 7'900;
+  urgent.run_ms = 1'000;
+  urgent.priority = 0;
+  urgent.stretch = 1.5;
+  urgent.latency_target_ms = 400;
+  urgent.advice_base_ms = 26;
+  urgent.advice_per_worker_ms = 0.364;
+  urgent.worth = 0.435;
+  return {wide, batch, urgent};
+}
+
+ReplayOptions LargeFleet() {
+  ReplayOptions options;
+  options.workers = 540;
+  options.callers = 102;
+  return options;
+}
+
+void Print(const FleetReplay& replay) {
+  cr_log_info("worth %.3f, used %.3f, held %.3f, questions %d", replay.Worth(),
+              replay.used_share(), replay.held_share(),
+              static_cast<int>(replay.questions()));
+  for (const auto& [name, it] : replay.outcomes()) {
+    cr_log_info(
+        "%s: owed %d, in time %d, late %d, refused %d, unfinished %d, "
+        "share %.3f",
+        name.c_str(), static_cast<int>(it.owed), static_cast<int>(it.in_time),
+        static_cast<int>(it.late), static_cast<int>(it.refused),
+        static_cast<int>(it.unfinished), it.Share());
+  }
+}
+
+}  // namespace
+
+// Guards against gangs that gather room and tickets at different times: tickets
+// of the room at hand expire while the answer about further workers is awaited,
+// and the room stays idle.
+Test(wide_gangs_replay, serves_wide_gangs_on_a_fleet_with_enough_capacity) {
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    auto options = LargeFleet();
+    options.seed = seed;
+    FleetReplay replay(options, MakeKinds(1.0));
+    replay.Run();
+    Print(replay);
+    cr_expect_geq(replay.outcomes().at("wide gangs").Share(), 0.90);
+    cr_expect_geq(replay.outcomes().at("urgent").Share(), 0.95);
+  }
+}
