cell: Learn how far declared run times can be trusted, on every member

What callers saw: wide jobs starved although others that came later were served. Cause: a run time was expected to be the declared one times a learned factor.

The logarithm of the run time is now regressed on that of the declared one. Every member learns it from the applied entries, so a new leader need not start anew, and steps that wait get what was learned since.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -69,6 +69,7 @@
 };
 
 class Leader;
+class RunTimes;
 
 class Engine {
  public:
@@ -104,6 +105,8 @@
 
  private:
   void Refuse(Call& call, const Error& error) const;
+  // Learns from the runs that end with this batch, which is applied next.
+  void RecordRunTimes(const wire::GraphBatch& batch);
   void EndLeadership(const Error& error);
 
   EngineOptions options_;
@@ -111,6 +114,12 @@
   MetricsRegistry& metrics_;
   graph::GraphStore store_;
   std::int64_t applied_index_ = 0;
+  // Learned on every member, so that a new leader knows them.
+  std::unique_ptr<RunTimes> run_times_;
+  // Term of the last applied entry, and the time of the first batch of it. The
+  // time of the batches stands still while there is no leader.
+  std::int64_t applied_term_ = 0;
+  std::int64_t applied_term_began_ms_ = 0;
   consensus::RoleChange role_;
   std::unique_ptr<Leader> leader_;
   bool stopped_ = false;
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -1,10 +1,12 @@
 #include "cranberryshunt/cell/engine.h"
 
+#include <set>
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/wire/codec.h"
 #include "leader.h"
+#include "run_times.h"
 
 namespace cranberryshunt::cell {
 
@@ -21,7 +23,8 @@
                MetricsRegistry& metrics)
     : options_(std::move(options)),
       environment_(environment),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      run_times_(std::make_unique<RunTimes>()) {}
 
 Engine::~Engine() = default;
 
@@ -31,6 +34,11 @@
   if (!batch) {
     return tl::unexpected(batch.error());
   }
+  if (entry.term != applied_term_) {
+    applied_term_ = entry.term;
+    applied_term_began_ms_ = batch->at_ms;
+  }
+  RecordRunTimes(*batch);
   store_.Apply(*batch);
   applied_index_ = entry.index;
   if (leader_) {
@@ -39,6 +47,28 @@
   return {};
 }
 
+void Engine::RecordRunTimes(const wire::GraphBatch& batch) {
+  std::set<graph::StepKey> gangs;
+  for (const auto& it : batch.results) {
+    const auto key = graph::FromWire(it.task);
+    const auto* job = store_.FindJob(key.job);
+    const auto* task = job == nullptr ? nullptr : job->FindTask(key);
+    const bool ran_uninterrupted =
+        task != nullptr && it.how == wire::RunEnd::kDone && !task->done &&
+        task->run == it.run && it.run == 1 && task->checkpoint.empty() &&
+        task->started_ms >= applied_term_began_ms_;
+    if (!ran_uninterrupted) {
+      continue;
+    }
+    // The members of a gang end together.
+    const auto& step = job->step(key.step);
+    if (!step.gang || gangs.insert(key.step_key()).second) {
+      run_times_->Record(store_.QueueOf(*job).name, step.estimate_ms,
+                         batch.at_ms - task->started_ms);
+    }
+  }
+}
+
 Result<void> Engine::OnSnapshot(std::int64_t index, const std::string& data) {
   applied_index_ = index;
   return store_.Restore(data);
@@ -55,8 +85,9 @@
   }
   role_ = change;
   if (leads && !leader_ && !stopped_) {
-    leader_ = std::make_unique<Leader>(options_, change.term, store_,
-                                       environment_, metrics_, now);
+    leader_ =
+        std::make_unique<Leader>(options_, change.term, store_, *run_times_,
+                                 environment_, metrics_, now);
   }
 }
 
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -62,6 +62,7 @@
 Leader::Leader(const EngineOptions& options,
                std::int64_t term,
                const graph::GraphStore& store,
+               const RunTimes& run_times,
                EngineEnvironment& environment,
                MetricsRegistry& metrics,
                TimePoint now)
@@ -73,6 +74,7 @@
       wall_ms_(environment.WallMilliseconds()),
       first_cell_ms_(store.last_batch_ms()),
       first_now_ms_(now_ms_),
+      run_times_(run_times),
       step_tracker_(store, planner_, run_times_),
       workers_(
           {.fence = term,
@@ -492,13 +494,6 @@
   }
   if (finished.how == wire::RunEnd::kDone) {
     health_.RecordSuccess(finished.worker);
-    const bool ran_uninterrupted =
-        task->last_run == 1 && task->checkpoint.empty();
-    if (ran_uninterrupted) {
-      run_times_.Record(store_.QueueOf(*job).name,
-                        job->step(finished.task.step).estimate_ms,
-                        finished.run_ms);
-    }
   } else if (finished.how == wire::RunEnd::kFailed) {
     if (auto* step = step_tracker_.Find(finished.task.step_key());
         step != nullptr) {
@@ -571,6 +566,7 @@
 
 void Leader::RunMaintenance(EngineOutput& out) {
   last_maintenance_ms_ = now_ms_;
+  step_tracker_.RefreshEstimates();
   ExpireJobs();
   RemoveSilentWorkers();
   FailLostOrders();
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -31,6 +31,7 @@
   Leader(const EngineOptions& options,
          std::int64_t term,
          const graph::GraphStore& store,
+         const RunTimes& run_times,
          EngineEnvironment& environment,
          MetricsRegistry& metrics,
          TimePoint now);
@@ -184,7 +185,7 @@
   const std::int64_t first_cell_ms_;
   const std::int64_t first_now_ms_;
 
-  RunTimes run_times_;
+  const RunTimes& run_times_;
   policy::GraphPlanner planner_;
   StepTracker step_tracker_;
   WorkerTracker workers_;
--- a/libraries/cell/src/run_times.cc
+++ b/libraries/cell/src/run_times.cc
@@ -7,14 +7,27 @@
 
 namespace {
 
-// Weight of a new sample once a queue has many samples.
+// Weight of a new sample in the mean once a queue has many samples.
 constexpr double kMinSampleWeight = 0.02;
+// What remains of the weight of a sample after each later one: the latest 500
+// or so count.
+constexpr double kDecay = 0.998;
+// Until samples show otherwise, real run times are taken to be proportional to
+// the declared ones. Corresponds to a few samples with declared run times that
+// differ by a third.
+constexpr double kPriorVariation = 0.5;
 // Expected run time of a task without a declared run time, in a queue without
 // finished tasks.
 constexpr std::int64_t kDefaultRunMs = 1'000;
 
 }  // namespace
 
+double RunTimes::QueueEstimate::Slope() const {
+  return std::clamp(
+      (covariation + kPriorVariation) / (declared_variation + kPriorVariation),
+      0.0, 1.0);
+}
+
 void RunTimes::Record(const std::string& queue,
                       std::int64_t declared_ms,
                       std::int64_t run_ms) {
@@ -23,14 +36,24 @@
   }
   auto& it = by_queue_[queue];
   ++it.samples;
-  const double weight =
-      std::max(kMinSampleWeight, 1.0 / static_cast<double>(it.samples));
   const auto run = static_cast<double>(run_ms);
-  it.mean_ms += weight * (run - it.mean_ms);
-  if (declared_ms > 0) {
-    const double sample = std::log(run / static_cast<double>(declared_ms));
-    it.log_factor += weight * (sample - it.log_factor);
+  it.mean_ms +=
+      std::max(kMinSampleWeight, 1.0 / static_cast<double>(it.samples)) *
+      (run - it.mean_ms);
+  if (declared_ms <= 0) {
+    return;
   }
+  ++it.declared_samples;
+  const double x = std::log(static_cast<double>(declared_ms));
+  const double y = std::log(run);
+  it.weight = it.weight * kDecay + 1;
+  it.declared_variation *= kDecay;
+  it.covariation *= kDecay;
+  const double from_mean_declared = x - it.mean_declared;
+  it.mean_declared += from_mean_declared / it.weight;
+  it.mean_run += (y - it.mean_run) / it.weight;
+  it.declared_variation += from_mean_declared * (x - it.mean_declared);
+  it.covariation += from_mean_declared * (y - it.mean_run);
 }
 
 std::int64_t RunTimes::Expected(const std::string& queue,
@@ -39,10 +62,17 @@
   if (it == by_queue_.end()) {
     return declared_ms > 0 ? declared_ms : kDefaultRunMs;
   }
-  const double expected = declared_ms > 0 ? static_cast<double>(declared_ms) *
-                                                std::exp(it->second.log_factor)
-                                          : it->second.mean_ms;
-  return std::max<std::int64_t>(1, std::llround(expected));
+  const auto& known = it->second;
+  if (declared_ms <= 0) {
+    return std::max<std::int64_t>(1, std::llround(known.mean_ms));
+  }
+  if (known.declared_samples == 0) {
+    return declared_ms;
+  }
+  const double distance =
+      std::log(static_cast<double>(declared_ms)) - known.mean_declared;
+  return std::max<std::int64_t>(
+      1, std::llround(std::exp(known.mean_run + known.Slope() * distance)));
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/run_times.h
+++ b/libraries/cell/src/run_times.h
@@ -1,5 +1,5 @@
-// Estimates run times from finished tasks of the same queue: as a factor on the
-// declared run time, or as the mean run time if a task declares none.
+// Estimates run times from finished tasks of the same queue, and from how far
+// the declared run times of these tasks said something about the real ones.
 #ifndef CRANBERRYSHUNT_CELL_RUN_TIMES_H_
 #define CRANBERRYSHUNT_CELL_RUN_TIMES_H_
 
@@ -21,10 +21,18 @@
                         std::int64_t declared_ms) const;
 
  private:
+  // Regression of ln(run) on ln(declared). Older samples count less and less.
   struct QueueEstimate {
-    double log_factor = 0;  // Mean of ln(run / declared).
     double mean_ms = 0;
     std::int64_t samples = 0;
+    double weight = 0;  // Sum of the weights of the samples.
+    double mean_declared = 0;
+    double mean_run = 0;
+    double declared_variation = 0;  // Sum of squares around the mean.
+    double covariation = 0;
+    std::int64_t declared_samples = 0;
+
+    double Slope() const;
   };
 
   std::map<std::string, QueueEstimate> by_queue_;
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -162,12 +162,26 @@
   step.data_rack = spec.data_rack;
   step.max_per_worker = spec.max_per_worker;
   step.long_running = spec.long_running;
-  step.expected_run_ms = run_times_.Expected(queue.name, spec.estimate_ms);
   const auto accepted = accepted_ms_.try_emplace(key.job, now_ms).first;
   // The time of a scheduled occurrence counts from when it is due, which is
   // now.
   step.accepted_ms =
       job.EarliestStartMs(key.occurrence) > 0 ? now_ms : accepted->second;
+  SetEstimates(job, key, step);
+  step.advice.needed = queue.needs_advice;
+  step.advice.base_ms = queue.advice.base_ms;
+  step.advice.per_worker_ms = queue.advice.per_worker_ms;
+  ids_[key] = step.id;
+  keys_[step.id] = key;
+  return planner_.AddStep(std::move(step));
+}
+
+void StepTracker::SetEstimates(const graph::Job& job,
+                               const graph::StepKey& key,
+                               policy::PlanStep& step) const {
+  const auto& queue = store_.QueueOf(job);
+  step.expected_run_ms =
+      run_times_.Expected(queue.name, job.step(key.step).estimate_ms);
   const auto remaining = RemainingTimes(queue, job.spec(), run_times_);
   step.remaining_ms = remaining[static_cast<std::size_t>(key.step)];
   const auto critical_path_ms =
@@ -177,12 +191,16 @@
       static_cast<std::int64_t>(
           queue.stretch *
           static_cast<double>(critical_path_ms + ExpectedAdviceMs(queue)));
-  step.advice.needed = queue.needs_advice;
-  step.advice.base_ms = queue.advice.base_ms;
-  step.advice.per_worker_ms = queue.advice.per_worker_ms;
-  ids_[key] = step.id;
-  keys_[step.id] = key;
-  return planner_.AddStep(std::move(step));
+}
+
+void StepTracker::RefreshEstimates() {
+  for (const auto& [id, step] : planner_.waiting_steps()) {
+    const auto& key = keys_.at(id);
+    const auto* job = store_.FindJob(key.job);
+    if (job != nullptr && !step->waiting.empty()) {
+      SetEstimates(*job, key, *step);
+    }
+  }
 }
 
 policy::PlanStep* StepTracker::Find(const graph::StepKey& key) {
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -38,6 +38,9 @@
   void RefreshStep(const graph::StepKey& key,
                    std::int64_t now_ms,
                    std::int64_t wall_ms);
+  // Updates the expected times of steps with waiting tasks to what was learned
+  // since they were added.
+  void RefreshEstimates();
   // Returns the jobs of which an occurrence became due.
   std::vector<graph::JobId> TakeDueJobs(std::int64_t wall_ms);
 
@@ -57,6 +60,9 @@
   policy::PlanStep& Add(const graph::Job& job,
                         const graph::StepKey& key,
                         std::int64_t now_ms);
+  void SetEstimates(const graph::Job& job,
+                    const graph::StepKey& key,
+                    policy::PlanStep& step) const;
   void UpdateWaitingTasks(const graph::Job& job,
                           const graph::StepKey& key,
                           policy::PlanStep& step,
