cell, policy: Ask for advice while a job is being committed

The question waited for the commit of the job.

The first steps of a job now enter the plan with its acceptance and ask at once; nothing of them is placed before the commit, and they are removed if the commit fails.

Tests: leader::asks_for_advice_while_a_job_is_being_committed (fails before), leader::starts_nothing_of_a_job_that_was_not_committed.

--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -187,10 +187,15 @@
   accepted.queue = queue;
   accepted.job = job;
   step_tracker_.RecordAcceptance(id, now_ms_ - call.request.waited_ms);
+  step_tracker_.AddUncommitted(accepted, now_ms_);
+  plan_due_ = true;
   batch_.jobs.push_back(std::move(accepted));
   batch_has_content_ = true;
   submitting_[id].push_back(std::move(call));
   continuations_.emplace_back([this, id](bool committed) {
+    if (!committed) {
+      step_tracker_.Refresh(id, now_ms_, wall_ms_);
+    }
     auto node = submitting_.extract(id);
     if (node.empty()) {
       return;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -314,8 +314,6 @@
           {{"step", it.question.step_name}});
       continue;
     }
-    const auto* job = store_.FindJob(step_tracker_.KeyOf(it.question.step).job);
-    const auto valid_ms = store_.QueueOf(*job).advice.ticket_valid_ms;
     // The answer is valid only for the incarnations that were asked about.
     const auto& question = it.question;
     std::vector<std::int64_t> asked;
@@ -333,7 +331,7 @@
       if (number != numbers.end()) {
         tickets[number->second] = {
             std::move(row.ticket),
-            it.answered_at_ms - kAnswerTransitMs + valid_ms};
+            it.answered_at_ms - kAnswerTransitMs + advice.ticket_valid_ms};
       }
     }
     advice.RecordAnswer(asked, std::move(tickets));
@@ -413,6 +411,7 @@
   std::vector<std::pair<std::int64_t, const policy::PlanStep*>> waits;
   for (const auto& [id, step] : planner_.steps()) {
     const bool waits_long = (!step.waiting.empty() || step.blocked > 0) &&
+                            !step.uncommitted &&
                             now_ms_ - step.waiting_since_ms >= kLongWaitMs;
     if (waits_long) {
       waits.emplace_back(step.waiting_since_ms, &step);
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -1,6 +1,7 @@
 #include "step_tracker.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace cranberryshunt::cell {
@@ -44,6 +45,26 @@
   accepted_ms_[job] = accepted_ms;
 }
 
+void StepTracker::AddUncommitted(const wire::AcceptedGraphJob& accepted,
+                                 std::int64_t now_ms) {
+  const graph::Job job(accepted);
+  if (!job.queue().needs_advice || job.occurrences() != 1 ||
+      job.EarliestStartMs(0) > 0) {
+    return;
+  }
+  for (std::int32_t n = 0; n < job.step_count(); ++n) {
+    const graph::StepKey key{job.id(), 0, n};
+    if (!job.StepReady(key)) {
+      continue;
+    }
+    auto& step = Add(job, key, now_ms);
+    step.uncommitted = true;
+    step.waiting_since_ms = now_ms;
+    step.waiting.resize(static_cast<std::size_t>(job.step(n).task_count));
+    std::iota(step.waiting.begin(), step.waiting.end(), 0);
+  }
+}
+
 void StepTracker::Refresh(graph::JobId id,
                           std::int64_t now_ms,
                           std::int64_t wall_ms) {
@@ -90,6 +111,10 @@
     return;
   }
   auto* step = Find(key);
+  if (step != nullptr && step->uncommitted) {
+    step->uncommitted = false;
+    step->changed = true;
+  }
   UpdateWaitingTasks(*job, key,
                      step != nullptr ? *step : Add(*job, key, now_ms), now_ms);
 }
@@ -171,6 +196,7 @@
   step.advice.needed = queue.needs_advice;
   step.advice.base_ms = queue.advice.base_ms;
   step.advice.per_worker_ms = queue.advice.per_worker_ms;
+  step.advice.ticket_valid_ms = queue.advice.ticket_valid_ms;
   ids_[key] = step.id;
   keys_[step.id] = key;
   return planner_.AddStep(std::move(step));
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -33,6 +33,11 @@
   // Sets the leader's time at which the job was accepted, less the time that
   // its caller had waited before.
   void RecordAcceptance(graph::JobId job, std::int64_t accepted_ms);
+  // Adds the first steps of an accepted job that is being committed, so that
+  // the advice service is asked meanwhile. If the commit fails, Refresh()
+  // removes them.
+  void AddUncommitted(const wire::AcceptedGraphJob& accepted,
+                      std::int64_t now_ms);
   // Updates the waiting tasks of all steps of a job. `wall_ms` is Unix time.
   void Refresh(graph::JobId job, std::int64_t now_ms, std::int64_t wall_ms);
   void RefreshStep(const graph::StepKey& key,
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -100,6 +100,7 @@
   // `per_worker_ms` for each worker in the question.
   double base_ms = 0;
   double per_worker_ms = 0;
+  std::int64_t ticket_valid_ms = 0;       // From the answer on.
   FlatSet<std::int64_t> asked_workers;    // Workers with an answer.
   FlatMap<std::int64_t, Ticket> allowed;  // By worker.
   // Set by the planner: the version of the workers at which there was an answer
@@ -154,6 +155,9 @@
   // The waiting tasks that may crash their workers, with the times since when
   // they wait: they are placed on empty workers. In a gang, all tasks.
   std::map<std::int32_t, std::int64_t> suspects;
+  // Whether the job is still being committed. Until then the step asks for
+  // advice, but no task of it starts.
+  bool uncommitted = false;
   // Number of tasks of a gang that wait for the end of other members' runs.
   std::int32_t blocked = 0;
   // Since when tasks wait or are blocked and none was placed.
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -515,6 +515,12 @@
     step.unserved_since_ms = round.now_ms;
   }
   const bool plan_fully = round.full || step.changed;
+  if (step.uncommitted) {
+    if (plan_fully && step.advice.needed) {
+      AskAboutNewWorkers(step, round);
+    }
+    return;
+  }
   if (!plan_fully && !IsAffectedByChangedWorkers(step)) {
     if (IsLate(step, round.now_ms)) {
       (void)MayStartLate(step, round);
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -673,3 +673,50 @@
   cr_expect(cell.StateOf(2) == wire::GraphJobState::kCompleted);
   ExpectNoViolations(cell);
 }
+
+// Urgent jobs on a cell whose commits take as long as the advice. Guards
+// against a question that waits for the commit of its job.
+Test(leader, asks_for_advice_while_a_job_is_being_committed) {
+  constexpr std::int64_t kCommitMs = 200;
+  constexpr double kAdviceMs = 150;
+  constexpr std::int64_t kOtherDelaysMs = 50;
+  CellHarness cell({.commit_ms = kCommitMs});
+  auto queue = MakeQueue("a", 0);
+  queue.needs_advice = true;
+  queue.advice.base_ms = kAdviceMs;
+  queue.advice.ticket_valid_ms = 2'000;
+  cell.Run(500);
+  cell.Publish({queue});
+  cell.Run(500);
+  cell.Submit(1, "a", MakeJob(2, 2'000, 300));
+  cell.Run(2'000);
+  const auto& job = cell.jobs[1];
+  cr_assert_eq(job.code, 0);
+  cr_expect_leq(job.first_start_ms - job.submitted_ms,
+                2 * kCommitMs + kOtherDelaysMs);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  ExpectNoViolations(cell);
+}
+
+// Guards against work of a job that could not be stored: the advice service was
+// asked about it before.
+Test(leader, starts_nothing_of_a_job_that_was_not_committed) {
+  CellHarness cell;
+  auto queue = MakeQueue("a", 0);
+  queue.needs_advice = true;
+  queue.advice.base_ms = 1;
+  queue.advice.ticket_valid_ms = 2'000;
+  StartCell(cell, {queue});
+  cell.log_is_full = true;
+  cell.Submit(1, "a", MakeJob(2, 2'000, 300));
+  cell.Run(500);
+  cr_expect_neq(cell.jobs[1].code, 0);
+  cell.log_is_full = false;
+  cell.Run(2'000);
+  cr_expect_eq(cell.starts, 0);
+  cr_expect_not(cell.StateOf(1).has_value());
+  cell.Submit(1, "a", MakeJob(2, 2'000, 300));
+  cell.Run(2'000);
+  cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+  ExpectNoViolations(cell);
+}
