cell: Give urgent questions to the callers that answer fastest

The question of an urgent job went to the caller whose name came first. A caller in the other region adds two transits of 12 ms, and one on a busy host more. The dispatcher now knows how much longer than the service the answers of each caller take. Urgent questions go to the caller with the least, others to the one with the most, unless it is slow, so that the near ones stay free.

Test: advice_dispatcher::gives_urgent_questions_to_callers_that_answer_fast (fails before: both urgent questions at the far caller).

--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -25,6 +25,11 @@
 // for this long; otherwise each new leader would refuse jobs for no reason.
 constexpr std::int64_t kCallerDiscoveryMs = 2'500;
 
+// A caller with more overhead than this is slow, not far away.
+constexpr double kSlowCallerMs = 300;
+// Weight of a new answer in the overhead of its caller.
+constexpr double kOverheadWeight = 0.25;
+
 // Sort key of a question: steps that are on time come before late ones, then
 // steps of urgent queues before others, then those with the earlier latest
 // start.
@@ -70,6 +75,11 @@
     if (assigned == assigned_.end() || assigned->second.caller != caller) {
       continue;
     }
+    const auto took_ms =
+        static_cast<double>(now_ms - assigned->second.assigned_ms -
+                            assigned->second.question.expected_ms);
+    auto& overhead = overhead_ms_.try_emplace(caller, took_ms).first->second;
+    overhead += kOverheadWeight * (took_ms - overhead);
     AdviceOutcome answer;
     answer.question = std::move(assigned->second.question);
     assigned_.erase(assigned);
@@ -101,6 +111,28 @@
   answers_.push_back(std::move(answer));
 }
 
+std::map<std::string, AdviceDispatcher::OpenPoll>::iterator
+AdviceDispatcher::SelectPoll(const AdviceQuestion& question) {
+  const auto overhead = [&](const auto& poll) {
+    const auto known = overhead_ms_.find(poll.first);
+    return known == overhead_ms_.end() ? 0.0 : known->second;
+  };
+  const auto has_less = [&](const auto& a, const auto& b) {
+    return overhead(a) < overhead(b);
+  };
+  const auto fastest = std::min_element(polls_.begin(), polls_.end(), has_less);
+  if (question.urgent_queue) {
+    return fastest;
+  }
+  auto best = fastest;
+  for (auto it = polls_.begin(); it != polls_.end(); ++it) {
+    if (overhead(*it) <= kSlowCallerMs && has_less(*best, *it)) {
+      best = it;
+    }
+  }
+  return best;
+}
+
 void AdviceDispatcher::Assign(std::int64_t now_ms) {
   std::sort(queued_.begin(), queued_.end(), [&](const auto& a, const auto& b) {
     return std::pair(SortKey(a, now_ms), a.step) <
@@ -108,8 +140,8 @@
   });
   std::size_t assigned_count = 0;
   while (assigned_count < queued_.size() && !polls_.empty()) {
-    auto poll = polls_.extract(polls_.begin());
     auto& question = queued_[assigned_count++];
+    auto poll = polls_.extract(SelectPoll(question));
     const auto id = next_id_++;
     wire::AdviceOrders reply;
     auto& order = reply.orders.emplace_back();
@@ -157,6 +189,7 @@
           "caller did not report an answer in time",
           {{"caller", it->second.caller},
            {"step", it->second.question.step_name}});
+      overhead_ms_[it->second.caller] = kCallerMarginMs;
       RecordFailure(std::move(it->second.question));
       it = assigned_.erase(it);
     } else {
@@ -166,6 +199,9 @@
   std::erase_if(last_poll_ms_, [&](const auto& it) {
     return now_ms - it.second > kCallerGoneMs;
   });
+  std::erase_if(overhead_ms_, [&](const auto& it) {
+    return !last_poll_ms_.contains(it.first);
+  });
 }
 
 void AdviceDispatcher::Close(const wire::Status& status) {
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -93,6 +93,11 @@
   };
 
   void Assign(std::int64_t now_ms);
+  // Returns the open poll to answer with the question: of the caller with the
+  // least overhead if it is urgent, else of the one with the most that is not
+  // slow.
+  std::map<std::string, OpenPoll>::iterator SelectPoll(
+      const AdviceQuestion& question);
   // Ends polls, assigned questions and callers whose time is over.
   void Expire(std::int64_t now_ms);
   void RecordFailure(AdviceQuestion question);
@@ -101,6 +106,9 @@
   std::map<std::string, OpenPoll> polls_;  // By caller.
   std::map<std::int64_t, AssignedQuestion> assigned_;
   std::map<std::string, std::int64_t> last_poll_ms_;
+  // Time that each caller's answers take beyond the time of the service: the
+  // way there and back, and delays on the caller. Missing until its first one.
+  std::map<std::string, double> overhead_ms_;
   std::vector<AdviceOutcome> answers_;
   std::vector<std::string> controllers_;
   std::int64_t next_id_;
--- a/tests/cell/advice_dispatcher_test.cc
+++ b/tests/cell/advice_dispatcher_test.cc
@@ -3,6 +3,8 @@
 
 #include "advice_dispatcher.h"
 
+#include <utility>
+
 using namespace cranberryshunt;        // NOLINT
 using namespace cranberryshunt::cell;  // NOLINT
 
@@ -204,3 +206,39 @@
   poll(dispatcher, "a", {late}, nullptr);
   cr_expect(dispatcher.TakeAnswers().empty());
 }
+
+// Load pattern: callers in several regions while some are idle. Guards against
+// urgent questions that take the way to a region far away and back.
+Test(advice_dispatcher, gives_urgent_questions_to_callers_that_answer_fast) {
+  AdviceDispatcher dispatcher(0);
+  std::map<std::string, std::vector<std::string>> steps;
+  std::map<std::string, std::vector<wire::AdviceResult>> results;
+  const auto poll = [&](const std::string& caller, std::int64_t now_ms) {
+    AdviceCall call;
+    call.poll.caller = caller;
+    call.poll.wait_ms = 10'000;
+    call.poll.results = std::exchange(results[caller], {});
+    call.reply = [&, caller](const wire::AdviceOrders& orders) {
+      for (const auto& it : orders.orders) {
+        steps[caller].push_back(it.step);
+        results[caller].emplace_back().id = it.id;
+      }
+    };
+    dispatcher.OnPoll(std::move(call), now_ms);
+  };
+  poll("far", 0);
+  poll("near", 0);
+  dispatcher.Ask(MakeQuestion(1, true, 5'000));
+  dispatcher.Ask(MakeQuestion(2, true, 5'000));
+  dispatcher.Advance(0);
+  poll("near", 102);
+  poll("far", 130);
+  for (policy::StepId n = 3; n <= 4; ++n) {
+    dispatcher.Ask(MakeQuestion(n, n == 3, 5'000));
+  }
+  dispatcher.Advance(200);
+  cr_assert_eq(steps["near"].size(), 2);
+  cr_assert_eq(steps["far"].size(), 2);
+  cr_expect_str_eq(steps["near"].back().c_str(), "3");
+  cr_expect_str_eq(steps["far"].back().c_str(), "4");
+}
