cell, policy: Count a step as late before even odds

What callers saw in a flood: most wide jobs ended shortly after their objective. The time that a job may wait follows its real run time, which the leader doesn't know. Steps were started in the order of the time at which a job of the expected length would be late, so under overload all waited until the odds were even.

The regression of run times now also gives its deviation. A step counts as late, and goes behind the others, once a job would be that runs for less than all but a sixth.

Tests: wide_gangs_replay::serves_in_time_what_it_starts_in_a_flood (fails before), run_times::knows_how_short_runs_can_be.

--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -151,7 +151,8 @@
     }
     return;
   }
-  const auto remaining = RemainingTimes(queue, job, run_times_);
+  const auto remaining =
+      RemainingTimes(queue, job, run_times_, RunLength::kExpected);
   new_job.critical_path_ms =
       *std::max_element(remaining.begin(), remaining.end());
   new_job.slack_ms =
--- a/libraries/cell/src/run_times.cc
+++ b/libraries/cell/src/run_times.cc
@@ -16,6 +16,9 @@
 // the declared ones. Corresponds to a few samples with declared run times that
 // differ by a third.
 constexpr double kPriorVariation = 0.5;
+constexpr std::int64_t kMinDeviationSamples = 10;
+// Larger deviations come from tasks of several kinds in one queue.
+constexpr double kMaxDeviation = 0.7;
 // Expected run time of a task without a declared run time, in a queue without
 // finished tasks.
 constexpr std::int64_t kDefaultRunMs = 1'000;
@@ -28,6 +31,16 @@
       0.0, 1.0);
 }
 
+double RunTimes::QueueEstimate::Deviation() const {
+  if (declared_samples < kMinDeviationSamples) {
+    return 0;
+  }
+  const double slope = Slope();
+  const double squares = run_variation - 2 * slope * covariation +
+                         slope * slope * declared_variation;
+  return std::min(std::sqrt(std::max(0.0, squares / weight)), kMaxDeviation);
+}
+
 void RunTimes::Record(const std::string& queue,
                       std::int64_t declared_ms,
                       std::int64_t run_ms) {
@@ -48,10 +61,13 @@
   const double y = std::log(run);
   it.weight = it.weight * kDecay + 1;
   it.declared_variation *= kDecay;
+  it.run_variation *= kDecay;
   it.covariation *= kDecay;
   const double from_mean_declared = x - it.mean_declared;
+  const double from_mean_run = y - it.mean_run;
   it.mean_declared += from_mean_declared / it.weight;
-  it.mean_run += (y - it.mean_run) / it.weight;
+  it.mean_run += from_mean_run / it.weight;
+  it.run_variation += from_mean_run * (y - it.mean_run);
   it.declared_variation += from_mean_declared * (x - it.mean_declared);
   it.covariation += from_mean_declared * (y - it.mean_run);
 }
@@ -75,4 +91,16 @@
       1, std::llround(std::exp(known.mean_run + known.Slope() * distance)));
 }
 
+std::int64_t RunTimes::Short(const std::string& queue,
+                             std::int64_t declared_ms) const {
+  const auto expected = Expected(queue, declared_ms);
+  const auto it = by_queue_.find(queue);
+  if (it == by_queue_.end()) {
+    return expected;
+  }
+  return std::max<std::int64_t>(
+      1, std::llround(static_cast<double>(expected) *
+                      std::exp(-it->second.Deviation())));
+}
+
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/run_times.h
+++ b/libraries/cell/src/run_times.h
@@ -19,6 +19,9 @@
   // Returns the expected run time, which is at least one millisecond.
   std::int64_t Expected(const std::string& queue,
                         std::int64_t declared_ms) const;
+  // Returns a run time that is short for the queue: about one task in six runs
+  // for less. The expected one until enough tasks have finished.
+  std::int64_t Short(const std::string& queue, std::int64_t declared_ms) const;
 
  private:
   // Regression of ln(run) on ln(declared). Older samples count less and less.
@@ -29,10 +32,13 @@
     double mean_declared = 0;
     double mean_run = 0;
     double declared_variation = 0;  // Sum of squares around the mean.
+    double run_variation = 0;
     double covariation = 0;
     std::int64_t declared_samples = 0;
 
     double Slope() const;
+    // Standard deviation of ln(run) from the regression.
+    double Deviation() const;
   };
 
   std::map<std::string, QueueEstimate> by_queue_;
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -28,11 +28,14 @@
 
 std::vector<std::int64_t> RemainingTimes(const wire::JobQueue& queue,
                                          const wire::GraphJob& job,
-                                         const RunTimes& times) {
+                                         const RunTimes& times,
+                                         RunLength length) {
   std::vector<std::int64_t> remaining(job.steps.size(), 0);
   for (auto n = job.steps.size(); n-- > 0;) {
     const auto& step = job.steps[n];
-    remaining[n] += times.Expected(queue.name, step.estimate_ms);
+    remaining[n] += length == RunLength::kExpected
+                        ? times.Expected(queue.name, step.estimate_ms)
+                        : times.Short(queue.name, step.estimate_ms);
     for (const auto it : step.depends_on) {
       auto& before = remaining[static_cast<std::size_t>(it)];
       before = std::max(before, remaining[n] + ExpectedAdviceMs(queue));
@@ -208,7 +211,11 @@
   const auto& queue = store_.QueueOf(job);
   step.expected_run_ms =
       run_times_.Expected(queue.name, job.step(key.step).estimate_ms);
-  const auto remaining = RemainingTimes(queue, job.spec(), run_times_);
+  // The objective follows the real run time, so a job that runs for less than
+  // expected has less time to wait. A step counts as late once such a job would
+  // be: if all waited until even odds, half of them would end late.
+  const auto remaining =
+      RemainingTimes(queue, job.spec(), run_times_, RunLength::kShort);
   step.remaining_ms = remaining[static_cast<std::size_t>(key.step)];
   const auto critical_path_ms =
       *std::max_element(remaining.begin(), remaining.end());
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -18,10 +18,15 @@
 
 policy::Demand DemandOf(const wire::GraphStep& step);
 
-// For each step, the expected time from its start to the end of its occurrence.
+// Whether tasks are taken to run for as long as expected, or as those that run
+// for a short time.
+enum class RunLength { kExpected, kShort };
+
+// For each step, the time from its start to the end of its occurrence.
 std::vector<std::int64_t> RemainingTimes(const wire::JobQueue& queue,
                                          const wire::GraphJob& job,
-                                         const RunTimes& times);
+                                         const RunTimes& times,
+                                         RunLength length);
 
 class StepTracker {
  public:
--- a/tests/cell/run_times_test.cc
+++ b/tests/cell/run_times_test.cc
@@ -3,8 +3,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <cmath>
 #include <random>
+#include <vector>
 
 using namespace cranberryshunt::cell;  // NOLINT
 
@@ -53,3 +55,22 @@
   cr_expect_eq(times.Expected("a", 2'000), 6'000);
   cr_expect_eq(times.Expected("a", 0), 3'000);
 }
+
+// Guards against an order in which half of the jobs end late: the time that a
+// job may wait follows its real run time, which is often less than expected.
+Test(run_times, knows_how_short_runs_can_be) {
+  RunTimes times;
+  std::mt19937_64 random(1);
+  std::lognormal_distribution<> run(std::log(5'000), 0.45);
+  cr_expect_eq(times.Short("a", 700), 700);
+  std::vector<std::int64_t> runs;
+  for (int n = 0; n < 300; ++n) {
+    runs.push_back(std::llround(run(random)));
+    times.Record("a", 4'000, runs.back());
+  }
+  const auto shorter = std::count_if(
+      runs.begin(), runs.end(),
+      [&](const auto& it) { return it < times.Short("a", 4'000); });
+  cr_expect(shorter > 30 && shorter < 75, "%d of 300",
+            static_cast<int>(shorter));
+}
--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -81,12 +81,6 @@
       static_cast<double>(std::max<std::int64_t>(1, waiting_samples_));
 }
 
-std::int64_t FleetReplay::ChainMs(const ReplayKind& kind, std::size_t steps) {
-  return static_cast<std::int64_t>(
-      static_cast<double>(steps) *
-      (static_cast<double>(kind.run_ms) + AdviceMs(kind)));
-}
-
 void FleetReplay::Arrive(const ReplayKind& kind) {
   if (now_ms_ >= options_.traffic_ms) {
     return;
@@ -189,12 +183,20 @@
   step.gang = kind.gang;
   step.expected_run_ms = kind.run_ms;
   step.accepted_ms = job.sent_ms;
+  // As in the leader, a step is late once a job would be that runs for less
+  // time than expected.
+  const auto run_ms = static_cast<std::int64_t>(
+      static_cast<double>(kind.run_ms) * std::exp(-options_.run_time_spread));
+  const auto chain_ms = [&](std::size_t steps) {
+    return static_cast<std::int64_t>(
+        static_cast<double>(steps) *
+        (static_cast<double>(run_ms) + AdviceMs(kind)));
+  };
   step.objective_ms =
       job.sent_ms + kind.latency_target_ms +
       static_cast<std::int64_t>(
-          kind.stretch * static_cast<double>(ChainMs(kind, job.steps.size())));
-  const auto left = job.steps.size() - job.current;
-  step.remaining_ms = kind.run_ms + ChainMs(kind, left - 1);
+          kind.stretch * static_cast<double>(chain_ms(job.steps.size())));
+  step.remaining_ms = run_ms + chain_ms(job.steps.size() - job.current - 1);
   step.waiting_since_ms = now_ms_;
   step.waiting.resize(static_cast<std::size_t>(current.tasks));
   std::iota(step.waiting.begin(), step.waiting.end(), 0);
--- a/tests/policy/fleet_replay.h
+++ b/tests/policy/fleet_replay.h
@@ -125,8 +125,6 @@
   void Answer(const PlannedQuestion& question);
   void EndJob(Job& job);
   LoadSummary Load(const ReplayKind& kind, std::int64_t slack_ms) const;
-  // Expected time of steps that follow one another, with advice.
-  static std::int64_t ChainMs(const ReplayKind& kind, std::size_t steps);
   void Measure();
 
   const ReplayOptions options_;
--- a/tests/policy/wide_gangs_replay_test.cc
+++ b/tests/policy/wide_gangs_replay_test.cc
@@ -90,3 +90,19 @@
     cr_expect_geq(replay.outcomes().at("urgent").Share(), 0.95);
   }
 }
+
+// Guards against an overload in which most of the work that is done ends late:
+// jobs are started in the order in which they become late, so all of them wait
+// until then.
+Test(wide_gangs_replay, serves_in_time_what_it_starts_in_a_flood) {
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    auto options = LargeFleet();
+    options.seed = seed;
+    FleetReplay replay(options, MakeKinds(1.2));
+    replay.Run();
+    Print(replay);
+    const auto& wide = replay.outcomes().at("wide gangs");
+    cr_expect_leq(wide.late * 6, wide.in_time, "%d late, %d in time",
+                  static_cast<int>(wide.late), static_cast<int>(wide.in_time));
+  }
+}
