policy: Wait for a preferred worker that is free soon

In a service that is not busy, a step went back to a worker on which it had failed after 1.5 s, although another one was expected to be free 1 s later, and used up an attempt there.

Test: planner_review::avoids_a_worker_if_another_is_free_soon (was known to fail).

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -377,6 +377,9 @@
                             bool changed_only,
                             std::int64_t now_ms);
   bool IsHeldBack(const PlanStep& step, std::int64_t now_ms) const;
+  bool IsFreeSoon(const PlanStep& step,
+                  const Candidates& workers,
+                  std::int64_t now_ms) const;
   // Returns the capacity of the worker that the step may use. If it is held
   // back, that includes capacity that is held for gangs: for a long-running
   // step all of it, for the first task of another step what has been held for
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -317,6 +317,28 @@
   return usable;
 }
 
+// Whether one of the workers is expected to have room for a task of the step
+// soon. A step that has waited for the longest time relies on none.
+bool GraphPlanner::IsFreeSoon(const PlanStep& step,
+                              const Candidates& workers,
+                              std::int64_t now_ms) const {
+  if (step.gang || step.long_running ||
+      now_ms - step.waiting_since_ms >= options_.max_wait_ms) {
+    return false;
+  }
+  const auto soon_ms = now_ms + options_.held_back_ms;
+  return std::any_of(workers.begin(), workers.end(), [&](const auto* worker) {
+    auto free = worker->AvailableCapacity();
+    for (const auto& it : worker->ends) {
+      if (it.at_ms < now_ms || it.at_ms > soon_ms) {
+        break;
+      }
+      free += it.demand;
+    }
+    return PerWorkerLimit(step, *worker) > 0 && step.demand.FitsIn(free);
+  });
+}
+
 GraphPlanner::Candidates GraphPlanner::AllowedWorkers(const PlanStep& step,
                                                       bool changed_only,
                                                       std::int64_t now_ms) {
@@ -343,7 +365,7 @@
       add(it.worker);
     }
   }
-  if (step.avoided.empty() || IsHeldBack(step, now_ms)) {
+  if (step.avoided.empty()) {
     return out;
   }
   // Avoids workers on which a task of the step failed if the others can hold
@@ -354,6 +376,9 @@
       preferred.push_back(it);
     }
   }
+  if (IsHeldBack(step, now_ms) && !IsFreeSoon(step, preferred, now_ms)) {
+    return out;
+  }
   return changed_only || CanHold(step, preferred) ? preferred : out;
 }
 
