cell: Follow a gang until it makes progress

If the worker of a member crashed after it had confirmed the start and before all were there, the others waited until the gang timeout, because a gang was followed only until all starts were confirmed. It is now followed until a member lists progress. If none has by the limit, and the worker of a member does not answer, the others are stopped. Gangs so long that a percent of progress takes longer than the assembly are left alone.

Test: gang_review::stops_the_members_that_wait_for_a_crashed_worker (was known to fail: 3 members waited).

--- a/libraries/cell/src/gang_assembly.cc
+++ b/libraries/cell/src/gang_assembly.cc
@@ -25,7 +25,7 @@
   }
   it->second.missing.erase(task.index);
   if (it->second.missing.empty()) {
-    Remove(it);
+    confirmed_[it->first] = Remove(it).began_ms;
   }
 }
 
@@ -35,6 +35,7 @@
 
 std::optional<IncompleteGang> GangAssembly::Abandon(const graph::TaskKey& task,
                                                     std::int32_t run) {
+  confirmed_.erase({task.step_key(), run});
   const auto it = entries_.find({task.step_key(), run});
   return it == entries_.end() ? std::nullopt : std::optional(Remove(it));
 }
@@ -47,6 +48,21 @@
   return out;
 }
 
+std::vector<IncompleteGang> GangAssembly::FindWithoutProgress(
+    std::int64_t now_ms,
+    std::int64_t grace_ms) {
+  std::erase_if(confirmed_, [&](const auto& it) {
+    return now_ms >= it.second + limit_ms_ + grace_ms;
+  });
+  std::vector<IncompleteGang> out;
+  for (const auto& [gang, began_ms] : confirmed_) {
+    if (now_ms >= began_ms + limit_ms_) {
+      out.push_back({gang, {}, began_ms});
+    }
+  }
+  return out;
+}
+
 IncompleteGang GangAssembly::Remove(Entries::iterator it) {
   IncompleteGang out{it->first, std::move(it->second.missing),
                      it->second.began_ms};
--- a/libraries/cell/src/gang_assembly.h
+++ b/libraries/cell/src/gang_assembly.h
@@ -42,7 +42,7 @@
   // Begins when the starts of all members are sent, or with the term of a
   // leader that inherits them.
   void Begin(const GangRun& gang, std::int32_t members, std::int64_t now_ms);
-  // The gang is not followed any longer once all members have started.
+  // Once all members have started, the gang is only expected to make progress.
   void OnMemberStarted(const graph::TaskKey& task, std::int32_t run);
   // A member makes progress only when all members are there, even if some have
   // not confirmed their starts yet.
@@ -53,6 +53,11 @@
                                         std::int32_t run);
   // Ends the assembly of the gangs whose time is over, and returns them.
   std::vector<IncompleteGang> TakeOverdue(std::int64_t now_ms);
+  // Returns the gangs whose members have all confirmed their starts, of which
+  // none has ended or listed progress within the limit. They are forgotten
+  // `grace_ms` later.
+  std::vector<IncompleteGang> FindWithoutProgress(std::int64_t now_ms,
+                                                  std::int64_t grace_ms);
 
  private:
   struct Entry {
@@ -66,6 +71,9 @@
   const std::int64_t limit_ms_;
   Entries entries_;
   std::set<std::pair<std::int64_t, GangRun>> deadlines_;
+  // Gangs whose members have all confirmed their starts, with the times at
+  // which the assembly began.
+  std::map<GangRun, std::int64_t> confirmed_;
 };
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -111,6 +111,7 @@
   // workers.
   void HandleUncertainStarts();
   void StopOverdueGangs();
+  bool IsWithoutMember(const IncompleteGang& gang) const;
   void StopGang(const IncompleteGang& incomplete, const std::string& reason);
   void StopMembers(const graph::StepKey& key, std::int32_t last_run);
   std::string DescribeMissing(const IncompleteGang& incomplete) const;
--- a/libraries/cell/src/leader_gangs.cc
+++ b/libraries/cell/src/leader_gangs.cc
@@ -5,6 +5,16 @@
 
 namespace cranberryshunt::cell {
 
+namespace {
+
+// Workers list the progress of a run in percent.
+constexpr std::int64_t kProgressUnits = 100;
+// Time from the limit of the assembly in which the loss of a member may show:
+// a hold that a crashed worker does not answer runs out within it.
+constexpr std::int64_t kMemberLossMs = 1'000;
+
+}  // namespace
+
 void Leader::InheritGang(const graph::Job& job, const graph::StepKey& key) {
   const auto& step = job.step(key.step);
   if (!step.gang || !job.active() || job.StepDone(key)) {
@@ -46,6 +56,39 @@
   for (const auto& it : gang_assembly_.TakeOverdue(now_ms_)) {
     StopGang(it, "not all starts were confirmed in time");
   }
+  for (const auto& it :
+       gang_assembly_.FindWithoutProgress(now_ms_, kMemberLossMs)) {
+    if (IsWithoutMember(it)) {
+      (void)gang_assembly_.Abandon(
+          {it.gang.step.job, it.gang.step.occurrence, it.gang.step.step, 0},
+          it.gang.run);
+      StopGang(it, "a member's worker cannot be reached");
+    }
+  }
+}
+
+// Whether a gang that has listed no progress probably waits for a member whose
+// worker has crashed since it confirmed the start. Of a long gang the first
+// percent of progress takes longer than the assembly.
+bool Leader::IsWithoutMember(const IncompleteGang& gang) const {
+  const auto& [step, run] = gang.gang;
+  const auto* job = store_.FindJob(step.job);
+  if (job == nullptr || !job->active() || job->StepDone(step)) {
+    return false;
+  }
+  const auto expected_ms = run_times_.Expected(
+      store_.QueueOf(*job).name, job->step(step.step).estimate_ms);
+  if (expected_ms / kProgressUnits > (now_ms_ - gang.began_ms) / 2) {
+    return false;
+  }
+  graph::TaskKey member{step.job, step.occurrence, step.step, 0};
+  for (; member.index < job->step(step.step).task_count; ++member.index) {
+    const auto* worker = workers_.FindWorkerOf(member, run);
+    if (worker == nullptr || worker->hold_failures > 0) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void Leader::StopGang(const IncompleteGang& incomplete,
