--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -217,7 +217,8 @@
       }
       std::promise<bool> done;
       leader->replica->Propose(
-          leader->replica->role().term, data, [&](const auto& it) { done.set_value(it.has_value()); });
+          leader->replica->role().term, data,
+          [&](const auto& it) { done.set_value(it.has_value()); });
       return done.get_future().get();
     });
   }
