--- a/tests/harness/harness_test.cc
+++ b/tests/harness/harness_test.cc
@@ -11,6 +11,7 @@
 
 #include "support/checker.h"
 #include "support/fault_proxy.h"
+#include "support/loopback.h"
 #include "support/payload.h"
 #include "support/process.h"
 
@@ -101,7 +102,7 @@
     sockaddr_in out{};
     out.sin_family = AF_INET;
     out.sin_port = htons(port);
-    out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    out.sin_addr.s_addr = inet_addr(OwnLoopbackIp().c_str());
     return out;
   }
 
@@ -175,7 +176,11 @@
   Socket listener;
   cr_assert(listener.Listen(server_port));
   FaultProxy proxy([](std::uint16_t, std::uint16_t) { return "source"; });
-  cr_assert(proxy.Listen("destination", proxy_port, server_port));
+  const auto address_of = [](std::uint16_t port) {
+    return OwnLoopbackIp() + ":" + std::to_string(port);
+  };
+  cr_assert(proxy.ListenAt("destination", address_of(proxy_port),
+                           address_of(server_port)));
   const Link link{"source", "destination"};
 
   Socket old_client;
