--- a/review/support/cell.py
+++ b/review/support/cell.py
@@ -5,6 +5,7 @@
 of the platform. Everything that is sent, answered and run goes to record.txt.
 """
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -45,6 +46,29 @@
     return match.group(1).split()
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets the kernel end this process when the script ends, however that happens."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def choose_network():
+    """Returns the first three numbers of loopback addresses on which the ports of a cell are free."""
+    ports = [CONTROL_PORT, FRONT_PORT, READY_PORT, WORKER_PORT, *range(PORT_RANGE[0], PORT_RANGE[1] + 1)]
+    for _ in range(20):
+        net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        try:
+            for port in ports:
+                with socket.socket() as probe:
+                    probe.bind((f"{net}.1", port))
+            return net
+        except OSError:
+            continue
+    raise CannotRun("no free ports")
+
+
 class CannotRun(Exception):
     """The case could not be played; says nothing about the rule."""
 
@@ -327,7 +351,7 @@
     def __init__(self, folder, controllers=3, entries=2, workers=10):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.temp = tempfile.mkdtemp(prefix="review-")
-        self.net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+        self.net = choose_network()
         self.service = "fleet"
         self.core_ips = [f"{self.net}.{1 + n}" for n in range(controllers)]
         self.front_ips = [f"{self.net}.{20 + n}" for n in range(entries)]
@@ -390,7 +414,8 @@
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["CRANBERRYSHUNT_SETTINGS"] = path
         self.processes[name] = subprocess.Popen(deploy_command(role), cwd=ROOT, env=environment, stdout=log,
-                                                stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+                                                stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL,
+                                                preexec_fn=end_with_parent)
         self.record.write("process-start", name=name, pid=self.processes[name].pid)
 
     def start_controller(self, n, bootstrap=True):
@@ -513,7 +538,11 @@
     """Runs a scenario within 120 seconds and returns the exit status of the script."""
     # Ends the processes also when the script is ended.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    cell = make_cell(folder)
+    try:
+        cell = make_cell(folder)
+    except CannotRun as error:
+        print("the case could not run:", error)
+        return 2
 
     async def run():
         try:
