http, platform: Send a start at most once, and "not sent" only with proof

What callers saw: a task ran twice at the same time. A worker was cut off with reset connections after it had begun a task and before its answer; the leader placed the task on another worker at once and sent no stop.

Cause: libcurl repeats a request by itself when a reused connection ends before an answer. The second copy was refused, so the call ended with CURLE_COULDNT_CONNECT, which was taken as proof that nothing had been sent. A 429 or 503 to the second copy was taken for the answer to the first one.

Change: a call is written to one connection only, unless it is marked as idempotent, and counts as sent from the moment at which libcurl may write it.

--- a/libraries/http/include/cranberryshunt/http/http_client.h
+++ b/libraries/http/include/cranberryshunt/http/http_client.h
@@ -21,6 +21,9 @@
   std::chrono::milliseconds timeout{1'000};
   // Uses a new connection, because earlier ones may no longer respond.
   bool fresh_connection = false;
+  // Whether the call may be sent once more on another connection when its
+  // connection ends before an answer. Any other call is sent at most once.
+  bool idempotent = false;
 
   bool operator==(const HttpCall&) const = default;
 };
@@ -28,8 +31,8 @@
 struct HttpAnswer {
   int status = 0;  // HTTP status; 0: no answer.
   std::string body;
-  // False if the call was certainly not sent, for instance because no
-  // connection could be opened.
+  // False if no part of the call was written to any connection. An error says
+  // nothing else about whether the call was executed.
   bool sent = true;
   std::string error;  // Why there is no answer.
 
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -79,6 +79,13 @@
   curl_slist* headers = nullptr;
   HttpAnswer answer;
   std::size_t max_body_bytes = 0;
+  // Whether libcurl was allowed to write the request to a connection.
+  bool write_begun = false;
+
+  // libcurl repeats a request when a reused connection ends before an answer.
+  // The peer may have executed the first copy, and the answer to the second one
+  // says nothing about it.
+  bool MayWrite() const { return !write_begun || call.idempotent; }
 
   ~Transfer() { curl_slist_free_all(headers); }
 };
@@ -112,6 +119,20 @@
   return bytes;
 }
 
+// Called each time before libcurl writes the request to a connection.
+int OnBeforeWrite(void* self,
+                  char* /*peer_ip*/,
+                  char* /*local_ip*/,
+                  int /*peer_port*/,
+                  int /*local_port*/) {
+  auto& transfer = *static_cast<Transfer*>(self);
+  if (!transfer.MayWrite()) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer.write_begun = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 }  // namespace
 
 // One event loop serves all connections. epoll reports only sockets with
@@ -428,6 +449,8 @@
                    call.fresh_connection ? 1L : 0L);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBodyData);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
+  curl_easy_setopt(handle, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
   curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
@@ -457,11 +480,10 @@
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     answer.status = static_cast<int>(status);
   } else {
-    double connect_seconds = 0;
-    curl_easy_getinfo(handle, CURLINFO_PRETRANSFER_TIME, &connect_seconds);
-    // Nothing is written before the connection is established.
-    answer.sent = code != CURLE_COULDNT_CONNECT && connect_seconds > 0;
-    answer.error = curl_easy_strerror(code);
+    answer.sent = transfer->write_begun;
+    answer.error = code == CURLE_ABORTED_BY_CALLBACK
+                       ? "the connection ended before the answer"
+                       : curl_easy_strerror(code);
   }
   if (pooled_handles.size() < kMaxPooledHandles) {
     pooled_handles.push_back(handle);
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -117,6 +117,77 @@
   cr_expect_not(answer.sent);
 }
 
+namespace {
+
+// Makes a call on a connection that has served another one before.
+HttpAnswer CallOnReusedConnection(const ScriptedServer& server,
+                                  HttpClient& client,
+                                  bool idempotent) {
+  cr_assert_eq(client.Call(MakeCall(server.url())).status, 200);
+  auto call = MakeCall(server.url());
+  call.method = "POST";
+  call.idempotent = idempotent;
+  return client.Call(call);
+}
+
+}  // namespace
+
+// Guards against reporting a call as not sent that the server has read before
+// it reset the connection and refused further ones.
+Test(http_client, reports_a_call_as_sent_after_a_reset_and_a_refusal) {
+  ScriptedServer* self = nullptr;
+  std::atomic<int> executed = 0;
+  ScriptedServer server([&](int, int request) {
+    if (request == 1) {
+      return RenderAnswer("ok");
+    }
+    ++executed;
+    self->RefuseConnections();
+    return std::string(ScriptedServer::kResetConnection);
+  });
+  self = &server;
+  const auto client = MakeClient();
+  const auto answer = CallOnReusedConnection(server, *client, false);
+  cr_expect_eq(executed, 1);
+  cr_expect_eq(answer.status, 0);
+  cr_expect(answer.sent);
+}
+
+// Guards against sending a call a second time after its connection was reset:
+// the answer to the second copy, such as a refusal, doesn't apply to the first.
+Test(http_client, sends_a_call_at_most_once) {
+  std::atomic<int> executed = 0;
+  ScriptedServer server([&](int connection, int request) {
+    if (connection == 1 && request == 1) {
+      return RenderAnswer("ok");
+    }
+    ++executed;
+    return connection == 1 ? std::string(ScriptedServer::kResetConnection)
+                           : std::string(
+                                 "HTTP/1.1 503 Service Unavailable\r\n"
+                                 "Content-Length: 0\r\n\r\n");
+  });
+  const auto client = MakeClient();
+  const auto answer = CallOnReusedConnection(server, *client, false);
+  cr_expect_eq(executed, 1);
+  cr_expect_eq(answer.status, 0, "status %d", answer.status);
+  cr_expect(answer.sent);
+}
+
+// Guards against failing a call that may be executed twice because its
+// connection was reset.
+Test(http_client, repeats_an_idempotent_call_after_a_reset) {
+  ScriptedServer server([&](int connection, int request) {
+    return connection == 1 && request == 2
+               ? std::string(ScriptedServer::kResetConnection)
+               : RenderAnswer("ok");
+  });
+  const auto client = MakeClient();
+  const auto answer = CallOnReusedConnection(server, *client, true);
+  cr_expect_eq(answer.status, 200);
+  cr_expect_eq(server.accepted_connections(), 2);
+}
+
 // Guards against reusing a connection that may no longer respond although the
 // caller requested a new one.
 Test(http_client, opens_a_new_connection_on_request) {
--- a/tests/http/socket_peer.h
+++ b/tests/http/socket_peer.h
@@ -40,10 +40,12 @@
 
 // Calls a handler for each complete request (without a body). The handler gets
 // the numbers of the connection and of the request on it, both from 1, and
-// returns the bytes to send. An empty result leaves the request unanswered.
+// returns the bytes to send. An empty result leaves the request unanswered, and
+// kResetConnection resets the connection.
 class ScriptedServer {
  public:
   using Handler = std::function<std::string(int connection, int request)>;
+  static constexpr const char* kResetConnection = "reset";
 
   explicit ScriptedServer(Handler handler)
       : handler_(std::move(handler)), fd_(socket(AF_INET, SOCK_STREAM, 0)) {
@@ -73,6 +75,8 @@
   int accepted_connections() const { return accepted_connections_; }
   // Closes the connections whose handler is not running.
   void CloseIdleConnections() { ++close_round_; }
+  // Makes further connections be refused.
+  void RefuseConnections() { shutdown(fd_, SHUT_RDWR); }
 
  private:
   // Waits for a short time. Returns whether there is something to read or
@@ -88,6 +92,9 @@
         continue;
       }
       const int accepted = accept(fd_, nullptr, nullptr);
+      if (accepted < 0) {
+        return;  // After RefuseConnections().
+      }
       const int n = ++accepted_connections_;
       threads_.emplace_back([this, accepted, n] { Serve(accepted, n); });
     }
@@ -112,6 +119,11 @@
       }
       received.erase(0, end + 4);
       const auto answer = handler_(connection, ++requests);
+      if (answer == kResetConnection) {
+        const linger reset{1, 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        break;
+      }
       (void)!send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
     }
     close(fd);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -323,6 +323,20 @@
                cell::WorkerAnswer::kNoAnswer);
 }
 
+// Guards against a start that the HTTP client sends to a worker a second time:
+// a refusal of the second copy doesn't show that the first one was not carried
+// out.
+Test(worker_codec, lets_the_client_repeat_all_orders_but_starts) {
+  const auto is_idempotent = [](const cell::WorkerOrder& order) {
+    cell::SentOrder sent;
+    sent.order = order;
+    return EncodeOrder(sent).idempotent;
+  };
+  cr_expect_not(is_idempotent(cell::StartOrder()));
+  cr_expect(is_idempotent(cell::HoldOrder()));
+  cr_expect(is_idempotent(cell::StopOrder()));
+}
+
 // Guards against losing all rows of a reply, and then the worker's lease,
 // because of one row that jansson refuses.
 Test(worker_codec, reads_the_rows_beside_one_that_is_not_valid) {
