cell: Do not repeat a relayed start that may have been delivered

Evidence: thrift_relay_link::sends_a_start_at_most_once gets two copies on the old code.

Change: starts of a batch that may have been received are dropped; the leader hears nothing of them, and treats them as in doubt when the order expires. A batch for which no connection was opened is sent again as before.

--- a/libraries/cell/src/thrift_relay_link.cc
+++ b/libraries/cell/src/thrift_relay_link.cc
@@ -63,6 +63,9 @@
  private:
   static constexpr bool kSendsOrders = std::is_same_v<T, wire::RelayedOrder>;
 
+  // kUnknown: the controller may have received the messages.
+  enum class Delivery { kDone, kNotSent, kUnknown };
+
   void Run() {
     std::unique_lock lock(mutex_);
     while (true) {
@@ -74,9 +77,12 @@
       const auto dropped = queue_.TakeDropped();
       lock.unlock();
       LogDropped(dropped);
-      const bool delivered = batch.empty() || Deliver(batch);
+      const auto delivery = batch.empty() ? Delivery::kDone : Deliver(batch);
+      if (delivery == Delivery::kUnknown) {
+        DropStarts(batch);
+      }
       lock.lock();
-      if (!delivered) {
+      if (delivery != Delivery::kDone) {
         queue_.PutBack(std::move(batch));
         if (!Pause(lock, kRetryPause)) {
           return;
@@ -100,13 +106,30 @@
     }
   }
 
-  bool Deliver(const std::vector<Expiring<T>>& batch) {
+  // A controller that has restarted does not know which orders it executed
+  // before. It would execute a second copy of a start, whose refusal says
+  // nothing about the first one.
+  void DropStarts(std::vector<Expiring<T>>& batch) const {
+    if constexpr (kSendsOrders) {
+      const auto dropped = std::erase_if(
+          batch, [](const auto& it) { return it.message.__isset.start; });
+      if (dropped > 0) {
+        Log(LogLevel::kWarning, "cell",
+            "relayed starts may have been delivered; not repeated",
+            {{"controller", channel_.address()}, {"starts", dropped}});
+      }
+    }
+  }
+
+  Delivery Deliver(const std::vector<Expiring<T>>& batch) {
     std::vector<T> messages;
     messages.reserve(batch.size());
     for (const auto& it : batch) {
       messages.push_back(it.message);
     }
+    bool written = false;
     const auto sent = channel_.Run(kCallTimeout, [&](auto& client) {
+      written = true;
       if constexpr (kSendsOrders) {
         client.RelayOrders(own_address_, messages);
       } else {
@@ -125,7 +148,10 @@
            {"messages", messages.size()},
            {"error", sent ? std::string() : sent.error().message()}});
     }
-    return sent.has_value();
+    if (sent) {
+      return Delivery::kDone;
+    }
+    return written ? Delivery::kUnknown : Delivery::kNotSent;
   }
 
   enum class Reachability { kUnknown, kReachable, kUnreachable };
--- a/libraries/cell/src/thrift_relay_link.h
+++ b/libraries/cell/src/thrift_relay_link.h
@@ -17,8 +17,8 @@
 // destination, and others for the replies to it, so that neither a destination
 // that does not answer nor orders delay other messages. Queued messages are
 // sent together, in their order. They are sent again after a failure until
-// their deadline has passed. Messages that do not fit into the queue are
-// dropped.
+// their deadline has passed, except starts that the controller may have
+// received. Messages that do not fit into the queue are dropped.
 class ThriftRelayLink final : public RelayLink {
  public:
   // `own_address` is the address to which replies are sent, "ip:port".
--- a/tests/cell/thrift_relay_link_test.cc
+++ b/tests/cell/thrift_relay_link_test.cc
@@ -5,14 +5,17 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <utility>
 
 #include "ControllerService.h"
 #include "cranberryshunt/wire/controller_server.h"
 #include "support/fault_proxy.h"
 #include "support/loopback.h"
+#include "support/process.h"
 
 using namespace cranberryshunt;        // NOLINT
 using namespace cranberryshunt::cell;  // NOLINT
@@ -34,6 +37,10 @@
     changed_.wait(lock, [this] { return !block_orders_; });
     for (const auto& it : orders) {
       Record(order_ids_, it.id);
+      ++order_copies_[it.id];
+    }
+    if (const auto lose = std::exchange(lose_orders_, nullptr)) {
+      lose();
     }
     changed_.notify_all();
   }
@@ -54,6 +61,18 @@
     const std::lock_guard lock(mutex_);
     lose_replies_ = std::move(lose);
   }
+  // Calls `lose` once the next orders have been recorded.
+  void AfterNextOrders(std::function<void()> lose) {
+    const std::lock_guard lock(mutex_);
+    lose_orders_ = std::move(lose);
+  }
+  int CopiesOfOrder(std::int64_t id) {
+    const std::lock_guard lock(mutex_);
+    return order_copies_[id];
+  }
+  bool WaitForCopies(std::int64_t id, int count) {
+    return WaitFor([&] { return order_copies_[id] >= count; });
+  }
   void SetBlockOrders(bool block) {
     const std::lock_guard lock(mutex_);
     block_orders_ = block;
@@ -86,6 +105,8 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::function<void()> lose_replies_;
+  std::function<void()> lose_orders_;
+  std::map<std::int64_t, int> order_copies_;
   bool block_orders_ = false;
   int blocked_orders_ = 0;
   std::vector<std::int64_t> order_ids_;
@@ -95,7 +116,10 @@
 // A controller behind a proxy that injects faults.
 struct Fixture {
   Fixture()
-      : proxy([](std::uint16_t, std::uint16_t) { return std::string(); }),
+      : proxy([this](std::uint16_t, std::uint16_t) {
+          ++connections;
+          return std::string();
+        }),
         address(test::LoopbackIp(0) + ":21000"),
         link("127.0.0.1:1", "secret", clock) {
     const auto target = test::LoopbackIp(1) + ":21000";
@@ -118,6 +142,8 @@
   }
 
   const test::Link to_server{"", kServer};
+  // Connections that were opened to the proxy.
+  std::atomic<int> connections = 0;
   SystemClock clock;
   RecordingHandler handler;
   std::unique_ptr<wire::ControllerServer> server;
@@ -152,6 +178,38 @@
   cr_expect(it.handler.WaitForReplies({1, 2}));
 }
 
+// Guards against a start that a restarted controller executes a second time and
+// reports as refused, although the worker carried out the first copy.
+Test(thrift_relay_link, sends_a_start_at_most_once) {
+  Fixture it;
+  wire::RelayedOrder start;
+  start.id = 1;
+  start.__set_start({});
+  wire::RelayedOrder hold;
+  hold.id = 2;
+  hold.__set_hold({});
+  it.handler.AfterNextOrders(
+      [&] { it.proxy.CloseOpenConnections(it.to_server); });
+  const auto deadline = it.clock.Now() + kMessageLifetime;
+  it.link.SendOrders(it.address, {{start, deadline}, {hold, deadline}});
+  cr_expect(it.handler.WaitForCopies(2, 2));
+  cr_expect_eq(it.handler.CopiesOfOrder(1), 1);
+}
+
+// Guards against a start that is lost because no connection to the controller
+// could be opened at first.
+Test(thrift_relay_link, sends_a_start_again_that_was_not_sent) {
+  Fixture it;
+  it.proxy.Cut(it.to_server);
+  wire::RelayedOrder start;
+  start.id = 1;
+  start.__set_start({});
+  it.link.SendOrders(it.address, {{start, it.clock.Now() + kMessageLifetime}});
+  cr_assert(test::WaitUntil(kWaitLimit, [&] { return it.connections > 1; }));
+  it.proxy.Heal(it.to_server);
+  cr_expect(it.handler.WaitForOrders({1}));
+}
+
 // Guards against replies that wait until a call with orders has ended.
 Test(thrift_relay_link, sends_replies_while_orders_wait) {
   Fixture it;
