--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -160,6 +160,12 @@
   const Error full(ResultCode::kQueueFull, "full");
   cr_expect_eq(EncodeError(full, 1'500, false).status, 429);
   cr_expect_eq(EncodeError(full, 1'500, false).retry_after_ms, 1'500);
+  for (const auto it : {ResultCode::kQueueFull, ResultCode::kNotReady,
+                        ResultCode::kNotFound, ResultCode::kImpossible,
+                        ResultCode::kInvalidField, ResultCode::kTooLarge}) {
+    cr_expect_eq(EncodeError(Error(it, "refused"), 0, true).status, 504, "%s",
+                 std::string(ResultCodeName(it)).c_str());
+  }
 }
 
 Test(control_codec, reads_a_configuration) {
--- /dev/null
+++ b/tests/platform/entry_submission_test.cc
@@ -0,0 +1,113 @@
+// Tests what an entry answers to a submission whose first attempt at the leader
+// is lost.
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "ControllerService.h"
+#include "common.h"
+#include "cranberryshunt/platform/processes.h"
+#include "cranberryshunt/wire/codec.h"
+#include "cranberryshunt/wire/controller_server.h"
+#include "http/socket_peer.h"
+
+using namespace cranberryshunt;            // NOLINT
+using namespace cranberryshunt::platform;  // NOLINT
+
+namespace {
+
+using http::RawClient;
+using std::chrono::milliseconds;
+
+constexpr std::uint16_t kCallerPort = 24'100;
+constexpr std::uint16_t kReadinessPort = 24'101;
+constexpr std::int64_t kFirstInternalPort = 24'110;
+
+// A leader that refuses submissions with `code`. It replies to the first
+// `delayed` of them only after the entry has tried once more.
+class RefusingLeader final : public wire::ControllerServiceNull {
+ public:
+  RefusingLeader(ResultCode code, int delayed)
+      : code_(code), delayed_(delayed) {}
+
+  void CallGraph(wire::GraphReply& reply,
+                 const wire::GraphRequest& /*request*/) override {
+    constexpr milliseconds kDelay{1'500};
+    if (++submissions_ <= delayed_) {
+      std::this_thread::sleep_for(kDelay);
+    }
+    reply.status = wire::ToStatus(Error(code_, "refused"));
+    reply.status.retry_after_ms = 700;
+  }
+
+  int submissions() const { return submissions_; }
+
+ private:
+  const ResultCode code_;
+  const int delayed_;
+  std::atomic<int> submissions_ = 0;
+};
+
+// Submits a job to an entry and returns the response, or an empty string.
+std::string SubmitTo(RefusingLeader& leader) {
+  const auto leader_ip = test::LoopbackIp(1);
+  auto server = wire::ControllerServer::Start(
+      leader_ip + ":" + std::to_string(kFirstInternalPort),
+      kTrustedNetworkSecret, leader, [](const std::string&) {});
+  cr_assert(server.has_value());
+  ProcessSettings settings;
+  settings.host = "front-0";
+  settings.ip = test::OwnLoopbackIp();
+  settings.caller_address = settings.ip + ":" + std::to_string(kCallerPort);
+  settings.readiness_address =
+      settings.ip + ":" + std::to_string(kReadinessPort);
+  settings.first_internal_port = kFirstInternalPort;
+  settings.seeds = {leader_ip + ":" + std::to_string(kCallerPort)};
+  auto entry = StartEntry(settings);
+  cr_assert(entry.has_value());
+  RawClient client(kCallerPort);
+  cr_assert(client.connected());
+  const std::string body = R"({"spec":"s","steps":[{"count":1}]})";
+  client.Send(
+      "POST /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
+      "Content-Type: application/json\r\nConnection: close\r\n"
+      "X-Deadline-Ms: 3000\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+  (void)client.IsClosedWithin(milliseconds(3'500));
+  return client.received;
+}
+
+constexpr ResultCode kRefusals[] = {
+    ResultCode::kQueueFull, ResultCode::kNotReady, ResultCode::kNotFound,
+    ResultCode::kImpossible, ResultCode::kInvalidField};
+
+}  // namespace
+
+// Guards against telling a caller that its job never runs because a second
+// attempt was refused, while the first one is still under way and may be
+// accepted.
+Test(entry_submission, reports_a_refusal_after_a_lost_attempt_as_unknown) {
+  for (const auto code : kRefusals) {
+    RefusingLeader leader(code, 1);
+    const auto response = SubmitTo(leader);
+    cr_expect_eq(leader.submissions(), 2);
+    cr_expect(response.starts_with("HTTP/1.1 504"), "%s: %s",
+              std::string(ResultCodeName(code)).c_str(), response.c_str());
+  }
+}
+
+// Guards against reporting a definite refusal as an unknown outcome, after
+// which the caller would submit the job again at once.
+Test(entry_submission, reports_a_refusal_of_the_only_attempt) {
+  constexpr int kStatuses[] = {429, 503, 404, 400, 400};
+  for (std::size_t i = 0; i < std::size(kRefusals); ++i) {
+    RefusingLeader leader(kRefusals[i], 0);
+    const auto response = SubmitTo(leader);
+    cr_expect_eq(leader.submissions(), 1);
+    cr_expect(response.starts_with("HTTP/1.1 " + std::to_string(kStatuses[i])),
+              "%s: %s", std::string(ResultCodeName(kRefusals[i])).c_str(),
+              response.c_str());
+  }
+}
