cell: Report a call that was not decided in time as an unknown outcome

What callers could see: 503, which says that the job never runs, for a job that runs. An entry that had been frozen for some seconds reads a reply that the leader sent when its decision thread had not taken up the call in 5 s.

The thread takes up the queued call afterwards, but the reply did not say so.

Evidence: call_handler::reports_a_call_without_a_decision_as_unknown fails on the old code.

--- a/libraries/cell/src/call_handler.cc
+++ b/libraries/cell/src/call_handler.cc
@@ -18,6 +18,13 @@
 
 }  // namespace
 
+wire::GraphReply ReplyWithoutDecision(const Error& error) {
+  wire::GraphReply reply;
+  reply.status = wire::ToStatus(error);
+  reply.may_be_accepted = error.code() == ResultCode::kTimeout;
+  return reply;
+}
+
 template <typename T, typename Make>
 Result<T> CallHandler::PostAndWait(Make make, std::chrono::milliseconds limit) {
   auto promise = std::make_shared<std::promise<T>>();
@@ -41,11 +48,7 @@
         return Call(GraphCall{request, std::move(done)});
       },
       kCallLimit);
-  if (result) {
-    reply = std::move(*result);
-  } else {
-    reply.status = wire::ToStatus(result.error());
-  }
+  reply = result ? std::move(*result) : ReplyWithoutDecision(result.error());
 }
 
 void CallHandler::PollAdvice(wire::AdviceOrders& reply,
--- a/libraries/cell/src/call_handler.h
+++ b/libraries/cell/src/call_handler.h
@@ -13,6 +13,10 @@
 
 namespace cranberryshunt::cell {
 
+// Returns the reply to a call that could not be queued for the decision thread,
+// or on which it has not decided in time. It may still take up the latter.
+wire::GraphReply ReplyWithoutDecision(const Error& error);
+
 // Passes calls that need a decision to the decision thread and waits for their
 // answers up to a time limit. Safe for use by several threads.
 class CallHandler final : public wire::ControllerServiceNull {
