--- a/tests/targets/targets_test.cc
+++ b/tests/targets/targets_test.cc
@@ -6,6 +6,7 @@
 #include "cranberryshunt/targets/json_reader.h"
 #include "cranberryshunt/targets/target_client.h"
 #include "fake_target.h"
+#include "http/socket_peer.h"
 
 namespace cranberryshunt::targets {
 
@@ -285,4 +286,28 @@
   cr_expect_not(ParseReadableParts(std::string(1U << 20, '[')).has_value());
 }
 
+// Guards against reporting a start as not sent that the target has read before
+// it reset the connection and refused further ones.
+Test(targets, reports_a_start_as_undetermined_after_a_reset_and_a_refusal) {
+  http::ScriptedServer* self = nullptr;
+  http::ScriptedServer server([&](int, int request) {
+    if (request == 1) {
+      return std::string("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+    }
+    self->RefuseConnections();
+    return std::string(http::ScriptedServer::kResetConnection);
+  });
+  self = &server;
+  auto client = MakeClient(1);
+  const std::string scheme = "http://";
+  const Target target{server.url().substr(scheme.size(), server.url().size() -
+                                                             scheme.size() - 1),
+                      6};
+  cr_assert(std::holds_alternative<Accepted>(
+      client.Start(target, MakeOrder("j1"), "p", Reuse::kAllowed)));
+  cr_expect(std::holds_alternative<Undetermined>(
+      client.Start(target, MakeOrder("j2"), "p", Reuse::kAllowed)));
+  cr_expect_eq(server.accepted_connections(), 1);
+}
+
 }  // namespace cranberryshunt::targets
