cell: Store the first configuration once all voters are there

Two of five disks were lost right after the start of a new cell.

Cause: the three seeds are the only voters of a new cell for about 2 s. Until the other controllers are voters, a majority is two of three, so the loss of two disks, which the cell has to bear, leaves no majority and perhaps no copy.

Evidence: leader::keeps_the_first_configuration_until_all_voters_are_there gets an acknowledgement from three of five voters without the change.

Change: a leader without a configuration keeps the first one until the cell has all its voters, for 4 s at most, since a controller may be missing from the start. The harness has the voters of a whole cell by default.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -567,6 +567,7 @@
 void Leader::RunMaintenance(EngineOutput& out) {
   last_maintenance_ms_ = now_ms_;
   step_tracker_.RefreshEstimates();
+  HandleHeldPublications();
   ExpireJobs();
   RemoveSilentWorkers();
   FailLostOrders();
@@ -635,6 +636,9 @@
 
 void Leader::Close(const wire::Status& status) {
   const Error error = wire::ToError(status);
+  for (const auto& it : std::exchange(held_publications_, {})) {
+    it.reply(tl::unexpected(error));
+  }
   for (auto& [id, calls] : submitting_) {
     for (auto& it : calls) {
       wire::GraphReply reply;
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -131,6 +131,9 @@
   void HandleReport(ReportCall call);
   void RemoveDepartedWorker(DepartureCall call);
   void HandlePublish(PublishTableCall call);
+  // Whether this is a new cell that has not got all its voters yet.
+  bool IsForming() const;
+  void HandleHeldPublications();
 
   // leader_planning.cc
   void Plan();
@@ -193,6 +196,8 @@
   GangAssembly gang_assembly_;
   AdviceDispatcher advice_dispatcher_;
   MembershipManager members_;
+  // First configurations that wait until the cell is formed.
+  std::vector<PublishTableCall> held_publications_;
   PendingCounter pending_;
   policy::WorkerHealth health_;
   RunCheck run_check_;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -9,6 +9,10 @@
 
 namespace {
 
+// A cell in which some controllers are missing from the start serves with the
+// voters that it has after this time.
+constexpr std::int64_t kMaxFormationMs = 4'000;
+
 wire::GraphReply ReplyWith(ResultCode code,
                            std::string message,
                            std::int64_t retry_after_ms = 0) {
@@ -324,7 +328,30 @@
       });
 }
 
+bool Leader::IsForming() const {
+  return store_.table().version == 0 &&
+         now_ms_ - first_now_ms_ < kMaxFormationMs &&
+         !members_.HasAllVoters(environment_.Membership());
+}
+
+void Leader::HandleHeldPublications() {
+  if (held_publications_.empty() || IsForming()) {
+    return;
+  }
+  for (auto& it : std::exchange(held_publications_, {})) {
+    HandlePublish(std::move(it));
+  }
+}
+
 void Leader::HandlePublish(PublishTableCall call) {
+  // A new cell starts with a part of its voters. A configuration that these
+  // alone have stored could be lost with their disks.
+  if (IsForming()) {
+    Log(LogLevel::kInfo, "config", "version waits until the cell is formed",
+        {{"version", call.table.version}});
+    held_publications_.push_back(std::move(call));
+    return;
+  }
   const auto version = call.table.version;
   if (version <= store_.table().version) {
     Log(LogLevel::kInfo, "config", "table version is not newer",
--- a/libraries/cell/src/membership_manager.cc
+++ b/libraries/cell/src/membership_manager.cc
@@ -57,6 +57,11 @@
   return out;
 }
 
+bool MembershipManager::HasAllVoters(const wire::Membership& current) const {
+  return std::count_if(current.members.begin(), current.members.end(),
+                       [](const auto& it) { return it.voter; }) >= cell_size_;
+}
+
 std::optional<wire::MembershipChange> MembershipManager::NextChange(
     const wire::Membership& current,
     std::int64_t now_ms) {
--- a/libraries/cell/src/membership_manager.h
+++ b/libraries/cell/src/membership_manager.h
@@ -29,6 +29,10 @@
   // leader.
   std::vector<std::string> LivePeerAddresses(const wire::Membership& current,
                                              std::int64_t now_ms) const;
+  // Whether the cell has as many voters as it is to have. With fewer, the loss
+  // of as many disks as it has to bear may leave no copy of an entry that was
+  // committed.
+  bool HasAllVoters(const wire::Membership& current) const;
   // Returns the next change of the membership, if one is due. Changes are
   // separated by a minimum pause.
   std::optional<wire::MembershipChange> NextChange(
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -76,6 +76,11 @@
     : options_(options),
       random_(options.seed),
       engine_({.id = "own"}, *this, metrics_) {
+  for (std::int64_t n = 0; n < EngineOptions().cell_size; ++n) {
+    auto& member = members.members.emplace_back();
+    member.id = n == 0 ? "own" : fmt::format("controller-{}", n);
+    member.voter = true;
+  }
   for (std::int32_t n = 0; n < options.workers; ++n) {
     FakeWorker worker;
     worker.record.id = fmt::format("w{}", n);
@@ -244,7 +249,13 @@
   for (const auto& it : queues) {
     queues_[it.name] = it;
   }
-  engine_.Handle(PublishTableCall{table, [](const Result<void>&) {}}, Now());
+  engine_.Handle(PublishTableCall{table,
+                                  [this](const Result<void>& result) {
+                                    if (result) {
+                                      published_ms = now_ms_;
+                                    }
+                                  }},
+                 Now());
 }
 
 void CellHarness::Submit(graph::JobId id,
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -99,12 +99,13 @@
   bool HasLease(std::int64_t term) const override {
     return has_lease && term == lease_term.value_or(term_);
   }
-  wire::Membership Membership() const override { return {}; }
+  wire::Membership Membership() const override { return members; }
   std::int64_t WallMilliseconds() const override {
     return 1'700'000'000'000 + now_ms_ + wall_offset_ms;
   }
 
-  // Publishes a routing table with these queues.
+  // Publishes a routing table with these queues. `published_ms` tells when that
+  // was acknowledged.
   void Publish(const std::vector<wire::JobQueue>& queues);
   void Submit(graph::JobId id,
               const std::string& queue,
@@ -145,6 +146,8 @@
   std::vector<FakeWorker> workers;
   std::map<graph::JobId, JobOutcome> jobs;
   bool has_lease = true;
+  // By default all voters of a cell.
+  wire::Membership members;
   // Term of the lease if it is not that of the engine's leader.
   std::optional<std::int64_t> lease_term;
   // Added to the time of day.
@@ -172,6 +175,8 @@
   std::vector<std::string> violations;
   double used_cpu_ms = 0;
 
+  std::optional<std::int64_t> published_ms;
+
   std::int64_t now_ms() const { return now_ms_; }
   Engine& engine() { return engine_; }
   // Processor time spent in calls of the engine.
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -116,6 +116,44 @@
   ExpectNoViolations(cell);
 }
 
+// Load pattern: a new cell, whose seeds are its only voters for the first
+// seconds. Guards against a first configuration that is acknowledged, and is
+// lost when as many disks are lost as the cell has to bear.
+Test(leader, keeps_the_first_configuration_until_all_voters_are_there) {
+  CellHarness it;
+  const auto all = it.members;
+  it.members.members.resize(3);
+  it.Publish({MakeQueue("q", 1)});
+  it.Run(2'000);
+  cr_expect_not(it.published_ms.has_value());
+  it.members = all;
+  it.Run(700);
+  cr_expect(it.published_ms.has_value());
+}
+
+// Guards against a new cell that never serves because a controller is missing
+// from the start.
+Test(leader, stores_the_first_configuration_without_missing_voters) {
+  CellHarness it;
+  it.members.members.resize(4);
+  it.Publish({MakeQueue("q", 1)});
+  it.Run(5'000);
+  cr_expect(it.published_ms.has_value());
+}
+
+// Guards against a cell that accepts no configuration while it replaces a
+// voter.
+Test(leader, stores_later_configurations_with_fewer_voters) {
+  CellHarness it;
+  it.Publish({MakeQueue("q", 1)});
+  it.Run(100);
+  it.published_ms.reset();
+  it.members.members.resize(3);
+  it.Publish({MakeQueue("q", 1), MakeQueue("p", 1)});
+  it.Run(100);
+  cr_expect(it.published_ms.has_value());
+}
+
 // Guards against starts after a cancellation, and against runs that are not
 // stopped.
 Test(leader, stops_a_cancelled_job) {
