cell: Replace a voter that is gone after 3 s of silence

Cause: a voter counted for 10 s after it was gone, and each new leader began to count anew. 10.1.0.46 was replaced at 1.0 s by an empty machine, which joined as a learner at 2.8 s. A new leader led from 6.9 s. 10.2.0.26 was replaced at 10 s. When 10.2.0.27 lost its disk at 12.6 s, three of five voters were gone, while two learners had caught up. No leader could be elected again.

Change: a silent voter is replaced after 3 s, if a caught-up member can take its place; without one it stays a voter, as before. A voter that was only frozen or restarting returns as a member that can take the next place.

--- a/libraries/cell/src/membership_manager.cc
+++ b/libraries/cell/src/membership_manager.cc
@@ -9,9 +9,11 @@
 // A member that asked to join within this time is considered alive. Members ask
 // every second.
 constexpr std::int64_t kAliveMs = 2'500;
-// A voter that was silent for this long is replaced. This is longer than a
-// restart or a freeze, after which the voter returns with its disk.
-constexpr std::int64_t kReplaceSilentVoterMs = 10'000;
+// A voter that was silent for this long is replaced if another member can take
+// its place. Until then, one loss less can be borne, and machines may be
+// replaced some seconds after each other. A voter that returns after a restart
+// or a freeze stays a member.
+constexpr std::int64_t kReplaceSilentVoterMs = 3'000;
 constexpr std::int64_t kMinChangeIntervalMs = 500;
 
 const wire::Member* Find(const wire::Membership& membership,
