cell, platform: Refuse the late attempts of a refused request

Since an entry in doubt answers 504 to every refusal, so its callers submit a job again that the leader has refused because there is no room, and get no Retry-After to rely on.

Now an entry gives a request an id, which all its attempts carry, and says when an earlier attempt is open. A controller that refuses such an attempt remembers the id and refuses any attempt of it that arrives later, whoever leads then: an attempt can only arrive at the process that it was sent to. The entry answers 429, 404 or 400 if every open attempt was sent to a controller that refuses it, and 504 otherwise. A new request for the same job has a new id.

Open: an attempt that is still under way at one entry while its caller is refused at another one, under the same job id. The caller has no answer from the first entry then.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -69,6 +69,7 @@
 };
 
 class Leader;
+class RefusedRequests;
 class RunTimes;
 
 class Engine {
@@ -105,6 +106,9 @@
 
  private:
   void Refuse(Call& call, const Error& error) const;
+  // Refuses an attempt to submit a request that was refused before, and returns
+  // true. Otherwise remembers the refusal that the attempt may get.
+  bool RefuseLateAttempt(GraphCall& call, TimePoint now);
   // Learns from the runs that end with this batch, which is applied next.
   void RecordRunTimes(const wire::GraphBatch& batch);
   void EndLeadership(const Error& error);
@@ -116,6 +120,7 @@
   std::int64_t applied_index_ = 0;
   // Learned on every member, so that a new leader knows them.
   std::unique_ptr<RunTimes> run_times_;
+  std::unique_ptr<RefusedRequests> refused_requests_;
   // Term of the last applied entry, and the time of the first batch of it. The
   // time of the batches stands still while there is no leader.
   std::int64_t applied_term_ = 0;
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -6,6 +6,7 @@
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/wire/codec.h"
 #include "leader.h"
+#include "refused_requests.h"
 #include "run_times.h"
 
 namespace cranberryshunt::cell {
@@ -24,7 +25,8 @@
     : options_(std::move(options)),
       environment_(environment),
       metrics_(metrics),
-      run_times_(std::make_unique<RunTimes>()) {}
+      run_times_(std::make_unique<RunTimes>()),
+      refused_requests_(std::make_unique<RefusedRequests>()) {}
 
 Engine::~Engine() = default;
 
@@ -114,11 +116,43 @@
     // try another controller.
     Refuse(call,
            Error(ResultCode::kNotLeader, "this controller does not lead"));
-  } else {
+    return;
+  }
+  auto* graph_call = std::get_if<GraphCall>(&call);
+  if (graph_call == nullptr || !RefuseLateAttempt(*graph_call, now)) {
     leader_->Handle(std::move(call), now);
   }
 }
 
+bool Engine::RefuseLateAttempt(GraphCall& call, TimePoint now) {
+  const auto id = call.request.request_id;
+  if (call.request.operation != wire::GraphOperation::kSubmit || id == 0) {
+    return false;
+  }
+  if (const auto* refusal = refused_requests_->Find(id)) {
+    Log(LogLevel::kInfo, "admission", "late attempt refused",
+        {{"path", call.request.path}});
+    wire::GraphReply reply;
+    reply.status = *refusal;
+    reply.refuses_earlier_attempts = true;
+    call.reply(std::move(reply));
+    return true;
+  }
+  if (call.request.earlier_attempt_open) {
+    call.reply = [this, id, now,
+                  forward = std::move(call.reply)](wire::GraphReply reply) {
+      const auto code = static_cast<ResultCode>(reply.status.code);
+      if (code != ResultCode::kOk && code != ResultCode::kNotLeader &&
+          !reply.may_be_accepted) {
+        reply.refuses_earlier_attempts =
+            refused_requests_->Add(id, reply.status, now);
+      }
+      forward(std::move(reply));
+    };
+  }
+  return false;
+}
+
 EngineOutput Engine::Advance(TimePoint now) {
   // Another leader may exist if this member does not hold the lease, so no
   // orders or proposals are sent.
--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -119,6 +119,12 @@
   Result<void> Run(std::chrono::milliseconds timeout,
                    std::chrono::milliseconds attempt_timeout,
                    const Call& call);
+  // Like Run(). `call` also gets the address of the controller.
+  using CallAt = std::function<CallStatus(ControllerServiceClient&,
+                                          const std::string& controller)>;
+  Result<void> RunAt(std::chrono::milliseconds timeout,
+                     std::chrono::milliseconds attempt_timeout,
+                     const CallAt& call);
 
  private:
   std::size_t FindOrAddChannel(const std::string& address);
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -329,6 +329,15 @@
 Result<void> LeaderClient::Run(std::chrono::milliseconds timeout,
                                std::chrono::milliseconds attempt_timeout,
                                const Call& call) {
+  return RunAt(timeout, attempt_timeout,
+               [&](auto& client, const std::string& /*address*/) {
+                 return call(client);
+               });
+}
+
+Result<void> LeaderClient::RunAt(std::chrono::milliseconds timeout,
+                                 std::chrono::milliseconds attempt_timeout,
+                                 const CallAt& call) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   Error last_error(ResultCode::kNoLeader, "no controller answered as leader");
   std::shared_ptr<ControllerChannel> timed_out_before;
@@ -345,9 +354,9 @@
       channel = channels_[index];
     }
     CallStatus status;
-    const auto call_result =
-        channel->Run(attempt_timeout, deadline,
-                     [&](auto& client) { status = call(client); });
+    const auto call_result = channel->Run(
+        attempt_timeout, deadline,
+        [&](auto& client) { status = call(client, channel->address()); });
     const auto code = static_cast<ResultCode>(status.code);
     if (call_result && code != ResultCode::kNotLeader) {
       return {};
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -682,6 +682,8 @@
   3: string path
   4: GraphJob job              // With kSubmit.
   5: i64 waited_ms             // How long the caller has already waited.
+  6: i64 request_id            // With kSubmit: the same in all attempts of an entry to submit one request; 0: none.
+  7: bool earlier_attempt_open // An earlier attempt was not answered and may still arrive.
 }
 
 struct GraphReply {
@@ -689,6 +691,7 @@
   2: GraphJobState state
   3: i64 pending
   4: bool may_be_accepted      // With an error: the job may nevertheless be stored.
+  5: bool refuses_earlier_attempts  // With an error: this controller refuses attempts of the request that arrive late.
 }
 
 // A call of the advice service. The service accepts one call at a time from each host.
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -261,6 +261,14 @@
 void CellHarness::Submit(graph::JobId id,
                          const std::string& queue,
                          const wire::GraphJob& job) {
+  SubmitAttempt(id, queue, job, 0, false);
+}
+
+wire::GraphReply CellHarness::SubmitAttempt(graph::JobId id,
+                                            const std::string& queue,
+                                            const wire::GraphJob& job,
+                                            std::int64_t request_id,
+                                            bool earlier_attempt_open) {
   auto& outcome = jobs[id];
   outcome = {};
   outcome.submitted_ms = now_ms_;
@@ -269,13 +277,18 @@
   call.request.host = queues_.at(queue).host;
   call.request.path = queues_.at(queue).path_prefix + graph::FormatJobId(id);
   call.request.job = job;
-  call.reply = [this, id](const wire::GraphReply& reply) {
+  call.request.request_id = request_id;
+  call.request.earlier_attempt_open = earlier_attempt_open;
+  const auto first_reply = std::make_shared<wire::GraphReply>();
+  call.reply = [this, id, first_reply](const wire::GraphReply& reply) {
     jobs[id].replied_ms = now_ms_;
     jobs[id].code = reply.status.code;
     jobs[id].retry_after_ms = reply.status.retry_after_ms;
+    *first_reply = reply;
   };
   const CpuTimer timer(engine_ms_);
   engine_.Handle(std::move(call), Now());
+  return *first_reply;
 }
 
 void CellHarness::Cancel(graph::JobId id, const std::string& queue) {
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -110,6 +110,13 @@
   void Submit(graph::JobId id,
               const std::string& queue,
               const wire::GraphJob& job);
+  // Like Submit(), as an attempt of the request. Returns the reply if there is
+  // one at once.
+  wire::GraphReply SubmitAttempt(graph::JobId id,
+                                 const std::string& queue,
+                                 const wire::GraphJob& job,
+                                 std::int64_t request_id,
+                                 bool earlier_attempt_open);
   void Cancel(graph::JobId id, const std::string& queue);
   std::optional<wire::GraphJobState::type> StateOf(graph::JobId id) const;
   // Number of pending jobs that the leader reports; -1 if it does not answer.
--- a/tests/platform/entry_submission_test.cc
+++ b/tests/platform/entry_submission_test.cc
@@ -26,20 +26,23 @@
 constexpr std::int64_t kFirstInternalPort = 24'110;
 
 // A leader that refuses submissions with `code`. It replies to the first
-// `delayed` of them only after the entry has tried once more.
+// `delayed` of them only after the entry has tried once more. If `remembers`,
+// it also refuses attempts that arrive late.
 class RefusingLeader final : public wire::ControllerServiceNull {
  public:
-  RefusingLeader(ResultCode code, int delayed)
-      : code_(code), delayed_(delayed) {}
+  RefusingLeader(ResultCode code, int delayed, bool remembers = false)
+      : code_(code), delayed_(delayed), remembers_(remembers) {}
 
   void CallGraph(wire::GraphReply& reply,
-                 const wire::GraphRequest& /*request*/) override {
+                 const wire::GraphRequest& request) override {
     constexpr milliseconds kDelay{1'500};
     if (++submissions_ <= delayed_) {
       std::this_thread::sleep_for(kDelay);
     }
     reply.status = wire::ToStatus(Error(code_, "refused"));
     reply.status.retry_after_ms = 700;
+    reply.refuses_earlier_attempts =
+        remembers_ && request.request_id != 0 && request.earlier_attempt_open;
   }
 
   int submissions() const { return submissions_; }
@@ -47,6 +50,7 @@
  private:
   const ResultCode code_;
   const int delayed_;
+  const bool remembers_;
   std::atomic<int> submissions_ = 0;
 };
 
@@ -98,6 +102,15 @@
   }
 }
 
+// Guards against an unknown outcome, after which the caller would submit the
+// job again at once, if the leader refuses the lost attempt as well.
+Test(entry_submission, reports_a_refusal_that_holds_for_the_lost_attempt) {
+  RefusingLeader leader(ResultCode::kQueueFull, 1, true);
+  const auto response = SubmitTo(leader);
+  cr_expect_eq(leader.submissions(), 2);
+  cr_expect(response.starts_with("HTTP/1.1 429"), "%s", response.c_str());
+}
+
 // Guards against reporting a definite refusal as an unknown outcome, after
 // which the caller would submit the job again at once.
 Test(entry_submission, reports_a_refusal_of_the_only_attempt) {
