cell: Ignore reports of services that no configuration names

What callers could see: a task runs twice. Found by the review, without a case: a report of another writer, of a service that no configuration names, with the address of a live worker and a later birth, ended that worker in the state, and its tasks started again elsewhere while they ran on. The same with its id.

Such a report names no worker to use, so it is acknowledged and ignored. A worker of a service that a later configuration adds reports again.

Test: leader::ignores_reports_of_unknown_services fails on the old code.

--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -129,6 +129,7 @@
   void Show(const GraphCall& call, graph::JobId id) const;
   void Cancel(GraphCall call, graph::JobId id);
   void HandleReport(ReportCall call);
+  bool IsOfUnknownService(const wire::CalledWorker& worker) const;
   void RemoveDepartedWorker(DepartureCall call);
   void HandlePublish(PublishTableCall call);
   // Whether this is a new cell that has not got all its voters yet.
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -246,10 +246,28 @@
   });
 }
 
+// Another writer may report anything, also under the id or at the address of a
+// worker. A worker of a service that a later configuration adds reports again.
+bool Leader::IsOfUnknownService(const wire::CalledWorker& worker) const {
+  const auto& table = store_.table();
+  const auto number = store_.FindWorker(worker.id);
+  const bool registered = number && store_.workers().at(*number).service_name ==
+                                        worker.service_name;
+  return table.version != 0 && !registered &&
+         std::none_of(
+             table.services.begin(), table.services.end(),
+             [&](const auto& it) { return it.name == worker.service_name; });
+}
+
 void Leader::HandleReport(ReportCall call) {
   const auto& report = call.report;
   const auto& worker = report.worker;
   const auto number = store_.FindWorker(worker.id);
+  if (IsOfUnknownService(worker)) {
+    ++metrics_.Counter("reports_of_unknown_services_total");
+    call.reply({});
+    return;
+  }
   if (number) {
     const auto& known = store_.workers().at(*number);
     const auto* tracked_worker = workers_.Find(*number);
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -129,10 +129,15 @@
 }
 
 void CellHarness::ReportOnce(const FakeWorker& worker) {
+  ReportRecord(worker.record, worker.clock_offset_ms);
+}
+
+void CellHarness::ReportRecord(const wire::CalledWorker& record,
+                               std::int64_t clock_offset_ms) {
   WorkerReport report;
-  report.worker = worker.record;
+  report.worker = record;
   report.sequence = now_ms_;
-  report.clock_ms = now_ms_ + worker.clock_offset_ms;
+  report.clock_ms = now_ms_ + clock_offset_ms;
   const CpuTimer timer(engine_ms_);
   engine_.Handle(ReportCall{report, [](const Result<void>&) {}}, Now());
 }
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -122,6 +122,10 @@
   // Number of pending jobs that the leader reports; -1 if it does not answer.
   std::int64_t PendingOf(const std::string& queue);
 
+  // Reports a worker that this test does not run.
+  void ReportRecord(const wire::CalledWorker& record,
+                    std::int64_t clock_offset_ms);
+
   // Ends the worker with all its runs. A new incarnation of it begins at once
   // and reports later.
   void RestartAtOnce(FakeWorker& worker);
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -154,6 +154,27 @@
   cr_expect(it.published_ms.has_value());
 }
 
+// Guards against a report from another writer that ends a worker, whose tasks
+// then run twice: it names a service that is in no configuration, and the id or
+// the address of the worker.
+Test(leader, ignores_reports_of_unknown_services) {
+  for (const bool same_id : {false, true}) {
+    CellHarness cell({.workers = 2});
+    StartCell(cell, {MakeQueue("a", 1)});
+    cell.Submit(1, "a", MakeJob(20, 2'000, 2'000));
+    cell.Run(500);
+    auto odd = cell.workers[0].record;
+    odd.id = same_id ? odd.id : "odd";
+    odd.service_name = "elsewhere";
+    odd.born_ms += 50'000;
+    cell.ReportRecord(odd, 0);
+    cell.Run(4'000);
+    cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+    cr_expect_eq(cell.starts, 20);
+    ExpectNoViolations(cell);
+  }
+}
+
 // Guards against starts after a cancellation, and against runs that are not
 // stopped.
 Test(leader, stops_a_cancelled_job) {
