cell, platform: Know open attempts by the process that they were sent to

Replies now name the process, and an attempt counts as sent to the process that last answered at its address.

--- a/libraries/base/include/cranberryshunt/base/bytes.h
+++ b/libraries/base/include/cranberryshunt/base/bytes.h
@@ -24,6 +24,9 @@
 // `count` unpredictable bytes from the random generator of GnuTLS.
 std::string RandomBytes(std::size_t count);
 
+// A random number other than 0.
+std::int64_t RandomNumber();
+
 // A random identifier: `prefix` followed by 24 hexadecimal digits.
 std::string RandomId(std::string_view prefix);
 
--- a/libraries/base/src/bytes.cc
+++ b/libraries/base/src/bytes.cc
@@ -3,9 +3,11 @@
 #include <gnutls/crypto.h>
 #include <gnutls/gnutls.h>
 #include <zlib.h>
+#include <cstring>
 
 #include <array>
 #include <cassert>
+#include <cstring>
 
 namespace cranberryshunt {
 
@@ -74,6 +76,14 @@
   return bytes;
 }
 
+std::int64_t RandomNumber() {
+  std::int64_t n = 0;
+  while (n == 0) {
+    std::memcpy(&n, RandomBytes(sizeof(n)).data(), sizeof(n));
+  }
+  return n;
+}
+
 std::string RandomId(std::string_view prefix) {
   return std::string(prefix) + Hex(RandomBytes(kRandomIdBytes));
 }
--- a/libraries/cell/src/call_handler.cc
+++ b/libraries/cell/src/call_handler.cc
@@ -49,6 +49,7 @@
       },
       kCallLimit);
   reply = result ? std::move(*result) : ReplyWithoutDecision(result.error());
+  reply.process_id = process_id_;
 }
 
 void CallHandler::PollAdvice(wire::AdviceOrders& reply,
--- a/libraries/cell/src/call_handler.h
+++ b/libraries/cell/src/call_handler.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "ControllerService.h"
+#include "cranberryshunt/base/bytes.h"
 #include "cranberryshunt/consensus/replica.h"
 #include "decision_thread.h"
 
@@ -42,6 +43,7 @@
   template <typename T, typename Make>
   Result<T> PostAndWait(Make make, std::chrono::milliseconds limit);
 
+  const std::int64_t process_id_ = RandomNumber();
   DecisionThread& decisions_;
   consensus::Replica& replica_;
   Relay& relay_;
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -692,6 +692,7 @@
   3: i64 pending
   4: bool may_be_accepted      // With an error: the job may nevertheless be stored.
   5: bool refuses_earlier_attempts  // With an error: this controller refuses attempts of the request that arrive late.
+  6: i64 process_id            // Random number of the controller's process.
 }
 
 // A call of the advice service. The service accepts one call at a time from each host.
--- a/tests/cell/refused_requests_test.cc
+++ b/tests/cell/refused_requests_test.cc
@@ -84,24 +84,39 @@
   cr_expect_null(requests.Find(id - 1));
 }
 
-// Guards against a definite answer while an attempt may arrive at a controller
+// Guards against a definite answer while an attempt may arrive at a process
 // that has not refused it.
-Test(open_attempts, stay_open_until_their_controller_refuses_them) {
+Test(open_attempts, stay_open_until_their_process_refuses_them) {
   wire::GraphReply refusal;
-  wire::GraphReply final_refusal;
+  refusal.process_id = 1;
+  auto final_refusal = refusal;
   final_refusal.refuses_earlier_attempts = true;
   OpenAttempts attempts;
-  attempts.Begin("a");
-  attempts.End("a", refusal);
+  attempts.Begin(1);
+  attempts.End(refusal);
   cr_expect_not(attempts.any());
-  attempts.Begin("a");  // Not answered.
-  attempts.Begin("b");
-  attempts.End("b", final_refusal);
-  cr_expect(attempts.any());
-  attempts.Begin("a");
-  attempts.End("a", refusal);
+  attempts.Begin(1);  // Not answered.
+  attempts.Begin(1);
+  attempts.End(refusal);
   cr_expect(attempts.any());
-  attempts.Begin("a");
-  attempts.End("a", final_refusal);
+  attempts.Begin(1);
+  attempts.End(final_refusal);
   cr_expect_not(attempts.any());
+  attempts.Begin(2);  // Not answered.
+  attempts.Begin(1);
+  attempts.End(final_refusal);
+  cr_expect(attempts.any());
+}
+
+// Guards against a definite answer while an attempt may arrive at a process
+// that has not been heard of.
+Test(open_attempts, stay_open_at_an_unknown_process) {
+  wire::GraphReply final_refusal;
+  final_refusal.refuses_earlier_attempts = true;
+  final_refusal.process_id = 1;
+  OpenAttempts attempts;
+  attempts.Begin(0);  // Not answered.
+  attempts.Begin(0);
+  attempts.End(final_refusal);
+  cr_expect(attempts.any());
 }
--- a/tests/platform/entry_submission_test.cc
+++ b/tests/platform/entry_submission_test.cc
@@ -36,13 +36,14 @@
   void CallGraph(wire::GraphReply& reply,
                  const wire::GraphRequest& request) override {
     constexpr milliseconds kDelay{1'500};
-    if (++submissions_ <= delayed_) {
+    if (++submissions_ == delayed_) {
       std::this_thread::sleep_for(kDelay);
     }
     reply.status = wire::ToStatus(Error(code_, "refused"));
     reply.status.retry_after_ms = 700;
     reply.refuses_earlier_attempts =
         remembers_ && request.request_id != 0 && request.earlier_attempt_open;
+    reply.process_id = 1;
   }
 
   int submissions() const { return submissions_; }
@@ -54,8 +55,9 @@
   std::atomic<int> submissions_ = 0;
 };
 
-// Submits a job to an entry and returns the response, or an empty string.
-std::string SubmitTo(RefusingLeader& leader) {
+// Submits `count` jobs to an entry, one after the other, and returns the last
+// response, or an empty string.
+std::string SubmitTo(RefusingLeader& leader, int count = 1) {
   const auto leader_ip = test::LoopbackIp(1);
   auto server = wire::ControllerServer::Start(
       leader_ip + ":" + std::to_string(kFirstInternalPort),
@@ -71,16 +73,20 @@
   settings.seeds = {leader_ip + ":" + std::to_string(kCallerPort)};
   auto entry = StartEntry(settings);
   cr_assert(entry.has_value());
-  RawClient client(kCallerPort);
-  cr_assert(client.connected());
-  const std::string body = R"({"spec":"s","steps":[{"count":1}]})";
-  client.Send(
-      "POST /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
-      "Content-Type: application/json\r\nConnection: close\r\n"
-      "X-Deadline-Ms: 3000\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n" + body);
-  (void)client.IsClosedWithin(milliseconds(3'500));
-  return client.received;
+  std::string response;
+  for (int n = 0; n < count; ++n) {
+    RawClient client(kCallerPort);
+    cr_assert(client.connected());
+    const std::string body = R"({"spec":"s","steps":[{"count":1}]})";
+    client.Send(
+        "POST /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
+        "Content-Type: application/json\r\nConnection: close\r\n"
+        "X-Deadline-Ms: 3000\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
+    (void)client.IsClosedWithin(milliseconds(3'500));
+    response = client.received;
+  }
+  return response;
 }
 
 constexpr ResultCode kRefusals[] = {
@@ -105,9 +111,9 @@
 // Guards against an unknown outcome, after which the caller would submit the
 // job again at once, if the leader refuses the lost attempt as well.
 Test(entry_submission, reports_a_refusal_that_holds_for_the_lost_attempt) {
-  RefusingLeader leader(ResultCode::kQueueFull, 1, true);
-  const auto response = SubmitTo(leader);
-  cr_expect_eq(leader.submissions(), 2);
+  RefusingLeader leader(ResultCode::kQueueFull, 2, true);
+  const auto response = SubmitTo(leader, 2);
+  cr_expect_eq(leader.submissions(), 3);
   cr_expect(response.starts_with("HTTP/1.1 429"), "%s", response.c_str());
 }
 
