--- a/libraries/base/src/bytes.cc
+++ b/libraries/base/src/bytes.cc
@@ -3,7 +3,6 @@
 #include <gnutls/crypto.h>
 #include <gnutls/gnutls.h>
 #include <zlib.h>
-#include <cstring>
 
 #include <array>
 #include <cassert>
