cell: Log what questions to the advice service are used for

The incident's timeline has 30,000 cpus waiting for work that is refused, and hundreds of waiting questions. The log couldn't tell how much of the demand can still be in time, nor whether the callers' time went into answers that were used, expired, came too late or were lost. The load line and a new line by queue tell that now.

--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -57,7 +57,7 @@
       it->workers.erase(it->workers.begin() + (found - numbers.begin()));
       numbers.erase(found);
       if (numbers.empty()) {
-        RecordFailure(std::move(*it));
+        RecordFailure(std::move(*it), 0);
         it = queued_.erase(it);
         continue;
       }
@@ -81,6 +81,7 @@
     auto& overhead = overhead_ms_.try_emplace(caller, took_ms).first->second;
     overhead += kOverheadWeight * (took_ms - overhead);
     AdviceOutcome answer;
+    answer.caller_ms = now_ms - assigned->second.assigned_ms;
     answer.question = std::move(assigned->second.question);
     assigned_.erase(assigned);
     answer.answered = it.answered;
@@ -91,7 +92,8 @@
   // The caller has lost the questions that it was assigned and does not report.
   for (auto it = assigned_.begin(); it != assigned_.end();) {
     if (it->second.caller == caller) {
-      RecordFailure(std::move(it->second.question));
+      RecordFailure(std::move(it->second.question),
+                    now_ms - it->second.assigned_ms);
       it = assigned_.erase(it);
     } else {
       ++it;
@@ -105,8 +107,10 @@
   polls_.insert_or_assign(caller, OpenPoll{std::move(call), until});
 }
 
-void AdviceDispatcher::RecordFailure(AdviceQuestion question) {
+void AdviceDispatcher::RecordFailure(AdviceQuestion question,
+                                     std::int64_t caller_ms) {
   AdviceOutcome answer;
+  answer.caller_ms = caller_ms;
   answer.question = std::move(question);
   answers_.push_back(std::move(answer));
 }
@@ -190,7 +194,8 @@
           {{"caller", it->second.caller},
            {"step", it->second.question.step_name}});
       overhead_ms_[it->second.caller] = kCallerMarginMs;
-      RecordFailure(std::move(it->second.question));
+      RecordFailure(std::move(it->second.question),
+                    now_ms - it->second.assigned_ms);
       it = assigned_.erase(it);
     } else {
       ++it;
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -18,6 +18,7 @@
 struct AdviceQuestion {
   policy::StepId step = 0;
   std::string step_name;
+  std::string queue;
   std::vector<std::string> workers;          // Ids of the workers to ask about.
   std::vector<std::int64_t> worker_numbers;  // Of the same workers.
   std::int64_t expected_ms = 0;
@@ -34,6 +35,8 @@
   bool answered = false;
   std::vector<wire::AdviceTicket> allowed;
   std::int64_t answered_at_ms = 0;  // On the leader's clock.
+  // Time for which the question occupied its caller; 0 if none had taken it.
+  std::int64_t caller_ms = 0;
 };
 
 class AdviceDispatcher {
@@ -100,7 +103,7 @@
       const AdviceQuestion& question);
   // Ends polls, assigned questions and callers whose time is over.
   void Expire(std::int64_t now_ms);
-  void RecordFailure(AdviceQuestion question);
+  void RecordFailure(AdviceQuestion question, std::int64_t caller_ms);
 
   std::vector<AdviceQuestion> queued_;
   std::map<std::string, OpenPoll> polls_;  // By caller.
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "advice_dispatcher.h"
+#include "advice_usage.h"
 #include "cranberryshunt/cell/engine.h"
 #include "cranberryshunt/policy/graph_admission.h"
 #include "cranberryshunt/policy/worker_health.h"
@@ -175,6 +176,7 @@
   void ApplyAdvice();
   policy::LoadSummary LoadFor(const policy::NewJob& job);
   void LogLoad() const;
+  void LogQuestions();
   void LogLongWaits() const;
   // The first run of the step in the committed state, and the worker that has
   // it. Empty if there is none.
@@ -196,6 +198,7 @@
   WorkerTracker workers_;
   GangAssembly gang_assembly_;
   AdviceDispatcher advice_dispatcher_;
+  AdviceUsage advice_usage_;
   MembershipManager members_;
   // First configurations that wait until the cell is formed.
   std::vector<PublishTableCall> held_publications_;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -94,6 +94,7 @@
   const auto plan = planner_.Decide(now_ms_, spare_callers);
   std::map<policy::StepId, std::vector<PendingStart>> gangs;
   for (const auto& it : plan.starts) {
+    advice_usage_.RecordPlacement(it.step);
     auto start = ProposeStart(it);
     if (planner_.steps().at(it.step).gang) {
       gangs[it.step].push_back(std::move(start));
@@ -291,6 +292,7 @@
   }
   advice_question.worker_numbers = question.workers;
   advice_question.renewal = question.renewal;
+  advice_question.queue = step.queue_name;
   advice_question.expected_ms = question.expected_ms;
   advice_question.latest_start_ms = step.objective_ms - step.remaining_ms;
   advice_question.urgent_queue = step.priority == 0;
@@ -301,10 +303,16 @@
 void Leader::ApplyAdvice() {
   for (auto& it : advice_dispatcher_.TakeAnswers()) {
     plan_due_ = true;
-    if (!step_tracker_.Has(it.question.step)) {
+    auto* waiting_step = planner_.FindStep(it.question.step);
+    advice_usage_.RecordOutcome(
+        it, waiting_step != nullptr,
+        it.answered_at_ms + (waiting_step == nullptr
+                                 ? 0
+                                 : waiting_step->advice.ticket_valid_ms));
+    if (waiting_step == nullptr) {
       continue;
     }
-    auto& step = *planner_.FindStep(it.question.step);
+    auto& step = *waiting_step;
     auto& advice = step.advice;
     advice.EndQuestion(it.question.worker_numbers, it.question.renewal);
     step.changed = true;
@@ -370,10 +378,19 @@
   }
   std::int64_t waiting_tasks = 0;
   std::int64_t waiting_cpus = 0;
+  std::int64_t waiting_late_cpus = 0;
+  std::int64_t waiting_urgent_cpus = 0;
+  std::int64_t waiting_urgent_late_cpus = 0;
   for (const auto& [id, step] : planner_.steps()) {
     const auto tasks = static_cast<std::int64_t>(step.waiting.size());
+    const auto cpus = tasks * step.demand.milli_cpus;
+    const bool late = now_ms_ + step.remaining_ms > step.objective_ms;
+    const bool urgent = step.priority == 0;
     waiting_tasks += tasks;
-    waiting_cpus += tasks * step.demand.milli_cpus;
+    waiting_cpus += cpus;
+    waiting_late_cpus += late ? cpus : 0;
+    waiting_urgent_cpus += urgent ? cpus : 0;
+    waiting_urgent_late_cpus += urgent && late ? cpus : 0;
   }
   Log(LogLevel::kInfo, "cell", "load",
       {{"workers", planner_.workers().size()},
@@ -382,6 +399,9 @@
        {"cpus_used", used.milli_cpus / 1'000},
        {"cpus_held", held.milli_cpus / 1'000},
        {"cpus_waiting", waiting_cpus / 1'000},
+       {"cpus_waiting_late", waiting_late_cpus / 1'000},
+       {"cpus_waiting_urgent", waiting_urgent_cpus / 1'000},
+       {"cpus_waiting_urgent_late", waiting_urgent_late_cpus / 1'000},
        {"memory_gb", capacity.memory_mb / 1'024},
        {"memory_used_gb", used.memory_mb / 1'024},
        {"steps", planner_.steps().size()},
@@ -391,6 +411,21 @@
        {"answer_ms", workers_.MedianStartAnswerMs(now_ms_)}});
 }
 
+// Logs what the time of the callers of the advice service was spent on.
+void Leader::LogQuestions() {
+  for (const auto& [queue, counts] : advice_usage_.TakeCounts(now_ms_)) {
+    Log(LogLevel::kInfo, "advice", "questions",
+        {{"queue", queue},
+         {"used", counts.used},
+         {"unused", counts.unused},
+         {"unused_renewals", counts.unused_renewals},
+         {"gone", counts.gone},
+         {"lost", counts.lost},
+         {"used_ms", counts.used_ms},
+         {"unused_ms", counts.unused_ms}});
+  }
+}
+
 std::string Leader::DescribeRun(const graph::StepKey& key) const {
   const auto* job = store_.FindJob(key.job);
   graph::TaskKey task{key.job, key.occurrence, key.step, 0};
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -181,6 +181,7 @@
   const auto& spec = job.step(key.step);
   policy::PlanStep step;
   step.id = next_id_++;
+  step.queue_name = queue.name;
   step.service_name = queue.service_name;
   step.priority = queue.priority;
   step.demand = DemandOf(spec);
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -136,6 +136,7 @@
 // A step with tasks that wait to be started.
 struct PlanStep {
   StepId id = 0;
+  std::string queue_name;  // For logs only.
   std::string service_name;
   std::int32_t priority = 0;  // 0 is the most urgent.
   Demand demand;              // Of each task.
