tests/policy: Show that urgent jobs are refused long after an outage

The replay of a fleet can leave out the leader for a time: jobs wait at their callers, and the next leader has no answers of the advice service.

--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -24,6 +24,11 @@
          kTypicalWorkersPerQuestion * kind.advice_per_worker_ms;
 }
 
+double ReleaseRate(const ReplayKind& kind) {
+  return static_cast<double>(kind.milli_cpus) /
+         static_cast<double>(kind.run_ms);
+}
+
 bool AllowedByHash(std::int64_t step, std::int64_t worker, double share) {
   std::mt19937_64 random(static_cast<std::uint64_t>(step * 100'003 + worker));
   return std::uniform_real_distribution<>(0, 1)(random) < share;
@@ -50,6 +55,28 @@
     At(1, [this, &it] { Arrive(it); });
   }
   At(kMeasureEveryMs, [this] { Measure(); });
+  if (options_.outage_ms > 0) {
+    At(options_.outage_begin_ms + options_.outage_ms, [this] { EndOutage(); });
+  }
+}
+
+bool FleetReplay::InOutage() const {
+  return now_ms_ >= options_.outage_begin_ms &&
+         now_ms_ < options_.outage_begin_ms + options_.outage_ms;
+}
+
+void FleetReplay::EndOutage() {
+  ++term_;
+  queued_.clear();
+  for (const auto& [id, job] : jobs_by_step_) {
+    auto& step = *planner_.FindStep(id);
+    StepAdvice advice;
+    advice.needed = step.advice.needed;
+    advice.base_ms = step.advice.base_ms;
+    advice.per_worker_ms = step.advice.per_worker_ms;
+    step.advice = std::move(advice);
+    step.changed = true;
+  }
 }
 
 void FleetReplay::At(std::int64_t at_ms, std::function<void()> action) {
@@ -64,6 +91,9 @@
       events_.erase(events_.begin());
       action();
     }
+    if (InOutage()) {
+      continue;
+    }
     const auto since_ms = now_ms_ - planned_ms_;
     if (since_ms >= 50 || (plan_due_ && since_ms >= options_.plan_every_ms)) {
       Plan();
@@ -71,7 +101,7 @@
     AssignQuestions();
   }
   for (auto& [id, job] : jobs_) {
-    ++outcomes_[job.kind->name].unfinished;
+    outcomes_[job.kind->name].unfinished += Counts(job) ? 1 : 0;
   }
   const auto samples = static_cast<double>(std::max<std::int64_t>(1, samples_));
   used_share_ /= samples;
@@ -114,9 +144,11 @@
   job.worth = kind.worth * std::min(4.0, 0.3 + 0.7 * size);
   job.objective_ms = kind.latency_target_ms +
                      static_cast<std::int64_t>(kind.stretch * chain_ms);
-  auto& outcome = outcomes_[kind.name];
-  ++outcome.owed;
-  outcome.worth_owed += job.worth;
+  if (Counts(job)) {
+    auto& outcome = outcomes_[kind.name];
+    ++outcome.owed;
+    outcome.worth_owed += job.worth;
+  }
   const auto id = job.id;
   jobs_[id] = std::move(job);
   Submit(id);
@@ -147,6 +179,11 @@
 }
 
 void FleetReplay::Submit(std::int64_t id) {
+  if (InOutage()) {
+    At(options_.outage_begin_ms + options_.outage_ms,
+       [this, id] { Submit(id); });
+    return;
+  }
   auto& job = jobs_.at(id);
   const auto& kind = *job.kind;
   NewJob new_job;
@@ -161,7 +198,7 @@
   const auto decision = DecideAdmission(Load(kind, new_job.slack_ms), new_job);
   if (!decision.accepted) {
     if (++job.attempts >= kMaxAttempts) {
-      ++outcomes_[kind.name].refused;
+      outcomes_[kind.name].refused += Counts(job) ? 1 : 0;
       jobs_.erase(id);
       return;
     }
@@ -229,8 +266,14 @@
   const auto begins_ms = now_ms_ + options_.commit_ms + options_.transit_ms;
   if (job.first_start_ms < 0) {
     job.first_start_ms = begins_ms;
-    outcomes_[kind.name].first_start_ms.push_back(begins_ms - job.accepted_ms);
+    if (Counts(job)) {
+      outcomes_[kind.name].first_start_ms.push_back(begins_ms -
+                                                    job.accepted_ms);
+    }
   }
+  auto& worker = planner_.workers().at(start.worker);
+  worker.milli_cpus_per_ms += ReleaseRate(kind);
+  planner_.MarkWorkerChanged(start.worker);
   const auto run_ms = job.steps[job.current].run_ms;
   const auto expected_end_ms = now_ms_ + kind.run_ms;
   At(begins_ms + run_ms + options_.transit_ms,
@@ -246,6 +289,7 @@
   auto& job = jobs_.at(jobs_by_step_.at(id));
   const Demand demand{job.kind->milli_cpus, 100, 0};
   worker.used -= demand;
+  worker.milli_cpus_per_ms -= ReleaseRate(*job.kind);
   const auto end =
       std::find_if(worker.ends.begin(), worker.ends.end(), [&](const auto& it) {
         return it.at_ms == expected_end_ms && it.demand == demand;
@@ -272,6 +316,10 @@
 }
 
 void FleetReplay::EndJob(Job& job) {
+  if (!Counts(job)) {
+    jobs_.erase(job.id);
+    return;
+  }
   auto& outcome = outcomes_[job.kind->name];
   const auto took_ms = now_ms_ + options_.commit_ms - job.sent_ms;
   if (took_ms <= job.objective_ms) {
@@ -308,10 +356,12 @@
       continue;
     }
     --idle_callers_;
-    At(now_ms_ + question.expected_ms + 2 * kQuestionTransitMs,
-       [this, question] {
+    At(now_ms_ + question.expected_ms + options_.caller_overhead_ms,
+       [this, question, term = term_] {
          ++idle_callers_;
-         Answer(question);
+         if (term == term_) {
+           Answer(question);
+         }
        });
   }
 }
--- a/tests/policy/fleet_replay.h
+++ b/tests/policy/fleet_replay.h
@@ -54,6 +54,14 @@
   std::uint64_t seed = 1;
   // Factor of the traffic at a time; 1 if unset.
   std::function<double(std::int64_t)> load;
+  // Time without a leader: jobs wait at their callers and nothing is planned.
+  // The next leader knows the steps, but no answers of the advice service.
+  std::int64_t outage_begin_ms = 0;
+  std::int64_t outage_ms = 0;
+  // Time beyond the service's own that a caller takes for a question.
+  std::int64_t caller_overhead_ms = 60;
+  // Only jobs that are sent from this time on count in the outcomes.
+  std::int64_t count_from_ms = 0;
 };
 
 struct ReplayOutcome {
@@ -114,6 +122,9 @@
     std::vector<Step> steps;
     double worth = 0;
   };
+  bool Counts(const Job& job) const {
+    return job.sent_ms >= options_.count_from_ms;
+  }
   void At(std::int64_t at_ms, std::function<void()> action);
   void Arrive(const ReplayKind& kind);
   void Submit(std::int64_t id);
@@ -126,6 +137,8 @@
   void EndJob(Job& job);
   LoadSummary Load(const ReplayKind& kind, std::int64_t slack_ms) const;
   void Measure();
+  bool InOutage() const;
+  void EndOutage();
 
   const ReplayOptions options_;
   const std::vector<ReplayKind> kinds_;
@@ -140,6 +153,7 @@
   std::int64_t next_id_ = 1;
   std::deque<PlannedQuestion> queued_;
   std::int32_t idle_callers_ = 0;
+  std::int64_t term_ = 1;
   bool plan_due_ = false;
   std::int64_t planned_ms_ = 0;
   std::int64_t questions_ = 0;
