policy: Admit jobs against the work that is placed before them

Cause: admission added up all waiting tasks, for urgent jobs those of all urgent steps. The planner places steps that are on time before late ones, and by latest start. So late steps, which wait for as long as gangs that are on time do, counted against jobs that are placed before them, and batch jobs with a long slack against jobs with a short one.

--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -174,7 +174,8 @@
                          const std::string& reason);
   void AskAdvice(const policy::PlannedQuestion& question);
   void ApplyAdvice();
-  policy::LoadSummary LoadFor(const policy::NewJob& job);
+  // The result is valid until the next call.
+  const policy::LoadSummary& LoadFor(const policy::NewJob& job);
   void LogLoad() const;
   void LogQuestions();
   void LogLongWaits() const;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -164,7 +164,7 @@
       static_cast<std::int64_t>((queue.stretch - 1) *
                                 static_cast<double>(new_job.critical_path_ms)) -
       call.request.waited_ms;
-  const auto load = LoadFor(new_job);
+  const auto& load = LoadFor(new_job);
   const auto decision = policy::DecideAdmission(load, new_job);
   Log(LogLevel::kInfo, "admission",
       decision.accepted ? "job accepted" : "job refused",
@@ -174,6 +174,8 @@
        {"critical_path_ms", new_job.critical_path_ms},
        {"slack_ms", new_job.slack_ms},
        {"expected_wait_ms", decision.expected_wait_ms},
+       {"preceding_cpus",
+        static_cast<std::int64_t>(decision.preceding_milli_cpus) / 1'000},
        {"advice_wait_ms", load.advice_wait_ms},
        {"answer_ms", load.answer_ms},
        {"retry_after_ms", decision.retry_after_ms}});
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -351,16 +351,16 @@
   }
 }
 
-policy::LoadSummary Leader::LoadFor(const policy::NewJob& job) {
+const policy::LoadSummary& Leader::LoadFor(const policy::NewJob& job) {
   if (now_ms_ >= cell_load_ms_ + kMaxCellLoadAgeMs) {
-    cell_load_ = planner_.SummarizeLoad();
+    cell_load_ = planner_.SummarizeLoad(now_ms_);
     cell_load_ms_ = now_ms_;
   }
-  auto load = cell_load_;
-  load.answer_ms = workers_.MedianStartAnswerMs(now_ms_);
-  load.advice_wait_ms = static_cast<double>(advice_dispatcher_.ExpectedWaitMs(
-      now_ms_, job.urgent, now_ms_ + job.slack_ms));
-  return load;
+  cell_load_.answer_ms = workers_.MedianStartAnswerMs(now_ms_);
+  cell_load_.advice_wait_ms =
+      static_cast<double>(advice_dispatcher_.ExpectedWaitMs(
+          now_ms_, job.urgent, now_ms_ + job.slack_ms));
+  return cell_load_;
 }
 
 // Logs what an operator needs to tell a fully used cell from one that waits for
--- a/libraries/policy/include/cranberryshunt/policy/graph_admission.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_admission.h
@@ -5,16 +5,13 @@
 #define CRANBERRYSHUNT_POLICY_GRAPH_ADMISSION_H_
 
 #include <cstdint>
+#include <vector>
 
 namespace cranberryshunt::policy {
 
 // Load of one resource of the fleet, in milli-CPUs or MB.
 struct DimensionLoad {
   double free = 0;
-  // Demand of the waiting tasks that precede a new job: `waiting_urgent` if the
-  // new job is urgent, `waiting` otherwise.
-  double waiting_urgent = 0;
-  double waiting = 0;
   // Average amount that running tasks release per millisecond.
   double released_per_ms = 0;
 
@@ -22,9 +19,20 @@
   void AddRunning(double size, std::int64_t expected_run_ms);
 };
 
+// Demand of the waiting tasks of a step.
+struct WaitingDemand {
+  bool urgent = false;
+  // Time until the latest start with which the step's job meets its objective;
+  // negative if the step is late.
+  std::int64_t slack_ms = 0;
+  double milli_cpus = 0;
+  double memory_mb = 0;
+};
+
 struct LoadSummary {
   DimensionLoad cpus;
   DimensionLoad memory;
+  std::vector<WaitingDemand> waiting;  // In any order.
   // Expected time until the advice service begins a new question.
   double advice_wait_ms = 0;
   // Median time in which workers answered recent start orders. It grows when
@@ -41,6 +49,8 @@
 struct AdmissionDecision {
   bool accepted = true;
   std::int64_t expected_wait_ms = 0;
+  // Demand of the waiting tasks that are placed before those of the job.
+  double preceding_milli_cpus = 0;
   // Refused because the leader is short of processor time.
   bool overloaded = false;
   // Delay after which the caller should retry. Set only if the job is refused.
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -315,7 +315,7 @@
   StepWorkers WorkersOf(const PlanStep& step) const;
   // What waits, is free and is given back, as of the last Decide(). The times
   // of answers are left at 0.
-  LoadSummary SummarizeLoad() const;
+  LoadSummary SummarizeLoad(std::int64_t now_ms) const;
 
   // Must be called when a worker was added or changed, so that the next
   // Decide() plans the steps that may use it.
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -25,11 +25,23 @@
 constexpr std::int64_t kMinRetryMs = 300;
 constexpr std::int64_t kMaxRetryMs = 10'000;
 
-// Expected time until the demand that precedes the new job is covered. Tasks
-// may also wait for advice while capacity is free, so free capacity is
-// subtracted from their demand.
-double CapacityWaitMs(const DimensionLoad& load, bool urgent) {
-  const double demand = urgent ? load.waiting_urgent : load.waiting;
+// Whether the waiting tasks are placed before those of the new job. This is the
+// order in which the planner places steps.
+bool Precedes(const WaitingDemand& waiting, const NewJob& job) {
+  const bool step_late = waiting.slack_ms < 0;
+  const bool job_late = job.slack_ms < 0;
+  if (step_late != job_late) {
+    return job_late;
+  }
+  if (waiting.urgent != job.urgent) {
+    return waiting.urgent;
+  }
+  return step_late || waiting.slack_ms <= job.slack_ms;
+}
+
+// Expected time until the demand is covered. Tasks may also wait for advice
+// while capacity is free, so free capacity is subtracted from their demand.
+double CapacityWaitMs(const DimensionLoad& load, double demand) {
   const double missing = demand - load.free * kPackableShare;
   if (missing <= 0 || load.released_per_ms <= 0) {
     return 0;
@@ -45,10 +57,17 @@
 }
 
 AdmissionDecision DecideAdmission(const LoadSummary& load, const NewJob& job) {
-  const double capacity_wait_ms =
-      std::max(CapacityWaitMs(load.cpus, job.urgent),
-               CapacityWaitMs(load.memory, job.urgent));
   AdmissionDecision decision;
+  double memory_mb = 0;
+  for (const auto& it : load.waiting) {
+    if (Precedes(it, job)) {
+      decision.preceding_milli_cpus += it.milli_cpus;
+      memory_mb += it.memory_mb;
+    }
+  }
+  const double capacity_wait_ms =
+      std::max(CapacityWaitMs(load.cpus, decision.preceding_milli_cpus),
+               CapacityWaitMs(load.memory, memory_mb));
   decision.overloaded =
       load.answer_ms > (job.urgent ? kMaxUrgentAnswerMs : kMaxAnswerMs);
   decision.expected_wait_ms = static_cast<std::int64_t>(
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -471,7 +471,7 @@
   }
 }
 
-LoadSummary GraphPlanner::SummarizeLoad() const {
+LoadSummary GraphPlanner::SummarizeLoad(std::int64_t now_ms) const {
   LoadSummary load;
   load.cpus.free = static_cast<double>(worker_totals_.free.milli_cpus);
   load.memory.free = static_cast<double>(worker_totals_.free.memory_mb);
@@ -482,12 +482,9 @@
     const auto tasks = static_cast<double>(step.waiting.size());
     const auto cpus = tasks * static_cast<double>(step.demand.milli_cpus);
     const auto memory = tasks * static_cast<double>(step.demand.memory_mb);
-    load.cpus.waiting += cpus;
-    load.memory.waiting += memory;
-    if (step.priority == 0) {
-      load.cpus.waiting_urgent += cpus;
-      load.memory.waiting_urgent += memory;
-    }
+    load.waiting.push_back({step.priority == 0,
+                            step.objective_ms - step.remaining_ms - now_ms,
+                            cpus, memory});
   }
   return load;
 }
--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -161,7 +161,7 @@
 
 LoadSummary FleetReplay::Load(const ReplayKind& kind,
                               std::int64_t slack_ms) const {
-  auto load = planner_.SummarizeLoad();
+  auto load = planner_.SummarizeLoad(now_ms_);
   // Questions of urgent steps go first.
   double ahead_ms = 0;
   for (const auto& it : queued_) {
--- a/tests/policy/graph_admission_test.cc
+++ b/tests/policy/graph_admission_test.cc
@@ -16,7 +16,7 @@
   LoadSummary load;
   load.cpus.AddRunning(kCapacity, 1'000);
   load.memory.AddRunning(kCapacity, 1'000);
-  load.cpus.waiting = queued_ms / 1'000 * kCapacity;
+  load.waiting.push_back({false, 0, queued_ms / 1'000 * kCapacity, 0});
   return load;
 }
 
@@ -44,6 +44,32 @@
   auto job = WithSlack(900);
   job.urgent = true;
   cr_expect(DecideAdmission(LoadWithQueue(20'000), job).accepted);
+  auto urgent_load = LoadWithQueue(0);
+  urgent_load.waiting.push_back({true, 0, 2 * kCapacity, 0});
+  cr_expect_not(DecideAdmission(urgent_load, job).accepted);
+}
+
+// Work that became late in an outage waits behind gangs that are still on time.
+// Guards against refusing jobs that are placed before all late work.
+Test(graph_admission, does_not_count_late_work_against_jobs_on_time) {
+  LoadSummary load = LoadWithQueue(0);
+  load.waiting.push_back({true, -1, 20 * kCapacity, 0});
+  load.waiting.push_back({false, -1, 20 * kCapacity, 0});
+  auto job = WithSlack(900);
+  cr_expect(DecideAdmission(load, job).accepted);
+  job.urgent = true;
+  cr_expect(DecideAdmission(load, job).accepted);
+  cr_expect_not(DecideAdmission(load, WithSlack(-600)).accepted);
+}
+
+// A backlog of batch jobs that may wait for long. Guards against refusing jobs
+// with less time, which are placed before them, and against accepting batch
+// jobs that are placed last.
+Test(graph_admission, counts_only_work_with_an_earlier_latest_start) {
+  LoadSummary load = LoadWithQueue(0);
+  load.waiting.push_back({false, 12'000, 15 * kCapacity, 0});
+  cr_expect(DecideAdmission(load, WithSlack(5'000)).accepted);
+  cr_expect_not(DecideAdmission(load, WithSlack(15'000)).accepted);
 }
 
 // Callers submit jobs after an outage that are already late. Guards against
