cell, wire: Keep when a job was submitted across a change of leader

What callers saw: after each change of leader accepted jobs ended late or not at all although their share of the traffic was served before.

Cause: a leader kept in memory when a job was submitted. The next one took all inherited jobs for just accepted, so everything that was late counted as on time again. It was asked for and placed before new jobs that could still be in time, and counted against them in admission.

The leader now stores the time in the accepted job, in the time of the cell. Time without a leader isn't counted, as before for retention.

The new test fails on the old code: a job on time is refused because of a late one that the leader inherited.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -119,6 +119,10 @@
     }
     pending_.Update(id, &job);
     if (job.active()) {
+      if (const auto submitted_ms = job.submitted_ms()) {
+        step_tracker_.RecordAcceptance(id,
+                                       now_ms_ - (CellMs() - *submitted_ms));
+      }
       step_tracker_.Refresh(id, now_ms_, wall_ms_);
     } else {
       workers_.StopJob(id);
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -195,6 +195,7 @@
   accepted.id = static_cast<std::int64_t>(id);
   accepted.queue = queue;
   accepted.job = job;
+  accepted.__set_submitted_ms(CellMs() - call.request.waited_ms);
   step_tracker_.RecordAcceptance(id, now_ms_ - call.request.waited_ms);
   step_tracker_.AddUncommitted(accepted, now_ms_);
   plan_due_ = true;
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -92,6 +92,13 @@
 
   JobId id() const { return static_cast<JobId>(accepted_.id); }
   const wire::JobQueue& queue() const { return accepted_.queue; }
+  // When the job was first submitted, in the time of the batches. Unknown for
+  // jobs that an earlier version accepted.
+  std::optional<std::int64_t> submitted_ms() const {
+    return accepted_.__isset.submitted_ms
+               ? std::optional(accepted_.submitted_ms)
+               : std::nullopt;
+  }
   const wire::GraphJob& spec() const { return accepted_.job; }
   const wire::GraphStep& step(std::int32_t n) const {
     return accepted_.job.steps[static_cast<std::size_t>(n)];
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -616,6 +616,7 @@
   1: i64 id
   2: JobQueue queue            // The settings of the queue when the job was accepted.
   3: GraphJob job
+  4: optional i64 submitted_ms // When it was first submitted, in the time of the batches.
 }
 
 // One log entry of a cell with called workers. The fields are applied in their order.
--- a/tests/cell/hand_over_test.cc
+++ b/tests/cell/hand_over_test.cc
@@ -72,3 +72,29 @@
   cr_expect_eq(cell.starts, 1);
   ExpectNoViolations(cell);
 }
+
+// Load pattern: work has become late in an outage. The cell's time goes on with
+// each batch, here those of job 4. Guards against a new leader
+// that takes inherited jobs for just accepted, and places those that are late
+// before new ones that can still be in time.
+Test(hand_over, places_jobs_on_time_before_inherited_late_ones) {
+  CellHarness cell({.workers = 1, .milli_cpus = 4'000});
+  StartCell(cell);
+  cell.Submit(1, "a", MakeJob(1, 4'000, 9'000));
+  cell.Run(200);
+  cell.Submit(2, "a", MakeJob(1, 4'000, 1'000));
+  cell.Run(7'300);
+  cell.Submit(4, "a", MakeJob(1, 4'000, 1'000));
+  cell.Run(100);
+  cell.Cancel(4, "a");
+  cell.Run(100);
+  cell.ChangeLeader();
+  cell.Run(300);
+  cell.Submit(3, "a", MakeJob(1, 4'000, 1'000));
+  cell.Run(12'000);
+  cr_assert_eq(cell.jobs[3].code, 0);
+  cr_assert_gt(cell.jobs[3].first_start_ms, 0);
+  cr_assert_gt(cell.jobs[2].first_start_ms, 0);
+  cr_expect_lt(cell.jobs[3].first_start_ms, cell.jobs[2].first_start_ms);
+  ExpectNoViolations(cell);
+}
