--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -120,9 +120,7 @@
   }
   const auto& job = call.request.job;
   policy::NewJob new_job;
-  new_job.queue = queue.name;
   new_job.urgent = queue.priority == 0;
-  new_job.advice_ms = ExpectedAdviceMs(queue);
   const auto service = capacities_.find(queue.service_name);
   for (const auto& step : job.steps) {
     const auto demand = DemandOf(step);
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -28,10 +28,6 @@
                                          const RunTimes& times,
                                          RunLength length);
 
-// Expected time in which the advice service answers a question for the queue; 0
-// if it needs no advice.
-std::int64_t ExpectedAdviceMs(const wire::JobQueue& queue);
-
 class StepTracker {
  public:
   StepTracker(const graph::GraphStore& store,
--- a/libraries/policy/include/cranberryshunt/policy/graph_admission.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_admission.h
@@ -5,8 +5,6 @@
 #define CRANBERRYSHUNT_POLICY_GRAPH_ADMISSION_H_
 
 #include <cstdint>
-#include <map>
-#include <string>
 #include <vector>
 
 namespace cranberryshunt::policy {
@@ -23,13 +21,10 @@
 
 // Demand of the waiting tasks of a step.
 struct WaitingDemand {
-  std::string queue;
   bool urgent = false;
   // Time until the latest start with which the step's job meets its objective;
   // negative if the step is late.
   std::int64_t slack_ms = 0;
-  // Time since a task of the step was placed, or since it waits.
-  std::int64_t waited_ms = 0;
   double milli_cpus = 0;
   double memory_mb = 0;
 };
@@ -38,9 +33,6 @@
   DimensionLoad cpus;
   DimensionLoad memory;
   std::vector<WaitingDemand> waiting;  // In any order.
-  // Milli-CPUs of steps on time that are placed per millisecond, by queue.
-  // Queues that have not been observed for long enough are missing.
-  std::map<std::string, double> placed_per_ms;
   // Expected time until the advice service begins a new question.
   double advice_wait_ms = 0;
   // Median time in which workers answered recent start orders. It grows when
@@ -49,11 +41,9 @@
 };
 
 struct NewJob {
-  std::string queue;
   bool urgent = false;
   std::int64_t critical_path_ms = 0;  // Includes advice, excludes waiting.
   std::int64_t slack_ms = 0;          // Objective minus the critical path.
-  std::int64_t advice_ms = 0;         // Expected time of an answer.
 };
 
 struct AdmissionDecision {
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -12,7 +12,6 @@
 
 #include "cranberryshunt/base/flat_containers.h"
 #include "cranberryshunt/policy/graph_admission.h"
-#include "cranberryshunt/policy/placement_rate.h"
 
 namespace cranberryshunt::policy {
 
@@ -137,7 +136,7 @@
 // A step with tasks that wait to be started.
 struct PlanStep {
   StepId id = 0;
-  std::string queue_name;
+  std::string queue_name;  // For logs only.
   std::string service_name;
   std::int32_t priority = 0;  // 0 is the most urgent.
   Demand demand;              // Of each task.
@@ -465,8 +464,6 @@
   Candidates changed_candidates_;
   // Workers with capacity that the last Decide() held for gangs.
   std::vector<std::int64_t> workers_with_held_capacity_;
-  // Milli-CPUs of steps on time, by queue.
-  std::map<std::string, PlacementRate> placement_rates_;
   std::int64_t full_round_at_ms_ = 0;
   bool unrest_ = false;
   // Total capacity of the usable workers of each service, as of the last full
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -13,9 +13,6 @@
 constexpr double kUsableSlackShare = 0.8;
 // A wait up to this long is accepted even for a job without slack.
 constexpr std::int64_t kMinUsableWaitMs = 150;
-// A new job is expected to wait at most this many times as long as the work
-// before it has waited so far.
-constexpr double kMaxWaitGrowth = 2;
 // The leader refuses new jobs while the median time in which workers answer
 // start orders is above these limits. The higher limit applies to urgent jobs.
 // Jobs are refused because leases that are renewed too late cost more than jobs
@@ -42,42 +39,6 @@
   return step_late || waiting.slack_ms <= job.slack_ms;
 }
 
-// Expected wait behind the waiting work of the same queue, from how fast work
-// of this queue is placed. Unlike the capacity, that includes how long gangs
-// assemble, and work that arrives later but is placed before. Sudden arrivals
-// precede what the rate shows, so a wait is expected only once work has waited
-// for about as long. No wait is expected while there is room for all on time.
-double QueueWaitMs(const LoadSummary& load, const NewJob& job) {
-  const auto rate = load.placed_per_ms.find(job.queue);
-  if (rate == load.placed_per_ms.end()) {
-    return 0;
-  }
-  double on_time_milli_cpus = 0;
-  double preceding_milli_cpus = 0;
-  std::int64_t longest_wait_ms = 0;
-  for (const auto& it : load.waiting) {
-    if (it.slack_ms < 0) {
-      continue;
-    }
-    on_time_milli_cpus += it.milli_cpus;
-    if (it.queue == job.queue && Precedes(it, job)) {
-      preceding_milli_cpus += it.milli_cpus;
-      longest_wait_ms = std::max(longest_wait_ms, it.waited_ms);
-    }
-  }
-  if (on_time_milli_cpus <= load.cpus.free * kPackableShare ||
-      preceding_milli_cpus <= 0) {
-    return 0;
-  }
-  const double observed_ms =
-      kMaxWaitGrowth * static_cast<double>(longest_wait_ms);
-  const double expected_ms =
-      rate->second > 0
-          ? std::min(observed_ms, preceding_milli_cpus / rate->second)
-          : observed_ms;
-  return std::max(0.0, expected_ms - static_cast<double>(job.advice_ms));
-}
-
 // Expected time until the demand is covered. Tasks may also wait for advice
 // while capacity is free, so free capacity is subtracted from their demand.
 double CapacityWaitMs(const DimensionLoad& load, double demand) {
@@ -104,9 +65,9 @@
       memory_mb += it.memory_mb;
     }
   }
-  const double capacity_wait_ms = std::max(
-      {CapacityWaitMs(load.cpus, decision.preceding_milli_cpus),
-       CapacityWaitMs(load.memory, memory_mb), QueueWaitMs(load, job)});
+  const double capacity_wait_ms =
+      std::max(CapacityWaitMs(load.cpus, decision.preceding_milli_cpus),
+               CapacityWaitMs(load.memory, memory_mb));
   decision.overloaded =
       load.answer_ms > (job.urgent ? kMaxUrgentAnswerMs : kMaxAnswerMs);
   decision.expected_wait_ms = static_cast<std::int64_t>(
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -473,11 +473,6 @@
 
 LoadSummary GraphPlanner::SummarizeLoad(std::int64_t now_ms) const {
   LoadSummary load;
-  for (const auto& [queue, rate] : placement_rates_) {
-    if (const auto per_ms = rate.PerMs(now_ms)) {
-      load.placed_per_ms[queue] = *per_ms;
-    }
-  }
   load.cpus.free = static_cast<double>(worker_totals_.free.milli_cpus);
   load.memory.free = static_cast<double>(worker_totals_.free.memory_mb);
   load.cpus.released_per_ms = worker_totals_.milli_cpus_per_ms;
@@ -487,9 +482,9 @@
     const auto tasks = static_cast<double>(step.waiting.size());
     const auto cpus = tasks * static_cast<double>(step.demand.milli_cpus);
     const auto memory = tasks * static_cast<double>(step.demand.memory_mb);
-    load.waiting.push_back({step.queue_name, step.priority == 0,
+    load.waiting.push_back({step.priority == 0,
                             step.objective_ms - step.remaining_ms - now_ms,
-                            now_ms - step.waiting_since_ms, cpus, memory});
+                            cpus, memory});
   }
   return load;
 }
@@ -540,7 +535,6 @@
 void GraphPlanner::PlaceStep(PlanStep& step, Round& round) {
   if (step.unserved_since_ms == 0) {
     step.unserved_since_ms = round.now_ms;
-    placement_rates_.try_emplace(step.queue_name, round.now_ms);
   }
   const bool plan_fully = round.full || step.changed;
   if (step.uncommitted) {
@@ -608,10 +602,6 @@
 }
 
 void GraphPlanner::Start(PlanStep& step, PlanWorker& worker, Round& round) {
-  if (!IsLate(step, round.now_ms)) {
-    placement_rates_.at(step.queue_name)
-        .Add(static_cast<double>(step.demand.milli_cpus), round.now_ms);
-  }
   worker.used += step.demand;
   auto& indexed = *FindIndexed(worker.number);
   worker_totals_ -= indexed.part;
