wire, cell: Log the steps of new connections

Which step of a handshake failed, and whether a controller gets to its new connections at all, could not be told from the logs. No logic changes.

--- a/libraries/cell/src/controller.cc
+++ b/libraries/cell/src/controller.cc
@@ -123,16 +123,24 @@
 
 }  // namespace
 
-// Logs the calls to workers since the last call.
-void LogUsage(Relay& relay) {
+// Logs the calls to workers and the connections of peers since the last call.
+void LogUsage(Relay& relay, wire::ControllerServer& server) {
   const auto calls = relay.TakeCounts();
+  const auto connections = server.TakeCounts();
   Log(LogLevel::kInfo, "cell", "usage",
       {{"holds", calls.holds},
        {"starts", calls.starts},
        {"stops", calls.stops},
        {"unanswered", calls.unanswered},
        {"relayed", calls.relayed},
-       {"expired", calls.expired}});
+       {"expired", calls.expired},
+       {"accepted", connections.accepted},
+       {"challenged", connections.challenged},
+       {"authenticated", connections.authenticated},
+       {"closed", connections.closed},
+       {"open", connections.open},
+       {"longest_challenge_us", connections.longest_challenge.count()},
+       {"longest_handshake_us", connections.longest_handshake.count()}});
 }
 
 // Members are destroyed in the reverse order of their declaration.
@@ -159,9 +167,9 @@
   ~Implementation() {
     join_requester.reset();
     decisions.StopServing();
+    usage_timer = {};
     server.reset();
     decisions.Stop();
-    usage_timer = {};
     relay_timer = {};
     relay.Stop();
     replica.reset();
@@ -210,8 +218,6 @@
       }));
   parts->relay_timer = parts->timers.RunEvery(
       kRelayCheckInterval, [raw = parts.get()] { raw->relay.Advance(); });
-  parts->usage_timer = parts->timers.RunEvery(
-      kUsageLogInterval, [raw = parts.get()] { LogUsage(raw->relay); });
   parts->decisions.Start(*parts->replica, parts->relay);
   parts->handler = std::make_unique<CallHandler>(parts->decisions,
                                                  *parts->replica, parts->relay);
@@ -226,6 +232,9 @@
     return tl::unexpected(server.error());
   }
   parts->server = std::move(*server);
+  parts->usage_timer = parts->timers.RunEvery(
+      kUsageLogInterval,
+      [raw = parts.get()] { LogUsage(raw->relay, *raw->server); });
   parts->join_requester =
       std::make_unique<JoinRequester>(options, *parts->replica);
   return std::unique_ptr<Controller>(new Controller(std::move(parts)));
--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -60,20 +60,23 @@
 
  private:
   struct Connection;
+  struct HandshakeProgress;
 
   Result<std::unique_ptr<Connection>> OpenConnection(
       std::chrono::milliseconds timeout,
       TimePoint deadline);
   Result<std::unique_ptr<Connection>> Handshake(
       std::chrono::milliseconds timeout,
-      TimePoint deadline);
+      TimePoint deadline,
+      HandshakeProgress& progress);
   Result<std::unique_ptr<Connection>> TakeIdleConnection(TimePoint deadline);
   // Requires `mutex_` to be locked.
   void ReturnConnection(std::unique_ptr<Connection> connection);
   void CloseConnectionsWithoutReplySince(
       std::chrono::steady_clock::time_point time);
   void LogUnreachable(const Error& error,
-                      std::chrono::steady_clock::time_point now) const;
+                      const HandshakeProgress& progress,
+                      TimePoint now) const;
 
   const std::string address_;
   const std::string own_id_;
--- a/libraries/wire/include/cranberryshunt/wire/controller_server.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_server.h
@@ -2,6 +2,8 @@
 #ifndef CRANBERRYSHUNT_WIRE_CONTROLLER_SERVER_H_
 #define CRANBERRYSHUNT_WIRE_CONTROLLER_SERVER_H_
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,6 +14,20 @@
 
 class ControllerServiceIf;
 
+// The steps of new connections since the last call of TakeCounts().
+struct ConnectionCounts {
+  std::int64_t accepted = 0;
+  std::int64_t challenged = 0;
+  std::int64_t authenticated = 0;
+  std::int64_t closed = 0;
+  // Connections that are open now.
+  std::int64_t open = 0;
+  // Longest times from the acceptance to the peer's first message and to its
+  // proof.
+  std::chrono::microseconds longest_challenge{0};
+  std::chrono::microseconds longest_handshake{0};
+};
+
 // Accepts connections and passes their calls to a handler once the peer has
 // proved that it knows the cluster secret. Each connection has a thread of its
 // own. A call before the authentication closes the connection.
@@ -35,6 +51,8 @@
   // Stops accepting connections and waits until the running calls have ended.
   ~ControllerServer();
 
+  ConnectionCounts TakeCounts();
+
  private:
   struct Implementation;
 
--- a/libraries/wire/src/controller_client.cc
+++ b/libraries/wire/src/controller_client.cc
@@ -78,6 +78,18 @@
 
 }  // namespace
 
+// The steps of a connection attempt and when the last one began.
+struct ControllerChannel::HandshakeProgress {
+  const char* step = "connect";
+  TimePoint begin = std::chrono::steady_clock::now();
+  TimePoint step_begin = begin;
+
+  void Enter(const char* name) {
+    step = name;
+    step_begin = std::chrono::steady_clock::now();
+  }
+};
+
 struct ControllerChannel::Connection {
   std::chrono::steady_clock::time_point last_reply;
   std::shared_ptr<TSocket> socket;
@@ -136,16 +148,18 @@
 Result<std::unique_ptr<ControllerChannel::Connection>>
 ControllerChannel::OpenConnection(std::chrono::milliseconds timeout,
                                   TimePoint deadline) {
-  const auto begin = std::chrono::steady_clock::now();
-  auto connection = Handshake(std::min(timeout, handshake_timeout_), deadline);
+  HandshakeProgress progress;
+  auto connection =
+      Handshake(std::min(timeout, handshake_timeout_), deadline, progress);
   std::lock_guard lock(mutex_);
   const auto now = std::chrono::steady_clock::now();
   // A caller without time left learns nothing about the controller.
   const bool out_of_time = now >= deadline;
-  const bool answers = connection || (last_reply_ && *last_reply_ >= begin);
+  const bool answers =
+      connection || (last_reply_ && *last_reply_ >= progress.begin);
   const bool failed = !answers && !out_of_time;
   if (failed && now >= unreachable_until_) {
-    LogUnreachable(connection.error(), now);
+    LogUnreachable(connection.error(), progress, now);
   }
   if (answers) {
     unreachable_until_ = now;
@@ -158,24 +172,28 @@
   return connection;
 }
 
-void ControllerChannel::LogUnreachable(
-    const Error& error,
-    std::chrono::steady_clock::time_point now) const {
+void ControllerChannel::LogUnreachable(const Error& error,
+                                       const HandshakeProgress& progress,
+                                       TimePoint now) const {
+  const auto to_ms = [](auto duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+        .count();
+  };
   Log(LogLevel::kInfo, "wire", "controller is not reachable",
       {{"controller", address_},
        {"error", error.message()},
+       {"step", progress.step},
+       {"earlier_steps_ms", to_ms(progress.step_begin - progress.begin)},
+       {"step_ms", to_ms(now - progress.step_begin)},
        {"opening", opening_},
        {"idle", idle_.size()},
-       {"last_reply_ms",
-        last_reply_ ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                          now - *last_reply_)
-                          .count()
-                    : -1}});
+       {"last_reply_ms", last_reply_ ? to_ms(now - *last_reply_) : -1}});
 }
 
 Result<std::unique_ptr<ControllerChannel::Connection>>
 ControllerChannel::Handshake(std::chrono::milliseconds timeout,
-                             TimePoint deadline) {
+                             TimePoint deadline,
+                             HandshakeProgress& progress) {
   const auto host_port = SplitAddress(address_);
   if (!host_port) {
     return tl::unexpected(host_port.error());
@@ -191,6 +209,7 @@
   try {
     SetTimeout(*connection->socket, timeout, deadline);
     connection->socket->open();
+    progress.Enter("challenge");
     SetTimeout(*connection->socket, timeout, deadline);
     const std::string client_nonce = RandomBytes(kNonceBytes);
     std::string challenge;
@@ -205,6 +224,7 @@
       return Fail(ResultCode::kNotAuthenticated,
                   "controller does not know the cluster secret");
     }
+    progress.Enter("authenticate");
     SetTimeout(*connection->socket, timeout, deadline);
     std::string ignored;
     connection->client->Authenticate(
--- a/libraries/wire/src/controller_server.cc
+++ b/libraries/wire/src/controller_server.cc
@@ -5,6 +5,8 @@
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
+#include <algorithm>
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -21,6 +23,7 @@
 
 using apache::thrift::TConnectionInfo;
 using apache::thrift::protocol::TBinaryProtocolFactory;
+using apache::thrift::protocol::TProtocol;
 using apache::thrift::server::TServerEventHandler;
 using apache::thrift::server::TThreadedServer;
 using apache::thrift::transport::TFramedTransportFactory;
@@ -28,6 +31,62 @@
 using apache::thrift::transport::TTransport;
 using apache::thrift::transport::TTransportException;
 
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+std::chrono::microseconds ElapsedSince(SteadyTime begin) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - begin);
+}
+
+// Counts the steps of new connections. Safe for use by several threads.
+class ConnectionCounter {
+ public:
+  void CountAccepted() {
+    Change([](auto& it) {
+      ++it.accepted;
+      ++it.open;
+    });
+  }
+  void CountChallenged(SteadyTime accepted) {
+    Change([&](auto& it) {
+      ++it.challenged;
+      it.longest_challenge =
+          std::max(it.longest_challenge, ElapsedSince(accepted));
+    });
+  }
+  void CountAuthenticated(SteadyTime accepted) {
+    Change([&](auto& it) {
+      ++it.authenticated;
+      it.longest_handshake =
+          std::max(it.longest_handshake, ElapsedSince(accepted));
+    });
+  }
+  void CountClosed() {
+    Change([](auto& it) {
+      ++it.closed;
+      --it.open;
+    });
+  }
+
+  ConnectionCounts Take() {
+    const std::lock_guard lock(mutex_);
+    const auto taken = counts_;
+    counts_ = {};
+    counts_.open = taken.open;
+    return taken;
+  }
+
+ private:
+  template <typename F>
+  void Change(F change) {
+    const std::lock_guard lock(mutex_);
+    change(counts_);
+  }
+
+  std::mutex mutex_;
+  ConnectionCounts counts_;
+};
+
 // The handler of one connection. It authenticates the peer and forwards all
 // other calls.
 class ConnectionHandler final : public ControllerServiceIf {
@@ -35,15 +94,20 @@
   ConnectionHandler(ControllerServiceIf& handler,
                     const std::string& cluster_secret,
                     const ControllerServer::OnRefused& on_refused,
+                    ConnectionCounter& counter,
                     std::shared_ptr<TTransport> transport)
       : handler_(handler),
         cluster_secret_(cluster_secret),
         on_refused_(on_refused),
-        transport_(std::move(transport)) {}
+        counter_(counter),
+        transport_(std::move(transport)) {
+    counter_.CountAccepted();
+  }
 
   void Challenge(std::string& reply,
                  const std::string& client_id,
                  const std::string& client_nonce) override {
+    counter_.CountChallenged(accepted_);
     client_id_ = client_id;
     client_nonce_ = client_nonce;
     server_nonce_ = RandomBytes(kNonceBytes);
@@ -69,6 +133,7 @@
       error.message = "proof does not match the cluster secret";
       throw error;
     }
+    counter_.CountAuthenticated(accepted_);
   }
 
   void Submit(SubmitReply& reply, const SubmitRequest& request) override {
@@ -161,7 +226,9 @@
   ControllerServiceIf& handler_;
   const std::string& cluster_secret_;
   const ControllerServer::OnRefused& on_refused_;
+  ConnectionCounter& counter_;
   std::shared_ptr<TTransport> transport_;
+  const SteadyTime accepted_ = std::chrono::steady_clock::now();
   std::string client_id_;
   std::string client_nonce_;
   std::string server_nonce_;
@@ -179,21 +246,31 @@
 
   ControllerServiceIf* getHandler(const TConnectionInfo& info) override {
     return new ConnectionHandler(handler_, cluster_secret_, on_refused_,
-                                 info.transport);
+                                 counter_, info.transport);
   }
   void releaseHandler(ControllerServiceIf* handler) override { delete handler; }
 
+  ConnectionCounter& counter() { return counter_; }
+
  private:
   ControllerServiceIf& handler_;
   std::string cluster_secret_;
   ControllerServer::OnRefused on_refused_;
+  ConnectionCounter counter_;
 };
 
 // Lets the starting thread wait until the server is listening or has failed to
-// start.
+// start. Counts the connections that end.
 class ListenSignal final : public TServerEventHandler {
  public:
+  explicit ListenSignal(ConnectionCounter& counter) : counter_(counter) {}
+
   void preServe() override { Set(true); }
+  void deleteContext(void* /*context*/,
+                     std::shared_ptr<TProtocol> /*input*/,
+                     std::shared_ptr<TProtocol> /*output*/) override {
+    counter_.CountClosed();
+  }
 
   void Set(bool listening) {
     std::lock_guard lock(mutex_);
@@ -209,6 +286,7 @@
   }
 
  private:
+  ConnectionCounter& counter_;
   std::mutex mutex_;
   std::condition_variable changed_;
   bool done_ = false;
@@ -218,6 +296,7 @@
 }  // namespace
 
 struct ControllerServer::Implementation {
+  std::shared_ptr<HandlerFactory> handlers;
   std::shared_ptr<ListenSignal> ready;
   std::shared_ptr<TThreadedServer> server;
   std::string failure;
@@ -238,15 +317,16 @@
     return Fail(ResultCode::kInvalidSettings, "address is not ip:port",
                 listen_address);
   }
-  auto factory = std::make_shared<HandlerFactory>(
+  auto handlers = std::make_shared<HandlerFactory>(
       handler, std::move(cluster_secret), std::move(on_refused));
   auto socket = std::make_shared<TServerSocket>(
       listen_address.substr(0, colon),
       std::atoi(listen_address.c_str() + colon + 1));
   auto implementation = std::make_unique<Implementation>();
-  implementation->ready = std::make_shared<ListenSignal>();
+  implementation->handlers = handlers;
+  implementation->ready = std::make_shared<ListenSignal>(handlers->counter());
   implementation->server = std::make_shared<TThreadedServer>(
-      std::make_shared<ControllerServiceProcessorFactory>(factory), socket,
+      std::make_shared<ControllerServiceProcessorFactory>(handlers), socket,
       std::make_shared<TFramedTransportFactory>(),
       std::make_shared<TBinaryProtocolFactory>());
   implementation->server->setServerEventHandler(implementation->ready);
@@ -267,6 +347,10 @@
       new ControllerServer(std::move(implementation)));
 }
 
+ConnectionCounts ControllerServer::TakeCounts() {
+  return implementation_->handlers->counter().Take();
+}
+
 ControllerServer::~ControllerServer() {
   implementation_->server->stop();
   implementation_->thread.join();
