--- a/tests/wire/controller_channel_test.cc
+++ b/tests/wire/controller_channel_test.cc
@@ -105,6 +105,23 @@
   cr_expect_leq(it.handler.threads.size(), kCallers / 2);
 }
 
+// Guards against callers that never reach a controller far away or short of
+// processor time, because each attempt to connect is given up and begun again.
+Test(controller_channel, keeps_a_handshake_that_outlasts_a_call) {
+  // A round trip is longer than the default handshake timeout.
+  constexpr std::chrono::milliseconds kOneWay{200};
+  constexpr std::chrono::seconds kLimit{3};
+  Fixture it;
+  it.proxy.Delay(it.to_server, kOneWay);
+  const auto end = std::chrono::steady_clock::now() + kLimit;
+  bool answered = false;
+  while (!answered && std::chrono::steady_clock::now() < end) {
+    answered = it.channel.Run(kTimeout, CallCluster).has_value();
+  }
+  cr_expect(answered);
+  cr_expect_not(it.channel.unreachable());
+}
+
 // Guards against calls that wait one after another for a controller to which no
 // connection can be opened.
 Test(controller_channel, waiting_calls_fail_together) {
