wire: Let an attempt to connect go on when its caller gives up

What callers saw: where the leader accepts connections slowly, entries that have lost theirs never reach it again.

Cause: each step of a handshake had 300 ms, and the attempt was then abandoned and begun again 1 s later. The kernel completes connections at once, so abandoned ones wait in the queue of the listening socket, are accepted in the order of their arrival, and cost a thread and a proof each. The class: a fixed timeout whose retry repeats the work that made it expire, at the end of the queue.

The change: an attempt runs on a thread of its own. A call waits 300 ms for a connection, as before, and then turns to other controllers; the attempt goes on, for 3 s at first, and its connection serves later calls. Only the connect itself, which the kernel answers, keeps 300 ms. The limit doubles after each attempt that reaches it, so that the attempts of many callers become as rare as the controller can answer them.

--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -16,7 +16,10 @@
 
 namespace cranberryshunt::wire {
 
+class ConnectionAttempt;
 class ControllerServiceClient;
+struct ConnectionEnds;
+struct ControllerConnection;
 
 // A pool of connections to one controller. Safe for use by several threads:
 // calls that run at the same time use separate connections.
@@ -30,13 +33,18 @@
   static constexpr std::chrono::milliseconds kDefaultHandshakeTimeout{300};
 
   // `address` is "ip:port". `own_id` names this process in the peer's logs.
-  // Each step of opening a connection must finish within `handshake_timeout`.
+  // A call waits up to `handshake_timeout` for a connection to a controller
+  // that answers nothing meanwhile. The attempt to open the connection goes on
+  // for later calls: if it were begun anew, a controller that is behind with
+  // new connections would get to none of them in time.
   ControllerChannel(
       std::string address,
       std::string own_id,
       std::string cluster_secret,
       std::chrono::milliseconds handshake_timeout = kDefaultHandshakeTimeout);
   ~ControllerChannel();
+  ControllerChannel(const ControllerChannel&) = delete;
+  ControllerChannel& operator=(const ControllerChannel&) = delete;
 
   // Runs `call` on an authenticated connection. Each read and write, and the
   // wait for a connection, must finish within `timeout`. Fails with kTimeout,
@@ -52,46 +60,53 @@
                    TimePoint deadline,
                    const Call& call);
 
-  const std::string& address() const { return address_; }
+  const std::string& address() const;
 
-  // Whether an attempt to open a connection failed within the last second, and
-  // no call was answered since that attempt began.
+  // Whether a call waited in vain for a connection within the last second, and
+  // nothing was answered since that call began.
   bool unreachable() const;
 
  private:
-  struct Connection;
-  struct HandshakeProgress;
-
-  Result<std::unique_ptr<Connection>> OpenConnection(
-      std::chrono::milliseconds timeout,
+  using ConnectionPointer = std::unique_ptr<ControllerConnection>;
+
+  Result<ConnectionPointer> TakeConnection(std::chrono::milliseconds timeout,
+                                           TimePoint deadline);
+  // Returns null if no connection is to be had until `deadline`.
+  Result<ConnectionPointer> WaitForConnection(
+      std::unique_lock<std::mutex>& lock,
+      TimePoint patience_end,
       TimePoint deadline);
-  Result<std::unique_ptr<Connection>> Handshake(
-      std::chrono::milliseconds timeout,
-      TimePoint deadline,
-      HandshakeProgress& progress);
-  Result<std::unique_ptr<Connection>> TakeIdleConnection(TimePoint deadline);
-  // Requires `mutex_` to be locked.
-  void ReturnConnection(std::unique_ptr<Connection> connection);
-  void CloseConnectionsWithoutReplySince(
-      std::chrono::steady_clock::time_point time);
-  void LogUnreachable(const Error& error,
-                      const HandshakeProgress& progress,
-                      TimePoint now) const;
-
-  const std::string address_;
-  const std::string own_id_;
-  const std::string cluster_secret_;
+  void OnAttemptDone(std::uint64_t id, Result<ConnectionPointer> outcome);
+  void CloseConnectionsWithoutReplySince(TimePoint time);
+
+  // The following require `mutex_` to be locked.
+  void StartAttempt(TimePoint now);
+  std::size_t attempts_under_way() const;
+  bool AnsweredSince(TimePoint time) const;
+  void MarkUnreachable(const Error& error, TimePoint now);
+  void ReturnConnection(ConnectionPointer connection);
+
+  struct Attempt;
+
+  const std::unique_ptr<const ConnectionEnds> ends_;
   const std::chrono::milliseconds handshake_timeout_;
   mutable std::mutex mutex_;
-  std::vector<std::unique_ptr<Connection>> idle_;
-  // Signals an idle connection and the end of an attempt to open one.
+  std::vector<ConnectionPointer> idle_;
+  // Signals an idle connection and the end of an attempt.
   std::condition_variable changed_;
-  // How many calls are opening a connection, and how many attempts have shown
-  // that the controller is unreachable.
-  std::size_t opening_ = 0;
+  // Calls that wait for a connection.
+  std::size_t waiting_ = 0;
+  std::vector<std::unique_ptr<Attempt>> attempts_;
+  std::uint64_t last_attempt_id_ = 0;
+  TimePoint next_attempt_{};
+  // How long the next attempt may take.
+  std::chrono::milliseconds attempt_limit_;
+  // How many attempts have shown that the controller is unreachable, and the
+  // error of the last one.
   std::uint64_t failures_ = 0;
-  std::optional<std::chrono::steady_clock::time_point> last_reply_;
-  std::chrono::steady_clock::time_point unreachable_until_{};
+  std::optional<Error> last_failure_;
+  std::optional<TimePoint> last_reply_;
+  TimePoint unreachable_until_{};
 };
 
 // The fields of a reply's Status that LeaderClient needs to find the leader.
--- a/tests/wire/slow_accept_test.cc
+++ b/tests/wire/slow_accept_test.cc
@@ -113,29 +113,18 @@
   std::thread thread_;
 };
 
-}  // namespace
+constexpr int kEntries = 40;
+constexpr int kCallersPerEntry = 3;
 
-// Load pattern: all entries of a cell lose their connections to the leader at
-// once, and it accepts new ones slowly. Guards against entries that never reach
-// the leader, because each of them gives up its attempts after a fixed time and
-// begins them anew at the end of the queue.
-Test(slow_accept, serves_all_callers_that_lost_their_connections) {
-  constexpr int kEntries = 40;
-  constexpr int kCallersPerEntry = 3;
-  constexpr std::chrono::milliseconds kAcceptTime{20};
-  ControllerServiceNull handler;
-  const auto target = test::LoopbackIp(1);
-  const auto server =
-      ControllerServer::Start(target + ":" + std::to_string(kPort), "secret",
-                              handler, [](const std::string& /*peer*/) {});
-  cr_assert(server.has_value());
-  const SlowAcceptor acceptor(test::LoopbackIp(0), target, kAcceptTime);
+// Calls the controller at `ip` from `kEntries` entries at once. Returns the
+// number of callers that were answered before their deadline.
+int CallFromAllEntries(const std::string& ip) {
   std::vector<std::unique_ptr<LeaderClient>> entries;
   std::vector<std::thread> callers;
   std::atomic<int> served = 0;
   for (int n = 0; n < kEntries; ++n) {
     entries.push_back(std::make_unique<LeaderClient>(
-        std::vector{test::LoopbackIp(0) + ":" + std::to_string(kPort)},
+        std::vector{ip + ":" + std::to_string(kPort)},
         "entry-" + std::to_string(n), "secret"));
     for (int caller = 0; caller < kCallersPerEntry; ++caller) {
       callers.emplace_back([&served, &entry = *entries.back()] {
@@ -151,7 +140,32 @@
   for (auto& it : callers) {
     it.join();
   }
-  cr_expect_eq(served.load(), kEntries * kCallersPerEntry);
+  return served;
+}
+
+std::unique_ptr<ControllerServer> StartServer(ControllerServiceNull& handler,
+                                              const std::string& ip) {
+  auto server =
+      ControllerServer::Start(ip + ":" + std::to_string(kPort), "secret",
+                              handler, [](const std::string& /*peer*/) {});
+  cr_assert(server.has_value());
+  return std::move(*server);
+}
+
+}  // namespace
+
+// Load pattern: all entries of a cell lose their connections to the leader at
+// once, and it accepts new ones slowly. Guards against entries that never reach
+// the leader, because each of them gives up its attempts after a fixed time and
+// begins them anew at the end of the queue.
+Test(slow_accept, serves_all_callers_that_lost_their_connections) {
+  constexpr std::chrono::milliseconds kAcceptTime{20};
+  ControllerServiceNull handler;
+  const auto server = StartServer(handler, test::LoopbackIp(1));
+  const SlowAcceptor acceptor(test::LoopbackIp(0), test::LoopbackIp(1),
+                              kAcceptTime);
+  cr_expect_eq(CallFromAllEntries(test::LoopbackIp(0)),
+               kEntries * kCallersPerEntry);
 }
 
 }  // namespace cranberryshunt::wire
