--- a/libraries/wire/src/controller_channel.cc
+++ b/libraries/wire/src/controller_channel.cc
@@ -1,6 +1,7 @@
 #include "cranberryshunt/wire/controller_client.h"
 
 #include <algorithm>
+#include <system_error>
 #include <utility>
 
 #include "ControllerService.h"
@@ -87,11 +88,18 @@
   auto& attempt = *attempts_.emplace_back(std::make_unique<Attempt>());
   attempt.id = ++last_attempt_id_;
   attempt.begin = now;
-  attempt.work = std::make_unique<ConnectionAttempt>(
-      *ends_, HandshakeLimits{handshake_timeout_, attempt_limit_},
-      [this, id = attempt.id](Result<ConnectionPointer> outcome) {
-        OnAttemptDone(id, std::move(outcome));
-      });
+  try {
+    attempt.work = std::make_unique<ConnectionAttempt>(
+        *ends_, HandshakeLimits{handshake_timeout_, attempt_limit_},
+        [this, id = attempt.id](Result<ConnectionPointer> outcome) {
+          OnAttemptDone(id, std::move(outcome));
+        });
+  } catch (const std::system_error& error) {
+    attempts_.pop_back();
+    next_attempt_ = now + kAttemptPause;
+    Log(LogLevel::kError, "wire", "no thread to connect to a controller",
+        {{"controller", address()}, {"error", error.what()}});
+  }
 }
 
 void ControllerChannel::OnAttemptDone(std::uint64_t id,
