--- a/libraries/cell/src/controller.cc
+++ b/libraries/cell/src/controller.cc
@@ -123,6 +123,17 @@
 
 }  // namespace
 
+// Logs what the decision thread has done since the last call.
+void LogDecisions(DecisionThread& decisions) {
+  const auto counts = decisions.TakeCounts();
+  Log(LogLevel::kInfo, "cell", "decisions",
+      {{"turns", counts.turns},
+       {"calls", counts.calls},
+       {"other_events", counts.other_events},
+       {"longest_wait_ms", ToMilliseconds(counts.longest_wait)},
+       {"longest_turn_ms", ToMilliseconds(counts.longest_turn)}});
+}
+
 // Logs the calls to workers and the connections of peers since the last call.
 void LogUsage(Relay& relay, wire::ControllerServer& server) {
   const auto calls = relay.TakeCounts();
@@ -232,9 +243,11 @@
     return tl::unexpected(server.error());
   }
   parts->server = std::move(*server);
-  parts->usage_timer = parts->timers.RunEvery(
-      kUsageLogInterval,
-      [raw = parts.get()] { LogUsage(raw->relay, *raw->server); });
+  parts->usage_timer =
+      parts->timers.RunEvery(kUsageLogInterval, [raw = parts.get()] {
+        LogUsage(raw->relay, *raw->server);
+        LogDecisions(raw->decisions);
+      });
   parts->join_requester =
       std::make_unique<JoinRequester>(options, *parts->replica);
   return std::unique_ptr<Controller>(new Controller(std::move(parts)));
--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -1,5 +1,6 @@
 #include "decision_thread.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
@@ -56,7 +57,7 @@
 
 bool DecisionThread::Post(Call call) {
   return events_.size() < kMaxQueuedEventsForCalls &&
-         events_.TryPush(CallEvent{std::move(call)});
+         events_.TryPush(CallEvent{std::move(call), clock_.Now()});
 }
 
 void DecisionThread::OnWorkerReply(OrderId id, WorkerReply reply) {
@@ -87,15 +88,17 @@
     if (!events_.PopMany(events, kMaxEventsPerTurn, idle)) {
       break;
     }
+    const auto popped_at = clock_.Now();
     for (auto& event : events) {
       Process(event);
     }
-    events.clear();
     auto out = engine_.Advance(clock_.Now());
     idle = out.max_wait;
     const auto turn = out.min_wait;
     Execute(std::move(out));
     CompactIfDue();
+    CountTurn(events, popped_at, clock_.Now());
+    events.clear();
     if (turn.count() > 0) {
       // Events that arrive meanwhile are processed in one turn.
       std::this_thread::sleep_for(turn);
@@ -104,6 +107,30 @@
   engine_.Stop();
 }
 
+void DecisionThread::CountTurn(const std::vector<Event>& events,
+                               TimePoint popped_at,
+                               TimePoint done_at) {
+  std::int64_t calls = 0;
+  Duration longest_wait{0};
+  for (const auto& it : events) {
+    if (const auto* call = std::get_if<CallEvent>(&it)) {
+      ++calls;
+      longest_wait = std::max(longest_wait, popped_at - call->queued_at);
+    }
+  }
+  const std::lock_guard lock(counts_mutex_);
+  ++counts_.turns;
+  counts_.calls += calls;
+  counts_.other_events += static_cast<std::int64_t>(events.size()) - calls;
+  counts_.longest_wait = std::max(counts_.longest_wait, longest_wait);
+  counts_.longest_turn = std::max(counts_.longest_turn, done_at - popped_at);
+}
+
+DecisionCounts DecisionThread::TakeCounts() {
+  const std::lock_guard lock(counts_mutex_);
+  return std::exchange(counts_, {});
+}
+
 void DecisionThread::Process(Event& event) {
   struct Visitor {
     DecisionThread& thread;
--- a/libraries/cell/src/decision_thread.h
+++ b/libraries/cell/src/decision_thread.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <future>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <variant>
@@ -37,6 +38,7 @@
 };
 struct CallEvent {
   Call call;
+  TimePoint queued_at{};
 };
 struct WorkerReplyEvent {
   OrderId id = 0;
@@ -56,6 +58,16 @@
                            WorkerReplyEvent,
                            StopServingEvent>;
 
+// What the decision thread has done since the last call of TakeCounts().
+struct DecisionCounts {
+  std::int64_t turns = 0;
+  std::int64_t calls = 0;
+  std::int64_t other_events = 0;
+  // The longest time that a call has waited in the queue, and the longest turn.
+  Duration longest_wait{0};
+  Duration longest_turn{0};
+};
+
 class DecisionThread final : public consensus::ReplicaObserver {
  public:
   DecisionThread(EngineOptions options,
@@ -76,6 +88,7 @@
   // are queued.
   bool Post(Call call);
   void OnWorkerReply(OrderId id, WorkerReply reply);
+  DecisionCounts TakeCounts();
 
   void OnCommitted(std::vector<consensus::CommittedEntry> entries) override;
   void OnSnapshot(std::int64_t index, std::string data) override;
@@ -85,6 +98,9 @@
  private:
   void Run();
   void Process(Event& event);
+  void CountTurn(const std::vector<Event>& events,
+                 TimePoint popped_at,
+                 TimePoint done_at);
   void StopOnApplyError(const Result<void>& result);
   void Execute(EngineOutput out);
   void CompactIfDue();
@@ -96,6 +112,8 @@
   BoundedRing<Event> events_;
   consensus::Replica* replica_ = nullptr;
   Relay* relay_ = nullptr;
+  std::mutex counts_mutex_;
+  DecisionCounts counts_;
   std::thread thread_;
 };
 
--- a/libraries/http/include/cranberryshunt/http/http_server.h
+++ b/libraries/http/include/cranberryshunt/http/http_server.h
@@ -80,6 +80,20 @@
   std::function<std::string(const Error&)> render_error;
 };
 
+// What a server has done since the last call of HttpServer::TakeCounts().
+struct HttpServerCounts {
+  // Connections that were opened, and those that are open now.
+  std::int64_t opened = 0;
+  std::int64_t open = 0;
+  std::int64_t requests = 0;
+  std::int64_t redirected = 0;     // Responses with a 3xx status.
+  std::int64_t server_errors = 0;  // Responses with a 5xx status.
+  // The longest time in a handler, and from the opening of a connection until
+  // its first request was read.
+  std::chrono::milliseconds longest_handling{0};
+  std::chrono::milliseconds longest_first_request{0};
+};
+
 // Serves each connection on a thread of its own, so handlers may block.
 class HttpServer {
  public:
@@ -101,6 +115,7 @@
   // Number of requests whose request line has been read and whose response has
   // not been sent completely.
   std::int64_t requests_in_flight() const;
+  HttpServerCounts TakeCounts();
 
  private:
   struct Implementation;
--- a/libraries/http/src/http_server.cc
+++ b/libraries/http/src/http_server.cc
@@ -8,12 +8,16 @@
 #include <ulfius.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
 #include <cstdlib>
 #include <exception>
+#include <memory>
+#include <mutex>
 #include <string>
+#include <utility>
 
 #include "cranberryshunt/base/endpoint.h"
 #include "cranberryshunt/base/log.h"
@@ -99,9 +103,52 @@
 
 using RenderErrorFunction = std::function<std::string(const Error&)>;
 
+// Counts the connections and requests of a server. Safe for use by several
+// threads.
+class ServerCounter {
+ public:
+  void CountOpened() {
+    const std::lock_guard lock(mutex_);
+    ++counts_.opened;
+    ++counts_.open;
+  }
+  void CountClosed() {
+    const std::lock_guard lock(mutex_);
+    --counts_.open;
+  }
+  void CountFirstRequest(Duration since_opened) {
+    const std::lock_guard lock(mutex_);
+    counts_.longest_first_request =
+        std::max(counts_.longest_first_request,
+                 std::chrono::floor<std::chrono::milliseconds>(since_opened));
+  }
+  void CountResponse(int status, Duration handling) {
+    constexpr int kClass = 100;
+    const std::lock_guard lock(mutex_);
+    ++counts_.requests;
+    counts_.redirected += status / kClass == 3 ? 1 : 0;
+    counts_.server_errors += status / kClass == 5 ? 1 : 0;
+    counts_.longest_handling =
+        std::max(counts_.longest_handling,
+                 std::chrono::floor<std::chrono::milliseconds>(handling));
+  }
+  HttpServerCounts Take() {
+    const std::lock_guard lock(mutex_);
+    const auto taken = counts_;
+    counts_ = {};
+    counts_.open = taken.open;
+    return taken;
+  }
+
+ private:
+  std::mutex mutex_;
+  HttpServerCounts counts_;
+};
+
 // What HandleRoute() needs to serve a route.
 struct RouteState {
   HttpRoute route;
+  ServerCounter* counter;
   const std::atomic<bool>* closing;
   MetricsRegistry* metrics;
   const RenderErrorFunction* render_error;
@@ -157,6 +204,7 @@
   ++state.metrics->Counter("requests{" + route + ",code=\"" +
                            std::to_string(response.status) + "\"}");
   const auto end = BootClock::now();
+  state.counter->CountResponse(response.status, end - begin);
   state.metrics->ValueDistribution("latency_ms{" + route + "}")
       .Record(static_cast<double>((end - begin).count()) / 1000.0, end);
   return U_CALLBACK_COMPLETE;
@@ -236,7 +284,13 @@
                           void** context,
                           MHD_RequestTerminationCode code);
 
+  static void OnConnection(void* self,
+                           MHD_Connection* connection,
+                           void** opened_at,
+                           MHD_ConnectionNotificationCode code);
+
   _u_instance instance{};
+  ServerCounter counter;
   bool initialized = false;
   bool running = false;
   int listen_socket = -1;
@@ -263,8 +317,17 @@
 void* HttpServer::Implementation::OnRequestLine(void* self,
                                                 const char* uri,
                                                 MHD_Connection* connection) {
-  ++static_cast<Implementation*>(self)->in_flight;
+  auto& server = *static_cast<Implementation*>(self);
+  ++server.in_flight;
   current_connection = connection;
+  const auto* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  auto* opened_at =
+      info == nullptr ? nullptr : static_cast<TimePoint*>(info->socket_context);
+  if (opened_at != nullptr && *opened_at != TimePoint()) {
+    server.counter.CountFirstRequest(BootClock::now() - *opened_at);
+    *opened_at = TimePoint();
+  }
   return ulfius_uri_logger(nullptr, uri);
 }
 
@@ -280,6 +343,23 @@
   --server.in_flight;
 }
 
+// `opened_at` holds the time of the opening until the first request.
+void HttpServer::Implementation::OnConnection(
+    void* self,
+    MHD_Connection* /*connection*/,
+    void** opened_at,
+    MHD_ConnectionNotificationCode code) {
+  auto& server = *static_cast<Implementation*>(self);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    *opened_at = std::make_unique<TimePoint>(BootClock::now()).release();
+    server.counter.CountOpened();
+  } else {
+    const std::unique_ptr<TimePoint> ended(
+        static_cast<TimePoint*>(std::exchange(*opened_at, nullptr)));
+    server.counter.CountClosed();
+  }
+}
+
 Result<void> HttpServer::Implementation::Listen(
     const HttpServerOptions& options) {
   auto address = ParseEndpoint(options.listen_address);
@@ -308,11 +388,13 @@
     ulfius_set_default_endpoint(&instance, &HandleUnmatchedRequest,
                                 &render_error);
   }
-  std::array<MHD_OptionItem, 8> mhd_options{{
+  std::array<MHD_OptionItem, 9> mhd_options{{
       {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&OnCompleted),
        this},
       {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&OnRequestLine),
        this},
+      {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&OnConnection),
+       this},
       {MHD_OPTION_SOCK_ADDR, 0, &address},
       {MHD_OPTION_CONNECTION_LIMIT, options.max_connections, nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT, options.header_timeout.count(), nullptr},
@@ -344,9 +426,9 @@
   auto implementation = std::make_unique<Implementation>();
   implementation->render_error = options.render_error;
   const auto make_state = [&](HttpRoute route) {
-    return std::make_unique<RouteState>(
-        RouteState{std::move(route), &implementation->closing, &metrics,
-                   &implementation->render_error});
+    return std::make_unique<RouteState>(RouteState{
+        std::move(route), &implementation->counter, &implementation->closing,
+        &metrics, &implementation->render_error});
   };
   for (auto& route : routes) {
     implementation->routes.push_back(make_state(std::move(route)));
@@ -382,6 +464,10 @@
   close(std::exchange(implementation_->listen_socket, -1));
 }
 
+HttpServerCounts HttpServer::TakeCounts() {
+  return implementation_->counter.Take();
+}
+
 std::int64_t HttpServer::requests_in_flight() const {
   return implementation_->in_flight;
 }
