consensus: Tell followers that acknowledge late from silent ones

Cause: a leader judged the silence of a follower by the time at which the last acknowledged message had been sent. The time at which the last reply arrived counts now. Messages are limited to 128 KiB, so that acknowledgements come steadily.

raft::sends_entries_once_to_a_follower_that_acknowledges_late fails without the change: no new entries are sent after the first ones.

--- a/libraries/consensus/include/cranberryshunt/consensus/raft.h
+++ b/libraries/consensus/include/cranberryshunt/consensus/raft.h
@@ -171,6 +171,9 @@
     std::int64_t last_chunk_sent_at = 0;
     // Send time of the newest acknowledged message.
     std::int64_t last_acked_sent_at = 0;
+    // When the last reply arrived. The peer is silent only if none arrives: on
+    // a slow link, steady replies answer messages that were sent long ago.
+    std::int64_t last_reply_at = 0;
     bool awaiting_reply = false;  // To a probe or a snapshot chunk.
     std::shared_ptr<const SnapshotState> snapshot;
     std::size_t offset = 0;
@@ -232,6 +235,7 @@
   void EnterProbeState(Progress& progress);
   void OnAppend(wire::RaftMessage& message);
   void AppendFrom(std::vector<wire::LogEntry>& entries, std::size_t first);
+  void RecordReply(Progress& progress, const wire::RaftMessage& message);
   void OnAppendReply(const wire::RaftMessage& message);
   void MaybeCommit();
 
--- a/libraries/consensus/src/raft_membership.cc
+++ b/libraries/consensus/src/raft_membership.cc
@@ -176,8 +176,7 @@
     }
     const auto progress = progress_.find(it.id);
     if (progress == progress_.end() || !CheckMembershipChange() ||
-        now_ - progress->second.last_acked_sent_at >
-            options_.election_timeout_ms ||
+        now_ - progress->second.last_reply_at > options_.election_timeout_ms ||
         !HasCaughtUp(progress->second)) {
       continue;
     }
--- a/libraries/consensus/src/raft_replication.cc
+++ b/libraries/consensus/src/raft_replication.cc
@@ -33,9 +33,8 @@
     }
     const bool chunk_timed_out =
         now_ - progress.last_chunk_sent_at >= options_.election_timeout_ms;
-    const bool silent =
-        now_ - std::max(leader_since_, progress.last_acked_sent_at) >
-        options_.election_timeout_ms;
+    const bool silent = now_ - std::max(leader_since_, progress.last_reply_at) >
+                        options_.election_timeout_ms;
     if (silent && progress.state == ProgressState::kReplicate) {
       // The peer may have restarted with an empty data folder and then knows no
       // address to reply to. Probes carry the membership.
@@ -198,13 +197,18 @@
   UpdateFollowerRole();
 }
 
+void Raft::RecordReply(Progress& progress, const wire::RaftMessage& message) {
+  progress.last_reply_at = now_;
+  progress.last_acked_sent_at =
+      std::max(progress.last_acked_sent_at, std::min(message.sent_at_ms, now_));
+}
+
 void Raft::OnAppendReply(const wire::RaftMessage& message) {
   auto* progress = FindProgress(message);
   if (progress == nullptr) {
     return;
   }
-  progress->last_acked_sent_at = std::max(progress->last_acked_sent_at,
-                                          std::min(message.sent_at_ms, now_));
+  RecordReply(*progress, message);
   if (message.accepted) {
     Acknowledge(*progress, std::min(message.log_index, log_.last_index()));
     MaybeCommit();
--- a/libraries/consensus/src/raft_snapshot.cc
+++ b/libraries/consensus/src/raft_snapshot.cc
@@ -99,8 +99,7 @@
   if (progress == nullptr) {
     return;
   }
-  progress->last_acked_sent_at = std::max(progress->last_acked_sent_at,
-                                          std::min(message.sent_at_ms, now_));
+  RecordReply(*progress, message);
   if (progress->state != ProgressState::kSnapshot ||
       progress->snapshot->index != message.log_index) {
     return;
--- a/libraries/consensus/src/replica_thread.cc
+++ b/libraries/consensus/src/replica_thread.cc
@@ -16,6 +16,11 @@
 // that a flood of proposals does not displace heartbeats.
 constexpr std::size_t kMessageCapacity = 4'096;
 
+// A follower acknowledges whole messages, so that larger ones would keep it
+// silent, and heartbeats waiting behind them, for longer on a slow link.
+constexpr std::size_t kMaxMessageBytes = 128 << 10;
+constexpr std::size_t kMaxInflightBytes = 4 * kMaxMessageBytes;
+
 std::uint64_t RandomSeed() {
   std::uint64_t seed = 0;
   std::memcpy(&seed, RandomBytes(sizeof(seed)).data(), sizeof(seed));
@@ -60,7 +65,9 @@
   options.disk_identity = disk_identity_;
   options.heartbeat_ms = options_.heartbeat_interval.count();
   options.election_timeout_ms = options_.election_timeout.count();
-  options.max_batch_bytes = options_.max_batch_bytes;
+  options.max_batch_bytes =
+      std::min(options_.max_batch_bytes, kMaxMessageBytes);
+  options.max_inflight_bytes = kMaxInflightBytes;
   options.seed = RandomSeed();
   auto start = storage_->TakeInitialState();
   start.applied = applied;
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -308,4 +308,51 @@
   cr_expect(raft.membership().members.back().voter);
 }
 
+// Load pattern: a follower catches up over a slow link, so each acknowledgement
+// arrives later than an election timeout after its message was sent. Guards
+// against a leader that takes such a follower for silent and, instead of new
+// entries, sends probes and again what is in flight.
+Test(raft, sends_entries_once_to_a_follower_that_acknowledges_late) {
+  constexpr std::int64_t kStepMs = 50;
+  constexpr std::int64_t kLatencyMs = 700;
+  constexpr std::int64_t kLimitMs = 4'000;
+  auto raft = MakeRaft(1, {});
+  Elect(raft);
+  auto now = kAfterElectionTimeoutMs;
+  std::map<std::int64_t, int> times_sent;
+  std::multimap<std::int64_t, wire::RaftMessage> replies;
+  for (const auto end = now + kLimitMs; now < end; now += kStepMs) {
+    (void)raft.Propose("x");
+    auto output = raft.TakeOutput();
+    raft.MarkPersisted();
+    raft.Step(Acknowledgement(raft, "b", raft.log().last_index(), now), now);
+    for (auto* messages :
+         {&output.messages_before_sync, &output.messages_after_sync}) {
+      for (const auto& it : *messages) {
+        if (it.receiver != "c" || it.type != RaftMessageType::kAppend) {
+          continue;
+        }
+        for (const auto& entry : it.entries) {
+          ++times_sent[entry.index];
+        }
+        replies.emplace(
+            now + kLatencyMs,
+            Acknowledgement(
+                raft, "c",
+                it.log_index + static_cast<std::int64_t>(it.entries.size()),
+                it.sent_at_ms));
+      }
+    }
+    while (!replies.empty() && replies.begin()->first <= now) {
+      raft.Step(replies.extract(replies.begin()).mapped(), now);
+    }
+    raft.Tick(now);
+  }
+  cr_assert_gt(times_sent.size(), 20);
+  for (const auto& [index, times] : times_sent) {
+    cr_expect_eq(times, 1, "entry %lld was sent %d times",
+                 static_cast<long long>(index), times);
+  }
+}
+
 }  // namespace cranberryshunt::consensus
