cell: Read the state of jobs without a turn of the decision thread

The committed state is now read by the thread of the connection, under a lock that excludes changes only. A leader answers so once it has all entries of earlier terms, and if it still has its lease of this term after the read; everything else is left to the decision thread.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -5,11 +5,13 @@
 #ifndef CRANBERRYSHUNT_CELL_ENGINE_H_
 #define CRANBERRYSHUNT_CELL_ENGINE_H_
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <shared_mutex>
 #include <string>
 #include <vector>
 
@@ -93,6 +95,12 @@
   // Replies at once with kNotLeader unless this member leads and holds the
   // lease.
   void Handle(Call call, TimePoint now);
+  // Answers a question for the state of a job from the committed state, or
+  // returns nothing if it needs a decision: Handle() answers it then. Unlike
+  // the other functions, this one is safe for use by other threads, so that the
+  // most frequent calls don't wait for a turn of the decision thread.
+  std::optional<wire::GraphReply> ReadJob(
+      const wire::GraphRequest& request) const;
   // Performs the work that is due. Must be called after each group of inputs,
   // and once the `max_wait` of the last output has passed.
   EngineOutput Advance(TimePoint now);
@@ -117,6 +125,11 @@
   EngineEnvironment& environment_;
   MetricsRegistry& metrics_;
   graph::GraphStore store_;
+  // Locked for changes of the store, and by other threads that read it.
+  mutable std::shared_mutex store_mutex_;
+  // The term of this leader, once the store has all entries of earlier terms; 0
+  // if this member does not lead.
+  std::atomic<std::int64_t> serving_term_ = 0;
   std::int64_t applied_index_ = 0;
   // Learned on every member, so that a new leader knows them.
   std::unique_ptr<RunTimes> run_times_;
--- a/libraries/cell/src/call_handler.cc
+++ b/libraries/cell/src/call_handler.cc
@@ -43,6 +43,11 @@
 
 void CallHandler::CallGraph(wire::GraphReply& reply,
                             const wire::GraphRequest& request) {
+  if (auto read = decisions_.ReadJob(request)) {
+    reply = std::move(*read);
+    reply.process_id = process_id_;
+    return;
+  }
   auto result = PostAndWait<wire::GraphReply>(
       [&](auto done) {
         return Call(GraphCall{request, std::move(done)});
--- a/libraries/cell/src/decision_thread.h
+++ b/libraries/cell/src/decision_thread.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <future>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <variant>
@@ -87,6 +88,11 @@
   // Queues a call. Returns false, without queuing the call, if too many events
   // are queued.
   bool Post(Call call);
+  // See Engine::ReadJob().
+  std::optional<wire::GraphReply> ReadJob(
+      const wire::GraphRequest& request) const {
+    return engine_.ReadJob(request);
+  }
   void OnWorkerReply(OrderId id, WorkerReply reply);
   DecisionCounts TakeCounts();
 
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -1,5 +1,6 @@
 #include "cranberryshunt/cell/engine.h"
 
+#include <mutex>
 #include <set>
 #include <utility>
 
@@ -41,7 +42,10 @@
     applied_term_began_ms_ = batch->at_ms;
   }
   RecordRunTimes(*batch);
-  store_.Apply(*batch);
+  {
+    const std::unique_lock lock(store_mutex_);
+    store_.Apply(*batch);
+  }
   applied_index_ = entry.index;
   if (leader_) {
     leader_->OnApplied(*batch, now);
@@ -73,6 +77,7 @@
 
 Result<void> Engine::OnSnapshot(std::int64_t index, const std::string& data) {
   applied_index_ = index;
+  const std::unique_lock lock(store_mutex_);
   return store_.Restore(data);
 }
 
@@ -90,6 +95,7 @@
     leader_ =
         std::make_unique<Leader>(options_, change.term, store_, *run_times_,
                                  environment_, metrics_, now);
+    serving_term_ = change.term;
   }
 }
 
@@ -124,6 +130,31 @@
   }
 }
 
+std::optional<wire::GraphReply> Engine::ReadJob(
+    const wire::GraphRequest& request) const {
+  const std::int64_t term = serving_term_;
+  if (term == 0 || request.operation != wire::GraphOperation::kShow) {
+    return std::nullopt;
+  }
+  wire::GraphReply reply;
+  {
+    const std::shared_lock lock(store_mutex_);
+    const auto* queue = store_.MatchQueue(request.host, request.path);
+    if (queue == nullptr) {
+      return std::nullopt;
+    }
+    const auto id =
+        graph::ParseJobId(request.path.substr(queue->path_prefix.size()));
+    if (!id) {
+      return std::nullopt;
+    }
+    reply = DescribeJob(store_, *id);
+  }
+  // A leader that still has its lease has read the newest state.
+  return environment_.HasLease(term) ? std::optional(std::move(reply))
+                                     : std::nullopt;
+}
+
 bool Engine::RefuseLateAttempt(GraphCall& call, TimePoint now) {
   const auto id = call.request.request_id;
   if (call.request.operation != wire::GraphOperation::kSubmit || id == 0) {
@@ -170,6 +201,7 @@
 }
 
 void Engine::EndLeadership(const Error& error) {
+  serving_term_ = 0;
   if (leader_) {
     leader_->Close(wire::ToStatus(error, role_.leader_address));
     leader_.reset();
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -27,6 +27,9 @@
 
 namespace cranberryshunt::cell {
 
+// Returns the reply to a question for the state of a job.
+wire::GraphReply DescribeJob(const graph::GraphStore& store, graph::JobId id);
+
 class Leader {
  public:
   Leader(const EngineOptions& options,
@@ -127,7 +130,6 @@
   // leader_calls.cc
   void HandleGraph(GraphCall call);
   void Submit(GraphCall call, const wire::JobQueue& queue, graph::JobId id);
-  void Show(const GraphCall& call, graph::JobId id) const;
   void Cancel(GraphCall call, graph::JobId id);
   void HandleReport(ReportCall call);
   bool IsOfUnknownService(const wire::CalledWorker& worker) const;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -100,7 +100,7 @@
       Cancel(std::move(call), *id);
       break;
     default:
-      Show(call, *id);
+      call.reply(DescribeJob(store_, *id));
       break;
   }
 }
@@ -216,16 +216,15 @@
   });
 }
 
-void Leader::Show(const GraphCall& call, graph::JobId id) const {
-  const auto* job = store_.FindJob(id);
+wire::GraphReply DescribeJob(const graph::GraphStore& store, graph::JobId id) {
+  const auto* job = store.FindJob(id);
   if (job == nullptr) {
-    call.reply(ReplyWith(ResultCode::kGone, "no such job is known"));
-    return;
+    return ReplyWith(ResultCode::kGone, "no such job is known");
   }
   wire::GraphReply reply;
   reply.state = job->state();
   reply.pending = -1;
-  call.reply(std::move(reply));
+  return reply;
 }
 
 void Leader::Cancel(GraphCall call, graph::JobId id) {
