--- a/libraries/cell/src/decision_thread.cc
+++ b/libraries/cell/src/decision_thread.cc
@@ -23,7 +23,7 @@
                                EngineEnvironment& host,
                                MetricsRegistry& metrics)
     : clock_(clock),
-      snapshot_every_entries_(snapshot_every_entries),
+      snapshot_schedule_(snapshot_every_entries),
       engine_(std::move(options), host, metrics),
       events_(kQueueCapacity) {}
 
@@ -140,10 +140,11 @@
       for (const auto& entry : it.entries) {
         thread.StopOnApplyError(
             thread.engine_.OnCommitted(entry, thread.clock_.Now()));
+        thread.snapshot_schedule_.OnApplied(entry.index, entry.data.size());
       }
     }
     void operator()(SnapshotEvent& it) const {
-      thread.compacted_index_ = it.index;
+      thread.snapshot_schedule_.OnSnapshot(it.index, it.data.size());
       thread.StopOnApplyError(thread.engine_.OnSnapshot(it.index, it.data));
     }
     void operator()(RoleEvent& it) const {
@@ -215,12 +216,15 @@
 }
 
 void DecisionThread::CompactIfDue() {
-  const std::int64_t index = engine_.applied_index();
-  if (index - compacted_index_ < snapshot_every_entries_) {
+  if (!snapshot_schedule_.IsDue()) {
     return;
   }
-  compacted_index_ = index;
-  replica_->Compact(index, engine_.store().Snapshot());
+  const std::int64_t index = engine_.applied_index();
+  auto snapshot = engine_.store().Snapshot();
+  snapshot_schedule_.OnSnapshot(index, snapshot.size());
+  Log(LogLevel::kInfo, "cell", "snapshot taken",
+      {{"index", index}, {"bytes", snapshot.size()}});
+  replica_->Compact(index, std::move(snapshot));
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/decision_thread.h
+++ b/libraries/cell/src/decision_thread.h
@@ -15,6 +15,7 @@
 #include "cranberryshunt/cell/engine.h"
 #include "cranberryshunt/consensus/replica.h"
 #include "relay.h"
+#include "snapshot_schedule.h"
 
 namespace cranberryshunt::cell {
 
@@ -112,8 +113,7 @@
   void CompactIfDue();
 
   const Clock& clock_;
-  const std::int64_t snapshot_every_entries_;
-  std::int64_t compacted_index_ = 0;
+  SnapshotSchedule snapshot_schedule_;
   Engine engine_;
   BoundedRing<Event> events_;
   consensus::Replica* replica_ = nullptr;
--- a/libraries/consensus/include/cranberryshunt/consensus/raft.h
+++ b/libraries/consensus/include/cranberryshunt/consensus/raft.h
@@ -55,6 +55,8 @@
   // Number of log entries kept before the snapshot, so that a follower that is
   // slightly behind does not need the whole snapshot.
   std::int64_t trailing_entries = 4096;
+  // Fewer are kept if they are larger than this together.
+  std::size_t max_trailing_bytes = 512 << 10;
   std::uint64_t seed = 1;
 };
 
@@ -206,6 +208,7 @@
   void AppendEntry(std::int32_t type, std::string data);
   void AddConfig(const storage::LogEntry& entry);
   void TruncateFrom(std::int64_t index);
+  std::int64_t LastDroppedEntry(std::int64_t index) const;
 
   // raft_election.cc
   void BecomeFollower(std::int64_t term, const std::string& leader);
--- a/libraries/consensus/src/raft.cc
+++ b/libraries/consensus/src/raft.cc
@@ -280,13 +280,29 @@
   return snapshot;
 }
 
+// Returns the last entry that need not be kept beside a snapshot through
+// `index`.
+std::int64_t Raft::LastDroppedEntry(std::int64_t index) const {
+  const auto oldest =
+      std::max(index - options_.trailing_entries, log_.base_index());
+  std::size_t kept_bytes = 0;
+  while (index > oldest) {
+    kept_bytes += log_.At(index).data.size();
+    if (kept_bytes > options_.max_trailing_bytes) {
+      break;
+    }
+    --index;
+  }
+  return index;
+}
+
 void Raft::Compact(std::shared_ptr<const SnapshotState> snapshot) {
   // A newer snapshot may have been received while this one was being stored.
   if (snapshot_ && snapshot_->index >= snapshot->index) {
     return;
   }
   snapshot_ = std::move(snapshot);
-  const auto through = snapshot_->index - options_.trailing_entries;
+  const auto through = LastDroppedEntry(snapshot_->index);
   if (through > log_.base_index()) {
     log_.DropThrough(through);
   }
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -329,6 +329,28 @@
   cr_expect_not(IsLateLearnerPromoted({"a", "b", "c"}, 700));
 }
 
+// Load pattern: a few hundred large configurations. Guards against sending all
+// of them to a member without a disk although a snapshot has the last one.
+Test(raft, compaction_keeps_few_bytes_of_large_entries) {
+  constexpr std::size_t kEntryBytes = 100'000;
+  auto raft = MakeRaft(1, {});
+  Elect(raft);
+  for (int i = 0; i < 100; ++i) {
+    cr_assert(raft.Propose(std::string(kEntryBytes, 'x')).has_value());
+  }
+  raft.TakeOutput();
+  raft.MarkPersisted();
+  const auto last = raft.log().last_index();
+  raft.Step(Acknowledgement(raft, "b", last, kAfterElectionTimeoutMs),
+            kAfterElectionTimeoutMs);
+  raft.TakeCommitted();
+  const auto snapshot = raft.MakeSnapshot(last, "state");
+  cr_assert(snapshot != nullptr);
+  raft.Compact(snapshot);
+  const auto kept = static_cast<std::size_t>(last - raft.log().base_index());
+  cr_expect_leq(kept * kEntryBytes, RaftOptions().max_trailing_bytes);
+}
+
 // Load pattern: a follower catches up over a slow link, so each acknowledgement
 // arrives later than an election timeout after its message was sent. Guards
 // against a leader that takes such a follower for silent and, instead of new
