policy, cell: Log what waiting gangs lack

The load line shows how much capacity is held for gangs, but not whether they lack room or tickets, nor whether a late gang was looked at. No decision changes.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -578,6 +578,7 @@
   if (now_ms_ - last_load_log_ms_ >= kLoadLogMs) {
     last_load_log_ms_ = now_ms_;
     LogLoad();
+    LogGangs();
     LogQuestions();
     LogLongWaits();
   }
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -179,6 +179,7 @@
   // The result is valid until the next call.
   const policy::LoadSummary& LoadFor(const policy::NewJob& job);
   void LogLoad() const;
+  void LogGangs() const;
   void LogQuestions();
   void LogLongWaits() const;
   // The first run of the step in the committed state, and the worker that has
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -411,6 +411,22 @@
        {"answer_ms", workers_.MedianStartAnswerMs(now_ms_)}});
 }
 
+// Logs what the waiting gangs lack, and what the capacity held for them waits
+// for.
+void Leader::LogGangs() const {
+  const auto gangs = planner_.SummarizeGangs(now_ms_);
+  Log(LogLevel::kInfo, "cell", "gangs",
+      {{"waiting", gangs.waiting},
+       {"late", gangs.late},
+       {"unplanned", gangs.unplanned},
+       {"longest_unplanned_ms", gangs.longest_unplanned_ms},
+       {"lacking_tickets", gangs.lacking_tickets},
+       {"lacking_room", gangs.lacking_room},
+       {"cpus_lacking_tickets", gangs.milli_cpus_lacking_tickets / 1'000},
+       {"cpus_lacking_room", gangs.milli_cpus_lacking_room / 1'000},
+       {"renewing_without_room", gangs.renewing_without_room}});
+}
+
 // Logs what the time of the callers of the advice service was spent on.
 void Leader::LogQuestions() {
   for (const auto& [queue, counts] : advice_usage_.TakeCounts(now_ms_)) {
@@ -487,6 +503,10 @@
                                  ? std::int64_t{-1}
                                  : now_ms_ - advice.last_question_ms},
          {"avoided", step.avoided.size()},
+         {"planned_ago_ms",
+          step.planned_ms == 0 ? std::int64_t{-1} : now_ms_ - step.planned_ms},
+         {"held", step.held.size()},
+         {"slack_ms", step.objective_ms - step.remaining_ms - now_ms_},
          {"more_steps", waits.size() - count}});
   }
 }
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -182,6 +182,11 @@
   std::vector<HeldCapacity> held;
   std::int64_t held_ready_ms = 0;
   std::int64_t held_since_ms = 0;  // 0: nothing is held.
+  // Set by the planner: whether the held capacity is free, so that only tickets
+  // are missing.
+  bool held_room_free = false;
+  // Set by the planner: when it last looked for workers for the step; 0: never.
+  std::int64_t planned_ms = 0;
 };
 
 // The workers that a waiting step may use.
@@ -193,6 +198,24 @@
   bool operator==(const StepWorkers&) const = default;
 };
 
+// The gangs that wait, by what they wait for.
+struct GangSummary {
+  std::int64_t waiting = 0;
+  std::int64_t late = 0;       // Of `waiting`.
+  std::int64_t unplanned = 0;  // Of `waiting`, not planned for a second.
+  std::int64_t longest_unplanned_ms = 0;
+  // Gangs for which capacity is held, and that capacity: of gangs that lack
+  // only tickets, and of those that lack room.
+  std::int64_t lacking_tickets = 0;
+  std::int64_t lacking_room = 0;
+  std::int64_t milli_cpus_lacking_tickets = 0;
+  std::int64_t milli_cpus_lacking_room = 0;
+  // Gangs for which nothing is held, but whose tickets are being renewed.
+  std::int64_t renewing_without_room = 0;
+
+  bool operator==(const GangSummary&) const = default;
+};
+
 struct PlannedStart {
   StepId step = 0;
   std::int32_t index = 0;
@@ -316,6 +339,7 @@
   // What waits, is free and is given back, as of the last Decide(). The times
   // of answers are left at 0.
   LoadSummary SummarizeLoad(std::int64_t now_ms) const;
+  GangSummary SummarizeGangs(std::int64_t now_ms) const;
 
   // Must be called when a worker was added or changed, so that the next
   // Decide() plans the steps that may use it.
--- a/libraries/policy/src/gang_placement.cc
+++ b/libraries/policy/src/gang_placement.cc
@@ -208,13 +208,14 @@
       round.held_share >= options_.max_held_share) {
     return;
   }
-  std::int64_t room_ms = 0;
+  std::int64_t room_ms = now_ms;
   bool needs_ticket = false;
   for (std::size_t i = 0; i < count; ++i) {
     AddHeld(step.held, openings[i].worker->number, step.demand);
     room_ms = std::max(room_ms, openings[i].room_ms);
     needs_ticket = needs_ticket || openings[i].needs_ticket;
   }
+  step.held_room_free = room_ms <= now_ms;
   if (!needs_ticket || room_ms - now_ms > renewal_ms) {
     return;
   }
@@ -235,4 +236,35 @@
   PlanRenewal(step, missing, round);
 }
 
+GangSummary GraphPlanner::SummarizeGangs(std::int64_t now_ms) const {
+  constexpr std::int64_t kUnplannedMs = 1'000;
+  GangSummary out;
+  for (const auto& [id, step] : waiting_steps_) {
+    if (!step->gang || step->waiting.empty() || step->uncommitted) {
+      continue;
+    }
+    ++out.waiting;
+    out.late += IsLate(*step, now_ms) ? 1 : 0;
+    const auto unplanned_ms =
+        now_ms - std::max(step->planned_ms, step->waiting_since_ms);
+    if (unplanned_ms >= kUnplannedMs) {
+      ++out.unplanned;
+      out.longest_unplanned_ms =
+          std::max(out.longest_unplanned_ms, unplanned_ms);
+    }
+    if (step->held.empty()) {
+      out.renewing_without_room += step->advice.renewal_pending ? 1 : 0;
+      continue;
+    }
+    auto& count = step->held_room_free ? out.lacking_tickets : out.lacking_room;
+    auto& milli_cpus = step->held_room_free ? out.milli_cpus_lacking_tickets
+                                            : out.milli_cpus_lacking_room;
+    ++count;
+    for (const auto& it : step->held) {
+      milli_cpus += it.demand.milli_cpus;
+    }
+  }
+  return out;
+}
+
 }  // namespace cranberryshunt::policy
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -560,6 +560,7 @@
     return;
   }
   step.changed = false;
+  step.planned_ms = round.now_ms;
   const auto waited = step.waiting.size();
   if (step.gang) {
     const auto allowed = AllowedWorkers(step, false, round.now_ms);
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -707,6 +707,32 @@
             StepWorkers({.eligible = 3, .allowed = 1, .fit = 0}));
 }
 
+// Guards against a summary that says of capacity held for a gang that it is
+// missing although only tickets are, or the reverse.
+Test(graph_planner, tells_gangs_that_lack_tickets_from_gangs_that_lack_room) {
+  GraphPlanner planner;
+  planner.workers()[1] = MakeWorker(1);
+  planner.workers()[2] = MakeWorker(2);
+  AddRunningTask(planner.workers()[2], 64'000, 3'000);
+  for (StepId id = 1; id <= 3; ++id) {
+    auto& step = AddStep(planner, id, id <= 2 ? 1 : 9, 10'000, 30'000);
+    step.gang = true;
+    step.advice.needed = true;
+    step.advice.RecordAnswer({1, 2}, {{id <= 2 ? id : 1, {"t", 50}}});
+  }
+  (void)planner.Decide(2'000);
+  cr_expect(planner.SummarizeGangs(2'000) ==
+            GangSummary({.waiting = 3,
+                         .lacking_tickets = 1,
+                         .lacking_room = 1,
+                         .milli_cpus_lacking_tickets = 10'000,
+                         .milli_cpus_lacking_room = 10'000}));
+  const auto later = planner.SummarizeGangs(30'000);
+  cr_expect_eq(later.late, 3);
+  cr_expect_eq(later.unplanned, 3);
+  cr_expect_eq(later.longest_unplanned_ms, 28'000);
+}
+
 // The only allowed worker is full of tasks that don't end. Guards against a
 // late step that never asks about workers with free capacity.
 Test(graph_planner, asks_about_more_workers_if_the_allowed_ones_stay_full) {
