policy, cell: Serve late jobs before those that are too late to be of use

What callers saw: of the jobs that were late, those that had waited for longest were served first, when their callers had no use for them any more, and by then the next ones were useless, too.

Cause: late steps were placed and asked for in the order of acceptance, however late they were. Steps whose job would end after 2.5 times its objective, by the run times of short jobs, are now placed and asked for last. They still end once there is room.

The new tests of the planner and the dispatcher order the jobs the other way round before.

--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -30,14 +30,19 @@
 // Weight of a new answer in the overhead of its caller.
 constexpr double kOverheadWeight = 0.25;
 
-// Sort key of a question: steps that are on time come before late ones, then
-// steps of urgent queues before others, then questions that their steps need,
-// then those with the earlier latest start.
-std::tuple<bool, bool, bool, std::int64_t> SortKey(
+// Sort key of a question: steps that are on time come before late ones, and
+// these before those that are too late to be of use. Then follow steps of
+// urgent queues before others, questions that their steps need, and those with
+// the earlier latest start.
+std::tuple<policy::Lateness, bool, bool, std::int64_t> SortKey(
     const AdviceQuestion& question,
     std::int64_t now_ms) {
-  return {now_ms > question.latest_start_ms, !question.urgent_queue,
-          question.optional, question.latest_start_ms};
+  const auto lateness =
+      now_ms <= question.latest_start_ms          ? policy::Lateness::kOnTime
+      : now_ms <= question.latest_useful_start_ms ? policy::Lateness::kLate
+                                                  : policy::Lateness::kTooLate;
+  return {lateness, !question.urgent_queue, question.optional,
+          question.latest_start_ms};
 }
 
 }  // namespace
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,6 +26,9 @@
   // Time on the leader's clock by which the step must start for its job to meet
   // its objective.
   std::int64_t latest_start_ms = 0;
+  // The same for a result that is of use.
+  std::int64_t latest_useful_start_ms =
+      std::numeric_limits<std::int64_t>::max();
   bool urgent_queue = false;
   // Whether it asks for new tickets of workers that are allowed already.
   bool renewal = false;
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -127,7 +127,7 @@
          {"tasks", text},
          {"waiting", step.waiting.size()},
          {"queued_ms", now_ms_ - step.accepted_ms},
-         {"slack_ms", step.objective_ms - step.remaining_ms - now_ms_}});
+         {"slack_ms", policy::LatestStartMs(step) - now_ms_}});
   }
 }
 
@@ -295,7 +295,8 @@
   advice_question.optional = question.optional;
   advice_question.queue = step.queue_name;
   advice_question.expected_ms = question.expected_ms;
-  advice_question.latest_start_ms = step.objective_ms - step.remaining_ms;
+  advice_question.latest_start_ms = policy::LatestStartMs(step);
+  advice_question.latest_useful_start_ms = policy::LatestUsefulStartMs(step);
   advice_question.urgent_queue = step.priority == 0;
   ++metrics_.Counter("advice_questions_total");
   advice_dispatcher_.Ask(std::move(advice_question));
@@ -507,7 +508,7 @@
          {"planned_ago_ms",
           step.planned_ms == 0 ? std::int64_t{-1} : now_ms_ - step.planned_ms},
          {"held", step.held.size()},
-         {"slack_ms", step.objective_ms - step.remaining_ms - now_ms_},
+         {"slack_ms", policy::LatestStartMs(step) - now_ms_},
          {"more_steps", waits.size() - count}});
   }
 }
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -189,6 +189,20 @@
   std::int64_t planned_ms = 0;
 };
 
+// How late a job ends if the step starts now.
+enum class Lateness {
+  kOnTime,   // Before its objective.
+  kLate,     // After it, while the result is still of use.
+  kTooLate,  // After several times its objective.
+};
+
+// The latest starts of the step with which its job is on time, and of use.
+// Long-running tasks are always of use, and so are the runs that show whether a
+// task crashes its workers.
+std::int64_t LatestStartMs(const PlanStep& step);
+std::int64_t LatestUsefulStartMs(const PlanStep& step);
+Lateness LatenessOf(const PlanStep& step, std::int64_t now_ms);
+
 // The workers that a waiting step may use.
 struct StepWorkers {
   std::size_t eligible = 0;
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -1,6 +1,7 @@
 #include "cranberryshunt/policy/graph_planner.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -36,6 +37,32 @@
   return *this;
 }
 
+std::int64_t LatestStartMs(const PlanStep& step) {
+  return step.objective_ms - step.remaining_ms;
+}
+
+std::int64_t LatestUsefulStartMs(const PlanStep& step) {
+  // A caller has some use for a job that ends after this many times its
+  // objective.
+  constexpr double kUsefulObjectives = 2.5;
+  if (step.long_running || !step.suspects.empty()) {
+    return std::numeric_limits<std::int64_t>::max();
+  }
+  const auto objective_ms =
+      static_cast<double>(step.objective_ms - step.accepted_ms);
+  return step.accepted_ms +
+         static_cast<std::int64_t>(kUsefulObjectives * objective_ms) -
+         step.remaining_ms;
+}
+
+Lateness LatenessOf(const PlanStep& step, std::int64_t now_ms) {
+  if (now_ms <= LatestStartMs(step)) {
+    return Lateness::kOnTime;
+  }
+  return now_ms <= LatestUsefulStartMs(step) ? Lateness::kLate
+                                             : Lateness::kTooLate;
+}
+
 bool Demand::FitsIn(const Demand& available) const {
   return milli_cpus <= available.milli_cpus &&
          memory_mb <= available.memory_mb &&
@@ -220,21 +247,22 @@
   }
 }
 
-// Steps that can still meet their objective precede late ones. Within each of
-// these groups, urgent queues precede others. Steps with equal rank so far are
-// ordered by the latest time at which they must start, or, if they are late, by
-// the time at which they were accepted.
+// Steps that can still meet their objective precede late ones, and these
+// precede those that are too late to be of use. Within each of these groups,
+// urgent queues precede others. Steps with equal rank so far are ordered by the
+// latest time at which they must start, or, if they are late, by the time at
+// which they were accepted.
 std::vector<PlanStep*> GraphPlanner::StepsByUrgency(std::int64_t now_ms) {
-  using Key = std::tuple<bool, bool, std::int64_t, StepId>;
+  using Key = std::tuple<Lateness, bool, std::int64_t, StepId>;
   std::vector<std::pair<Key, PlanStep*>> order;
   waiting_steps_.erase_if(
       [](const auto& it) { return it.second->waiting.empty(); });
   order.reserve(waiting_steps_.size());
   for (const auto& [id, step] : waiting_steps_) {
-    const bool late = IsLate(*step, now_ms);
-    const auto urgency =
-        late ? step->accepted_ms : step->objective_ms - step->remaining_ms;
-    order.emplace_back(Key(late, step->priority > 0, urgency, id), step);
+    const auto lateness = LatenessOf(*step, now_ms);
+    const auto urgency = lateness == Lateness::kOnTime ? LatestStartMs(*step)
+                                                       : step->accepted_ms;
+    order.emplace_back(Key(lateness, step->priority > 0, urgency, id), step);
   }
   std::sort(order.begin(), order.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
--- a/libraries/policy/src/plan_round.h
+++ b/libraries/policy/src/plan_round.h
@@ -69,7 +69,7 @@
 // Whether the step's job is expected to end after its objective even if the
 // step started now.
 inline bool IsLate(const PlanStep& step, std::int64_t now_ms) {
-  return now_ms + step.remaining_ms > step.objective_ms;
+  return now_ms > LatestStartMs(step);
 }
 
 }  // namespace cranberryshunt::policy
--- a/tests/cell/advice_dispatcher_test.cc
+++ b/tests/cell/advice_dispatcher_test.cc
@@ -60,6 +60,18 @@
   cr_expect_eq(AssignAll(dispatcher, 1'000), "4321");
 }
 
+// Load pattern: a backlog of late questions. Guards against asking first for
+// jobs whose callers have no use for them any more.
+Test(advice_dispatcher, asks_for_late_steps_before_those_of_no_use) {
+  AdviceDispatcher dispatcher(0);
+  for (policy::StepId n = 1; n <= 3; ++n) {
+    auto question = MakeQuestion(n, false, 100 * n);
+    question.latest_useful_start_ms = n == 1 ? 900 : 2'000;
+    dispatcher.Ask(std::move(question));
+  }
+  cr_expect_eq(AssignAll(dispatcher, 1'000), "231");
+}
+
 // Load pattern: many gangs ask while callers are scarce. Guards against a gang
 // that gets more choice while another one waits for the answers that it needs.
 Test(advice_dispatcher, asks_what_steps_need_before_optional_questions) {
--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -278,7 +278,11 @@
   auto& worker = planner_.workers().at(start.worker);
   worker.milli_cpus_per_ms += ReleaseRate(kind);
   planner_.MarkWorkerChanged(start.worker);
-  const auto run_ms = job.steps[job.current].run_ms;
+  const auto& current = job.steps[job.current];
+  if (kind.gang && start.index == current.tasks - 1) {
+    BeginGangRun(job);
+  }
+  const auto run_ms = job.run_fails ? current.run_ms / 2 : current.run_ms;
   const auto expected_end_ms = now_ms_ + kind.run_ms;
   At(begins_ms + run_ms + options_.transit_ms,
      [this, step = start.step, worker = start.worker, expected_end_ms] {
@@ -309,6 +313,10 @@
   if (--current.open > 0) {
     return;
   }
+  if (job.run_fails) {
+    RepeatGang(job, *step);
+    return;
+  }
   planner_.RemoveStep(id);
   jobs_by_step_.erase(id);
   if (++job.current < job.steps.size()) {
@@ -319,6 +327,25 @@
   }
 }
 
+void FleetReplay::BeginGangRun(Job& job) const {
+  ++job.gang_runs;
+  std::mt19937_64 random(
+      static_cast<std::uint64_t>(job.id * 100'003 + job.gang_runs));
+  job.run_fails = std::uniform_real_distribution<>(0, 1)(random) <
+                  options_.gang_failure_share;
+}
+
+void FleetReplay::RepeatGang(Job& job, PlanStep& step) {
+  auto& current = job.steps[job.current];
+  job.run_fails = false;
+  current.open = current.tasks;
+  step.waiting.resize(static_cast<std::size_t>(current.tasks));
+  std::iota(step.waiting.begin(), step.waiting.end(), 0);
+  step.waiting_since_ms = now_ms_;
+  step.changed = true;
+  planner_.MarkStepWaiting(step);
+}
+
 void FleetReplay::EndJob(Job& job) {
   if (!Counts(job)) {
     jobs_.erase(job.id);
@@ -366,11 +393,11 @@
   const auto key = [&](const PlannedQuestion& it) {
     const auto step = planner_.steps().find(it.step);
     if (step == planner_.steps().end()) {
-      return std::tuple(true, true, true, std::int64_t{0});
+      return std::tuple(Lateness::kTooLate, true, true, std::int64_t{0});
     }
-    const auto latest = step->second.objective_ms - step->second.remaining_ms;
-    return std::tuple(now_ms_ > latest, step->second.priority > 0, it.optional,
-                      latest);
+    return std::tuple(LatenessOf(step->second, now_ms_),
+                      step->second.priority > 0, it.optional,
+                      LatestStartMs(step->second));
   };
   std::stable_sort(
       queued_.begin(), queued_.end(),
--- a/tests/policy/fleet_replay.h
+++ b/tests/policy/fleet_replay.h
@@ -60,6 +60,9 @@
   std::int64_t outage_ms = 0;
   // Time beyond the service's own that a caller takes for a question.
   std::int64_t caller_overhead_ms = 60;
+  // Share of the runs of gangs that end after half of their time because a
+  // member fails; the gang is run again.
+  double gang_failure_share = 0;
   // Only jobs that are sent from this time on count in the outcomes.
   std::int64_t count_from_ms = 0;
 };
@@ -124,6 +127,8 @@
     std::int64_t first_start_ms = -1;
     std::int32_t attempts = 0;
     std::size_t current = 0;
+    std::int64_t gang_runs = 0;
+    bool run_fails = false;
     std::vector<Step> steps;
     double worth = 0;
     double size = 0;
@@ -140,6 +145,10 @@
   void EndTask(StepId step, std::int64_t worker, std::int64_t expected_end_ms);
   void AssignQuestions();
   void Answer(const PlannedQuestion& question);
+  // Decides whether the run of a gang that begins now will fail.
+  void BeginGangRun(Job& job) const;
+  // Lets all tasks of a failed gang wait once more.
+  void RepeatGang(Job& job, PlanStep& step);
   void EndJob(Job& job);
   void CountUnserved(const Job& job);
   LoadSummary Load(const ReplayKind& kind, std::int64_t slack_ms) const;
--- a/tests/policy/graph_planner_test.cc
+++ b/tests/policy/graph_planner_test.cc
@@ -212,6 +212,33 @@
   cr_expect_eq(plan.questions.front().workers.size(), 100);
 }
 
+// Late jobs wait for a fleet that becomes free. Guards against serving jobs
+// first whose callers have no use for them any more, by which the others become
+// useless, too.
+Test(graph_planner, starts_late_jobs_before_those_that_are_of_no_use) {
+  GraphPlanner planner;
+  planner.workers()[1] = MakeWorker(1);
+  AddRunningTask(planner.workers()[1], 64'000, 500);
+  for (StepId id = 1; id <= 4; ++id) {
+    auto& step = AddStep(planner, id, 1, 30'000, 0);
+    step.accepted_ms = 1'000 * id;
+    step.objective_ms = step.accepted_ms + 6'000;
+    step.waiting_since_ms = step.accepted_ms;
+    step.long_running = id == 2;
+  }
+  cr_expect(LatenessOf(planner.steps().at(1), 3'000) == Lateness::kOnTime);
+  cr_expect(LatenessOf(planner.steps().at(1), 12'000) == Lateness::kLate);
+  cr_expect(LatenessOf(planner.steps().at(1), 12'001) == Lateness::kTooLate);
+  cr_expect(LatenessOf(planner.steps().at(2), 90'000) == Lateness::kLate,
+            "a long-running task is of use at any time");
+  EndTasks(planner, 1, 500);
+  const auto plan = planner.Decide(12'500);
+  cr_expect_eq(plan.starts.size(), 2);
+  cr_expect_eq(CountStarts(plan, 1), 0);
+  cr_expect_eq(CountStarts(plan, 2), 1);
+  cr_expect_eq(CountStarts(plan, 3), 1);
+}
+
 // Wide and narrow gangs wait while no caller of the advice service is idle.
 // Guards against a wide gang that asks for its answers one after another, and
 // against narrow ones that compete with it for answers that they do not need.
