--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -32,17 +32,15 @@
 
 // Sort key of a question: steps that are on time come before late ones, and
 // these before those that are too late to be of use. Then follow steps of
-// urgent queues before others, questions that their steps need, and those with
-// the earlier latest start.
-std::tuple<policy::Lateness, bool, bool, std::int64_t> SortKey(
+// urgent queues before others, and those with the earlier latest start.
+std::tuple<policy::Lateness, bool, std::int64_t> SortKey(
     const AdviceQuestion& question,
     std::int64_t now_ms) {
   const auto lateness =
       now_ms <= question.latest_start_ms          ? policy::Lateness::kOnTime
       : now_ms <= question.latest_useful_start_ms ? policy::Lateness::kLate
                                                   : policy::Lateness::kTooLate;
-  return {lateness, !question.urgent_queue, question.optional,
-          question.latest_start_ms};
+  return {lateness, !question.urgent_queue, question.latest_start_ms};
 }
 
 }  // namespace
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -32,8 +32,6 @@
   bool urgent_queue = false;
   // Whether it asks for new tickets of workers that are allowed already.
   bool renewal = false;
-  // Whether its step has enough choice without the answer.
-  bool optional = false;
 };
 
 struct AdviceOutcome {
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -292,7 +292,6 @@
   }
   advice_question.worker_numbers = question.workers;
   advice_question.renewal = question.renewal;
-  advice_question.optional = question.optional;
   advice_question.queue = step.queue_name;
   advice_question.expected_ms = question.expected_ms;
   advice_question.latest_start_ms = policy::LatestStartMs(step);
@@ -344,7 +343,7 @@
             it.answered_at_ms - kAnswerTransitMs + advice.ticket_valid_ms};
       }
     }
-    planner_.RecordAnswer(step, asked, std::move(tickets));
+    advice.RecordAnswer(asked, std::move(tickets));
     Log(LogLevel::kInfo, "advice", "advice service answered a question",
         {{"step", it.question.step_name},
          {"asked", it.question.worker_numbers.size()},
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -243,9 +243,6 @@
   std::vector<std::int64_t> workers;
   // Whether it asks for new tickets of workers that are allowed already.
   bool renewal = false;
-  // Whether the workers that are allowed, or are expected to be by the answers
-  // under way, give the step enough choice without this question.
-  bool optional = false;
   std::int64_t expected_ms = 0;  // Expected answer time of the service.
 
   bool operator==(const PlannedQuestion&) const = default;
@@ -275,18 +272,13 @@
   std::size_t wide_step_tasks = 8;
   // Limit of workers in one question for new tickets of single tasks.
   std::size_t max_workers_renewed = 40;
-  // Questions about new workers that a gang may have open at the same time: if
-  // it needs them, and if they only give it more choice.
-  std::int32_t max_needed_questions = 6;
+  // Questions about new workers that a gang may have open at the same time.
   std::int32_t max_open_questions = 3;
-  // A gang has enough choice if its allowed workers could run this many times
-  // its tasks when idle. Only some of them have room at the same time.
-  std::int64_t gang_choice = 4;
   // Time in which the workers that a gang was allowed are expected to give it
   // room after the answer.
   std::int64_t gather_ms = 500;
   // Time that a gang needs for each of its tasks to gather room and tickets.
-  std::int64_t gather_ms_per_task = 40;
+  std::int64_t gather_ms_per_task = 30;
   // Capacity is held for a gang that is expected to start within this time, and
   // the time for which it has waited: about as long as a ticket is valid and
   // an answer takes.
@@ -356,11 +348,6 @@
   // Returns null if there is no such step.
   PlanStep* FindStep(StepId id);
   void RemoveStep(StepId id);
-  // Records an answer of the advice service about the workers `asked`: those in
-  // `tickets` are allowed.
-  void RecordAnswer(PlanStep& step,
-                    const std::vector<std::int64_t>& asked,
-                    std::map<std::int64_t, Ticket> tickets);
   // Must be called when a step without waiting tasks gets some.
   void MarkStepWaiting(PlanStep& step) { waiting_steps_[step.id] = &step; }
 
@@ -488,11 +475,6 @@
   bool HasEnoughAllowedWorkers(const PlanStep& step,
                                std::size_t limit,
                                std::int64_t now_ms);
-  // Whether the workers that a gang is allowed, or is expected to be by the
-  // answers under way, give it too little choice.
-  bool NeedsFurtherAnswers(const PlanStep& step);
-  // Expected share of allowed workers in an answer about new workers.
-  double AllowedShare(const std::string& queue_name) const;
   QuestionScope FindQuestionScope(const PlanStep& step,
                                   std::size_t limit,
                                   const Round& round);
@@ -503,8 +485,10 @@
   void PlanRenewal(PlanStep& step,
                    std::vector<std::int64_t> workers,
                    Round& round);
-  // `question` has its workers and kind.
-  void PlanQuestion(PlanStep& step, PlannedQuestion question, Round& round);
+  void PlanQuestion(PlanStep& step,
+                    std::vector<std::int64_t> workers,
+                    bool renewal,
+                    Round& round);
 
   const PlannerOptions options_;
   std::map<std::int64_t, PlanWorker> workers_;
@@ -525,12 +509,6 @@
   std::vector<std::int64_t> workers_with_held_capacity_;
   std::int64_t full_round_at_ms_ = 0;
   bool unrest_ = false;
-  // Workers in recent answers about new workers, and those allowed, by queue.
-  struct AnswerCounts {
-    double asked = 0;
-    double allowed = 0;
-  };
-  std::map<std::string, AnswerCounts> answer_counts_;
   // Total capacity of the usable workers of each service, as of the last full
   // round.
   std::map<std::string, Demand> usable_capacity_;
--- a/libraries/policy/src/advice_questions.cc
+++ b/libraries/policy/src/advice_questions.cc
@@ -22,39 +22,8 @@
   return static_cast<double>(free);
 }
 
-// Answers about this many workers tell which share of them is allowed; older
-// ones count less.
-constexpr double kMaxAnswersCounted = 2'000;
-
 }  // namespace
 
-void GraphPlanner::RecordAnswer(PlanStep& step,
-                                const std::vector<std::int64_t>& asked,
-                                std::map<std::int64_t, Ticket> tickets) {
-  auto& counts = answer_counts_[step.queue_name];
-  for (const auto it : asked) {
-    if (!step.advice.asked_workers.contains(it)) {
-      counts.asked += 1;
-      counts.allowed += tickets.contains(it) ? 1 : 0;
-    }
-  }
-  if (counts.asked > kMaxAnswersCounted) {
-    counts.asked /= 2;
-    counts.allowed /= 2;
-  }
-  step.advice.RecordAnswer(asked, std::move(tickets));
-  step.changed = true;
-}
-
-// Before the first answer all workers are expected to be allowed, so that a
-// step waits for it.
-double GraphPlanner::AllowedShare(const std::string& queue_name) const {
-  const auto counts = answer_counts_.find(queue_name);
-  return counts == answer_counts_.end() || counts->second.asked <= 0
-             ? 1
-             : counts->second.allowed / counts->second.asked;
-}
-
 // A gang needs all its tickets at the same time. Those that would expire before
 // the answer are renewed in the same question, because they would be asked for
 // next while the new ones expire.
@@ -148,23 +117,6 @@
          FitOnAllowedWorkers(step, true, wanted) >= wanted;
 }
 
-bool GraphPlanner::NeedsFurtherAnswers(const PlanStep& step) {
-  const auto count = static_cast<std::int64_t>(step.waiting.size());
-  const auto wanted = options_.gang_choice * count;
-  const auto allowed = FitOnAllowedWorkers(step, true, wanted);
-  std::int64_t pending = 0;
-  for (const auto it : step.advice.pending_workers) {
-    const auto* worker = FindWorker(it);
-    if (worker != nullptr && IsEligible(step, *worker)) {
-      pending += FitCount(step.demand, worker->capacity,
-                          std::min(count, PerWorkerLimit(step, *worker)));
-    }
-  }
-  return static_cast<double>(allowed) +
-             AllowedShare(step.queue_name) * static_cast<double>(pending) <
-         static_cast<double>(wanted);
-}
-
 // The tasks on the allowed workers may go on for very long, so a step doesn't
 // rely on their end for ever.
 GraphPlanner::QuestionScope GraphPlanner::FindQuestionScope(
@@ -195,19 +147,15 @@
 }
 
 // Asks about eligible workers that the service has not been asked about yet,
-// those with the most free capacity first. A gang asks the questions that its
-// width needs side by side: a wide one that asked them one after another would
-// be late before it could start. It asks further ones while callers are idle.
+// those with the most free capacity first. A gang asks several questions side
+// by side while callers are idle, because its tickets must be valid together.
 void GraphPlanner::AskAboutNewWorkers(PlanStep& step, Round& round) {
   const auto& asked_workers = step.advice.asked_workers;
   const auto limit = MaxWorkersToAsk(step);
-  const auto open = step.advice.open_questions;
-  const bool needs_answers = step.gang &&
-                             open < options_.max_needed_questions &&
-                             NeedsFurtherAnswers(step);
-  const bool may_ask = open == 0 || needs_answers ||
-                       (step.gang && open < options_.max_open_questions &&
-                        round.idle_callers > options_.reserved_callers);
+  const bool may_ask =
+      step.advice.open_questions == 0 ||
+      (step.gang && step.advice.open_questions < options_.max_open_questions &&
+       round.idle_callers > options_.reserved_callers);
   if (!may_ask || step.advice.complete_at_version == workers_version_ ||
       round.plan.questions.size() >= options_.max_questions) {
     return;
@@ -243,12 +191,11 @@
   const auto last = candidates.begin() + static_cast<std::ptrdiff_t>(asked);
   std::nth_element(candidates.begin(), last, candidates.end());
   std::sort(candidates.begin(), last);
-  PlannedQuestion question;
+  std::vector<std::int64_t> numbers;
   for (std::size_t i = 0; i < asked; ++i) {
-    question.workers.push_back(candidates[i].second);
+    numbers.push_back(candidates[i].second);
   }
-  question.optional = step.gang && !needs_answers;
-  PlanQuestion(step, std::move(question), round);
+  PlanQuestion(step, std::move(numbers), false, round);
 }
 
 // Asks for new tickets of allowed workers. The question goes out beside those
@@ -257,27 +204,28 @@
                                std::vector<std::int64_t> workers,
                                Round& round) {
   if (!step.advice.renewal_pending) {
-    PlannedQuestion question;
-    question.workers = std::move(workers);
-    question.renewal = true;
-    PlanQuestion(step, std::move(question), round);
+    PlanQuestion(step, std::move(workers), true, round);
   }
 }
 
 void GraphPlanner::PlanQuestion(PlanStep& step,
-                                PlannedQuestion question,
+                                std::vector<std::int64_t> workers,
+                                bool renewal,
                                 Round& round) {
-  if (!step.advice.needed || question.workers.empty() ||
+  if (!step.advice.needed || workers.empty() ||
       round.plan.questions.size() >= options_.max_questions) {
     return;
   }
+  PlannedQuestion question;
   question.step = step.id;
+  question.renewal = renewal;
+  question.workers = std::move(workers);
   if (question.workers.size() > kMaxWorkersPerQuestion) {
     question.workers.resize(kMaxWorkersPerQuestion);
   }
   question.expected_ms = AnswerMs(step, question.workers.size());
   step.advice.BeginQuestion(
-      question.workers, question.renewal,
+      question.workers, renewal,
       round.now_ms + question.expected_ms + kAnswerTransitMs);
   step.advice.last_question_ms = round.now_ms;
   round.plan.questions.push_back(std::move(question));
