cell: Log what a worker's new incarnation may get of the former one

A task ran twice after its worker had started again under its old id. The log could not tell a lease on the former clock from an end that a hold for the former incarnation had acknowledged. Now it names both clocks, the last lease, the acknowledged end and what was open when an incarnation is replaced, and each hold that another one answered.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -84,6 +84,13 @@
       if (!other_incarnation) {
         OnHoldReply(*worker, *hold, sent_ms, reply, now_ms, out);
       } else {
+        Log(LogLevel::kWarning, "workers", "another incarnation answers a hold",
+            {{"worker", worker->record.id},
+             {"born_ms", worker->record.born_ms},
+             {"answering_born_ms", reply.born_ms},
+             {"answering_clock_ms", reply.clock_ms},
+             {"lease_until_ms", hold->lease_until_ms},
+             {"acknowledged_end", hold->acknowledged_end}});
         // The worker has restarted, and will be registered as a new incarnation
         // after its report.
         worker->synced = false;
@@ -133,6 +140,8 @@
     Log(LogLevel::kInfo, "workers", "worker is synchronized",
         {{"worker", worker.record.id},
          {"fence", order.fence},
+         {"born_ms", worker.record.born_ms},
+         {"clock_ms", reply.clock_ms},
          {"running", reply.running.size()},
          {"ended", reply.ended.size()}});
     worker.synced = true;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -279,6 +279,7 @@
   auto& added = workers_[number];
   MoveDepartedRuns(added);
   if (previous != nullptr) {
+    LogReplacement(*previous, record, now_ms);
     // Orders to the previous incarnation may still reach the new one, so the
     // runs that the new one lists decide whether a run has ended.
     auto runs = std::move(previous->runs);
@@ -305,6 +306,29 @@
   numbers_by_id_[record.id] = number;
 }
 
+// The new incarnation takes orders that were meant for the previous one, and
+// knows neither its clock nor its numbers of ends.
+void WorkerTracker::LogReplacement(const TrackedWorker& previous,
+                                   const wire::CalledWorker& record,
+                                   std::int64_t now_ms) {
+  const auto open_starts =
+      std::count_if(previous.runs.begin(), previous.runs.end(),
+                    [](const auto& it) {
+                      return it.second.phase == RunPhase::kSending ||
+                             it.second.phase == RunPhase::kUncertain;
+                    });
+  Log(LogLevel::kInfo, "workers", "worker has a new incarnation",
+      {{"worker", record.id},
+       {"former_born_ms", previous.record.born_ms},
+       {"born_ms", record.born_ms},
+       {"former_clock_ms", previous.clock_ms},
+       {"clock_age_ms", now_ms - previous.clock_sampled_ms},
+       {"former_lease_until_ms", previous.lease_until_ms},
+       {"acknowledged_end", previous.acknowledged_end},
+       {"open_starts", open_starts},
+       {"open_hold", previous.hold_order != 0}});
+}
+
 void WorkerTracker::SetDeparted(WorkerNumber number, bool departed) {
   const auto worker = workers_.find(number);
   if (worker != workers_.end()) {
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -211,6 +211,9 @@
     std::map<RunKey, Run> runs;
   };
 
+  static void LogReplacement(const TrackedWorker& previous,
+                             const wire::CalledWorker& record,
+                             std::int64_t now_ms);
   // Local time by which a start that may have been sent until now is refused
   // as too late, or its lease has expired.
   std::int64_t StartExpiry(std::int64_t now_ms) const;
