tests/cell: Show that orders for a former incarnation of a worker repeat tasks

The workers of the harness kept their clock over a restart, granted any lease, and kept ends above the last acknowledged number only until they were listed, so no test showed what the report describes.

--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -15,6 +15,8 @@
 
 constexpr std::int64_t kReportIntervalMs = 1'500;
 constexpr std::int64_t kStopMs = 100;
+// Clocks of workers start between 0 and twice this value.
+constexpr std::int64_t kFirstClockMs = 100'000'000;
 // A start must respect a smaller capacity from this time after its report on.
 constexpr std::int64_t kCapacityGraceMs = 4'000 + kReportIntervalMs;
 // A task must not be started this many times more after this many workers have
@@ -90,7 +92,8 @@
     worker.record.milli_cpus = options.milli_cpus;
     worker.record.memory_mb = options.memory_mb;
     worker.record.rack = fmt::format("r{}", n / 4);
-    worker.clock_offset_ms = static_cast<std::int64_t>(n) * 1'000;
+    worker.clock_offset_ms =
+        kFirstClockMs + static_cast<std::int64_t>(n) * 1'000;
     workers.push_back(std::move(worker));
   }
   ChangeLeader();
@@ -324,14 +327,30 @@
   return pending;
 }
 
+// Tasks whose ends nobody has read may run again.
+void CellHarness::ForgetEnds(FakeWorker& worker) {
+  for (const auto& it : worker.ended) {
+    done_.erase(it.task);
+  }
+  worker.ended.clear();
+  worker.next_end = 1;
+  worker.acknowledged_end = 0;
+}
+
+void CellHarness::ResetClock(FakeWorker& worker) {
+  worker.clock_offset_ms = static_cast<std::int64_t>(
+      std::mt19937_64(static_cast<std::uint64_t>(worker.record.born_ms))() %
+      static_cast<std::uint64_t>(2 * kFirstClockMs));
+}
+
 void CellHarness::RestartAtOnce(FakeWorker& worker) {
   worker.record.born_ms = now_ms_;
+  ResetClock(worker);
+  ForgetEnds(worker);
   worker.fence = 0;
   worker.lease_until_ms = 0;
   EndAllRuns(worker);
   worker.barred.clear();
-  worker.ended.clear();
-  worker.next_end = 1;
 }
 
 void CellHarness::Run(std::int64_t duration_ms) {
@@ -474,13 +493,8 @@
 void CellHarness::Crash(FakeWorker& worker) {
   worker.gone = true;
   EndAllRuns(worker);
-  // Tasks whose ends nobody has read may run again.
-  for (const auto& it : worker.ended) {
-    done_.erase(it.task);
-  }
-  worker.ended.clear();
+  ForgetEnds(worker);
   worker.barred.clear();
-  worker.next_end = 1;
   worker.fence = 0;
   worker.lease_until_ms = 0;
   const auto number = static_cast<std::size_t>(&worker - workers.data());
@@ -513,6 +527,7 @@
     }
     restarted.gone = false;
     restarted.record.born_ms += 1'000;
+    ResetClock(restarted);
     ReportOnce(restarted);
   });
 }
@@ -573,7 +588,6 @@
   const auto fence = std::visit([](const auto& it) { return it.fence; }, order);
   WorkerReply reply;
   reply.clock_ms = now_ms_ + worker.clock_offset_ms;
-  reply.born_ms = worker.record.born_ms;
   if (fence < worker.fence) {
     reply.answer = WorkerAnswer::kFenced;
     return reply;
@@ -583,7 +597,6 @@
   if (const auto* start = std::get_if<StartOrder>(&order)) {
     auto started = ServeStart(worker, *start);
     started.clock_ms = reply.clock_ms;
-    started.born_ms = reply.born_ms;
     return started;
   }
   if (const auto* stop = std::get_if<StopOrder>(&order)) {
@@ -596,10 +609,13 @@
     return reply;
   }
   const auto& hold = std::get<HoldOrder>(order);
-  worker.lease_until_ms = std::max(
-      worker.lease_until_ms, hold.lease_until_ms - worker.clock_offset_ms);
+  // Only the lists of runs name the incarnation.
+  reply.born_ms = worker.record.born_ms;
+  ExtendLease(worker, hold.lease_until_ms);
+  worker.acknowledged_end =
+      std::max(worker.acknowledged_end, hold.acknowledged_end);
   std::erase_if(worker.ended, [&](const auto& it) {
-    return it.number <= hold.acknowledged_end;
+    return it.number <= worker.acknowledged_end;
   });
   for (const auto& [key, run] : worker.runs) {
     auto& row = reply.running.emplace_back();
@@ -618,6 +634,13 @@
   return reply;
 }
 
+// `until_ms` is a time on the worker's clock.
+void CellHarness::ExtendLease(FakeWorker& worker, std::int64_t until_ms) const {
+  worker.lease_until_ms = std::max(worker.lease_until_ms,
+                                   std::min(until_ms - worker.clock_offset_ms,
+                                            now_ms_ + options_.max_lease_ms));
+}
+
 WorkerReply CellHarness::ServeStart(FakeWorker& worker,
                                     const StartOrder& order) {
   WorkerReply reply;
@@ -632,13 +655,12 @@
     ++refused_starts;
     return reply;
   }
-  const auto until = order.lease_until_ms - worker.clock_offset_ms;
-  if (until <= now_ms_) {
+  if (order.lease_until_ms - worker.clock_offset_ms <= now_ms_) {
     reply.answer = WorkerAnswer::kTooLate;
     ++refused_starts;
     return reply;
   }
-  worker.lease_until_ms = std::max(worker.lease_until_ms, until);
+  ExtendLease(worker, order.lease_until_ms);
   if (!order.ticket.empty() &&
       order.ticket != TicketFor(graph::FormatStep(order.task.step_key()),
                                 worker.record.id)) {
@@ -721,7 +743,9 @@
   row.run = key.second;
   row.how = how;
   row.checkpoint = options_.resumed_percent > 0 ? "saved" : "";
-  worker.ended.push_back(row);
+  if (row.number > worker.acknowledged_end) {
+    worker.ended.push_back(row);
+  }
   auto& barred = worker.barred[key.first];
   barred = std::max(barred, key.second);
   worker.runs.erase(key);
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -34,6 +34,8 @@
   std::int64_t clock_offset_ms = 0;
   std::int64_t fence = 0;
   std::int64_t lease_until_ms = 0;
+  // Ends up to this number are forgotten, also those that are still to come.
+  std::int64_t acknowledged_end = 0;
   std::map<std::pair<graph::TaskKey, std::int32_t>, FakeRun> runs;
   // Highest run of each task that was stopped or has ended.
   std::map<graph::TaskKey, std::int32_t> barred;
@@ -70,6 +72,8 @@
   // If greater than `commit_ms`, the times of commits are random between both.
   std::int64_t max_commit_ms = 0;
   std::int64_t network_ms = 5;
+  // Longest lease of a worker. It shortens longer ones.
+  std::int64_t max_lease_ms = 10'000;
   std::int32_t advice_callers = 6;
   double allowed_share = 1;
   // How long a member of a gang waits for the others.
@@ -127,7 +131,7 @@
                     std::int64_t clock_offset_ms);
 
   // Ends the worker with all its runs. A new incarnation of it begins at once
-  // and reports later.
+  // and reports later. It takes the orders that were meant for the former one.
   void RestartAtOnce(FakeWorker& worker);
 
   // Advances time in steps of one millisecond.
@@ -199,6 +203,9 @@
     return TimePoint(std::chrono::milliseconds(now_ms_));
   }
   void Schedule(std::int64_t delay_ms, std::function<void()> action);
+  // Sets the clock of a new incarnation, which starts at any time.
+  static void ResetClock(FakeWorker& worker);
+  void ForgetEnds(FakeWorker& worker);
   void ReportOnce(const FakeWorker& worker);
   // Reports at intervals while the worker is there.
   void Report(const FakeWorker& worker);
@@ -216,6 +223,7 @@
   void CarryOut(const SentOrder& sent);
   WorkerReply Serve(FakeWorker& worker, const WorkerOrder& order);
   WorkerReply ServeStart(FakeWorker& worker, const StartOrder& order);
+  void ExtendLease(FakeWorker& worker, std::int64_t until_ms) const;
   void EndRun(FakeWorker& worker,
               const std::pair<graph::TaskKey, std::int32_t>& key,
               wire::RunEnd::type how);
--- /dev/null
+++ b/tests/cell/worker_restart_test.cc
@@ -0,0 +1,102 @@
+// Tests that a worker which starts again under its old id does no harm with the
+// orders that were meant for its former incarnation.
+#include <criterion/criterion.h>
+
+#include "cell_harness.h"
+
+using namespace cranberryshunt;        // NOLINT
+using namespace cranberryshunt::cell;  // NOLINT
+
+namespace {
+
+constexpr std::int64_t kLongRunMs = 30'000;
+constexpr std::int64_t kReportDelayMs = 1'500;
+
+void StartCell(CellHarness& cell) {
+  cell.Run(1'000);
+  cell.Publish({MakeQueue("a", 1)});
+  cell.Run(200);
+}
+
+void ExpectNoViolations(const CellHarness& cell, std::int64_t restart_ms) {
+  for (const auto& it : cell.violations) {
+    cr_expect_fail("restart at %d ms: %s", static_cast<int>(restart_ms),
+                   it.c_str());
+  }
+}
+
+// Restarts all workers of a cell `restart_ms` after a job of long tasks was
+// handed in, and cuts half of them off once their reports have arrived.
+void CutOffAfterRestart(std::int64_t restart_ms, bool change_leader) {
+  CellHarness cell({.workers = 4, .seed = 7});
+  StartCell(cell);
+  graph::JobId id = 1;
+  for (std::int64_t n = 0; n < 10; ++n) {
+    cell.Submit(id++, "a", MakeJob(4, 500, kLongRunMs));
+    cell.Run(restart_ms / 10);
+  }
+  for (auto& it : cell.workers) {
+    cell.RestartAtOnce(it);
+  }
+  for (std::int64_t n = 0; n < 10; ++n) {
+    cell.Submit(id++, "a", MakeJob(4, 500, kLongRunMs));
+    cell.Run(kReportDelayMs / 10);
+  }
+  if (change_leader) {
+    cell.ChangeLeader();
+  }
+  cell.Run(500);
+  cell.workers[0].silent = true;
+  cell.workers[1].silent = true;
+  cell.Run(9'000);
+  cell.workers[0].silent = false;
+  cell.workers[1].silent = false;
+  cell.Run(20'000);
+  ExpectNoViolations(cell, restart_ms);
+}
+
+}  // namespace
+
+// Guards against a task that runs twice: a start for the former incarnation of
+// its worker gives the new one the longest lease, and the leader expects the
+// end of a shorter one.
+Test(worker_restart, repeats_no_task_while_a_lease_of_a_former_start_lasts) {
+  for (std::int64_t ms = 0; ms <= 1'500; ms += 100) {
+    CutOffAfterRestart(ms, false);
+  }
+}
+
+// Guards against the same if the next leader doesn't know of that start.
+Test(worker_restart, repeats_no_task_of_a_worker_that_the_last_leader_called) {
+  for (std::int64_t ms = 0; ms <= 1'500; ms += 100) {
+    CutOffAfterRestart(ms, true);
+  }
+}
+
+// Guards against a task that runs again after it was done: a hold for the
+// former incarnation of its worker acknowledges an end that nobody has read.
+Test(worker_restart, repeats_no_task_whose_end_was_acknowledged_unread) {
+  for (std::int64_t restart_ms = 2'000; restart_ms <= 3'500; restart_ms += 50) {
+    CellHarness cell({.workers = 2});
+    StartCell(cell);
+    graph::JobId id = 1;
+    const auto submit_until = [&](std::int64_t end_ms) {
+      while (cell.now_ms() < end_ms) {
+        cell.Submit(id++, "a", MakeJob(2, 2'000, 40));
+        cell.Run(20);
+      }
+    };
+    submit_until(cell.now_ms() + restart_ms);
+    for (auto& it : cell.workers) {
+      cell.RestartAtOnce(it);
+    }
+    submit_until(cell.now_ms() + 2 * kReportDelayMs);
+    cell.Run(10'000);
+    ExpectNoViolations(cell, restart_ms);
+    for (graph::JobId job = 1; job < id; ++job) {
+      if (cell.jobs[job].code == 0) {
+        cr_expect(cell.StateOf(job) == wire::GraphJobState::kCompleted);
+      }
+    }
+  }
+}
