cell: Bar orders for a former incarnation of a worker, and expect its longest lease

What callers saw: a task ran twice at the same time, or again after it was done, when its worker had started again under its old id and was cut off some seconds later.

Cause: until the leader heard of the new incarnation, its starts and holds carried leases on the clock of the former one. If that clock was ahead, the new incarnation took them for far in its future and granted the longest lease (10 s). The leader expected the end of its own grants (5 s) as soon as the new incarnation had answered a hold, gave the run up and started the task elsewhere.

Change: the fence of an order consists of the term and the number of the worker's incarnations in that term, so a new incarnation refuses orders for former ones from the first hold that it answers. Until then it may have granted any lease, so its leases end only after the longest one from that answer on. The same holds for workers that began shortly before the leader. Replies to orders for a former incarnation say nothing about the new one, whether or not they name an incarnation.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -77,7 +77,8 @@
       run_times_(run_times),
       step_tracker_(store, planner_, run_times_),
       workers_(
-          {.fence = term,
+          {.term = term,
+           .wall_start_ms = wall_ms_,
            .max_lease_ms = options.max_worker_lease.count(),
            .lease_ms = std::min(options.worker_lease, options.max_worker_lease)
                            .count()},
@@ -129,7 +130,7 @@
     }
   }
   Log(LogLevel::kInfo, "cell", "leading",
-      {{"term", workers_.fence()},
+      {{"term", workers_.term()},
        {"jobs", store_.jobs().size()},
        {"workers", store_.workers().size()},
        {"table_version", store_.table().version}});
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -65,13 +65,17 @@
 struct TrackedWorker {
   WorkerNumber number = 0;
   wire::CalledWorker record;
+  // Fence of all orders to this incarnation. It is higher than that of orders
+  // to earlier ones, which this one therefore refuses from the first order on
+  // that it carries out.
+  std::int64_t fence = 0;
   // Capacity in the latest report, which may not be committed yet, and the
   // largest capacity that this incarnation has had in each resource.
   policy::Demand reported_capacity;
   policy::Demand full_capacity;
   std::map<RunKey, Run> runs;
 
-  // Whether this incarnation answered a hold with the fence of this leader.
+  // Whether this incarnation answered a hold with `fence`.
   bool synced = false;
   // Whether the worker said that it has left, and this is being committed.
   bool departed = false;
@@ -89,6 +93,9 @@
   // Local time by which leases from an earlier leader or to an earlier
   // incarnation have certainly expired.
   std::int64_t inherited_lease_end_ms = 0;
+  // Whether this incarnation may have carried out orders for an earlier one. It
+  // then has a lease on another clock, which lasts as long as it allows.
+  bool may_have_former_lease = false;
 
   // Numbers of the last ended row that is committed and the last that was read.
   std::int64_t acknowledged_end = 0;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -57,10 +57,14 @@
     return;
   }
   changed_workers_.insert(worker->number);
-  fenced_ = fenced_ || reply.answer == WorkerAnswer::kFenced;
-  const bool other_incarnation = reply.born_ms != 0 &&
-                                 worker->record.born_ms != 0 &&
-                                 reply.born_ms != worker->record.born_ms;
+  const auto fence =
+      std::visit([](const auto& it) { return it.fence; }, sent.order);
+  const bool was_for_former = fence < worker->fence;
+  fenced_ =
+      fenced_ || (reply.answer == WorkerAnswer::kFenced && !was_for_former);
+  const bool other_incarnation =
+      was_for_former || (reply.born_ms != 0 && worker->record.born_ms != 0 &&
+                         reply.born_ms != worker->record.born_ms);
   const bool answered = reply.answer != WorkerAnswer::kNoAnswer &&
                         reply.answer != WorkerAnswer::kNotSent;
   if (answered && !other_incarnation &&
@@ -145,6 +149,10 @@
          {"running", reply.running.size()},
          {"ended", reply.ended.size()}});
     worker.synced = true;
+    // Its fence bars orders for earlier incarnations from now on.
+    if (worker.may_have_former_lease) {
+      worker.inherited_lease_end_ms = LongestLeaseEnd(now_ms);
+    }
   }
   ReadEnds(worker, reply, now_ms, out);
   ReadRunning(worker, sent_ms, reply, now_ms, out);
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -46,8 +46,16 @@
 // time in a large cell.
 constexpr std::int64_t kWorkerScanIntervalMs = 2;
 constexpr std::int64_t kLargeCellWorkerScanIntervalMs = 10;
-// The fence is stored in an order id above this many bits.
+// How long after the start of an incarnation orders for the former one may be
+// carried out: until a report or the reply to a hold names it, and some seconds
+// for orders that are late. Covers steps of the time of day, too.
+constexpr std::int64_t kMaxStaleOrderMs = 10'000;
+// The term is stored in an order id above this many bits.
 constexpr int kOrderCounterBits = 32;
+// A fence consists of the term and, in this many bits, the number of the
+// worker's earlier incarnations in that term.
+constexpr int kIncarnationBits = 16;
+constexpr std::int64_t kMaxIncarnations = std::int64_t{1} << kIncarnationBits;
 
 }  // namespace
 
@@ -76,7 +84,7 @@
       started_ms_(now_ms),
       // Order ids are unique across terms, so that a late answer never matches
       // another order.
-      next_order_((static_cast<OrderId>(options.fence) << kOrderCounterBits) +
+      next_order_((static_cast<OrderId>(options.term) << kOrderCounterBits) +
                   1),
       scanned_ms_(now_ms - kLargeCellWorkerScanIntervalMs) {}
 
@@ -262,19 +270,18 @@
   TrackedWorker worker;
   worker.number = number;
   worker.record = record;
+  worker.fence = NextFence(record.id);
   worker.reported_capacity = CapacityOf(record);
   worker.full_capacity = worker.reported_capacity;
   worker.last_report_ms = now_ms;
   worker.next_hold_ms = now_ms;
-  // A start that is on its way to the previous incarnation may still begin on
-  // this one, and then gets a whole lease.
+  // Until it is synchronized, this incarnation carries out orders that were
+  // meant for the previous one.
   const bool replaced =
       previous != nullptr || departed_workers_.contains(record.id);
+  worker.may_have_former_lease = replaced || BeganShortlyBefore(record);
   worker.inherited_lease_end_ms =
-      (replaced ? now_ms : started_ms_) +
-      static_cast<std::int64_t>(static_cast<double>(options_.max_lease_ms) /
-                                kMinClockRate) +
-      kLeaseMarginMs;
+      LongestLeaseEnd(replaced ? now_ms : started_ms_);
   workers_[number] = std::move(worker);
   auto& added = workers_[number];
   MoveDepartedRuns(added);
@@ -311,12 +318,11 @@
 void WorkerTracker::LogReplacement(const TrackedWorker& previous,
                                    const wire::CalledWorker& record,
                                    std::int64_t now_ms) {
-  const auto open_starts =
-      std::count_if(previous.runs.begin(), previous.runs.end(),
-                    [](const auto& it) {
-                      return it.second.phase == RunPhase::kSending ||
-                             it.second.phase == RunPhase::kUncertain;
-                    });
+  const auto open_starts = std::count_if(
+      previous.runs.begin(), previous.runs.end(), [](const auto& it) {
+        return it.second.phase == RunPhase::kSending ||
+               it.second.phase == RunPhase::kUncertain;
+      });
   Log(LogLevel::kInfo, "workers", "worker has a new incarnation",
       {{"worker", record.id},
        {"former_born_ms", previous.record.born_ms},
@@ -337,6 +343,27 @@
   }
 }
 
+std::int64_t WorkerTracker::NextFence(const std::string& id) {
+  const auto [it, added] =
+      fences_.try_emplace(id, options_.term * kMaxIncarnations);
+  if (!added && it->second % kMaxIncarnations < kMaxIncarnations - 1) {
+    ++it->second;
+  }
+  return it->second;
+}
+
+bool WorkerTracker::BeganShortlyBefore(const wire::CalledWorker& record) const {
+  return options_.wall_start_ms - record.born_ms <
+         options_.max_lease_ms + kMaxStaleOrderMs;
+}
+
+std::int64_t WorkerTracker::LongestLeaseEnd(std::int64_t now_ms) const {
+  return now_ms +
+         static_cast<std::int64_t>(static_cast<double>(options_.max_lease_ms) /
+                                   kMinClockRate) +
+         kLeaseMarginMs;
+}
+
 std::int64_t WorkerTracker::StartExpiry(std::int64_t now_ms) const {
   return now_ms +
          static_cast<std::int64_t>(static_cast<double>(options_.lease_ms) /
@@ -501,10 +528,12 @@
   }
   const auto left =
       static_cast<double>(worker.lease_until_ms - worker.clock_ms);
-  return std::max(
-      worker.synced ? std::int64_t{0} : worker.inherited_lease_end_ms,
-      worker.clock_sampled_ms +
-          static_cast<std::int64_t>(left / kMinClockRate) + kLeaseMarginMs);
+  return std::max(worker.synced && !worker.may_have_former_lease
+                      ? std::int64_t{0}
+                      : worker.inherited_lease_end_ms,
+                  worker.clock_sampled_ms +
+                      static_cast<std::int64_t>(left / kMinClockRate) +
+                      kLeaseMarginMs);
 }
 
 void WorkerTracker::OnReport(WorkerNumber number,
@@ -612,7 +641,7 @@
   it.started_ms = now_ms;
   it.start_time_known = true;
   it.percent = order.checkpoint.empty() ? 0 : -1;
-  order.fence = options_.fence;
+  order.fence = worker.fence;
   order.lease_until_ms = GrantLease(worker, now_ms);
   AddOrder(worker, std::move(order), kAnswerTimeoutMs, out);
 }
@@ -711,7 +740,7 @@
                              std::int64_t now_ms,
                              WorkerTrackerOutput& out) {
   HoldOrder order;
-  order.fence = options_.fence;
+  order.fence = worker.fence;
   order.acknowledged_end = worker.acknowledged_end;
   // A worker that answers nothing gets no further lease, so that its runs have
   // ended once the current lease has expired. One that answers other orders
@@ -766,7 +795,7 @@
         (run.stops_sent > 0 && since_last_ms >= kAnswerTimeoutMs);
     run.stop_sent_ms = now_ms;
     ++run.stops_sent;
-    AddOrder(worker, StopOrder{options_.fence, key.first, key.second},
+    AddOrder(worker, StopOrder{worker.fence, key.first, key.second},
              kAnswerTimeoutMs, out, fresh_connection);
   }
 }
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -19,7 +19,10 @@
 namespace cranberryshunt::cell {
 
 struct WorkerTrackerOptions {
-  std::int64_t fence = 0;
+  // Term of the leader. Fences rise with it.
+  std::int64_t term = 0;
+  // Time of day when the leader began, in Unix milliseconds.
+  std::int64_t wall_start_ms = 0;
   // Longest lease that a worker accepts.
   std::int64_t max_lease_ms = 10'000;
   // Lease that each hold and start grants.
@@ -199,7 +202,7 @@
   bool IsOpenAtDeparted(const TaskKey& task, std::int32_t run) const;
   // Whether starts may be sent to the worker now.
   bool IsUsable(const TrackedWorker& worker, std::int64_t now_ms) const;
-  std::int64_t fence() const { return options_.fence; }
+  std::int64_t term() const { return options_.term; }
   // Whether a worker refused an order because it has seen a higher fence.
   bool fenced() const { return fenced_; }
 
@@ -214,6 +217,14 @@
   static void LogReplacement(const TrackedWorker& previous,
                              const wire::CalledWorker& record,
                              std::int64_t now_ms);
+  // Returns the fence for the next incarnation of the worker.
+  std::int64_t NextFence(const std::string& id);
+  // Local time by which a lease that a worker grants now on the clock of
+  // another incarnation has certainly expired.
+  std::int64_t LongestLeaseEnd(std::int64_t now_ms) const;
+  // Whether the worker's process began so shortly before this leader that
+  // orders for an earlier incarnation may have reached it.
+  bool BeganShortlyBefore(const wire::CalledWorker& record) const;
   // Local time by which a start that may have been sent until now is refused
   // as too late, or its lease has expired.
   std::int64_t StartExpiry(std::int64_t now_ms) const;
@@ -316,6 +327,9 @@
   // The runs of each job, by worker, task and run number.
   std::map<graph::JobId, std::set<std::pair<WorkerNumber, RunKey>>>
       runs_by_job_;
+  // Fence of the latest incarnation of each worker, by its id. Kept after the
+  // worker has left, because its id may come back.
+  std::map<std::string, std::int64_t> fences_;
   // Runs that may need a stop. SendStops() examines only these.
   std::set<std::pair<WorkerNumber, RunKey>> stop_candidates_;
   std::set<WorkerNumber> changed_workers_;
