platform, http, cell: Acknowledge ends only to the incarnation that listed them

What callers saw: a task that was done ran again (TWICE), or its job never ended.

Cause: holds carry the number of the last end that is committed. A hold for the former incarnation that reached the new one, which numbers its ends from 1, made it forget its own ends up to that number, unread. The header that names the worker's id can't tell two incarnations apart.

Change: a connection leads to one process. Holds have connections of their own, and acknowledge ends only on the one on which the worker has named the incarnation that is meant; otherwise the hold goes out without an acknowledgement, and the next one carries it. Calls can be bound to a connection for that, and relayed orders name the incarnation. A worker that keeps no connection lists its ends again and again; its holds then pause.

--- a/libraries/cell/include/cranberryshunt/cell/worker_driver.h
+++ b/libraries/cell/include/cranberryshunt/cell/worker_driver.h
@@ -14,10 +14,13 @@
 
 namespace cranberryshunt::cell {
 
-// Recipient of an order. A worker with another id at this address refuses it.
+// Recipient of an order. A worker with another id at this address refuses it,
+// but a later incarnation with the same id carries it out.
 struct WorkerAddress {
   std::string id;
   std::string address;  // "ip:port".
+  // Unix time at which the incarnation started; 0 if unknown.
+  std::int64_t born_ms = 0;
 
   bool operator==(const WorkerAddress&) const = default;
 };
@@ -28,8 +31,9 @@
   // Fencing token. A worker refuses orders with a lower fence than the highest
   // one that it has seen.
   std::int64_t fence = 0;
-  // Highest EndedRow::number of the worker that this leader has committed; 0 if
-  // none.
+  // Highest EndedRow::number of the incarnation that this leader has committed;
+  // 0 if none. Another incarnation would forget its own ends, so the driver
+  // leaves this out unless it is certain which one it reaches.
   std::int64_t acknowledged_end = 0;
   std::int64_t lease_until_ms = 0;  // 0 leaves the lease unchanged.
   std::chrono::milliseconds wait{0};
--- a/libraries/cell/src/relay_codec.cc
+++ b/libraries/cell/src/relay_codec.cc
@@ -51,6 +51,7 @@
   out.id = static_cast<std::int64_t>(order.id);
   out.worker = order.worker.id;
   out.address = order.worker.address;
+  out.born_ms = order.worker.born_ms;
   out.timeout_ms = order.timeout.count();
   std::visit(OrderWriter{out}, order.order);
   return out;
@@ -59,7 +60,7 @@
 Result<SentOrder> FromWire(const wire::RelayedOrder& order) {
   SentOrder out;
   out.id = static_cast<OrderId>(order.id);
-  out.worker = {order.worker, order.address};
+  out.worker = {order.worker, order.address, order.born_ms};
   out.timeout = std::chrono::milliseconds(order.timeout_ms);
   if (order.__isset.hold) {
     HoldOrder hold;
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -101,6 +101,7 @@
   std::int64_t acknowledged_end = 0;
   std::int64_t seen_end = 0;
   bool ends_commit_pending = false;
+  std::int32_t repeated_lists = 0;  // Replies in a row without a new end.
 
   OrderId hold_order = 0;
   std::int64_t hold_sent_ms = 0;
@@ -116,7 +117,9 @@
   // Capacity that starts must respect: the smaller of the committed and the
   // reported one.
   policy::Demand Capacity() const;
-  WorkerAddress Address() const { return {record.id, record.address}; }
+  WorkerAddress Address() const {
+    return {record.id, record.address, record.born_ms};
+  }
 };
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Replies in a row that list only ends which were read before, from which holds
+// pause. A hold on a new connection acknowledges nothing, and so has one.
+constexpr std::int32_t kMaxRepeatedLists = 3;
 // Ends that a worker lists at a time.
 constexpr std::size_t kEndsPerPage = 500;
 // A worker that confirmed a stop no longer lists the run after this time.
@@ -191,9 +194,19 @@
     worker.seen_end = last;
     worker.ends_commit_pending = true;
     out.ends_to_acknowledge.emplace_back(worker.number, last);
-  } else if (reply.unreadable_rows > 0 || unreadable_number) {
-    // The worker answers at once while it lists an end that is not
-    // acknowledged.
+    worker.repeated_lists = 0;
+    return;
+  }
+  worker.repeated_lists = reply.ended.empty() ? 0 : worker.repeated_lists + 1;
+  if (worker.repeated_lists == kMaxRepeatedLists) {
+    Log(LogLevel::kWarning, "workers",
+        "worker lists ends again that were acknowledged",
+        {{"worker", worker.record.id},
+         {"acknowledged_end", worker.acknowledged_end}});
+  }
+  // The worker answers at once while it lists an end that is not acknowledged.
+  if (reply.unreadable_rows > 0 || unreadable_number ||
+      worker.repeated_lists >= kMaxRepeatedLists) {
     worker.next_hold_ms = now_ms + kHoldRetryMs;
   }
 }
--- a/libraries/http/include/cranberryshunt/http/http_client.h
+++ b/libraries/http/include/cranberryshunt/http/http_client.h
@@ -3,6 +3,7 @@
 #define CRANBERRYSHUNT_HTTP_HTTP_CLIENT_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,6 +25,13 @@
   // Whether the call may be sent once more on another connection when its
   // connection ends before an answer. Any other call is sent at most once.
   bool idempotent = false;
+  // Calls share connections only with calls of the same group.
+  std::string connection_group;
+  // The only connection on which the call may be sent, by its number in an
+  // earlier answer of the group; 0: any. If that connection has ended or is in
+  // use, the call fails without being sent. A connection leads to one process,
+  // while another one may serve the address by now.
+  std::uint64_t connection = 0;
 
   bool operator==(const HttpCall&) const = default;
 };
@@ -35,6 +43,9 @@
   // nothing else about whether the call was executed.
   bool sent = true;
   std::string error;  // Why there is no answer.
+  // Number of the connection, unique in this client; 0 if the call has no
+  // connection group or was not sent.
+  std::uint64_t connection = 0;
 
   bool operator==(const HttpAnswer&) const = default;
 };
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -68,6 +68,52 @@
 // A map, because calls keep iterators to their address.
 using Addresses = std::map<std::string, Address>;
 
+// Both ends of a connection. The local address is always the same.
+struct ConnectionEnds {
+  std::string peer_ip;
+  int peer_port = 0;
+  int local_port = 0;
+
+  auto operator<=>(const ConnectionEnds&) const = default;
+};
+
+// Numbers the connections of calls that belong to a connection group.
+class NumberedConnections {
+ public:
+  // Returns the number of a connection on which a call is about to be sent.
+  // `opened_socket` is its socket if it was opened for this call, else -1.
+  std::uint64_t Identify(ConnectionEnds ends, int opened_socket) {
+    if (opened_socket < 0) {
+      const auto it = numbers_.find(ends);
+      return it == numbers_.end() ? 0 : it->second;
+    }
+    ends_by_socket_[opened_socket] = ends;
+    return numbers_[std::move(ends)] = ++last_number_;
+  }
+  void Forget(int socket) {
+    const auto it = ends_by_socket_.find(socket);
+    if (it != ends_by_socket_.end()) {
+      numbers_.erase(it->second);
+      ends_by_socket_.erase(it);
+    }
+  }
+
+ private:
+  std::uint64_t last_number_ = 0;
+  std::map<ConnectionEnds, std::uint64_t> numbers_;
+  std::unordered_map<int, ConnectionEnds> ends_by_socket_;
+};
+
+// What a client records about its sockets, for the callbacks of a call.
+class SocketRecords {
+ public:
+  virtual ~SocketRecords() = default;
+  // Drops what is recorded about a socket that was closed.
+  virtual void ForgetSocket(int socket) = 0;
+
+  NumberedConnections connections;
+};
+
 // A call with its state.
 struct Transfer {
   HttpCall call;
@@ -77,6 +123,9 @@
   Addresses::iterator address;
   CURL* handle = nullptr;  // Null while the call waits for a connection.
   curl_slist* headers = nullptr;
+  curl_slist* connect_to = nullptr;
+  SocketRecords* sockets = nullptr;
+  int opened_socket = -1;  // Socket that was opened for this call.
   HttpAnswer answer;
   std::size_t max_body_bytes = 0;
   // Whether libcurl was allowed to write the request to a connection.
@@ -87,7 +136,10 @@
   // says nothing about it.
   bool MayWrite() const { return !write_begun || call.idempotent; }
 
-  ~Transfer() { curl_slist_free_all(headers); }
+  ~Transfer() {
+    curl_slist_free_all(headers);
+    curl_slist_free_all(connect_to);
+  }
 };
 
 // Returns the part of a URL before the path, such as "http://ip:port".
@@ -97,6 +149,23 @@
   return url.substr(0, url.find('/', begin));
 }
 
+// Makes libcurl keep the connections of the call's group apart: to libcurl the
+// group is the name of the host, and the address is where to connect.
+void SetConnectionGroup(Transfer& transfer, CURL* handle) {
+  const auto& call = transfer.call;
+  const auto origin = OriginOf(call.url);
+  const auto scheme_end = origin.find("://") + 3;
+  const auto address = origin.substr(scheme_end);
+  const auto url = origin.substr(0, scheme_end) + call.connection_group +
+                   call.url.substr(origin.size());
+  transfer.connect_to =
+      curl_slist_append(transfer.connect_to, ("::" + address).c_str());
+  transfer.headers =
+      curl_slist_append(transfer.headers, ("Host: " + address).c_str());
+  curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(handle, CURLOPT_CONNECT_TO, transfer.connect_to);
+}
+
 // Ends a call that was certainly not sent.
 void FailUnsent(Transfer& transfer, const char* error) {
   transfer.answer.sent = false;
@@ -121,14 +190,22 @@
 
 // Called each time before libcurl writes the request to a connection.
 int OnBeforeWrite(void* self,
-                  char* /*peer_ip*/,
+                  char* peer_ip,
                   char* /*local_ip*/,
-                  int /*peer_port*/,
-                  int /*local_port*/) {
+                  int peer_port,
+                  int local_port) {
   auto& transfer = *static_cast<Transfer*>(self);
   if (!transfer.MayWrite()) {
     return CURL_PREREQFUNC_ABORT;
   }
+  if (!transfer.call.connection_group.empty()) {
+    const auto number = transfer.sockets->connections.Identify(
+        {peer_ip, peer_port, local_port}, transfer.opened_socket);
+    if (transfer.call.connection != 0 && transfer.call.connection != number) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.answer.connection = number;
+  }
   transfer.write_begun = true;
   return CURL_PREREQFUNC_OK;
 }
@@ -137,9 +214,9 @@
 
 // One event loop serves all connections. epoll reports only sockets with
 // events, so the cost of a call does not grow with the number of open calls.
-struct HttpClient::Implementation {
+struct HttpClient::Implementation final : SocketRecords {
   Implementation() = default;
-  ~Implementation();
+  ~Implementation() override;
   Implementation(const Implementation&) = delete;
   Implementation& operator=(const Implementation&) = delete;
 
@@ -180,6 +257,7 @@
   void OnTimer(Shard& shard);
   void RegisterSocket(int socket, std::uint32_t events);
   int EventWaitMs() const;
+  void ForgetSocket(int socket) override;
   void LogIfLate(const char* part, SteadyClock::time_point expected) const;
 
   // Callbacks of libcurl.
@@ -356,22 +434,29 @@
 curl_socket_t HttpClient::Implementation::OnOpenSocket(void* self,
                                                        curlsocktype /*purpose*/,
                                                        curl_sockaddr* address) {
-  auto& client = *static_cast<Implementation*>(self);
+  auto& transfer = *static_cast<Transfer*>(self);
+  if (transfer.call.connection != 0) {
+    return CURL_SOCKET_BAD;
+  }
   const int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
                         address->protocol);
-  client.registered_events.erase(fd);
-  client.interests.erase(fd);
+  transfer.sockets->ForgetSocket(fd);
+  transfer.opened_socket = fd;
   return fd;
 }
 
 int HttpClient::Implementation::OnCloseSocket(void* self,
                                               curl_socket_t socket) {
-  auto& client = *static_cast<Implementation*>(self);
-  client.registered_events.erase(socket);
-  client.interests.erase(socket);
+  static_cast<Implementation*>(self)->ForgetSocket(socket);
   return close(socket);
 }
 
+void HttpClient::Implementation::ForgetSocket(int socket) {
+  registered_events.erase(socket);
+  interests.erase(socket);
+  connections.Forget(socket);
+}
+
 CURL* HttpClient::Implementation::AcquireHandle() {
   if (pooled_handles.empty()) {
     return curl_easy_init();
@@ -435,7 +520,12 @@
     transfer->headers = curl_slist_append(transfer->headers, it.c_str());
   }
   transfer->max_body_bytes = options.max_answer_bytes;
-  curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+  transfer->sockets = this;
+  if (call.connection_group.empty()) {
+    curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+  } else {
+    SetConnectionGroup(*transfer, handle);
+  }
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer->headers);
   curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
@@ -452,7 +542,7 @@
   curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
   curl_easy_setopt(handle, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &OnOpenSocket);
-  curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, transfer.get());
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
   curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
   if (call.method == "POST") {
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -759,6 +759,7 @@
   6: optional RelayedHold hold
   7: optional RelayedStart start
   8: optional RelayedStop stop
+  9: i64 born_ms               // Birth of the incarnation that the order is meant for; 0 if unknown.
 }
 
 struct RelayedRun {
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -559,6 +559,12 @@
     reply_after_timeout();
     return;
   }
+  auto order = sent.order;
+  auto* hold = std::get_if<HoldOrder>(&order);
+  // The driver acknowledges ends to the incarnation that listed them only.
+  if (hold != nullptr && sent.worker.born_ms != worker->record.born_ms) {
+    hold->acknowledged_end = 0;
+  }
   const bool is_start = std::holds_alternative<StartOrder>(sent.order);
   const bool is_stop = std::holds_alternative<StopOrder>(sent.order);
   if ((is_start && now_ms_ < worker->loses_starts_until_ms) ||
@@ -566,14 +572,13 @@
     reply_after_timeout();
     return;
   }
-  const auto* hold = std::get_if<HoldOrder>(&sent.order);
   if (hold != nullptr && hold->wait.count() > 0) {
-    (void)Serve(*worker, sent.order);
+    (void)Serve(*worker, order);
     holds_.push_back({static_cast<std::size_t>(worker - workers.begin()), sent,
                       now_ms_ + hold->wait.count()});
     return;
   }
-  const auto reply = Serve(*worker, sent.order);
+  const auto reply = Serve(*worker, order);
   if (worker->loses_start_outcomes && is_start) {
     return;
   }
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -45,7 +45,7 @@
 SentOrder MakeOrder(OrderId id, const std::string& worker) {
   SentOrder order;
   order.id = id;
-  order.worker = {worker, "127.0.0.1:9"};
+  order.worker = {worker, "127.0.0.1:9", 77};
   StartOrder start;
   start.fence = 4;
   start.task = {0xab, 1, 2, 3};
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -527,6 +527,27 @@
   cr_expect(out.finished.empty());
 }
 
+// Guards against holds without a pause to a worker that keeps no connection, so
+// that its ends cannot be acknowledged.
+Test(worker_tracker, pauses_holds_while_a_worker_repeats_its_ends) {
+  auto tracker = MakeTracker(100);
+  auto reply = MakeHoldReply(1'110, 50);
+  reply.ended.push_back({1, kTask, 1, wire::RunEnd::kDone, ""});
+  int holds = 0;
+  for (std::int64_t now = 200; now < 1'200; now += 5) {
+    WorkerTrackerOutput out;
+    tracker.Advance(now, out);
+    for (const auto& it : out.orders) {
+      ++holds;
+      tracker.OnReply(it, now, reply, now + 1, out);
+    }
+    for (const auto& [worker, number] : out.ends_to_acknowledge) {
+      tracker.AcknowledgeEnds(worker, number);
+    }
+  }
+  cr_expect_leq(holds, 10);
+}
+
 // Guards against orders for a former incarnation that the new one carries out
 // late, and against a leader that steps down when one is refused.
 Test(worker_tracker, bars_orders_for_a_former_incarnation) {
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -64,6 +64,47 @@
   cr_expect_geq(server.accepted_connections(), 20);
 }
 
+// Guards against a call that reaches another process than the one that has
+// answered on its connection.
+Test(http_client, sends_a_call_only_on_its_connection) {
+  ScriptedServer server([](int, int) { return RenderAnswer("ok"); });
+  const auto client = MakeClient();
+  auto call = MakeCall(server.url());
+  call.idempotent = true;
+  call.connection_group = "group";
+  const auto first = client->Call(call);
+  cr_assert_eq(first.status, 200);
+  cr_assert_neq(first.connection, 0);
+  auto bound = call;
+  bound.connection = first.connection;
+  cr_expect_eq(client->Call(bound).connection, first.connection);
+  server.CloseIdleConnections();
+  std::this_thread::sleep_for(milliseconds(15));
+  const auto refused = client->Call(bound);
+  cr_expect_eq(refused.status, 0);
+  cr_expect_eq(server.accepted_connections(), 1);
+  const auto second = client->Call(call);
+  cr_expect_eq(second.status, 200);
+  cr_expect_neq(second.connection, first.connection);
+  cr_expect_eq(client->Call(bound).status, 0);
+  cr_expect_eq(server.accepted_connections(), 2);
+}
+
+// Guards against calls of a group that find their connection in use by others.
+Test(http_client, keeps_connections_of_groups_apart) {
+  ScriptedServer server([](int, int) { return RenderAnswer("ok"); });
+  const auto client = MakeClient();
+  auto call = MakeCall(server.url());
+  cr_assert_eq(client->Call(call).status, 200);
+  call.connection_group = "group";
+  const auto first = client->Call(call);
+  cr_assert_eq(first.status, 200);
+  cr_expect_eq(server.accepted_connections(), 2);
+  cr_assert_eq(client->Call(MakeCall(server.url())).status, 200);
+  cr_expect_eq(client->Call(call).connection, first.connection);
+  cr_expect_eq(server.accepted_connections(), 2);
+}
+
 // Guards against calls that block each other or get the answer of another call.
 Test(http_client, serves_many_calls_at_a_time) {
   ScriptedServer server([](int connection, int request) {
