--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -11,6 +11,9 @@
 
 // Lowest assumed rate of a worker's clock relative to the local one.
 constexpr double kMinClockRate = 0.98;
+// A clock that is further ahead of the last sample than the time since then by
+// more than this is not the same clock. Samples are as old as their replies.
+constexpr std::int64_t kMaxClockErrorMs = 20'000;
 // Added to the computed end of a lease for rounding and the transit time of an
 // answer.
 constexpr std::int64_t kLeaseMarginMs = 300;
@@ -497,6 +500,18 @@
   if (clock_ms < 0) {
     return;
   }
+  // Replies to starts and stops don't name the incarnation that sends them.
+  if (worker.clock_ms >= 0 && clock_ms > worker.clock_ms + now_ms -
+                                             worker.clock_sampled_ms +
+                                             kMaxClockErrorMs) {
+    Log(LogLevel::kWarning, "workers",
+        "reply with the clock of another incarnation",
+        {{"worker", worker.record.id},
+         {"clock_ms", clock_ms},
+         {"known_clock_ms", worker.clock_ms},
+         {"clock_age_ms", now_ms - worker.clock_sampled_ms}});
+    return;
+  }
   // A lower sample than the stored one is ignored, because the clock was
   // already at least at the stored value.
   if (worker.clock_ms < 0 || clock_ms >= EstimateWorkerClock(worker, now_ms) ||
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -16,6 +16,7 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -74,7 +75,11 @@
   int peer_port = 0;
   int local_port = 0;
 
-  auto operator<=>(const ConnectionEnds&) const = default;
+  bool operator==(const ConnectionEnds&) const = default;
+  bool operator<(const ConnectionEnds& other) const {
+    return std::tie(local_port, peer_port, peer_ip) <
+           std::tie(other.local_port, other.peer_port, other.peer_ip);
+  }
 };
 
 // Numbers the connections of calls that belong to a connection group.
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -527,6 +527,27 @@
   cr_expect(out.finished.empty());
 }
 
+// Guards against a service that runs twice: a new incarnation whose clock is
+// far ahead answers a start, and all leases on the former clock seem to be
+// over.
+Test(worker_tracker, does_not_take_over_the_clock_of_another_incarnation) {
+  constexpr std::int64_t kOtherClockMs = 5'000'000;
+  auto tracker = MakeTracker(1'000);
+  tracker.Reserve(1, kTask, 1, {1'000, 100, 0}, 500, true);
+  WorkerTrackerOutput out;
+  tracker.Advance(1'005, out);  // The hold waits.
+  out = {};
+  StartOrder order;
+  order.task = kTask;
+  order.run = 1;
+  tracker.SendStart(1, kTask, 1, order, 1'010, out);
+  const auto start = out.orders[0];
+  tracker.OnReply(start, 1'010, MakeHoldReply(kOtherClockMs, 0), 1'020, out);
+  tracker.Advance(1'100, out);
+  cr_expect(out.finished.empty());
+  cr_expect_not(tracker.Find(1)->leases_expired);
+}
+
 // Guards against holds without a pause to a worker that keeps no connection, so
 // that its ends cannot be acknowledged.
 Test(worker_tracker, pauses_holds_while_a_worker_repeats_its_ends) {
