tests/soak: Restart workers under their ids while other faults act

The soak restarted no worker, its workers named their incarnation in each response and forgot acknowledged ends only while they listed them. Workers now restart with another clock and numbers of ends from 1, report an interval later, keep the acknowledged number, and a third of them is silent for 9 s soon afterwards. The faults of earlier seeds are unchanged: restarts are drawn by a generator of their own, in a test of their own.

--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -103,7 +103,7 @@
 class FaultInjector {
  public:
   FaultInjector(PlatformCell& cell, FaultProxy& proxy, std::uint64_t seed)
-      : cell_(cell), proxy_(proxy), random_(seed) {}
+      : cell_(cell), proxy_(proxy), random_(seed), restart_random_(seed) {}
 
   void InjectRandomFault(std::int64_t now_ms) {
     using Fault = void (FaultInjector::*)();
@@ -119,6 +119,18 @@
     (this->*kFaults[RandomBelow(static_cast<int>(kFaults.size()))])();
   }
 
+  // Restarts a worker under its id, and cuts it off soon afterwards.
+  void RestartRandomWorker(std::int64_t now_ms) {
+    now_ms_ = now_ms;
+    const int n = static_cast<int>(restart_random_() % kWorkers);
+    LogFault(fmt::format("restart worker {}", n));
+    cr_expect(cell_.fleet().RestartWorker(n), "worker %d did not start", n);
+    if (restart_random_() % 3 == 0) {
+      ScheduleUndo(1'000, [this, n] { cell_.fleet().SetSilent(n, true); });
+      ScheduleUndo(10'000, [this, n] { cell_.fleet().SetSilent(n, false); });
+    }
+  }
+
   // Undoes the faults whose time has passed at `now_ms`.
   void UndoExpiredFaults(std::int64_t now_ms) {
     for (auto it = undo_.begin(); it != undo_.end();) {
@@ -281,6 +293,7 @@
   PlatformCell& cell_;
   FaultProxy& proxy_;
   std::mt19937_64 random_;
+  std::mt19937_64 restart_random_;
   std::int64_t now_ms_ = 0;
   std::multimap<std::int64_t, std::function<void()>> undo_;
   bool controller_down_ = false;
@@ -329,7 +342,9 @@
   return acknowledged;
 }
 
-void RunSoak(std::uint64_t seed, std::uint64_t seconds) {
+void RunSoak(std::uint64_t seed,
+             std::uint64_t seconds,
+             bool restart_workers = false) {
   std::fprintf(stderr, "SOAK_SEED=%llu SOAK_SECONDS=%llu\n",
                static_cast<unsigned long long>(seed),
                static_cast<unsigned long long>(seconds));
@@ -371,6 +386,9 @@
     faults.UndoExpiredFaults(now_ms());
     if (now_ms() >= next_ms) {
       faults.InjectRandomFault(now_ms());
+      if (restart_workers) {
+        faults.RestartRandomWorker(now_ms());
+      }
       next_ms = now_ms() + 200 + static_cast<std::int64_t>(random() % 1'300);
     }
     std::this_thread::sleep_for(Milliseconds(5));
@@ -414,6 +432,13 @@
           ReadEnvironment("SOAK_SECONDS", kDefaultSeconds));
 }
 
+// Guards against the same while workers start again under their ids, and take
+// orders that were meant for their former incarnations.
+Test(soak, invariants_hold_while_workers_restart_under_random_faults) {
+  RunSoak(ReadEnvironment("SOAK_SEED", kDefaultSeed),
+          ReadEnvironment("SOAK_SECONDS", kDefaultSeconds), true);
+}
+
 // Seeds that failed once, with their causes:
 //
 // 1 and 27: a worker made a list of its runs before it accepted a start. The
--- a/tests/support/platform/fleet.cc
+++ b/tests/support/platform/fleet.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -150,8 +151,9 @@
   // Ends the runs whose time is up, and all runs once the lease has expired.
   void EndExpiredRuns();
   std::string MakeHeartbeat();
-  // Ends the wait of pending OnHold() calls.
-  void Close();
+  // Ends this incarnation: its runs end, it forgets what has ended and carries
+  // out nothing more.
+  void End();
 
   const std::string& id() const { return id_; }
   const std::string& reported_address() const { return address_; }
@@ -170,15 +172,19 @@
   using Key = std::pair<std::string, std::int64_t>;
 
   std::int64_t ClockMs() const { return NowMs() - clock_offset_ms_; }
+  // Only reports and lists of runs name the incarnation.
   HttpResponse MakeResponse(int status, Json body) const;
   HttpResponse MakeRefusal(const char* reason) const;
-  // Returns a refusal if the request is for another instance or has a fencing
-  // token below the highest one received. Otherwise keeps the token.
+  static HttpResponse MakeUnavailable();
+  // Returns a refusal if this incarnation has ended, if the request is for
+  // another instance or if it has a fencing token below the highest one
+  // received. Otherwise keeps the token.
   std::optional<HttpResponse> CheckInstanceAndFence(const HttpRequest& request,
                                                     const json_t* body);
   static HttpResponse RespondAfterTimeout();
   void ExtendLease(std::int64_t until_ms);
   void EndRun(const Key& key, const char* outcome);
+  void ForgetAcknowledgedEnds();
 
   const FleetOptions& options_;
   const std::string id_;
@@ -205,11 +211,12 @@
   };
   std::vector<EndedRun> ended_runs_;
   std::int64_t next_end_number_ = 1;
+  // Ends up to this number are forgotten, also those that are still to come.
+  std::int64_t acknowledged_end_ = 0;
 };
 
 HttpResponse FleetWorker::MakeResponse(int status, Json body) const {
   Set(body.get(), "clockMs", ClockMs());
-  Set(body.get(), "born", born_ms_);
   HttpResponse response;
   response.status = status;
   response.body = DumpJson(body.get());
@@ -222,9 +229,19 @@
   return MakeResponse(kConflict, std::move(body));
 }
 
+HttpResponse FleetWorker::MakeUnavailable() {
+  HttpResponse response;
+  response.status = kUnavailable;
+  response.close = true;
+  return response;
+}
+
 std::optional<HttpResponse> FleetWorker::CheckInstanceAndFence(
     const HttpRequest& request,
     const json_t* body) {
+  if (closed_) {
+    return MakeUnavailable();
+  }
   const auto expected_instance = request.Header("X-Expect-Instance");
   if (!expected_instance.empty() && expected_instance != id_) {
     return MakeResponse(kOtherInstance, Json(json_object()));
@@ -243,10 +260,7 @@
   // Longer than the timeout of every caller.
   constexpr std::chrono::seconds kDelay{3};
   std::this_thread::sleep_for(kDelay);
-  HttpResponse response;
-  response.status = kUnavailable;
-  response.close = true;
-  return response;
+  return MakeUnavailable();
 }
 
 void FleetWorker::ExtendLease(std::int64_t until_ms) {
@@ -320,6 +334,16 @@
                          : MakeResponse(200, Json(json_object()));
 }
 
+void FleetWorker::ForgetAcknowledgedEnds() {
+  std::erase_if(ended_runs_, [&](const auto& it) {
+    if (it.number > acknowledged_end_) {
+      return false;
+    }
+    ledger_.RecordAcknowledgement(it.key.first);
+    return true;
+  });
+}
+
 HttpResponse FleetWorker::OnHold(const HttpRequest& request) {
   const Json body = ParseJson(std::string(request.body()));
   if (silent) {
@@ -330,16 +354,14 @@
     return std::move(*refused);
   }
   ExtendLease(IntegerOf(body.get(), "expiresMs"));
-  const auto acknowledged = IntegerOf(body.get(), "ackSeq");
-  std::erase_if(ended_runs_, [&](const auto& it) {
-    if (it.number > acknowledged) {
-      return false;
-    }
-    ledger_.RecordAcknowledgement(it.key.first);
-    return true;
-  });
+  acknowledged_end_ =
+      std::max(acknowledged_end_, IntegerOf(body.get(), "ackSeq"));
+  ForgetAcknowledgedEnds();
   changed_.wait_for(lock, milliseconds(IntegerOf(body.get(), "waitMs")),
                     [&] { return closed_ || !ended_runs_.empty(); });
+  if (closed_) {
+    return MakeUnavailable();
+  }
   Json response_body(json_object());
   json_t* running = json_array();
   for (const auto& [key, run] : runs_) {
@@ -358,6 +380,7 @@
   }
   json_object_set_new(response_body.get(), "running", running);
   json_object_set_new(response_body.get(), "ended", ended);
+  Set(response_body.get(), "born", born_ms_);
   auto response = MakeResponse(200, std::move(response_body));
   InsertRow("running", options_.odd_row, response.body);
   InsertRow("ended", options_.odd_row, response.body);
@@ -370,6 +393,7 @@
   ended_runs_.push_back({next_end_number_++, key, outcome});
   runs_.erase(key);
   ledger_.RecordEnd(key.first, std::string(outcome) == "done");
+  ForgetAcknowledgedEnds();
   changed_.notify_all();
 }
 
@@ -412,9 +436,14 @@
   return DumpJson(body.get());
 }
 
-void FleetWorker::Close() {
+void FleetWorker::End() {
   const std::lock_guard lock(mutex_);
   closed_ = true;
+  next_heartbeat_ms = std::numeric_limits<std::int64_t>::max();
+  for (const auto& [key, run] : std::exchange(runs_, {})) {
+    ledger_.RecordEnd(key.first, false);
+  }
+  ended_runs_.clear();
   changed_.notify_all();
 }
 
@@ -428,9 +457,10 @@
   }
   client_.reset();
   for (auto& it : workers_) {
-    it->Close();
+    it->End();
   }
-  servers_.clear();
+  worker_servers_.clear();
+  advice_server_.reset();
 }
 
 std::unique_ptr<Fleet> Fleet::Start(const FleetOptions& options,
@@ -443,39 +473,63 @@
   return fleet;
 }
 
-bool Fleet::StartServers() {
+std::unique_ptr<http::HttpServer> Fleet::StartServer(
+    int port,
+    std::vector<http::HttpRoute> routes) {
   constexpr std::size_t kMaxBodyBytes = 1U << 20;
   constexpr unsigned int kMaxConnections = 64;
   http::HttpServerOptions server_options;
   server_options.max_body_bytes = kMaxBodyBytes;
   server_options.max_connections = kMaxConnections;
-  const auto start_server = [&](int port, std::vector<http::HttpRoute> routes) {
-    server_options.listen_address = fmt::format("{}:{}", OwnLoopbackIp(), port);
-    auto server =
-        http::HttpServer::Start(server_options, std::move(routes), metrics_);
-    if (server) {
-      servers_.push_back(std::move(*server));
-    }
-    return server.has_value();
-  };
+  server_options.listen_address = fmt::format("{}:{}", OwnLoopbackIp(), port);
+  auto server =
+      http::HttpServer::Start(server_options, std::move(routes), metrics_);
+  return server ? std::move(*server) : nullptr;
+}
+
+std::unique_ptr<http::HttpServer> Fleet::StartWorkerServer(int n) {
+  auto* worker = workers_[static_cast<std::size_t>(n)].get();
+  return StartServer(
+      PortOf(n), {{"POST", "/run-start",
+                   [worker](const auto& it) { return worker->OnStart(it); }},
+                  {"POST", "/run-stop",
+                   [worker](const auto& it) { return worker->OnStop(it); }},
+                  {"POST", "/hold",
+                   [worker](const auto& it) { return worker->OnHold(it); }}});
+}
+
+bool Fleet::RestartWorker(int n) {
+  const auto index = static_cast<std::size_t>(n);
+  std::unique_ptr<http::HttpServer> server;
+  {
+    const std::lock_guard lock(mutex_);
+    workers_[index]->End();
+    server = std::move(worker_servers_[index]);
+  }
+  // Waits for requests in flight, while the other workers go on.
+  server.reset();
+  const std::lock_guard lock(mutex_);
+  former_workers_.push_back(std::move(workers_[index]));
+  workers_[index] =
+      std::make_unique<FleetWorker>(options_, n, ReportedAddress(n), ledger_);
+  workers_[index]->next_heartbeat_ms = NowMs() + options_.heartbeat_ms;
+  worker_servers_[index] = StartWorkerServer(n);
+  return worker_servers_[index] != nullptr;
+}
+
+bool Fleet::StartServers() {
   advice_address_ = fmt::format("{}:{}", OwnLoopbackIp(), kFirstPort);
-  if (!start_server(kFirstPort, {{"POST", "/advise", [this](const auto& it) {
-                                    return OnAdvise(it);
-                                  }}})) {
+  advice_server_ = StartServer(
+      kFirstPort,
+      {{"POST", "/advise", [this](const auto& it) { return OnAdvise(it); }}});
+  if (advice_server_ == nullptr) {
     return false;
   }
   for (int n = 0; n < options_.workers; ++n) {
     workers_.push_back(std::make_unique<FleetWorker>(
         options_, n, ReportedAddress(n), ledger_));
-    auto* worker = workers_.back().get();
-    if (!start_server(
-            PortOf(n),
-            {{"POST", "/run-start",
-              [worker](const auto& it) { return worker->OnStart(it); }},
-             {"POST", "/run-stop",
-              [worker](const auto& it) { return worker->OnStop(it); }},
-             {"POST", "/hold",
-              [worker](const auto& it) { return worker->OnHold(it); }}})) {
+    worker_servers_.push_back(StartWorkerServer(n));
+    if (worker_servers_.back() == nullptr) {
       return false;
     }
   }
@@ -488,18 +542,23 @@
 
 void Fleet::Run() {
   while (!stopping_) {
-    const auto now = NowMs();
-    for (auto& it : workers_) {
-      it->EndExpiredRuns();
-      if (!it->silent && now >= it->next_heartbeat_ms) {
-        it->next_heartbeat_ms = now + options_.heartbeat_ms;
-        SendHeartbeat(*it);
-      }
-    }
+    Advance();
     std::this_thread::sleep_for(kPollInterval);
   }
 }
 
+void Fleet::Advance() {
+  const std::lock_guard lock(mutex_);
+  const auto now = NowMs();
+  for (auto& it : workers_) {
+    it->EndExpiredRuns();
+    if (!it->silent && now >= it->next_heartbeat_ms) {
+      it->next_heartbeat_ms = now + options_.heartbeat_ms;
+      SendHeartbeat(*it);
+    }
+  }
+}
+
 void Fleet::SendHeartbeat(FleetWorker& worker) {
   http::HttpCall call;
   call.method = "POST";
@@ -550,10 +609,12 @@
 }
 
 void Fleet::SetLosesResponses(int worker, bool loses_responses) {
+  const std::lock_guard lock(mutex_);
   workers_[static_cast<std::size_t>(worker)]->loses_responses = loses_responses;
 }
 
 void Fleet::SetSilent(int worker, bool silent) {
+  const std::lock_guard lock(mutex_);
   workers_[static_cast<std::size_t>(worker)]->silent = silent;
 }
 
--- a/tests/support/platform/fleet.h
+++ b/tests/support/platform/fleet.h
@@ -88,6 +88,10 @@
   // While set, the worker carries out starts and stops, but responds to them
   // only after the callers have timed out.
   void SetLosesResponses(int worker, bool loses_responses);
+  // Ends the worker with all its runs and connections, and starts it again
+  // under its id and address. Its first heartbeat comes an interval later.
+  // Returns false if its address cannot be bound.
+  bool RestartWorker(int worker);
   // "ip:port" where the worker listens, and the address that its heartbeats
   // report.
   std::string ListenAddress(int worker) const;
@@ -96,7 +100,12 @@
  private:
   Fleet(const FleetOptions& options, std::vector<std::string> controllers);
   bool StartServers();
+  std::unique_ptr<http::HttpServer> StartServer(
+      int port,
+      std::vector<http::HttpRoute> routes);
+  std::unique_ptr<http::HttpServer> StartWorkerServer(int worker);
   void Run();
+  void Advance();
   void SendHeartbeat(FleetWorker& worker);
   http::HttpResponse OnAdvise(const http::HttpRequest& request) const;
 
@@ -105,8 +114,12 @@
   std::string advice_address_;
   TaskLedger ledger_;
   MetricsRegistry metrics_;
+  std::mutex mutex_;  // Guards the workers and their servers.
   std::vector<std::unique_ptr<FleetWorker>> workers_;
-  std::vector<std::unique_ptr<http::HttpServer>> servers_;
+  // Incarnations that have ended. Their last heartbeats may be on their way.
+  std::vector<std::unique_ptr<FleetWorker>> former_workers_;
+  std::vector<std::unique_ptr<http::HttpServer>> worker_servers_;
+  std::unique_ptr<http::HttpServer> advice_server_;
   std::unique_ptr<http::HttpClient> client_;
   std::atomic<bool> stopping_ = false;
   std::thread thread_;
