cell: Keep runs if another worker refused an order for a former incarnation

A refusal by another worker at the address ended all runs there, also those of a new incarnation that was registered meanwhile, and their tasks started again. Found by reading; worker_tracker::keeps_runs_if_another_worker_refused_a_former_order fails without the change (run).

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -78,7 +78,7 @@
     }
     RecordClock(*worker, reply.clock_ms, now_ms);
   }
-  if (reply.answer == WorkerAnswer::kOtherWorker) {
+  if (reply.answer == WorkerAnswer::kOtherWorker && !was_for_former) {
     Log(LogLevel::kWarning, "workers", "another worker answers at the address",
         {{"worker", worker->record.id}, {"address", worker->record.address}});
     worker->synced = false;
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -527,6 +527,19 @@
   cr_expect(out.finished.empty());
 }
 
+// Guards against runs of a new incarnation that are given up because another
+// worker was at its address before.
+Test(worker_tracker, keeps_runs_if_another_worker_refused_a_former_order) {
+  auto tracker = MakeTracker(1'000);
+  const auto start = SendStart(tracker, 1'010);
+  tracker.Register(2, MakeWorker(9'000), 1'300);
+  WorkerReply other_worker;
+  other_worker.answer = WorkerAnswer::kOtherWorker;
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 1'010, other_worker, 1'310, out);
+  cr_expect(out.finished.empty());
+}
+
 // Guards against a service that runs twice: a new incarnation whose clock is
 // far ahead answers a start, and all leases on the former clock seem to be
 // over.
