--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -52,6 +52,7 @@
 // call, and 64 KB for each larger request body.
 constexpr long kReceiveBufferBytes = 4L << 10;
 constexpr long kSendBufferBytes = 16L << 10;
+constexpr char kGroupPort[] = ":1";  // Never connected to.
 
 using SteadyClock = std::chrono::steady_clock;
 
@@ -155,14 +156,16 @@
 }
 
 // Makes libcurl keep the connections of the call's group apart: to libcurl the
-// group is the name of the host, and the address is where to connect.
+// group is the name of the host, and the address is where to connect. It checks
+// all idle connections with the same address to connect to and the same port in
+// the URL, with a system call for each, so the group has a port of its own.
 void SetConnectionGroup(Transfer& transfer, CURL* handle) {
   const auto& call = transfer.call;
   const auto origin = OriginOf(call.url);
   const auto scheme_end = origin.find("://") + 3;
   const auto address = origin.substr(scheme_end);
   const auto url = origin.substr(0, scheme_end) + call.connection_group +
-                   call.url.substr(origin.size());
+                   kGroupPort + call.url.substr(origin.size());
   transfer.connect_to =
       curl_slist_append(transfer.connect_to, ("::" + address).c_str());
   transfer.headers =
