--- a/tests/support/platform/fleet.cc
+++ b/tests/support/platform/fleet.cc
@@ -101,18 +101,18 @@
   state.done = state.done || how == "done";
 }
 
-void TaskLedger::RecordAcknowledgement(const std::string& task) {
+void TaskLedger::RecordAcknowledgement(const std::string& task,
+                                       const std::string& how) {
   const std::lock_guard lock(mutex_);
   auto& state = tasks_[task];
-  state.history += " acknowledged,";
-  state.acknowledged = state.acknowledged || state.done;
+  state.history += " acknowledged as " + how + ",";
+  state.acknowledged = state.acknowledged || how == "done";
 }
 
 void TaskLedger::RecordLostEnd(const std::string& task) {
   const std::lock_guard lock(mutex_);
   auto& state = tasks_[task];
   state.history += " end lost,";
-  state.done = state.acknowledged;
 }
 
 void TaskLedger::AddViolation(const std::string& text) {
@@ -352,7 +352,7 @@
     if (it.number > acknowledged_end_) {
       return false;
     }
-    ledger_.RecordAcknowledgement(it.key.first);
+    ledger_.RecordAcknowledgement(it.key.first, it.outcome);
     return true;
   });
 }
--- a/tests/support/platform/fleet.h
+++ b/tests/support/platform/fleet.h
@@ -42,9 +42,8 @@
   void RecordStart(const std::string& task, const std::string& worker);
   // `how` is the outcome that the worker lists.
   void RecordEnd(const std::string& task, const std::string& how);
-  void RecordAcknowledgement(const std::string& task);
-  // The end of a run was lost with its worker before it was read, so the task
-  // may run again.
+  void RecordAcknowledgement(const std::string& task, const std::string& how);
+  // The end of a run was lost with its worker before it was acknowledged.
   void RecordLostEnd(const std::string& task);
   void AddViolation(const std::string& text);
 
