--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -71,7 +71,8 @@
   cr_expect(cell.WaitForState("plain", JobId(10), "cancelled", kBound));
   cr_expect_eq(cell.CallEntry(1, "GET", "/plain/" + JobId(77)).status, 410);
   cr_expect_eq(cell.CallEntry(1, "GET", "/nowhere/" + JobId(0)).status, 404);
-  cr_expect_eq(cell.fleet().ledger().starts(), 20);
+  const auto starts = cell.fleet().ledger().starts();
+  cr_expect_eq(starts, 20, "%d starts", static_cast<int>(starts));
   ExpectNoViolations(cell);
 }
 
