http, cell, wire, platform: Log what shows that another incarnation carried out an order

The log can't tell the hypotheses apart: a clock in a reply that is behind the known one was ignored silently, nothing told whether a start without a reply was written to a connection that may lead to another process, and "all leases of a worker expired" named neither the incarnation nor the last list of its runs.

The client reports whether a call was written only to a connection with earlier answers, relayed replies carry it, and the three log lines are added. No logic of the leader changes.

--- a/libraries/cell/include/cranberryshunt/cell/worker_driver.h
+++ b/libraries/cell/include/cranberryshunt/cell/worker_driver.h
@@ -110,6 +110,9 @@
   std::vector<RunningRow> running;
   std::vector<EndedRow> ended;
   std::int32_t unreadable_rows = 0;
+  // Whether the order was written only to a connection on which the worker had
+  // answered before. If not, a later incarnation may carry it out.
+  bool reused_connection = false;
   std::string detail;  // For log messages.
 
   bool operator==(const WorkerReply&) const = default;
--- a/libraries/cell/src/relay_codec.cc
+++ b/libraries/cell/src/relay_codec.cc
@@ -95,6 +95,7 @@
   out.clock_ms = reply.clock_ms;
   out.born_ms = reply.born_ms;
   out.unreadable_rows = reply.unreadable_rows;
+  out.reused_connection = reply.reused_connection;
   out.detail = reply.detail;
   out.running.reserve(reply.running.size());
   for (const auto& it : reply.running) {
@@ -123,6 +124,7 @@
   out.clock_ms = reply.clock_ms;
   out.born_ms = reply.born_ms;
   out.unreadable_rows = reply.unreadable_rows;
+  out.reused_connection = reply.reused_connection;
   out.detail = reply.detail;
   out.running.reserve(reply.running.size());
   for (const auto& it : reply.running) {
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -110,6 +110,7 @@
   std::int32_t hold_failures = 0;
   std::int64_t last_answer_ms = 0;  // Last answer to any order.
   std::int64_t last_done_ms = 0;    // Last order that was carried out.
+  std::int64_t last_list_ms = 0;    // Last list of runs of this incarnation.
   std::int64_t last_report_ms = 0;  // Last report, or the registration.
   std::int64_t report_sequence = -1;
   std::int64_t avoid_until_ms = 0;  // End of the pause after a refused start.
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -76,6 +76,17 @@
     if (reply.answer == WorkerAnswer::kDone) {
       worker->last_done_ms = now_ms;
     }
+    if (IsClockBehind(*worker, reply.clock_ms, sent_ms)) {
+      Log(LogLevel::kWarning, "workers",
+          "reply with a clock behind that of the registered incarnation",
+          {{"worker", worker->record.id},
+           {"kind", sent.order.index()},
+           {"born_ms", worker->record.born_ms},
+           {"clock_ms", reply.clock_ms},
+           {"known_clock_ms", worker->clock_ms},
+           {"clock_age_ms", now_ms - worker->clock_sampled_ms},
+           {"reused_connection", reply.reused_connection}});
+    }
     RecordClock(*worker, reply.clock_ms, now_ms);
   }
   if (reply.answer == WorkerAnswer::kOtherWorker && !was_for_former) {
@@ -142,6 +153,7 @@
         {{"worker", worker.record.id}});
   }
   worker.hold_failures = 0;
+  worker.last_list_ms = now_ms;
   worker.next_hold_ms = now_ms;
   if (!worker.synced) {
     Log(LogLevel::kInfo, "workers", "worker is synchronized",
@@ -351,6 +363,7 @@
           {{"task", graph::FormatTask(order.task)},
            {"run", order.run},
            {"worker", worker.record.id},
+           {"reused_connection", reply.reused_connection},
            {"detail", reply.detail}});
       MarkUncertain(worker, it->first, it->second);
       return;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -14,6 +14,8 @@
 // A clock that is further ahead of the last sample than the time since then by
 // more than this is not the same clock. Samples are as old as their replies.
 constexpr std::int64_t kMaxClockErrorMs = 20'000;
+// A clock in a reply that is further behind than this is not the same clock.
+constexpr std::int64_t kMaxClockLagMs = 100;
 // Added to the computed end of a lease for rounding and the transit time of an
 // answer.
 constexpr std::int64_t kLeaseMarginMs = 300;
@@ -529,6 +531,20 @@
              kMinClockRate);
 }
 
+bool WorkerTracker::IsClockBehind(const TrackedWorker& worker,
+                                  std::int64_t clock_ms,
+                                  std::int64_t sent_ms) const {
+  if (worker.clock_ms < 0 || clock_ms < 0) {
+    return false;
+  }
+  // Lowest value of the clock when the order was sent.
+  const auto lowest_ms =
+      sent_ms >= worker.clock_sampled_ms
+          ? EstimateWorkerClock(worker, sent_ms)
+          : worker.clock_ms - (worker.clock_sampled_ms - sent_ms);
+  return clock_ms < lowest_ms - kMaxClockLagMs;
+}
+
 std::int64_t WorkerTracker::GrantLease(TrackedWorker& worker,
                                        std::int64_t now_ms) {
   const auto until = EstimateWorkerClock(worker, now_ms) + options_.lease_ms;
@@ -833,6 +849,8 @@
       changed_workers_.insert(number);
       Log(LogLevel::kWarning, "workers", "all leases of a worker expired",
           {{"worker", worker.record.id},
+           {"born_ms", worker.record.born_ms},
+           {"listed_ms", now_ms - worker.last_list_ms},
            {"silent_ms", now_ms - worker.last_answer_ms},
            {"reported_ms", now_ms - worker.last_report_ms},
            {"hold_failures", worker.hold_failures},
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -269,6 +269,11 @@
   void RecordClock(TrackedWorker& worker,
                    std::int64_t clock_ms,
                    std::int64_t now_ms);
+  // Whether a clock in a reply to an order that was sent at `sent_ms` is behind
+  // the clock of the registered incarnation, which therefore didn't reply.
+  bool IsClockBehind(const TrackedWorker& worker,
+                     std::int64_t clock_ms,
+                     std::int64_t sent_ms) const;
   // Estimates the worker's current clock from the last sample and the lowest
   // clock rate, so that the estimate is never far ahead of the clock.
   std::int64_t EstimateWorkerClock(const TrackedWorker& worker,
--- a/libraries/http/include/cranberryshunt/http/http_client.h
+++ b/libraries/http/include/cranberryshunt/http/http_client.h
@@ -46,6 +46,9 @@
   // Number of the connection, unique in this client; 0 if the call has no
   // connection group or was not sent.
   std::uint64_t connection = 0;
+  // Whether the call was written only to a connection on which an earlier call
+  // was answered. Such a connection leads to the process that answered then.
+  bool reused_connection = false;
 
   bool operator==(const HttpAnswer&) const = default;
 };
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -214,6 +214,9 @@
     }
     transfer.answer.connection = number;
   }
+  transfer.answer.reused_connection =
+      transfer.opened_socket < 0 &&
+      (!transfer.write_begun || transfer.answer.reused_connection);
   transfer.write_begun = true;
   return CURL_PREREQFUNC_OK;
 }
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -787,6 +787,7 @@
   6: list<RelayedEnd> ended
   7: i32 unreadable_rows
   8: string detail
+  9: bool reused_connection    // The order was written only to a connection with earlier answers.
 }
 
 exception NotAuthenticated { 1: string message }
--- a/tests/cell/relay_test.cc
+++ b/tests/cell/relay_test.cc
@@ -89,6 +89,7 @@
   reply.born_ms = 34;
   reply.running.push_back({{0xab, 0, 1, 2}, 3, "c", 40, 500});
   reply.ended.push_back({7, {0xab, 0, 1, 4}, 1, wire::RunEnd::kFailed, "d"});
+  reply.reused_connection = true;
   reply.detail = "status 200";
   return reply;
 }
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -90,6 +90,30 @@
   cr_expect_eq(server.accepted_connections(), 2);
 }
 
+// Guards against an order that is taken for one to a known process although it
+// was written to a new connection, which another process may have accepted.
+Test(http_client, tells_whether_a_connection_was_reused) {
+  ScriptedServer server([](int, int request) {
+    return request == 3 ? std::string(ScriptedServer::kResetConnection)
+                        : RenderAnswer("ok");
+  });
+  const auto client = MakeClient();
+  auto call = MakeCall(server.url());
+  cr_expect_not(client->Call(call).reused_connection);
+  cr_expect(client->Call(call).reused_connection);
+  const auto unanswered = client->Call(call);
+  cr_expect_eq(unanswered.status, 0);
+  cr_expect(unanswered.reused_connection);
+  call.idempotent = true;
+  for (int n = 0; n < 2; ++n) {
+    (void)client->Call(call);
+  }
+  // The third call of the second connection is repeated on another one.
+  const auto repeated = client->Call(call);
+  cr_expect_eq(repeated.status, 200);
+  cr_expect_not(repeated.reused_connection);
+}
+
 // Guards against calls of a group that find their connection in use by others.
 Test(http_client, keeps_connections_of_groups_apart) {
   ScriptedServer server([](int, int) { return RenderAnswer("ok"); });
