tests/cell: Show that starts for a former incarnation repeat tasks before a report

Workers of the harness are cut off 0 to 1,300 ms after a restart, before their first report; open calls are answered by the next incarnation, reset or get no answer, and a cut loses the replies on their way.

--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -252,6 +252,11 @@
   Schedule(kReportIntervalMs, [this, n] { Report(workers[n]); });
 }
 
+std::int64_t CellHarness::MillisecondsToReport(std::size_t worker) const {
+  const auto first_ms = kStartMs + static_cast<std::int64_t>(worker);
+  return kReportIntervalMs - (now_ms_ - first_ms) % kReportIntervalMs;
+}
+
 void CellHarness::Publish(const std::vector<wire::JobQueue>& queues) {
   wire::RoutingTable table;
   table.version = engine_.store().table().version + 1;
@@ -348,7 +353,12 @@
       static_cast<std::uint64_t>(kFirstClockMs));
 }
 
-void CellHarness::RestartAtOnce(FakeWorker& worker) {
+void CellHarness::RestartAtOnce(FakeWorker& worker, OpenCalls open_calls) {
+  EndOpenHolds(worker, open_calls);
+  if (open_calls != OpenCalls::kDark) {
+    worker.connected_born_ms = 0;
+    worker.hold_connected_born_ms = 0;
+  }
   SetBirth(worker);
   ForgetEnds(worker);
   worker.fence = 0;
@@ -400,9 +410,7 @@
   for (auto& it : std::exchange(holds_, {})) {
     auto& worker = workers[it.worker];
     if (worker.silent || worker.unreachable) {
-      Schedule(it.sent.timeout.count(), [this, id = it.sent.id] {
-        engine_.OnWorkerReply(id, WorkerReply(), Now());
-      });
+      ReplyAfterTimeout(it.sent, it.reused_connection);
       continue;
     }
     const auto& hold = std::get<HoldOrder>(it.sent.order);
@@ -417,11 +425,10 @@
     // ends start anew when it restarts.
     auto listing = hold;
     listing.acknowledged_end = 0;
-    const auto reply = Serve(worker, listing);
-    Schedule(options_.network_ms, [this, id = it.sent.id, reply] {
-      const CpuTimer timer(engine_ms_);
-      engine_.OnWorkerReply(id, reply, Now());
-    });
+    auto reply = Serve(worker, listing);
+    reply.reused_connection = it.reused_connection;
+    ReplyUnlessSilent(it.worker, it.sent, std::move(reply),
+                      worker.record.born_ms);
   }
   holds_.insert(holds_.end(), open.begin(), open.end());
 }
@@ -501,18 +508,62 @@
   worker.barred.clear();
   worker.fence = 0;
   worker.lease_until_ms = 0;
+  worker.connected_born_ms = 0;
+  worker.hold_connected_born_ms = 0;
+  EndOpenHolds(worker, OpenCalls::kDark);
+}
+
+void CellHarness::EndOpenHolds(const FakeWorker& worker, OpenCalls open_calls) {
+  if (open_calls == OpenCalls::kAnsweredByNext) {
+    return;
+  }
   const auto number = static_cast<std::size_t>(&worker - workers.data());
   std::erase_if(holds_, [&](const auto& it) {
     if (it.worker != number) {
       return false;
     }
-    Schedule(it.sent.timeout.count(), [this, id = it.sent.id] {
-      engine_.OnWorkerReply(id, WorkerReply(), Now());
+    if (open_calls == OpenCalls::kDark) {
+      ReplyAfterTimeout(it.sent, it.reused_connection);
+      return true;
+    }
+    WorkerReply reply;
+    reply.reused_connection = it.reused_connection;
+    Schedule(options_.network_ms, [this, id = it.sent.id, reply] {
+      engine_.OnWorkerReply(id, reply, Now());
     });
     return true;
   });
 }
 
+void CellHarness::ReplyAfterTimeout(const SentOrder& sent,
+                                    bool reused_connection) {
+  WorkerReply reply;
+  reply.reused_connection = reused_connection;
+  Schedule(sent.timeout.count(), [this, id = sent.id, reply] {
+    const CpuTimer timer(engine_ms_);
+    engine_.OnWorkerReply(id, reply, Now());
+  });
+}
+
+void CellHarness::ReplyUnlessSilent(std::size_t n,
+                                    const SentOrder& sent,
+                                    WorkerReply reply,
+                                    std::int64_t connected_born_ms) {
+  Schedule(options_.network_ms, [this, n, sent, connected_born_ms,
+                                 reply = std::move(reply)] {
+    auto& worker = workers[n];
+    if (worker.silent) {
+      ReplyAfterTimeout(sent, reply.reused_connection);
+      return;
+    }
+    const bool is_hold = std::holds_alternative<HoldOrder>(sent.order);
+    (is_hold ? worker.hold_connected_born_ms : worker.connected_born_ms) =
+        connected_born_ms;
+    const CpuTimer timer(engine_ms_);
+    engine_.OnWorkerReply(sent.id, reply, Now());
+  });
+}
+
 void CellHarness::Depart(FakeWorker& worker) {
   Crash(worker);
   engine_.Handle(DepartureCall{worker.record.id, worker.record.born_ms,
@@ -550,17 +601,21 @@
     });
     return;
   }
-  const auto reply_after_timeout = [&] {
-    Schedule(sent.timeout.count(), [this, id = sent.id] {
-      engine_.OnWorkerReply(id, WorkerReply(), Now());
-    });
-  };
+  auto order = sent.order;
+  auto* hold = std::get_if<HoldOrder>(&order);
+  auto& connected_born_ms = hold == nullptr ? worker->connected_born_ms
+                                            : worker->hold_connected_born_ms;
+  const bool reused = connected_born_ms != 0 && !sent.fresh_connection;
   if (worker->silent || worker->unreachable) {
-    reply_after_timeout();
+    ReplyAfterTimeout(sent, reused);
+    return;
+  }
+  if (reused && connected_born_ms != worker->record.born_ms) {
+    // The process at the other end of the connection has ended silently.
+    connected_born_ms = 0;
+    ReplyAfterTimeout(sent, true);
     return;
   }
-  auto order = sent.order;
-  auto* hold = std::get_if<HoldOrder>(&order);
   // The driver acknowledges ends to the incarnation that listed them only.
   if (hold != nullptr && sent.worker.born_ms != worker->record.born_ms) {
     hold->acknowledged_end = 0;
@@ -569,27 +624,25 @@
   const bool is_stop = std::holds_alternative<StopOrder>(sent.order);
   if ((is_start && now_ms_ < worker->loses_starts_until_ms) ||
       (is_stop && now_ms_ < worker->loses_stops_until_ms)) {
-    reply_after_timeout();
+    ReplyAfterTimeout(sent, reused);
     return;
   }
+  const auto number = static_cast<std::size_t>(worker - workers.begin());
   if (hold != nullptr && hold->wait.count() > 0) {
     (void)Serve(*worker, order);
-    holds_.push_back({static_cast<std::size_t>(worker - workers.begin()), sent,
-                      now_ms_ + hold->wait.count()});
+    holds_.push_back({number, sent, now_ms_ + hold->wait.count(), reused});
     return;
   }
-  const auto reply = Serve(*worker, order);
+  auto reply = Serve(*worker, order);
+  reply.reused_connection = reused;
   if (worker->loses_start_outcomes && is_start) {
     return;
   }
   if (worker->loses_replies && hold == nullptr) {
-    reply_after_timeout();
+    ReplyAfterTimeout(sent, reused);
     return;
   }
-  Schedule(options_.network_ms, [this, id = sent.id, reply] {
-    const CpuTimer timer(engine_ms_);
-    engine_.OnWorkerReply(id, reply, Now());
-  });
+  ReplyUnlessSilent(number, sent, std::move(reply), worker->record.born_ms);
 }
 
 WorkerReply CellHarness::Serve(FakeWorker& worker, const WorkerOrder& order) {
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -28,9 +28,20 @@
   bool resumed = false;  // Started from a checkpoint.
 };
 
+// What becomes of calls that are open when the process of a worker ends.
+enum class OpenCalls {
+  kAnsweredByNext,  // The next incarnation accepts their connections.
+  kReset,           // They fail at once.
+  kDark,            // They get no answer until their timeout.
+};
+
 // A worker that honors leases and fences like a real one.
 struct FakeWorker {
   wire::CalledWorker record;
+  // Births of the incarnations to which the idle connections for starts and
+  // stops and for holds lead; 0: there is no connection.
+  std::int64_t connected_born_ms = 0;
+  std::int64_t hold_connected_born_ms = 0;
   std::int64_t clock_offset_ms = 0;
   std::int64_t fence = 0;
   std::int64_t lease_until_ms = 0;
@@ -132,7 +143,11 @@
 
   // Ends the worker with all its runs. A new incarnation of it begins at once
   // and reports later. It takes the orders that were meant for the former one.
-  void RestartAtOnce(FakeWorker& worker);
+  void RestartAtOnce(FakeWorker& worker,
+                     OpenCalls open_calls = OpenCalls::kAnsweredByNext);
+
+  // Time until the next report of the worker, unless it is silent.
+  std::int64_t MillisecondsToReport(std::size_t worker) const;
 
   // Advances time in steps of one millisecond.
   void Run(std::int64_t duration_ms);
@@ -222,6 +237,14 @@
   void Propose(const Proposal& proposal);
   void CommitFirstProposal();
   void CarryOut(const SentOrder& sent);
+  void ReplyAfterTimeout(const SentOrder& sent, bool reused_connection);
+  // Reports a reply unless the worker has been cut off meanwhile.
+  void ReplyUnlessSilent(std::size_t worker,
+                         const SentOrder& sent,
+                         WorkerReply reply,
+                         std::int64_t connected_born_ms);
+  // Ends the open holds of a worker whose process has ended.
+  void EndOpenHolds(const FakeWorker& worker, OpenCalls open_calls);
   WorkerReply Serve(FakeWorker& worker, const WorkerOrder& order);
   WorkerReply ServeStart(FakeWorker& worker, const StartOrder& order);
   void ExtendLease(FakeWorker& worker, std::int64_t until_ms) const;
@@ -241,7 +264,8 @@
 
   const HarnessOptions options_;
   std::mt19937_64 random_;
-  std::int64_t now_ms_ = 1'000;
+  static constexpr std::int64_t kStartMs = 1'000;
+  std::int64_t now_ms_ = kStartMs;
   std::int64_t term_ = 1;
   MetricsRegistry metrics_;
   Engine engine_;
@@ -265,6 +289,7 @@
     std::size_t worker;
     SentOrder sent;
     std::int64_t until_ms;
+    bool reused_connection;
   };
   std::vector<PendingHold> holds_;
 };
--- a/tests/cell/worker_restart_test.cc
+++ b/tests/cell/worker_restart_test.cc
@@ -2,6 +2,10 @@
 // orders that were meant for its former incarnation.
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
 #include "cell_harness.h"
 
 using namespace cranberryshunt;        // NOLINT
@@ -100,3 +104,87 @@
     }
   }
 }
+
+namespace {
+
+constexpr std::array kAllOpenCalls{OpenCalls::kAnsweredByNext,
+                                   OpenCalls::kReset, OpenCalls::kDark};
+constexpr std::int64_t kCutStepMs = 50;
+constexpr std::int64_t kLastCutMs = 1'300;
+
+struct EarlyCut {
+  OpenCalls open_calls = OpenCalls::kDark;
+  std::int64_t cut_ms = 0;  // Time between the restart and the cut.
+  bool loses_replies = false;
+  std::uint64_t seed = 1;
+};
+
+// Restarts all workers of a cell just after their reports, and cuts half of
+// them off before their next ones. Jobs of long tasks arrive all the time.
+// Returns the number of violations.
+std::size_t CutOffBeforeFirstReport(const EarlyCut& options) {
+  CellHarness cell({.workers = 4, .seed = options.seed});
+  StartCell(cell);
+  graph::JobId id = 1;
+  const auto submit_for = [&](std::int64_t duration_ms) {
+    const auto end_ms = cell.now_ms() + duration_ms;
+    while (cell.now_ms() < end_ms) {
+      cell.Submit(id++, "a", MakeJob(4, 250, kLongRunMs));
+      cell.Run(std::min<std::int64_t>(100, end_ms - cell.now_ms()));
+    }
+  };
+  submit_for(cell.MillisecondsToReport(3) + 10 +
+             static_cast<std::int64_t>(options.seed % 2) * kReportDelayMs);
+  for (auto& it : cell.workers) {
+    cell.RestartAtOnce(it, options.open_calls);
+    it.loses_replies = options.loses_replies;
+  }
+  submit_for(options.cut_ms);
+  for (std::size_t n = 0; n < cell.workers.size(); ++n) {
+    cell.workers[n].silent = n < 2;
+    cell.workers[n].loses_replies = false;
+  }
+  cell.Run(12'000);
+  for (auto& it : cell.workers) {
+    it.silent = false;
+  }
+  cell.Run(20'000);
+  for (const auto& it : cell.violations) {
+    cr_expect_fail("open calls %d, cut after %d ms, seed %d: %s",
+                   static_cast<int>(options.open_calls),
+                   static_cast<int>(options.cut_ms),
+                   static_cast<int>(options.seed), it.c_str());
+  }
+  return cell.violations.size();
+}
+
+void CutOffAtAnyTimeBeforeFirstReport(bool loses_replies) {
+  int broken = 0;
+  int cases = 0;
+  for (const auto open_calls : kAllOpenCalls) {
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      for (std::int64_t ms = 0; ms <= kLastCutMs; ms += kCutStepMs) {
+        ++cases;
+        broken +=
+            CutOffBeforeFirstReport({open_calls, ms, loses_replies, seed}) > 0
+                ? 1
+                : 0;
+      }
+    }
+  }
+  std::fprintf(stderr, "%d of %d cases are broken\n", broken, cases);
+}
+
+}  // namespace
+
+// Guards against a task that runs twice: the leader doesn't know yet that the
+// worker has restarted, and takes a lease on the former clock, which the new
+// incarnation grants for as long as it allows, for a shorter one.
+Test(worker_restart, repeats_no_task_of_a_worker_cut_off_before_its_report) {
+  CutOffAtAnyTimeBeforeFirstReport(false);
+}
+
+// Guards against the same if the replies to the starts are lost, too.
+Test(worker_restart, repeats_no_task_whose_start_got_no_reply_before_a_cut) {
+  CutOffAtAnyTimeBeforeFirstReport(true);
+}
