cell: Expect the lease that an unregistered incarnation may have granted

A worker starts again under its id and carries out starts that were meant for its former incarnation. It is cut off before a report or a list names it; its runs are given up after 6 s and go on for up to 4 s more.

Cause: the end of a lease was computed from the clock of the registered incarnation. Nothing proved that this one had granted it, and a clock that is behind, the sign of the harmful case, was ignored.

A reply bounds the lease by its own clock, whoever sent it. An order without a reply is taken for one with the longest lease, unless it was written only to a connection on which the worker had answered before, which leads to the process that answered then. A later list of the registered incarnation ends that.

The new tests of worker_tracker fail without the change (3 of 4; the fourth bounds the price). A worker of the harness that can't be reached no longer accepts new connections: an attempt to connect is reported as not sent, as the client does.

--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -96,6 +96,15 @@
   // Whether this incarnation may have carried out orders for an earlier one. It
   // then has a lease on another clock, which lasts as long as it allows.
   bool may_have_former_lease = false;
+  // Local time by which leases have certainly expired that orders of this
+  // leader got from an incarnation that isn't registered.
+  std::int64_t unregistered_lease_end_ms = 0;
+  // Local time until which an order without a reply may be carried out by an
+  // incarnation that isn't registered; 0 if there is no such order.
+  std::int64_t unproven_order_end_ms = 0;
+  // Whether an incarnation that isn't registered, and whose clock is behind, has
+  // answered an order since the last list of this one.
+  bool other_incarnation_answers = false;
 
   // Numbers of the last ended row that is committed and the last that was read.
   std::int64_t acknowledged_end = 0;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -60,6 +60,7 @@
     return;
   }
   changed_workers_.insert(worker->number);
+  RecordUnregisteredLease(*worker, sent, sent_ms, reply, now_ms);
   const auto fence =
       std::visit([](const auto& it) { return it.fence; }, sent.order);
   const bool was_for_former = fence < worker->fence;
@@ -154,6 +155,11 @@
   }
   worker.hold_failures = 0;
   worker.last_list_ms = now_ms;
+  worker.other_incarnation_answers = false;
+  // This incarnation was there after all such orders had ended.
+  if (sent_ms >= worker.unproven_order_end_ms) {
+    worker.unproven_order_end_ms = 0;
+  }
   worker.next_hold_ms = now_ms;
   if (!worker.synced) {
     Log(LogLevel::kInfo, "workers", "worker is synchronized",
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -559,12 +559,67 @@
   }
   const auto left =
       static_cast<double>(worker.lease_until_ms - worker.clock_ms);
-  return std::max(worker.synced && !worker.may_have_former_lease
-                      ? std::int64_t{0}
-                      : worker.inherited_lease_end_ms,
-                  worker.clock_sampled_ms +
-                      static_cast<std::int64_t>(left / kMinClockRate) +
-                      kLeaseMarginMs);
+  return std::max({worker.synced && !worker.may_have_former_lease
+                       ? std::int64_t{0}
+                       : worker.inherited_lease_end_ms,
+                   worker.unregistered_lease_end_ms,
+                   worker.unproven_order_end_ms == 0
+                       ? std::int64_t{0}
+                       : LongestLeaseEnd(worker.unproven_order_end_ms),
+                   worker.clock_sampled_ms +
+                       static_cast<std::int64_t>(left / kMinClockRate) +
+                       kLeaseMarginMs});
+}
+
+void WorkerTracker::RecordUnregisteredLease(TrackedWorker& worker,
+                                            const SentOrder& sent,
+                                            std::int64_t sent_ms,
+                                            const WorkerReply& reply,
+                                            std::int64_t now_ms) {
+  struct LeaseOf {
+    std::int64_t operator()(const HoldOrder& it) const {
+      return it.lease_until_ms;
+    }
+    std::int64_t operator()(const StartOrder& it) const {
+      return it.lease_until_ms;
+    }
+    std::int64_t operator()(const StopOrder&) const { return 0; }
+  };
+  const auto until_ms = std::visit(LeaseOf{}, sent.order);
+  if (until_ms == 0) {
+    return;
+  }
+  switch (reply.answer) {
+    case WorkerAnswer::kFenced:
+    case WorkerAnswer::kTooLate:
+    case WorkerAnswer::kOverloaded:
+    case WorkerAnswer::kNotSent:
+    case WorkerAnswer::kOtherWorker:
+      return;  // No lease was granted.
+    default:
+      break;
+  }
+  if (reply.clock_ms < 0) {
+    // The process at the other end of a reused connection has answered before,
+    // with a clock that was checked.
+    if (!reply.reused_connection || worker.other_incarnation_answers) {
+      worker.unproven_order_end_ms = now_ms + kAnswerTimeoutMs;
+    }
+    return;
+  }
+  const auto fence =
+      std::visit([](const auto& it) { return it.fence; }, sent.order);
+  if (fence == worker.fence &&
+      !IsClockBehind(worker, reply.clock_ms, sent_ms)) {
+    return;
+  }
+  worker.other_incarnation_answers = true;
+  const auto left_ms = static_cast<double>(std::clamp<std::int64_t>(
+      until_ms - reply.clock_ms, 0, options_.max_lease_ms));
+  worker.unregistered_lease_end_ms =
+      std::max(worker.unregistered_lease_end_ms,
+               now_ms + static_cast<std::int64_t>(left_ms / kMinClockRate) +
+                   kLeaseMarginMs);
 }
 
 void WorkerTracker::OnReport(WorkerNumber number,
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -269,6 +269,13 @@
   void RecordClock(TrackedWorker& worker,
                    std::int64_t clock_ms,
                    std::int64_t now_ms);
+  // Records the lease that an order may have got from an incarnation that isn't
+  // registered, whose clock is another one.
+  void RecordUnregisteredLease(TrackedWorker& worker,
+                               const SentOrder& sent,
+                               std::int64_t sent_ms,
+                               const WorkerReply& reply,
+                               std::int64_t now_ms);
   // Whether a clock in a reply to an order that was sent at `sent_ms` is behind
   // the clock of the registered incarnation, which therefore didn't reply.
   bool IsClockBehind(const TrackedWorker& worker,
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -15,6 +15,7 @@
 
 constexpr std::int64_t kReportIntervalMs = 1'500;
 constexpr std::int64_t kStopMs = 100;
+constexpr std::int64_t kConnectTimeoutMs = 600;
 // Age of the workers at the start of a test.
 constexpr std::int64_t kFirstAgeMs = 3'600'000;
 // Clocks of workers start at this value. Those of later incarnations start
@@ -606,6 +607,15 @@
   auto& connected_born_ms = hold == nullptr ? worker->connected_born_ms
                                             : worker->hold_connected_born_ms;
   const bool reused = connected_born_ms != 0 && !sent.fresh_connection;
+  if (worker->unreachable && !reused) {
+    // The client gives up the attempt to connect.
+    WorkerReply reply;
+    reply.answer = WorkerAnswer::kNotSent;
+    Schedule(kConnectTimeoutMs, [this, id = sent.id, reply] {
+      engine_.OnWorkerReply(id, reply, Now());
+    });
+    return;
+  }
   if (worker->silent || worker->unreachable) {
     ReplyAfterTimeout(sent, reused);
     return;
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -658,3 +658,101 @@
     cr_expect(FindStop(out)->task == kTask);
   }
 }
+
+namespace {
+
+// Returns the time from `now_ms` on after which the leases of a silent worker
+// with the number 1 have expired.
+std::int64_t MeasureLease(WorkerTracker& tracker, std::int64_t now_ms) {
+  constexpr std::int64_t kStepMs = 20;
+  std::int64_t waited_ms = 0;
+  while (!tracker.Find(1)->leases_expired) {
+    waited_ms += kStepMs;
+    WorkerTrackerOutput out;
+    tracker.Advance(now_ms + waited_ms, out);
+    cr_assert_lt(waited_ms, 60'000);
+  }
+  return waited_ms;
+}
+
+constexpr std::int64_t kLongestLeaseMs = 10'000;
+
+}  // namespace
+
+// Guards against a task that runs twice: an incarnation that isn't registered
+// has answered its start, and grants the longest lease on its own clock.
+Test(worker_tracker, expects_the_lease_on_the_clock_in_the_reply) {
+  for (const std::int64_t behind_ms : {900, 3'000, 1'000'000}) {
+    auto tracker = MakeTracker(1'000'000);
+    const auto start = SendStart(tracker, 1'000'010);
+    WorkerReply reply;
+    reply.answer = WorkerAnswer::kDone;
+    reply.clock_ms = 1'010 - behind_ms;
+    reply.reused_connection = true;
+    if (reply.clock_ms < 0) {
+      reply.clock_ms = 0;
+    }
+    const auto until_ms = std::get<StartOrder>(start.order).lease_until_ms;
+    const auto granted_ms =
+        std::min(until_ms - reply.clock_ms, kLongestLeaseMs);
+    WorkerTrackerOutput out;
+    tracker.OnReply(start, 1'000'010, reply, 1'000'020, out);
+    const auto lease_ms = MeasureLease(tracker, 1'000'020);
+    cr_expect_geq(lease_ms, granted_ms);
+    cr_expect_lt(lease_ms, granted_ms + 600);
+  }
+}
+
+// Guards against the same if the reply to the start is lost, and against work
+// that waits that long although the start could reach only the registered
+// incarnation.
+Test(worker_tracker, expects_the_longest_lease_of_an_unanswered_start) {
+  for (const bool reused : {false, true}) {
+    auto tracker = MakeTracker(1'000);
+    const auto start = SendStart(tracker, 1'010);
+    WorkerReply reply;
+    reply.reused_connection = reused;
+    WorkerTrackerOutput out;
+    tracker.OnReply(start, 1'010, reply, 2'010, out);
+    const auto lease_ms = MeasureLease(tracker, 2'010);
+    if (reused) {
+      // The lease that a hold grants now.
+      cr_expect_lt(lease_ms, 6'000);
+    } else {
+      cr_expect_geq(lease_ms, kLongestLeaseMs);
+    }
+  }
+}
+
+// Guards against an order on a connection to an incarnation that isn't
+// registered, which is taken for one to the registered one.
+Test(worker_tracker, trusts_no_connection_after_a_reply_of_another_one) {
+  auto tracker = MakeTracker(1'000'000);
+  const auto first = SendStart(tracker, 1'000'010);
+  WorkerReply reply;
+  reply.answer = WorkerAnswer::kDone;
+  reply.clock_ms = 0;
+  WorkerTrackerOutput out;
+  tracker.OnReply(first, 1'000'010, reply, 1'000'020, out);
+  reply = {};
+  reply.reused_connection = true;
+  tracker.OnReply(first, 1'003'000, reply, 1'004'000, out);
+  cr_expect_geq(MeasureLease(tracker, 1'004'000), kLongestLeaseMs);
+}
+
+// Guards against work that waits for the longest lease although the registered
+// incarnation has listed its runs since.
+Test(worker_tracker, expects_no_other_lease_after_a_list) {
+  auto tracker = MakeTracker(1'000);
+  const auto start = SendStart(tracker, 1'010);
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 1'010, WorkerReply(), 2'010, out);
+  for (std::int64_t now = 2'020; now <= 4'000; now += 20) {
+    WorkerTrackerOutput sent;
+    tracker.Advance(now, sent);
+    for (const auto& it : sent.orders) {
+      tracker.OnReply(it, now, MakeHoldReply(now, 50), now + 5, sent);
+    }
+  }
+  cr_expect_lt(MeasureLease(tracker, 4'000), 6'000);
+}
