cell: Expect the longest lease of starts that were open at a departure

Cause: runs whose starts were open when their worker left were given up after 5.4 s, when the departed incarnation would refuse the start as late. The next one, whose clock may be behind, grants it the longest lease; if it is cut off before its report, the task starts elsewhere beside it. The runs of a worker whose next incarnation has answered orders were finished at once.

Such runs stay open for the longest lease. Replies that come after the departure shorten that: a start that was not sent is over at once, and one on a connection to the departed process after 5.4 s as before.

The end of a lease no longer ignores unregistered leases of a worker that has got none itself.

--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -56,7 +56,11 @@
                             std::int64_t now_ms,
                             WorkerTrackerOutput& out) {
   auto* worker = FindById(sent.worker.id);
-  if (worker == nullptr || worker->record.address != sent.worker.address) {
+  if (worker == nullptr) {
+    OnDepartedReply(sent, sent_ms, reply, out);
+    return;
+  }
+  if (worker->record.address != sent.worker.address) {
     return;
   }
   changed_workers_.insert(worker->number);
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -381,7 +381,8 @@
   if (departed.empty()) {
     return;
   }
-  for (auto& [key, run] : departed.mapped().runs) {
+  for (auto& [key, it] : departed.mapped().runs) {
+    auto& run = it.run;
     run.phase = RunPhase::kUncertain;
     run.phase_confirmed_ms = 0;
     run.stop_sent_ms = 0;
@@ -390,29 +391,67 @@
   }
 }
 
+std::int64_t WorkerTracker::LatestStartExpiry(std::int64_t now_ms) const {
+  return LongestLeaseEnd(now_ms + kAnswerTimeoutMs);
+}
+
 void WorkerTracker::ExpireDepartedRuns(std::int64_t now_ms,
                                        WorkerTrackerOutput& out) {
   for (auto it = departed_workers_.begin(); it != departed_workers_.end();) {
-    if (now_ms < it->second.until_ms) {
-      ++it;
-      continue;
-    }
-    for (const auto& [key, run] : it->second.runs) {
+    auto& departed = it->second;
+    std::erase_if(departed.runs, [&](const auto& entry) {
+      const auto& [key, run] = entry;
+      if (now_ms < run.until_ms) {
+        return false;
+      }
       FinishedRun finished;
       finished.task = key.first;
       finished.run = key.second;
-      finished.worker = it->second.number;
+      finished.worker = departed.number;
       finished.reason = "worker left and did not return";
       out.finished.push_back(std::move(finished));
-    }
-    it = departed_workers_.erase(it);
+      return true;
+    });
+    it = now_ms < departed.until_ms ? std::next(it)
+                                    : departed_workers_.erase(it);
+  }
+}
+
+void WorkerTracker::OnDepartedReply(const SentOrder& sent,
+                                    std::int64_t sent_ms,
+                                    const WorkerReply& reply,
+                                    WorkerTrackerOutput& out) {
+  const auto* start = std::get_if<StartOrder>(&sent.order);
+  const auto departed = departed_workers_.find(sent.worker.id);
+  if (start == nullptr || departed == departed_workers_.end()) {
+    return;
+  }
+  auto& runs = departed->second.runs;
+  const auto it = runs.find({start->task, start->run});
+  if (it == runs.end() || it->second.run.phase != RunPhase::kSending) {
+    return;
+  }
+  if (reply.answer == WorkerAnswer::kNotSent) {
+    FinishedRun finished;
+    finished.task = start->task;
+    finished.run = start->run;
+    finished.how = wire::RunEnd::kNotStarted;
+    finished.worker = departed->second.number;
+    finished.reason = "worker left before the start was sent";
+    out.finished.push_back(std::move(finished));
+    runs.erase(it);
+    return;
+  }
+  // The order could reach only the process that has left.
+  if (reply.answer == WorkerAnswer::kNoAnswer && reply.reused_connection) {
+    it->second.until_ms = StartExpiry(sent_ms);
   }
 }
 
 void WorkerTracker::AddDeparted(WorkerNumber number,
                                 const std::string& id,
                                 std::int64_t now_ms) {
-  departed_workers_[id] = {number, StartExpiry(now_ms), {}};
+  departed_workers_[id] = {number, LatestStartExpiry(now_ms), {}};
 }
 
 bool WorkerTracker::IsOpenAtDeparted(const TaskKey& task,
@@ -430,16 +469,19 @@
   if (worker == workers_.end()) {
     return;
   }
-  DepartedWorker departed{number, StartExpiry(now_ms), {}};
+  // All its runs may be on its next incarnation if that one has answered.
+  const bool other_answers = worker->second.other_incarnation_answers;
+  DepartedWorker departed{number, LatestStartExpiry(now_ms), {}};
   for (auto it = worker->second.runs.begin();
        it != worker->second.runs.end();) {
     const auto next = std::next(it);
-    if (it->second.phase == RunPhase::kSending) {
+    const auto phase = it->second.phase;
+    if (phase == RunPhase::kSending) {
       uncertain_starts_.push_back(it->first);
     }
-    if (it->second.phase == RunPhase::kSending ||
-        it->second.phase == RunPhase::kUncertain) {
-      departed.runs.insert(*it);
+    if (phase == RunPhase::kSending || phase == RunPhase::kUncertain ||
+        (other_answers && phase != RunPhase::kProposed)) {
+      departed.runs[it->first] = {it->second, departed.until_ms};
       EraseRun(worker->second, it);
     }
     it = next;
@@ -483,7 +525,7 @@
       departed_workers_.begin(), departed_workers_.end(),
       [&](const auto& entry) { return entry.second.number == number; });
   if (departed != departed_workers_.end()) {
-    departed->second.runs[{task, run}] = it;
+    departed->second.runs[{task, run}] = {it, departed->second.until_ms};
     uncertain_starts_.emplace_back(task, run);
     return;
   }
@@ -554,21 +596,23 @@
 }
 
 std::int64_t WorkerTracker::LeaseEnd(const TrackedWorker& worker) const {
-  if (worker.clock_ms < 0 || worker.lease_until_ms == 0) {
-    return worker.inherited_lease_end_ms;
-  }
-  const auto left =
-      static_cast<double>(worker.lease_until_ms - worker.clock_ms);
-  return std::max({worker.synced && !worker.may_have_former_lease
-                       ? std::int64_t{0}
-                       : worker.inherited_lease_end_ms,
-                   worker.unregistered_lease_end_ms,
-                   worker.unproven_order_end_ms == 0
-                       ? std::int64_t{0}
-                       : LongestLeaseEnd(worker.unproven_order_end_ms),
-                   worker.clock_sampled_ms +
-                       static_cast<std::int64_t>(left / kMinClockRate) +
-                       kLeaseMarginMs});
+  std::int64_t end_ms = worker.unregistered_lease_end_ms;
+  if (worker.unproven_order_end_ms != 0) {
+    end_ms = std::max(end_ms, LongestLeaseEnd(worker.unproven_order_end_ms));
+  }
+  const bool granted = worker.clock_ms >= 0 && worker.lease_until_ms != 0;
+  if (!granted || !worker.synced || worker.may_have_former_lease) {
+    end_ms = std::max(end_ms, worker.inherited_lease_end_ms);
+  }
+  if (granted) {
+    const auto left_ms =
+        static_cast<double>(worker.lease_until_ms - worker.clock_ms);
+    end_ms = std::max(end_ms,
+                      worker.clock_sampled_ms +
+                          static_cast<std::int64_t>(left_ms / kMinClockRate) +
+                          kLeaseMarginMs);
+  }
+  return end_ms;
 }
 
 void WorkerTracker::RecordUnregisteredLease(TrackedWorker& worker,
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -207,11 +207,16 @@
   bool fenced() const { return fenced_; }
 
  private:
+  struct DepartedRun {
+    Run run;
+    // Local time by which the next incarnation certainly doesn't run it.
+    std::int64_t until_ms = 0;
+  };
   // A worker that has left, and the runs that its next incarnation may start.
   struct DepartedWorker {
     WorkerNumber number = 0;
     std::int64_t until_ms = 0;
-    std::map<RunKey, Run> runs;
+    std::map<RunKey, DepartedRun> runs;
   };
 
   static void LogReplacement(const TrackedWorker& previous,
@@ -225,13 +230,20 @@
   // Whether the worker's process began so shortly before this leader that
   // orders for an earlier incarnation may have reached it.
   bool BeganShortlyBefore(const wire::CalledWorker& record) const;
-  // Local time by which a start that may have been sent until now is refused
-  // as too late, or its lease has expired.
+  // Local time by which a start that was sent until now is refused as too late
+  // by the incarnation that it was meant for, or its lease has expired.
   std::int64_t StartExpiry(std::int64_t now_ms) const;
+  // The same for a start that another incarnation may carry out.
+  std::int64_t LatestStartExpiry(std::int64_t now_ms) const;
   // Moves runs of a worker whose starts may still arrive to its next
   // incarnation, which is registered now.
   void MoveDepartedRuns(TrackedWorker& worker);
-  // Finishes the runs of departed workers whose starts are too late by now.
+  // Handles the reply to a start that was open when its worker left.
+  void OnDepartedReply(const SentOrder& sent,
+                       std::int64_t sent_ms,
+                       const WorkerReply& reply,
+                       WorkerTrackerOutput& out);
+  // Finishes the runs of departed workers that nothing can run any more.
   void ExpireDepartedRuns(std::int64_t now_ms, WorkerTrackerOutput& out);
   void AddRun(TrackedWorker& worker, const RunKey& key, Run run);
   void RequestStop(TrackedWorker& worker, const RunKey& key, Run& run);
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -145,6 +145,29 @@
   }
 }
 
+// Guards against the same if the next incarnation is cut off before its report:
+// it grants the longest lease to a start on the former clock.
+Test(departed_worker, runs_nothing_twice_if_it_is_cut_off_after_its_return) {
+  constexpr std::int64_t kNetworkMs = 100;
+  for (std::int64_t wait_ms = 20; wait_ms <= 120; wait_ms += 5) {
+    CellHarness cell({.workers = 2, .network_ms = kNetworkMs});
+    cell.Run(1'000);
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(2, 16'000, 15'000));
+    cell.Run(wait_ms);
+    auto& worker = cell.workers[0];
+    cell.Depart(worker);
+    worker.gone = false;
+    cell.RestartAtOnce(worker);
+    cell.Run(kNetworkMs);
+    worker.silent = true;
+    cell.Run(20'000);
+    worker.silent = false;
+    cell.Run(40'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
 // Guards against a task that waits for ever for a worker that never returns.
 Test(departed_worker, gives_up_its_starts_if_it_does_not_return) {
   constexpr std::int64_t kNetworkMs = 100;
