--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -62,6 +62,26 @@
 constexpr int kIncarnationBits = 16;
 constexpr std::int64_t kMaxIncarnations = std::int64_t{1} << kIncarnationBits;
 
+// Returns the end of the lease that a worker may have taken from an order with
+// this answer, on the worker's clock; 0 if none.
+std::int64_t GrantedLease(const WorkerOrder& order, WorkerAnswer answer) {
+  switch (answer) {
+    case WorkerAnswer::kFenced:
+    case WorkerAnswer::kTooLate:
+    case WorkerAnswer::kOverloaded:
+    case WorkerAnswer::kNotSent:
+    case WorkerAnswer::kOtherWorker:
+      return 0;
+    default:
+      break;
+  }
+  if (const auto* hold = std::get_if<HoldOrder>(&order)) {
+    return hold->lease_until_ms;
+  }
+  const auto* start = std::get_if<StartOrder>(&order);
+  return start == nullptr ? 0 : start->lease_until_ms;
+}
+
 }  // namespace
 
 const char* RunPhaseName(RunPhase phase) {
@@ -620,50 +640,30 @@
                                             std::int64_t sent_ms,
                                             const WorkerReply& reply,
                                             std::int64_t now_ms) {
-  struct LeaseOf {
-    std::int64_t operator()(const HoldOrder& it) const {
-      return it.lease_until_ms;
-    }
-    std::int64_t operator()(const StartOrder& it) const {
-      return it.lease_until_ms;
-    }
-    std::int64_t operator()(const StopOrder&) const { return 0; }
-  };
-  const auto until_ms = std::visit(LeaseOf{}, sent.order);
+  const auto fence =
+      std::visit([](const auto& it) { return it.fence; }, sent.order);
+  const bool from_other =
+      reply.clock_ms >= 0 &&
+      (fence != worker.fence || IsClockBehind(worker, reply.clock_ms, sent_ms));
+  worker.other_incarnation_answers |= from_other;
+  const auto until_ms = GrantedLease(sent.order, reply.answer);
   if (until_ms == 0) {
     return;
   }
-  switch (reply.answer) {
-    case WorkerAnswer::kFenced:
-    case WorkerAnswer::kTooLate:
-    case WorkerAnswer::kOverloaded:
-    case WorkerAnswer::kNotSent:
-    case WorkerAnswer::kOtherWorker:
-      return;  // No lease was granted.
-    default:
-      break;
-  }
-  if (reply.clock_ms < 0) {
-    // The process at the other end of a reused connection has answered before,
-    // with a clock that was checked.
-    if (!reply.reused_connection || worker.other_incarnation_answers) {
-      worker.unproven_order_end_ms = now_ms + kAnswerTimeoutMs;
-    }
-    return;
+  if (from_other) {
+    const auto left_ms = static_cast<double>(std::clamp<std::int64_t>(
+        until_ms - reply.clock_ms, 0, options_.max_lease_ms));
+    worker.unregistered_lease_end_ms =
+        std::max(worker.unregistered_lease_end_ms,
+                 now_ms + static_cast<std::int64_t>(left_ms / kMinClockRate) +
+                     kLeaseMarginMs);
   }
-  const auto fence =
-      std::visit([](const auto& it) { return it.fence; }, sent.order);
-  if (fence == worker.fence &&
-      !IsClockBehind(worker, reply.clock_ms, sent_ms)) {
-    return;
+  // The process at the other end of a reused connection has answered before,
+  // with a clock that was checked.
+  if (reply.clock_ms < 0 &&
+      (!reply.reused_connection || worker.other_incarnation_answers)) {
+    worker.unproven_order_end_ms = now_ms + kAnswerTimeoutMs;
   }
-  worker.other_incarnation_answers = true;
-  const auto left_ms = static_cast<double>(std::clamp<std::int64_t>(
-      until_ms - reply.clock_ms, 0, options_.max_lease_ms));
-  worker.unregistered_lease_end_ms =
-      std::max(worker.unregistered_lease_end_ms,
-               now_ms + static_cast<std::int64_t>(left_ms / kMinClockRate) +
-                   kLeaseMarginMs);
 }
 
 void WorkerTracker::OnReport(WorkerNumber number,
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -740,6 +740,24 @@
   cr_expect_geq(MeasureLease(tracker, 1'004'000), kLongestLeaseMs);
 }
 
+// Guards against the same if only a stop, which grants no lease, was answered
+// on that connection.
+Test(worker_tracker, trusts_no_connection_after_a_stop_of_another_one) {
+  auto tracker = MakeTracker(1'000'000);
+  const auto start = SendStart(tracker, 1'000'010);
+  SentOrder stop = start;
+  stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 1};
+  WorkerReply reply;
+  reply.answer = WorkerAnswer::kDone;
+  reply.clock_ms = 0;
+  WorkerTrackerOutput out;
+  tracker.OnReply(stop, 1'000'010, reply, 1'000'020, out);
+  reply = {};
+  reply.reused_connection = true;
+  tracker.OnReply(start, 1'000'010, reply, 1'001'010, out);
+  cr_expect_geq(MeasureLease(tracker, 1'001'010), kLongestLeaseMs);
+}
+
 // Guards against work that waits for the longest lease although the registered
 // incarnation has listed its runs since.
 Test(worker_tracker, expects_no_other_lease_after_a_list) {
