cell: Tell the age of an incarnation without the time of day

A new leader expects the longest lease of a worker that has started shortly before, and took the time since from the worker's time of day and its own. On a host whose time of day is 30 s ahead the worker counts as old, so runs that got the longest lease from orders for its former incarnation are given up after 6 s and start elsewhere beside the first run.

Each member now records when it applied a registration, on its own clock. Incarnations that this leader registers itself and that replace none don't count as young any more: nothing was sent to an earlier one.

Evidence: worker_restart::repeats_no_task_if_the_next_leader_has_another_time failed before (restart at 0 ms: five jobs and more run twice) and passes; 181 of 181 tests of cell pass.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -120,6 +120,8 @@
   // Learns from the runs that end with this batch, which is applied next.
   void RecordRunTimes(const wire::GraphBatch& batch);
   void EndLeadership(const Error& error);
+  // Records since when the registered workers are known.
+  void RecordRegistrations(TimePoint now);
 
   EngineOptions options_;
   EngineEnvironment& environment_;
@@ -131,6 +133,10 @@
   // if this member does not lead.
   std::atomic<std::int64_t> serving_term_ = 0;
   std::int64_t applied_index_ = 0;
+  // Local time in milliseconds at which each registration was applied, or later
+  // after a snapshot. Hosts disagree on the time of day, so a new leader tells
+  // by it how long a worker's incarnation has been known.
+  std::map<graph::WorkerNumber, std::int64_t> registered_ms_;
   // Learned on every member, so that a new leader knows them.
   std::unique_ptr<RunTimes> run_times_;
   std::unique_ptr<RefusedRequests> refused_requests_;
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -47,12 +47,30 @@
     store_.Apply(*batch);
   }
   applied_index_ = entry.index;
+  RecordRegistrations(now);
   if (leader_) {
     leader_->OnApplied(*batch, now);
   }
   return {};
 }
 
+void Engine::RecordRegistrations(TimePoint now) {
+  const auto& workers = store_.workers();
+  // Numbers rise, so a new registration changes the last one.
+  const bool unchanged =
+      workers.size() == registered_ms_.size() &&
+      (workers.empty() ||
+       workers.rbegin()->first == registered_ms_.rbegin()->first);
+  if (unchanged) {
+    return;
+  }
+  std::erase_if(registered_ms_,
+                [&](const auto& it) { return !workers.contains(it.first); });
+  for (const auto& [number, worker] : workers) {
+    registered_ms_.try_emplace(number, ToMilliseconds(now.time_since_epoch()));
+  }
+}
+
 void Engine::RecordRunTimes(const wire::GraphBatch& batch) {
   std::set<graph::StepKey> gangs;
   for (const auto& it : batch.results) {
@@ -94,7 +112,7 @@
   if (leads && !leader_ && !stopped_) {
     leader_ =
         std::make_unique<Leader>(options_, change.term, store_, *run_times_,
-                                 environment_, metrics_, now);
+                                 registered_ms_, environment_, metrics_, now);
     serving_term_ = change.term;
   }
 }
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -63,6 +63,7 @@
                std::int64_t term,
                const graph::GraphStore& store,
                const RunTimes& run_times,
+               const RegistrationTimes& registered_ms,
                EngineEnvironment& environment,
                MetricsRegistry& metrics,
                TimePoint now)
@@ -78,7 +79,6 @@
       step_tracker_(store, planner_, run_times_),
       workers_(
           {.term = term,
-           .wall_start_ms = wall_ms_,
            .max_lease_ms = options.max_worker_lease.count(),
            .lease_ms = std::min(options.worker_lease, options.max_worker_lease)
                            .count()},
@@ -90,10 +90,15 @@
                          term),
       members_(options.cell_size, options.id, now_ms_),
       run_check_(store) {
-  RebuildState();
+  RebuildState(registered_ms);
 }
 
-void Leader::RebuildState() {
+void Leader::RebuildState(const RegistrationTimes& registered_ms) {
+  for (const auto& [number, worker] : store_.workers()) {
+    const auto it = registered_ms.find(number);
+    workers_.Register(number, worker, now_ms_,
+                      it == registered_ms.end() ? now_ms_ : it->second);
+  }
   SyncWorkers();
   for (const auto& [id, number] : store_.departed_workers()) {
     workers_.AddDeparted(number, id, now_ms_);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -30,12 +30,16 @@
 // Returns the reply to a question for the state of a job.
 wire::GraphReply DescribeJob(const graph::GraphStore& store, graph::JobId id);
 
+// Local times in milliseconds since which registered workers are known.
+using RegistrationTimes = std::map<graph::WorkerNumber, std::int64_t>;
+
 class Leader {
  public:
   Leader(const EngineOptions& options,
          std::int64_t term,
          const graph::GraphStore& store,
          const RunTimes& run_times,
+         const RegistrationTimes& registered_ms,
          EngineEnvironment& environment,
          MetricsRegistry& metrics,
          TimePoint now);
@@ -66,7 +70,7 @@
   };
 
   // leader.cc
-  void RebuildState();
+  void RebuildState(const RegistrationTimes& registered_ms);
   void SetNow(TimePoint now);
   void SyncWorkers();
   // Removes the numbers that the tracker has ended from every other place that
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -51,9 +51,9 @@
 // time in a large cell.
 constexpr std::int64_t kWorkerScanIntervalMs = 2;
 constexpr std::int64_t kLargeCellWorkerScanIntervalMs = 10;
-// How long after the start of an incarnation orders for the former one may be
-// carried out: until a report or the reply to a hold names it, and some seconds
-// for orders that are late. Covers steps of the time of day, too.
+// How long after the registration of an incarnation orders for the former one
+// may be carried out: until the reply to a hold names it, and some seconds for
+// orders that are late.
 constexpr std::int64_t kMaxStaleOrderMs = 10'000;
 // The term is stored in an order id above this many bits.
 constexpr int kOrderCounterBits = 32;
@@ -276,7 +276,8 @@
 
 void WorkerTracker::Register(WorkerNumber number,
                              const wire::CalledWorker& record,
-                             std::int64_t now_ms) {
+                             std::int64_t now_ms,
+                             std::optional<std::int64_t> registered_ms) {
   auto* previous = FindById(record.id);
   changed_workers_.insert(number);
   if (previous != nullptr && previous->number == number) {
@@ -304,7 +305,10 @@
   // meant for the previous one.
   const bool replaced =
       previous != nullptr || departed_workers_.contains(record.id);
-  worker.may_have_former_lease = replaced || BeganShortlyBefore(record);
+  const bool registered_shortly_before =
+      registered_ms &&
+      started_ms_ - *registered_ms < options_.max_lease_ms + kMaxStaleOrderMs;
+  worker.may_have_former_lease = replaced || registered_shortly_before;
   worker.inherited_lease_end_ms =
       LongestLeaseEnd(replaced ? now_ms : started_ms_);
   workers_[number] = std::move(worker);
@@ -377,11 +381,6 @@
   return it->second;
 }
 
-bool WorkerTracker::BeganShortlyBefore(const wire::CalledWorker& record) const {
-  return options_.wall_start_ms - record.born_ms <
-         options_.max_lease_ms + kMaxStaleOrderMs;
-}
-
 std::int64_t WorkerTracker::LongestLeaseEnd(std::int64_t now_ms) const {
   return now_ms +
          static_cast<std::int64_t>(static_cast<double>(options_.max_lease_ms) /
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -21,8 +21,6 @@
 struct WorkerTrackerOptions {
   // Term of the leader. Fences rise with it.
   std::int64_t term = 0;
-  // Time of day when the leader began, in Unix milliseconds.
-  std::int64_t wall_start_ms = 0;
   // Longest lease that a worker accepts.
   std::int64_t max_lease_ms = 10'000;
   // Lease that each hold and start grants.
@@ -69,9 +67,12 @@
 
   // Adds an incarnation of a worker that is in the committed state, or updates
   // its record. Runs of an earlier incarnation with the same id move to it.
+  // `registered_ms` is the local time since which it is known that an earlier
+  // leader has registered it; unset if this leader has.
   void Register(WorkerNumber number,
                 const wire::CalledWorker& record,
-                std::int64_t now_ms);
+                std::int64_t now_ms,
+                std::optional<std::int64_t> registered_ms = std::nullopt);
   // Sets whether the worker has said that it has left. Such a worker gets no
   // starts, because its next incarnation would carry them out.
   void SetDeparted(WorkerNumber number, bool departed);
@@ -227,9 +228,6 @@
   // Local time by which a lease that a worker grants now on the clock of
   // another incarnation has certainly expired.
   std::int64_t LongestLeaseEnd(std::int64_t now_ms) const;
-  // Whether the worker's process began so shortly before this leader that
-  // orders for an earlier incarnation may have reached it.
-  bool BeganShortlyBefore(const wire::CalledWorker& record) const;
   // Local time by which a start that was sent until now is refused as too late
   // by the incarnation that it was meant for, or its lease has expired.
   std::int64_t StartExpiry(std::int64_t now_ms) const;
--- a/tests/cell/gang_review_test.cc
+++ b/tests/cell/gang_review_test.cc
@@ -14,8 +14,6 @@
 
 constexpr graph::JobId kGang = 1;
 constexpr TaskKey kTask{7, 0, 0, 0};
-// The workers began long before.
-constexpr std::int64_t kWallStartMs = 3'600'000;
 constexpr std::int64_t kBornMs = 50;
 
 HarnessOptions OptionsFor(std::int32_t workers) {
@@ -66,7 +64,7 @@
 
 // Returns a tracker with one worker at which a hold waits since 1,004.
 WorkerTracker MakeTracker(SentOrder& hold) {
-  WorkerTracker tracker({.term = 3, .wall_start_ms = kWallStartMs}, 1'000);
+  WorkerTracker tracker({.term = 3}, 1'000);
   wire::CalledWorker worker;
   worker.id = "w";
   worker.address = "127.0.0.1:1";
--- a/tests/cell/worker_restart_test.cc
+++ b/tests/cell/worker_restart_test.cc
@@ -31,7 +31,9 @@
 
 // Restarts all workers of a cell `restart_ms` after a job of long tasks was
 // handed in, and cuts half of them off once their reports have arrived.
-void CutOffAfterRestart(std::int64_t restart_ms, bool change_leader) {
+void CutOffAfterRestart(std::int64_t restart_ms,
+                        bool change_leader,
+                        std::int64_t wall_step_ms = 0) {
   CellHarness cell({.workers = 4, .seed = 7});
   StartCell(cell);
   graph::JobId id = 1;
@@ -46,6 +48,7 @@
     cell.Submit(id++, "a", MakeJob(4, 500, kLongRunMs));
     cell.Run(kReportDelayMs / 10);
   }
+  cell.wall_offset_ms += wall_step_ms;
   if (change_leader) {
     cell.ChangeLeader();
   }
@@ -77,6 +80,15 @@
   }
 }
 
+// Guards against the same if the time of day of the next leader is wrong.
+Test(worker_restart, repeats_no_task_if_the_next_leader_has_another_time) {
+  for (std::int64_t ms = 0; ms <= 1'500; ms += 300) {
+    for (const std::int64_t step_ms : {-3'600'000, -30'000, 30'000}) {
+      CutOffAfterRestart(ms, true, step_ms);
+    }
+  }
+}
+
 // Guards against a task that runs again after it was done: a hold for the
 // former incarnation of its worker acknowledges an end that nobody has read.
 Test(worker_restart, repeats_no_task_whose_end_was_acknowledged_unread) {
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr TaskKey kTask{7, 0, 0, 0};
-// The workers began long before.
-constexpr std::int64_t kWallStartMs = 3'600'000;
 
 wire::CalledWorker MakeWorker(std::int64_t born_ms) {
   wire::CalledWorker worker;
@@ -58,7 +56,7 @@
 
 // Returns a tracker with one worker that was synchronized at `now_ms`.
 WorkerTracker MakeTracker(std::int64_t now_ms) {
-  WorkerTracker tracker({.term = 3, .wall_start_ms = kWallStartMs}, now_ms);
+  WorkerTracker tracker({.term = 3}, now_ms);
   tracker.Register(1, MakeWorker(50), now_ms);
   WorkerTrackerOutput out;
   tracker.Advance(now_ms, out);
@@ -84,7 +82,7 @@
 // Guards against learning run times from runs that an earlier leader started:
 // the time since the takeover is shorter than the run.
 Test(worker_tracker, does_not_measure_inherited_runs) {
-  WorkerTracker tracker({.term = 3, .wall_start_ms = kWallStartMs}, 0);
+  WorkerTracker tracker({.term = 3}, 0);
   tracker.Register(1, MakeWorker(50), 0);
   WorkerTrackerOutput out;
   tracker.AddInheritedRun(1, kTask, 1, {1'000, 100, 0}, 500, 0, out);
