cell: Keep a sign of another incarnation until a later list

Cause: each list of the registered incarnation cleared the sign that an incarnation that isn't registered answers orders, even a list that had been sent before and was overtaken by that answer. A start without a reply on a connection to the other incarnation was then taken for one to the registered one, and its run given up while it had the longest lease.

A list clears the sign only if its hold was sent after the sign.

Evidence: worker_tracker::trusts_no_connection_after_a_list_that_was_overtaken fails without the change and passes with it.

--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -102,9 +102,9 @@
   // Local time until which an order without a reply may be carried out by an
   // incarnation that isn't registered; 0 if there is no such order.
   std::int64_t unproven_order_end_ms = 0;
-  // Whether an incarnation that isn't registered, and whose clock is behind,
-  // has answered an order since the last list of this one.
-  bool other_incarnation_answers = false;
+  // Local time of the latest sign that connections may lead to an incarnation
+  // that isn't registered; 0 if this one has answered a later hold.
+  std::int64_t unproven_connection_ms = 0;
 
   // Numbers of the last ended row that is committed and the last that was read.
   std::int64_t acknowledged_end = 0;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -159,7 +159,10 @@
   }
   worker.hold_failures = 0;
   worker.last_list_ms = now_ms;
-  worker.other_incarnation_answers = false;
+  // A list that was sent before such a sign may have been overtaken by it.
+  if (sent_ms > worker.unproven_connection_ms) {
+    worker.unproven_connection_ms = 0;
+  }
   // This incarnation was there after all such orders had ended.
   if (sent_ms >= worker.unproven_order_end_ms) {
     worker.unproven_order_end_ms = 0;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -489,7 +489,7 @@
     return;
   }
   // All its runs may be on its next incarnation if that one has answered.
-  const bool other_answers = worker->second.other_incarnation_answers;
+  const bool other_answers = worker->second.unproven_connection_ms != 0;
   DepartedWorker departed{number, LatestStartExpiry(now_ms), {}};
   for (auto it = worker->second.runs.begin();
        it != worker->second.runs.end();) {
@@ -644,7 +644,9 @@
   const bool from_other =
       reply.clock_ms >= 0 &&
       (fence != worker.fence || IsClockBehind(worker, reply.clock_ms, sent_ms));
-  worker.other_incarnation_answers |= from_other;
+  if (from_other) {
+    worker.unproven_connection_ms = now_ms;
+  }
   const auto until_ms = GrantedLease(sent.order, reply.answer);
   if (until_ms == 0) {
     return;
@@ -660,7 +662,7 @@
   // The process at the other end of a reused connection has answered before,
   // with a clock that was checked.
   if (reply.clock_ms < 0 &&
-      (!reply.reused_connection || worker.other_incarnation_answers)) {
+      (!reply.reused_connection || worker.unproven_connection_ms != 0)) {
     worker.unproven_order_end_ms = now_ms + kAnswerTimeoutMs;
   }
 }
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -772,3 +772,22 @@
   }
   cr_expect_lt(MeasureLease(tracker, 4'000), 6'000);
 }
+
+// Guards against a sign of another incarnation that is forgotten for a list
+// that the registered one sent before: the replies overtook each other.
+Test(worker_tracker, trusts_no_connection_after_a_list_that_was_overtaken) {
+  auto tracker = MakeTracker(1'000'000);
+  const auto start = SendStart(tracker, 1'000'010);
+  WorkerTrackerOutput out;
+  tracker.Advance(1'000'010, out);
+  const auto hold = LastHold(out);
+  WorkerReply reply;
+  reply.answer = WorkerAnswer::kDone;
+  reply.clock_ms = 0;
+  tracker.OnReply(start, 1'000'010, reply, 1'000'020, out);
+  tracker.OnReply(hold, 1'000'010, MakeHoldReply(1'010, 50), 1'000'030, out);
+  reply = {};
+  reply.reused_connection = true;
+  tracker.OnReply(start, 1'003'000, reply, 1'004'000, out);
+  cr_expect_geq(MeasureLease(tracker, 1'004'000), kLongestLeaseMs);
+}
