cell: Trust no connection whose replies had no clock

The leader saw no clock that is behind, but the client counts the connection as one with earlier answers. A later start without a reply on it was taken for one to the registered incarnation. Starts and holds were considered, stops and refusals not.

Any order on a new connection without a clock in its reply is a sign that connections may lead to another incarnation, until a later list.

Evidence: worker_tracker::trusts_no_connection_whose_replies_had_no_clock fails in all three cases without the change and passes with it.

--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -645,7 +645,14 @@
       reply.clock_ms >= 0 &&
       (fence != worker.fence || IsClockBehind(worker, reply.clock_ms, sent_ms));
   if (from_other) {
-    worker.unproven_connection_ms = now_ms;
+    worker.unproven_connection_ms =
+        std::max(worker.unproven_connection_ms, now_ms);
+  }
+  // This order has opened a connection, which may lead to another incarnation.
+  // If a relayed reply was lost, later orders reuse it.
+  if (reply.clock_ms < 0 && !reply.reused_connection &&
+      reply.answer != WorkerAnswer::kNotSent) {
+    worker.unproven_connection_ms = now_ms + kAnswerTimeoutMs;
   }
   const auto until_ms = GrantedLease(sent.order, reply.answer);
   if (until_ms == 0) {
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -791,3 +791,24 @@
   tracker.OnReply(start, 1'003'000, reply, 1'004'000, out);
   cr_expect_geq(MeasureLease(tracker, 1'004'000), kLongestLeaseMs);
 }
+
+// Guards against a start on a connection that another incarnation has accepted,
+// if the leader has seen no clock in the replies that came on it: the helper's
+// reply to a stop was lost, or the worker refused an order without a clock.
+Test(worker_tracker, trusts_no_connection_whose_replies_had_no_clock) {
+  for (const auto answer : {WorkerAnswer::kNoAnswer, WorkerAnswer::kOverloaded,
+                            WorkerAnswer::kInvalid}) {
+    auto tracker = MakeTracker(1'000'000);
+    const auto start = SendStart(tracker, 1'000'010);
+    SentOrder stop = start;
+    stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 1};
+    WorkerReply reply;
+    reply.answer = answer;
+    WorkerTrackerOutput out;
+    tracker.OnReply(stop, 1'000'010, reply, 1'000'020, out);
+    reply = {};
+    reply.reused_connection = true;
+    tracker.OnReply(start, 1'000'010, reply, 1'001'010, out);
+    cr_expect_geq(MeasureLease(tracker, 1'001'010), kLongestLeaseMs);
+  }
+}
