cell: Count orders that were given up before a late sign

That start had been taken for one to the registered incarnation, and stayed so.

A sign that comes late also counts for orders that were given up before, unless the order that shows it was sent after them.

Evidence: worker_tracker::trusts_no_connection_if_the_earlier_reply_comes_late fails without the change and passes with it; trusts_a_connection_that_was_used_before_another_one bounds the price and passes with and without it.

--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -102,6 +102,9 @@
   // Local time until which an order without a reply may be carried out by an
   // incarnation that isn't registered; 0 if there is no such order.
   std::int64_t unproven_order_end_ms = 0;
+  // Local time at which the latest order without a reply was given up that was
+  // taken for one to this incarnation; 0 if none.
+  std::int64_t reused_order_ms = 0;
   // Local time of the latest sign that connections may lead to an incarnation
   // that isn't registered; 0 if this one has answered a later hold.
   std::int64_t unproven_connection_ms = 0;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -644,15 +644,22 @@
   const bool from_other =
       reply.clock_ms >= 0 &&
       (fence != worker.fence || IsClockBehind(worker, reply.clock_ms, sent_ms));
-  if (from_other) {
+  // An order that has opened a connection may have reached another incarnation.
+  // If its relayed reply was lost, later orders reuse that connection.
+  const bool opened_connection = reply.clock_ms < 0 &&
+                                 !reply.reused_connection &&
+                                 reply.answer != WorkerAnswer::kNotSent;
+  if (from_other || opened_connection) {
     worker.unproven_connection_ms =
-        std::max(worker.unproven_connection_ms, now_ms);
-  }
-  // This order has opened a connection, which may lead to another incarnation.
-  // If a relayed reply was lost, later orders reuse it.
-  if (reply.clock_ms < 0 && !reply.reused_connection &&
-      reply.answer != WorkerAnswer::kNotSent) {
-    worker.unproven_connection_ms = now_ms + kAnswerTimeoutMs;
+        std::max(worker.unproven_connection_ms,
+                 opened_connection ? now_ms + kAnswerTimeoutMs : now_ms);
+    // Replies overtake each other, so an order that was given up before may
+    // have been written to that connection.
+    if (sent_ms <= worker.reused_order_ms) {
+      worker.unproven_order_end_ms =
+          std::max(worker.unproven_order_end_ms,
+                   worker.reused_order_ms + kAnswerTimeoutMs);
+    }
   }
   const auto until_ms = GrantedLease(sent.order, reply.answer);
   if (until_ms == 0) {
@@ -668,9 +675,12 @@
   }
   // The process at the other end of a reused connection has answered before,
   // with a clock that was checked.
-  if (reply.clock_ms < 0 &&
-      (!reply.reused_connection || worker.unproven_connection_ms != 0)) {
-    worker.unproven_order_end_ms = now_ms + kAnswerTimeoutMs;
+  if (reply.clock_ms < 0) {
+    if (reply.reused_connection && worker.unproven_connection_ms == 0) {
+      worker.reused_order_ms = now_ms;
+    } else {
+      worker.unproven_order_end_ms = now_ms + kAnswerTimeoutMs;
+    }
   }
 }
 
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -812,3 +812,36 @@
     cr_expect_geq(MeasureLease(tracker, 1'001'010), kLongestLeaseMs);
   }
 }
+
+// Guards against the same if the reply that shows the other incarnation comes
+// only after the start's time-out.
+Test(worker_tracker, trusts_no_connection_if_the_earlier_reply_comes_late) {
+  auto tracker = MakeTracker(1'000'000);
+  const auto start = SendStart(tracker, 1'000'010);
+  WorkerReply reply;
+  reply.reused_connection = true;
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 1'000'010, reply, 1'001'010, out);
+  SentOrder stop = start;
+  stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 1};
+  reply = {};
+  reply.answer = WorkerAnswer::kDone;
+  reply.clock_ms = 0;
+  tracker.OnReply(stop, 1'000'010, reply, 1'001'020, out);
+  cr_expect_geq(MeasureLease(tracker, 1'001'020), kLongestLeaseMs);
+}
+
+// Guards against work that waits for the longest lease after any stop without a
+// reply: a connection that was opened later can't have carried the start.
+Test(worker_tracker, trusts_a_connection_that_was_used_before_another_one) {
+  auto tracker = MakeTracker(1'000);
+  const auto start = SendStart(tracker, 1'010);
+  WorkerReply reply;
+  reply.reused_connection = true;
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 1'010, reply, 2'010, out);
+  SentOrder stop = start;
+  stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 1};
+  tracker.OnReply(stop, 2'020, WorkerReply(), 3'020, out);
+  cr_expect_lt(MeasureLease(tracker, 3'020), 6'000);
+}
