cell: Keep what is known of open orders when a worker is registered again

Cause: a registration started anew without the sign that connections may lead to another incarnation, and without the order that had just been given up. A start that was open then, or is carried out up to a second after it was given up, outlasts the lease that was expected from the time of the registration, if the worker is cut off before its first list.

Evidence: worker_tracker::trusts_no_connection_after_another_registration fails in both cases without the change and passes with it.

--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -316,6 +316,10 @@
   MoveDepartedRuns(added);
   if (previous != nullptr) {
     LogReplacement(*previous, record, now_ms);
+    // Orders to the previous incarnation may still be carried out.
+    added.unproven_order_end_ms = previous->unproven_order_end_ms;
+    added.reused_order_ms = previous->reused_order_ms;
+    added.unproven_connection_ms = previous->unproven_connection_ms;
     // Orders to the previous incarnation may still reach the new one, so the
     // runs that the new one lists decide whether a run has ended.
     auto runs = std::move(previous->runs);
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -845,3 +845,38 @@
   tracker.OnReply(stop, 2'020, WorkerReply(), 3'020, out);
   cr_expect_lt(MeasureLease(tracker, 3'020), 6'000);
 }
+
+// Guards against a start that is carried out after an incarnation was
+// registered. It was open then, on a connection that this one has accepted, or
+// had just been given up.
+Test(worker_tracker, trusts_no_connection_after_another_registration) {
+  for (const bool given_up : {false, true}) {
+    auto tracker = MakeTracker(1'000'000);
+    const auto start = SendStart(tracker, 1'000'010);
+    SentOrder stop = start;
+    stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 1};
+    WorkerReply reply;
+    reply.answer = WorkerAnswer::kDone;
+    reply.clock_ms = 0;
+    WorkerTrackerOutput out;
+    tracker.OnReply(stop, 1'000'010, reply, 1'000'015, out);
+    WorkerReply no_reply;
+    no_reply.reused_connection = true;
+    if (given_up) {
+      tracker.OnReply(start, 1'000'010, no_reply, 1'001'010, out);
+    }
+    tracker.Register(2, MakeWorker(90), 1'001'020);
+    if (!given_up) {
+      tracker.OnReply(start, 1'000'010, no_reply, 1'001'030, out);
+    }
+    // It is carried out within a second.
+    constexpr std::int64_t kCarriedOutMs = 1'002'000;
+    std::int64_t now_ms = kCarriedOutMs;
+    while (!tracker.Find(2)->leases_expired) {
+      now_ms += 20;
+      tracker.Advance(now_ms, out);
+      cr_assert_lt(now_ms, kCarriedOutMs + 60'000);
+    }
+    cr_expect_geq(now_ms, kCarriedOutMs + kLongestLeaseMs);
+  }
+}
