cell: Trust no connection of a departed worker after a sign of the next one

Cause: an open start whose worker has left was given up after 5.4 s if its connection had earlier answers, as one that could reach only the process that has left. Signs that connections lead to the next incarnation were not considered, neither before nor after the departure.

Confirmed runs still end with the departure unless a clock has shown that the next incarnation answers; since a lost reply had kept them.

Evidence: worker_tracker::trusts_no_connection_of_a_worker_that_has_left and ends_confirmed_runs_of_a_worker_that_has_left fail without the change and pass with it.

--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -108,6 +108,8 @@
   // Local time of the latest sign that connections may lead to an incarnation
   // that isn't registered; 0 if this one has answered a later hold.
   std::int64_t unproven_connection_ms = 0;
+  // Whether one of these signs was the clock of another incarnation.
+  bool other_incarnation_answers = false;
 
   // Numbers of the last ended row that is committed and the last that was read.
   std::int64_t acknowledged_end = 0;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -162,6 +162,7 @@
   // A list that was sent before such a sign may have been overtaken by it.
   if (sent_ms > worker.unproven_connection_ms) {
     worker.unproven_connection_ms = 0;
+    worker.other_incarnation_answers = false;
   }
   // This incarnation was there after all such orders had ended.
   if (sent_ms >= worker.unproven_order_end_ms) {
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -446,7 +446,13 @@
                                     WorkerTrackerOutput& out) {
   const auto* start = std::get_if<StartOrder>(&sent.order);
   const auto departed = departed_workers_.find(sent.worker.id);
-  if (start == nullptr || departed == departed_workers_.end()) {
+  if (departed == departed_workers_.end()) {
+    return;
+  }
+  if (!reply.reused_connection && reply.answer != WorkerAnswer::kNotSent) {
+    departed->second.unproven_connection = true;
+  }
+  if (start == nullptr) {
     return;
   }
   auto& runs = departed->second.runs;
@@ -466,7 +472,8 @@
     return;
   }
   // The order could reach only the process that has left.
-  if (reply.answer == WorkerAnswer::kNoAnswer && reply.reused_connection) {
+  if (reply.answer == WorkerAnswer::kNoAnswer && reply.reused_connection &&
+      !departed->second.unproven_connection) {
     it->second.until_ms = StartExpiry(sent_ms);
   }
 }
@@ -493,8 +500,11 @@
     return;
   }
   // All its runs may be on its next incarnation if that one has answered.
-  const bool other_answers = worker->second.unproven_connection_ms != 0;
-  DepartedWorker departed{number, LatestStartExpiry(now_ms), {}};
+  const bool other_answers = worker->second.other_incarnation_answers;
+  DepartedWorker departed{number,
+                          LatestStartExpiry(now_ms),
+                          {},
+                          worker->second.unproven_connection_ms != 0};
   for (auto it = worker->second.runs.begin();
        it != worker->second.runs.end();) {
     const auto next = std::next(it);
@@ -653,6 +663,7 @@
   const bool opened_connection = reply.clock_ms < 0 &&
                                  !reply.reused_connection &&
                                  reply.answer != WorkerAnswer::kNotSent;
+  worker.other_incarnation_answers |= from_other;
   if (from_other || opened_connection) {
     worker.unproven_connection_ms =
         std::max(worker.unproven_connection_ms,
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -218,6 +218,8 @@
     WorkerNumber number = 0;
     std::int64_t until_ms = 0;
     std::map<RunKey, DepartedRun> runs;
+    // Whether connections may lead to the next incarnation.
+    bool unproven_connection = false;
   };
 
   static void LogReplacement(const TrackedWorker& previous,
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -880,3 +880,48 @@
     cr_expect_geq(now_ms, kCarriedOutMs + kLongestLeaseMs);
   }
 }
+
+// Guards against the same if the worker has left meanwhile.
+Test(worker_tracker, trusts_no_connection_of_a_worker_that_has_left) {
+  for (const bool before : {true, false}) {
+    auto tracker = MakeTracker(1'000'000);
+    const auto start = SendStart(tracker, 1'000'010);
+    SentOrder stop = start;
+    stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 1};
+    WorkerReply reply;
+    reply.answer = WorkerAnswer::kDone;
+    reply.clock_ms = 0;
+    WorkerTrackerOutput out;
+    if (before) {
+      tracker.OnReply(stop, 1'000'010, reply, 1'000'015, out);
+    }
+    tracker.Remove(1, 1'000'020, out);
+    if (!before) {
+      tracker.OnReply(stop, 1'000'010, reply, 1'000'025, out);
+    }
+    reply = {};
+    reply.reused_connection = true;
+    tracker.OnReply(start, 1'000'010, reply, 1'001'010, out);
+    tracker.Advance(1'001'000 + kLongestLeaseMs, out);
+    cr_expect(out.finished.empty());
+    tracker.Advance(1'003'000 + kLongestLeaseMs, out);
+    cr_expect_eq(out.finished.size(), 1);
+  }
+}
+
+// Guards against runs that wait for the longest lease after a departure because
+// a reply was lost, although the worker that has left had confirmed them.
+Test(worker_tracker, ends_confirmed_runs_of_a_worker_that_has_left) {
+  auto tracker = MakeTracker(1'000);
+  const auto start = SendStart(tracker, 1'010);
+  WorkerReply reply;
+  reply.answer = WorkerAnswer::kDone;
+  reply.clock_ms = 1'015;
+  WorkerTrackerOutput out;
+  tracker.OnReply(start, 1'010, reply, 1'020, out);
+  SentOrder stop = start;
+  stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 2};
+  tracker.OnReply(stop, 1'020, WorkerReply(), 2'020, out);
+  tracker.Remove(1, 2'030, out);
+  cr_expect_eq(out.finished.size(), 1);
+}
