cell: Expect the longest lease after any departure

Cause: a worker that left without an open start was forgotten at once. If its next incarnation has carried out a hold for the former one, it has a lease on the former clock.

The departed incarnation is kept for the longest lease, without runs, too.

Evidence: worker_tracker::expects_the_longest_lease_after_a_departure fails without the change and passes with it.

--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -519,9 +519,9 @@
     }
     it = next;
   }
-  if (!departed.runs.empty()) {
-    departed_workers_[worker->second.record.id] = std::move(departed);
-  }
+  // Kept without runs, too: a hold may still reach the next incarnation, which
+  // then has a lease on the former clock.
+  departed_workers_[worker->second.record.id] = std::move(departed);
   FinishAllRuns(worker->second, "worker left", 0, out);
   auto it = worker->second.runs.begin();
   while (it != worker->second.runs.end()) {
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -925,3 +925,30 @@
   tracker.Remove(1, 2'030, out);
   cr_expect_eq(out.finished.size(), 1);
 }
+
+// Guards against a lease that ends too early: a worker left without an open
+// start, and its next incarnation has carried out a hold for the former one.
+Test(worker_tracker, expects_the_longest_lease_after_a_departure) {
+  constexpr std::int64_t kBornMs = 1'200;
+  constexpr std::int64_t kSyncMs = 1'320;
+  auto tracker = MakeTracker(1'000);
+  WorkerTrackerOutput out;
+  tracker.Remove(1, 1'100, out);
+  tracker.Register(2, MakeWorker(kBornMs), 1'300);
+  tracker.Advance(1'310, out);
+  tracker.OnReply(LastHold(out), 1'310, MakeHoldReply(5, kBornMs), kSyncMs,
+                  out);
+  WorkerReply no_reply;
+  no_reply.reused_connection = true;
+  std::int64_t now_ms = kSyncMs;
+  while (!tracker.Find(2)->leases_expired) {
+    now_ms += 20;
+    WorkerTrackerOutput turn;
+    tracker.Advance(now_ms, turn);
+    for (const auto& it : turn.orders) {
+      tracker.OnReply(it, now_ms, no_reply, now_ms, turn);
+    }
+    cr_assert_lt(now_ms, kSyncMs + 60'000);
+  }
+  cr_expect_geq(now_ms, kSyncMs + kLongestLeaseMs);
+}
