cell: Count runs that are being stopped against the limit of their step

What callers saw: ROUTE, a task that is started beside another of its step on a worker that may run one of them (antiAffinity), half a second after a cut healed.

Cause: the run of a task is given up while its worker is cut off, and the task starts elsewhere. After the cut the first worker lists the run as done. The task is done once that is committed, and its later run no longer counted for its worker, although the worker still has to stop it. A waiting task of the step took its place. The capacity was counted right, since that follows the runs and not the tasks.

Such a run now counts until it has ended.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -459,11 +459,12 @@
 
 // Stops what runs of a task whose earlier run has ended as done. For a gang
 // that is every member.
-void Leader::StopLaterRuns(const FinishedRun& finished, std::int32_t last_run) {
+void Leader::StopLaterRuns(const FinishedRun& finished,
+                           const std::set<std::int32_t>& later_runs) {
   Log(LogLevel::kWarning, "runs", "run ended as done after it was given up",
       {{"task", graph::FormatTask(finished.task)},
        {"run", finished.run},
-       {"last_run", last_run}});
+       {"last_run", *later_runs.rbegin()}});
   const auto& step =
       store_.FindJob(finished.task.job)->step(finished.task.step);
   graph::TaskKey member = finished.task;
@@ -472,6 +473,14 @@
   for (member.index = first; member.index <= last; ++member.index) {
     workers_.StopTask(member, 0);
   }
+  for (const auto it : later_runs) {
+    const auto* worker = workers_.FindWorkerOf(finished.task, it);
+    // A start that is still being committed will not be sent.
+    if (worker != nullptr &&
+        worker->runs.at({finished.task, it}).phase != RunPhase::kProposed) {
+      step_tracker_.AddStoppingRun(finished.task, it, worker->number);
+    }
+  }
 }
 
 void Leader::OnFinished(const FinishedRun& finished,
@@ -482,13 +491,16 @@
       job != nullptr &&
       job->AcceptsResult(finished.task, finished.run, finished.how);
   LogRun(finished, current);
+  if (step_tracker_.EndStoppingRun(finished.task, finished.run)) {
+    step_tracker_.RefreshStep(finished.task.step_key(), now_ms_, wall_ms_);
+  }
   const auto incomplete = gang_assembly_.Abandon(finished.task, finished.run);
   if (incomplete && current && job->active() &&
       finished.how != wire::RunEnd::kDone) {
     StopGang(*incomplete, "a member has ended");
   }
   if (const auto later_runs = FindLaterRuns(finished); !later_runs.empty()) {
-    StopLaterRuns(finished, *later_runs.rbegin());
+    StopLaterRuns(finished, later_runs);
     ReserveUntilCommitted(finished);
     for (const auto it : later_runs) {
       current_runs.push_back(finished);
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -92,7 +92,8 @@
   void OnFinished(const FinishedRun& finished,
                   std::vector<FinishedRun>& current_runs);
   std::set<std::int32_t> FindLaterRuns(const FinishedRun& finished) const;
-  void StopLaterRuns(const FinishedRun& finished, std::int32_t last_run);
+  void StopLaterRuns(const FinishedRun& finished,
+                     const std::set<std::int32_t>& later_runs);
   void ReserveUntilCommitted(const FinishedRun& finished);
   void LogRun(const FinishedRun& finished, bool current);
   void LogEnds(graph::JobId id, std::int64_t at_ms);
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -155,6 +155,16 @@
       }
     }
   }
+  // The committed state has no run of a task that is done, but the run takes
+  // its place on the worker until it has ended.
+  for (auto it =
+           stopping_.lower_bound({{key.job, key.occurrence, key.step, 0}, 0});
+       it != stopping_.end() && it->first.first.step_key() == key; ++it) {
+    const auto& state = job.task(it->first.first);
+    if (state.done || state.run != it->first.second) {
+      ++step.running[it->second];
+    }
+  }
   // A gang starts as a whole, so it waits until no task of its previous run
   // remains.
   step.blocked = 0;
@@ -262,6 +272,16 @@
   reserved_.erase(task);
 }
 
+void StepTracker::AddStoppingRun(const graph::TaskKey& task,
+                                 std::int32_t run,
+                                 graph::WorkerNumber worker) {
+  stopping_[{task, run}] = worker;
+}
+
+bool StepTracker::EndStoppingRun(const graph::TaskKey& task, std::int32_t run) {
+  return stopping_.erase({task, run}) > 0;
+}
+
 std::vector<policy::StepId> StepTracker::TakeRemovedSteps() {
   return std::exchange(removed_steps_, {});
 }
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -59,6 +59,14 @@
   void Reserve(const graph::TaskKey& task, graph::WorkerNumber worker);
   void EndReservation(const graph::TaskKey& task);
 
+  // Counts a run of a task against the limit of its step on `worker`, also once
+  // the task is done, until EndStoppingRun() is called.
+  void AddStoppingRun(const graph::TaskKey& task,
+                      std::int32_t run,
+                      graph::WorkerNumber worker);
+  // Returns whether the run was counted.
+  bool EndStoppingRun(const graph::TaskKey& task, std::int32_t run);
+
   const graph::StepKey& KeyOf(policy::StepId id) const { return keys_.at(id); }
   bool Has(policy::StepId id) const { return keys_.contains(id); }
   policy::PlanStep* Find(const graph::StepKey& key);
@@ -85,6 +93,8 @@
   std::map<policy::StepId, graph::StepKey> keys_;
   std::map<graph::JobId, std::int64_t> accepted_ms_;
   std::map<graph::TaskKey, graph::WorkerNumber> reserved_;
+  std::map<std::pair<graph::TaskKey, std::int32_t>, graph::WorkerNumber>
+      stopping_;
   std::set<std::pair<std::int64_t, graph::JobId>> due_jobs_;
   std::vector<policy::StepId> removed_steps_;
   policy::StepId next_id_ = 1;
--- a/tests/cell/leader_test.cc
+++ b/tests/cell/leader_test.cc
@@ -517,6 +517,32 @@
   cr_expect_eq(cell.refused_starts, 0);
 }
 
+// Guards against two tasks of a step on one worker: after a cut an earlier run
+// of a task turns out to have ended as done, and another task starts beside the
+// later run of it, which is still being stopped.
+Test(leader, keeps_the_limit_of_a_step_beside_a_run_that_is_being_stopped) {
+  constexpr std::int64_t kRunMs = 3'000;
+  for (std::int64_t cut_ms = 13'000; cut_ms <= 16'000; cut_ms += 250) {
+    CellHarness cell({.workers = 3});
+    StartCell(cell, {MakeQueue("a", 1)});
+    auto job = MakeJob(24, 1'000, kRunMs);
+    job.steps[0].max_per_worker = 1;
+    cell.Submit(1, "a", job);
+    cell.Run(500);
+    cell.workers[0].silent = true;
+    cell.Run(cut_ms);
+    cell.workers[0].silent = false;
+    cell.Run(30'000);
+    cr_expect(cell.StateOf(1) == wire::GraphJobState::kCompleted);
+    // All leases of the worker expired during the cut, so what it had done may
+    // run again.
+    std::erase_if(cell.violations, [](const std::string& it) {
+      return it.starts_with("started again after it was done");
+    });
+    ExpectNoViolations(cell);
+  }
+}
+
 // Guards against other members of a gang that go on after a member of an
 // earlier run, which was given up, has ended as done.
 Test(leader, stops_all_members_of_a_gang_whose_earlier_run_was_done) {
