cell: Refresh the steps whose runs move to another incarnation

What callers would see: ROUTE, a task that is started beside another of its step on a worker that may run one of them (antiAffinity).

Cause: steps count their runs by the number of a worker, and a worker that starts again gets a new one. The committed state moves its open runs to that number, but the steps were refreshed only if the crash of the worker counted against their tasks. That is not so after a reported departure, and for a run whose worker has crashed before. Until the next change of its job a step counted nothing for the new number.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -186,9 +186,20 @@
   SetNow(now);
   std::set<graph::JobId> jobs;
   RecordCrashes(jobs);
+  std::vector<graph::WorkerNumber> new_workers;
+  if (!batch.workers.empty()) {
+    for (const auto& [number, worker] : store_.workers()) {
+      if (workers_.Find(number) == nullptr) {
+        new_workers.push_back(number);
+      }
+    }
+  }
   if (!batch.workers.empty() || !batch.removed_workers.empty()) {
     SyncWorkers();
   }
+  for (const auto it : new_workers) {
+    RefreshMovedRuns(it, jobs);
+  }
   for (const auto& it : batch.jobs) {
     jobs.insert(static_cast<graph::JobId>(it.id));
   }
@@ -221,6 +232,19 @@
   plan_due_ = true;
 }
 
+// Steps count their runs by worker, and a worker has a new number after a
+// restart.
+void Leader::RefreshMovedRuns(graph::WorkerNumber number,
+                              std::set<graph::JobId>& jobs) {
+  for (const auto& [key, run] : workers_.Find(number)->runs) {
+    const auto& [task, run_number] = key;
+    if (step_tracker_.IsStopping(task, run_number)) {
+      step_tracker_.AddStoppingRun(task, run_number, number);
+    }
+    jobs.insert(task.job);
+  }
+}
+
 void Leader::LogEnds(graph::JobId id, std::int64_t at_ms) {
   const auto* job = store_.FindJob(id);
   auto it = done_runs_.lower_bound({id, 0, 0});
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -77,6 +77,10 @@
   // holds worker numbers, so that nothing is placed on them or asked about
   // them.
   void ForgetEndedWorkers();
+  // Adds the jobs of the runs that the worker took over when it was registered,
+  // whose steps must be refreshed.
+  void RefreshMovedRuns(graph::WorkerNumber number,
+                        std::set<graph::JobId>& jobs);
   void RunMaintenance(EngineOutput& out);
   void Propose(EngineOutput& out);
   std::chrono::milliseconds MaxWait() const;
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -60,12 +60,16 @@
   void EndReservation(const graph::TaskKey& task);
 
   // Counts a run of a task against the limit of its step on `worker`, also once
-  // the task is done, until EndStoppingRun() is called.
+  // the task is done, until EndStoppingRun() is called. If the run is counted
+  // already, sets its worker.
   void AddStoppingRun(const graph::TaskKey& task,
                       std::int32_t run,
                       graph::WorkerNumber worker);
   // Returns whether the run was counted.
   bool EndStoppingRun(const graph::TaskKey& task, std::int32_t run);
+  bool IsStopping(const graph::TaskKey& task, std::int32_t run) const {
+    return stopping_.contains({task, run});
+  }
 
   const graph::StepKey& KeyOf(policy::StepId id) const { return keys_.at(id); }
   bool Has(policy::StepId id) const { return keys_.contains(id); }
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -168,6 +168,29 @@
   }
 }
 
+// Guards against two tasks of a step on one worker: a start reaches the next
+// incarnation of a worker that has left, stops of it are lost, and another task
+// of the step starts beside it.
+Test(departed_worker, keeps_the_limit_of_a_step_after_its_return) {
+  constexpr std::int64_t kNetworkMs = 100;
+  for (std::int64_t wait_ms = 20; wait_ms <= 120; wait_ms += 5) {
+    CellHarness cell({.workers = 2, .network_ms = kNetworkMs});
+    cell.Run(1'000);
+    StartCell(cell);
+    auto job = MakeJob(6, 4'000, 6'000);
+    job.steps[0].max_per_worker = 1;
+    cell.Submit(1, "a", job);
+    cell.Run(wait_ms);
+    auto& worker = cell.workers[0];
+    cell.Depart(worker);
+    worker.gone = false;
+    cell.RestartAtOnce(worker);
+    worker.loses_stops_until_ms = cell.now_ms() + 5'000;
+    cell.Run(40'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
 // Guards against a task that waits for ever for a worker that never returns.
 Test(departed_worker, gives_up_its_starts_if_it_does_not_return) {
   constexpr std::int64_t kNetworkMs = 100;
