tests/integration: Cancel a job after its tasks have started

platform_cell::runs_and_cancels_jobs failed in some runs under load with 18 or 19 starts instead of 20. Callers see no fault: the job is cancelled and no task of it runs.

Cause: a job is shown as running from the commit of its starts, and the test cancelled it at once and expected both tasks to start. The protocol promises no such thing: a stop may come before its start, and a run that is not there yet is refused then. In the logs of a failed run the tasks are placed, the cancel arrives 5 ms later, both stops are sent 2 ms after it, and the workers don't list the runs. Traced at the stand-in workers in 800 jobs that were cancelled at once: 10 starts arrived after their stops and were refused as "old", none ran.

The test now waits until both tasks have started at the workers before it cancels; the number of starts is still exact, and the tasks must end. cancels_jobs_while_their_tasks_start is new: it cancels 20 jobs as soon as they are running, and expects no start and no running task after the platform's cancel_ms and stopMs.

The product code is unchanged.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -3,7 +3,9 @@
 #include <criterion/criterion.h>
 #include <signal.h>
 
+#include <cstdint>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/platform/platform_cell.h"
@@ -67,8 +69,15 @@
   cr_expect_eq(cell.Submit("plain", JobId(0), 3, 200, 2'000), 200);
   SubmitAccepted(cell, "plain", JobId(10), 2, 60'000);
   cr_expect(cell.WaitForState("plain", JobId(10), "running", kBound));
+  // A job is running from the commit of its starts. A cancel that reaches the
+  // workers before the starts bars them.
+  cr_expect(
+      WaitUntil(kBound, [&] { return cell.fleet().ledger().starts() >= 20; }));
   cr_expect_eq(cell.CallEntry(0, "DELETE", "/plain/" + JobId(10)).status, 200);
   cr_expect(cell.WaitForState("plain", JobId(10), "cancelled", kBound));
+  cr_expect(WaitUntil(kBound, [&] {
+    return cell.fleet().ledger().CountsOf(JobId(10)).running == 0;
+  }));
   cr_expect_eq(cell.CallEntry(1, "GET", "/plain/" + JobId(77)).status, 410);
   cr_expect_eq(cell.CallEntry(1, "GET", "/nowhere/" + JobId(0)).status, 404);
   const auto starts = cell.fleet().ledger().starts();
@@ -76,6 +85,41 @@
   ExpectNoViolations(cell);
 }
 
+// Guards against tasks that start, or go on, after their job was cancelled
+// while their starts were on the way to the workers.
+Test(platform_cell, cancels_jobs_while_their_tasks_start) {
+  constexpr int kJobs = 20;
+  constexpr int kTasks = 2;
+  // The platform's cancel_ms and stopMs: until then, starts that are on the way
+  // may arrive before their stops.
+  constexpr Milliseconds kCancelBound{3'400};
+  constexpr Milliseconds kSettleTime{1'000};
+  PlatformCell cell({});
+  StartAndPublish(cell, {{.name = "plain"}});
+  for (int n = 0; n < kJobs; ++n) {
+    SubmitAccepted(cell, "plain", JobId(n), kTasks, 60'000);
+    cr_expect(cell.WaitForState("plain", JobId(n), "running", kBound));
+    cr_expect_eq(cell.CallEntry(0, "DELETE", "/plain/" + JobId(n)).status, 200);
+    cr_expect(cell.WaitForState("plain", JobId(n), "cancelled", kBound));
+  }
+  const auto& ledger = cell.fleet().ledger();
+  const auto running = [&] {
+    std::int64_t count = 0;
+    for (int n = 0; n < kJobs; ++n) {
+      count += ledger.CountsOf(JobId(n)).running;
+    }
+    return count;
+  };
+  std::this_thread::sleep_for(kCancelBound);
+  cr_expect_eq(running(), 0);
+  const auto starts = ledger.starts();
+  cr_expect_leq(starts, std::int64_t{kJobs} * kTasks);
+  std::this_thread::sleep_for(kSettleTime);
+  cr_expect_eq(ledger.starts(), starts);
+  cr_expect_eq(running(), 0);
+  ExpectNoViolations(cell);
+}
+
 // Guards against a process that SIGHUP terminates instead of making it reload,
 // and against a changed settings file that is read only after a signal.
 Test(platform_cell, reloads_settings_while_it_serves) {
