--- a/tests/platform/entry_shutdown_test.cc
+++ b/tests/platform/entry_shutdown_test.cc
@@ -62,3 +62,29 @@
   cr_expect(client.received.starts_with("HTTP/1.1 503"), "received: %s",
             client.received.c_str());
 }
+
+// Guards against a response that is due so shortly before the end of the
+// shutdown that its connection is closed first on a busy host.
+Test(entry_shutdown, reserves_time_for_the_last_responses) {
+  // StartEntry()'s stop grace without the time for ending the process.
+  constexpr milliseconds kShutdownTime{5'000};
+  constexpr milliseconds kReserve{200};
+  constexpr milliseconds kBeforeRequest{2'300};
+  auto entry = StartEntry(MakeSettings());
+  cr_assert(entry.has_value());
+  const auto begin = std::chrono::steady_clock::now();
+  std::thread shutdown([&] { (void)(*entry)->Shutdown(); });
+  std::this_thread::sleep_for(kBeforeRequest);
+  RawClient client(kCallerPort);
+  cr_assert(client.connected());
+  client.Send(
+      "GET /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
+      "X-Deadline-Ms: 3000\r\n\r\n");
+  const bool closed = client.IsClosedWithin(kShutdownTime);
+  const auto answered = std::chrono::steady_clock::now() - begin;
+  shutdown.join();
+  cr_expect(closed);
+  cr_expect(client.received.starts_with("HTTP/1.1 503"), "received: %s",
+            client.received.c_str());
+  cr_expect_lt(answered, kShutdownTime - kReserve);
+}
