tests/platform: Open the connection of the shutdown tests early

entry_shutdown::answers_requests_that_wait_for_a_leader connected 2.3 s after the begin of the shutdown, 0.2 s before the entry stops listening. At a load of 46 its connection came too late in 2 of 32 runs. It now connects after 1 s; the request is sent at the same time as before, and nothing else is changed.

--- a/tests/platform/entry_shutdown_test.cc
+++ b/tests/platform/entry_shutdown_test.cc
@@ -17,6 +17,10 @@
 constexpr std::uint16_t kCallerPort = 24'100;
 constexpr std::uint16_t kReadinessPort = 24'101;
 constexpr std::int64_t kFirstInternalPort = 24'110;
+// Times after the begin of the shutdown. The request is sent shortly before the
+// entry stops listening. On a busy host a connection would come too late then.
+constexpr milliseconds kBeforeConnection{1'000};
+constexpr milliseconds kBeforeRequest{2'300};
 
 std::string Address(const std::string& ip, std::uint16_t port) {
   return ip + ":" + std::to_string(port);
@@ -40,7 +44,6 @@
 // Guards against a request that arrives during the shutdown, while no leader
 // answers, and whose connection is closed without a response at its end.
 Test(entry_shutdown, answers_requests_that_wait_for_a_leader) {
-  constexpr milliseconds kBeforeRequest{2'300};
   constexpr milliseconds kStopGrace{6'000};
   auto entry = StartEntry(MakeSettings());
   cr_assert(entry.has_value());
@@ -49,9 +52,10 @@
     interrupted = (*entry)->Shutdown();
     entry->reset();
   });
-  std::this_thread::sleep_for(kBeforeRequest);
+  std::this_thread::sleep_for(kBeforeConnection);
   RawClient client(kCallerPort);
   cr_assert(client.connected());
+  std::this_thread::sleep_for(kBeforeRequest - kBeforeConnection);
   client.Send(
       "GET /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
       "X-Deadline-Ms: 3000\r\n\r\n");
@@ -69,14 +73,14 @@
   // StartEntry()'s stop grace without the time for ending the process.
   constexpr milliseconds kShutdownTime{5'000};
   constexpr milliseconds kReserve{200};
-  constexpr milliseconds kBeforeRequest{2'300};
   auto entry = StartEntry(MakeSettings());
   cr_assert(entry.has_value());
   const auto begin = std::chrono::steady_clock::now();
   std::thread shutdown([&] { (void)(*entry)->Shutdown(); });
-  std::this_thread::sleep_for(kBeforeRequest);
+  std::this_thread::sleep_for(kBeforeConnection);
   RawClient client(kCallerPort);
   cr_assert(client.connected());
+  std::this_thread::sleep_for(kBeforeRequest - kBeforeConnection);
   client.Send(
       "GET /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
       "X-Deadline-Ms: 3000\r\n\r\n");
