tests: Extend the lease of the stand-in worker with refused starts, too

A start that is refused as old, or that repeats a run that is there, extends the lease of everything on a worker. The stand-in extended it only for runs that it began, so its leases were shorter than the protocol allows, which could hide tasks that run twice.

Evidence: by comparison with the protocol.

--- a/tests/support/platform/fleet.cc
+++ b/tests/support/platform/fleet.cc
@@ -291,10 +291,12 @@
     return std::move(*refused);
   }
   const Key key(TextOf(body.get(), "task"), IntegerOf(body.get(), "run"));
+  // Also for a start that is then refused as old.
+  const auto expires_ms = IntegerOf(body.get(), "expiresMs");
+  ExtendLease(expires_ms);
   if (runs_.contains(key)) {
     return MakeResponse(200, Json(json_object()));
   }
-  const auto expires_ms = IntegerOf(body.get(), "expiresMs");
   const auto closed_run = highest_closed_run_.find(key.first);
   if (closed_run != highest_closed_run_.end() &&
       closed_run->second >= key.second) {
@@ -303,7 +305,6 @@
   if (expires_ms <= ClockMs()) {
     return MakeRefusal("late");
   }
-  ExtendLease(expires_ms);
   const auto spec = TextOf(body.get(), "spec");
   Run run;
   run.end_ms = ClockMs() + SpecField(spec, "run_ms");
