tests/soak: Cut workers off soon after they restarted

Tasks of 8 s to 15 s run beside short ones.

The stand-in worker takes the value of its clock and the time of its first report at a restart. A late response ends with its incarnation, so that a restart doesn't wait for it.

--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -9,14 +9,17 @@
 #include <fmt/format.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <functional>
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "support/fault_proxy.h"
@@ -32,9 +35,12 @@
 constexpr int kEntries = 2;
 constexpr int kWorkers = 10;
 constexpr int kCallers = 6;
+constexpr int kLongTaskCallers = 4;
 constexpr int kProxyOffset = 1'000;
 constexpr int kDefaultSeconds = 12;
 constexpr std::uint64_t kDefaultSeed = 20'261'204;
+// Repeated tasks while leases of unknown incarnations were not expected.
+constexpr std::uint64_t kCutOffSeed = 8;
 // Longer than the 15 s that users allow for recovery after the loss of all
 // hosts, because the jobs accepted by then must also run to completion.
 constexpr Milliseconds kRecoveryBound{40'000};
@@ -57,7 +63,10 @@
 
 class Callers {
  public:
-  explicit Callers(PlatformCell& cell) : cell_(cell) {}
+  // With `long_tasks`, the first callers submit jobs whose tasks take 8 s to
+  // 15 s, and all make pauses, so that workers have room for further tasks.
+  Callers(PlatformCell& cell, bool long_tasks)
+      : cell_(cell), long_tasks_(long_tasks) {}
 
   // Submits the `n`-th job of a caller, with up to 4 attempts, and cancels it
   // if it was accepted and `n` is a multiple of 11.
@@ -67,10 +76,15 @@
     job.queue = n % 3 == 0 ? "urgent" : n % 3 == 1 ? "advised" : "plain";
     job.tasks = 1 + (caller + n) % 4;
     const auto path = "/" + job.queue + "/" + id;
+    const bool is_long = long_tasks_ && caller < kLongTaskCallers;
+    const int run_ms = is_long ? 8'000 + 1'000 * (n % 8) : 50 + 40 * (n % 6);
+    const int milli_cpus = is_long ? 100 : 2'000;
+    const int memory_mb = is_long ? 100 : 500;
     const auto body = fmt::format(
-        R"({{"spec":"{}","steps":[{{"count":{},"cpu":2000,"memMb":500,)"
-        R"("estimateMs":150}}]}})",
-        TaskSpec(50 + 40 * (n % 6), 2'000, 500), job.tasks);
+        R"({{"spec":"{}","steps":[{{"count":{},"cpu":{},"memMb":{},)"
+        R"("estimateMs":{}}}]}})",
+        TaskSpec(run_ms, milli_cpus, memory_mb), job.tasks, milli_cpus,
+        memory_mb, is_long ? run_ms : 150);
     for (int attempt = 0; attempt < 4 && !job.accepted; ++attempt) {
       const int status =
           cell_.CallEntry((caller + attempt) % kEntries, "POST", path, body)
@@ -83,8 +97,13 @@
       job.cancelled =
           cell_.CallEntry(caller % kEntries, "DELETE", path).status == 200;
     }
-    const std::lock_guard lock(mutex_);
-    jobs_[id] = job;
+    {
+      const std::lock_guard lock(mutex_);
+      jobs_[id] = job;
+    }
+    if (long_tasks_) {
+      std::this_thread::sleep_for(Milliseconds(is_long ? 100 : 25));
+    }
   }
 
   std::map<std::string, TrackedJob> jobs() const {
@@ -94,6 +113,7 @@
 
  private:
   PlatformCell& cell_;
+  const bool long_tasks_;
   mutable std::mutex mutex_;
   std::map<std::string, TrackedJob> jobs_;
 };
@@ -105,6 +125,16 @@
   FaultInjector(PlatformCell& cell, FaultProxy& proxy, std::uint64_t seed)
       : cell_(cell), proxy_(proxy), random_(seed), restart_random_(seed) {}
 
+  // Skips the faults of controllers from now on, with a probability of 3/4: a
+  // new leader expects longer leases than one that goes on.
+  void DrawSparedControllers() {
+    if (RestartBelow(4) != 0) {
+      LogFault("spare the controllers");
+      controller_down_ = true;
+    }
+  }
+  bool any_cut_workers() const { return !cut_workers_.empty(); }
+
   void InjectRandomFault(std::int64_t now_ms) {
     using Fault = void (FaultInjector::*)();
     static constexpr std::array<Fault, 13> kFaults{
@@ -131,6 +161,52 @@
     }
   }
 
+  // Restarts several workers under their ids, each with another clock and a
+  // late first report, and cuts them off within 2 s.
+  void RestartAndCutOffWorkers(std::int64_t now_ms) {
+    constexpr std::size_t kMaxCutWorkers = 6;
+    now_ms_ = now_ms;
+    // Starts go to few workers while there is room, so the busiest ones are
+    // restarted.
+    std::vector<std::pair<int, int>> candidates;
+    for (int n = 0; n < kWorkers; ++n) {
+      if (!cut_workers_.contains(n)) {
+        candidates.emplace_back(-cell_.fleet().RunsOn(n), n);
+      }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    std::vector<int> restarted;
+    for (int left = 2 + RestartBelow(3);
+         left > 0 && cut_workers_.size() < kMaxCutWorkers; --left) {
+      restarted.push_back(candidates[restarted.size()].second);
+      cut_workers_.insert(restarted.back());
+    }
+    if (restarted.empty()) {
+      return;
+    }
+    const bool vanish = RestartBelow(3) != 0;
+    for (const int n : restarted) {
+      RestartWithOtherClock(n, vanish);
+    }
+    const int cut_ms = RestartBelow(2'000);
+    const int heal_ms = cut_ms + 8'000 + RestartBelow(4'000);
+    const bool reset = RestartBelow(3) == 0;
+    for (const int n : restarted) {
+      ScheduleUndo(cut_ms, [this, n, reset] {
+        cell_.fleet().SetCutOff(n, true);
+        LogFault(fmt::format("cut off worker {} with {} runs", n,
+                             cell_.fleet().RunsOn(n)));
+        BreakConnections(WorkerLink(n), reset);
+      });
+      ScheduleUndo(heal_ms, [this, n] {
+        cell_.fleet().SetCutOff(n, false);
+        cut_workers_.erase(n);
+      });
+    }
+    LogFault(fmt::format("cut them off after {} ms until {} ms, {}", cut_ms,
+                         heal_ms, reset ? "closed" : "frozen"));
+  }
+
   // Undoes the faults whose time has passed at `now_ms`.
   void UndoExpiredFaults(std::int64_t now_ms) {
     for (auto it = undo_.begin(); it != undo_.end();) {
@@ -146,6 +222,8 @@
 
  private:
   int RandomBelow(int n) { return static_cast<int>(random_() % n); }
+  int RestartBelow(int n) { return static_cast<int>(restart_random_() % n); }
+  static Link WorkerLink(int n) { return {"", fmt::format("worker-{}", n)}; }
   void LogFault(const std::string& what) const {
     std::fprintf(stderr, "fault at %lld ms: %s\n",
                  static_cast<long long>(now_ms_), what.c_str());
@@ -161,6 +239,32 @@
     return !std::exchange(controller_down_, true);
   }
 
+  // If the former process vanishes, its connections stay open without a
+  // response. Otherwise they are closed.
+  void RestartWithOtherClock(int n, bool vanish) {
+    const std::int64_t change_ms = 1'000LL << RestartBelow(10);
+    const bool behind = RestartBelow(2) == 0;
+    WorkerRestart restart;
+    restart.clock_ms = std::max<std::int64_t>(
+        0, cell_.fleet().ClockOf(n) + (behind ? -change_ms : change_ms));
+    restart.first_heartbeat_ms = RestartBelow(3'000);
+    LogFault(
+        fmt::format("restart worker {}, clock {} {} ms, first report "
+                    "after {} ms, connections {}",
+                    n, behind ? "behind by" : "ahead by", change_ms,
+                    restart.first_heartbeat_ms, vanish ? "frozen" : "closed"));
+    BreakConnections(WorkerLink(n), !vanish);
+    cr_expect(cell_.fleet().RestartWorker(n, restart),
+              "worker %d did not start", n);
+  }
+  void BreakConnections(const Link& link, bool reset) {
+    if (reset) {
+      proxy_.CloseOpenConnections(link);
+    } else {
+      proxy_.FreezeOpenConnections(link);
+    }
+  }
+
   void KillController() {
     int n = 0;
     if (ReserveController(n)) {
@@ -283,11 +387,7 @@
     const bool reset = RandomBelow(2) == 0;
     LogFault(reset ? "close open connections to workers"
                    : "freeze open connections to workers");
-    if (reset) {
-      proxy_.CloseOpenConnections({"", ""});
-    } else {
-      proxy_.FreezeOpenConnections({"", ""});
-    }
+    BreakConnections({"", ""}, reset);
   }
 
   PlatformCell& cell_;
@@ -295,6 +395,8 @@
   std::mt19937_64 random_;
   std::mt19937_64 restart_random_;
   std::int64_t now_ms_ = 0;
+  // Workers of RestartAndCutOffWorkers() whose links are not healed yet.
+  std::set<int> cut_workers_;
   std::multimap<std::int64_t, std::function<void()>> undo_;
   bool controller_down_ = false;
 };
@@ -342,9 +444,12 @@
   return acknowledged;
 }
 
+enum class WorkerRestarts { kNone, kSingle, kSeveralAndCutOff };
+
 void RunSoak(std::uint64_t seed,
              std::uint64_t seconds,
-             bool restart_workers = false) {
+             WorkerRestarts restarts = WorkerRestarts::kNone) {
+  const bool cut_off = restarts == WorkerRestarts::kSeveralAndCutOff;
   std::fprintf(stderr, "SOAK_SEED=%llu SOAK_SECONDS=%llu\n",
                static_cast<unsigned long long>(seed),
                static_cast<unsigned long long>(seconds));
@@ -354,6 +459,8 @@
   options.fleet.workers = kWorkers;
   options.fleet.allowed_share = 0.7;
   options.fleet.reported_port_offset = kProxyOffset;
+  // Leaves room for clocks that are behind it.
+  options.fleet.clock_ms = cut_off ? 3'600'000 : 0;
   PlatformCell cell(options);
   FaultProxy proxy([](std::uint16_t, std::uint16_t) { return std::string(); });
   for (int n = 0; n < kWorkers; ++n) {
@@ -368,7 +475,7 @@
   cr_assert(cell.Start(), "the entries did not become ready");
   cr_assert_eq(cell.Publish(1, queues), 200);
 
-  Callers callers(cell);
+  Callers callers(cell, cut_off);
   LoadGenerator load(kCallers,
                      [&](int thread, int n) { callers.SubmitJob(thread, n); });
   std::atomic<bool> stopping = false;
@@ -377,16 +484,24 @@
       [&] { version = PublishVersions(cell, queues, stopping); });
 
   FaultInjector faults(cell, proxy, seed);
+  if (cut_off) {
+    faults.DrawSparedControllers();
+  }
   std::mt19937_64 random(seed + 1);
   const auto begin_us = BootMicroseconds();
   const auto now_ms = [&] { return (BootMicroseconds() - begin_us) / 1'000; };
   const auto end_ms = static_cast<std::int64_t>(seconds) * 1'000;
   std::int64_t next_ms = 1'000;
-  while (now_ms() < end_ms) {
+  std::int64_t next_cut_ms = 1'500;
+  while (now_ms() < end_ms || faults.any_cut_workers()) {
     faults.UndoExpiredFaults(now_ms());
-    if (now_ms() >= next_ms) {
+    if (now_ms() < end_ms && cut_off && now_ms() >= next_cut_ms) {
+      faults.RestartAndCutOffWorkers(now_ms());
+      next_cut_ms = now_ms() + 3'000;
+    }
+    if (now_ms() < end_ms && now_ms() >= next_ms) {
       faults.InjectRandomFault(now_ms());
-      if (restart_workers) {
+      if (restarts == WorkerRestarts::kSingle) {
         faults.RestartRandomWorker(now_ms());
       }
       next_ms = now_ms() + 200 + static_cast<std::int64_t>(random() % 1'300);
@@ -436,7 +551,18 @@
 // orders that were meant for their former incarnations.
 Test(soak, invariants_hold_while_workers_restart_under_random_faults) {
   RunSoak(ReadEnvironment("SOAK_SEED", kDefaultSeed),
-          ReadEnvironment("SOAK_SECONDS", kDefaultSeconds), true);
+          ReadEnvironment("SOAK_SECONDS", kDefaultSeconds),
+          WorkerRestarts::kSingle);
+}
+
+// Guards against tasks that run twice after starts that were meant for the
+// former incarnation of a worker, and were carried out by one that the leader
+// doesn't know when the worker is cut off.
+Test(soak,
+     invariants_hold_while_restarted_workers_are_cut_off_under_random_faults) {
+  RunSoak(ReadEnvironment("SOAK_SEED", kCutOffSeed),
+          ReadEnvironment("SOAK_SECONDS", kDefaultSeconds),
+          WorkerRestarts::kSeveralAndCutOff);
 }
 
 // Seeds that failed once, with their causes:
--- a/tests/support/platform/fleet.cc
+++ b/tests/support/platform/fleet.cc
@@ -147,13 +147,14 @@
   FleetWorker(const FleetOptions& options,
               int n,
               std::string reported_address,
+              std::int64_t clock_ms,
               TaskLedger& ledger)
       : options_(options),
         id_(fmt::format("i-{:04}", n)),
         rack_(fmt::format("r-{}", n / 8)),
         address_(std::move(reported_address)),
         born_ms_(UnixMs()),
-        clock_offset_ms_(NowMs()),
+        clock_offset_ms_(NowMs() - clock_ms),
         ledger_(ledger) {}
 
   HttpResponse OnStart(const HttpRequest& request);
@@ -164,13 +165,17 @@
   // Ends the runs whose time is up, and all runs once the lease has expired.
   void EndExpiredRuns();
   std::string MakeHeartbeat();
+  int runs();
   // Ends this incarnation: its runs end, it forgets what has ended and carries
   // out nothing more.
   void End();
 
   const std::string& id() const { return id_; }
   const std::string& reported_address() const { return address_; }
+  std::int64_t ClockMs() const { return NowMs() - clock_offset_ms_; }
+  bool reachable() const { return !silent && !cut_off; }
   std::atomic<bool> silent = false;
+  std::atomic<bool> cut_off = false;
   std::atomic<bool> loses_responses = false;
   std::atomic<std::int64_t> next_heartbeat_ms = 0;
   std::atomic<std::size_t> controller = 0;
@@ -184,7 +189,6 @@
   };
   using Key = std::pair<std::string, std::int64_t>;
 
-  std::int64_t ClockMs() const { return NowMs() - clock_offset_ms_; }
   // Only reports and lists of runs name the incarnation.
   HttpResponse MakeResponse(int status, Json body) const;
   HttpResponse MakeRefusal(const char* reason) const;
@@ -194,7 +198,9 @@
   // received. Otherwise keeps the token.
   std::optional<HttpResponse> CheckInstanceAndFence(const HttpRequest& request,
                                                     const json_t* body);
-  static HttpResponse RespondAfterTimeout();
+  // Responds only after the caller has timed out, or when this incarnation
+  // ends. Called without the mutex, so that leases can expire in the meantime.
+  HttpResponse RespondAfterTimeout();
   void ExtendLease(std::int64_t until_ms);
   void EndRun(const Key& key, const char* outcome);
   void ForgetAcknowledgedEnds();
@@ -267,12 +273,11 @@
   return std::nullopt;
 }
 
-// Responds only after the caller has timed out. Called without the mutex, so
-// that leases can expire in the meantime.
 HttpResponse FleetWorker::RespondAfterTimeout() {
   // Longer than the timeout of every caller.
   constexpr std::chrono::seconds kDelay{3};
-  std::this_thread::sleep_for(kDelay);
+  std::unique_lock lock(mutex_);
+  changed_.wait_for(lock, kDelay, [&] { return closed_; });
   return MakeUnavailable();
 }
 
@@ -283,7 +288,7 @@
 
 HttpResponse FleetWorker::OnStart(const HttpRequest& request) {
   const Json body = ParseJson(std::string(request.body()));
-  if (silent) {
+  if (!reachable()) {
     return RespondAfterTimeout();
   }
   std::unique_lock lock(mutex_);
@@ -328,7 +333,7 @@
 
 HttpResponse FleetWorker::OnStop(const HttpRequest& request) {
   const Json body = ParseJson(std::string(request.body()));
-  if (silent) {
+  if (!reachable()) {
     return RespondAfterTimeout();
   }
   std::unique_lock lock(mutex_);
@@ -360,7 +365,7 @@
 
 HttpResponse FleetWorker::OnHold(const HttpRequest& request) {
   const Json body = ParseJson(std::string(request.body()));
-  if (silent) {
+  if (!reachable()) {
     return RespondAfterTimeout();
   }
   std::unique_lock lock(mutex_);
@@ -427,6 +432,11 @@
   }
 }
 
+int FleetWorker::runs() {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(runs_.size());
+}
+
 std::string FleetWorker::MakeHeartbeat() {
   const std::lock_guard lock(mutex_);
   Json body(json_object());
@@ -514,7 +524,7 @@
                    [worker](const auto& it) { return worker->OnHold(it); }}});
 }
 
-bool Fleet::RestartWorker(int n) {
+bool Fleet::RestartWorker(int n, const WorkerRestart& restart) {
   constexpr milliseconds kBindPause{10};
   const auto index = static_cast<std::size_t>(n);
   std::unique_ptr<http::HttpServer> server;
@@ -528,9 +538,9 @@
   {
     const std::lock_guard lock(mutex_);
     former_workers_.push_back(std::move(workers_[index]));
-    workers_[index] =
-        std::make_unique<FleetWorker>(options_, n, ReportedAddress(n), ledger_);
-    workers_[index]->next_heartbeat_ms = NowMs() + options_.heartbeat_ms;
+    workers_[index] = std::make_unique<FleetWorker>(
+        options_, n, ReportedAddress(n), restart.clock_ms, ledger_);
+    workers_[index]->next_heartbeat_ms = NowMs() + restart.first_heartbeat_ms;
   }
   // Another socket may have the port for a moment.
   constexpr int kBindAttempts = 30;
@@ -554,7 +564,7 @@
   }
   for (int n = 0; n < options_.workers; ++n) {
     workers_.push_back(std::make_unique<FleetWorker>(
-        options_, n, ReportedAddress(n), ledger_));
+        options_, n, ReportedAddress(n), options_.clock_ms, ledger_));
     worker_servers_.push_back(StartWorkerServer(n));
     if (worker_servers_.back() == nullptr) {
       return false;
@@ -579,7 +589,7 @@
   const auto now = NowMs();
   for (auto& it : workers_) {
     it->EndExpiredRuns();
-    if (!it->silent && now >= it->next_heartbeat_ms) {
+    if (it->reachable() && now >= it->next_heartbeat_ms) {
       it->next_heartbeat_ms = now + options_.heartbeat_ms;
       SendHeartbeat(*it);
     }
@@ -640,6 +650,21 @@
   workers_[static_cast<std::size_t>(worker)]->loses_responses = loses_responses;
 }
 
+void Fleet::SetCutOff(int worker, bool cut_off) {
+  const std::lock_guard lock(mutex_);
+  workers_[static_cast<std::size_t>(worker)]->cut_off = cut_off;
+}
+
+int Fleet::RunsOn(int worker) {
+  const std::lock_guard lock(mutex_);
+  return workers_[static_cast<std::size_t>(worker)]->runs();
+}
+
+std::int64_t Fleet::ClockOf(int worker) {
+  const std::lock_guard lock(mutex_);
+  return workers_[static_cast<std::size_t>(worker)]->ClockMs();
+}
+
 void Fleet::SetSilent(int worker, bool silent) {
   const std::lock_guard lock(mutex_);
   workers_[static_cast<std::size_t>(worker)]->silent = silent;
--- a/tests/support/platform/fleet.h
+++ b/tests/support/platform/fleet.h
@@ -25,6 +25,8 @@
   std::int64_t milli_cpus = 32'000;
   std::int64_t memory_mb = 65'536;
   int heartbeat_ms = 500;
+  // Values of the workers' clocks at the start of the fleet.
+  std::int64_t clock_ms = 0;
   // Added to the ports that workers report in heartbeats, so that controllers
   // connect to a proxy instead.
   int reported_port_offset = 0;
@@ -74,6 +76,12 @@
 
 class FleetWorker;
 
+struct WorkerRestart {
+  std::int64_t clock_ms = 0;  // Value of the clock at the start.
+  // Time from the start to the first heartbeat.
+  std::int64_t first_heartbeat_ms = 500;
+};
+
 class Fleet {
  public:
   // Each worker sends its heartbeats to one of `controllers`, and tries the
@@ -92,10 +100,14 @@
   // While set, the worker carries out starts and stops, but responds to them
   // only after the callers have timed out.
   void SetLosesResponses(int worker, bool loses_responses);
+  // While set, nothing reaches the worker, and it sends no heartbeat.
+  // Independent of SetSilent().
+  void SetCutOff(int worker, bool cut_off);
   // Ends the worker with all its runs and connections, and starts it again
-  // under its id and address. Its first heartbeat comes an interval later.
-  // Returns false if its address cannot be bound.
-  bool RestartWorker(int worker);
+  // under its id and address. Returns false if its address cannot be bound.
+  bool RestartWorker(int worker, const WorkerRestart& restart = {});
+  std::int64_t ClockOf(int worker);
+  int RunsOn(int worker);
   // "ip:port" where the worker listens, and the address that its heartbeats
   // report.
   std::string ListenAddress(int worker) const;
