wire, base: Add client accounts to the messages and the replicated state

A configuration may contain accounts with keys and caps. The routing table, jobs and calls get fields for them, which nothing sets or reads yet. The code 1211 wrong_account is new.

--- a/libraries/base/include/cranberryshunt/base/result.h
+++ b/libraries/base/include/cranberryshunt/base/result.h
@@ -34,6 +34,7 @@
   kUnauthorized = 1208,
   kMissingField = 1209,
   kGone = 1210,
+  kWrongAccount = 1211,
 
   kQueueFull = 1301,
   kQuotaExceeded = 1302,
--- a/libraries/base/src/result.cc
+++ b/libraries/base/src/result.cc
@@ -42,6 +42,8 @@
       return "missing_field";
     case ResultCode::kGone:
       return "gone";
+    case ResultCode::kWrongAccount:
+      return "wrong_account";
     case ResultCode::kQueueFull:
       return "queue_full";
     case ResultCode::kQuotaExceeded:
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -556,6 +556,7 @@
   9: double stretch            // Latency objective as a multiple of the run time of the critical path.
   10: bool needs_advice
   11: QueueAdvice advice
+  12: bool allows_anonymous    // Callers may leave out their key.
 }
 
 struct WorkerService {
@@ -563,11 +564,29 @@
   2: bool checks_capacity      // Its workers refuse tasks that do not fit.
 }
 
+// What the tasks of an account may occupy on all workers together. 0: no limit.
+struct AccountLimit {
+  1: i64 milli_cpus
+  2: i64 memory_mb
+  3: i64 accelerators
+}
+
+// A client account, for which jobs are submitted and counted.
+struct ClientAccount {
+  1: string name
+  2: list<string> key_digests  // SHA-256 digests of its keys, in lower-case hexadecimal.
+  3: i32 priority              // As configured; not used yet.
+  4: double weight             // Jobs a second that count as within its share.
+  5: AccountLimit limit
+}
+
 struct RoutingTable {
   1: i64 version               // 0: none yet.
   2: list<JobQueue> queues
   3: list<WorkerService> services
   4: binary document           // As the operator sent it.
+  5: list<ClientAccount> accounts
+  6: bool checks_keys          // The configuration has accounts, so callers must present a key.
 }
 
 // One incarnation of a worker.
@@ -617,6 +636,8 @@
   2: JobQueue queue            // The settings of the queue when the job was accepted.
   3: GraphJob job
   4: optional i64 submitted_ms // When it was first submitted, in the time of the batches.
+  5: string account            // Empty: submitted without a key.
+  6: bool over_rate            // Submitted beyond the rate of its account.
 }
 
 // One log entry of a cell with called workers. The fields are applied in their order.
@@ -685,6 +706,7 @@
   5: i64 waited_ms             // How long the caller has already waited.
   6: i64 request_id            // With kSubmit: the same in all attempts of an entry to submit one request; 0: none.
   7: bool earlier_attempt_open // An earlier attempt was not answered and may still arrive.
+  8: string key_digest         // SHA-256 digest of the caller's key, in lower-case hexadecimal; empty: none.
 }
 
 struct GraphReply {
