graph: Find client accounts by the digests of their keys

The leader needs the account of each call. GraphStore keeps hash maps of the accounts by digest and by name, and builds them anew at each change of the table and at each restore. Job gets a getter for its account.

--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -99,6 +99,8 @@
                ? std::optional(accepted_.submitted_ms)
                : std::nullopt;
   }
+  // The client account that submitted the job; empty if it had no key.
+  const std::string& account() const { return accepted_.account; }
   const wire::GraphJob& spec() const { return accepted_.job; }
   const wire::GraphStep& step(std::int32_t n) const {
     return accepted_.job.steps[static_cast<std::size_t>(n)];
@@ -194,6 +196,13 @@
   // have it any more, as it was when the job was accepted.
   const wire::JobQueue& QueueOf(const Job& job) const;
 
+  // Returns the name of the account with a key of this digest, if any. The
+  // time that this takes depends neither on the number of accounts nor on the
+  // key.
+  std::optional<std::string> FindAccount(std::string_view key_digest) const;
+  // Returns the account of this name in the routing table, or null.
+  const wire::ClientAccount* FindAccountByName(const std::string& name) const;
+
   const std::map<JobId, Job>& jobs() const { return jobs_; }
   const Job* FindJob(JobId id) const;
   const std::map<WorkerNumber, wire::CalledWorker>& workers() const {
@@ -216,6 +225,7 @@
 
  private:
   void ApplyTable(const wire::RoutingTable& table);
+  void IndexAccounts();
   void ApplyWorker(const wire::CalledWorker& worker, std::int64_t at_ms);
   void ApplyRemoval(WorkerNumber number);
   void ForgetIdleDepartedWorkers();
@@ -244,6 +254,10 @@
 
   std::int64_t last_batch_ms_ = 0;
   wire::RoutingTable table_;
+  // Positions of the accounts in the routing table, by the digests of their
+  // keys and by name.
+  std::unordered_map<std::string, std::size_t> accounts_by_digest_;
+  std::unordered_map<std::string, std::size_t> accounts_by_name_;
   WorkerNumber next_worker_ = 1;
   std::map<WorkerNumber, wire::CalledWorker> workers_;
   std::unordered_map<std::string, WorkerNumber> workers_by_id_;
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -53,6 +53,19 @@
   // Keeps the highest version, in whatever order the tables arrive.
   if (table.version > table_.version) {
     table_ = table;
+    IndexAccounts();
+  }
+}
+
+void GraphStore::IndexAccounts() {
+  accounts_by_digest_.clear();
+  accounts_by_name_.clear();
+  for (std::size_t i = 0; i < table_.accounts.size(); ++i) {
+    const auto& account = table_.accounts[i];
+    accounts_by_name_.try_emplace(account.name, i);
+    for (const auto& it : account.key_digests) {
+      accounts_by_digest_.try_emplace(it, i);
+    }
   }
 }
 
@@ -276,6 +289,22 @@
   return current != nullptr ? *current : job.queue();
 }
 
+std::optional<std::string> GraphStore::FindAccount(
+    std::string_view key_digest) const {
+  const auto account = accounts_by_digest_.find(std::string(key_digest));
+  if (account == accounts_by_digest_.end()) {
+    return std::nullopt;
+  }
+  return table_.accounts[account->second].name;
+}
+
+const wire::ClientAccount* GraphStore::FindAccountByName(
+    const std::string& name) const {
+  const auto account = accounts_by_name_.find(name);
+  return account == accounts_by_name_.end() ? nullptr
+                                            : &table_.accounts[account->second];
+}
+
 const Job* GraphStore::FindJob(JobId id) const {
   const auto job = jobs_.find(id);
   return job == jobs_.end() ? nullptr : &job->second;
@@ -337,6 +366,7 @@
   }
   GraphStore next;
   next.table_ = std::move(decoded->table);
+  next.IndexAccounts();
   next.next_worker_ = decoded->next_worker;
   next.last_batch_ms_ = decoded->last_batch_ms;
   next.departed_workers_ = std::move(decoded->departed_workers);
--- a/tests/graph/graph_store_test.cc
+++ b/tests/graph/graph_store_test.cc
@@ -415,3 +415,104 @@
     cr_expect_not(ParseTask(it).has_value());
   }
 }
+
+namespace {
+
+wire::ClientAccount MakeAccount(const std::string& name,
+                                std::vector<std::string> key_digests) {
+  wire::ClientAccount account;
+  account.name = name;
+  account.key_digests = std::move(key_digests);
+  return account;
+}
+
+void PutAccounts(GraphStore& store,
+                 std::int64_t version,
+                 std::vector<wire::ClientAccount> accounts) {
+  wire::GraphBatch batch;
+  wire::RoutingTable table;
+  table.version = version;
+  table.checks_keys = true;
+  table.accounts = std::move(accounts);
+  batch.__set_table(table);
+  store.Apply(batch);
+}
+
+std::string OwnerOf(const GraphStore& store, const std::string& key_digest) {
+  return store.FindAccount(key_digest).value_or("none");
+}
+
+}  // namespace
+
+// Guards against a key that goes on after a configuration without it, and
+// against one that an outdated configuration brings back.
+Test(graph_store, finds_accounts_by_the_keys_of_the_newest_table) {
+  GraphStore store;
+  cr_expect(OwnerOf(store, "a1") == "none");
+  PutAccounts(store, 2,
+              {MakeAccount("a", {"a1", "a2"}), MakeAccount("b", {"b1"})});
+  cr_expect(OwnerOf(store, "a2") == "a");
+  cr_expect(OwnerOf(store, "b1") == "b");
+  cr_expect(OwnerOf(store, "") == "none");
+  cr_expect(OwnerOf(store, "b") == "none");
+  cr_assert_not_null(store.FindAccountByName("b"));
+  cr_expect(store.FindAccountByName("b")->name == "b");
+  // a2 moves to b, and a1 is taken away.
+  PutAccounts(store, 3, {MakeAccount("c", {"c1"}), MakeAccount("b", {"a2"})});
+  cr_expect(OwnerOf(store, "a1") == "none");
+  cr_expect(OwnerOf(store, "a2") == "b");
+  cr_expect(OwnerOf(store, "b1") == "none");
+  cr_expect(OwnerOf(store, "c1") == "c");
+  cr_expect_null(store.FindAccountByName("a"));
+  PutAccounts(store, 2, {MakeAccount("a", {"a1"})});
+  cr_expect(OwnerOf(store, "a1") == "none");
+  PutTable(store, 4, "without accounts");
+  cr_expect(OwnerOf(store, "a2") == "none");
+  cr_expect_null(store.FindAccountByName("b"));
+}
+
+// Guards against a replica that knows no keys, or the keys from before, after
+// it has received a snapshot, and against a job that loses its account.
+Test(graph_store, restores_accounts_from_a_snapshot) {
+  GraphStore store;
+  PutAccounts(store, 5, {MakeAccount("a", {"a1"})});
+  auto job = MakeJob(1, false);
+  job.account = "a";
+  job.over_rate = true;
+  Accept(store, job);
+  GraphStore copy;
+  PutAccounts(copy, 4, {MakeAccount("a", {"old"})});
+  cr_assert(copy.Restore(store.Snapshot()).has_value());
+  cr_expect(copy.table().checks_keys);
+  cr_expect(OwnerOf(copy, "a1") == "a");
+  cr_expect(OwnerOf(copy, "old") == "none");
+  cr_expect_not_null(copy.FindAccountByName("a"));
+  cr_expect(copy.FindJob(kJob)->account() == "a");
+  cr_expect(copy.Snapshot() == store.Snapshot());
+  // One that cannot be read changes nothing.
+  cr_expect_not(copy.Restore("?").has_value());
+  cr_expect(OwnerOf(copy, "a1") == "a");
+}
+
+// Guards against a snapshot of an earlier version, which has no accounts, that
+// is refused or after which callers need keys.
+Test(graph_store, restores_a_snapshot_without_accounts) {
+  // The fields that these types had before there were accounts.
+  const auto struct_with = [](std::string fields) { return fields + '\0'; };
+  const auto binary = [](const std::string& text) {
+    return static_cast<char>(text.size()) + text;
+  };
+  // Thrift's compact protocol: (field delta << 4 | type), then the value. Types
+  // are 6: i64, 8: binary, 9: list, 12: struct.
+  const auto table = struct_with("\x16" + std::string(1, '\x0e') + "\x38" +
+                                 binary("document"));
+  const auto snapshot = struct_with("\x1c" + table);
+  GraphStore store;
+  PutAccounts(store, 5, {MakeAccount("a", {"a1"})});
+  cr_assert(store.Restore(snapshot).has_value());
+  cr_expect_eq(store.table().version, 7);
+  cr_expect(store.table().document == "document");
+  cr_expect_not(store.table().checks_keys);
+  cr_expect(store.table().accounts.empty());
+  cr_expect(OwnerOf(store, "a1") == "none");
+}
