platform: Decode client accounts of a configuration

Configurations may have accounts and queues with anonymous use. Invalid accounts are refused with the name of the field: two accounts with a key or a name in common, wrong types, negative amounts, empty keys, too many accounts or keys. Only digests of keys are decoded.

The JSON parser quotes the text around an error, which may be a key and got into the answer and the log.

The codes unauthorized, wrong_account and quota_exceeded are answered with 401, 403 and 400.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 
 #include "control_codec.h"
+#include "cranberryshunt/base/bytes.h"
 #include "cranberryshunt/platform/settings.h"
 #include "cranberryshunt/targets/json_reader.h"
 #include "job_codec.h"
@@ -39,6 +40,16 @@
 "advice":{"decideMs":520.0,"periodMs":7.4,"validMs":1500}}],
 "services":[{"name":"s","enforcesCapacity":false}],"limits":{}})";
 
+// With accounts of two queues, one of which allows anonymous use.
+constexpr char kAccounts[] = R"({"version":8,
+"routes":[{"name":"r1","host":"h","pathPrefix":"/a/","timeoutMs":3000,
+"service":"s"},{"name":"r2","host":"h","pathPrefix":"/b/","timeoutMs":3000,
+"service":"s","allowAnonymous":true}],"services":[{"name":"s"}],
+"tenants":[{"name":"north","apiKeys":["KEY-n1","KEY-n2","KEY-n1"],"priority":2,
+"weight":2.5,"cap":{"cpu":64000,"memMb":131072,"gpu":4}},
+{"name":"south","apiKeys":["KEY-s1"],"weight":1,"cap":{"cpu":1000}},
+{"name":"east"}]})";
+
 constexpr char kReport[] =
     R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
     "slots":8,"state":"draining","coldLeftMs":0,"born":77,
@@ -168,6 +179,22 @@
   }
 }
 
+// Guards against refusals because of a key or a cap that callers repeat, since
+// they take 503 for a passing fault.
+Test(job_codec, distinguishes_refusals_of_accounts) {
+  const std::pair<ResultCode, int> cases[] = {
+      {ResultCode::kUnauthorized, 401},
+      {ResultCode::kWrongAccount, 403},
+      {ResultCode::kQuotaExceeded, 400}};
+  for (const auto& [code, status] : cases) {
+    const auto name = std::string(ResultCodeName(code));
+    cr_expect_eq(EncodeError(Error(code, "no"), 0, false).status, status, "%s",
+                 name.c_str());
+    cr_expect_eq(EncodeError(Error(code, "no"), 0, true).status, 504, "%s",
+                 name.c_str());
+  }
+}
+
 Test(control_codec, reads_a_configuration) {
   const auto table = DecodeRoutingTable(kConfiguration);
   cr_assert(table.has_value());
@@ -210,6 +237,130 @@
   }
 }
 
+Test(control_codec, reads_accounts) {
+  const auto table = DecodeRoutingTable(kAccounts);
+  cr_assert(table.has_value());
+  cr_expect(table->checks_keys);
+  cr_expect_not(table->queues[0].allows_anonymous);
+  cr_expect(table->queues[1].allows_anonymous);
+  cr_assert_eq(table->accounts.size(), 3);
+  const auto& north = table->accounts[0];
+  cr_expect(north.name == "north");
+  // The same key twice in one account is one key.
+  cr_assert_eq(north.key_digests.size(), 2);
+  cr_expect(north.key_digests[0] == Sha256Hex("KEY-n1"));
+  cr_expect(north.key_digests[1] == Sha256Hex("KEY-n2"));
+  cr_expect_eq(north.priority, 2);
+  cr_expect_eq(north.weight, 2.5);
+  cr_expect_eq(north.limit.milli_cpus, 64'000);
+  cr_expect_eq(north.limit.memory_mb, 131'072);
+  cr_expect_eq(north.limit.accelerators, 4);
+  const auto& south = table->accounts[1].limit;
+  cr_expect_eq(south.milli_cpus, 1'000);
+  cr_expect_eq(south.memory_mb, 0, "no limit");
+  const auto& east = table->accounts[2];
+  cr_expect(east.key_digests.empty());
+  cr_expect_eq(east.weight, 1);
+  cr_expect_eq(east.limit.milli_cpus, 0, "no limit");
+}
+
+// Guards against asking callers for keys in a cell that has no accounts, and
+// against serving callers without keys in one that has removed its last one.
+Test(control_codec, checks_keys_if_the_configuration_has_the_field) {
+  const auto without = DecodeRoutingTable(kConfiguration);
+  cr_assert(without.has_value());
+  cr_expect_not(without->checks_keys);
+  cr_expect_not(without->queues[0].allows_anonymous);
+  const auto empty = DecodeRoutingTable(
+      Replaced(kConfiguration, "\"limits\":{}", "\"tenants\":[]"));
+  cr_assert(empty.has_value());
+  cr_expect(empty->checks_keys);
+  cr_expect(empty->accounts.empty());
+}
+
+// Guards against acknowledging accounts that cannot be read or told apart, and
+// against errors, which are logged, that contain a key.
+Test(control_codec, refuses_invalid_accounts_without_naming_keys) {
+  struct Case {
+    const char* from;
+    const char* to;
+    const char* field;
+  };
+  const Case cases[] = {
+      {"\"KEY-s1\"", "\"KEY-n2\"", "tenants[1].apiKeys"},
+      {"\"south\"", "\"north\"", "tenants[1].name"},
+      {"\"south\"", "\"\"", "tenants[1].name"},
+      {"\"south\"", "7", "tenants[1].name"},
+      {"\"name\":\"south\",", "", "tenants[1].name"},
+      {"[\"KEY-s1\"]", "\"KEY-s1\"", "tenants[1].apiKeys"},
+      {"[\"KEY-s1\"]", "null", "tenants[1].apiKeys"},
+      {"[\"KEY-s1\"]", "[\"KEY-s1\",\"\"]", "tenants[1].apiKeys"},
+      {"[\"KEY-s1\"]", "[\"KEY-s1\",5]", "tenants[1].apiKeys"},
+      {"\"priority\":2", "\"priority\":\"2\"", "tenants[0].priority"},
+      {"\"priority\":2", "\"priority\":2.5", "tenants[0].priority"},
+      {"\"weight\":2.5", "\"weight\":-0.5", "tenants[0].weight"},
+      {"\"weight\":2.5", "\"weight\":\"2\"", "tenants[0].weight"},
+      {"\"weight\":2.5", "\"weight\":null", "tenants[0].weight"},
+      {"{\"cpu\":1000}", "5", "tenants[1].cap"},
+      {"{\"cpu\":1000}", "[]", "tenants[1].cap"},
+      {"\"cpu\":64000", "\"cpu\":-1", "tenants[0].cap.cpu"},
+      {"\"cpu\":64000", "\"cpu\":0.5", "tenants[0].cap.cpu"},
+      {"\"memMb\":131072", "\"memMb\":-1", "tenants[0].cap.memMb"},
+      {"\"memMb\":131072", "\"memMb\":true", "tenants[0].cap.memMb"},
+      {"\"gpu\":4", "\"gpu\":-1", "tenants[0].cap.gpu"},
+      {"\"gpu\":4", "\"gpu\":\"4\"", "tenants[0].cap.gpu"},
+      {"{\"name\":\"east\"}", "\"east\"", "tenants[2]"},
+      {"\"allowAnonymous\":true", "\"allowAnonymous\":1",
+       "routes[1].allowAnonymous"},
+      // Not valid JSON.
+      {"\"KEY-n1\",", "\"KEY-n1\" ", ""},
+      {"\"KEY-s1\"", "\"KEY-s1", ""},
+      {"\"KEY-s1\"", "KEY-s1", ""},
+      {"\"KEY-s1\"]", "\"KEY-s1\"],\"apiKeys\":[\"KEY-s1\"]", ""}};
+  for (const auto& it : cases) {
+    const auto table = DecodeRoutingTable(Replaced(kAccounts, it.from, it.to));
+    cr_assert_not(table.has_value(), "%s", it.to);
+    const auto& error = table.error();
+    cr_expect(error.field() == it.field, "%s: %s", it.to,
+              error.field().c_str());
+    cr_expect_eq(error.message().find("KEY"), std::string::npos, "%s: %s",
+                 it.to, error.message().c_str());
+    cr_expect_eq(EncodeError(error, 0, false).status, 400, "%s", it.to);
+  }
+  const auto list = DecodeRoutingTable(Replaced(
+      kConfiguration, "\"limits\":{}", "\"tenants\":{\"name\":\"n\"}"));
+  cr_assert_not(list.has_value());
+  cr_expect(list.error().field() == "tenants");
+}
+
+// Guards against accounts without number, which every controller would keep.
+Test(control_codec, bounds_accounts_and_their_keys) {
+  const auto with_accounts = [](int n) {
+    std::string accounts;
+    for (int i = 0; i < n; ++i) {
+      accounts += (i > 0 ? "," : "") + std::string("{\"name\":\"n") +
+                  std::to_string(i) + "\"}";
+    }
+    return DecodeRoutingTable(Replaced(kConfiguration, "\"limits\":{}",
+                                       "\"tenants\":[" + accounts + "]"));
+  };
+  cr_expect(with_accounts(10'000).has_value());
+  const auto accounts = with_accounts(10'001);
+  cr_assert_not(accounts.has_value());
+  cr_expect(accounts.error().field() == "tenants");
+  const auto with_keys = [](int n) {
+    std::string keys;
+    for (int i = 0; i < n; ++i) {
+      keys += (i > 0 ? ",\"k" : "\"k") + std::to_string(i) + "\"";
+    }
+    return DecodeRoutingTable(Replaced(kAccounts, "\"KEY-s1\"", keys));
+  };
+  cr_expect(with_keys(100).has_value());
+  const auto keys = with_keys(101);
+  cr_assert_not(keys.has_value());
+  cr_expect(keys.error().field() == "tenants[1].apiKeys");
+}
+
 Test(control_codec, reads_a_worker_report) {
   const std::string body = kReport;
   const auto report = DecodeReport("i-1", body);
