cell: Check keys and accounts at the leader

A call with a key of no account, or without one where the queue needs it, is refused with unauthorized. The account is stored with the job; calls of other accounts are refused with wrong_account, also while the job is being stored. A refusal states that the job may be accepted if an earlier attempt of the call was taken up before the configuration changed.

ReadJob refuses wrong keys on the thread of the connection, so that a flood of them takes no turn of the decision thread. Refusals are counted by reason and logged in one line a second. Without checks_keys nothing is checked.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -70,6 +70,7 @@
   std::chrono::milliseconds min_wait{0};
 };
 
+class AccessRefusals;
 class Leader;
 class RefusedRequests;
 class RunTimes;
@@ -95,10 +96,11 @@
   // Replies at once with kNotLeader unless this member leads and holds the
   // lease.
   void Handle(Call call, TimePoint now);
-  // Answers a question for the state of a job from the committed state, or
-  // returns nothing if it needs a decision: Handle() answers it then. Unlike
-  // the other functions, this one is safe for use by other threads, so that the
-  // most frequent calls don't wait for a turn of the decision thread.
+  // Answers a question for the state of a job from the committed state, and
+  // refuses any call with a wrong key. Returns nothing if the call needs a
+  // decision: Handle() answers it then. Unlike the other functions, this one is
+  // safe for use by other threads, so that the most frequent calls and a flood
+  // of unknown keys don't wait for a turn of the decision thread.
   std::optional<wire::GraphReply> ReadJob(
       const wire::GraphRequest& request) const;
   // Performs the work that is due. Must be called after each group of inputs,
@@ -129,6 +131,8 @@
   graph::GraphStore store_;
   // Locked for changes of the store, and by other threads that read it.
   mutable std::shared_mutex store_mutex_;
+  // RoutingTable::checks_keys of the store, which can be read without the lock.
+  std::atomic<bool> checks_keys_ = false;
   // The term of this leader, once the store has all entries of earlier terms; 0
   // if this member does not lead.
   std::atomic<std::int64_t> serving_term_ = 0;
@@ -140,6 +144,7 @@
   // Learned on every member, so that a new leader knows them.
   std::unique_ptr<RunTimes> run_times_;
   std::unique_ptr<RefusedRequests> refused_requests_;
+  std::unique_ptr<AccessRefusals> access_refusals_;
   // Term of the last applied entry, and the time of the first batch of it. The
   // time of the batches stands still while there is no leader.
   std::int64_t applied_term_ = 0;
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "access_control.h"
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/wire/codec.h"
 #include "leader.h"
@@ -27,7 +28,8 @@
       environment_(environment),
       metrics_(metrics),
       run_times_(std::make_unique<RunTimes>()),
-      refused_requests_(std::make_unique<RefusedRequests>()) {}
+      refused_requests_(std::make_unique<RefusedRequests>()),
+      access_refusals_(std::make_unique<AccessRefusals>(metrics)) {}
 
 Engine::~Engine() = default;
 
@@ -45,6 +47,7 @@
   {
     const std::unique_lock lock(store_mutex_);
     store_.Apply(*batch);
+    checks_keys_ = store_.table().checks_keys;
   }
   applied_index_ = entry.index;
   RecordRegistrations(now);
@@ -96,7 +99,9 @@
 Result<void> Engine::OnSnapshot(std::int64_t index, const std::string& data) {
   applied_index_ = index;
   const std::unique_lock lock(store_mutex_);
-  return store_.Restore(data);
+  auto restored = store_.Restore(data);
+  checks_keys_ = store_.table().checks_keys;
+  return restored;
 }
 
 void Engine::OnRoleChange(const consensus::RoleChange& change, TimePoint now) {
@@ -110,9 +115,9 @@
   }
   role_ = change;
   if (leads && !leader_ && !stopped_) {
-    leader_ =
-        std::make_unique<Leader>(options_, change.term, store_, *run_times_,
-                                 registered_ms_, environment_, metrics_, now);
+    leader_ = std::make_unique<Leader>(
+        options_, change.term, store_, *run_times_, registered_ms_,
+        environment_, *access_refusals_, metrics_, now);
     serving_term_ = change.term;
   }
 }
@@ -151,26 +156,48 @@
 std::optional<wire::GraphReply> Engine::ReadJob(
     const wire::GraphRequest& request) const {
   const std::int64_t term = serving_term_;
-  if (term == 0 || request.operation != wire::GraphOperation::kShow) {
+  const bool shows = request.operation == wire::GraphOperation::kShow;
+  if (term == 0 || (!shows && !checks_keys_)) {
     return std::nullopt;
   }
   wire::GraphReply reply;
+  std::string account;
+  std::string queue_name;
+  std::optional<Error> refusal;
   {
     const std::shared_lock lock(store_mutex_);
     const auto* queue = store_.MatchQueue(request.host, request.path);
     if (queue == nullptr) {
       return std::nullopt;
     }
+    queue_name = queue->name;
     const auto id =
         graph::ParseJobId(request.path.substr(queue->path_prefix.size()));
-    if (!id) {
+    const auto caller = Authenticate(store_, *queue, request.key_digest);
+    if (!caller) {
+      // The decision thread remembers the refusal if an earlier attempt may
+      // arrive late.
+      if (request.earlier_attempt_open) {
+        return std::nullopt;
+      }
+      refusal = caller.error();
+    } else if (!shows || !id) {
       return std::nullopt;
+    } else if (auto allowed = AuthorizeJob(store_, *id, *caller); !allowed) {
+      refusal = allowed.error();
+      account = *caller;
+    } else {
+      reply = DescribeJob(store_, *id);
     }
-    reply = DescribeJob(store_, *id);
   }
   // A leader that still has its lease has read the newest state.
-  return environment_.HasLease(term) ? std::optional(std::move(reply))
-                                     : std::nullopt;
+  if (!environment_.HasLease(term)) {
+    return std::nullopt;
+  }
+  if (refusal) {
+    return access_refusals_->Refuse(*refusal, request, queue_name, account);
+  }
+  return reply;
 }
 
 bool Engine::RefuseLateAttempt(GraphCall& call, TimePoint now) {
@@ -203,6 +230,7 @@
 }
 
 EngineOutput Engine::Advance(TimePoint now) {
+  access_refusals_->LogIfDue(ToMilliseconds(now.time_since_epoch()));
   // Another leader may exist if this member does not hold the lease, so no
   // orders or proposals are sent.
   if (!leader_ || !environment_.HasLease(role_.term)) {
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -65,11 +65,13 @@
                const RunTimes& run_times,
                const RegistrationTimes& registered_ms,
                EngineEnvironment& environment,
+               AccessRefusals& access_refusals,
                MetricsRegistry& metrics,
                TimePoint now)
     : options_(options),
       store_(store),
       environment_(environment),
+      access_refusals_(access_refusals),
       metrics_(metrics),
       now_ms_(ToMilliseconds(now.time_since_epoch())),
       wall_ms_(environment.WallMilliseconds()),
@@ -687,8 +689,8 @@
   for (const auto& it : std::exchange(held_publications_, {})) {
     it.reply(tl::unexpected(error));
   }
-  for (auto& [id, calls] : submitting_) {
-    for (auto& it : calls) {
+  for (auto& [id, submission] : submitting_) {
+    for (auto& it : submission.calls) {
       wire::GraphReply reply;
       reply.status = status;
       reply.may_be_accepted = true;
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "access_control.h"
 #include "advice_dispatcher.h"
 #include "advice_usage.h"
 #include "cranberryshunt/cell/engine.h"
@@ -41,6 +42,7 @@
          const RunTimes& run_times,
          const RegistrationTimes& registered_ms,
          EngineEnvironment& environment,
+         AccessRefusals& access_refusals,
          MetricsRegistry& metrics,
          TimePoint now);
 
@@ -138,8 +140,32 @@
 
   // leader_calls.cc
   void HandleGraph(GraphCall call);
-  void Submit(GraphCall call, const wire::JobQueue& queue, graph::JobId id);
-  void Cancel(GraphCall call, graph::JobId id);
+  // Returns the account that the call belongs to, or nothing after replying
+  // with a refusal.
+  std::optional<std::string> AuthenticateOrRefuse(const GraphCall& call,
+                                                  const wire::JobQueue& queue);
+  // Refuses a call because of its key or account.
+  void Refuse(const GraphCall& call,
+              const Error& error,
+              const wire::JobQueue& queue,
+              const std::string& account);
+  void Submit(GraphCall call,
+              const wire::JobQueue& queue,
+              graph::JobId id,
+              const std::string& account);
+  // Replies to the submission of a job that is stored or being stored.
+  void Resubmit(GraphCall call,
+                const wire::JobQueue& queue,
+                graph::JobId id,
+                const std::string& account);
+  void Cancel(GraphCall call,
+              const wire::JobQueue& queue,
+              graph::JobId id,
+              const std::string& account);
+  void Show(const GraphCall& call,
+            const wire::JobQueue& queue,
+            graph::JobId id,
+            const std::string& account);
   void HandleReport(ReportCall call);
   bool IsOfUnknownService(const wire::CalledWorker& worker) const;
   void RemoveDepartedWorker(DepartureCall call);
@@ -198,6 +224,7 @@
   const EngineOptions& options_;
   const graph::GraphStore& store_;
   EngineEnvironment& environment_;
+  AccessRefusals& access_refusals_;
   MetricsRegistry& metrics_;
   std::int64_t now_ms_ = 0;
   std::int64_t wall_ms_ = 0;
@@ -261,7 +288,11 @@
 
   // Calls that wait for a commit: submissions by job id and reports by worker
   // id.
-  std::map<graph::JobId, std::vector<GraphCall>> submitting_;
+  struct OpenSubmission {
+    std::string account;
+    std::vector<GraphCall> calls;
+  };
+  std::map<graph::JobId, OpenSubmission> submitting_;
   std::map<std::string, std::vector<ReportCall>> registering_;
 };
 
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -77,6 +77,10 @@
     call.reply(ReplyWith(ResultCode::kNotFound, "there is no such queue"));
     return;
   }
+  const auto account = AuthenticateOrRefuse(call, *queue);
+  if (!account) {
+    return;
+  }
   const auto rest = request.path.substr(queue->path_prefix.size());
   if (rest.empty() && request.operation == wire::GraphOperation::kShow) {
     wire::GraphReply reply;
@@ -94,28 +98,78 @@
   }
   switch (request.operation) {
     case wire::GraphOperation::kSubmit:
-      Submit(std::move(call), *queue, *id);
+      Submit(std::move(call), *queue, *id, *account);
       break;
     case wire::GraphOperation::kCancel:
-      Cancel(std::move(call), *id);
+      Cancel(std::move(call), *queue, *id, *account);
       break;
     default:
-      call.reply(DescribeJob(store_, *id));
+      Show(call, *queue, *id, *account);
       break;
   }
 }
 
-void Leader::Submit(GraphCall call,
+std::optional<std::string> Leader::AuthenticateOrRefuse(
+    const GraphCall& call,
+    const wire::JobQueue& queue) {
+  auto account = Authenticate(store_, queue, call.request.key_digest);
+  if (!account) {
+    Refuse(call, account.error(), queue, {});
+    return std::nullopt;
+  }
+  return std::move(*account);
+}
+
+void Leader::Refuse(const GraphCall& call,
+                    const Error& error,
                     const wire::JobQueue& queue,
-                    graph::JobId id) {
-  // Submissions are idempotent by job id, whatever a repeated request contains.
-  if (store_.FindJob(id) != nullptr) {
-    call.reply({});
+                    const std::string& account) {
+  const auto& request = call.request;
+  auto reply = access_refusals_.Refuse(error, request, queue.name, account);
+  // An earlier attempt may have been accepted before the configuration changed.
+  const auto id =
+      graph::ParseJobId(request.path.substr(queue.path_prefix.size()));
+  reply.may_be_accepted =
+      request.operation == wire::GraphOperation::kSubmit &&
+      request.earlier_attempt_open && id &&
+      (store_.FindJob(*id) != nullptr || submitting_.contains(*id));
+  call.reply(std::move(reply));
+}
+
+void Leader::Show(const GraphCall& call,
+                  const wire::JobQueue& queue,
+                  graph::JobId id,
+                  const std::string& account) {
+  if (auto allowed = AuthorizeJob(store_, id, account); !allowed) {
+    Refuse(call, allowed.error(), queue, account);
     return;
   }
-  const auto submitting = submitting_.find(id);
-  if (submitting != submitting_.end()) {
-    submitting->second.push_back(std::move(call));
+  call.reply(DescribeJob(store_, id));
+}
+
+// Submissions are idempotent by job id, whatever a repeated request contains.
+void Leader::Resubmit(GraphCall call,
+                      const wire::JobQueue& queue,
+                      graph::JobId id,
+                      const std::string& account) {
+  const auto* job = store_.FindJob(id);
+  const auto& owner =
+      job != nullptr ? job->account() : submitting_.at(id).account;
+  if (auto allowed = AuthorizeRepetition(store_, owner, account); !allowed) {
+    Refuse(call, allowed.error(), queue, account);
+  } else if (job != nullptr) {
+    call.reply({});
+  } else {
+    submitting_.at(id).calls.push_back(std::move(call));
+  }
+}
+
+void Leader::Submit(GraphCall call,
+                    const wire::JobQueue& queue,
+                    graph::JobId id,
+                    const std::string& account) {
+  if (store_.FindJob(id) != nullptr || submitting_.contains(id)) {
+    Resubmit(std::move(call), queue, id, account);
     return;
   }
   const auto& job = call.request.job;
@@ -193,13 +247,16 @@
   accepted.id = static_cast<std::int64_t>(id);
   accepted.queue = queue;
   accepted.job = job;
+  accepted.account = account;
   accepted.__set_submitted_ms(CellMs() - call.request.waited_ms);
   step_tracker_.RecordAcceptance(id, now_ms_ - call.request.waited_ms);
   step_tracker_.AddUncommitted(accepted, now_ms_);
   plan_due_ = true;
   batch_.jobs.push_back(std::move(accepted));
   batch_has_content_ = true;
-  submitting_[id].push_back(std::move(call));
+  auto& submission = submitting_[id];
+  submission.account = account;
+  submission.calls.push_back(std::move(call));
   continuations_.emplace_back([this, id](bool committed) {
     if (!committed) {
       step_tracker_.Refresh(id, now_ms_, wall_ms_);
@@ -208,7 +265,7 @@
     if (node.empty()) {
       return;
     }
-    for (auto& it : node.mapped()) {
+    for (auto& it : node.mapped().calls) {
       it.reply(committed ? wire::GraphReply()
                          : ReplyWith(ResultCode::kStorageFull,
                                      "the job could not be stored"));
@@ -227,12 +284,22 @@
   return reply;
 }
 
-void Leader::Cancel(GraphCall call, graph::JobId id) {
+void Leader::Cancel(GraphCall call,
+                    const wire::JobQueue& queue,
+                    graph::JobId id,
+                    const std::string& account) {
   const auto* job = store_.FindJob(id);
-  if (job == nullptr && !submitting_.contains(id)) {
+  const auto submitting = submitting_.find(id);
+  if (job == nullptr && submitting == submitting_.end()) {
     call.reply(ReplyWith(ResultCode::kGone, "no such job is known"));
     return;
   }
+  const auto& owner =
+      job != nullptr ? job->account() : submitting->second.account;
+  if (auto allowed = AuthorizeOwner(store_, owner, account); !allowed) {
+    Refuse(call, allowed.error(), queue, account);
+    return;
+  }
   if (job != nullptr && !job->active()) {
     call.reply({});
     return;
