--- a/tests/platform/entry_submission_test.cc
+++ b/tests/platform/entry_submission_test.cc
@@ -4,10 +4,12 @@
 
 #include <atomic>
 #include <chrono>
+#include <mutex>
 #include <thread>
 
 #include "ControllerService.h"
 #include "common.h"
+#include "cranberryshunt/base/bytes.h"
 #include "cranberryshunt/platform/processes.h"
 #include "cranberryshunt/wire/codec.h"
 #include "cranberryshunt/wire/controller_server.h"
@@ -36,6 +38,10 @@
   void CallGraph(wire::GraphReply& reply,
                  const wire::GraphRequest& request) override {
     constexpr milliseconds kDelay{1'500};
+    {
+      const std::lock_guard lock(mutex_);
+      key_digest_ = request.key_digest;
+    }
     if (++submissions_ == delayed_) {
       std::this_thread::sleep_for(kDelay);
     }
@@ -47,17 +53,26 @@
   }
 
   int submissions() const { return submissions_; }
+  // Of the last submission.
+  std::string key_digest() const {
+    const std::lock_guard lock(mutex_);
+    return key_digest_;
+  }
 
  private:
   const ResultCode code_;
   const int delayed_;
   const bool remembers_;
   std::atomic<int> submissions_ = 0;
+  mutable std::mutex mutex_;
+  std::string key_digest_;
 };
 
 // Submits `count` jobs to an entry, one after the other, and returns the last
-// response, or an empty string.
-std::string SubmitTo(RefusingLeader& leader, int count = 1) {
+// response, or an empty string. `headers` are further header lines.
+std::string SubmitTo(RefusingLeader& leader,
+                     int count = 1,
+                     const std::string& headers = {}) {
   const auto leader_ip = test::LoopbackIp(1);
   auto server = wire::ControllerServer::Start(
       leader_ip + ":" + std::to_string(kFirstInternalPort),
@@ -81,8 +96,9 @@
     client.Send(
         "POST /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
         "Content-Type: application/json\r\nConnection: close\r\n"
-        "X-Deadline-Ms: 3000\r\nContent-Length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body);
+        "X-Deadline-Ms: 3000\r\n" +
+        headers + "Content-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body);
     (void)client.IsClosedWithin(milliseconds(3'500));
     response = client.received;
   }
@@ -130,3 +146,17 @@
               response.c_str());
   }
 }
+
+// Guards against sending a caller's key itself to the controllers, and against
+// refusing a call without a key at the entry, which knows no keys.
+Test(entry_submission, sends_the_digest_of_the_key) {
+  RefusingLeader unauthorized(ResultCode::kUnauthorized, 0);
+  const auto response = SubmitTo(unauthorized, 1, "x-api-key: the key \r\n");
+  cr_expect(response.starts_with("HTTP/1.1 401"), "%s", response.c_str());
+  cr_expect_eq(response.find("the key"), std::string::npos);
+  cr_expect(unauthorized.key_digest() == Sha256Hex("the key"));
+  RefusingLeader wrong_account(ResultCode::kWrongAccount, 0);
+  const auto other = SubmitTo(wrong_account);
+  cr_expect(other.starts_with("HTTP/1.1 403"), "%s", other.c_str());
+  cr_expect(wrong_account.key_digest().empty());
+}
