policy: Plan and admit within the limits of accounts

A client account may be limited in what its tasks occupy on all workers together, and jobs beyond its rate must take nothing from others. The planner had no notion of accounts.

AccountLedger sums what accounts use by worker. GraphPlanner starts no single task and no gang beyond a limit, steps at their limit ask for no advice and hold nothing, and steps beyond the rate come after all others of use. DecideAdmission adds the wait for the account's own limit, and counts work of other accounts only as far as their limits let it start.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -11,31 +11,12 @@
 #include <vector>
 
 #include "cranberryshunt/base/flat_containers.h"
+#include "cranberryshunt/policy/account_ledger.h"
+#include "cranberryshunt/policy/demand.h"
 #include "cranberryshunt/policy/graph_admission.h"
 
 namespace cranberryshunt::policy {
 
-// Resources that a task needs, or that a worker has or has reserved.
-struct Demand {
-  std::int64_t milli_cpus = 0;
-  std::int64_t memory_mb = 0;
-  std::int64_t accelerators = 0;
-
-  bool operator==(const Demand&) const = default;
-  Demand& operator+=(const Demand& other);
-  Demand& operator-=(const Demand& other);
-  bool FitsIn(const Demand& available) const;
-};
-
-Demand operator-(Demand a, const Demand& b);
-// The smaller or larger amount of each resource.
-Demand Min(const Demand& a, const Demand& b);
-Demand Max(const Demand& a, const Demand& b);
-// Returns how many tasks of size `task` fit into `available`, at most `limit`.
-std::int64_t FitCount(const Demand& task,
-                      const Demand& available,
-                      std::int64_t limit);
-
 // Expected end of a task that occupies a part of a worker.
 struct ExpectedEnd {
   std::int64_t at_ms = 0;
@@ -63,6 +44,10 @@
   // Average resources that its tasks release per millisecond.
   double milli_cpus_per_ms = 0;
   double memory_mb_per_ms = 0;
+  // The parts of `used` and of these rates that belong to accounts.
+  std::vector<AccountUse> accounts;
+  // The part of `used` that belongs to jobs beyond the rate of their account.
+  Demand used_over_rate;
   // Capacity that the current or last Decide() holds for waiting gangs. Steps
   // that are planned later in the same call do not use it unless they are held
   // back.
@@ -147,6 +132,9 @@
   std::int32_t max_per_worker = 0;  // Running tasks. 0: no limit.
   std::int64_t expected_run_ms = 0;
   bool long_running = false;  // Tasks run until they are stopped.
+  // Account of the job, and whether the job was accepted beyond its rate.
+  AccountNumber account = kNoAccount;
+  bool over_rate = false;
   std::int64_t accepted_ms = 0;
   // The job is late if it ends after this time.
   std::int64_t objective_ms = 0;
@@ -187,6 +175,11 @@
   bool held_room_free = false;
   // Set by the planner: when it last looked for workers for the step; 0: never.
   std::int64_t planned_ms = 0;
+  // Set by the planner: whether no task, or not the whole gang, can start
+  // within the limit of the account.
+  bool at_limit = false;
+  // Set by the planner: whether workers are allowed and have no room.
+  bool lacks_room = false;
 };
 
 // How late a job ends if the step starts now.
@@ -202,6 +195,10 @@
 std::int64_t LatestStartMs(const PlanStep& step);
 std::int64_t LatestUsefulStartMs(const PlanStep& step);
 Lateness LatenessOf(const PlanStep& step, std::int64_t now_ms);
+// Rank in the order in which steps are planned and their questions are asked,
+// the first one with 0. Jobs beyond the rate of their account come after all
+// others that are still of use.
+int UrgencyRank(Lateness lateness, bool over_rate);
 
 // The workers that a waiting step may use.
 struct StepWorkers {
@@ -341,6 +338,11 @@
   // Of all workers, as of the last Decide() and with the starts that it
   // planned.
   const WorkerTotals& worker_totals() const { return worker_totals_; }
+  // Use and limits of the accounts. The use is that of the last Decide().
+  AccountLedger& accounts() { return accounts_; }
+  const AccountLedger& accounts() const { return accounts_; }
+  // Sets what runs use that may go on although their workers have left.
+  void SetDepartedUse(const std::vector<AccountUse>& uses);
 
   // Adds the step, or replaces the one with the same id. The reference stays
   // valid until the step is removed.
@@ -432,6 +434,27 @@
                         const PlanWorker& worker,
                         std::int64_t now_ms) const;
   void UpdateServices();
+  // account_limits.cc
+  // Brings the use of the accounts up to date with the workers.
+  void UpdateAccounts(bool full);
+  // Whether the limit of its account leaves room for a further task of the
+  // step.
+  bool FitsLimit(const PlanStep& step) const {
+    return step.account == kNoAccount ||
+           accounts_.CountFitting(step.account, step.demand, 1) > 0;
+  }
+  // Whether it leaves none for a task, or for the whole gang.
+  bool IsAtLimit(const PlanStep& step) const;
+  // Whether less urgent steps leave the step room under the limit, so that
+  // advice can be used.
+  bool MayAskForAdvice(const PlanStep& step) const;
+  // Handles a step that cannot start because of the limit of its account.
+  void WaitAtLimit(PlanStep& step, Round& round);
+  // Counts the room that the step is going to use under the limit.
+  void ClaimRoom(const PlanStep& step);
+  void SummarizeAccounts(LoadSummary& load) const;
+  // Updates the recent peak of jobs within the rates of their accounts.
+  void UpdateRateUse(std::int64_t now_ms);
   void PlaceStep(PlanStep& step, Round& round);
   bool MayStartLate(const PlanStep& step, Round& round);
   void PlaceSingles(PlanStep& step, const Candidates& workers, Round& round);
@@ -497,6 +520,12 @@
   // began.
   FlatMap<StepId, PlanStep*> waiting_steps_;
   WorkerTotals worker_totals_;
+  AccountLedger accounts_;
+  // Use of the cell by jobs within and beyond the rates of their accounts, and
+  // the time for which the peak holds.
+  RateDimension cpus_by_rate_;
+  RateDimension memory_by_rate_;
+  std::int64_t peak_ms_ = 0;
   std::set<std::int64_t> changed_workers_;
   std::map<std::int64_t, Offer> offers_;  // By worker.
   // Increases when a worker may have become eligible for a step.
--- a/libraries/policy/src/advice_questions.cc
+++ b/libraries/policy/src/advice_questions.cc
@@ -212,7 +212,7 @@
                                 std::vector<std::int64_t> workers,
                                 bool renewal,
                                 Round& round) {
-  if (!step.advice.needed || workers.empty() ||
+  if (!step.advice.needed || workers.empty() || !round.may_ask ||
       round.plan.questions.size() >= options_.max_questions) {
     return;
   }
--- a/libraries/policy/src/gang_placement.cc
+++ b/libraries/policy/src/gang_placement.cc
@@ -96,6 +96,7 @@
     }
   }
   racks.emplace_back();
+  step.lacks_room = !workers.empty();
   for (const auto& rack : racks) {
     Candidates fitting;
     std::int64_t fit = 0;
@@ -117,6 +118,7 @@
         fitting.push_back(it);
       }
     }
+    step.lacks_room = step.lacks_room && fit < count;
     if (ticketed >= count) {
       // Workers with the least capacity left over come first, so that the gang
       // uses few workers.
@@ -159,6 +161,9 @@
     }
   }
   round.held_share += ShareOf(held, usable_capacity_[step.service_name]);
+  if (step.gang) {
+    accounts_.Hold(step.account, held);
+  }
 }
 
 // Holds for a gang that cannot start yet the openings of which room and ticket
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "account_admission.h"
+
 namespace cranberryshunt::policy {
 
 namespace {
@@ -28,6 +30,9 @@
 // Whether the waiting tasks are placed before those of the new job. This is the
 // order in which the planner places steps.
 bool Precedes(const WaitingDemand& waiting, const NewJob& job) {
+  if (waiting.over_rate != job.over_rate) {
+    return job.over_rate;
+  }
   const bool step_late = waiting.slack_ms < 0;
   const bool job_late = job.slack_ms < 0;
   if (step_late != job_late) {
@@ -56,6 +61,22 @@
       size / static_cast<double>(std::max<std::int64_t>(1, expected_run_ms));
 }
 
+const char* RefusalCauseName(RefusalCause cause) {
+  switch (cause) {
+    case RefusalCause::kNone:
+      return "none";
+    case RefusalCause::kOverloaded:
+      return "overloaded";
+    case RefusalCause::kLate:
+      return "late";
+    case RefusalCause::kAccountLimit:
+      return "account_limit";
+    case RefusalCause::kOverRate:
+      return "over_rate";
+  }
+  return "unknown";
+}
+
 AdmissionDecision DecideAdmission(const LoadSummary& load, const NewJob& job) {
   AdmissionDecision decision;
   double memory_mb = 0;
@@ -65,13 +86,22 @@
       memory_mb += it.memory_mb;
     }
   }
-  const double capacity_wait_ms =
-      std::max(CapacityWaitMs(load.cpus, decision.preceding_milli_cpus),
-               CapacityWaitMs(load.memory, memory_mb));
+  const auto cell_wait_ms = [&](const PrecedingDemand& demand) {
+    return std::max(CapacityWaitMs(load.cpus, demand.cpus),
+                    CapacityWaitMs(load.memory, demand.memory));
+  };
+  double capacity_wait_ms =
+      cell_wait_ms({decision.preceding_milli_cpus, memory_mb});
+  const AccountWaits accounts(load, job, Precedes);
+  if (accounts.limit_others()) {
+    capacity_wait_ms = accounts.CellWaitMs(capacity_wait_ms, cell_wait_ms);
+  }
+  decision.account_wait_ms = static_cast<std::int64_t>(accounts.OwnWaitMs());
   decision.overloaded =
       load.answer_ms > (job.urgent ? kMaxUrgentAnswerMs : kMaxAnswerMs);
-  decision.expected_wait_ms = static_cast<std::int64_t>(
-      std::max(capacity_wait_ms, load.advice_wait_ms));
+  decision.expected_wait_ms = std::max(
+      decision.account_wait_ms, static_cast<std::int64_t>(std::max(
+                                    capacity_wait_ms, load.advice_wait_ms)));
   // A job that is already late is still useful to its caller, so it is accepted
   // while it would hardly wait.
   const auto usable_wait_ms =
@@ -80,11 +110,22 @@
                                          static_cast<double>(job.slack_ms)));
   if (decision.expected_wait_ms > usable_wait_ms) {
     decision.accepted = false;
+    decision.cause = decision.account_wait_ms > usable_wait_ms
+                         ? RefusalCause::kAccountLimit
+                         : RefusalCause::kLate;
     decision.retry_after_ms = std::clamp(
         decision.expected_wait_ms - usable_wait_ms, kMinRetryMs, kMaxRetryMs);
   }
+  if (job.over_rate &&
+      (!decision.accepted || TakesFromOthers(load, job, kPackableShare))) {
+    decision.accepted = false;
+    decision.cause = RefusalCause::kOverRate;
+    decision.retry_after_ms =
+        std::clamp<std::int64_t>(job.next_token_ms, 1, kMaxRetryMs);
+  }
   if (decision.overloaded) {
     decision.accepted = false;
+    decision.cause = RefusalCause::kOverloaded;
     decision.retry_after_ms =
         std::max(decision.retry_after_ms, kOverloadedRetryMs);
   }
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -55,6 +55,15 @@
          step.remaining_ms;
 }
 
+int UrgencyRank(Lateness lateness, bool over_rate) {
+  constexpr int kRanksOfUse = 2;
+  const auto rank = static_cast<int>(lateness);
+  if (lateness == Lateness::kTooLate) {
+    return kRanksOfUse + rank;
+  }
+  return over_rate ? kRanksOfUse + rank : rank;
+}
+
 Lateness LatenessOf(const PlanStep& step, std::int64_t now_ms) {
   if (now_ms <= LatestStartMs(step)) {
     return Lateness::kOnTime;
@@ -235,6 +244,7 @@
 void GraphPlanner::RemoveWorker(std::int64_t number) {
   workers_.erase(number);
   offers_.erase(number);
+  accounts_.SetWorkerUse(number, {});
   MarkWorkerChanged(number);
   for (auto& [id, step] : steps_) {
     step.advice.asked_workers.erase(number);
@@ -248,12 +258,13 @@
 }
 
 // Steps that can still meet their objective precede late ones, and these
-// precede those that are too late to be of use. Within each of these groups,
+// precede those that are too late to be of use. Jobs beyond the rate of their
+// account form groups of their own before the last one. Within each group,
 // urgent queues precede others. Steps with equal rank so far are ordered by the
 // time at which they must begin to gather room, or, if they are late, by the
 // time at which they were accepted.
 std::vector<PlanStep*> GraphPlanner::StepsByUrgency(std::int64_t now_ms) {
-  using Key = std::tuple<Lateness, bool, std::int64_t, StepId>;
+  using Key = std::tuple<int, bool, std::int64_t, StepId>;
   std::vector<std::pair<Key, PlanStep*>> order;
   waiting_steps_.erase_if(
       [](const auto& it) { return it.second->waiting.empty(); });
@@ -263,7 +274,9 @@
     const auto urgency = lateness == Lateness::kOnTime
                              ? LatestStartMs(*step) - GatherMs(*step)
                              : step->accepted_ms;
-    order.emplace_back(Key(lateness, step->priority > 0, urgency, id), step);
+    order.emplace_back(Key(UrgencyRank(lateness, step->over_rate),
+                           step->priority > 0, urgency, id),
+                       step);
   }
   std::sort(order.begin(), order.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -521,6 +534,7 @@
                             step.objective_ms - step.remaining_ms - now_ms,
                             cpus, memory});
   }
+  SummarizeAccounts(load);
   return load;
 }
 
@@ -540,7 +554,9 @@
     }
   }
   workers_with_held_capacity_.clear();
+  UpdateAccounts(round.full);
   if (round.full) {
+    UpdateRateUse(now_ms);
     UpdateServices();
   }
   for (auto* step : StepsByUrgency(now_ms)) {
@@ -571,11 +587,19 @@
   if (step.unserved_since_ms == 0) {
     step.unserved_since_ms = round.now_ms;
   }
-  const bool plan_fully = round.full || step.changed;
+  const bool was_at_limit = std::exchange(step.at_limit, IsAtLimit(step));
+  if (step.at_limit) {
+    WaitAtLimit(step, round);
+    return;
+  }
+  const bool plan_fully = round.full || step.changed || was_at_limit;
+  round.plan_fully = plan_fully;
+  round.may_ask = MayAskForAdvice(step);
   if (step.uncommitted) {
-    if (plan_fully && step.advice.needed) {
+    if (plan_fully && step.advice.needed && round.may_ask) {
       AskAboutNewWorkers(step, round);
     }
+    ClaimRoom(step);
     return;
   }
   if (!plan_fully && !IsAffectedByChangedWorkers(step)) {
@@ -586,6 +610,7 @@
       step.held.clear();
     }
     HoldCapacity(step, round);
+    ClaimRoom(step);
     round.gang_waits =
         round.gang_waits || (step.gang && !IsLate(step, round.now_ms));
     return;
@@ -632,9 +657,14 @@
         static_cast<double>(started) *
         ShareOf(step.demand, usable_capacity_[step.service_name]);
   }
-  if (plan_fully && step.advice.needed && !step.waiting.empty()) {
+  if (!step.gang) {
+    step.at_limit = !step.waiting.empty() && IsAtLimit(step);
+  }
+  if (plan_fully && step.advice.needed && !step.waiting.empty() &&
+      !step.at_limit && round.may_ask) {
     AskAboutNewWorkers(step, round);
   }
+  ClaimRoom(step);
 }
 
 void GraphPlanner::Start(PlanStep& step, PlanWorker& worker, Round& round) {
@@ -644,6 +674,16 @@
   indexed.part = PartOf(worker);
   worker_totals_ += indexed.part;
   worker.AddEnd({round.now_ms + step.expected_run_ms, step.demand});
+  if (step.account != kNoAccount) {
+    AddTask(worker.accounts, step.account, step.demand, step.expected_run_ms);
+    accounts_.SetWorkerUse(worker.number, worker.accounts);
+  }
+  if (step.over_rate) {
+    worker.used_over_rate += step.demand;
+    cpus_by_rate_.used_over_rate += static_cast<double>(step.demand.milli_cpus);
+    memory_by_rate_.used_over_rate +=
+        static_cast<double>(step.demand.memory_mb);
+  }
   ++step.running[worker.number];
   round.plan.starts.push_back({step.id, step.waiting.back(), worker.number});
   step.waiting.pop_back();
@@ -657,7 +697,7 @@
                                 Round& round) {
   const auto until = round.now_ms + options_.ticket_margin_ms;
   std::vector<std::int64_t> without_ticket;
-  while (!step.waiting.empty()) {
+  while (!step.waiting.empty() && FitsLimit(step)) {
     PlanWorker* best = nullptr;
     std::tuple<bool, bool, bool, double> best_key;
     without_ticket.clear();
@@ -685,7 +725,11 @@
     }
     Start(step, *best, round);
   }
-  if (!step.waiting.empty() && !without_ticket.empty()) {
+  const bool may_start = !step.waiting.empty() && FitsLimit(step);
+  if (round.plan_fully || !without_ticket.empty()) {
+    step.lacks_room = may_start && without_ticket.empty() && !workers.empty();
+  }
+  if (may_start && !without_ticket.empty()) {
     RenewTickets(step, std::move(without_ticket), round);
   }
 }
--- a/libraries/policy/src/plan_round.h
+++ b/libraries/policy/src/plan_round.h
@@ -23,6 +23,10 @@
   bool gang_waits = false;
   // Share of the usable capacity that tasks of late steps use.
   double late_share = 0;
+  // Whether the step at hand is planned with all its workers, and whether it
+  // may ask for advice.
+  bool plan_fully = false;
+  bool may_ask = true;
   Plan plan;
 };
 
--- a/libraries/policy/src/suspects.cc
+++ b/libraries/policy/src/suspects.cc
@@ -100,7 +100,8 @@
       continue;
     }
     const auto waited_ms = now_ms - suspect->second;
-    if (unrest_ && waited_ms < options_.max_suspect_hold_ms) {
+    if ((unrest_ && waited_ms < options_.max_suspect_hold_ms) ||
+        !FitsLimit(step)) {
       out.push_back(index);
       continue;
     }
