cell: Keep accounts within their limits and rates

The planner needs the limits of the committed table and what each worker has of each account. A run has its account from its reservation to its certain end, since its job may be forgotten before; runs of departed workers count until they are excluded. Starts that were planned before a limit was lowered are checked once more before they are sent.

Submissions that can never run get quota_exceeded, and jobs beyond the rate are marked. Until callers are authenticated, a scan of the table finds the account of a key.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -70,6 +70,7 @@
   std::chrono::milliseconds min_wait{0};
 };
 
+class AccountReport;
 class Leader;
 class RefusedRequests;
 class RunTimes;
@@ -140,6 +141,7 @@
   // Learned on every member, so that a new leader knows them.
   std::unique_ptr<RunTimes> run_times_;
   std::unique_ptr<RefusedRequests> refused_requests_;
+  std::unique_ptr<AccountReport> account_report_;
   // Term of the last applied entry, and the time of the first batch of it. The
   // time of the batches stands still while there is no leader.
   std::int64_t applied_term_ = 0;
--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -31,16 +31,17 @@
 constexpr double kOverheadWeight = 0.25;
 
 // Sort key of a question: steps that are on time come before late ones, and
-// these before those that are too late to be of use. Then follow steps of
-// urgent queues before others, and those with the earlier latest start.
-std::tuple<policy::Lateness, bool, std::int64_t> SortKey(
-    const AdviceQuestion& question,
-    std::int64_t now_ms) {
+// these before those that are too late to be of use. Jobs beyond the rate of
+// their account come before the last ones. Then follow steps of urgent queues
+// before others, and those with the earlier latest start.
+std::tuple<int, bool, std::int64_t> SortKey(const AdviceQuestion& question,
+                                            std::int64_t now_ms) {
   const auto lateness =
       now_ms <= question.latest_start_ms          ? policy::Lateness::kOnTime
       : now_ms <= question.latest_useful_start_ms ? policy::Lateness::kLate
                                                   : policy::Lateness::kTooLate;
-  return {lateness, !question.urgent_queue, question.latest_start_ms};
+  return {policy::UrgencyRank(lateness, question.over_rate),
+          !question.urgent_queue, question.latest_start_ms};
 }
 
 }  // namespace
@@ -226,13 +227,14 @@
   return std::exchange(answers_, {});
 }
 
-std::int64_t AdviceDispatcher::ExpectedWaitMs(
-    std::int64_t now_ms,
-    bool urgent_queue,
-    std::int64_t latest_start_ms) const {
+std::int64_t AdviceDispatcher::ExpectedWaitMs(std::int64_t now_ms,
+                                              bool urgent_queue,
+                                              std::int64_t latest_start_ms,
+                                              bool over_rate) const {
   AdviceQuestion new_question;
   new_question.urgent_queue = urgent_queue;
   new_question.latest_start_ms = latest_start_ms;
+  new_question.over_rate = over_rate;
   const auto order = SortKey(new_question, now_ms);
   // Time until each caller is free. Callers without an open poll or a question
   // are about to poll, so they count as free.
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -30,6 +30,8 @@
   std::int64_t latest_useful_start_ms =
       std::numeric_limits<std::int64_t>::max();
   bool urgent_queue = false;
+  // Whether the job was accepted beyond the rate of its account.
+  bool over_rate = false;
   // Whether it asks for new tickets of workers that are allowed already.
   bool renewal = false;
 };
@@ -78,11 +80,12 @@
   std::size_t queued() const { return queued_.size(); }
   std::size_t open_polls() const { return polls_.size(); }
   // Estimates how long a question that is added to the queue now would wait
-  // until a caller takes it. `urgent_queue` and `latest_start_ms` determine the
-  // position of the question in the queue.
+  // until a caller takes it. `urgent_queue`, `latest_start_ms` and `over_rate`
+  // determine the position of the question in the queue.
   std::int64_t ExpectedWaitMs(std::int64_t now_ms,
                               bool urgent_queue,
-                              std::int64_t latest_start_ms) const;
+                              std::int64_t latest_start_ms,
+                              bool over_rate = false) const;
 
  private:
   // The term is stored in the id of a question above this many bits.
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "account_report.h"
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/wire/codec.h"
 #include "leader.h"
@@ -27,7 +28,8 @@
       environment_(environment),
       metrics_(metrics),
       run_times_(std::make_unique<RunTimes>()),
-      refused_requests_(std::make_unique<RefusedRequests>()) {}
+      refused_requests_(std::make_unique<RefusedRequests>()),
+      account_report_(std::make_unique<AccountReport>(metrics)) {}
 
 Engine::~Engine() = default;
 
@@ -110,9 +112,9 @@
   }
   role_ = change;
   if (leads && !leader_ && !stopped_) {
-    leader_ =
-        std::make_unique<Leader>(options_, change.term, store_, *run_times_,
-                                 registered_ms_, environment_, metrics_, now);
+    leader_ = std::make_unique<Leader>(
+        options_, change.term, store_, *run_times_, registered_ms_,
+        environment_, metrics_, *account_report_, now);
     serving_term_ = change.term;
   }
 }
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -66,11 +66,13 @@
                const RegistrationTimes& registered_ms,
                EngineEnvironment& environment,
                MetricsRegistry& metrics,
+               AccountReport& account_report,
                TimePoint now)
     : options_(options),
       store_(store),
       environment_(environment),
       metrics_(metrics),
+      account_report_(account_report),
       now_ms_(ToMilliseconds(now.time_since_epoch())),
       wall_ms_(environment.WallMilliseconds()),
       first_cell_ms_(store.last_batch_ms()),
@@ -90,6 +92,7 @@
                          term),
       members_(options.cell_size, options.id, now_ms_),
       run_check_(store) {
+  SyncAccounts();
   RebuildState(registered_ms);
 }
 
@@ -117,7 +120,9 @@
                 task.worker, key, task.run, DemandOf(step),
                 run_times_.Expected(queue.name, step.estimate_ms), now_ms_, out,
                 {.long_running = step.long_running,
-                 .resumed = !CheckpointOf(job, key).empty()});
+                 .resumed = !CheckpointOf(job, key).empty(),
+                 .account = AccountOf(job),
+                 .over_rate = job.over_rate()});
           }
         }
         InheritGang(job, {id, k, n});
@@ -184,6 +189,9 @@
 
 void Leader::OnApplied(const wire::GraphBatch& batch, TimePoint now) {
   SetNow(now);
+  if (batch.__isset.table) {
+    SyncAccounts();
+  }
   std::set<graph::JobId> jobs;
   RecordCrashes(jobs);
   std::vector<graph::WorkerNumber> new_workers;
@@ -361,6 +369,7 @@
     batch_.results.push_back(std::move(result));
     batch_has_content_ = true;
   }
+  CountUnknownRuns(out.unknown_runs);
   for (const auto& [task, run] : out.progressing_runs) {
     gang_assembly_.OnProgress(task, run);
   }
@@ -621,6 +630,7 @@
     last_load_log_ms_ = now_ms_;
     LogLoad();
     LogGangs();
+    account_report_.Log(planner_);
     LogQuestions();
     LogLongWaits();
   }
@@ -683,6 +693,7 @@
 }
 
 void Leader::Close(const wire::Status& status) {
+  account_report_.Clear();
   const Error error = wire::ToError(status);
   for (const auto& it : std::exchange(held_publications_, {})) {
     it.reply(tl::unexpected(error));
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -12,9 +12,11 @@
 #include <string>
 #include <vector>
 
+#include "account_report.h"
 #include "advice_dispatcher.h"
 #include "advice_usage.h"
 #include "cranberryshunt/cell/engine.h"
+#include "cranberryshunt/policy/account_rates.h"
 #include "cranberryshunt/policy/graph_admission.h"
 #include "cranberryshunt/policy/worker_health.h"
 #include "gang_assembly.h"
@@ -42,6 +44,7 @@
          const RegistrationTimes& registered_ms,
          EngineEnvironment& environment,
          MetricsRegistry& metrics,
+         AccountReport& account_report,
          TimePoint now);
 
   // Handles a batch that the state has applied. This leader or an earlier one
@@ -138,7 +141,10 @@
 
   // leader_calls.cc
   void HandleGraph(GraphCall call);
-  void Submit(GraphCall call, const wire::JobQueue& queue, graph::JobId id);
+  void Submit(GraphCall call,
+              const wire::JobQueue& queue,
+              graph::JobId id,
+              const std::string& account);
   void Cancel(GraphCall call, graph::JobId id);
   void HandleReport(ReportCall call);
   bool IsOfUnknownService(const wire::CalledWorker& worker) const;
@@ -148,6 +154,22 @@
   bool IsForming() const;
   void HandleHeldPublications();
 
+  // leader_accounts.cc
+  // Takes over limits and rates from the committed table.
+  void SyncAccounts();
+  policy::AccountNumber AccountOf(const graph::Job& job);
+  // Counts runs that a worker has listed unexpectedly for the accounts of their
+  // jobs.
+  void CountUnknownRuns(const std::vector<RunKey>& runs);
+  // Fills in what the admission needs to know of the account.
+  void SetAccountFields(const wire::GraphJob& job,
+                        const wire::JobQueue& queue,
+                        policy::NewJob& new_job) const;
+  // Whether a task of the job, or a gang as a whole, exceeds the limit of the
+  // account, so that the job could never run.
+  bool ExceedsLimit(policy::AccountNumber account,
+                    const wire::GraphJob& job) const;
+
   // leader_planning.cc
   void Plan();
   void UpdatePlanWorkers();
@@ -160,6 +182,11 @@
     std::int32_t run = 0;
     graph::WorkerNumber worker = 0;
     policy::Ticket ticket;
+    // Account of the job, what the run counts there, and the version of the
+    // table when the start was planned.
+    policy::AccountNumber account = policy::kNoAccount;
+    policy::Demand demand;
+    std::int64_t table_version = 0;
   };
   // Returns the run number of the next start of the task. All members of a gang
   // get the same one.
@@ -170,6 +197,9 @@
   void SendOnceCommitted(std::vector<PendingStart> starts);
   // Sends all of these starts, or none if one of them would be in vain.
   void SendStarts(const std::vector<PendingStart>& starts);
+  // Whether the starts, which belong together, exceed a limit of their account
+  // that was lowered after they had been planned.
+  bool ExceedsLoweredLimit(const std::vector<PendingStart>& starts) const;
   // Returns why the start must not be sent; empty if it may be.
   std::string FindObstacle(const PendingStart& start) const;
   void RejectStart(const PendingStart& start, const std::string& reason);
@@ -199,6 +229,7 @@
   const graph::GraphStore& store_;
   EngineEnvironment& environment_;
   MetricsRegistry& metrics_;
+  AccountReport& account_report_;
   std::int64_t now_ms_ = 0;
   std::int64_t wall_ms_ = 0;
   // What CellMs() returned when this leader took over, and its own time then.
@@ -207,6 +238,7 @@
 
   const RunTimes& run_times_;
   policy::GraphPlanner planner_;
+  policy::AccountRates account_rates_;
   StepTracker step_tracker_;
   WorkerTracker workers_;
   GangAssembly gang_assembly_;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -22,10 +22,49 @@
   return reply;
 }
 
+AccountRefusal ToAccountRefusal(policy::RefusalCause cause) {
+  switch (cause) {
+    case policy::RefusalCause::kOverRate:
+      return AccountRefusal::kOverRate;
+    case policy::RefusalCause::kAccountLimit:
+      return AccountRefusal::kAccountLimit;
+    case policy::RefusalCause::kOverloaded:
+      return AccountRefusal::kOverloaded;
+    default:
+      return AccountRefusal::kLate;
+  }
+}
+
+const char* RefusalText(policy::RefusalCause cause) {
+  switch (cause) {
+    case policy::RefusalCause::kOverloaded:
+      return "the leader is short of processor time";
+    case policy::RefusalCause::kAccountLimit:
+      return "the job would end after its objective because its account is at "
+             "its limit";
+    case policy::RefusalCause::kOverRate:
+      return "the account has used up its rate";
+    default:
+      return "the job would end after its objective";
+  }
+}
+
 Error NotCommitted() {
   return {ResultCode::kNotLeader, "leadership ended before the commit"};
 }
 
+// To be replaced by the authentication of callers.
+std::string FindAccountOfKey(const wire::RoutingTable& table,
+                             const std::string& key_digest) {
+  for (const auto& it : table.accounts) {
+    if (std::find(it.key_digests.begin(), it.key_digests.end(), key_digest) !=
+        it.key_digests.end()) {
+      return it.name;
+    }
+  }
+  return {};
+}
+
 // Whether a report adds nothing to the known record. A worker that is known to
 // be leaving stays so, even if the report does not say it.
 bool MatchesRecord(const wire::CalledWorker& known,
@@ -94,7 +133,8 @@
   }
   switch (request.operation) {
     case wire::GraphOperation::kSubmit:
-      Submit(std::move(call), *queue, *id);
+      Submit(std::move(call), *queue, *id,
+             FindAccountOfKey(store_.table(), request.key_digest));
       break;
     case wire::GraphOperation::kCancel:
       Cancel(std::move(call), *id);
@@ -107,7 +147,8 @@
 
 void Leader::Submit(GraphCall call,
                     const wire::JobQueue& queue,
-                    graph::JobId id) {
+                    graph::JobId id,
+                    const std::string& account) {
   // Submissions are idempotent by job id, whatever a repeated request contains.
   if (store_.FindJob(id) != nullptr) {
     call.reply({});
@@ -121,6 +162,19 @@
   const auto& job = call.request.job;
   policy::NewJob new_job;
   new_job.urgent = queue.priority == 0;
+  new_job.account = planner_.accounts().NumberOf(account);
+  if (ExceedsLimit(new_job.account, job)) {
+    Log(LogLevel::kInfo, "admission", "job refused",
+        {{"job", graph::FormatJobId(id)},
+         {"queue", queue.name},
+         {"account", account},
+         {"reason", "exceeds the limit of its account"}});
+    account_report_.RecordRefused(account, AccountRefusal::kLargerThanLimit);
+    call.reply(
+        ReplyWith(ResultCode::kQuotaExceeded,
+                  "a task or gang is larger than the limit of the account"));
+    return;
+  }
   const auto service = capacities_.find(queue.service_name);
   for (const auto& step : job.steps) {
     const auto demand = DemandOf(step);
@@ -136,11 +190,13 @@
     Log(LogLevel::kInfo, "admission", "job refused",
         {{"job", graph::FormatJobId(id)},
          {"queue", queue.name},
+         {"account", account},
          {"reason", shrunk        ? "fits no worker now"
                     : has_workers ? "fits no worker"
                                   : "no workers"},
          {"milli_cpus", demand.milli_cpus},
          {"memory_mb", demand.memory_mb}});
+    account_report_.RecordRefused(account, AccountRefusal::kNoWorkers);
     constexpr std::int64_t kNoWorkersRetryMs = 1'000;
     if (shrunk) {
       call.reply(ReplyWith(ResultCode::kNotReady,
@@ -156,7 +212,8 @@
     return;
   }
   const auto remaining =
-      RemainingTimes(queue, job, run_times_, RunLength::kExpected);
+      RemainingTimes(queue, job, run_times_, RunLength::kExpected,
+                     planner_.accounts(), new_job.account);
   new_job.critical_path_ms =
       *std::max_element(remaining.begin(), remaining.end());
   new_job.slack_ms =
@@ -164,16 +221,21 @@
       static_cast<std::int64_t>((queue.stretch - 1) *
                                 static_cast<double>(new_job.critical_path_ms)) -
       call.request.waited_ms;
+  SetAccountFields(job, queue, new_job);
   const auto& load = LoadFor(new_job);
   const auto decision = policy::DecideAdmission(load, new_job);
   Log(LogLevel::kInfo, "admission",
       decision.accepted ? "job accepted" : "job refused",
       {{"job", graph::FormatJobId(id)},
        {"queue", queue.name},
+       {"account", account},
+       {"over_rate", new_job.over_rate ? "yes" : "no"},
+       {"cause", policy::RefusalCauseName(decision.cause)},
        {"table_version", store_.table().version},
        {"critical_path_ms", new_job.critical_path_ms},
        {"slack_ms", new_job.slack_ms},
        {"expected_wait_ms", decision.expected_wait_ms},
+       {"account_wait_ms", decision.account_wait_ms},
        {"preceding_cpus",
         static_cast<std::int64_t>(decision.preceding_milli_cpus) / 1'000},
        {"advice_wait_ms", load.advice_wait_ms},
@@ -181,10 +243,8 @@
        {"retry_after_ms", decision.retry_after_ms}});
   if (!decision.accepted) {
     ++metrics_.Counter("jobs_refused_total{queue=\"" + queue.name + "\"}");
-    call.reply(ReplyWith(ResultCode::kQueueFull,
-                         decision.overloaded
-                             ? "the leader is short of processor time"
-                             : "the job would end after its objective",
+    account_report_.RecordRefused(account, ToAccountRefusal(decision.cause));
+    call.reply(ReplyWith(ResultCode::kQueueFull, RefusalText(decision.cause),
                          decision.retry_after_ms));
     return;
   }
@@ -193,6 +253,12 @@
   accepted.id = static_cast<std::int64_t>(id);
   accepted.queue = queue;
   accepted.job = job;
+  accepted.account = account;
+  accepted.over_rate = new_job.over_rate;
+  account_report_.RecordAccepted(account, new_job.over_rate);
+  if (!new_job.over_rate) {
+    account_rates_.TakeToken(new_job.account, now_ms_);
+  }
   accepted.__set_submitted_ms(CellMs() - call.request.waited_ms);
   step_tracker_.RecordAcceptance(id, now_ms_ - call.request.waited_ms);
   step_tracker_.AddUncommitted(accepted, now_ms_);
@@ -200,9 +266,12 @@
   batch_.jobs.push_back(std::move(accepted));
   batch_has_content_ = true;
   submitting_[id].push_back(std::move(call));
-  continuations_.emplace_back([this, id](bool committed) {
+  continuations_.emplace_back([this, id, new_job](bool committed) {
     if (!committed) {
       step_tracker_.Refresh(id, now_ms_, wall_ms_);
+      if (!new_job.over_rate) {
+        account_rates_.ReturnToken(new_job.account, now_ms_);
+      }
     }
     auto node = submitting_.extract(id);
     if (node.empty()) {
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -68,6 +68,11 @@
   worker.ends.reserve(tracked_worker->runs.size());
   for (const auto& [key, run] : tracked_worker->runs) {
     worker.used += run.demand;
+    policy::AddTask(worker.accounts, run.account, run.account_demand,
+                    run.expected_run_ms);
+    if (run.over_rate) {
+      worker.used_over_rate += run.demand;
+    }
     const auto started = run.started_ms > 0 ? run.started_ms : now_ms_;
     worker.AddEnd({started + run.expected_run_ms, run.demand});
     const auto run_length_ms =
@@ -87,6 +92,7 @@
     advice_dispatcher_.CancelQueued(it);
   }
   UpdatePlanWorkers();
+  planner_.SetDepartedUse(workers_.DepartedUse());
   const auto spare_callers =
       static_cast<std::int64_t>(advice_dispatcher_.open_polls()) -
       static_cast<std::int64_t>(advice_dispatcher_.queued());
@@ -159,7 +165,8 @@
   ++metrics_.Counter("starts_total");
   planner_.FindStep(start.step)->waiting_since_ms = now_ms_;
   workers_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms,
-                   job.step(task.step).long_running);
+                   job.step(task.step).long_running, step.account,
+                   step.over_rate);
   step_tracker_.Reserve(task, start.worker);
   wire::RunStart record;
   record.task = graph::ToWire(task);
@@ -168,7 +175,8 @@
   batch_.starts.push_back(record);
   batch_has_content_ = true;
   proposed_runs_[task] = run;
-  return {task, run, start.worker, std::move(ticket)};
+  return {task,         run,         start.worker,          std::move(ticket),
+          step.account, step.demand, store_.table().version};
 }
 
 void Leader::SendOnceCommitted(std::vector<PendingStart> starts) {
@@ -196,6 +204,9 @@
   for (const auto& it : starts) {
     obstacles.push_back(FindObstacle(it));
   }
+  if (ExceedsLoweredLimit(starts)) {
+    obstacles.assign(starts.size(), "limit of the account was lowered");
+  }
   const bool complete = std::all_of(obstacles.begin(), obstacles.end(),
                                     [](const auto& it) { return it.empty(); });
   const auto& first = starts.front();
@@ -297,6 +308,7 @@
   advice_question.latest_start_ms = policy::LatestStartMs(step);
   advice_question.latest_useful_start_ms = policy::LatestUsefulStartMs(step);
   advice_question.urgent_queue = step.priority == 0;
+  advice_question.over_rate = step.over_rate;
   ++metrics_.Counter("advice_questions_total");
   advice_dispatcher_.Ask(std::move(advice_question));
 }
@@ -360,7 +372,14 @@
   cell_load_.answer_ms = workers_.MedianStartAnswerMs(now_ms_);
   cell_load_.advice_wait_ms =
       static_cast<double>(advice_dispatcher_.ExpectedWaitMs(
-          now_ms_, job.urgent, now_ms_ + job.slack_ms));
+          now_ms_, job.urgent, now_ms_ + job.slack_ms, job.over_rate));
+  cell_load_.idle_callers =
+      static_cast<std::int64_t>(advice_dispatcher_.open_polls()) -
+      static_cast<std::int64_t>(advice_dispatcher_.queued());
+  if (planner_.accounts().HasLimit(job.account)) {
+    cell_load_.accounts.try_emplace(
+        job.account, policy::LoadOf(planner_.accounts(), job.account));
+  }
   return cell_load_;
 }
 
@@ -484,6 +503,8 @@
     std::string reason = "capacity";
     if (step.blocked > 0) {
       reason = "run";
+    } else if (step.at_limit) {
+      reason = "account";
     } else if (step.advice.open_questions > 0 || step.advice.renewal_pending) {
       reason = "advice";
     } else if (workers.allowed == 0) {
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -29,13 +29,17 @@
 std::vector<std::int64_t> RemainingTimes(const wire::JobQueue& queue,
                                          const wire::GraphJob& job,
                                          const RunTimes& times,
-                                         RunLength length) {
+                                         RunLength length,
+                                         const policy::AccountLedger& accounts,
+                                         policy::AccountNumber account) {
   std::vector<std::int64_t> remaining(job.steps.size(), 0);
   for (auto n = job.steps.size(); n-- > 0;) {
     const auto& step = job.steps[n];
-    remaining[n] += length == RunLength::kExpected
-                        ? times.Expected(queue.name, step.estimate_ms)
-                        : times.Short(queue.name, step.estimate_ms);
+    const auto run_ms = length == RunLength::kExpected
+                            ? times.Expected(queue.name, step.estimate_ms)
+                            : times.Short(queue.name, step.estimate_ms);
+    remaining[n] +=
+        run_ms * accounts.WavesOf(account, DemandOf(step), step.task_count);
     for (const auto it : step.depends_on) {
       auto& before = remaining[static_cast<std::size_t>(it)];
       before = std::max(before, remaining[n] + ExpectedAdviceMs(queue));
@@ -201,6 +205,8 @@
   step.data_rack = spec.data_rack;
   step.max_per_worker = spec.max_per_worker;
   step.long_running = spec.long_running;
+  step.account = planner_.accounts().NumberOf(job.account());
+  step.over_rate = job.over_rate();
   const auto accepted = accepted_ms_.try_emplace(key.job, now_ms).first;
   // The time of a scheduled occurrence counts from when it is due, which is
   // now.
@@ -226,8 +232,10 @@
   // expected has less time to wait. A step counts as late once such a job would
   // be: if all waited until even odds, half of them would end late.
   const auto remaining =
-      RemainingTimes(queue, job.spec(), run_times_, RunLength::kShort);
-  step.remaining_ms = remaining[static_cast<std::size_t>(key.step)];
+      RemainingTimes(queue, job.spec(), run_times_, RunLength::kShort,
+                     planner_.accounts(), step.account);
+  step.remaining_ms = remaining[static_cast<std::size_t>(key.step)] -
+                      StartedWavesMs(job, key, step);
   const auto critical_path_ms =
       *std::max_element(remaining.begin(), remaining.end());
   step.objective_ms =
@@ -237,6 +245,23 @@
           static_cast<double>(critical_path_ms + ExpectedAdviceMs(queue)));
 }
 
+// The waves of the step that have started already.
+std::int64_t StepTracker::StartedWavesMs(const graph::Job& job,
+                                         const graph::StepKey& key,
+                                         const policy::PlanStep& step) const {
+  const auto& accounts = planner_.accounts();
+  if (step.waiting.empty() || !accounts.HasLimit(step.account)) {
+    return 0;
+  }
+  const auto& spec = job.step(key.step);
+  const auto all = accounts.WavesOf(step.account, step.demand, spec.task_count);
+  const auto left =
+      accounts.WavesOf(step.account, step.demand,
+                       static_cast<std::int64_t>(step.waiting.size()));
+  return (all - left) *
+         run_times_.Short(store_.QueueOf(job).name, spec.estimate_ms);
+}
+
 void StepTracker::RefreshEstimates() {
   for (const auto& [id, step] : planner_.waiting_steps()) {
     const auto& key = keys_.at(id);
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -22,11 +22,14 @@
 // for a short time.
 enum class RunLength { kExpected, kShort };
 
-// For each step, the time from its start to the end of its occurrence.
+// For each step, the time from its start to the end of its occurrence. A step
+// that is wider than the limit of the job's account runs in several waves.
 std::vector<std::int64_t> RemainingTimes(const wire::JobQueue& queue,
                                          const wire::GraphJob& job,
                                          const RunTimes& times,
-                                         RunLength length);
+                                         RunLength length,
+                                         const policy::AccountLedger& accounts,
+                                         policy::AccountNumber account);
 
 class StepTracker {
  public:
@@ -85,6 +88,9 @@
   void SetEstimates(const graph::Job& job,
                     const graph::StepKey& key,
                     policy::PlanStep& step) const;
+  std::int64_t StartedWavesMs(const graph::Job& job,
+                              const graph::StepKey& key,
+                              const policy::PlanStep& step) const;
   void UpdateWaitingTasks(const graph::Job& job,
                           const graph::StepKey& key,
                           policy::PlanStep& step,
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -45,6 +45,11 @@
   bool start_time_known = false;
   std::int64_t expected_run_ms = 0;
   bool long_running = false;  // Runs until it is stopped.
+  // Account of the job, and what the run counts there. The job may be forgotten
+  // before the run has ended.
+  policy::AccountNumber account = policy::kNoAccount;
+  policy::Demand account_demand;
+  bool over_rate = false;  // Whether the job is beyond the account's rate.
   // Whether the worker has listed progress since the start, beyond `percent`.
   bool has_progress = false;
   // Progress at the start: 0, or unknown (-1) until it is listed if the run was
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -262,6 +262,7 @@
       run.started_ms = now_ms;
       run.stop_requested = true;
       AddRun(worker, key, run);
+      out.unknown_runs.push_back(key);
       continue;
     }
     auto& run = it->second;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -549,6 +549,9 @@
   it.expected_run_ms = expected_run_ms;
   it.long_running = how.long_running;
   it.percent = how.resumed ? -1 : 0;
+  it.account = how.account;
+  it.over_rate = how.over_rate;
+  it.account_demand = demand;
   const auto worker = workers_.find(number);
   if (worker != workers_.end()) {
     AddRun(worker->second, {task, run}, it);
@@ -740,7 +743,9 @@
                             std::int32_t run,
                             const policy::Demand& demand,
                             std::int64_t expected_run_ms,
-                            bool long_running) {
+                            bool long_running,
+                            policy::AccountNumber account,
+                            bool over_rate) {
   const auto worker = workers_.find(number);
   if (worker == workers_.end()) {
     return;
@@ -749,6 +754,9 @@
   it.demand = demand;
   it.expected_run_ms = expected_run_ms;
   it.long_running = long_running;
+  it.account = account;
+  it.account_demand = demand;
+  it.over_rate = over_rate;
   AddRun(worker->second, {task, run}, it);
 }
 
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -53,12 +53,16 @@
   std::vector<RunKey> started_runs;
   // Runs for which a worker listed progress for the first time.
   std::vector<RunKey> progressing_runs;
+  // Runs that a worker listed and that were unknown until then.
+  std::vector<RunKey> unknown_runs;
   std::vector<SentOrder> orders;
 };
 
 struct InheritedRun {
   bool long_running = false;
   bool resumed = false;  // Started from a checkpoint.
+  policy::AccountNumber account = policy::kNoAccount;
+  bool over_rate = false;
 };
 
 class WorkerTracker {
@@ -114,7 +118,15 @@
                std::int32_t run,
                const policy::Demand& demand,
                std::int64_t expected_run_ms,
-               bool long_running = false);
+               bool long_running = false,
+               policy::AccountNumber account = policy::kNoAccount,
+               bool over_rate = false);
+  // Counts the run for an account. `demand` is its size, which may be less than
+  // what the run takes of its worker.
+  void SetAccount(const TaskKey& task,
+                  std::int32_t run,
+                  policy::AccountNumber account,
+                  const policy::Demand& demand);
   // Returns why a committed start must not be sent: a stop was requested
   // meanwhile, or the worker has left, was replaced, is no longer usable or has
   // no room for it. Empty if it may be sent.
@@ -189,6 +201,11 @@
   std::vector<WorkerNumber> TakeEndedWorkers() {
     return std::exchange(ended_workers_, {});
   }
+  // Returns what runs use that may go on although their workers have left.
+  std::vector<policy::AccountUse> DepartedUse() const;
+  // Returns what the account uses by all runs except those whose starts are not
+  // committed or not sent yet. Looks at all runs.
+  policy::Demand SentUseOf(policy::AccountNumber account) const;
   const TrackedWorker* Find(WorkerNumber number) const;
   // Returns the worker that has the run: `number`, or a later incarnation of
   // it.
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -100,6 +100,10 @@
                : std::nullopt;
   }
   const wire::GraphJob& spec() const { return accepted_.job; }
+  // Account that the job was submitted for; empty if it was without a key.
+  const std::string& account() const { return accepted_.account; }
+  // Whether it was submitted beyond the rate of its account.
+  bool over_rate() const { return accepted_.over_rate; }
   const wire::GraphStep& step(std::int32_t n) const {
     return accepted_.job.steps[static_cast<std::size_t>(n)];
   }
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -65,6 +65,17 @@
   return queue;
 }
 
+wire::ClientAccount MakeAccount(const std::string& name,
+                                double weight,
+                                std::int64_t milli_cpus) {
+  wire::ClientAccount account;
+  account.name = name;
+  account.key_digests = {"key of " + name};
+  account.weight = weight;
+  account.limit.milli_cpus = milli_cpus;
+  return account;
+}
+
 wire::GraphJob MakeJob(std::int32_t tasks,
                        std::int64_t milli_cpus,
                        std::int64_t estimate_ms) {
@@ -263,6 +274,8 @@
   table.version = engine_.store().table().version + 1;
   table.queues = queues;
   table.services.emplace_back().name = "fleet";
+  table.accounts = accounts;
+  table.checks_keys = !accounts.empty();
   for (const auto& it : queues) {
     queues_[it.name] = it;
   }
@@ -277,15 +290,17 @@
 
 void CellHarness::Submit(graph::JobId id,
                          const std::string& queue,
-                         const wire::GraphJob& job) {
-  SubmitAttempt(id, queue, job, 0, false);
+                         const wire::GraphJob& job,
+                         const std::string& key_digest) {
+  SubmitAttempt(id, queue, job, 0, false, key_digest);
 }
 
 wire::GraphReply CellHarness::SubmitAttempt(graph::JobId id,
                                             const std::string& queue,
                                             const wire::GraphJob& job,
                                             std::int64_t request_id,
-                                            bool earlier_attempt_open) {
+                                            bool earlier_attempt_open,
+                                            const std::string& key_digest) {
   auto& outcome = jobs[id];
   outcome = {};
   outcome.submitted_ms = now_ms_;
@@ -296,6 +311,7 @@
   call.request.job = job;
   call.request.request_id = request_id;
   call.request.earlier_attempt_open = earlier_attempt_open;
+  call.request.key_digest = key_digest;
   const auto first_reply = std::make_shared<wire::GraphReply>();
   call.reply = [this, id, first_reply](const wire::GraphReply& reply) {
     jobs[id].replied_ms = now_ms_;
@@ -377,6 +393,7 @@
       events_.erase(events_.begin());
       action();
     }
+    TrackAccounts();
     AdvanceGangs();
     for (auto& it : workers) {
       AdvanceWorker(it);
@@ -749,6 +766,8 @@
   FakeRun run;
   run.milli_cpus = step.milli_cpus;
   run.memory_mb = step.memory_mb;
+  run.accelerators = step.accelerators;
+  run.account = job->account();
   run.started_ms = now_ms_;
   run.work_ms = length;
   run.waits_for_gang = step.gang;
@@ -766,6 +785,7 @@
   ++starts_by_task[order.task];
   if (options_.check) {
     CheckCapacityAtStart(worker);
+    CheckAccountAtStart(run.account, run);
   }
   if (crashes_worker && crashes_worker(order.task)) {
     if (crashes_by_task[order.task] >= kMaxCrashes &&
@@ -896,6 +916,52 @@
   }
 }
 
+policy::Demand CellHarness::UseOfAccount(const std::string& account) const {
+  policy::Demand out;
+  for (const auto& worker : workers) {
+    for (const auto& [key, run] : worker.runs) {
+      if (run.account == account) {
+        out += {run.milli_cpus, run.memory_mb, run.accelerators};
+      }
+    }
+  }
+  return out;
+}
+
+void CellHarness::TrackAccounts() {
+  const auto& table = engine_.store().table();
+  if (table.version != accounts_version_) {
+    accounts_version_ = table.version;
+    earlier_accounts_ = std::exchange(accounts_, table.accounts);
+    accounts_changed_ms_ = now_ms_;
+  }
+}
+
+void CellHarness::CheckAccountAtStart(const std::string& account,
+                                      const FakeRun& run) {
+  const auto exceeds = [&](const std::vector<wire::ClientAccount>& known) {
+    const auto it =
+        std::find_if(known.begin(), known.end(),
+                     [&](const auto& entry) { return entry.name == account; });
+    if (account.empty() || it == known.end()) {
+      return false;
+    }
+    const auto over = [](std::int64_t used, std::int64_t more,
+                         std::int64_t limit) {
+      return limit > 0 && more > 0 && used > limit;
+    };
+    const auto used = UseOfAccount(account);
+    return over(used.milli_cpus, run.milli_cpus, it->limit.milli_cpus) ||
+           over(used.memory_mb, run.memory_mb, it->limit.memory_mb) ||
+           over(used.accelerators, run.accelerators, it->limit.accelerators);
+  };
+  // A start that arrives now was sent at most this long ago.
+  const bool recent = now_ms_ - accounts_changed_ms_ <= options_.network_ms + 1;
+  if (exceeds(accounts_) && (!recent || exceeds(earlier_accounts_))) {
+    violations.push_back("start over the limit of account " + account);
+  }
+}
+
 std::string CellHarness::TicketFor(const std::string& step,
                                    const std::string& worker) const {
   const auto it = std::find_if(
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -14,10 +14,13 @@
 #include <vector>
 
 #include "cranberryshunt/cell/engine.h"
+#include "cranberryshunt/policy/demand.h"
 
 namespace cranberryshunt::cell {
 
 struct FakeRun {
+  std::string account;
+  std::int64_t accelerators = 0;
   std::int64_t end_ms = 0;
   std::int64_t milli_cpus = 0;
   std::int64_t memory_mb = 0;
@@ -124,14 +127,16 @@
   void Publish(const std::vector<wire::JobQueue>& queues);
   void Submit(graph::JobId id,
               const std::string& queue,
-              const wire::GraphJob& job);
+              const wire::GraphJob& job,
+              const std::string& key_digest = "");
   // Like Submit(), as an attempt of the request. Returns the reply if there is
   // one at once.
   wire::GraphReply SubmitAttempt(graph::JobId id,
                                  const std::string& queue,
                                  const wire::GraphJob& job,
                                  std::int64_t request_id,
-                                 bool earlier_attempt_open);
+                                 bool earlier_attempt_open,
+                                 const std::string& key_digest = "");
   void Cancel(graph::JobId id, const std::string& queue);
   std::optional<wire::GraphJobState::type> StateOf(graph::JobId id) const;
   // Number of pending jobs that the leader reports; -1 if it does not answer.
@@ -206,6 +211,10 @@
   double used_cpu_ms = 0;
 
   std::optional<std::int64_t> published_ms;
+  // Accounts of the tables that are published from now on.
+  std::vector<wire::ClientAccount> accounts;
+  // What the runs of the account take on all workers.
+  policy::Demand UseOfAccount(const std::string& account) const;
 
   std::int64_t now_ms() const { return now_ms_; }
   Engine& engine() { return engine_; }
@@ -258,6 +267,10 @@
   void PollAdvice(std::int32_t caller, wire::AdvicePoll poll);
   void CheckInvariants(const FakeWorker& worker);
   void CheckCapacityAtStart(const FakeWorker& worker);
+  // Notes changes of the accounts in the committed table.
+  void TrackAccounts();
+  // Checks that a start of the account does not exceed its limit.
+  void CheckAccountAtStart(const std::string& account, const FakeRun& run);
   void CheckStart(const FakeWorker& worker,
                   const graph::TaskKey& task,
                   const wire::GraphStep& step);
@@ -285,6 +298,12 @@
   // Starts of each task after three workers had crashed under it.
   std::map<graph::TaskKey, std::int32_t> starts_after_crashes_;
   std::map<std::string, wire::JobQueue> queues_;
+  // The accounts of the former table, and when they were replaced: starts that
+  // were sent before may still arrive.
+  std::vector<wire::ClientAccount> accounts_;
+  std::vector<wire::ClientAccount> earlier_accounts_;
+  std::int64_t accounts_changed_ms_ = 0;
+  std::int64_t accounts_version_ = 0;
   struct PendingHold {
     std::size_t worker;
     SentOrder sent;
@@ -294,6 +313,10 @@
   std::vector<PendingHold> holds_;
 };
 
+// An account whose key has the digest "key of NAME".
+wire::ClientAccount MakeAccount(const std::string& name,
+                                double weight,
+                                std::int64_t milli_cpus);
 wire::JobQueue MakeQueue(const std::string& name, std::int32_t priority);
 // A job of one step.
 wire::GraphJob MakeJob(std::int32_t tasks,
