--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -71,6 +71,7 @@
 };
 
 class AccessRefusals;
+class AccountReport;
 class Leader;
 class RefusedRequests;
 class RunTimes;
@@ -145,6 +146,7 @@
   std::unique_ptr<RunTimes> run_times_;
   std::unique_ptr<RefusedRequests> refused_requests_;
   std::unique_ptr<AccessRefusals> access_refusals_;
+  std::unique_ptr<AccountReport> account_report_;
   // Term of the last applied entry, and the time of the first batch of it. The
   // time of the batches stands still while there is no leader.
   std::int64_t applied_term_ = 0;
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "access_control.h"
+#include "account_report.h"
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/wire/codec.h"
 #include "leader.h"
@@ -29,7 +30,8 @@
       metrics_(metrics),
       run_times_(std::make_unique<RunTimes>()),
       refused_requests_(std::make_unique<RefusedRequests>()),
-      access_refusals_(std::make_unique<AccessRefusals>(metrics)) {}
+      access_refusals_(std::make_unique<AccessRefusals>(metrics)),
+      account_report_(std::make_unique<AccountReport>(metrics)) {}
 
 Engine::~Engine() = default;
 
@@ -117,7 +119,7 @@
   if (leads && !leader_ && !stopped_) {
     leader_ = std::make_unique<Leader>(
         options_, change.term, store_, *run_times_, registered_ms_,
-        environment_, *access_refusals_, metrics_, now);
+        environment_, *access_refusals_, metrics_, *account_report_, now);
     serving_term_ = change.term;
   }
 }
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -22,6 +22,33 @@
   return reply;
 }
 
+AccountRefusal ToAccountRefusal(policy::RefusalCause cause) {
+  switch (cause) {
+    case policy::RefusalCause::kOverRate:
+      return AccountRefusal::kOverRate;
+    case policy::RefusalCause::kAccountLimit:
+      return AccountRefusal::kAccountLimit;
+    case policy::RefusalCause::kOverloaded:
+      return AccountRefusal::kOverloaded;
+    default:
+      return AccountRefusal::kLate;
+  }
+}
+
+const char* RefusalText(policy::RefusalCause cause) {
+  switch (cause) {
+    case policy::RefusalCause::kOverloaded:
+      return "the leader is short of processor time";
+    case policy::RefusalCause::kAccountLimit:
+      return "the job would end after its objective because its account is at "
+             "its limit";
+    case policy::RefusalCause::kOverRate:
+      return "the account has used up its rate";
+    default:
+      return "the job would end after its objective";
+  }
+}
+
 Error NotCommitted() {
   return {ResultCode::kNotLeader, "leadership ended before the commit"};
 }
@@ -175,6 +202,19 @@
   const auto& job = call.request.job;
   policy::NewJob new_job;
   new_job.urgent = queue.priority == 0;
+  new_job.account = planner_.accounts().NumberOf(account);
+  if (ExceedsLimit(new_job.account, job)) {
+    Log(LogLevel::kInfo, "admission", "job refused",
+        {{"job", graph::FormatJobId(id)},
+         {"queue", queue.name},
+         {"account", account},
+         {"reason", "exceeds the limit of its account"}});
+    account_report_.RecordRefused(account, AccountRefusal::kLargerThanLimit);
+    call.reply(
+        ReplyWith(ResultCode::kQuotaExceeded,
+                  "a task or gang is larger than the limit of the account"));
+    return;
+  }
   const auto service = capacities_.find(queue.service_name);
   for (const auto& step : job.steps) {
     const auto demand = DemandOf(step);
@@ -190,11 +230,13 @@
     Log(LogLevel::kInfo, "admission", "job refused",
         {{"job", graph::FormatJobId(id)},
          {"queue", queue.name},
+         {"account", account},
          {"reason", shrunk        ? "fits no worker now"
                     : has_workers ? "fits no worker"
                                   : "no workers"},
          {"milli_cpus", demand.milli_cpus},
          {"memory_mb", demand.memory_mb}});
+    account_report_.RecordRefused(account, AccountRefusal::kNoWorkers);
     constexpr std::int64_t kNoWorkersRetryMs = 1'000;
     if (shrunk) {
       call.reply(ReplyWith(ResultCode::kNotReady,
@@ -210,7 +252,8 @@
     return;
   }
   const auto remaining =
-      RemainingTimes(queue, job, run_times_, RunLength::kExpected);
+      RemainingTimes(queue, job, run_times_, RunLength::kExpected,
+                     planner_.accounts(), new_job.account);
   new_job.critical_path_ms =
       *std::max_element(remaining.begin(), remaining.end());
   new_job.slack_ms =
@@ -218,16 +261,21 @@
       static_cast<std::int64_t>((queue.stretch - 1) *
                                 static_cast<double>(new_job.critical_path_ms)) -
       call.request.waited_ms;
+  SetAccountFields(job, queue, new_job);
   const auto& load = LoadFor(new_job);
   const auto decision = policy::DecideAdmission(load, new_job);
   Log(LogLevel::kInfo, "admission",
       decision.accepted ? "job accepted" : "job refused",
       {{"job", graph::FormatJobId(id)},
        {"queue", queue.name},
+       {"account", account},
+       {"over_rate", new_job.over_rate ? "yes" : "no"},
+       {"cause", policy::RefusalCauseName(decision.cause)},
        {"table_version", store_.table().version},
        {"critical_path_ms", new_job.critical_path_ms},
        {"slack_ms", new_job.slack_ms},
        {"expected_wait_ms", decision.expected_wait_ms},
+       {"account_wait_ms", decision.account_wait_ms},
        {"preceding_cpus",
         static_cast<std::int64_t>(decision.preceding_milli_cpus) / 1'000},
        {"advice_wait_ms", load.advice_wait_ms},
@@ -235,10 +283,8 @@
        {"retry_after_ms", decision.retry_after_ms}});
   if (!decision.accepted) {
     ++metrics_.Counter("jobs_refused_total{queue=\"" + queue.name + "\"}");
-    call.reply(ReplyWith(ResultCode::kQueueFull,
-                         decision.overloaded
-                             ? "the leader is short of processor time"
-                             : "the job would end after its objective",
+    account_report_.RecordRefused(account, ToAccountRefusal(decision.cause));
+    call.reply(ReplyWith(ResultCode::kQueueFull, RefusalText(decision.cause),
                          decision.retry_after_ms));
     return;
   }
@@ -248,6 +294,11 @@
   accepted.queue = queue;
   accepted.job = job;
   accepted.account = account;
+  accepted.over_rate = new_job.over_rate;
+  account_report_.RecordAccepted(account, new_job.over_rate);
+  if (!new_job.over_rate) {
+    account_rates_.TakeToken(new_job.account, now_ms_);
+  }
   accepted.__set_submitted_ms(CellMs() - call.request.waited_ms);
   step_tracker_.RecordAcceptance(id, now_ms_ - call.request.waited_ms);
   step_tracker_.AddUncommitted(accepted, now_ms_);
@@ -257,9 +308,12 @@
   auto& submission = submitting_[id];
   submission.account = account;
   submission.calls.push_back(std::move(call));
-  continuations_.emplace_back([this, id](bool committed) {
+  continuations_.emplace_back([this, id, new_job](bool committed) {
     if (!committed) {
       step_tracker_.Refresh(id, now_ms_, wall_ms_);
+      if (!new_job.over_rate) {
+        account_rates_.ReturnToken(new_job.account, now_ms_);
+      }
     }
     auto node = submitting_.extract(id);
     if (node.empty()) {
