wire: Let the caller of LeaderClient decide about retries

A call that found no leader could only pause and try again until its deadline, and nobody else learned what its attempts showed.

RunAt() takes a function that is asked after each failed attempt, and an observer is told of all attempts. A call that pauses goes on when another call of the process is served; it used to sleep for up to 200 ms more.

--- a/libraries/wire/include/cranberryshunt/wire/controller_client.h
+++ b/libraries/wire/include/cranberryshunt/wire/controller_client.h
@@ -2,6 +2,7 @@
 #ifndef CRANBERRYSHUNT_WIRE_CONTROLLER_CLIENT_H_
 #define CRANBERRYSHUNT_WIRE_CONTROLLER_CLIENT_H_
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -115,6 +116,21 @@
   std::string leader;  // "ip:port" of the leader; empty if it is not known.
 };
 
+// An attempt of LeaderClient to call the leader.
+struct LeaderAttemptReport {
+  bool served = false;  // The controller replied as the leader.
+  // The controller is not the leader and named another one, which is not known
+  // to be unreachable.
+  bool redirected = false;
+  // Number of failed attempts of the same call before it.
+  std::size_t number = 0;
+  std::chrono::steady_clock::time_point begin;
+};
+
+// What LeaderClient does after a failed attempt. With kRetryOther it goes on to
+// another controller also after a timeout.
+enum class RetryStep { kPause, kRetryNow, kRetryOther, kGiveUp };
+
 // Finds the leader among the controllers and sends calls to it. Safe for use by
 // several threads.
 class LeaderClient {
@@ -124,6 +140,11 @@
                const std::string& cluster_secret);
   ~LeaderClient();
 
+  // `observer` is told of each attempt when it has ended, from any thread. To
+  // be called before the first call.
+  using AttemptObserver = std::function<void(const LeaderAttemptReport&)>;
+  void ObserveAttempts(AttemptObserver observer);
+
   // Adds controllers that are not known yet.
   void AddControllers(const std::vector<std::string>& addresses);
 
@@ -143,16 +164,35 @@
   Result<void> RunAt(std::chrono::milliseconds timeout,
                      std::chrono::milliseconds attempt_timeout,
                      const CallAt& call);
+  // Like RunAt(). After each failed attempt `next_step` says how to go on; it
+  // may block. After kGiveUp the result is the error of the last attempt.
+  using NextStep = std::function<RetryStep(const LeaderAttemptReport& failed)>;
+  Result<void> RunAt(std::chrono::milliseconds timeout,
+                     std::chrono::milliseconds attempt_timeout,
+                     const CallAt& call,
+                     const NextStep& next_step);
 
  private:
   std::size_t FindOrAddChannel(const std::string& address);
   void ChooseNextController(std::size_t tried, const CallStatus& status);
+  void ReportAttempt(const LeaderAttemptReport& report) const;
+  void Pause(std::chrono::milliseconds duration);
+  void EndPauses();
+  // Whether the reply of a controller that is not the leader names another one
+  // that is not known to be unreachable.
+  bool RedirectsFrom(const ControllerChannel& channel,
+                     const CallStatus& status);
 
   const std::string own_id_;
   const std::string cluster_secret_;
+  AttemptObserver observer_;
   std::mutex mutex_;
   std::vector<std::shared_ptr<ControllerChannel>> channels_;
   std::size_t leader_ = 0;
+  // Calls that wait for their next attempt.
+  std::atomic<std::size_t> pausing_ = 0;
+  std::condition_variable served_;
+  std::uint64_t served_while_pausing_ = 0;
 };
 
 }  // namespace cranberryshunt::wire
--- a/libraries/wire/src/leader_client.cc
+++ b/libraries/wire/src/leader_client.cc
@@ -1,7 +1,6 @@
 #include "cranberryshunt/wire/controller_client.h"
 
 #include <algorithm>
-#include <thread>
 #include <utility>
 
 #include "ControllerService.h"
@@ -36,6 +35,10 @@
 
 LeaderClient::~LeaderClient() = default;
 
+void LeaderClient::ObserveAttempts(AttemptObserver observer) {
+  observer_ = std::move(observer);
+}
+
 void LeaderClient::AddControllers(const std::vector<std::string>& addresses) {
   std::lock_guard lock(mutex_);
   for (const auto& it : addresses) {
@@ -82,6 +85,40 @@
   leader_ = (tried + 1) % channels_.size();
 }
 
+// Ends early when another call of this process is served.
+void LeaderClient::Pause(std::chrono::milliseconds duration) {
+  std::unique_lock lock(mutex_);
+  ++pausing_;
+  served_.wait_for(lock, duration, [this, count = served_while_pausing_] {
+    return served_while_pausing_ != count;
+  });
+  --pausing_;
+}
+
+void LeaderClient::EndPauses() {
+  if (pausing_ == 0) {
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  ++served_while_pausing_;
+  served_.notify_all();
+}
+
+void LeaderClient::ReportAttempt(const LeaderAttemptReport& report) const {
+  if (observer_) {
+    observer_(report);
+  }
+}
+
+bool LeaderClient::RedirectsFrom(const ControllerChannel& channel,
+                                 const CallStatus& status) {
+  if (status.leader.empty() || status.leader == channel.address()) {
+    return false;
+  }
+  const std::lock_guard lock(mutex_);
+  return !channels_[FindOrAddChannel(status.leader)]->unreachable();
+}
+
 Result<void> LeaderClient::Run(std::chrono::milliseconds timeout,
                                std::chrono::milliseconds attempt_timeout,
                                const Call& call) {
@@ -94,6 +131,14 @@
 Result<void> LeaderClient::RunAt(std::chrono::milliseconds timeout,
                                  std::chrono::milliseconds attempt_timeout,
                                  const CallAt& call) {
+  return RunAt(timeout, attempt_timeout, call,
+               [](const LeaderAttemptReport&) { return RetryStep::kPause; });
+}
+
+Result<void> LeaderClient::RunAt(std::chrono::milliseconds timeout,
+                                 std::chrono::milliseconds attempt_timeout,
+                                 const CallAt& call,
+                                 const NextStep& next_step) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   Error last_error(ResultCode::kNoLeader, "no controller answered as leader");
   std::shared_ptr<ControllerChannel> timed_out_before;
@@ -110,13 +155,19 @@
       channel = channels_[index];
     }
     CallStatus status;
+    const auto begin = std::chrono::steady_clock::now();
     const auto call_result = channel->Run(
         attempt_timeout, deadline,
         [&](auto& client) { status = call(client, channel->address()); });
     const auto code = static_cast<ResultCode>(status.code);
     if (call_result && code != ResultCode::kNotLeader) {
+      EndPauses();
+      ReportAttempt({true, false, attempt, begin});
       return {};
     }
+    const LeaderAttemptReport failed{false, RedirectsFrom(*channel, status),
+                                     attempt, begin};
+    ReportAttempt(failed);
     last_error = call_result ? Error(ResultCode::kNoLeader,
                                      "controller is not the leader")
                              : call_result.error();
@@ -131,13 +182,21 @@
     if (!retry_same) {
       ChooseNextController(index, status);
     }
+    const auto step = next_step(failed);
+    if (step == RetryStep::kGiveUp) {
+      return tl::unexpected(last_error);
+    }
+    if (step == RetryStep::kRetryOther && retry_same) {
+      ChooseNextController(index, status);
+    }
     const bool leader_named = !status.leader.empty();
     // During an election, controllers may name each other as leader. Retrying
     // at once each time would be a busy loop.
-    if ((!leader_named && !retry_same) || attempt >= kAttemptsBeforePause) {
+    if (step == RetryStep::kPause &&
+        ((!leader_named && !retry_same) || attempt >= kAttemptsBeforePause)) {
       const auto pause = std::min(
           kMaxRetryPause, kRetryPause * static_cast<int>(1 + attempt / 2));
-      std::this_thread::sleep_for(std::min(remaining, pause));
+      Pause(std::min(remaining, pause));
     }
   }
 }
--- a/tests/wire/wire_test.cc
+++ b/tests/wire/wire_test.cc
@@ -292,4 +292,67 @@
   cr_expect_lt(calls.load(), kCallers * kMaxCallsPerCaller);
 }
 
+// Guards against calls that go on to pause after the leader was found, and
+// against attempts that nobody hears of.
+Test(leader_client, ends_pauses_when_another_call_is_served) {
+  constexpr std::size_t kLongPauseAttempt = 12;
+  constexpr std::chrono::milliseconds kMaxPause{200};
+  auto server = StartServer();
+  cr_assert_not_null(server.get());
+  LeaderClient leader_client({server->address}, "e1", "secret");
+  std::atomic<int> failed = 0;
+  std::atomic<int> served = 0;
+  leader_client.ObserveAttempts(
+      [&](const LeaderAttemptReport& it) { ++(it.served ? served : failed); });
+  std::atomic<bool> leads = false;
+  std::promise<std::chrono::steady_clock::time_point> pausing;
+  std::chrono::steady_clock::time_point served_at;
+  const auto call = [&](auto& client, const std::string&) {
+    ClusterReply reply;
+    client.GetCluster(reply);
+    return CallStatus{leads ? 0 : static_cast<int>(ResultCode::kNotLeader), ""};
+  };
+  std::thread caller([&] {
+    (void)leader_client.RunAt(
+        kTimeout * 10, kTimeout, call, [&](const LeaderAttemptReport& it) {
+          if (it.number == kLongPauseAttempt) {
+            leads = true;
+            pausing.set_value(std::chrono::steady_clock::now());
+          }
+          return RetryStep::kPause;
+        });
+    served_at = std::chrono::steady_clock::now();
+  });
+  const auto pause_begin = pausing.get_future().get();
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  cr_expect(leader_client
+                .RunAt(kTimeout, kTimeout, call,
+                       [](const auto&) { return RetryStep::kGiveUp; })
+                .has_value());
+  caller.join();
+  cr_expect(served_at - pause_begin < kMaxPause * 3 / 4);
+  cr_expect_eq(served, 2);
+  cr_expect_eq(failed, static_cast<int>(kLongPauseAttempt) + 1);
+}
+
+// Guards against attempts that go on although the caller has given up.
+Test(leader_client, gives_up_when_told) {
+  auto server = StartServer();
+  cr_assert_not_null(server.get());
+  LeaderClient leader_client({server->address}, "e1", "secret");
+  int calls = 0;
+  const auto result = leader_client.RunAt(
+      kTimeout, kTimeout,
+      [&](auto& /*client*/, const std::string& /*controller*/) {
+        ++calls;
+        return CallStatus{static_cast<int>(ResultCode::kNotLeader), ""};
+      },
+      [](const LeaderAttemptReport& it) {
+        return it.number == 1 ? RetryStep::kGiveUp : RetryStep::kRetryNow;
+      });
+  cr_assert_not(result.has_value());
+  cr_expect(result.error().code() == ResultCode::kNoLeader);
+  cr_expect_eq(calls, 2);
+}
+
 }  // namespace cranberryshunt::wire
