policy: Record samples, waits and the use of questions in the fleet replay

Cause: the replay gave means over a whole run only, so it didn't show what keeps a cell overloaded after a disturbance. Its admission took the wait for advice as zero while any advice caller was idle and else as an equal share of all questions, which is kinder than the product.

Change: the replay computes that wait as AdviceDispatcher::ExpectedWaitMs() does, allows a share of the workers for each kind, and records samples of the fleet, the waits by the time of acceptance, and the time of the advice callers by the use of the answers.

--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -13,7 +13,6 @@
 // Workers in the question that an objective counts for each step.
 constexpr double kTypicalWorkersPerQuestion = 30;
 constexpr std::int32_t kMaxAttempts = 5;
-constexpr std::int64_t kMeasureEveryMs = 100;
 constexpr double kLateWorthShare = 0.2;
 // A job that ends later than this many times its objective earns nothing.
 constexpr std::int64_t kLateLimit = 3;
@@ -40,6 +39,7 @@
     : options_(std::move(options)),
       kinds_(std::move(kinds)),
       random_(options_.seed),
+      planner_(options_.planner),
       idle_callers_(options_.callers) {
   for (std::int64_t n = 1; n <= options_.workers; ++n) {
     PlanWorker worker;
@@ -74,6 +74,7 @@
     advice.needed = step.advice.needed;
     advice.base_ms = step.advice.base_ms;
     advice.per_worker_ms = step.advice.per_worker_ms;
+    advice.ticket_valid_ms = step.advice.ticket_valid_ms;
     step.advice = std::move(advice);
     step.changed = true;
   }
@@ -104,7 +105,8 @@
     outcomes_[job.kind->name].unfinished += Counts(job) ? 1 : 0;
     CountUnserved(job);
   }
-  const auto samples = static_cast<double>(std::max<std::int64_t>(1, samples_));
+  const auto samples =
+      static_cast<double>(std::max<std::int64_t>(1, sample_count_));
   used_share_ /= samples;
   held_share_ /= samples;
   busy_callers_ /= samples;
@@ -164,22 +166,43 @@
 LoadSummary FleetReplay::Load(const ReplayKind& kind,
                               std::int64_t slack_ms) const {
   auto load = planner_.SummarizeLoad(now_ms_);
-  // Questions of urgent steps go first.
-  double ahead_ms = 0;
-  for (const auto& it : queued_) {
-    const auto step = planner_.steps().find(it.step);
-    const bool before =
-        step != planner_.steps().end() &&
-        (step->second.priority == 0 ||
-         (kind.priority > 0 &&
-          step->second.objective_ms - step->second.remaining_ms <=
-              now_ms_ + slack_ms));
-    ahead_ms += before ? static_cast<double>(it.expected_ms) : 0;
-  }
-  load.advice_wait_ms = idle_callers_ > 0 ? 0 : ahead_ms / options_.callers;
+  load.advice_wait_ms = AdviceWaitMs(kind.priority, now_ms_ + slack_ms);
   return load;
 }
 
+std::tuple<Lateness, bool, std::int64_t> FleetReplay::RankOf(
+    const PlannedQuestion& question) const {
+  const auto step = planner_.steps().find(question.step);
+  if (step == planner_.steps().end()) {
+    return {Lateness::kTooLate, true, 0};
+  }
+  return {LatenessOf(step->second, now_ms_), step->second.priority > 0,
+          LatestStartMs(step->second)};
+}
+
+// As AdviceDispatcher::ExpectedWaitMs().
+double FleetReplay::AdviceWaitMs(std::int32_t priority,
+                                 std::int64_t latest_start_ms) const {
+  std::multiset<std::int64_t> free_in_ms;
+  for (const auto it : busy_until_ms_) {
+    free_in_ms.insert(std::max<std::int64_t>(0, it - now_ms_));
+  }
+  while (free_in_ms.size() < static_cast<std::size_t>(options_.callers)) {
+    free_in_ms.insert(0);
+  }
+  const std::tuple order(
+      now_ms_ <= latest_start_ms ? Lateness::kOnTime : Lateness::kLate,
+      priority > 0, latest_start_ms);
+  for (const auto& it : queued_) {
+    if (RankOf(it) <= order) {
+      const auto begin = *free_in_ms.begin();
+      free_in_ms.erase(free_in_ms.begin());
+      free_in_ms.insert(begin + it.expected_ms);
+    }
+  }
+  return static_cast<double>(*free_in_ms.begin());
+}
+
 void FleetReplay::Submit(std::int64_t id) {
   if (InOutage()) {
     At(options_.outage_begin_ms + options_.outage_ms,
@@ -244,6 +267,7 @@
   step.advice.needed = kind.advice_base_ms > 0;
   step.advice.base_ms = kind.advice_base_ms;
   step.advice.per_worker_ms = kind.advice_per_worker_ms;
+  step.advice.ticket_valid_ms = options_.ticket_valid_ms;
   jobs_by_step_[step.id] = job.id;
   planner_.AddStep(std::move(step));
   plan_due_ = true;
@@ -270,11 +294,16 @@
   const auto begins_ms = now_ms_ + options_.commit_ms + options_.transit_ms;
   if (job.first_start_ms < 0) {
     job.first_start_ms = begins_ms;
+    waits_[kind.name].emplace(job.accepted_ms, begins_ms - job.accepted_ms);
     if (Counts(job)) {
       outcomes_[kind.name].first_start_ms.push_back(begins_ms -
                                                     job.accepted_ms);
     }
   }
+  for (auto& it : open_answers_[start.step]) {
+    it.used = it.used || std::find(it.workers.begin(), it.workers.end(),
+                                   start.worker) != it.workers.end();
+  }
   auto& worker = planner_.workers().at(start.worker);
   worker.milli_cpus_per_ms += ReleaseRate(kind);
   planner_.MarkWorkerChanged(start.worker);
@@ -317,6 +346,8 @@
     RepeatGang(job, *step);
     return;
   }
+  CloseAnswers(id, true);
+  open_answers_.erase(id);
   planner_.RemoveStep(id);
   jobs_by_step_.erase(id);
   if (++job.current < job.steps.size()) {
@@ -390,17 +421,9 @@
   if (queued_.empty() || idle_callers_ == 0) {
     return;
   }
-  const auto key = [&](const PlannedQuestion& it) {
-    const auto step = planner_.steps().find(it.step);
-    if (step == planner_.steps().end()) {
-      return std::tuple(Lateness::kTooLate, true, std::int64_t{0});
-    }
-    return std::tuple(LatenessOf(step->second, now_ms_),
-                      step->second.priority > 0, LatestStartMs(step->second));
-  };
   std::stable_sort(
       queued_.begin(), queued_.end(),
-      [&](const auto& a, const auto& b) { return key(a) < key(b); });
+      [&](const auto& a, const auto& b) { return RankOf(a) < RankOf(b); });
   while (!queued_.empty() && idle_callers_ > 0) {
     auto question = std::move(queued_.front());
     queued_.pop_front();
@@ -408,17 +431,36 @@
       continue;
     }
     --idle_callers_;
+    const auto busy_until =
+        busy_until_ms_.insert(now_ms_ + question.expected_ms);
+    const bool was_late = LatenessOf(*planner_.FindStep(question.step),
+                                     now_ms_) != Lateness::kOnTime;
     At(now_ms_ + question.expected_ms + options_.caller_overhead_ms,
-       [this, question, term = term_] {
+       [this, question, busy_until, was_late, term = term_] {
          ++idle_callers_;
+         busy_until_ms_.erase(busy_until);
          if (term == term_) {
-           Answer(question);
+           Answer(question, was_late);
          }
        });
   }
 }
 
-void FleetReplay::Answer(const PlannedQuestion& question) {
+void FleetReplay::CloseAnswers(StepId step, bool all) {
+  auto& answers = open_answers_[step];
+  std::erase_if(answers, [&](const auto& it) {
+    if (!all && now_ms_ <= it.valid_until_ms) {
+      return false;
+    }
+    const auto job = jobs_.find(jobs_by_step_[step]);
+    if (!it.used && job != jobs_.end()) {
+      question_use_[job->second.kind->name].unused_ms += it.busy_ms;
+    }
+    return true;
+  });
+}
+
+void FleetReplay::Answer(const PlannedQuestion& question, bool was_late) {
   plan_due_ = true;
   auto* step = planner_.FindStep(question.step);
   if (step == nullptr) {
@@ -426,9 +468,22 @@
   }
   const auto valid_until_ms =
       now_ms_ - 2 * kQuestionTransitMs + options_.ticket_valid_ms;
+  const auto& kind = *jobs_.at(jobs_by_step_.at(question.step)).kind;
+  const auto share =
+      kind.allowed_share > 0 ? kind.allowed_share : options_.allowed_share;
+  const auto busy_ms =
+      static_cast<double>(question.expected_ms + options_.caller_overhead_ms);
+  auto& use = question_use_[kind.name];
+  ++use.count;
+  use.busy_ms += busy_ms;
+  use.late_ms += was_late ? busy_ms : 0;
+  use.renewal_ms += question.renewal ? busy_ms : 0;
+  CloseAnswers(question.step, false);
+  open_answers_[question.step].push_back(
+      {question.workers, busy_ms, valid_until_ms, false});
   std::map<std::int64_t, Ticket> tickets;
   for (const auto it : question.workers) {
-    if (AllowedByHash(question.step, it, options_.allowed_share)) {
+    if (AllowedByHash(question.step, it, share)) {
       tickets[it] = {"t", valid_until_ms};
     }
   }
@@ -452,9 +507,6 @@
     return;
   }
   At(now_ms_ + kMeasureEveryMs, [this] { Measure(); });
-  if (now_ms_ < kWarmUpMs) {
-    return;
-  }
   double capacity = 0;
   double used = 0;
   double held = 0;
@@ -464,12 +516,28 @@
     held += static_cast<double>(
         std::min(worker.held.milli_cpus, worker.FreeCapacity().milli_cpus));
   }
+  ReplaySample sample;
+  sample.at_ms = now_ms_;
   double waiting = 0;
   for (const auto& [id, step] : planner_.steps()) {
+    if (!step.waiting.empty()) {
+      const auto lateness = LatenessOf(step, now_ms_);
+      sample.late_steps += lateness != Lateness::kOnTime ? 1 : 0;
+      sample.useless_steps += lateness == Lateness::kTooLate ? 1 : 0;
+    }
+    sample.waiting_tasks += static_cast<std::int64_t>(step.waiting.size());
     waiting += static_cast<double>(step.waiting.size()) *
                static_cast<double>(step.demand.milli_cpus);
   }
-  ++samples_;
+  sample.queued_questions = static_cast<std::int64_t>(queued_.size());
+  sample.busy_callers = options_.callers - idle_callers_;
+  sample.used_share = used / capacity;
+  sample.held_share = held / capacity;
+  samples_.push_back(sample);
+  if (now_ms_ < kWarmUpMs) {
+    return;
+  }
+  ++sample_count_;
   used_share_ += used / capacity;
   held_share_ += held / capacity;
   busy_callers_ += options_.callers - idle_callers_;
--- a/tests/policy/fleet_replay.h
+++ b/tests/policy/fleet_replay.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "cranberryshunt/policy/graph_admission.h"
@@ -32,6 +34,8 @@
   std::int64_t latency_target_ms = 0;
   double advice_base_ms = 0;
   double advice_per_worker_ms = 0;
+  // Share of the workers that the advice service allows; 0: that of the fleet.
+  double allowed_share = 0;
   // Worth of a job of average size that ends in time. A late one has a fifth.
   double worth = 1;
 };
@@ -65,6 +69,30 @@
   double gang_failure_share = 0;
   // Only jobs that are sent from this time on count in the outcomes.
   std::int64_t count_from_ms = 0;
+  PlannerOptions planner;
+};
+
+// State of the fleet at one moment.
+struct ReplaySample {
+  std::int64_t at_ms = 0;
+  std::int64_t queued_questions = 0;
+  std::int64_t busy_callers = 0;
+  double used_share = 0;  // Of the fleet's processors.
+  double held_share = 0;
+  std::int64_t waiting_tasks = 0;
+  std::int64_t late_steps = 0;     // With waiting tasks.
+  std::int64_t useless_steps = 0;  // Too late to be of use.
+};
+
+// Time that the callers spend on questions, by the use of the answers.
+struct QuestionUse {
+  double busy_ms = 0;
+  // Of `busy_ms`: questions of steps that were late when they were taken.
+  double late_ms = 0;
+  double renewal_ms = 0;
+  // Of `busy_ms`: no ticket of the answer was used while it was valid.
+  double unused_ms = 0;
+  std::int64_t count = 0;
 };
 
 struct ReplayOutcome {
@@ -109,8 +137,21 @@
   }
   std::int64_t questions() const { return questions_; }
   double busy_callers() const { return busy_callers_; }
+  // One sample for each `kMeasureEveryMs` of the traffic.
+  const std::vector<ReplaySample>& samples() const { return samples_; }
+  // By kind, of questions that are answered in the traffic.
+  const std::map<std::string, QuestionUse>& question_use() const {
+    return question_use_;
+  }
+  // Waits of a kind's jobs from their acceptance to the start of their first
+  // task, by the time of the acceptance.
+  const std::multimap<std::int64_t, std::int64_t>& waits(
+      const std::string& kind) {
+    return waits_[kind];
+  }
 
   static constexpr std::int64_t kWarmUpMs = 5'000;
+  static constexpr std::int64_t kMeasureEveryMs = 100;
 
  private:
   struct Step {
@@ -144,7 +185,12 @@
   void StartTask(const PlannedStart& start);
   void EndTask(StepId step, std::int64_t worker, std::int64_t expected_end_ms);
   void AssignQuestions();
-  void Answer(const PlannedQuestion& question);
+  void Answer(const PlannedQuestion& question, bool was_late);
+  // Expected time until a caller takes a question of a step with this rank.
+  double AdviceWaitMs(std::int32_t priority,
+                      std::int64_t latest_start_ms) const;
+  std::tuple<Lateness, bool, std::int64_t> RankOf(
+      const PlannedQuestion& question) const;
   // Decides whether the run of a gang that begins now will fail.
   void BeginGangRun(Job& job) const;
   // Lets all tasks of a failed gang wait once more.
@@ -169,6 +215,8 @@
   std::int64_t next_id_ = 1;
   std::deque<PlannedQuestion> queued_;
   std::int32_t idle_callers_ = 0;
+  // When each busy caller is expected to be free, without its overhead.
+  std::multiset<std::int64_t> busy_until_ms_;
   std::int64_t term_ = 1;
   bool plan_due_ = false;
   std::int64_t planned_ms_ = 0;
@@ -178,8 +226,21 @@
   double held_share_ = 0;
   double used_share_while_work_waits_ = 0;
   double busy_callers_ = 0;
-  std::int64_t samples_ = 0;
+  std::int64_t sample_count_ = 0;
   std::int64_t waiting_samples_ = 0;
+  std::vector<ReplaySample> samples_;
+  std::map<std::string, QuestionUse> question_use_;
+  std::map<std::string, std::multimap<std::int64_t, std::int64_t>> waits_;
+  // Answers whose tickets are still valid, by step: the workers, until when,
+  // and the time of the caller if none is used.
+  struct OpenAnswer {
+    std::vector<std::int64_t> workers;
+    double busy_ms = 0;
+    std::int64_t valid_until_ms = 0;
+    bool used = false;
+  };
+  std::map<StepId, std::vector<OpenAnswer>> open_answers_;
+  void CloseAnswers(StepId step, bool all);
 };
 
 }  // namespace cranberryshunt::policy
