policy: Spread questions over the workers that other steps leave

Cause: steps ask about the workers that are free now, so all steps that ask within the time of an answer ask about the same ones.

Change: each waiting step is expected to use the workers that it may use or has asked about, evenly. Questions are about the workers with the most capacity left beyond that.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -390,6 +390,9 @@
     std::int64_t number = 0;
     PlanWorker* worker = nullptr;
     WorkerTotals part;
+    // What steps that wait are expected to use of the worker: each waiting step
+    // spreads its demand over the workers that it may use or has asked about.
+    double expected_milli_cpus = 0;
   };
 
   // What decides, apart from time and free capacity, for which steps a worker
@@ -411,6 +414,12 @@
   bool IndexChangedWorkers();
   void IndexAllWorkers();
   IndexedWorker* FindIndexed(std::int64_t number);
+  // advice_budget.cc
+  // Sets `expected_milli_cpus` of all workers.
+  void UpdateExpectedUse();
+  // Adds the demand of the step to the workers that it now asks about.
+  void AddExpectedUse(const PlanStep& step,
+                      const std::vector<std::int64_t>& workers);
   PlanWorker* FindWorker(std::int64_t number);
   // Whether advice allows any of the changed workers for the step, and that
   // worker has free capacity for a task of it.
--- a/libraries/policy/src/advice_questions.cc
+++ b/libraries/policy/src/advice_questions.cc
@@ -147,7 +147,8 @@
 }
 
 // Asks about eligible workers that the service has not been asked about yet,
-// those with the most free capacity first. A gang asks several questions side
+// those first that have the most free capacity beyond what other waiting steps
+// are expected to use. A gang asks several questions side
 // by side while callers are idle, because its tickets must be valid together.
 void GraphPlanner::AskAboutNewWorkers(PlanStep& step, Round& round) {
   const auto& asked_workers = step.advice.asked_workers;
@@ -175,9 +176,14 @@
         IsEligible(step, worker) &&
         (scope == QuestionScope::kAll ||
          step.demand.FitsIn(worker.AvailableCapacity()))) {
-      candidates.emplace_back(step.gang ? -ExpectedFreeCpus(worker, usable_ms)
-                                        : -LeftoverShare(worker, step.demand),
-                              it.number);
+      const auto capacity = static_cast<double>(
+          std::max<std::int64_t>(1, worker.capacity.milli_cpus));
+      candidates.emplace_back(
+          step.gang
+              ? it.expected_milli_cpus - ExpectedFreeCpus(worker, usable_ms)
+              : it.expected_milli_cpus / capacity -
+                    LeftoverShare(worker, step.demand),
+          it.number);
     }
   }
   if (candidates.empty()) {
@@ -195,6 +201,7 @@
   for (std::size_t i = 0; i < asked; ++i) {
     numbers.push_back(candidates[i].second);
   }
+  AddExpectedUse(step, numbers);
   PlanQuestion(step, std::move(numbers), false, round);
 }
 
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -487,6 +487,7 @@
     all_workers_.push_back({number, &worker, PartOf(worker)});
     worker_totals_ += all_workers_.back().part;
   }
+  UpdateExpectedUse();
 }
 
 void GraphPlanner::UpdateServices() {
