policy: Wait for a near place while that ends a task sooner

Tasks that prefer a rack took a far place at once, although they run there for farX times as long and a near place is often free sooner than that costs. A task or a gang now waits for a near place while its expected finish there is earlier, within the slack of its job. The far room that it leaves goes to other steps in the same round. Off while the factor is 1.

--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -145,9 +145,15 @@
   std::string required_label;
   std::string data_rack;  // Preferred rack of single tasks. Empty: none.
   std::int32_t max_per_worker = 0;  // Running tasks. 0: no limit.
+  // On a near place: on `data_rack`, or for a gang with `same_rack`, on one
+  // rack.
   std::int64_t expected_run_ms = 0;
+  // How many times as long the tasks run on a far place. 0: as the options say.
+  double far_run_factor = 0;
   bool long_running = false;  // Tasks run until they are stopped.
   std::int64_t accepted_ms = 0;
+  // Since when all steps before this one are done. 0: there are none.
+  std::int64_t ready_ms = 0;
   // The job is late if it ends after this time.
   std::int64_t objective_ms = 0;
   // Expected time from the start of this step to the end of the job.
@@ -185,6 +191,12 @@
   // Set by the planner: whether the held capacity is free, so that only tickets
   // are missing.
   bool held_room_free = false;
+  // Set by the planner: how many waiting tasks wait for a near place, or the
+  // rack that a gang waits for, and since when they have left far room for it;
+  // 0 if they have left none.
+  std::size_t near_waiting = 0;
+  std::string near_rack;
+  std::int64_t near_wait_since_ms = 0;
   // Set by the planner: when it last looked for workers for the step; 0: never.
   std::int64_t planned_ms = 0;
 };
@@ -230,10 +242,21 @@
   bool operator==(const GangSummary&) const = default;
 };
 
+// Where a task is placed in relation to the rack that its step prefers.
+enum class Place {
+  kAny,  // The step prefers none.
+  kNear,
+  kFar,
+};
+
 struct PlannedStart {
   StepId step = 0;
   std::int32_t index = 0;
   std::int64_t worker = 0;
+  Place place = Place::kAny;
+  std::int64_t expected_run_ms = 0;  // On this place.
+  // How long the step has left far room for a near place; 0: not at all.
+  std::int64_t near_wait_ms = 0;
 
   bool operator==(const PlannedStart&) const = default;
 };
@@ -321,6 +344,9 @@
   // to wait.
   std::int64_t max_suspect_hold_ms = 2'000;
   std::int64_t max_empty_wait_ms = 2'500;
+  // How many times as long tasks run on a far place as on a near one. If it is
+  // not above 1, no task waits for a near place.
+  double far_run_factor = 1;
   // Period of full rounds, which plan all steps. Tickets, holds and quarantines
   // expire without an event.
   std::int64_t full_round_ms = 50;
@@ -453,7 +479,42 @@
   void PlaceGang(PlanStep& step, const Candidates& workers, Round& round);
   void AssembleGang(PlanStep& step, const Candidates& workers, Round& round);
   void HoldCapacity(const PlanStep& step, Round& round);
-  void Start(PlanStep& step, PlanWorker& worker, Round& round);
+  // `spread`: whether the members of a gang are placed on several racks.
+  void Start(PlanStep& step,
+             PlanWorker& worker,
+             Round& round,
+             bool spread = false);
+  // near_wait.cc
+  // Returns how many times as long tasks of the step run on a far place.
+  double FarRunFactor(const PlanStep& step) const;
+  bool MayWaitForNearPlace(const PlanStep& step) const;
+  PlannedStart DescribeStart(const PlanStep& step,
+                             const PlanWorker& worker,
+                             const Round& round,
+                             bool spread) const;
+  // Returns the times at which the worker is expected to have room and a ticket
+  // for one, two and more tasks of the step.
+  std::vector<std::int64_t> NearOpenings(const PlanStep& step,
+                                         const PlanWorker& worker,
+                                         const Round& round) const;
+  // Returns the number of tasks that wait for the rack before the step, counted
+  // in tasks of its size.
+  static std::size_t CountTasksAhead(const PlanStep& step,
+                                     const std::string& rack,
+                                     const Round& round);
+  // Returns how many of the waiting tasks had better wait for a near place than
+  // start on a far one now, and renews the tickets that these lack.
+  std::size_t PlanNearWait(PlanStep& step, Round& round);
+  // Sets the rack for which a gang had better wait; empty if there is none.
+  void ChooseNearRack(PlanStep& step,
+                      const Candidates& workers,
+                      const Round& round);
+  // Whether a gang that could start on several racks waits for one rack.
+  static bool WaitsForNearRack(PlanStep& step, const Round& round);
+  // Whether a gang had better start on several racks than wait for the rack.
+  bool IsRackTooSlow(const PlanStep& step, const std::string& rack) const;
+  static void EndNearWait(PlanStep& step);
+  static void CountNearWait(const PlanStep& step, Round& round);
   // advice_questions.cc
   // Returns which of these workers to ask about so that the step has valid
   // tickets for all of them when the answer comes. Empty if it has them now.
--- a/libraries/policy/src/advice_questions.cc
+++ b/libraries/policy/src/advice_questions.cc
@@ -178,6 +178,10 @@
       candidates.emplace_back(step.gang ? -ExpectedFreeCpus(worker, usable_ms)
                                         : -LeftoverShare(worker, step.demand),
                               it.number);
+      // The workers near a step's data come first, however full they are.
+      if (MayWaitForNearPlace(step) && worker.rack == step.data_rack) {
+        candidates.back().first -= 1;
+      }
     }
   }
   if (candidates.empty()) {
--- a/libraries/policy/src/gang_placement.cc
+++ b/libraries/policy/src/gang_placement.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 #include <utility>
 
+#include "expected_room.h"
 #include "plan_round.h"
 
 namespace cranberryshunt::policy {
@@ -26,40 +27,6 @@
          std::tuple(b.ready_ms, b.needs_ticket, b.room_ms, b.worker->number);
 }
 
-// Expected end of a task. A task that is overdue is expected to run on for as
-// long as it is already overdue.
-std::int64_t EndOf(const ExpectedEnd& end, std::int64_t now_ms) {
-  return end.at_ms >= now_ms ? end.at_ms : now_ms + (now_ms - end.at_ms);
-}
-
-// Returns the times at which the worker is expected to have room for one, two
-// and more tasks of size `task`, up to `limit`: now, or when other tasks on it
-// have ended.
-std::vector<std::int64_t> ExpectedRoom(const PlanWorker& worker,
-                                       const Demand& task,
-                                       std::int64_t limit,
-                                       std::int64_t now_ms) {
-  std::vector<std::int64_t> out;
-  Demand free = worker.FreeCapacity();
-  const auto add = [&](std::int64_t at_ms) {
-    const auto fit = static_cast<std::size_t>(FitCount(task, free, limit));
-    if (fit > out.size()) {
-      out.resize(fit, at_ms);
-    }
-  };
-  add(now_ms);
-  std::int64_t at_ms = now_ms;
-  for (const auto& it : worker.ends) {
-    if (static_cast<std::int64_t>(out.size()) >= limit) {
-      break;
-    }
-    free += it.demand;
-    at_ms = std::max(at_ms, EndOf(it, now_ms));
-    add(at_ms);
-  }
-  return out;
-}
-
 void AddHeld(std::vector<HeldCapacity>& held,
              std::int64_t worker,
              const Demand& demand) {
@@ -96,6 +63,7 @@
     }
   }
   racks.emplace_back();
+  ChooseNearRack(step, workers, round);
   for (const auto& rack : racks) {
     Candidates fitting;
     std::int64_t fit = 0;
@@ -118,6 +86,9 @@
       }
     }
     if (ticketed >= count) {
+      if (rack.empty() && WaitsForNearRack(step, round)) {
+        return;
+      }
       // Workers with the least capacity left over come first, so that the gang
       // uses few workers.
       const auto key = [&](const auto* it) {
@@ -129,13 +100,16 @@
       for (auto* it : fitting) {
         while (!step.waiting.empty() && step.demand.FitsIn(usable[it]) &&
                PerWorkerLimit(step, *it) > 0) {
-          Start(step, *it, round);
+          Start(step, *it, round, rack.empty());
           usable[it] -= step.demand;
         }
       }
       return;
     }
     if (fit >= count) {
+      if (IsRackTooSlow(step, rack)) {
+        continue;
+      }
       PlanRenewal(step, MissingTickets(step, with_room, round.now_ms), round);
       break;
     }
@@ -179,12 +153,14 @@
   std::vector<Opening> openings;
   for (auto* it : workers) {
     // Skips workers with capacity held for a gang that precedes this one.
-    if (it->held != Demand()) {
+    if (it->held != Demand() ||
+        (!step.near_rack.empty() && it->rack != step.near_rack)) {
       continue;
     }
     const auto limit =
         std::min(static_cast<std::int64_t>(count), PerWorkerLimit(step, *it));
-    for (const auto room_ms : ExpectedRoom(*it, step.demand, limit, now_ms)) {
+    for (const auto room_ms :
+         ExpectedRoom(*it, it->FreeCapacity(), step.demand, limit, now_ms)) {
       Opening opening{room_ms, room_ms, false, it};
       if (!advice.HasTicket(it->number, room_ms + options_.ticket_margin_ms)) {
         const bool renewing =
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -545,6 +546,7 @@
   }
   for (auto* step : StepsByUrgency(now_ms)) {
     PlaceStep(*step, round);
+    CountNearWait(*step, round);
   }
   changed_workers_.clear();
   return std::move(round.plan);
@@ -587,7 +589,8 @@
     }
     HoldCapacity(step, round);
     round.gang_waits =
-        round.gang_waits || (step.gang && !IsLate(step, round.now_ms));
+        round.gang_waits || (step.gang && step.near_wait_since_ms == 0 &&
+                             !IsLate(step, round.now_ms));
     return;
   }
   const bool late = IsLate(step, round.now_ms);
@@ -615,7 +618,9 @@
       step.held_since_ms = round.now_ms;
     }
     HoldCapacity(step, round);
-    round.gang_waits = round.gang_waits || (!late && !step.waiting.empty());
+    // A gang that leaves far room keeps no late step from using it.
+    round.gang_waits = round.gang_waits || (!late && !step.waiting.empty() &&
+                                            step.near_wait_since_ms == 0);
   } else {
     const auto held_back = PlaceSuspects(step, round.now_ms, round);
     PlaceSingles(step, AllowedWorkers(step, !plan_fully, round.now_ms), round);
@@ -637,18 +642,23 @@
   }
 }
 
-void GraphPlanner::Start(PlanStep& step, PlanWorker& worker, Round& round) {
+void GraphPlanner::Start(PlanStep& step,
+                         PlanWorker& worker,
+                         Round& round,
+                         bool spread) {
+  const auto start = DescribeStart(step, worker, round, spread);
   worker.used += step.demand;
   auto& indexed = *FindIndexed(worker.number);
   worker_totals_ -= indexed.part;
   indexed.part = PartOf(worker);
   worker_totals_ += indexed.part;
-  worker.AddEnd({round.now_ms + step.expected_run_ms, step.demand});
+  worker.AddEnd({round.now_ms + start.expected_run_ms, step.demand});
   ++step.running[worker.number];
-  round.plan.starts.push_back({step.id, step.waiting.back(), worker.number});
+  round.plan.starts.push_back(start);
   step.waiting.pop_back();
   if (step.waiting.empty()) {
     step.unserved_since_ms = 0;
+    EndNearWait(step);
   }
 }
 
@@ -656,7 +666,11 @@
                                 const Candidates& workers,
                                 Round& round) {
   const auto until = round.now_ms + options_.ticket_margin_ms;
+  if (IsLate(step, round.now_ms)) {
+    EndNearWait(step);
+  }
   std::vector<std::int64_t> without_ticket;
+  std::optional<std::size_t> near_waiting;
   while (!step.waiting.empty()) {
     PlanWorker* best = nullptr;
     std::tuple<bool, bool, bool, double> best_key;
@@ -683,6 +697,14 @@
     if (best == nullptr) {
       break;
     }
+    if (std::get<2>(best_key) && MayWaitForNearPlace(step)) {
+      if (!near_waiting) {
+        near_waiting = PlanNearWait(step, round);
+      }
+      if (step.waiting.size() <= *near_waiting) {
+        break;
+      }
+    }
     Start(step, *best, round);
   }
   if (!step.waiting.empty() && !without_ticket.empty()) {
--- a/libraries/policy/src/plan_round.h
+++ b/libraries/policy/src/plan_round.h
@@ -7,6 +7,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "cranberryshunt/policy/graph_planner.h"
 
@@ -23,6 +26,12 @@
   bool gang_waits = false;
   // Share of the usable capacity that tasks of late steps use.
   double late_share = 0;
+  // The tasks of the steps planned so far that wait for a near place, by rack.
+  struct NearTasks {
+    Demand demand;
+    std::size_t count = 0;
+  };
+  std::map<std::string, std::vector<NearTasks>> near_tasks;
   Plan plan;
 };
 
