--- a/libraries/policy/src/advice_questions.cc
+++ b/libraries/policy/src/advice_questions.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// More than two workers can differ in anything else.
+constexpr double kNearPreference = 1e6;
+
 // Processors that are expected to be free on the worker at `at_ms`, apart from
 // what is held for gangs.
 double ExpectedFreeCpus(const PlanWorker& worker, std::int64_t at_ms) {
@@ -184,6 +187,10 @@
               : it.expected_milli_cpus / capacity -
                     LeftoverShare(worker, step.demand),
           it.number);
+      // The workers near a step's data come first, however full they are.
+      if (MayWaitForNearPlace(step) && worker.rack == step.data_rack) {
+        candidates.back().first -= kNearPreference;
+      }
     }
   }
   if (candidates.empty()) {
--- a/libraries/policy/src/plan_round.h
+++ b/libraries/policy/src/plan_round.h
@@ -7,6 +7,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "cranberryshunt/policy/graph_planner.h"
 
@@ -27,6 +30,12 @@
   // may ask for advice.
   bool plan_fully = false;
   bool may_ask = true;
+  // The tasks of the steps planned so far that wait for a near place, by rack.
+  struct NearTasks {
+    Demand demand;
+    std::size_t count = 0;
+  };
+  std::map<std::string, std::vector<NearTasks>> near_tasks;
   Plan plan;
 };
 
