tests: Take keys away and flood a cell with unknown keys

Two tests with processes: a key that was taken away is not served after the acknowledgement, also when the former leader was frozen meanwhile and runs on; and callers with known keys are served while eight threads call with unknown ones, which get 401 and at most one log line a second of each process.

--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 #include <signal.h>
 
+#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <thread>
@@ -356,4 +358,118 @@
   ExpectNoViolations(cell);
 }
 
+// Guards against a key that is served after the acknowledgement of the
+// configuration that takes it away, also by a leader that was frozen meanwhile
+// and believes that it still leads.
+Test(platform_cell, stops_a_key_that_was_taken_away) {
+  PlatformCell cell({});
+  const std::vector<PlatformQueue> queues = {
+      {.name = "keyed"}, {.name = "open", .allow_anonymous = true}};
+  cr_assert(cell.Start(), "the entries did not become ready");
+  cr_assert_eq(cell.Publish(1, queues,
+                            {{{.name = "north", .keys = {"KEY-n1", "KEY-n2"}},
+                              {.name = "south", .keys = {"KEY-s1"}}}}),
+               200);
+  // The text around an error in the document would show a key.
+  cr_expect_eq(cell.CallController(0, "POST", "/Config.Put",
+                                   R"({"tenants":[{"apiKeys":["KEY-x1" 1]}]})")
+                   .status,
+               400);
+  // Two accounts with one key.
+  cr_expect_eq(cell.Publish(2, queues,
+                            {{{.name = "north", .keys = {"KEY-n1"}},
+                              {.name = "south", .keys = {"KEY-n1"}}}}),
+               400);
+  cell.SetCallerKey("KEY-n1");
+  SubmitAccepted(cell, "keyed", JobId(1), 1, 200);
+  const auto path = "/keyed/" + JobId(1);
+  const auto status = [&](int entry, const char* key) {
+    return cell.CallEntry(entry, "GET", path, {}, key).status;
+  };
+  cr_expect_eq(status(0, "KEY-n2"), 200);
+  cr_expect_eq(status(1, "KEY-s1"), 403);
+  cr_expect_eq(status(1, ""), 401);
+  cr_expect_eq(cell.CallEntry(0, "GET", "/open/", {}, "").status, 200);
+  cr_expect_eq(cell.CallEntry(0, "GET", "/open/", {}, "KEY-x1").status, 401);
+  cr_expect_eq(
+      cell.Publish(3, queues, {{{.name = "north", .keys = {"KEY-n2"}}}}), 200);
+  for (int entry = 0; entry < 2; ++entry) {
+    for (const char* method : {"GET", "DELETE"}) {
+      cr_expect_eq(cell.CallEntry(entry, method, path, {}, "KEY-n1").status,
+                   401);
+    }
+    cr_expect_eq(status(entry, "KEY-n2"), 200);
+  }
+  cr_expect_eq(cell.Submit("keyed", JobId(2), 1, 200, 2'000), 401);
+  const int leader = cell.FindLeader();
+  cr_assert_geq(leader, 0);
+  cell.controller(leader).Signal(SIGSTOP);
+  cr_expect_eq(
+      cell.Publish(4, queues, {{{.name = "north", .keys = {"KEY-n3"}}}}), 200);
+  cell.controller(leader).Signal(SIGCONT);
+  for (int n = 0; n < 40; ++n) {
+    const int answer = status(n % 2, "KEY-n2");
+    cr_expect(answer == 401 || answer == 503, "%d", answer);
+  }
+  cr_expect(WaitUntil(kBound, [&] { return status(0, "KEY-n3") == 200; }));
+  cr_expect_eq(status(0, "KEY-n2"), 401);
+  for (const auto& it : cell.LogLines("KEY-")) {
+    cr_expect_fail("%s", it.c_str());
+  }
+  ExpectNoViolations(cell);
+}
+
+// Guards against a flood of unknown keys that keeps callers with known ones
+// from being served, or fills the logs.
+Test(platform_cell, serves_known_keys_beside_many_unknown_ones) {
+  constexpr int kThreads = 8;
+  constexpr int kJobs = 20;
+  PlatformCell cell({});
+  cr_assert(cell.Start(), "the entries did not become ready");
+  cr_assert_eq(cell.Publish(1, {{.name = "keyed"}},
+                            {{{.name = "north", .keys = {"KEY-n1"}}}}),
+               200);
+  cell.SetCallerKey("KEY-n1");
+  SubmitAccepted(cell, "keyed", JobId(0), 1, 100);
+  std::atomic<bool> stopping = false;
+  std::atomic<int> refused = 0;
+  std::atomic<int> other_answers = 0;
+  std::vector<std::thread> flood;
+  const auto begin = std::chrono::steady_clock::now();
+  for (int thread = 0; thread < kThreads; ++thread) {
+    flood.emplace_back([&, thread] {
+      for (int n = 0; !stopping; ++n) {
+        const auto key = "KEY-x" + std::to_string(thread * 1'000'000 + n);
+        const bool submits = n % 2 == 0;
+        const auto answer = cell.CallEntry(
+            n % 2, submits ? "POST" : "GET", "/keyed/" + JobId(500 + n % 100),
+            submits ? R"({"steps":[{"count":1}]})" : "", key);
+        ++(answer.status == 401 ? refused : other_answers);
+      }
+    });
+  }
+  for (int n = 1; n <= kJobs; ++n) {
+    cr_expect_eq(cell.Submit("keyed", JobId(n), 1, 100, 500), 200);
+    cr_expect(cell.WaitForState("keyed", JobId(n), "completed", kBound));
+  }
+  stopping = true;
+  for (auto& it : flood) {
+    it.join();
+  }
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
+                           std::chrono::steady_clock::now() - begin)
+                           .count();
+  cr_expect_gt(refused, kJobs);
+  cr_expect_eq(other_answers, 0, "%d refused, %d others", refused.load(),
+               other_answers.load());
+  // One line a second of each of the two entries and of the leader.
+  const auto lines = cell.LogLines("calls refused").size();
+  cr_expect_gt(lines, 0);
+  cr_expect_leq(lines, 3 * static_cast<std::size_t>(seconds + 2));
+  cr_expect(cell.LogLines(" code=unauthorized").empty());
+  cr_expect(cell.LogLines("KEY-").empty());
+  cr_expect_eq(cell.fleet().ledger().starts(), kJobs + 1);
+  ExpectNoViolations(cell);
+}
+
 }  // namespace cranberryshunt::test
--- a/tests/support/platform/platform_cell.cc
+++ b/tests/support/platform/platform_cell.cc
@@ -206,8 +206,10 @@
   return client_->Call(std::move(call));
 }
 
-int PlatformCell::Publish(int version,
-                          const std::vector<PlatformQueue>& queues) {
+int PlatformCell::Publish(
+    int version,
+    const std::vector<PlatformQueue>& queues,
+    const std::optional<std::vector<PlatformAccount>>& accounts) {
   Json table(json_object());
   Set(table.get(), "version", static_cast<std::int64_t>(version));
   json_t* routes = json_array();
@@ -222,6 +224,9 @@
     Set(route, "priority", static_cast<std::int64_t>(it.priority));
     Set(route, "maxAttempts", std::int64_t{3});
     json_object_set_new(route, "stretch", json_real(it.stretch));
+    if (it.allow_anonymous) {
+      json_object_set_new(route, "allowAnonymous", json_true());
+    }
     if (it.advice) {
       json_object_set_new(
           route, "advice",
@@ -235,6 +240,20 @@
       table.get(), "services",
       json_pack("[{s:s,s:b}]", "name", options_.fleet.service.c_str(),
                 "enforcesCapacity", 0));
+  if (accounts) {
+    constexpr double kWeight = 1'000;
+    json_t* tenants = json_array();
+    for (const auto& it : *accounts) {
+      json_t* keys = json_array();
+      for (const auto& key : it.keys) {
+        json_array_append_new(keys, json_string(key.c_str()));
+      }
+      json_array_append_new(tenants,
+                            json_pack("{s:s,s:o,s:f}", "name", it.name.c_str(),
+                                      "apiKeys", keys, "weight", kWeight));
+    }
+    json_object_set_new(table.get(), "tenants", tenants);
+  }
   const auto body = DumpJson(table.get());
   int status = 0;
   WaitUntil(kWaitBound, [&] {
@@ -257,15 +276,20 @@
   return kHost;
 }
 
-http::HttpAnswer PlatformCell::CallEntry(int entry,
-                                         const std::string& method,
-                                         const std::string& path,
-                                         const std::string& body) {
+http::HttpAnswer PlatformCell::CallEntry(
+    int entry,
+    const std::string& method,
+    const std::string& path,
+    const std::string& body,
+    const std::optional<std::string>& key) {
   http::HttpCall call;
   call.method = method;
   call.url = "http://" + EntryAddress(entry) + path;
   call.headers = {std::string("Host: ") + kHost, "X-Deadline-Ms: 3000",
                   "Content-Type: application/json", "Expect:"};
+  if (const auto used = key.value_or(caller_key_); !used.empty()) {
+    call.headers.push_back("X-Api-Key: " + used);
+  }
   call.body = body;
   call.timeout = kCallTimeout;
   return client_->Call(std::move(call));
--- a/tests/support/platform/platform_cell.h
+++ b/tests/support/platform/platform_cell.h
@@ -4,6 +4,7 @@
 #define CRANBERRYSHUNT_TESTS_SUPPORT_PLATFORM_PLATFORM_CELL_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,13 @@
   bool advice = false;
   double advice_base_ms = 5;
   double advice_per_worker_ms = 0.1;
+  bool allow_anonymous = false;
+};
+
+// A client account of the published configuration, without a cap.
+struct PlatformAccount {
+  std::string name;
+  std::vector<std::string> keys;
 };
 
 class PlatformCell {
@@ -58,15 +66,20 @@
 
   // Publishes a configuration through any controller. Retries for up to 20 s
   // until the HTTP status is 200 or 400; returns the last status.
-  int Publish(int version, const std::vector<PlatformQueue>& queues);
+  int Publish(int version,
+              const std::vector<PlatformQueue>& queues,
+              const std::optional<std::vector<PlatformAccount>>& accounts = {});
   http::HttpAnswer CallController(int controller,
                                   const std::string& method,
                                   const std::string& path,
                                   const std::string& body);
+  // Sends `key`, or else that of SetCallerKey(), if it is not empty.
   http::HttpAnswer CallEntry(int entry,
                              const std::string& method,
                              const std::string& path,
-                             const std::string& body = {});
+                             const std::string& body = {},
+                             const std::optional<std::string>& key = {});
+  void SetCallerKey(const std::string& key) { caller_key_ = key; }
   // "ip:port" where callers reach an entry, and the HTTP host of all queues.
   static std::string EntryAddress(int n);
   // "ip:port" where workers and operators reach a controller.
@@ -97,6 +110,7 @@
   std::vector<int> DefaultSeeds() const;
 
   const PlatformCellOptions options_;
+  std::string caller_key_;
   TemporaryFolder folder_;
   std::unique_ptr<Fleet> fleet_;
   std::unique_ptr<http::HttpClient> client_;
