cell, platform: Pass the factor of far places to the planner

The factor comes from farX of the settings. Runs on far places count as the run time of a near one in the expected run times, and occupy their workers for the time of a far one, also for a new leader.

The line 'tasks are placed' tells how long a step has left far room for a near place and how many tasks got one; near_starts_total and far_starts_total count the starts. platform_test settings/* passes.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -22,6 +22,10 @@
 #include "cranberryshunt/consensus/replica.h"
 #include "cranberryshunt/graph/graph_store.h"
 
+namespace cranberryshunt::policy {
+class FarFactors;
+}  // namespace cranberryshunt::policy
+
 namespace cranberryshunt::cell {
 
 struct EngineOptions {
@@ -35,6 +39,9 @@
   std::chrono::milliseconds max_stop_time{400};
   // How long jobs are kept after their end.
   std::chrono::milliseconds job_retention{120'000};
+  // How many times as long tasks run on a rack that they don't prefer. If it is
+  // not above 1, tasks don't wait for the rack that they prefer.
+  double far_run_factor = 1;
   // Number of voters in a complete cell.
   std::int64_t cell_size = 5;
 };
@@ -139,6 +146,7 @@
   std::map<graph::WorkerNumber, std::int64_t> registered_ms_;
   // Learned on every member, so that a new leader knows them.
   std::unique_ptr<RunTimes> run_times_;
+  std::unique_ptr<policy::FarFactors> far_factors_;
   std::unique_ptr<RefusedRequests> refused_requests_;
   // Term of the last applied entry, and the time of the first batch of it. The
   // time of the batches stands still while there is no leader.
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -5,8 +5,10 @@
 #include <utility>
 
 #include "cranberryshunt/base/log.h"
+#include "cranberryshunt/policy/far_factor.h"
 #include "cranberryshunt/wire/codec.h"
 #include "leader.h"
+#include "place_of.h"
 #include "refused_requests.h"
 #include "run_times.h"
 
@@ -27,6 +29,8 @@
       environment_(environment),
       metrics_(metrics),
       run_times_(std::make_unique<RunTimes>()),
+      far_factors_(
+          std::make_unique<policy::FarFactors>(options_.far_run_factor)),
       refused_requests_(std::make_unique<RefusedRequests>()) {}
 
 Engine::~Engine() = default;
@@ -87,8 +91,15 @@
     // The members of a gang end together.
     const auto& step = job->step(key.step);
     if (!step.gang || gangs.insert(key.step_key()).second) {
-      run_times_->Record(store_.QueueOf(*job).name, step.estimate_ms,
-                         batch.at_ms - task->started_ms);
+      const auto& queue = store_.QueueOf(*job).name;
+      const auto run_ms = batch.at_ms - task->started_ms;
+      const auto place = PlaceOf(store_, *job, key);
+      far_factors_->Record(step.data_rack, place,
+                           run_times_->Expected(queue, step.estimate_ms),
+                           run_ms);
+      run_times_->Record(
+          queue, step.estimate_ms,
+          far_factors_->NearRunMs(step.data_rack, place, run_ms));
     }
   }
 }
@@ -110,9 +121,9 @@
   }
   role_ = change;
   if (leads && !leader_ && !stopped_) {
-    leader_ =
-        std::make_unique<Leader>(options_, change.term, store_, *run_times_,
-                                 registered_ms_, environment_, metrics_, now);
+    leader_ = std::make_unique<Leader>(
+        options_, change.term, store_, *run_times_, *far_factors_,
+        registered_ms_, environment_, metrics_, now);
     serving_term_ = change.term;
   }
 }
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -5,6 +5,7 @@
 
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/wire/codec.h"
+#include "place_of.h"
 
 namespace cranberryshunt::cell {
 
@@ -63,6 +64,7 @@
                std::int64_t term,
                const graph::GraphStore& store,
                const RunTimes& run_times,
+               const policy::FarFactors& far_factors,
                const RegistrationTimes& registered_ms,
                EngineEnvironment& environment,
                MetricsRegistry& metrics,
@@ -76,7 +78,8 @@
       first_cell_ms_(store.last_batch_ms()),
       first_now_ms_(now_ms_),
       run_times_(run_times),
-      step_tracker_(store, planner_, run_times_),
+      planner_({.far_run_factor = options.far_run_factor}),
+      step_tracker_(store, planner_, run_times_, far_factors),
       workers_(
           {.term = term,
            .max_lease_ms = options.max_worker_lease.count(),
@@ -90,10 +93,11 @@
                          term),
       members_(options.cell_size, options.id, now_ms_),
       run_check_(store) {
-  RebuildState(registered_ms);
+  RebuildState(registered_ms, far_factors);
 }
 
-void Leader::RebuildState(const RegistrationTimes& registered_ms) {
+void Leader::RebuildState(const RegistrationTimes& registered_ms,
+                          const policy::FarFactors& far_factors) {
   for (const auto& [number, worker] : store_.workers()) {
     const auto it = registered_ms.find(number);
     workers_.Register(number, worker, now_ms_,
@@ -113,9 +117,12 @@
           const graph::TaskKey key{id, k, n, i};
           const auto& task = job.task(key);
           if (task.run != 0) {
+            const auto run_ms = far_factors.RunMs(
+                step.data_rack, PlaceOf(store_, job, key),
+                run_times_.Expected(queue.name, step.estimate_ms));
             workers_.AddInheritedRun(
-                task.worker, key, task.run, DemandOf(step),
-                run_times_.Expected(queue.name, step.estimate_ms), now_ms_, out,
+                task.worker, key, task.run, DemandOf(step), run_ms, now_ms_,
+                out,
                 {.long_running = step.long_running,
                  .resumed = !CheckpointOf(job, key).empty()});
           }
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -39,6 +39,7 @@
          std::int64_t term,
          const graph::GraphStore& store,
          const RunTimes& run_times,
+         const policy::FarFactors& far_factors,
          const RegistrationTimes& registered_ms,
          EngineEnvironment& environment,
          MetricsRegistry& metrics,
@@ -70,7 +71,8 @@
   };
 
   // leader.cc
-  void RebuildState(const RegistrationTimes& registered_ms);
+  void RebuildState(const RegistrationTimes& registered_ms,
+                    const policy::FarFactors& far_factors);
   void SetNow(TimePoint now);
   void SyncWorkers();
   // Removes the numbers that the tracker has ended from every other place that
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -114,20 +114,42 @@
 // Logs one line per step, because a line per task would take much of the
 // leader's processor time in a large cell.
 void Leader::LogStarts(const std::vector<policy::PlannedStart>& starts) const {
+  struct NearWait {
+    std::int64_t waited_ms = 0;
+    std::int64_t near = 0;
+  };
   std::map<policy::StepId, std::string> placements;
+  std::map<policy::StepId, NearWait> near_waits;
   for (const auto& it : starts) {
+    if (it.near_wait_ms > 0) {
+      auto& wait = near_waits[it.step];
+      wait.waited_ms = it.near_wait_ms;
+      wait.near += it.place == policy::Place::kNear ? 1 : 0;
+    }
     auto& text = placements[it.step];
     text += (text.empty() ? "" : ",") + std::to_string(it.index) + "@" +
             workers_.Find(it.worker)->record.id;
   }
   for (const auto& [id, text] : placements) {
     const auto& step = planner_.steps().at(id);
-    Log(LogLevel::kInfo, "runs", "tasks are placed",
-        {{"step", graph::FormatStep(step_tracker_.KeyOf(id))},
-         {"tasks", text},
-         {"waiting", step.waiting.size()},
-         {"queued_ms", now_ms_ - step.accepted_ms},
-         {"slack_ms", policy::LatestStartMs(step) - now_ms_}});
+    const LogField name("step", graph::FormatStep(step_tracker_.KeyOf(id)));
+    const LogField tasks("tasks", text);
+    const LogField waiting("waiting", step.waiting.size());
+    const LogField queued("queued_ms", now_ms_ - step.accepted_ms);
+    const LogField slack("slack_ms", policy::LatestStartMs(step) - now_ms_);
+    if (const auto it = near_waits.find(id); it != near_waits.end()) {
+      Log(LogLevel::kInfo, "runs", "tasks are placed",
+          {name,
+           tasks,
+           waiting,
+           queued,
+           slack,
+           {"near_wait_ms", it->second.waited_ms},
+           {"near", it->second.near}});
+    } else {
+      Log(LogLevel::kInfo, "runs", "tasks are placed",
+          {name, tasks, waiting, queued, slack});
+    }
   }
 }
 
@@ -157,8 +179,13 @@
     ticket = step.advice.allowed.find(start.worker)->second;
   }
   ++metrics_.Counter("starts_total");
+  if (start.place != policy::Place::kAny) {
+    ++metrics_.Counter(start.place == policy::Place::kNear
+                           ? "near_starts_total"
+                           : "far_starts_total");
+  }
   planner_.FindStep(start.step)->waiting_since_ms = now_ms_;
-  workers_.Reserve(start.worker, task, run, step.demand, step.expected_run_ms,
+  workers_.Reserve(start.worker, task, run, step.demand, start.expected_run_ms,
                    job.step(task.step).long_running);
   step_tracker_.Reserve(task, start.worker);
   wire::RunStart record;
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -206,6 +206,9 @@
   // now.
   step.accepted_ms =
       job.EarliestStartMs(key.occurrence) > 0 ? now_ms : accepted->second;
+  // A new leader doesn't know when the steps before this one were done; for it,
+  // the step is ready from now on.
+  step.ready_ms = spec.depends_on.empty() ? 0 : now_ms;
   SetEstimates(job, key, step);
   step.advice.needed = queue.needs_advice;
   step.advice.base_ms = queue.advice.base_ms;
@@ -222,6 +225,7 @@
   const auto& queue = store_.QueueOf(job);
   step.expected_run_ms =
       run_times_.Expected(queue.name, job.step(key.step).estimate_ms);
+  step.far_run_factor = far_factors_.Expected(step.data_rack);
   // The objective follows the real run time, so a job that runs for less than
   // expected has less time to wait. A step counts as late once such a job would
   // be: if all waited until even odds, half of them would end late.
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cranberryshunt/graph/graph_store.h"
+#include "cranberryshunt/policy/far_factor.h"
 #include "cranberryshunt/policy/graph_planner.h"
 #include "run_times.h"
 
@@ -32,8 +33,12 @@
  public:
   StepTracker(const graph::GraphStore& store,
               policy::GraphPlanner& planner,
-              const RunTimes& times)
-      : store_(store), planner_(planner), run_times_(times) {}
+              const RunTimes& times,
+              const policy::FarFactors& far_factors)
+      : store_(store),
+        planner_(planner),
+        run_times_(times),
+        far_factors_(far_factors) {}
 
   // Sets the leader's time at which the job was accepted, less the time that
   // its caller had waited before.
@@ -93,6 +98,7 @@
   const graph::GraphStore& store_;
   policy::GraphPlanner& planner_;
   const RunTimes& run_times_;
+  const policy::FarFactors& far_factors_;
   std::map<graph::StepKey, policy::StepId> ids_;
   std::map<policy::StepId, graph::StepKey> keys_;
   std::map<graph::JobId, std::int64_t> accepted_ms_;
--- a/tests/cell/lost_review_test.cc
+++ b/tests/cell/lost_review_test.cc
@@ -62,7 +62,8 @@
   store.Apply(batch);
   policy::GraphPlanner planner;
   cell::RunTimes run_times;
-  cell::StepTracker tracker(store, planner, run_times);
+  const policy::FarFactors far_factors(1);
+  cell::StepTracker tracker(store, planner, run_times, far_factors);
   tracker.Refresh(kJob, 0, 0);
   for (std::int32_t n = 0; n < 2; ++n) {
     wire::GraphBatch ends;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -29,6 +29,7 @@
 gangTimeoutMs = 4000
 stopMs = 350
 maxHoldMs = 6000
+farX = 2.5
 graceS = 6
 )";
 
@@ -70,6 +71,7 @@
   cr_expect_eq(settings->max_worker_lease.count(), 6'000);
   cr_expect_eq(settings->gang_timeout.count(), 4'000);
   cr_expect_eq(settings->max_stop_time.count(), 350);
+  cr_expect_eq(settings->far_run_factor, 2.5);
   cr_expect(settings->bootstrap);
 }
 
