--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -42,6 +42,7 @@
          std::int64_t term,
          const graph::GraphStore& store,
          const RunTimes& run_times,
+         const policy::FarFactors& far_factors,
          const RegistrationTimes& registered_ms,
          EngineEnvironment& environment,
          AccessRefusals& access_refusals,
@@ -75,7 +76,8 @@
   };
 
   // leader.cc
-  void RebuildState(const RegistrationTimes& registered_ms);
+  void RebuildState(const RegistrationTimes& registered_ms,
+                    const policy::FarFactors& far_factors);
   void SetNow(TimePoint now);
   void SyncWorkers();
   // Removes the numbers that the tracker has ended from every other place that
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -102,8 +102,6 @@
   // The client account that submitted the job; empty if it had no key.
   const std::string& account() const { return accepted_.account; }
   const wire::GraphJob& spec() const { return accepted_.job; }
-  // Account that the job was submitted for; empty if it was without a key.
-  const std::string& account() const { return accepted_.account; }
   // Whether it was submitted beyond the rate of its account.
   bool over_rate() const { return accepted_.over_rate; }
   const wire::GraphStep& step(std::int32_t n) const {
