cell: Name the unlogged refusals as such

The flag of AccessRefusals and the comment of its test said other than what they stand for.

cell_test: the 11 tests of access_control and access_refusals pass.

--- a/libraries/cell/src/access_control.cc
+++ b/libraries/cell/src/access_control.cc
@@ -90,18 +90,18 @@
     queue_ = queue;
     account_ = account;
   }
-  has_news_ = true;
+  has_unlogged_ = true;
   wire::GraphReply reply;
   reply.status = wire::ToStatus(error);
   return reply;
 }
 
 void AccessRefusals::LogIfDue(std::int64_t now_ms) {
-  if (!has_news_ || now_ms - last_log_ms_ < kLogIntervalMs) {
+  if (!has_unlogged_ || now_ms - last_log_ms_ < kLogIntervalMs) {
     return;
   }
   last_log_ms_ = now_ms;
-  has_news_ = false;
+  has_unlogged_ = false;
   decltype(unlogged_) counts{};
   std::string queue;
   std::string account;
--- a/libraries/cell/src/access_control.h
+++ b/libraries/cell/src/access_control.h
@@ -66,7 +66,7 @@
 
   MetricsRegistry& metrics_;
   std::int64_t last_log_ms_ = 0;
-  std::atomic<bool> has_news_ = false;
+  std::atomic<bool> has_unlogged_ = false;
   std::mutex mutex_;  // Guards the members below.
   std::array<std::int64_t, kReasonCount> unlogged_{};
   // Of the last refusal.
--- a/tests/cell/access_control_test.cc
+++ b/tests/cell/access_control_test.cc
@@ -507,8 +507,8 @@
   }
 }
 
-// Guards against counting refusals without a lock, since several threads refuse
-// calls, and against keys in metrics.
+// Guards against refusals that are counted under a wrong reason, and against
+// keys in metrics.
 Test(access_refusals, count_by_reason) {
   MetricsRegistry metrics;
   AccessRefusals refusals(metrics);
