--- a/libraries/policy/src/account_admission.cc
+++ b/libraries/policy/src/account_admission.cc
@@ -1,7 +1,7 @@
 #include "account_admission.h"
 
 #include <algorithm>
-#include <map>
+#include <iterator>
 
 namespace cranberryshunt::policy {
 
@@ -80,7 +80,12 @@
   }
   const auto own = load.accounts.find(job.account);
   own_load_ = own == load.accounts.end() ? nullptr : &own->second;
-  std::map<AccountNumber, LimitedAccount> others;
+  // By account number, because there may be as many accounts as waiting steps.
+  std::vector<LimitedAccount> others(
+      static_cast<std::size_t>(load.accounts.rbegin()->first) + 1);
+  for (const auto& [number, account] : load.accounts) {
+    others[static_cast<std::size_t>(number)].load = &account;
+  }
   for (const auto& it : load.waiting) {
     if (!precedes(it, job)) {
       continue;
@@ -90,18 +95,15 @@
       unlimited_ += DemandOf(it);
       continue;
     }
-    const auto account = load.accounts.find(it.account);
-    if (account == load.accounts.end()) {
-      unlimited_ += DemandOf(it);
-    } else {
-      auto& other = others[it.account];
-      other.load = &account->second;
-      other.demand += DemandOf(it);
-    }
-  }
-  for (const auto& [number, it] : others) {
-    others_.push_back(it);
+    const auto n = static_cast<std::size_t>(it.account);
+    const bool limited = n < others.size() && others[n].load != nullptr;
+    (limited ? others[n].demand : unlimited_) += DemandOf(it);
   }
+  std::copy_if(
+      others.begin(), others.end(), std::back_inserter(others_),
+      [](const auto& it) {
+        return it.demand.cpus + it.demand.memory + it.demand.accelerators > 0;
+      });
 }
 
 PrecedingDemand AccountWaits::DemandWithin(double wait_ms) const {
@@ -151,14 +153,13 @@
        wait_ms(own_load_->accelerators, own_.accelerators, task.accelerators)});
 }
 
-bool TakesFromOthers(const LoadSummary& load,
-                     const NewJob& job,
-                     double packable_share) {
+bool TakesFromOthers(const LoadSummary& load, const NewJob& job) {
   if (load.lacks_room || (job.needs_advice && load.idle_callers <= 0)) {
     return true;
   }
   // The job must be able to start at once, since its tasks would otherwise
-  // start when others need the capacity.
+  // start when others need the capacity. What waits counts as if it ran
+  // already, so that tasks of different sizes find places in the rest.
   PrecedingDemand waiting;
   for (const auto& it : load.waiting) {
     if (it.over_rate) {
@@ -169,7 +170,7 @@
                         std::int64_t first) {
     return part.peak_within_rate + part.used_over_rate + before +
                static_cast<double>(first) <=
-           part.capacity * packable_share;
+           part.capacity;
   };
   return !fits(load.cpus_by_rate, waiting.cpus, job.first_demand.milli_cpus) ||
          !fits(load.memory_by_rate, waiting.memory, job.first_demand.memory_mb);
--- a/libraries/policy/src/account_admission.h
+++ b/libraries/policy/src/account_admission.h
@@ -58,11 +58,8 @@
 };
 
 // Whether a job beyond the rate of its account would take capacity or an idle
-// caller of the advice service from jobs within their rate. Of the capacity,
-// `packable_share` can be used.
-bool TakesFromOthers(const LoadSummary& load,
-                     const NewJob& job,
-                     double packable_share);
+// caller of the advice service from jobs within their rate.
+bool TakesFromOthers(const LoadSummary& load, const NewJob& job);
 
 }  // namespace cranberryshunt::policy
 
--- a/libraries/policy/src/account_limits.cc
+++ b/libraries/policy/src/account_limits.cc
@@ -148,6 +148,7 @@
   if (accounts_.end_number() == kNoAccount + 1) {
     return;
   }
+  std::vector<bool> added(static_cast<std::size_t>(accounts_.end_number()));
   auto waiting = load.waiting.begin();
   for (const auto& [id, step] : waiting_steps_) {
     waiting->account = step->account;
@@ -157,9 +158,10 @@
     load.lacks_room =
         load.lacks_room ||
         (step->lacks_room && !step->over_rate && !step->waiting.empty());
-    if (accounts_.HasLimit(step->account) && !step->waiting.empty()) {
-      load.accounts.try_emplace(step->account,
-                                LoadOf(accounts_, step->account));
+    const auto n = static_cast<std::size_t>(step->account);
+    if (!added[n] && accounts_.HasLimit(step->account)) {
+      added[n] = true;
+      load.accounts.emplace(step->account, LoadOf(accounts_, step->account));
     }
     ++waiting;
   }
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -116,8 +116,7 @@
     decision.retry_after_ms = std::clamp(
         decision.expected_wait_ms - usable_wait_ms, kMinRetryMs, kMaxRetryMs);
   }
-  if (job.over_rate &&
-      (!decision.accepted || TakesFromOthers(load, job, kPackableShare))) {
+  if (job.over_rate && (!decision.accepted || TakesFromOthers(load, job))) {
     decision.accepted = false;
     decision.cause = RefusalCause::kOverRate;
     decision.retry_after_ms =
--- a/tests/policy/fleet_replay.h
+++ b/tests/policy/fleet_replay.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cranberryshunt/policy/account_rates.h"
 #include "cranberryshunt/policy/graph_admission.h"
 #include "cranberryshunt/policy/graph_planner.h"
 
@@ -34,6 +35,8 @@
   double advice_per_worker_ms = 0;
   // Worth of a job of average size that ends in time. A late one has a fifth.
   double worth = 1;
+  // Account that sends the jobs; 0: each of the others in turn.
+  AccountNumber account = kNoAccount;
 };
 
 struct ReplayOptions {
@@ -65,6 +68,11 @@
   double gang_failure_share = 0;
   // Only jobs that are sent from this time on count in the outcomes.
   std::int64_t count_from_ms = 0;
+  // Number of client accounts, their weight, and the limit of their processors.
+  // 0: none.
+  std::int32_t accounts = 0;
+  double account_weight = 0;
+  std::int64_t account_milli_cpus = 0;
 };
 
 struct ReplayOutcome {
@@ -73,6 +81,7 @@
   std::int64_t late = 0;
   std::int64_t refused = 0;  // Also after all attempts.
   std::int64_t unfinished = 0;
+  std::int64_t over_rate = 0;  // Accepted beyond the rate of their account.
   double worth_owed = 0;
   double worth_earned = 0;
   // From the acceptance of each job to the start of its first task.
@@ -81,6 +90,7 @@
   // within three times its objective.
   std::vector<std::pair<double, bool>> served;
 
+  double MeanWaitMs() const;
   double Share() const {
     return worth_owed > 0 ? worth_earned / worth_owed : 1;
   }
@@ -108,6 +118,10 @@
     return used_share_while_work_waits_;
   }
   std::int64_t questions() const { return questions_; }
+  // The most processors that an account had at a time.
+  std::int64_t most_account_milli_cpus() const {
+    return most_account_milli_cpus_;
+  }
   double busy_callers() const { return busy_callers_; }
 
   static constexpr std::int64_t kWarmUpMs = 5'000;
@@ -121,6 +135,8 @@
   struct Job {
     const ReplayKind* kind = nullptr;
     std::int64_t id = 0;
+    AccountNumber account = kNoAccount;
+    bool over_rate = false;
     std::int64_t sent_ms = 0;
     std::int64_t accepted_ms = -1;
     std::int64_t objective_ms = 0;  // Relative to `sent_ms`.
@@ -139,6 +155,8 @@
   void At(std::int64_t at_ms, std::function<void()> action);
   void Arrive(const ReplayKind& kind);
   void Submit(std::int64_t id);
+  void SetUpAccounts();
+  AccountNumber NextAccount(const ReplayKind& kind);
   void AddPlanStep(Job& job);
   void Plan();
   void StartTask(const PlannedStart& start);
@@ -162,6 +180,9 @@
   // Of the arrivals of each kind, so that all ways of placement get one load.
   std::map<std::string, std::mt19937_64> arrivals_;
   GraphPlanner planner_;
+  AccountRates rates_;
+  std::int64_t next_account_ = 0;
+  std::int64_t most_account_milli_cpus_ = 0;
   std::int64_t now_ms_ = 0;
   std::multimap<std::int64_t, std::function<void()>> events_;
   std::map<std::int64_t, Job> jobs_;
