--- a/benchmarks/policy/sections.h
+++ b/benchmarks/policy/sections.h
@@ -11,6 +11,7 @@
 void MeasureFloods();
 void MeasureFaults();
 void MeasureMemory();
+void MeasureAccountRounds();
 
 }  // namespace cranberryshunt::policy
 
