--- a/libraries/cell/src/account_report.cc
+++ b/libraries/cell/src/account_report.cc
@@ -91,7 +91,7 @@
 
 std::string AccountReport::LabelIn(std::set<std::string>& labels,
                                    const std::string& account) {
-  const auto label = ToLabel(account);
+  auto label = ToLabel(account);
   if (labels.contains(label)) {
     return label;
   }
