--- a/benchmarks/policy/sections.h
+++ b/benchmarks/policy/sections.h
@@ -11,6 +11,8 @@
 void MeasureFloods();
 void MeasureFaults();
 void MeasureMemory();
+// Mean finish of tasks that prefer a rack, and the cost of plans with them.
+void MeasureNearPlaces();
 
 }  // namespace cranberryshunt::policy
 
--- a/benchmarks/policy_benchmark.cc
+++ b/benchmarks/policy_benchmark.cc
@@ -29,5 +29,8 @@
   if (is_selected("memory")) {
     MeasureMemory();
   }
+  if (is_selected("near")) {
+    MeasureNearPlaces();
+  }
   return 0;
 }
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -8,7 +8,7 @@
 #include "cranberryshunt/policy/far_factor.h"
 #include "cranberryshunt/wire/codec.h"
 #include "leader.h"
-#include "place_of.h"
+#include "nearness.h"
 #include "refused_requests.h"
 #include "run_times.h"
 
@@ -93,13 +93,13 @@
     if (!step.gang || gangs.insert(key.step_key()).second) {
       const auto& queue = store_.QueueOf(*job).name;
       const auto run_ms = batch.at_ms - task->started_ms;
-      const auto place = PlaceOf(store_, *job, key);
-      far_factors_->Record(step.data_rack, place,
+      const auto nearness = NearnessOf(store_, *job, key);
+      far_factors_->Record(step.data_rack, nearness,
                            run_times_->Expected(queue, step.estimate_ms),
                            run_ms);
       run_times_->Record(
           queue, step.estimate_ms,
-          far_factors_->NearRunMs(step.data_rack, place, run_ms));
+          far_factors_->NearRunMs(step.data_rack, nearness, run_ms));
     }
   }
 }
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -5,7 +5,7 @@
 
 #include "cranberryshunt/base/log.h"
 #include "cranberryshunt/wire/codec.h"
-#include "place_of.h"
+#include "nearness.h"
 
 namespace cranberryshunt::cell {
 
@@ -118,7 +118,7 @@
           const auto& task = job.task(key);
           if (task.run != 0) {
             const auto run_ms = far_factors.RunMs(
-                step.data_rack, PlaceOf(store_, job, key),
+                step.data_rack, NearnessOf(store_, job, key),
                 run_times_.Expected(queue.name, step.estimate_ms));
             workers_.AddInheritedRun(
                 task.worker, key, task.run, DemandOf(step), run_ms, now_ms_,
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -124,7 +124,7 @@
     if (it.near_wait_ms > 0) {
       auto& wait = near_waits[it.step];
       wait.waited_ms = it.near_wait_ms;
-      wait.near += it.place == policy::Place::kNear ? 1 : 0;
+      wait.near += it.nearness == policy::Nearness::kNear ? 1 : 0;
     }
     auto& text = placements[it.step];
     text += (text.empty() ? "" : ",") + std::to_string(it.index) + "@" +
@@ -179,8 +179,8 @@
     ticket = step.advice.allowed.find(start.worker)->second;
   }
   ++metrics_.Counter("starts_total");
-  if (start.place != policy::Place::kAny) {
-    ++metrics_.Counter(start.place == policy::Place::kNear
+  if (start.nearness != policy::Nearness::kAny) {
+    ++metrics_.Counter(start.nearness == policy::Nearness::kNear
                            ? "near_starts_total"
                            : "far_starts_total");
   }
--- a/libraries/cell/src/place_of.cc
+++ b/libraries/cell/src/nearness.cc
@@ -1,13 +1,13 @@
-#include "place_of.h"
+#include "nearness.h"
 
 namespace cranberryshunt::cell {
 
-policy::Place PlaceOf(const graph::GraphStore& store,
-                      const graph::Job& job,
-                      const graph::TaskKey& task) {
+policy::Nearness NearnessOf(const graph::GraphStore& store,
+                            const graph::Job& job,
+                            const graph::TaskKey& task) {
   const auto& step = job.step(task.step);
   if (step.gang ? !step.same_rack : step.data_rack.empty()) {
-    return policy::Place::kAny;
+    return policy::Nearness::kAny;
   }
   const auto rack_of = [&](const graph::TaskKey& key) {
     const auto worker = store.workers().find(job.task(key).worker);
@@ -15,19 +15,20 @@
   };
   const auto* rack = rack_of(task);
   if (rack == nullptr) {
-    return policy::Place::kAny;
+    return policy::Nearness::kAny;
   }
   if (!step.gang) {
-    return *rack == step.data_rack ? policy::Place::kNear : policy::Place::kFar;
+    return *rack == step.data_rack ? policy::Nearness::kNear
+                                   : policy::Nearness::kFar;
   }
   auto member = task;
   for (member.index = 0; member.index < step.task_count; ++member.index) {
     const auto* other = rack_of(member);
     if (other != nullptr && *other != *rack) {
-      return policy::Place::kFar;
+      return policy::Nearness::kFar;
     }
   }
-  return policy::Place::kNear;
+  return policy::Nearness::kNear;
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/policy/include/cranberryshunt/policy/far_factor.h
+++ b/libraries/policy/include/cranberryshunt/policy/far_factor.h
@@ -21,18 +21,18 @@
   // `expected_ms` on a near place. `rack` is the one that it prefers; empty for
   // gangs.
   void Record(const std::string& rack,
-              Place place,
+              Nearness nearness,
               std::int64_t expected_ms,
               std::int64_t run_ms);
   // At least 1.
   double Expected(const std::string& rack) const;
   // Returns the expected run time on a place, given that on a near one.
   std::int64_t RunMs(const std::string& rack,
-                     Place place,
+                     Nearness nearness,
                      std::int64_t near_run_ms) const;
   // Returns the run time that a run on a place corresponds to on a near one.
   std::int64_t NearRunMs(const std::string& rack,
-                         Place place,
+                         Nearness nearness,
                          std::int64_t run_ms) const;
 
  private:
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -246,7 +246,7 @@
 };
 
 // Where a task is placed in relation to the rack that its step prefers.
-enum class Place {
+enum class Nearness {
   kAny,  // The step prefers none.
   kNear,
   kFar,
@@ -256,7 +256,7 @@
   StepId step = 0;
   std::int32_t index = 0;
   std::int64_t worker = 0;
-  Place place = Place::kAny;
+  Nearness nearness = Nearness::kAny;
   std::int64_t expected_run_ms = 0;  // On this place.
   // How long the step has left far room for a near place; 0: not at all.
   std::int64_t near_wait_ms = 0;
--- a/libraries/policy/src/far_factor.cc
+++ b/libraries/policy/src/far_factor.cc
@@ -23,15 +23,15 @@
 }
 
 void FarFactors::Record(const std::string& rack,
-                        Place place,
+                        Nearness nearness,
                         std::int64_t expected_ms,
                         std::int64_t run_ms) {
-  if (configured_ <= 1 || place == Place::kAny || expected_ms <= 0 ||
+  if (configured_ <= 1 || nearness == Nearness::kAny || expected_ms <= 0 ||
       run_ms <= 0) {
     return;
   }
   auto& samples = by_rack_[rack];
-  (place == Place::kNear ? samples.near : samples.far)
+  (nearness == Nearness::kNear ? samples.near : samples.far)
       .Add(std::log(static_cast<double>(run_ms) /
                     static_cast<double>(expected_ms)));
 }
@@ -56,17 +56,17 @@
 }
 
 std::int64_t FarFactors::RunMs(const std::string& rack,
-                               Place place,
+                               Nearness nearness,
                                std::int64_t near_run_ms) const {
-  return place == Place::kFar
+  return nearness == Nearness::kFar
              ? std::llround(static_cast<double>(near_run_ms) * Expected(rack))
              : near_run_ms;
 }
 
 std::int64_t FarFactors::NearRunMs(const std::string& rack,
-                                   Place place,
+                                   Nearness nearness,
                                    std::int64_t run_ms) const {
-  return place == Place::kFar
+  return nearness == Nearness::kFar
              ? std::llround(static_cast<double>(run_ms) / Expected(rack))
              : run_ms;
 }
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -708,6 +708,13 @@
     Start(step, *best, round);
   }
   if (!step.waiting.empty() && !without_ticket.empty()) {
+    // Tasks that wait for a near place need no tickets for far ones.
+    if (MayWaitForNearPlace(step) && !near_waiting) {
+      near_waiting = PlanNearWait(step, round);
+    }
+    if (step.waiting.size() <= near_waiting.value_or(0)) {
+      return;
+    }
     RenewTickets(step, std::move(without_ticket), round);
   }
 }
--- a/libraries/policy/src/near_wait.cc
+++ b/libraries/policy/src/near_wait.cc
@@ -24,7 +24,7 @@
 constexpr double kMaxWaitPerGain = 3;
 
 // Limits the forecast for tasks that need next to nothing.
-constexpr std::int64_t kMaxOpeningsPerWorker = 256;
+constexpr std::int64_t kMaxOpeningsPerWorker = 64;
 
 constexpr std::int64_t kNever = std::numeric_limits<std::int64_t>::max() / 4;
 
@@ -87,10 +87,10 @@
   PlannedStart start{step.id, step.waiting.back(), worker.number};
   if (step.gang ? step.same_rack : !step.data_rack.empty()) {
     const bool far = step.gang ? spread : worker.rack != step.data_rack;
-    start.place = far ? Place::kFar : Place::kNear;
+    start.nearness = far ? Nearness::kFar : Nearness::kNear;
   }
   start.expected_run_ms =
-      start.place == Place::kFar
+      start.nearness == Nearness::kFar
           ? TimesFactor(step.expected_run_ms, FarRunFactor(step))
           : step.expected_run_ms;
   if (step.near_wait_since_ms != 0) {
@@ -150,24 +150,38 @@
   if (continue_ms >= 0) {
     const auto answer_ms =
         AnswerMs(step, step.waiting.size()) + kAnswerTransitMs;
-    for (const auto& it : all_workers_) {
-      const auto& worker = *it.worker;
-      if (worker.rack != step.data_rack || !IsEligible(step, worker) ||
-          !step.advice.Allows(it.number) || step.avoided.contains(it.number)) {
+    if (round.racks.empty()) {
+      for (const auto& it : all_workers_) {
+        round.racks[it.worker->rack].push_back(it.worker);
+      }
+    }
+    for (const auto* it : round.racks[step.data_rack]) {
+      if (!IsEligible(step, *it) || !step.advice.Allows(it->number) ||
+          step.avoided.contains(it->number)) {
         continue;
       }
-      const auto ready = NearOpenings(step, worker, round);
+      const auto ready = NearOpenings(step, *it, round);
       openings.insert(openings.end(), ready.begin(), ready.end());
       // A ticket that would come after the room is renewed now.
       if (!ready.empty() && ready.front() <= round.now_ms + answer_ms &&
-          !step.advice.HasTicket(it.number,
+          !step.advice.HasTicket(it->number,
                                  ready.front() + options_.ticket_margin_ms)) {
-        without_ticket.push_back(it.number);
+        without_ticket.push_back(it->number);
       }
     }
   }
-  std::sort(openings.begin(), openings.end());
   const auto ahead = CountTasksAhead(step, step.data_rack, round);
+  // Only the openings from the first one that the step may get must be in
+  // order, unless there are too few for all.
+  if (ahead + step.waiting.size() <= openings.size()) {
+    const auto first = openings.begin() + static_cast<std::ptrdiff_t>(ahead);
+    std::nth_element(openings.begin(), first, openings.end());
+    std::partial_sort(first,
+                      first + static_cast<std::ptrdiff_t>(step.waiting.size()),
+                      openings.end());
+  } else {
+    std::sort(openings.begin(), openings.end());
+  }
   std::size_t count = 0;
   while (!openings.empty() && count < step.waiting.size()) {
     const auto wait_ms =
@@ -184,9 +198,7 @@
     if (step.near_wait_since_ms == 0) {
       step.near_wait_since_ms = round.now_ms;
     }
-    if (!without_ticket.empty()) {
-      RenewTickets(step, std::move(without_ticket), round);
-    }
+    PlanRenewal(step, std::move(without_ticket), round);
   }
   return count;
 }
--- a/libraries/policy/src/plan_round.h
+++ b/libraries/policy/src/plan_round.h
@@ -32,6 +32,8 @@
     std::size_t count = 0;
   };
   std::map<std::string, std::vector<NearTasks>> near_tasks;
+  // All workers by rack, once a step has needed them.
+  std::map<std::string, Candidates> racks;
   Plan plan;
 };
 
--- a/tests/policy/near_replay.cc
+++ b/tests/policy/near_replay.cc
@@ -121,10 +121,11 @@
 
 void NearReplay::Start(const PlannedStart& start) {
   const auto& job = jobs_.at(start.step);
-  near_starts_ += start.place == Place::kNear ? 1 : 0;
-  far_starts_ += start.place == Place::kFar ? 1 : 0;
+  near_starts_ += start.nearness == Nearness::kNear ? 1 : 0;
+  far_starts_ += start.nearness == Nearness::kFar ? 1 : 0;
   longest_near_wait_ms_ = std::max(longest_near_wait_ms_, start.near_wait_ms);
-  double factor = start.place == Place::kFar ? options_.far_run_factor : 1;
+  double factor =
+      start.nearness == Nearness::kFar ? options_.far_run_factor : 1;
   const auto& worker = planner_.workers().at(start.worker);
   factor *= worker.rack == "r0" ? options_.slow_rack : 1;
   const auto id = next_id_++;
@@ -156,7 +157,7 @@
   Release(run.mapped());
   const auto step = run.mapped().start.step;
   const auto& known = *planner_.FindStep(step);
-  far_factors_.Record(known.data_rack, run.mapped().start.place,
+  far_factors_.Record(known.data_rack, run.mapped().start.nearness,
                       known.expected_run_ms, now_ms_ - run.mapped().started_ms);
   auto& job = jobs_.at(step);
   auto& finishes = finishes_[job.hot];
