--- a/benchmarks/policy/sections.h
+++ b/benchmarks/policy/sections.h
@@ -12,6 +12,8 @@
 void MeasureFaults();
 void MeasureMemory();
 void MeasureAccountRounds();
+// Mean finish of tasks that prefer a rack, and the cost of plans with them.
+void MeasureNearPlaces();
 
 }  // namespace cranberryshunt::policy
 
