cell: Learn takeover times only from outages of 250 ms and more

Broken connections look like very short outages. Sixteen of them displaced all known elections, after which calls with 1.4 s left were refused in an election.

--- a/libraries/cell/src/leader_outage.cc
+++ b/libraries/cell/src/leader_outage.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kShortestElection{500};
 constexpr milliseconds kLongestElection{2'000};
 constexpr milliseconds kElectionStep{200};
+// Shorter outages are broken connections, which say nothing about elections.
+constexpr milliseconds kMinTakeover{250};
 constexpr std::size_t kMaxDurations = 16;
 // An outage that outlasts the known ones is expected to go on for as long as it
 // has lasted, and for this time more.
@@ -92,6 +94,9 @@
   ongoing_ = false;
   window_ = kFirstWindow;
   summary_.end = end;
+  if (end - summary_.begin < kMinTakeover) {
+    return;
+  }
   durations_.push_back(end - summary_.begin);
   if (durations_.size() > kMaxDurations) {
     durations_.pop_front();
--- a/tests/cell/leader_outage_test.cc
+++ b/tests/cell/leader_outage_test.cc
@@ -125,6 +125,21 @@
             LeaderOutage::Step::kHold);
 }
 
+// Guards against broken connections that are taken for short elections, after
+// which calls would be refused in a usual one.
+Test(leader_outage, learns_nothing_from_broken_connections) {
+  LeaderOutage outage;
+  std::int64_t now_ms = 1'000;
+  for (int n = 0; n < 50; ++n, now_ms += 1'000) {
+    (void)outage.OnAttempt(Attempt(LeaderAnswer::kNone, now_ms, now_ms + 5));
+    (void)outage.OnAttempt(Attempt(LeaderAnswer::kNone, now_ms, now_ms + 10));
+    Find(outage, now_ms + 30);
+  }
+  (void)outage.OnAttempt(Attempt(LeaderAnswer::kNone, now_ms, now_ms + 5));
+  (void)outage.OnAttempt(Attempt(LeaderAnswer::kNone, now_ms, now_ms + 10));
+  cr_expect_gt(outage.ChanceWithin(milliseconds(2'000), At(now_ms + 100)), 0.8);
+}
+
 // Guards against unbounded memory, and against refusals of the calls that the
 // next leader could still serve.
 Test(leader_outage, refuses_the_least_time_left_if_too_many_are_held) {
