cell: Plan only once a list of runs has been read

The first full round of a new leader found no usable worker and delayed the next one by 50 ms, in which the advice service is asked for the first time. Now the first round waits for the first list, and each list that is read for the first time makes a round due. Starts wait for the list of their worker as before, which the test checks.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -377,7 +377,8 @@
   for (auto& it : out.orders) {
     orders_.push_back(std::move(it));
   }
-  plan_due_ = plan_due_ || !out.finished.empty();
+  has_read_list_ = has_read_list_ || out.synchronized;
+  plan_due_ = plan_due_ || !out.finished.empty() || out.synchronized;
 }
 
 // A worker forgets an end once it is acknowledged, so the committed state must
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -241,6 +241,8 @@
   std::vector<SentOrder> orders_;
   std::map<OrderId, OpenOrder> open_orders_;
   bool plan_due_ = true;
+  // Whether the list of any worker has been read in this term.
+  bool has_read_list_ = false;
   std::int64_t last_plan_ms_ = 0;
   std::int64_t last_maintenance_ms_ = 0;
   std::int64_t last_load_log_ms_ = 0;
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -54,6 +54,8 @@
   // Runs for which a worker listed progress for the first time.
   std::vector<RunKey> progressing_runs;
   std::vector<SentOrder> orders;
+  // The list of a worker was read for the first time, so it can get starts.
+  bool synchronized = false;
 };
 
 struct InheritedRun {
