--- a/tests/platform/entry_outage_test.cc
+++ b/tests/platform/entry_outage_test.cc
@@ -247,3 +247,28 @@
   cr_expect(answer.Is(200), "%s", answer.text.c_str());
   cr_expect_lt(answer.after_ms, 2'400);
 }
+
+// Guards against held calls that a shutdown interrupts, or that are not sent to
+// a leader that comes during it.
+Test(entry_outage, answers_held_calls_during_the_shutdown) {
+  FakeController controller(1);
+  auto entry = StartEntryWith(1);
+  Answer refused;
+  Answer served;
+  std::thread first([&] { refused = Call("POST", 800); });
+  std::thread second([&] { served = Call("POST", 3'000); });
+  std::this_thread::sleep_for(milliseconds(300));
+  std::int64_t interrupted = -1;
+  std::thread shutdown([&] {
+    interrupted = entry->Shutdown();
+    entry.reset();
+  });
+  first.join();
+  controller.leads = true;
+  second.join();
+  shutdown.join();
+  cr_expect(refused.Is(503), "%s", refused.text.c_str());
+  cr_expect_lt(refused.after_ms, 800);
+  cr_expect(served.Is(200), "%s", served.text.c_str());
+  cr_expect_eq(interrupted, 0);
+}
