--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -56,6 +56,8 @@
   // Runs that a worker listed and that were unknown until then.
   std::vector<RunKey> unknown_runs;
   std::vector<SentOrder> orders;
+  // The list of a worker was read for the first time, so it can get starts.
+  bool synchronized = false;
 };
 
 struct InheritedRun {
