--- a/tests/graph/graph_store_test.cc
+++ b/tests/graph/graph_store_test.cc
@@ -498,7 +498,9 @@
 // is refused or after which callers need keys.
 Test(graph_store, restores_a_snapshot_without_accounts) {
   // The fields that these types had before there were accounts.
-  const auto struct_with = [](std::string fields) { return fields + '\0'; };
+  const auto struct_with = [](const std::string& fields) {
+    return fields + '\0';
+  };
   const auto binary = [](const std::string& text) {
     return static_cast<char>(text.size()) + text;
   };
--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -435,6 +435,7 @@
   std::atomic<int> refused = 0;
   std::atomic<int> other_answers = 0;
   std::vector<std::thread> flood;
+  flood.reserve(kThreads);
   const auto begin = std::chrono::steady_clock::now();
   for (int thread = 0; thread < kThreads; ++thread) {
     flood.emplace_back([&, thread] {
--- a/tests/platform/entry_submission_test.cc
+++ b/tests/platform/entry_submission_test.cc
@@ -93,12 +93,16 @@
     RawClient client(kCallerPort);
     cr_assert(client.connected());
     const std::string body = R"({"spec":"s","steps":[{"count":1}]})";
-    client.Send(
+    std::string request =
         "POST /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\n"
         "Content-Type: application/json\r\nConnection: close\r\n"
-        "X-Deadline-Ms: 3000\r\n" +
-        headers + "Content-Length: " + std::to_string(body.size()) +
-        "\r\n\r\n" + body);
+        "X-Deadline-Ms: 3000\r\n";
+    request += headers;
+    request += "Content-Length: ";
+    request += std::to_string(body.size());
+    request += "\r\n\r\n";
+    request += body;
+    client.Send(request);
     (void)client.IsClosedWithin(milliseconds(3'500));
     response = client.received;
   }
