--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -312,6 +312,7 @@
   call.request.request_id = request_id;
   call.request.earlier_attempt_open = earlier_attempt_open;
   call.request.key_digest = key_digest;
+  keys_[id] = key_digest;
   const auto first_reply = std::make_shared<wire::GraphReply>();
   call.reply = [this, id, first_reply](const wire::GraphReply& reply) {
     jobs[id].replied_ms = now_ms_;
@@ -327,6 +328,7 @@
 void CellHarness::Cancel(graph::JobId id, const std::string& queue) {
   GraphCall call;
   call.request.operation = wire::GraphOperation::kCancel;
+  call.request.key_digest = keys_[id];
   call.request.host = queues_.at(queue).host;
   call.request.path = queues_.at(queue).path_prefix + graph::FormatJobId(id);
   call.reply = [](const wire::GraphReply&) {};
