--- a/benchmarks/policy/account_rounds.cc
+++ b/benchmarks/policy/account_rounds.cc
@@ -32,6 +32,7 @@
 GraphPlanner MakePlanner(std::int32_t accounts) {
   GraphPlanner planner;
   std::vector<std::pair<std::string, Demand>> limits;
+  limits.reserve(static_cast<std::size_t>(accounts));
   for (std::int32_t n = 0; n < accounts; ++n) {
     limits.emplace_back("account-" + std::to_string(n),
                         Demand{kWorkers * kCapacity * 1'000, 0, 0});
@@ -102,6 +103,7 @@
              kSteps, kWorkers);
   constexpr std::array kAccounts{0, 1, 300};
   std::vector<GraphPlanner> planners;
+  planners.reserve(kAccounts.size());
   for (const auto it : kAccounts) {
     planners.push_back(MakePlanner(it));
   }
