--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -298,6 +298,8 @@
   // Starts of each task after three workers had crashed under it.
   std::map<graph::TaskKey, std::int32_t> starts_after_crashes_;
   std::map<std::string, wire::JobQueue> queues_;
+  // The keys with which jobs were submitted, also used to cancel them.
+  std::map<graph::JobId, std::string> keys_;
   // The accounts of the former table, and when they were replaced: starts that
   // were sent before may still arrive.
   std::vector<wire::ClientAccount> accounts_;
