policy: Count no openings on workers above their limit

A worker that runs more tasks of a step than max_per_worker allows would have given a negative number of openings.

--- a/libraries/policy/src/near_wait.cc
+++ b/libraries/policy/src/near_wait.cc
@@ -15,7 +15,7 @@
 
 // Part of the gain that a wait must be expected to leave when it begins. A wait
 // that has begun goes on until the whole gain is gone, so that small changes of
-// the expected times don't end it. With 0.05, tasks finished up to 4% later in
+// the expected times don't end it. With 0.05, tasks finished up to 3% later in
 // the replays (tests/policy/near_wait_replay_test.cc).
 constexpr double kMargin = 0.3;
 // A wait ends after this many times the gain, in case the expected times are
@@ -103,10 +103,11 @@
                                                      const PlanWorker& worker,
                                                      const Round& round) const {
   const auto& advice = step.advice;
-  auto openings = ExpectedRoom(
-      worker, worker.AvailableCapacity(), step.demand,
-      std::min(PerWorkerLimit(step, worker), kMaxOpeningsPerWorker),
-      round.now_ms);
+  auto openings =
+      ExpectedRoom(worker, worker.AvailableCapacity(), step.demand,
+                   std::clamp<std::int64_t>(PerWorkerLimit(step, worker), 0,
+                                            kMaxOpeningsPerWorker),
+                   round.now_ms);
   for (auto& it : openings) {
     if (advice.HasTicket(worker.number, it + options_.ticket_margin_ms)) {
       continue;
