--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -81,7 +81,9 @@
 CellHarness::CellHarness(HarnessOptions options)
     : options_(options),
       random_(options.seed),
-      engine_({.id = "own"}, *this, metrics_) {
+      engine_({.id = "own", .far_run_factor = options.far_run_factor},
+              *this,
+              metrics_) {
   for (std::int64_t n = 0; n < EngineOptions().cell_size; ++n) {
     auto& member = members.members.emplace_back();
     member.id = n == 0 ? "own" : fmt::format("controller-{}", n);
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -87,6 +87,7 @@
   std::int64_t max_lease_ms = 10'000;
   std::int32_t advice_callers = 6;
   double allowed_share = 1;
+  double far_run_factor = 1;  // That the leader is told.
   // How long a member of a gang waits for the others.
   std::int64_t gang_timeout_ms = 3'000;
   // Progress that workers list for a member that resumes from a checkpoint and
