policy, cell, wire: Mend what the review of accounts and takeovers found

A new leader planned nothing before the first list of runs was read, so admission saw no load and no use of accounts until then; and its first full round saw the workers with the shortest way only. It plans at once again, and a full round is due when half of the lists have been read.

Over-rate jobs were refused because of work that waits for its own limit, leaves far room or is too late to be of use. Waits beyond 2^63 ms were cast to integers. A step at the limit of its account still counted as waiting for its rack. An attempt that ended at the deadline of its own call counted as a failure of the leader, an outage was reported before the next controller was chosen, and calls with at most 100 ms left were refused while held ones were released.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -395,8 +395,20 @@
   for (auto& it : out.orders) {
     orders_.push_back(std::move(it));
   }
-  has_read_list_ = has_read_list_ || out.synchronized;
-  plan_due_ = plan_due_ || !out.finished.empty() || out.synchronized;
+  if (out.synchronized) {
+    RecordListRead();
+  }
+  plan_due_ = plan_due_ || !out.finished.empty();
+}
+
+// The rounds before find few usable workers, so the next full round, which asks
+// for advice, must not wait for its turn once there are more.
+void Leader::RecordListRead() {
+  ++lists_read_;
+  if (lists_read_ == (store_.workers().size() + 1) / 2) {
+    planner_.RequireFullRound();
+    plan_due_ = true;
+  }
 }
 
 // A worker forgets an end once it is acknowledged, so the committed state must
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -94,6 +94,8 @@
   bool IsLargeCell() const;
   std::int64_t ProposeIntervalMs() const;
   void ApplyOutput(WorkerTrackerOutput out);
+  // Counts a worker whose list was read for the first time.
+  void RecordListRead();
   // Acknowledges the worker's ends up to `number` when the next batch, which
   // has the results of `finished`, is committed.
   void AcknowledgeOnceCommitted(graph::WorkerNumber worker,
@@ -299,8 +301,8 @@
   std::vector<SentOrder> orders_;
   std::map<OrderId, OpenOrder> open_orders_;
   bool plan_due_ = true;
-  // Whether the list of any worker has been read in this term.
-  bool has_read_list_ = false;
+  // Number of workers whose lists were read for the first time in this term.
+  std::size_t lists_read_ = 0;
   std::int64_t last_plan_ms_ = 0;
   std::int64_t last_maintenance_ms_ = 0;
   std::int64_t last_load_log_ms_ = 0;
--- a/libraries/cell/src/leader_outage.cc
+++ b/libraries/cell/src/leader_outage.cc
@@ -144,7 +144,9 @@
                                             TimePoint deadline,
                                             TimePoint now) {
   released_.erase(call);
-  if (!ongoing_ && held_.empty()) {
+  // A call with hardly any time is not held, so while a leader serves it is
+  // better sent.
+  if (!ongoing_ && (held_.empty() || deadline - now <= kAnswerTime)) {
     return {};
   }
   const auto refuse = [&] {
--- a/libraries/cell/src/leader_planning.cc
+++ b/libraries/cell/src/leader_planning.cc
@@ -92,11 +92,6 @@
     advice_dispatcher_.CancelQueued(it);
   }
   UpdatePlanWorkers();
-  // No worker is usable yet. A round would only delay the next full one, in
-  // which the advice service is asked.
-  if (!has_read_list_) {
-    return;
-  }
   planner_.SetDepartedUse(workers_.DepartedUse());
   const auto spare_callers =
       static_cast<std::int64_t>(advice_dispatcher_.open_polls()) -
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -396,6 +396,8 @@
   // Must be called when the number of a worker has ended. Removes the worker,
   // and all entries of it in the steps.
   void RemoveWorker(std::int64_t number);
+  // Makes the next round a full one.
+  void RequireFullRound() { full_round_at_ms_ = 0; }
   // Whether many workers crash now.
   void set_unrest(bool unrest) { unrest_ = unrest; }
   // Plans the starts and questions for this time. Planned starts are added to
@@ -490,7 +492,7 @@
   void WaitAtLimit(PlanStep& step, Round& round);
   // Counts the room that the step is going to use under the limit.
   void ClaimRoom(const PlanStep& step);
-  void SummarizeAccounts(LoadSummary& load) const;
+  void SummarizeAccounts(std::int64_t now_ms, LoadSummary& load) const;
   // Updates the recent peak of jobs within the rates of their accounts.
   void UpdateRateUse(std::int64_t now_ms);
   void PlaceStep(PlanStep& step, Round& round);
--- a/libraries/policy/src/account_limits.cc
+++ b/libraries/policy/src/account_limits.cc
@@ -87,6 +87,7 @@
   step.held_room_free = false;
   step.lacks_room = false;
   step.planned_ms = now_ms;
+  EndNearWait(step);
   const bool may_start = !IsLate(step, now_ms) || MayStartLate(step, round);
   if (!step.gang || step.uncommitted || !may_start) {
     return;
@@ -121,8 +122,10 @@
   }
   for (const auto& [id, step] : waiting_steps_) {
     if (!step->over_rate && !step->at_limit) {
+      const auto tasks = static_cast<std::int64_t>(step->waiting.size());
       within_rate +=
-          Times(step->demand, static_cast<std::int64_t>(step->waiting.size()));
+          Times(step->demand,
+                accounts_.CountFitting(step->account, step->demand, tasks));
     }
   }
   const double decay =
@@ -142,7 +145,8 @@
          over_rate.memory_mb);
 }
 
-void GraphPlanner::SummarizeAccounts(LoadSummary& load) const {
+void GraphPlanner::SummarizeAccounts(std::int64_t now_ms,
+                                     LoadSummary& load) const {
   load.cpus_by_rate = cpus_by_rate_;
   load.memory_by_rate = memory_by_rate_;
   if (accounts_.end_number() == kNoAccount + 1) {
@@ -155,9 +159,11 @@
     waiting->over_rate = step->over_rate;
     waiting->accelerators = static_cast<double>(step->demand.accelerators) *
                             static_cast<double>(step->waiting.size());
+    // Steps that are too late to be of use come after jobs beyond their rate.
     load.lacks_room =
         load.lacks_room ||
-        (step->lacks_room && !step->over_rate && !step->waiting.empty());
+        (step->lacks_room && !step->over_rate && !step->waiting.empty() &&
+         LatenessOf(*step, now_ms) != Lateness::kTooLate);
     const auto n = static_cast<std::size_t>(step->account);
     if (!added[n] && accounts_.HasLimit(step->account)) {
       added[n] = true;
--- a/libraries/policy/src/advice_questions.cc
+++ b/libraries/policy/src/advice_questions.cc
@@ -188,7 +188,8 @@
                     LeftoverShare(worker, step.demand),
           it.number);
       // The workers near a step's data come first, however full they are.
-      if (MayWaitForNearPlace(step) && worker.rack == step.data_rack) {
+      if (!step.gang && MayWaitForNearPlace(step) &&
+          worker.rack == step.data_rack) {
         candidates.back().first -= kNearPreference;
       }
     }
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -54,6 +54,12 @@
   return missing / (load.released_per_ms * kPackableShare);
 }
 
+// Declared run times can make a wait too long for an integer.
+std::int64_t ToWaitMs(double wait_ms) {
+  constexpr double kLongestWaitMs = 1e12;
+  return static_cast<std::int64_t>(std::min(wait_ms, kLongestWaitMs));
+}
+
 }  // namespace
 
 void DimensionLoad::AddRunning(double size, std::int64_t expected_run_ms) {
@@ -96,12 +102,12 @@
   if (accounts.limit_others()) {
     capacity_wait_ms = accounts.CellWaitMs(capacity_wait_ms, cell_wait_ms);
   }
-  decision.account_wait_ms = static_cast<std::int64_t>(accounts.OwnWaitMs());
+  decision.account_wait_ms = ToWaitMs(accounts.OwnWaitMs());
   decision.overloaded =
       load.answer_ms > (job.urgent ? kMaxUrgentAnswerMs : kMaxAnswerMs);
-  decision.expected_wait_ms = std::max(
-      decision.account_wait_ms, static_cast<std::int64_t>(std::max(
-                                    capacity_wait_ms, load.advice_wait_ms)));
+  decision.expected_wait_ms =
+      std::max(decision.account_wait_ms,
+               ToWaitMs(std::max(capacity_wait_ms, load.advice_wait_ms)));
   // A job that is already late is still useful to its caller, so it is accepted
   // while it would hardly wait.
   const auto usable_wait_ms =
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -536,7 +536,7 @@
                             step.objective_ms - step.remaining_ms - now_ms,
                             cpus, memory});
   }
-  SummarizeAccounts(load);
+  SummarizeAccounts(now_ms, load);
   return load;
 }
 
@@ -750,7 +750,9 @@
   }
   const bool may_start = !step.waiting.empty() && FitsLimit(step);
   if (round.plan_fully || !without_ticket.empty()) {
-    step.lacks_room = may_start && without_ticket.empty() && !workers.empty();
+    // Tasks that wait for a near place leave room to others.
+    step.lacks_room = may_start && without_ticket.empty() && !workers.empty() &&
+                      step.waiting.size() > near_waiting.value_or(0);
   }
   if (may_start && !without_ticket.empty()) {
     // Tasks that wait for a near place need no tickets for far ones.
--- a/libraries/wire/src/leader_client.cc
+++ b/libraries/wire/src/leader_client.cc
@@ -167,7 +167,6 @@
     }
     const LeaderAttemptReport failed{false, RedirectsFrom(*channel, status),
                                      attempt, begin};
-    ReportAttempt(failed);
     last_error = call_result ? Error(ResultCode::kNoLeader,
                                      "controller is not the leader")
                              : call_result.error();
@@ -182,6 +181,11 @@
     if (!retry_same) {
       ChooseNextController(index, status);
     }
+    // An attempt that the call's own deadline cut short shows nothing about the
+    // controller.
+    if (!timed_out || remaining >= attempt_timeout) {
+      ReportAttempt(failed);
+    }
     const auto step = next_step(failed);
     if (step == RetryStep::kGiveUp) {
       return tl::unexpected(last_error);
--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -201,8 +201,9 @@
   if (step == planner_.steps().end()) {
     return {UrgencyRank(Lateness::kTooLate, true), true, 0};
   }
-  return {UrgencyRank(LatenessOf(step->second, now_ms_), step->second.over_rate),
-          step->second.priority > 0, LatestStartMs(step->second)};
+  return {
+      UrgencyRank(LatenessOf(step->second, now_ms_), step->second.over_rate),
+      step->second.priority > 0, LatestStartMs(step->second)};
 }
 
 // As AdviceDispatcher::ExpectedWaitMs().
