--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -99,6 +99,8 @@
                ? std::optional(accepted_.submitted_ms)
                : std::nullopt;
   }
+  // The client account that submitted the job; empty if it had no key.
+  const std::string& account() const { return accepted_.account; }
   const wire::GraphJob& spec() const { return accepted_.job; }
   // Whether it was submitted beyond the rate of its account.
   bool over_rate() const { return accepted_.over_rate; }
