--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -359,6 +359,7 @@
  public:
   explicit GraphPlanner(PlannerOptions options = {});
 
+  const PlannerOptions& options() const { return options_; }
   // Workers by number.
   std::map<std::int64_t, PlanWorker>& workers() { return workers_; }
   const std::map<std::int64_t, PlanWorker>& workers() const { return workers_; }
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -172,11 +172,6 @@
 
 namespace {
 
-bool HasLabel(const PlanWorker& worker, const std::string& label) {
-  return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
-                                    label) != worker.labels.end();
-}
-
 // Whether the workers have room for the waiting tasks once they are idle. Tasks
 // that need not run at the same time can use the same room one after another.
 bool CanHold(const PlanStep& step, const std::vector<PlanWorker*>& workers) {
@@ -205,13 +200,6 @@
   return part;
 }
 
-// Whether the worker may be given tasks, apart from its free capacity.
-bool IsOpen(const PlanWorker& worker) {
-  const bool probe_busy =
-      worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
-  return worker.usable && !probe_busy && !worker.exclusive;
-}
-
 }  // namespace
 
 GraphPlanner::GraphPlanner(PlannerOptions options) : options_(options) {}
--- a/libraries/policy/src/plan_round.h
+++ b/libraries/policy/src/plan_round.h
@@ -77,6 +77,18 @@
          (running == step.running.end() ? 0 : running->second);
 }
 
+inline bool HasLabel(const PlanWorker& worker, const std::string& label) {
+  return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
+                                    label) != worker.labels.end();
+}
+
+// Whether the worker may be given tasks, apart from its free capacity.
+inline bool IsOpen(const PlanWorker& worker) {
+  const bool probe_busy =
+      worker.probing && worker.used.milli_cpus + worker.used.memory_mb > 0;
+  return worker.usable && !probe_busy && !worker.exclusive;
+}
+
 // Whether the step's job is expected to end after its objective even if the
 // step started now.
 inline bool IsLate(const PlanStep& step, std::int64_t now_ms) {
