--- a/benchmarks/policy_benchmark.cc
+++ b/benchmarks/policy_benchmark.cc
@@ -32,5 +32,8 @@
   if (is_selected("accounts")) {
     MeasureAccountRounds();
   }
+  if (is_selected("near")) {
+    MeasureNearPlaces();
+  }
   return 0;
 }
