cell, policy: Count what a question costs its caller in admission

Cause: the expected wait for advice took a caller as free once the service had answered, and took urgent questions that arrive later for nothing. A gang was expected to wait for one question, but its first tickets expire before it has room while callers are busy. Gangs were accepted with an expected wait for advice of 0 to 0.5 s and waited 4 s to 9 s for their first start.

Change: a question occupies its caller for the service's time and the mean overhead. Other queues count only on the callers that urgent queues leave on average. While questions wait, a gang is expected to ask twice.

--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -1,8 +1,6 @@
 #include "advice_dispatcher.h"
 
 #include <algorithm>
-#include <functional>
-#include <queue>
 #include <tuple>
 #include <utility>
 
@@ -177,6 +175,11 @@
   if (now_ms - expiry_checked_ms_ >= kExpiryCheckMs) {
     expiry_checked_ms_ = now_ms;
     Expire(now_ms);
+    const auto urgent = std::count_if(
+        assigned_.begin(), assigned_.end(),
+        [](const auto& it) { return it.second.question.urgent_queue; });
+    urgent_share_.Update(now_ms, static_cast<std::size_t>(urgent),
+                         last_poll_ms_.size());
   }
 }
 
@@ -234,29 +237,41 @@
   new_question.urgent_queue = urgent_queue;
   new_question.latest_start_ms = latest_start_ms;
   const auto order = SortKey(new_question, now_ms);
-  // Time until each caller is free. Callers without an open poll or a question
-  // are about to poll, so they count as free.
-  std::priority_queue<std::int64_t, std::vector<std::int64_t>, std::greater<>>
-      free_in_ms;
+  const auto overhead_ms = MeanOverheadMs();
+  policy::AdviceCallerQueue callers;
   for (const auto& [id, it] : assigned_) {
-    const auto remaining_ms = it.assigned_ms + it.question.expected_ms - now_ms;
-    free_in_ms.push(std::max<std::int64_t>(0, remaining_ms));
+    callers.AddCaller(it.assigned_ms + it.question.expected_ms + overhead_ms -
+                      now_ms);
   }
+  // Callers without an open poll or a question are about to poll, so they count
+  // as free.
   const auto assumed = now_ms - created_ms_ < kCallerDiscoveryMs
                            ? assumed_callers_
                            : std::size_t{1};
-  const auto callers = std::max(assumed, last_poll_ms_.size());
-  while (free_in_ms.size() < callers) {
-    free_in_ms.push(0);
+  const auto count = std::max(assumed, last_poll_ms_.size());
+  while (callers.callers() < count) {
+    callers.AddCaller(0);
+  }
+  if (!urgent_queue) {
+    callers.SetAside(urgent_share_.Of(count));
   }
   for (const auto& it : queued_) {
     if (SortKey(it, now_ms) <= order) {
-      const auto begin = free_in_ms.top();
-      free_in_ms.pop();
-      free_in_ms.push(begin + it.expected_ms);
+      callers.AddQuestion(it.expected_ms + overhead_ms);
     }
   }
-  return free_in_ms.top();
+  return callers.WaitMs();
+}
+
+std::int64_t AdviceDispatcher::MeanOverheadMs() const {
+  double total = 0;
+  for (const auto& [caller, overhead] : overhead_ms_) {
+    total += std::clamp(overhead, 0.0, kSlowCallerMs);
+  }
+  return overhead_ms_.empty()
+             ? 0
+             : static_cast<std::int64_t>(
+                   total / static_cast<double>(overhead_ms_.size()));
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cranberryshunt/cell/calls.h"
+#include "cranberryshunt/policy/advice_budget.h"
 #include "cranberryshunt/policy/graph_planner.h"
 
 namespace cranberryshunt::cell {
@@ -78,8 +79,9 @@
   std::size_t queued() const { return queued_.size(); }
   std::size_t open_polls() const { return polls_.size(); }
   // Estimates how long a question that is added to the queue now would wait
-  // until a caller takes it. `urgent_queue` and `latest_start_ms` determine the
-  // position of the question in the queue.
+  // until a caller takes it, behind the questions that go first and, if it is
+  // not urgent, behind urgent ones that arrive later. `urgent_queue` and
+  // `latest_start_ms` determine the position of the question in the queue.
   std::int64_t ExpectedWaitMs(std::int64_t now_ms,
                               bool urgent_queue,
                               std::int64_t latest_start_ms) const;
@@ -108,6 +110,9 @@
   // Ends polls, assigned questions and callers whose time is over.
   void Expire(std::int64_t now_ms);
   void RecordFailure(AdviceQuestion question, std::int64_t caller_ms);
+  // Mean of `overhead_ms_`, in which slow callers count with the limit above
+  // which they are slow.
+  std::int64_t MeanOverheadMs() const;
 
   std::vector<AdviceQuestion> queued_;
   std::map<std::string, OpenPoll> polls_;  // By caller.
@@ -116,6 +121,7 @@
   // Time that each caller's answers take beyond the time of the service: the
   // way there and back, and delays on the caller. Missing until its first one.
   std::map<std::string, double> overhead_ms_;
+  policy::UrgentCallerShare urgent_share_;
   std::vector<AdviceOutcome> answers_;
   std::vector<std::string> controllers_;
   std::int64_t next_id_;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -121,8 +121,10 @@
   const auto& job = call.request.job;
   policy::NewJob new_job;
   new_job.urgent = queue.priority == 0;
+  new_job.advice_ms = ExpectedAdviceMs(queue);
   const auto service = capacities_.find(queue.service_name);
   for (const auto& step : job.steps) {
+    new_job.gang = new_job.gang || step.gang;
     const auto demand = DemandOf(step);
     const bool has_workers = service != capacities_.end();
     const auto fits = [&](const std::vector<policy::Demand>& capacities) {
--- a/libraries/cell/src/step_tracker.cc
+++ b/libraries/cell/src/step_tracker.cc
@@ -12,6 +12,8 @@
 // answer.
 constexpr double kTypicalWorkersPerQuestion = 30;
 
+}  // namespace
+
 std::int64_t ExpectedAdviceMs(const wire::JobQueue& queue) {
   return queue.needs_advice
              ? static_cast<std::int64_t>(queue.advice.base_ms +
@@ -20,8 +22,6 @@
              : 0;
 }
 
-}  // namespace
-
 policy::Demand DemandOf(const wire::GraphStep& step) {
   return {step.fills ? 0 : step.milli_cpus, step.memory_mb, step.accelerators};
 }
--- a/libraries/cell/src/step_tracker.h
+++ b/libraries/cell/src/step_tracker.h
@@ -18,6 +18,10 @@
 
 policy::Demand DemandOf(const wire::GraphStep& step);
 
+// Expected time of an answer of the advice service to a typical question; 0 if
+// the queue needs no advice.
+std::int64_t ExpectedAdviceMs(const wire::JobQueue& queue);
+
 // Whether tasks are taken to run for as long as expected, or as those that run
 // for a short time.
 enum class RunLength { kExpected, kShort };
--- a/libraries/policy/include/cranberryshunt/policy/graph_admission.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_admission.h
@@ -44,6 +44,10 @@
   bool urgent = false;
   std::int64_t critical_path_ms = 0;  // Includes advice, excludes waiting.
   std::int64_t slack_ms = 0;          // Objective minus the critical path.
+  // Whether a step of it is a gang, and the time in which the advice service is
+  // expected to answer a question of it.
+  bool gang = false;
+  std::int64_t advice_ms = 0;
 };
 
 struct AdmissionDecision {
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -49,6 +49,16 @@
   return missing / (load.released_per_ms * kPackableShare);
 }
 
+// Expected time until the job has the tickets for its first tasks. While
+// questions wait for callers, the tickets of a gang expire before it has room
+// for all its tasks, so it needs a second answer.
+double AdviceWaitMs(const LoadSummary& load, const NewJob& job) {
+  const bool asks_again = job.gang && load.advice_wait_ms > 0;
+  return asks_again
+             ? 2 * load.advice_wait_ms + static_cast<double>(job.advice_ms)
+             : load.advice_wait_ms;
+}
+
 }  // namespace
 
 void DimensionLoad::AddRunning(double size, std::int64_t expected_run_ms) {
@@ -71,7 +81,7 @@
   decision.overloaded =
       load.answer_ms > (job.urgent ? kMaxUrgentAnswerMs : kMaxAnswerMs);
   decision.expected_wait_ms = static_cast<std::int64_t>(
-      std::max(capacity_wait_ms, load.advice_wait_ms));
+      std::max(capacity_wait_ms, AdviceWaitMs(load, job)));
   // A job that is already late is still useful to its caller, so it is accepted
   // while it would hardly wait.
   const auto usable_wait_ms =
--- a/tests/cell/advice_dispatcher_test.cc
+++ b/tests/cell/advice_dispatcher_test.cc
@@ -157,6 +157,59 @@
   cr_expect_eq(dispatcher.ExpectedWaitMs(10'400, true, 10'900), 600);
 }
 
+// Load pattern: callers in another region. Guards against jobs that are
+// accepted for a wait that is too short, because a question occupies its caller
+// for longer than the service takes.
+Test(advice_dispatcher, counts_the_time_of_callers_beyond_that_of_the_service) {
+  AdviceDispatcher dispatcher(0);
+  std::vector<wire::AdviceResult> results;
+  const auto poll = [&](std::int64_t now_ms) {
+    AdviceCall call;
+    call.poll.caller = "c";
+    call.poll.wait_ms = 10'000;
+    call.poll.results = std::exchange(results, {});
+    call.reply = [&](const wire::AdviceOrders& orders) {
+      for (const auto& it : orders.orders) {
+        results.emplace_back().id = it.id;
+      }
+    };
+    dispatcher.OnPoll(std::move(call), now_ms);
+    dispatcher.Advance(now_ms);
+  };
+  dispatcher.Ask(MakeQuestion(1, false, 50'000));
+  poll(10'000);
+  dispatcher.Ask(MakeQuestion(2, false, 50'000));
+  dispatcher.Ask(MakeQuestion(3, false, 50'000));
+  poll(10'180);  // The service takes 100 ms, the caller 80 ms more.
+  cr_expect_eq(dispatcher.ExpectedWaitMs(10'180, false, 60'000), 2 * 180);
+  cr_expect_eq(dispatcher.ExpectedWaitMs(10'180, true, 60'000), 180);
+}
+
+// Load pattern: urgent questions take half of the callers all the time. Guards
+// against other jobs that are accepted as if these callers were theirs: urgent
+// questions that arrive later go first.
+Test(advice_dispatcher, leaves_callers_to_later_urgent_questions) {
+  AdviceDispatcher dispatcher(0);
+  constexpr int kHosts = 4;
+  for (int n = 0; n < kHosts; ++n) {
+    AdviceCall call;
+    call.poll.caller = "host-" + std::to_string(n);
+    call.poll.wait_ms = 60'000;
+    call.reply = [](const wire::AdviceOrders&) {};
+    dispatcher.OnPoll(std::move(call), 10'000);
+  }
+  for (policy::StepId n = 1; n <= kHosts; ++n) {
+    auto question = MakeQuestion(n, n <= 2, 20'000);
+    question.expected_ms = n <= 2 ? 1'000 : 3'000;
+    dispatcher.Ask(std::move(question));
+  }
+  for (std::int64_t now_ms = 10'000; now_ms <= 11'000; now_ms += 10) {
+    dispatcher.Advance(now_ms);
+  }
+  cr_expect_eq(dispatcher.ExpectedWaitMs(11'000, true, 11'500), 0);
+  cr_expect_eq(dispatcher.ExpectedWaitMs(11'000, false, 19'000), 2'000);
+}
+
 // Guards against questions about a worker whose number has ended, and against a
 // step that waits for the answer to a question without workers.
 Test(advice_dispatcher, asks_nothing_about_a_removed_worker) {
--- a/tests/policy/advice_budget_test.cc
+++ b/tests/policy/advice_budget_test.cc
@@ -4,6 +4,7 @@
 #include <numeric>
 #include <set>
 
+#include "cranberryshunt/policy/advice_budget.h"
 #include "cranberryshunt/policy/graph_planner.h"
 
 using namespace cranberryshunt::policy;  // NOLINT
@@ -86,3 +87,34 @@
   }
   cr_expect(false, "the second step asked nothing");
 }
+
+// Guards against a wait that ends when the first caller is free although a
+// question that goes first takes it.
+Test(advice_budget, expects_questions_to_take_callers_in_turn) {
+  AdviceCallerQueue callers;
+  cr_expect_eq(callers.WaitMs(), 0);
+  callers.AddCaller(-50);
+  callers.AddCaller(300);
+  callers.AddCaller(500);
+  cr_expect_eq(callers.WaitMs(), 0);
+  callers.AddQuestion(400);
+  cr_expect_eq(callers.WaitMs(), 300);
+  callers.SetAside(1);
+  cr_expect_eq(callers.WaitMs(), 400);
+  callers.SetAside(9);
+  cr_expect_eq(callers.WaitMs(), 500);
+}
+
+// Load pattern: urgent questions arrive in small groups. Guards against jobs of
+// other queues that are refused because of one group.
+Test(advice_budget, averages_the_callers_of_urgent_queues) {
+  UrgentCallerShare share;
+  share.Update(10'000, 0, 8);
+  cr_expect_eq(share.Of(8), 0);
+  share.Update(10'010, 8, 8);
+  cr_expect_eq(share.Of(8), 0);
+  for (std::int64_t at_ms = 10'020; at_ms <= 12'000; at_ms += 10) {
+    share.Update(at_ms, 4, 8);
+  }
+  cr_expect_eq(share.Of(8), 4);
+}
--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -68,6 +68,7 @@
 void FleetReplay::EndOutage() {
   ++term_;
   queued_.clear();
+  urgent_share_ = {};
   for (const auto& [id, job] : jobs_by_step_) {
     auto& step = *planner_.FindStep(id);
     StepAdvice advice;
@@ -95,6 +96,10 @@
     if (InOutage()) {
       continue;
     }
+    if (now_ms_ % 10 == 0) {
+      urgent_share_.Update(now_ms_, urgent_questions_,
+                           static_cast<std::size_t>(options_.callers));
+    }
     const auto since_ms = now_ms_ - planned_ms_;
     if (since_ms >= 50 || (plan_due_ && since_ms >= options_.plan_every_ms)) {
       Plan();
@@ -183,24 +188,26 @@
 // As AdviceDispatcher::ExpectedWaitMs().
 double FleetReplay::AdviceWaitMs(std::int32_t priority,
                                  std::int64_t latest_start_ms) const {
-  std::multiset<std::int64_t> free_in_ms;
+  AdviceCallerQueue callers;
   for (const auto it : busy_until_ms_) {
-    free_in_ms.insert(std::max<std::int64_t>(0, it - now_ms_));
+    callers.AddCaller(it + options_.caller_overhead_ms - now_ms_);
+  }
+  const auto count = static_cast<std::size_t>(options_.callers);
+  while (callers.callers() < count) {
+    callers.AddCaller(0);
   }
-  while (free_in_ms.size() < static_cast<std::size_t>(options_.callers)) {
-    free_in_ms.insert(0);
+  if (priority > 0) {
+    callers.SetAside(urgent_share_.Of(count));
   }
   const std::tuple order(
       now_ms_ <= latest_start_ms ? Lateness::kOnTime : Lateness::kLate,
       priority > 0, latest_start_ms);
   for (const auto& it : queued_) {
     if (RankOf(it) <= order) {
-      const auto begin = *free_in_ms.begin();
-      free_in_ms.erase(free_in_ms.begin());
-      free_in_ms.insert(begin + it.expected_ms);
+      callers.AddQuestion(it.expected_ms + options_.caller_overhead_ms);
     }
   }
-  return static_cast<double>(*free_in_ms.begin());
+  return static_cast<double>(callers.WaitMs());
 }
 
 void FleetReplay::Submit(std::int64_t id) {
@@ -220,6 +227,8 @@
       static_cast<std::int64_t>((kind.stretch - 1) *
                                 static_cast<double>(new_job.critical_path_ms)) -
       (now_ms_ - job.sent_ms);
+  new_job.gang = kind.gang;
+  new_job.advice_ms = static_cast<std::int64_t>(AdviceMs(kind));
   const auto decision = DecideAdmission(Load(kind, new_job.slack_ms), new_job);
   if (!decision.accepted) {
     if (++job.attempts >= kMaxAttempts) {
@@ -433,10 +442,13 @@
     --idle_callers_;
     const auto busy_until =
         busy_until_ms_.insert(now_ms_ + question.expected_ms);
+    const bool urgent = planner_.FindStep(question.step)->priority == 0;
+    urgent_questions_ += urgent ? 1 : 0;
     const bool was_late = LatenessOf(*planner_.FindStep(question.step),
                                      now_ms_) != Lateness::kOnTime;
     At(now_ms_ + question.expected_ms + options_.caller_overhead_ms,
-       [this, question, busy_until, was_late, term = term_] {
+       [this, question, busy_until, was_late, urgent, term = term_] {
+         urgent_questions_ -= urgent ? 1 : 0;
          ++idle_callers_;
          busy_until_ms_.erase(busy_until);
          if (term == term_) {
--- a/tests/policy/fleet_replay.h
+++ b/tests/policy/fleet_replay.h
@@ -14,6 +14,7 @@
 #include <tuple>
 #include <vector>
 
+#include "cranberryshunt/policy/advice_budget.h"
 #include "cranberryshunt/policy/graph_admission.h"
 #include "cranberryshunt/policy/graph_planner.h"
 
@@ -217,6 +218,8 @@
   std::int32_t idle_callers_ = 0;
   // When each busy caller is expected to be free, without its overhead.
   std::multiset<std::int64_t> busy_until_ms_;
+  std::size_t urgent_questions_ = 0;  // That callers have.
+  UrgentCallerShare urgent_share_;
   std::int64_t term_ = 1;
   bool plan_due_ = false;
   std::int64_t planned_ms_ = 0;
--- a/tests/policy/graph_admission_test.cc
+++ b/tests/policy/graph_admission_test.cc
@@ -117,3 +117,25 @@
   load.answer_ms = 900;
   cr_expect_not(DecideAdmission(load, urgent).accepted);
 }
+
+// Load pattern: all advice callers are busy. Guards against gangs that are
+// accepted for the wait of one question: their tickets expire before they have
+// room, so they ask again and end late.
+Test(graph_admission, expects_a_gang_to_ask_twice_while_callers_are_busy) {
+  LoadSummary load;
+  load.advice_wait_ms = 2'500;
+  NewJob job;
+  job.critical_path_ms = 5'300;
+  job.slack_ms = 7'500;
+  job.advice_ms = 1'000;
+  cr_expect(DecideAdmission(load, job).accepted);
+  job.gang = true;
+  cr_expect(DecideAdmission(load, job).accepted);
+  load.advice_wait_ms = 2'600;
+  const auto decision = DecideAdmission(load, job);
+  cr_expect(!decision.accepted);
+  cr_expect_eq(decision.expected_wait_ms, 6'200);
+  cr_expect_gt(decision.retry_after_ms, 0);
+  load.advice_wait_ms = 0;
+  cr_expect_eq(DecideAdmission(load, job).expected_wait_ms, 0);
+}
--- a/tests/policy/overload_loop_replay_test.cc
+++ b/tests/policy/overload_loop_replay_test.cc
@@ -2,6 +2,8 @@
 // processors, with a burst right before a time without a leader.
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 #include "fleet_replay.h"
 
 using namespace cranberryshunt::policy;  // NOLINT
@@ -101,6 +103,39 @@
   }
 }
 
+// The fleet during a span of time.
+struct Span {
+  double queued_questions = 0;             // Mean.
+  double used_share = 0;                   // Mean.
+  std::map<std::string, double> waits_ms;  // Median of each kind.
+};
+
+Span Summarize(FleetReplay& replay, std::int64_t from_ms, std::int64_t to_ms) {
+  Span span;
+  double samples = 0;
+  for (const auto& it : replay.samples()) {
+    if (it.at_ms >= from_ms && it.at_ms < to_ms) {
+      ++samples;
+      span.queued_questions += static_cast<double>(it.queued_questions);
+      span.used_share += it.used_share;
+    }
+  }
+  span.queued_questions /= samples;
+  span.used_share /= samples;
+  for (const auto& [name, outcome] : replay.outcomes()) {
+    const auto& waits = replay.waits(name);
+    std::vector<std::int64_t> of_kind;
+    for (auto it = waits.lower_bound(from_ms);
+         it != waits.end() && it->first < to_ms; ++it) {
+      of_kind.push_back(it->second);
+    }
+    std::sort(of_kind.begin(), of_kind.end());
+    span.waits_ms[name] =
+        of_kind.empty() ? 0 : static_cast<double>(of_kind[of_kind.size() / 2]);
+  }
+  return span;
+}
+
 }  // namespace
 
 // Guards against an overload that lasts after its cause: steps ask again and
@@ -121,3 +156,30 @@
     }
   }
 }
+
+// Guards against an overload that outlasts its cause by more than 5 s: nothing
+// of the burst and of the time without a leader is to be seen any more then.
+Test(overload_loop_replay, is_as_before_5_s_after_a_takeover) {
+  constexpr std::int64_t kSpanMs = 3'000;
+  for (const std::int64_t outage_ms : {1'000, 3'000, 6'000}) {
+    for (const double share : {0.75, 0.9}) {
+      FleetReplay replay(FleetWithBurstAndOutage(outage_ms), MakeKinds(share));
+      replay.Run();
+      const auto before = Summarize(replay, kBurstMs - kSpanMs, kBurstMs);
+      const auto from_ms = kOutageMs + outage_ms + 5'000;
+      const auto after = Summarize(replay, from_ms, from_ms + kSpanMs);
+      cr_log_info(
+          "load %.2f, %d ms: questions %.1f, then %.1f; used %.3f, %.3f", share,
+          static_cast<int>(outage_ms), before.queued_questions,
+          after.queued_questions, before.used_share, after.used_share);
+      cr_expect_leq(after.queued_questions, before.queued_questions + 10);
+      cr_expect_geq(after.used_share, before.used_share - 0.05);
+      for (const auto& [name, wait_ms] : before.waits_ms) {
+        const auto then_ms = after.waits_ms.at(name);
+        cr_log_info("  %s: wait %.0f ms, then %.0f ms", name.c_str(), wait_ms,
+                    then_ms);
+        cr_expect_leq(then_ms, 1.25 * wait_ms);
+      }
+    }
+  }
+}
