policy: Find workers by their position in the index

Change: worker numbers mostly follow one another, so the position of a worker in the index follows from its number; a search remains for those that don't.

--- a/libraries/policy/src/advice_budget.cc
+++ b/libraries/policy/src/advice_budget.cc
@@ -72,24 +72,16 @@
     const auto& pending = advice.pending_workers;
     const auto allowed = advice.allowed.size();
     const auto use = UseOfEach(*step, pending.size() + allowed);
-    // All of these containers are ordered by the number of the worker.
-    auto worker = all_workers_.begin();
     const auto add = [&](std::int64_t number) {
-      while (worker != all_workers_.end() && worker->number < number) {
-        ++worker;
-      }
-      if (worker != all_workers_.end() && worker->number == number) {
+      if (auto* worker = FindIndexed(number); worker != nullptr) {
         worker->expected_milli_cpus += use;
       }
     };
     for (const auto number : pending) {
       add(number);
     }
-    if (allowed > 0) {
-      worker = all_workers_.begin();
-      for (const auto& [number, ticket] : advice.allowed) {
-        add(number);
-      }
+    for (const auto& [number, ticket] : advice.allowed) {
+      add(number);
     }
   }
 }
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -305,6 +305,14 @@
 }
 
 GraphPlanner::IndexedWorker* GraphPlanner::FindIndexed(std::int64_t number) {
+  // The numbers follow one another unless workers were replaced.
+  if (!all_workers_.empty() && number >= all_workers_.front().number) {
+    const auto n =
+        static_cast<std::size_t>(number - all_workers_.front().number);
+    if (n < all_workers_.size() && all_workers_[n].number == number) {
+      return &all_workers_[n];
+    }
+  }
   const auto it = std::lower_bound(
       all_workers_.begin(), all_workers_.end(), number,
       [](const auto& entry, auto key) { return entry.number < key; });
