policy, cell: Mend what the review of questions and admission found

A gang counted a second answer as soon as a question would wait 1 ms, so in a cell with few callers one without an idle caller refused each gang with less slack than an answer takes. The second answer now counts at most twice the wait. Callers that have an urgent question were set aside once more, and a new leader measured their share among the few callers that had found it, but applied it to all that it assumes.

The estimates of waits for callers and of the use of workers are in files of their own, named after what they hold.

--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -176,14 +176,24 @@
   if (now_ms - expiry_checked_ms_ >= kExpiryCheckMs) {
     expiry_checked_ms_ = now_ms;
     Expire(now_ms);
-    const auto urgent = std::count_if(
-        assigned_.begin(), assigned_.end(),
-        [](const auto& it) { return it.second.question.urgent_queue; });
-    urgent_share_.Update(now_ms, static_cast<std::size_t>(urgent),
-                         last_poll_ms_.size());
+    urgent_share_.Update(now_ms, UrgentQuestionsAssigned(),
+                         CallerCount(now_ms));
   }
 }
 
+std::size_t AdviceDispatcher::UrgentQuestionsAssigned() const {
+  return static_cast<std::size_t>(std::count_if(
+      assigned_.begin(), assigned_.end(),
+      [](const auto& it) { return it.second.question.urgent_queue; }));
+}
+
+std::size_t AdviceDispatcher::CallerCount(std::int64_t now_ms) const {
+  const auto assumed = now_ms - created_ms_ < kCallerDiscoveryMs
+                           ? assumed_callers_
+                           : std::size_t{1};
+  return std::max({assumed, last_poll_ms_.size(), assigned_.size()});
+}
+
 void AdviceDispatcher::Expire(std::int64_t now_ms) {
   for (auto it = polls_.begin(); it != polls_.end();) {
     if (now_ms >= it->second.until_ms) {
@@ -247,15 +257,15 @@
   }
   // Callers without an open poll or a question are about to poll, so they count
   // as free.
-  const auto assumed = now_ms - created_ms_ < kCallerDiscoveryMs
-                           ? assumed_callers_
-                           : std::size_t{1};
-  const auto count = std::max(assumed, last_poll_ms_.size());
+  const auto count = CallerCount(now_ms);
   while (callers.callers() < count) {
     callers.AddCaller(0);
   }
-  if (!urgent_queue) {
-    callers.SetAside(urgent_share_.Of(count));
+  // Those that have an urgent question now are busy already.
+  const auto urgent = UrgentQuestionsAssigned();
+  if (const auto expected = urgent_share_.Of(count);
+      !urgent_queue && expected > urgent) {
+    callers.SetAside(expected - urgent);
   }
   for (const auto& it : queued_) {
     if (SortKey(it, now_ms) <= order) {
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "cranberryshunt/cell/calls.h"
-#include "cranberryshunt/policy/advice_budget.h"
+#include "cranberryshunt/policy/advice_callers.h"
 #include "cranberryshunt/policy/graph_planner.h"
 
 namespace cranberryshunt::cell {
@@ -113,6 +113,10 @@
       const AdviceQuestion& question);
   // Ends polls, assigned questions and callers whose time is over.
   void Expire(std::int64_t now_ms);
+  // Number of urgent questions that callers have.
+  std::size_t UrgentQuestionsAssigned() const;
+  // Number of callers that are known or, for a new leader, assumed.
+  std::size_t CallerCount(std::int64_t now_ms) const;
   void RecordFailure(AdviceQuestion question, std::int64_t caller_ms);
   // Mean of `overhead_ms_`, in which slow callers count with the limit above
   // which they are slow.
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -405,7 +405,8 @@
 // for advice, must not wait for its turn once there are more.
 void Leader::RecordListRead() {
   ++lists_read_;
-  if (lists_read_ == (store_.workers().size() + 1) / 2) {
+  if (!has_read_most_lists_ && 2 * lists_read_ >= store_.workers().size()) {
+    has_read_most_lists_ = true;
     planner_.RequireFullRound();
     plan_due_ = true;
   }
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -94,7 +94,8 @@
   bool IsLargeCell() const;
   std::int64_t ProposeIntervalMs() const;
   void ApplyOutput(WorkerTrackerOutput out);
-  // Counts a worker whose list was read for the first time.
+  // Counts a worker whose list was read for the first time. Once half of the
+  // workers are counted, a full planning round is due.
   void RecordListRead();
   // Acknowledges the worker's ends up to `number` when the next batch, which
   // has the results of `finished`, is committed.
@@ -301,8 +302,10 @@
   std::vector<SentOrder> orders_;
   std::map<OrderId, OpenOrder> open_orders_;
   bool plan_due_ = true;
-  // Number of workers whose lists were read for the first time in this term.
+  // Number of workers whose lists were read for the first time in this term,
+  // and whether that was at least half of the workers.
   std::size_t lists_read_ = 0;
+  bool has_read_most_lists_ = false;
   std::int64_t last_plan_ms_ = 0;
   std::int64_t last_maintenance_ms_ = 0;
   std::int64_t last_load_log_ms_ = 0;
--- a/libraries/policy/include/cranberryshunt/policy/advice_budget.h
+++ b/libraries/policy/include/cranberryshunt/policy/advice_callers.h
@@ -1,7 +1,7 @@
 // Estimates how long a question to the advice service waits for an advice
 // caller. Does no I/O and reads no clock; all times are in milliseconds.
-#ifndef CRANBERRYSHUNT_POLICY_ADVICE_BUDGET_H_
-#define CRANBERRYSHUNT_POLICY_ADVICE_BUDGET_H_
+#ifndef CRANBERRYSHUNT_POLICY_ADVICE_CALLERS_H_
+#define CRANBERRYSHUNT_POLICY_ADVICE_CALLERS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -17,8 +17,7 @@
   // Adds a caller that is expected to be free in this time.
   void AddCaller(std::int64_t free_in_ms);
   std::size_t callers() const { return free_in_ms_.size(); }
-  // Leaves the callers that are free first to other questions, but one at
-  // least to those that are added.
+  // Removes the callers that are free first, but keeps at least one.
   void SetAside(std::size_t callers);
   // Adds a question that occupies the next free caller for this time.
   void AddQuestion(std::int64_t busy_ms);
@@ -46,4 +45,4 @@
 
 }  // namespace cranberryshunt::policy
 
-#endif  // CRANBERRYSHUNT_POLICY_ADVICE_BUDGET_H_
+#endif  // CRANBERRYSHUNT_POLICY_ADVICE_CALLERS_H_
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -448,7 +448,7 @@
   bool IndexChangedWorkers();
   void IndexAllWorkers();
   IndexedWorker* FindIndexed(std::int64_t number);
-  // advice_budget.cc
+  // expected_use.cc
   // Sets `expected_milli_cpus` of all workers.
   void UpdateExpectedUse();
   // Adds the demand of the step to the workers that it now asks about.
--- a/libraries/policy/src/advice_questions.cc
+++ b/libraries/policy/src/advice_questions.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-// More than two workers can differ in anything else.
+// Larger than any difference between the other parts of the sort key.
 constexpr double kNearPreference = 1e6;
 
 // Processors that are expected to be free on the worker at `at_ms`, apart from
@@ -151,8 +151,8 @@
 
 // Asks about eligible workers that the service has not been asked about yet,
 // those first that have the most free capacity beyond what other waiting steps
-// are expected to use. A gang asks several questions side
-// by side while callers are idle, because its tickets must be valid together.
+// are expected to use. A gang asks several questions side by side while callers
+// are idle, because its tickets must be valid together.
 void GraphPlanner::AskAboutNewWorkers(PlanStep& step, Round& round) {
   const auto& asked_workers = step.advice.asked_workers;
   const auto limit = MaxWorkersToAsk(step);
--- a/libraries/policy/src/explanation.cc
+++ b/libraries/policy/src/explanation.cc
@@ -59,6 +59,7 @@
   // A GraphPlanner holds pointers to its steps, so it is built anew.
   GraphPlanner copy(planner.options());
   copy.workers() = planner.workers();
+  copy.accounts() = planner.accounts();
   for (const auto& [id, known] : planner.steps()) {
     copy.AddStep(known);
   }
--- a/libraries/policy/src/graph_admission.cc
+++ b/libraries/policy/src/graph_admission.cc
@@ -64,10 +64,11 @@
 // questions wait for callers, the tickets of a gang expire before it has room
 // for all its tasks, so it needs a second answer.
 double AdviceWaitMs(const LoadSummary& load, const NewJob& job) {
-  const bool asks_again = job.gang && load.advice_wait_ms > 0;
-  return asks_again
-             ? 2 * load.advice_wait_ms + static_cast<double>(job.advice_ms)
-             : load.advice_wait_ms;
+  const double wait_ms = load.advice_wait_ms;
+  // A short wait hardly lets the first tickets expire.
+  const double second_answer_ms =
+      std::min(wait_ms + static_cast<double>(job.advice_ms), 2 * wait_ms);
+  return job.gang ? wait_ms + second_answer_ms : wait_ms;
 }
 
 }  // namespace
--- a/tests/policy/advice_budget_test.cc
+++ b/tests/policy/advice_callers_test.cc
@@ -4,7 +4,7 @@
 #include <numeric>
 #include <set>
 
-#include "cranberryshunt/policy/advice_budget.h"
+#include "cranberryshunt/policy/advice_callers.h"
 #include "cranberryshunt/policy/graph_planner.h"
 
 using namespace cranberryshunt::policy;  // NOLINT
@@ -47,7 +47,7 @@
 // Load pattern: many steps ask at the same time, as after a change of the
 // leader. Guards against questions that are all about the same idle workers:
 // these are full when the answers come, beside others that nobody asked about.
-Test(advice_budget, spreads_the_questions_of_steps_over_the_fleet) {
+Test(advice_callers, spreads_the_questions_of_steps_over_the_fleet) {
   for (const bool gang : {true, false}) {
     GraphPlanner planner;
     AddWorkers(planner);
@@ -66,7 +66,7 @@
 }
 
 // Guards against questions about workers that steps with answers wait for.
-Test(advice_budget, asks_about_workers_that_waiting_steps_leave) {
+Test(advice_callers, asks_about_workers_that_waiting_steps_leave) {
   GraphPlanner planner;
   AddWorkers(planner);
   auto& first = AddStep(planner, 1, 20);
@@ -90,7 +90,7 @@
 
 // Guards against a wait that ends when the first caller is free although a
 // question that goes first takes it.
-Test(advice_budget, expects_questions_to_take_callers_in_turn) {
+Test(advice_callers, expects_questions_to_take_callers_in_turn) {
   AdviceCallerQueue callers;
   cr_expect_eq(callers.WaitMs(), 0);
   callers.AddCaller(-50);
@@ -107,7 +107,7 @@
 
 // Load pattern: urgent questions arrive in small groups. Guards against jobs of
 // other queues that are refused because of one group.
-Test(advice_budget, averages_the_callers_of_urgent_queues) {
+Test(advice_callers, averages_the_callers_of_urgent_queues) {
   UrgentCallerShare share;
   share.Update(10'000, 0, 8);
   cr_expect_eq(share.Of(8), 0);
--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -222,8 +222,10 @@
   while (callers.callers() < count) {
     callers.AddCaller(0);
   }
-  if (priority > 0) {
-    callers.SetAside(urgent_share_.Of(count));
+  const auto urgent = static_cast<std::size_t>(urgent_questions_);
+  if (const auto expected = urgent_share_.Of(count);
+      priority > 0 && expected > urgent) {
+    callers.SetAside(expected - urgent);
   }
   const auto lateness =
       now_ms_ <= latest_start_ms ? Lateness::kOnTime : Lateness::kLate;
--- a/tests/policy/fleet_replay.h
+++ b/tests/policy/fleet_replay.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "cranberryshunt/policy/account_rates.h"
-#include "cranberryshunt/policy/advice_budget.h"
+#include "cranberryshunt/policy/advice_callers.h"
 #include "cranberryshunt/policy/graph_admission.h"
 #include "cranberryshunt/policy/graph_planner.h"
 
--- a/tests/policy/graph_admission_test.cc
+++ b/tests/policy/graph_admission_test.cc
@@ -139,3 +139,18 @@
   load.advice_wait_ms = 0;
   cr_expect_eq(DecideAdmission(load, job).expected_wait_ms, 0);
 }
+
+// Load pattern: a cell with few callers, of which none is idle for a moment.
+// Guards against refusing each gang with less slack than an answer takes.
+Test(graph_admission, expects_no_second_answer_after_a_short_wait) {
+  LoadSummary load;
+  load.advice_wait_ms = 10;
+  NewJob job;
+  job.critical_path_ms = 1'000;
+  job.slack_ms = 1'000;
+  job.advice_ms = 1'000;
+  job.gang = true;
+  const auto decision = DecideAdmission(load, job);
+  cr_expect(decision.accepted);
+  cr_expect_leq(decision.expected_wait_ms, 30);
+}
