cell: Leave no more callers to urgent queues than they use

Idle callers were set aside for urgent queues although other callers had urgent questions already, so a gang could be refused beside idle callers. The callers with urgent questions are set aside first now.

--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -176,17 +176,14 @@
   if (now_ms - expiry_checked_ms_ >= kExpiryCheckMs) {
     expiry_checked_ms_ = now_ms;
     Expire(now_ms);
-    urgent_share_.Update(now_ms, UrgentQuestionsAssigned(),
+    const auto urgent = std::count_if(
+        assigned_.begin(), assigned_.end(),
+        [](const auto& it) { return it.second.question.urgent_queue; });
+    urgent_share_.Update(now_ms, static_cast<std::size_t>(urgent),
                          CallerCount(now_ms));
   }
 }
 
-std::size_t AdviceDispatcher::UrgentQuestionsAssigned() const {
-  return static_cast<std::size_t>(std::count_if(
-      assigned_.begin(), assigned_.end(),
-      [](const auto& it) { return it.second.question.urgent_queue; }));
-}
-
 std::size_t AdviceDispatcher::CallerCount(std::int64_t now_ms) const {
   const auto assumed = now_ms - created_ms_ < kCallerDiscoveryMs
                            ? assumed_callers_
@@ -250,23 +247,26 @@
   new_question.over_rate = over_rate;
   const auto order = SortKey(new_question, now_ms);
   const auto overhead_ms = MeanOverheadMs();
+  const auto count = CallerCount(now_ms);
+  // Callers that are left to urgent queues, those with their questions first.
+  auto set_aside = urgent_queue ? std::size_t{0}
+                                : std::min(urgent_share_.Of(count), count - 1);
+  const auto all_set_aside = set_aside;
   policy::AdviceCallerQueue callers;
   for (const auto& [id, it] : assigned_) {
-    callers.AddCaller(it.assigned_ms + it.question.expected_ms + overhead_ms -
-                      now_ms);
+    if (it.question.urgent_queue && set_aside > 0) {
+      --set_aside;
+    } else {
+      callers.AddCaller(it.assigned_ms + it.question.expected_ms + overhead_ms -
+                        now_ms);
+    }
   }
   // Callers without an open poll or a question are about to poll, so they count
   // as free.
-  const auto count = CallerCount(now_ms);
-  while (callers.callers() < count) {
+  while (callers.callers() + all_set_aside - set_aside < count) {
     callers.AddCaller(0);
   }
-  // Those that have an urgent question now are busy already.
-  const auto urgent = UrgentQuestionsAssigned();
-  if (const auto expected = urgent_share_.Of(count);
-      !urgent_queue && expected > urgent) {
-    callers.SetAside(expected - urgent);
-  }
+  callers.SetAside(set_aside);
   for (const auto& it : queued_) {
     if (SortKey(it, now_ms) <= order) {
       callers.AddQuestion(it.expected_ms + overhead_ms);
--- a/libraries/cell/src/advice_dispatcher.h
+++ b/libraries/cell/src/advice_dispatcher.h
@@ -113,8 +113,6 @@
       const AdviceQuestion& question);
   // Ends polls, assigned questions and callers whose time is over.
   void Expire(std::int64_t now_ms);
-  // Number of urgent questions that callers have.
-  std::size_t UrgentQuestionsAssigned() const;
   // Number of callers that are known or, for a new leader, assumed.
   std::size_t CallerCount(std::int64_t now_ms) const;
   void RecordFailure(AdviceQuestion question, std::int64_t caller_ms);
--- a/tests/cell/advice_dispatcher_test.cc
+++ b/tests/cell/advice_dispatcher_test.cc
@@ -210,6 +210,30 @@
   cr_expect_eq(dispatcher.ExpectedWaitMs(11'000, false, 19'000), 2'000);
 }
 
+// Load pattern: half of the callers have urgent questions, the others are idle.
+// Guards against other jobs that are refused because the idle callers are left
+// to urgent queues, too.
+Test(advice_dispatcher, leaves_no_more_callers_to_urgent_queues_than_they_use) {
+  AdviceDispatcher dispatcher(0);
+  constexpr int kHosts = 4;
+  for (int n = 0; n < kHosts; ++n) {
+    AdviceCall call;
+    call.poll.caller = "host-" + std::to_string(n);
+    call.poll.wait_ms = 60'000;
+    call.reply = [](const wire::AdviceOrders&) {};
+    dispatcher.OnPoll(std::move(call), 10'000);
+  }
+  for (policy::StepId n = 1; n <= kHosts / 2; ++n) {
+    auto question = MakeQuestion(n, true, 20'000);
+    question.expected_ms = 1'500;
+    dispatcher.Ask(std::move(question));
+  }
+  for (std::int64_t now_ms = 10'000; now_ms <= 11'000; now_ms += 10) {
+    dispatcher.Advance(now_ms);
+  }
+  cr_expect_eq(dispatcher.ExpectedWaitMs(11'000, false, 19'000), 0);
+}
+
 // Guards against questions about a worker whose number has ended, and against a
 // step that waits for the answer to a question without workers.
 Test(advice_dispatcher, asks_nothing_about_a_removed_worker) {
--- a/tests/policy/fleet_replay.cc
+++ b/tests/policy/fleet_replay.cc
@@ -211,7 +211,8 @@
       step->second.priority > 0, LatestStartMs(step->second)};
 }
 
-// As AdviceDispatcher::ExpectedWaitMs().
+// Like AdviceDispatcher::ExpectedWaitMs(), but doesn't tell apart which callers
+// have urgent questions.
 double FleetReplay::AdviceWaitMs(std::int32_t priority,
                                  std::int64_t latest_start_ms) const {
   AdviceCallerQueue callers;
@@ -222,10 +223,8 @@
   while (callers.callers() < count) {
     callers.AddCaller(0);
   }
-  const auto urgent = static_cast<std::size_t>(urgent_questions_);
-  if (const auto expected = urgent_share_.Of(count);
-      priority > 0 && expected > urgent) {
-    callers.SetAside(expected - urgent);
+  if (priority > 0) {
+    callers.SetAside(urgent_share_.Of(count));
   }
   const auto lateness =
       now_ms_ <= latest_start_ms ? Lateness::kOnTime : Lateness::kLate;
