policy, cell, platform: Say more clearly what some names and comments mean

From the review: durations that read like times, a sort key named like the weight of an account, and members without a comment. No change of behaviour.

--- a/libraries/cell/include/cranberryshunt/cell/leader_outage.h
+++ b/libraries/cell/include/cranberryshunt/cell/leader_outage.h
@@ -31,7 +31,9 @@
 enum class LeaderAnswer {
   kServed,      // The leader replied.
   kRedirected,  // The controller is not the leader and named another one.
-  kNone,        // It is not the leader and named none, or did not reply.
+  // It is not the leader and named no other that can be reached, or it did not
+  // reply.
+  kNone,
 };
 
 struct LeaderAttempt {
@@ -113,7 +115,9 @@
   std::map<CallId, TimePoint> deadlines_;
   // Calls that were held, and have been sent since the outage ended.
   std::set<CallId> released_;
+  // How many of these may wait for an answer at a time.
   std::size_t window_ = 0;
+  // Calls that made room for others, with their Retry-After in milliseconds.
   std::vector<std::pair<CallId, std::int64_t>> displaced_;
   Summary summary_;
 };
--- a/libraries/cell/src/account_report.cc
+++ b/libraries/cell/src/account_report.cc
@@ -54,7 +54,9 @@
   std::int64_t at_limit = 0;  // Of the waiting tasks.
   Counts counts;
 
-  std::int64_t Weight() const { return used.milli_cpus + waiting_milli_cpus; }
+  std::int64_t UsedAndWaitingMilliCpus() const {
+    return used.milli_cpus + waiting_milli_cpus;
+  }
   bool IsEmpty() const {
     return used == policy::Demand() && waiting_tasks == 0 &&
            counts.accepted == 0 && counts.refused.empty();
@@ -156,8 +158,9 @@
   }
   std::erase_if(lines, [](const auto& it) { return it.IsEmpty(); });
   std::stable_sort(
-      lines.begin(), lines.end(),
-      [](const auto& a, const auto& b) { return a.Weight() > b.Weight(); });
+      lines.begin(), lines.end(), [](const auto& a, const auto& b) {
+        return a.UsedAndWaitingMilliCpus() > b.UsedAndWaitingMilliCpus();
+      });
   Line rest;
   for (std::size_t n = 0; n < lines.size(); ++n) {
     const auto& line = lines[n];
--- a/libraries/cell/src/advice_dispatcher.cc
+++ b/libraries/cell/src/advice_dispatcher.cc
@@ -30,8 +30,8 @@
 
 // Sort key of a question: steps that are on time come before late ones, and
 // these before those that are too late to be of use. Jobs beyond the rate of
-// their account come before the last ones. Then follow steps of urgent queues
-// before others, and those with the earlier latest start.
+// their account come before the useless ones. Then follow steps of urgent
+// queues before others, and those with the earlier latest start.
 std::tuple<int, bool, std::int64_t> SortKey(const AdviceQuestion& question,
                                             std::int64_t now_ms) {
   const auto lateness =
--- a/libraries/policy/include/cranberryshunt/policy/account_ledger.h
+++ b/libraries/policy/include/cranberryshunt/policy/account_ledger.h
@@ -75,10 +75,10 @@
   }
 
   // Counts capacity that is held for a gang of the account, or that a gang
-  // needs before less urgent tasks of the account.
+  // needs before less urgent tasks of the account: these may not start in it.
   void Hold(AccountNumber account, const Demand& amount);
-  // Counts room under the limit that a waiting step is going to use. It matters
-  // only for whether further steps may ask for advice.
+  // Counts room under the limit that a waiting step is going to use. Further
+  // steps may start in it, but may not ask for advice.
   void Claim(AccountNumber account, const Demand& amount);
   // Forgets all held and claimed amounts.
   void ClearHeld();
--- a/libraries/policy/include/cranberryshunt/policy/graph_planner.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_planner.h
@@ -598,7 +598,7 @@
   WorkerTotals worker_totals_;
   AccountLedger accounts_;
   // Use of the cell by jobs within and beyond the rates of their accounts, and
-  // the time for which the peak holds.
+  // when it was last updated.
   RateDimension cpus_by_rate_;
   RateDimension memory_by_rate_;
   std::int64_t peak_ms_ = 0;
--- a/libraries/policy/src/graph_planner.cc
+++ b/libraries/policy/src/graph_planner.cc
@@ -248,7 +248,7 @@
 
 // Steps that can still meet their objective precede late ones, and these
 // precede those that are too late to be of use. Jobs beyond the rate of their
-// account form groups of their own before the last one. Within each group,
+// account form groups of their own before the last group. Within each group,
 // urgent queues precede others. Steps with equal rank so far are ordered by the
 // time at which they must begin to gather room, or, if they are late, by the
 // time at which they were accepted.
--- a/libraries/policy/src/near_wait.cc
+++ b/libraries/policy/src/near_wait.cc
@@ -143,12 +143,12 @@
   wait.run_ms = step.expected_run_ms;
   wait.far_run_factor = FarRunFactor(step);
   wait.latest_start_ms = LatestStartMs(step);
-  const auto begin_ms = LongestNearWaitMs(wait);
+  const auto longest_new_wait_ms = LongestNearWaitMs(wait);
   wait.waiting = true;
-  const auto continue_ms = LongestNearWaitMs(wait);
+  const auto longest_begun_wait_ms = LongestNearWaitMs(wait);
   std::vector<std::int64_t> openings;
   std::vector<std::int64_t> without_ticket;
-  if (continue_ms >= 0) {
+  if (longest_begun_wait_ms >= 0) {
     const auto answer_ms =
         AnswerMs(step, step.waiting.size()) + kAnswerTransitMs;
     if (round.racks.empty()) {
@@ -187,7 +187,8 @@
   while (!openings.empty() && count < step.waiting.size()) {
     const auto wait_ms =
         OpeningAt(openings, ahead + count, step.expected_run_ms) - round.now_ms;
-    if (wait_ms > (count < step.near_waiting ? continue_ms : begin_ms)) {
+    if (wait_ms > (count < step.near_waiting ? longest_begun_wait_ms
+                                             : longest_new_wait_ms)) {
       break;
     }
     ++count;
--- a/libraries/policy/src/near_wait.h
+++ b/libraries/policy/src/near_wait.h
@@ -24,6 +24,7 @@
 // for. Negative if it isn't worth any wait.
 std::int64_t LongestNearWaitMs(const NearWait& wait);
 
+// An opening is the time at which room for one task is expected to be free.
 // Returns when the opening at `position` is expected, counted from 0, if each
 // opening is used by a task that runs for `run_ms` and is free again after it.
 // `openings` must be ordered and not empty.
