--- a/tests/policy/near_wait_replay_test.cc
+++ b/tests/policy/near_wait_replay_test.cc
@@ -48,7 +48,7 @@
     planned +=
         Replay("planned", options, options.far_run_factor).MeanFinishMs();
   }
-  cr_log_warn("load %.2f, factor %.1f: %.3f of never, %.3f of always",
+  cr_log_info("load %.2f, factor %.1f: %.3f of never, %.3f of always",
               options.load, options.far_run_factor, planned / never,
               planned / always);
   return planned / std::min(never, always);
@@ -78,7 +78,7 @@
       options.load = load;
       options.estimate_error = error;
       const auto relative = RelativeFinish(options);
-      cr_log_warn("estimates %.1f times the real ones: %.3f", error, relative);
+      cr_log_info("estimates %.1f times the real ones: %.3f", error, relative);
       cr_expect_leq(relative, 1.02);
     }
   }
@@ -93,7 +93,7 @@
     options.load = load;
     options.slow_rack = 3;
     const auto relative = RelativeFinish(options);
-    cr_log_warn("slow rack: %.3f", relative);
+    cr_log_info("slow rack: %.3f", relative);
     cr_expect_leq(relative, 1.02);
   }
 }
@@ -106,7 +106,7 @@
     options.hot_gangs = true;
     options.tasks = 12;
     const auto relative = RelativeFinish(options);
-    cr_log_warn("gangs: %.3f", relative);
+    cr_log_info("gangs: %.3f", relative);
     cr_expect_leq(relative, 1.02);
   }
 }
@@ -120,7 +120,7 @@
     options.lose_rack = lost;
     const auto replay = Replay("planned", options, options.far_run_factor);
     const auto never = Replay("never", options, kNeverWait);
-    cr_log_warn("rack gone: %.0f, never wait %.0f", replay.MeanFinishMs(),
+    cr_log_info("rack gone: %.0f, never wait %.0f", replay.MeanFinishMs(),
                 never.MeanFinishMs());
     cr_expect_leq(replay.MeanFinishMs(), 1.02 * never.MeanFinishMs());
   }
