--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -215,8 +215,10 @@
                   "a task or gang is larger than the limit of the account"));
     return;
   }
+  new_job.advice_ms = ExpectedAdviceMs(queue);
   const auto service = capacities_.find(queue.service_name);
   for (const auto& step : job.steps) {
+    new_job.gang = new_job.gang || step.gang;
     const auto demand = DemandOf(step);
     const bool has_workers = service != capacities_.end();
     const auto fits = [&](const std::vector<policy::Demand>& capacities) {
--- a/libraries/policy/include/cranberryshunt/policy/graph_admission.h
+++ b/libraries/policy/include/cranberryshunt/policy/graph_admission.h
@@ -103,6 +103,10 @@
   bool needs_advice = false;
   // What its first steps need to begin: one task, or a whole gang.
   Demand first_demand;
+  // Whether a step of it is a gang, and the time in which the advice service is
+  // expected to answer a question of it.
+  bool gang = false;
+  std::int64_t advice_ms = 0;
 };
 
 struct AdmissionDecision {
