review: Raise the attempts in case 8 above the number of crashes

Cause: with three attempts, a reading in which lost runs count as attempts would have allowed the failure. Done: the queue of case 8 has ten attempts; the bound and the check are as before.

--- a/review/support-2/crashes.cc
+++ b/review/support-2/crashes.cc
@@ -10,13 +10,16 @@
   // One of them is an eighth of the workers.
   constexpr int kWorkers = 8;
   constexpr int kCrashes = 6;
+  // More than there are runs, so that no reading of the rule counts enough
+  // attempts.
+  constexpr int kMaxAttempts = 10;
   constexpr std::int64_t kWorkBeforeCrashMs = 2'500;
   constexpr std::int64_t kDownMs = 2'000;
   constexpr std::int64_t kPauseMs = 2'500;
   Record::Open(argv[1]);
   Deployment deployment({.controllers = 5, .entries = 2});
   if (!deployment.Start() ||
-      !deployment.Publish(Configuration(1, "service-a", 3))) {
+      !deployment.Publish(Configuration(1, "service-a", kMaxAttempts))) {
     return kCannotRun;
   }
   std::vector<std::pair<std::string, std::string>> controllers;
