--- a/review/support-2/foreign_heartbeat.cc
+++ b/review/support-2/foreign_heartbeat.cc
@@ -1,4 +1,4 @@
-// Case 6: a heartbeat of another writer, with fields missing, names the address
+// Case 7: a heartbeat of another writer, with fields missing, names the address
 // of a worker. Checks TWICE.
 #include <string>
 
--- a/review/support-2/lost_departure.cc
+++ b/review/support-2/lost_departure.cc
@@ -1,4 +1,4 @@
-// Case 7: a worker that leaves gets no acknowledgement of its deregistration,
+// Case 8: a worker that leaves gets no acknowledgement of its deregistration,
 // because its link is cut in one direction, and ends some seconds later. Checks
 // TWICE.
 #include <string>
