--- a/review/support-2/full_rack.cc
+++ b/review/support-2/full_rack.cc
@@ -9,16 +9,20 @@
   using namespace rig;
   constexpr int kWorkers = 10;
   constexpr int kRackWorkers = 2;
-  constexpr std::int64_t kCpu = 16'000;
-  // The large jobs run for twice as long as estimated.
-  constexpr std::int64_t kLargeEstimateMs = 16'000;
-  constexpr std::int64_t kLargeWorkMs = 32'000;
+  // The sizes of the site file: workers of 32 cores, tasks of up to 15 cores
+  // and 16 s. All run as long as estimated.
+  constexpr std::int64_t kCpu = 32'000;
+  constexpr std::int64_t kTaskCpu = 15'000;
   constexpr std::int64_t kWorkMs = 16'000;
+  constexpr int kLargeJobs = 2;
+  constexpr int kTasksOfLargeJob = 4;
+  // After the large jobs.
+  constexpr std::int64_t kLastJobMs = 11'000;
   constexpr std::int64_t kFinishMs = 14'000;
   constexpr std::int64_t kBoundMs = 3'000;
   const std::string job = "00000000000000d9";
   Record::Open(argv[1]);
-  Deployment deployment({.controllers = 5, .entries = 2});
+  Deployment deployment({.controllers = 5, .entries = 2, .far_x = 3});
   if (!deployment.Start() ||
       !deployment.Publish(Configuration(1, "service-a", 3))) {
     return kCannotRun;
@@ -45,18 +49,20 @@
   }
   SleepMs(1'500);
   const std::string near = ",\"affinity\":\"r1-1\"";
+  const auto body = [&](int tasks) {
+    return JobBody("done " + std::to_string(kWorkMs), tasks, kTaskCpu, kWorkMs,
+                   near);
+  };
   if (Trouble()) {
-    for (int n = 0; n < kRackWorkers; ++n) {
+    for (int n = 0; n < kLargeJobs; ++n) {
       if (deployment.Submit("/q/00000000000000d" + std::to_string(n),
-                            JobBody("done " + std::to_string(kLargeWorkMs), 1,
-                                    kCpu, kLargeEstimateMs, near)) != 200) {
+                            body(kTasksOfLargeJob)) != 200) {
         return kCannotRun;
       }
     }
   }
-  SleepMs(6'000);
-  if (deployment.Submit("/q/" + job, JobBody("done " + std::to_string(kWorkMs),
-                                             1, 4'000, kWorkMs, near)) != 200) {
+  SleepMs(kLastJobMs);
+  if (deployment.Submit("/q/" + job, body(1)) != 200) {
     return kCannotRun;
   }
   const auto accepted_ms = NowMs();
--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -228,6 +228,7 @@
 struct DeploymentOptions {
   int controllers = 5;
   int entries = 2;
+  int far_x = 2;
 };
 
 // The project's processes, the operator and the callers.
