--- /dev/null
+++ b/libraries/cell/src/worker_departures.cc
@@ -0,0 +1,140 @@
+// Handling of workers that have left in WorkerTracker.
+#include <algorithm>
+#include <utility>
+
+#include "worker_tracker.h"
+
+namespace cranberryshunt::cell {
+
+void WorkerTracker::MoveDepartedRuns(TrackedWorker& worker) {
+  auto departed = departed_workers_.extract(worker.record.id);
+  if (departed.empty()) {
+    return;
+  }
+  for (auto& [key, it] : departed.mapped().runs) {
+    auto& run = it.run;
+    run.phase = RunPhase::kUncertain;
+    run.phase_confirmed_ms = 0;
+    run.stop_sent_ms = 0;
+    run.stops_sent = 0;
+    AddRun(worker, key, run);
+  }
+}
+
+void WorkerTracker::ExpireDepartedRuns(std::int64_t now_ms,
+                                       WorkerTrackerOutput& out) {
+  for (auto it = departed_workers_.begin(); it != departed_workers_.end();) {
+    auto& departed = it->second;
+    std::erase_if(departed.runs, [&](const auto& entry) {
+      const auto& [key, run] = entry;
+      if (now_ms < run.until_ms) {
+        return false;
+      }
+      FinishedRun finished;
+      finished.task = key.first;
+      finished.run = key.second;
+      finished.worker = departed.number;
+      finished.reason = "worker left and did not return";
+      out.finished.push_back(std::move(finished));
+      return true;
+    });
+    it = now_ms < departed.until_ms ? std::next(it)
+                                    : departed_workers_.erase(it);
+  }
+}
+
+void WorkerTracker::OnDepartedReply(const SentOrder& sent,
+                                    std::int64_t sent_ms,
+                                    const WorkerReply& reply,
+                                    WorkerTrackerOutput& out) {
+  const auto* start = std::get_if<StartOrder>(&sent.order);
+  const auto departed = departed_workers_.find(sent.worker.id);
+  if (departed == departed_workers_.end()) {
+    return;
+  }
+  if (!reply.reused_connection && reply.answer != WorkerAnswer::kNotSent) {
+    departed->second.unproven_connection = true;
+  }
+  if (start == nullptr) {
+    return;
+  }
+  auto& runs = departed->second.runs;
+  const auto it = runs.find({start->task, start->run});
+  if (it == runs.end() || it->second.run.phase != RunPhase::kSending) {
+    return;
+  }
+  if (reply.answer == WorkerAnswer::kNotSent) {
+    FinishedRun finished;
+    finished.task = start->task;
+    finished.run = start->run;
+    finished.how = wire::RunEnd::kNotStarted;
+    finished.worker = departed->second.number;
+    finished.reason = "worker left before the start was sent";
+    out.finished.push_back(std::move(finished));
+    runs.erase(it);
+    return;
+  }
+  // The order could reach only the process that has left.
+  if (reply.answer == WorkerAnswer::kNoAnswer && reply.reused_connection &&
+      !departed->second.unproven_connection) {
+    it->second.until_ms = StartExpiry(sent_ms);
+  }
+}
+
+void WorkerTracker::AddDeparted(WorkerNumber number,
+                                const std::string& id,
+                                std::int64_t now_ms) {
+  departed_workers_[id] = {number, LatestStartExpiry(now_ms), {}};
+}
+
+bool WorkerTracker::IsOpenAtDeparted(const TaskKey& task,
+                                     std::int32_t run) const {
+  return std::any_of(departed_workers_.begin(), departed_workers_.end(),
+                     [&](const auto& it) {
+                       return it.second.runs.contains({task, run});
+                     });
+}
+
+void WorkerTracker::Remove(WorkerNumber number,
+                           std::int64_t now_ms,
+                           WorkerTrackerOutput& out) {
+  const auto worker = workers_.find(number);
+  if (worker == workers_.end()) {
+    return;
+  }
+  // All its runs may be on its next incarnation if that one has answered.
+  const bool other_answers = worker->second.other_incarnation_answers;
+  DepartedWorker departed{number,
+                          LatestStartExpiry(now_ms),
+                          {},
+                          worker->second.unproven_connection_ms != 0};
+  for (auto it = worker->second.runs.begin();
+       it != worker->second.runs.end();) {
+    const auto next = std::next(it);
+    const auto phase = it->second.phase;
+    if (phase == RunPhase::kSending) {
+      uncertain_starts_.push_back(it->first);
+    }
+    if (phase == RunPhase::kSending || phase == RunPhase::kUncertain ||
+        (other_answers && phase != RunPhase::kProposed)) {
+      departed.runs[it->first] = {it->second, departed.until_ms};
+      EraseRun(worker->second, it);
+    }
+    it = next;
+  }
+  // Kept without runs, too: a hold may still reach the next incarnation, which
+  // then has a lease on the former clock.
+  departed_workers_[worker->second.record.id] = std::move(departed);
+  FinishAllRuns(worker->second, "worker left", 0, out);
+  auto it = worker->second.runs.begin();
+  while (it != worker->second.runs.end()) {
+    FinishRun(worker->second, it, wire::RunEnd::kNotStarted, "worker left", 0,
+              out);
+    it = worker->second.runs.begin();
+  }
+  numbers_by_id_.erase(worker->second.record.id);
+  ended_workers_.push_back(number);
+  workers_.erase(worker);
+}
+
+}  // namespace cranberryshunt::cell
