--- a/tests/integration/platform_test.cc
+++ b/tests/integration/platform_test.cc
@@ -288,7 +288,8 @@
   StartAndPublish(cell, {{.name = "plain"}});
   const std::string body =
       R"({"service":"fleet","zone":"z","address":"127.0.0.1:9","state":)"
-      R"("draining","seq":1,"capacity":{"cpu":1,"memMb":1}})";
+      R"("draining","seq":1,"capacity":{"cpu":1,"memMb":1,"gpu":0},)"
+      R"("version":"v1","slots":8,"coldLeftMs":0,"labels":[],"clockMs":1})";
   for (int n = 0; n < 3; ++n) {
     const auto id = "reporter-" + std::to_string(n);
     const auto answer =
@@ -317,7 +318,9 @@
   SubmitAccepted(cell, "plain", JobId(0), 4, kLongRunMs);
   SubmitAccepted(cell, "advised", JobId(1), 4, 200);
   const std::string fields =
-      R"("service":"fleet","zone":"z","state":"ready","seq":1,"capacity":{})";
+      R"("service":"fleet","zone":"z","state":"ready","seq":1,"capacity":)"
+      R"({"cpu":1,"memMb":1,"gpu":0},"version":"v1","slots":8,"coldLeftMs":0,)"
+      R"("labels":[],"clockMs":1)";
   const std::pair<std::string, std::string> reports[] = {
       {"odd", ""},
       {"odd", std::string(100'000, '[')},
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -374,6 +374,38 @@
   cr_expect_not(DecodeReport("i-1", Replaced(body, "\"seq\":4", "\"seq\":{}")));
 }
 
+// Guards against taking a report of another writer for that of a worker: a
+// missing field was read as 0 or as unknown, or was not read at all.
+Test(control_codec, refuses_reports_with_fields_missing_or_of_another_type) {
+  const std::pair<std::string, std::string> fields[] = {
+      {"service", R"("service":"s",)"},
+      {"address", R"("address":"10.0.0.9:80",)"},
+      {"zone", R"("zone":"z",)"},
+      {"version", R"("version":"v1",)"},
+      {"slots", R"("slots":8,)"},
+      {"state", R"("state":"draining",)"},
+      {"coldLeftMs", R"("coldLeftMs":0,)"},
+      {"capacity.cpu", R"("cpu":16000,)"},
+      {"capacity.memMb", R"("memMb":32768,)"},
+      {"capacity.gpu", R"(,"gpu":0)"},
+      {"labels", R"("labels":["a","r1-3"],)"},
+      {"clockMs", R"("clockMs":482113,)"},
+      {"seq", R"(,"seq":4)"}};
+  for (const auto& [name, text] : fields) {
+    const auto missing = DecodeReport("i-1", Replaced(kReport, text, ""));
+    cr_assert_not(missing.has_value(), "%s", name.c_str());
+    cr_expect(missing.error().field() == name, "%s", name.c_str());
+    const auto value = text.find(':');
+    auto odd = text;
+    odd.replace(value + 1, text.find_last_not_of(',') - value, "true");
+    const auto other_type = DecodeReport("i-1", Replaced(kReport, text, odd));
+    cr_assert_not(other_type.has_value(), "%s", odd.c_str());
+    cr_expect(other_type.error().field() == name, "%s", odd.c_str());
+  }
+  // Only a worker that may start again under its id needs a time of birth.
+  cr_expect(DecodeReport("i-1", Replaced(kReport, R"("born":77,)", "")));
+}
+
 // Guards against registering a worker that no call can reach.
 Test(control_codec, refuses_reports_without_a_usable_address) {
   for (const char* it :
