cell, http: Tell a refused connection from one that gets no answer

An order that was not sent says nothing about the worker: the host may be cut off. If the host refuses the connection, no process listens at the address. The HTTP client, the worker driver and relayed replies report this now. Nothing depends on it yet. An earlier version takes the new answer in a relayed reply for kNoAnswer, which is on the safe side.

http_client::reports_a_refused_connection_as_not_sent and worker_codec::reads_replies_of_workers check it.

--- a/libraries/cell/include/cranberryshunt/cell/worker_driver.h
+++ b/libraries/cell/include/cranberryshunt/cell/worker_driver.h
@@ -76,8 +76,17 @@
   kNotSent,      // No connection; the order was not sent.
   kOtherWorker,  // Another worker answers at this address.
   kNoAnswer,     // The order may have been or may still be executed.
+  // The host refused the connection, since no process listens at the address.
+  // The order was not sent.
+  kNoListener,
 };
 
+// Whether the order certainly reached nobody.
+constexpr bool WasNotSent(WorkerAnswer answer) {
+  return answer == WorkerAnswer::kNotSent ||
+         answer == WorkerAnswer::kNoListener;
+}
+
 // A running run, as a worker lists it.
 struct RunningRow {
   graph::TaskKey task;
--- a/libraries/cell/src/relay.cc
+++ b/libraries/cell/src/relay.cc
@@ -33,7 +33,7 @@
 constexpr std::size_t kMaxDirectWorkers = 40;
 
 bool MayBeUnreachable(WorkerAnswer answer) {
-  return answer == WorkerAnswer::kNoAnswer || answer == WorkerAnswer::kNotSent;
+  return answer == WorkerAnswer::kNoAnswer || WasNotSent(answer);
 }
 
 }  // namespace
--- a/libraries/cell/src/relay_codec.cc
+++ b/libraries/cell/src/relay_codec.cc
@@ -38,7 +38,7 @@
 };
 
 WorkerAnswer DecodeAnswer(std::int32_t number) {
-  constexpr auto kLast = static_cast<std::int32_t>(WorkerAnswer::kNoAnswer);
+  constexpr auto kLast = static_cast<std::int32_t>(WorkerAnswer::kNoListener);
   // Answers that a later version added are unknown here and count as no answer.
   return number >= 0 && number <= kLast ? static_cast<WorkerAnswer>(number)
                                         : WorkerAnswer::kNoAnswer;
--- a/libraries/cell/src/worker_departures.cc
+++ b/libraries/cell/src/worker_departures.cc
@@ -52,7 +52,7 @@
   if (departed == departed_workers_.end()) {
     return;
   }
-  if (!reply.reused_connection && reply.answer != WorkerAnswer::kNotSent) {
+  if (!reply.reused_connection && !WasNotSent(reply.answer)) {
     departed->second.unproven_connection = true;
   }
   if (start == nullptr) {
@@ -63,7 +63,7 @@
   if (it == runs.end() || it->second.run.phase != RunPhase::kSending) {
     return;
   }
-  if (reply.answer == WorkerAnswer::kNotSent) {
+  if (WasNotSent(reply.answer)) {
     FinishedRun finished;
     finished.task = start->task;
     finished.run = start->run;
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -74,7 +74,7 @@
       was_for_former || (reply.born_ms != 0 && worker->record.born_ms != 0 &&
                          reply.born_ms != worker->record.born_ms);
   const bool answered = reply.answer != WorkerAnswer::kNoAnswer &&
-                        reply.answer != WorkerAnswer::kNotSent;
+                        !WasNotSent(reply.answer);
   if (answered && !other_incarnation &&
       reply.answer != WorkerAnswer::kOtherWorker) {
     worker->last_answer_ms = now_ms;
@@ -385,6 +385,7 @@
       return;
     case WorkerAnswer::kOverloaded:
     case WorkerAnswer::kNotSent:
+    case WorkerAnswer::kNoListener:
     case WorkerAnswer::kNoCapacity:
       worker.avoid_until_ms = now_ms + kAvoidWorkerMs;
       break;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -70,6 +70,7 @@
     case WorkerAnswer::kTooLate:
     case WorkerAnswer::kOverloaded:
     case WorkerAnswer::kNotSent:
+    case WorkerAnswer::kNoListener:
     case WorkerAnswer::kOtherWorker:
       return 0;
     default:
@@ -534,7 +535,7 @@
   // If its relayed reply was lost, later orders reuse that connection.
   const bool opened_connection = reply.clock_ms < 0 &&
                                  !reply.reused_connection &&
-                                 reply.answer != WorkerAnswer::kNotSent;
+                                 !WasNotSent(reply.answer);
   worker.other_incarnation_answers |= from_other;
   if (from_other || opened_connection) {
     worker.unproven_connection_ms =
--- a/libraries/http/include/cranberryshunt/http/http_client.h
+++ b/libraries/http/include/cranberryshunt/http/http_client.h
@@ -42,6 +42,9 @@
   // False if no part of the call was written to any connection. An error says
   // nothing else about whether the call was executed.
   bool sent = true;
+  // Whether the host refused the connection for the call: no process listens at
+  // the address. False if the host did not answer at all.
+  bool refused = false;
   std::string error;  // Why there is no answer.
   // Number of the connection, unique in this client; 0 if the call has no
   // connection group or was not sent.
--- a/libraries/http/src/http_client.cc
+++ b/libraries/http/src/http_client.cc
@@ -582,6 +582,11 @@
     answer.status = static_cast<int>(status);
   } else {
     answer.sent = transfer->write_begun;
+    long system_error = 0;
+    curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &system_error);
+    answer.refused = code == CURLE_COULDNT_CONNECT && !answer.sent &&
+                     transfer->opened_socket >= 0 &&
+                     system_error == ECONNREFUSED;
     answer.error = code == CURLE_ABORTED_BY_CALLBACK
                        ? "the connection ended before the answer"
                        : curl_easy_strerror(code);
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -165,12 +165,13 @@
   const auto answer = client->Call(call);
   cr_expect_eq(answer.status, 0);
   cr_expect(answer.sent);
+  cr_expect_not(answer.refused);
   cr_expect_geq(steady_clock::now() - begin, milliseconds(190));
   cr_expect_lt(steady_clock::now() - begin, milliseconds(2'000));
 }
 
 // Guards against reporting a refused connection as a call that may have been
-// executed.
+// executed, or as a host that doesn't answer.
 Test(http_client, reports_a_refused_connection_as_not_sent) {
   std::string url;
   {
@@ -180,6 +181,7 @@
   const auto answer = MakeClient()->Call(MakeCall(url));
   cr_expect_eq(answer.status, 0);
   cr_expect_not(answer.sent);
+  cr_expect(answer.refused);
 }
 
 namespace {
@@ -216,6 +218,7 @@
   cr_expect_eq(executed, 1);
   cr_expect_eq(answer.status, 0);
   cr_expect(answer.sent);
+  cr_expect_not(answer.refused);
 }
 
 // Guards against sending a call a second time after its connection was reset:
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -508,6 +508,9 @@
   unsent.sent = false;
   cr_expect_eq(DecodeWorkerReply(start, unsent).answer,
                cell::WorkerAnswer::kNotSent);
+  unsent.refused = true;
+  cr_expect_eq(DecodeWorkerReply(start, unsent).answer,
+               cell::WorkerAnswer::kNoListener);
   cr_expect_eq(DecodeWorkerReply(start, http::HttpAnswer()).answer,
                cell::WorkerAnswer::kNoAnswer);
   cr_expect_eq(DecodeWorkerReply(start, MakeAnswer(500, "")).answer,
