cell: Wait for the end of a departed worker before its tasks start again

Cause: WorkerTracker::Remove() took the removal of a worker from the committed state for a proof that its runs had ended. A departure says only what the worker intends. A leader that took over after the removal did wait.

A worker that left the state now stays in the tracker until its runs have certainly ended. It gets no starts and no further leases, but holds and stops like any other worker. What counts as an end: its list, the end of its lease on its clock, another worker at its address, or a refused connection for a hold, after the connection of the hold before has ended, too. If it reports again, its runs go on there. Runs that were cancelled are stopped, and all of them count for their accounts meanwhile.

Failed before: departed_worker::runs_nothing_twice_while_it_goes_on, ::runs_nothing_twice_while_it_goes_on_and_leaders_change, ::keeps_its_runs_if_it_did_not_leave, ::stops_cancelled_runs_while_it_goes_on.

worker_tracker::ends_confirmed_runs_of_a_worker_that_has_left asked for the fault: a confirmed run had to end with the removal. Its successor ::ends_confirmed_runs_of_a_worker_that_has_ended asks for the same end, with the same lost reply before, as soon as there is a proof, and for none without one.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -591,6 +591,7 @@
   WorkerTrackerOutput tracker_out;
   workers_.Advance(now_ms_, tracker_out);
   ApplyOutput(std::move(tracker_out));
+  ForgetEndedWorkers();
   HandleUncertainStarts();
   StopOverdueGangs();
   ApplyAdvice();
@@ -705,7 +706,8 @@
   for (const auto& [number, tracked_worker] : workers_.workers()) {
     const auto last_contact_ms =
         std::max(tracked_worker.last_answer_ms, tracked_worker.last_report_ms);
-    if (tracked_worker.leases_expired && tracked_worker.runs.empty() &&
+    if (!tracked_worker.removed && tracked_worker.leases_expired &&
+        tracked_worker.runs.empty() &&
         now_ms_ - last_contact_ms > kRemoveWorkerMs) {
       Log(LogLevel::kInfo, "workers", "silent worker is removed",
           {{"worker", tracked_worker.record.id}});
--- a/libraries/cell/src/tracked_worker.h
+++ b/libraries/cell/src/tracked_worker.h
@@ -84,6 +84,9 @@
   bool synced = false;
   // Whether the worker said that it has left, and this is being committed.
   bool departed = false;
+  // Whether the committed state no longer has the worker, and since when.
+  bool removed = false;
+  std::int64_t removed_ms = 0;
   // Whether every lease expired, so that nothing can still run on the worker.
   bool leases_expired = false;
   bool has_expired_runs = false;  // Whether runs may be in kLeaseExpired.
--- a/libraries/cell/src/worker_departures.cc
+++ b/libraries/cell/src/worker_departures.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "cranberryshunt/base/log.h"
 #include "worker_tracker.h"
 
 namespace cranberryshunt::cell {
@@ -98,43 +99,84 @@
 void WorkerTracker::Remove(WorkerNumber number,
                            std::int64_t now_ms,
                            WorkerTrackerOutput& out) {
-  const auto worker = workers_.find(number);
-  if (worker == workers_.end()) {
+  const auto found = workers_.find(number);
+  if (found == workers_.end() || found->second.removed) {
     return;
   }
-  // All its runs may be on its next incarnation if that one has answered.
-  const bool other_answers = worker->second.other_incarnation_answers;
+  auto& worker = found->second;
+  worker.removed = true;
+  worker.removed_ms = now_ms;
+  changed_workers_.insert(number);
+  for (auto it = worker.runs.begin(); it != worker.runs.end();) {
+    const auto next = std::next(it);
+    if (it->second.phase == RunPhase::kProposed) {
+      FinishRun(worker, it, wire::RunEnd::kNotStarted, "worker left", 0, out);
+    }
+    it = next;
+  }
+  if (worker.runs.empty() || worker.leases_expired) {
+    Retire(worker, out);
+    return;
+  }
+  Log(LogLevel::kInfo, "workers", "worker has left and may still run tasks",
+      {{"worker", worker.record.id},
+       {"runs", worker.runs.size()},
+       {"lease_ms", LeaseEnd(worker) - now_ms}});
+  worker.next_hold_ms = std::min(worker.next_hold_ms, now_ms);
+}
+
+bool WorkerTracker::HasEnded(const TrackedWorker& worker,
+                             const SentOrder& sent,
+                             const WorkerReply& reply) {
+  if (!worker.removed) {
+    return false;
+  }
+  // Holds follow each other, so the connection of the one before has ended,
+  // too. A worker that has closed only its port answers on that connection.
+  const bool nothing_listens = reply.answer == WorkerAnswer::kNoListener &&
+                               std::holds_alternative<HoldOrder>(sent.order);
+  return worker.runs.empty() || nothing_listens ||
+         reply.answer == WorkerAnswer::kOtherWorker;
+}
+
+void WorkerTracker::RetireEndedWorkers(WorkerTrackerOutput& out) {
+  std::vector<WorkerNumber> ended;
+  for (const auto& [number, worker] : workers_) {
+    if (worker.removed && (worker.runs.empty() || worker.leases_expired)) {
+      ended.push_back(number);
+    }
+  }
+  for (const auto it : ended) {
+    Retire(workers_.at(it), out);
+  }
+}
+
+void WorkerTracker::Retire(TrackedWorker& worker, WorkerTrackerOutput& out) {
+  const auto number = worker.number;
   DepartedWorker departed{number,
-                          LatestStartExpiry(now_ms),
+                          LatestStartExpiry(worker.removed_ms),
                           {},
-                          worker->second.unproven_connection_ms != 0};
-  for (auto it = worker->second.runs.begin();
-       it != worker->second.runs.end();) {
+                          worker.unproven_connection_ms != 0};
+  for (auto it = worker.runs.begin(); it != worker.runs.end();) {
     const auto next = std::next(it);
     const auto phase = it->second.phase;
     if (phase == RunPhase::kSending) {
       uncertain_starts_.push_back(it->first);
     }
-    if (phase == RunPhase::kSending || phase == RunPhase::kUncertain ||
-        (other_answers && phase != RunPhase::kProposed)) {
+    if (!worker.leases_expired &&
+        (phase == RunPhase::kSending || phase == RunPhase::kUncertain)) {
       departed.runs[it->first] = {it->second, departed.until_ms};
-      EraseRun(worker->second, it);
+      EraseRun(worker, it);
     }
     it = next;
   }
+  FinishAllRuns(worker, "worker left", 0, out);
   // Kept without runs, too: a hold may still reach the next incarnation, which
   // then has a lease on the former clock.
-  departed_workers_[worker->second.record.id] = std::move(departed);
-  FinishAllRuns(worker->second, "worker left", 0, out);
-  auto it = worker->second.runs.begin();
-  while (it != worker->second.runs.end()) {
-    FinishRun(worker->second, it, wire::RunEnd::kNotStarted, "worker left", 0,
-              out);
-    it = worker->second.runs.begin();
-  }
-  numbers_by_id_.erase(worker->second.record.id);
+  departed_workers_[worker.record.id] = std::move(departed);
+  numbers_by_id_.erase(worker.record.id);
   ended_workers_.push_back(number);
-  workers_.erase(worker);
+  workers_.erase(number);
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -73,8 +73,8 @@
   const bool other_incarnation =
       was_for_former || (reply.born_ms != 0 && worker->record.born_ms != 0 &&
                          reply.born_ms != worker->record.born_ms);
-  const bool answered = reply.answer != WorkerAnswer::kNoAnswer &&
-                        !WasNotSent(reply.answer);
+  const bool answered =
+      reply.answer != WorkerAnswer::kNoAnswer && !WasNotSent(reply.answer);
   if (answered && !other_incarnation &&
       reply.answer != WorkerAnswer::kOtherWorker) {
     worker->last_answer_ms = now_ms;
@@ -135,6 +135,9 @@
   } else if (const auto* stop = std::get_if<StopOrder>(&sent.order)) {
     OnStopReply(*worker, *stop, reply, now_ms);
   }
+  if (HasEnded(*worker, sent, reply)) {
+    Retire(*worker, out);
+  }
 }
 
 void WorkerTracker::OnHoldReply(TrackedWorker& worker,
@@ -148,9 +151,13 @@
       Log(LogLevel::kWarning, "workers", "worker does not answer holds",
           {{"worker", worker.record.id}, {"detail", reply.detail}});
     }
+    // The hold that was open when a worker left fails as the worker ends, so
+    // the next one follows at once.
+    const auto earlier_failures =
+        worker.removed ? worker.hold_failures : worker.hold_failures + 1;
     ++worker.hold_failures;
     worker.next_hold_ms =
-        now_ms + std::min(kHoldRetryMs * worker.hold_failures, kMaxHoldRetryMs);
+        now_ms + std::min(kHoldRetryMs * earlier_failures, kMaxHoldRetryMs);
     return;
   }
   if (worker.hold_failures > 0) {
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -603,7 +603,7 @@
 bool WorkerTracker::IsUsable(const TrackedWorker& worker,
                              std::int64_t now_ms) const {
   return worker.synced && !worker.record.leaving && !worker.departed &&
-         !worker.leases_expired && worker.clock_ms >= 0 &&
+         !worker.removed && !worker.leases_expired && worker.clock_ms >= 0 &&
          now_ms - worker.last_answer_ms < HoldWaitMs() + kMaxSilenceMs &&
          worker.hold_failures == 0 && now_ms >= worker.avoid_until_ms;
 }
@@ -789,7 +789,7 @@
   const bool answers = worker.hold_failures == 0 ||
                        (worker.hold_failures <= kMaxUnansweredRenewals &&
                         worker.last_done_ms > worker.hold_sent_ms);
-  if (worker.clock_ms >= 0 && answers) {
+  if (worker.clock_ms >= 0 && answers && !worker.removed) {
     order.lease_until_ms = GrantLease(worker, now_ms);
   }
   const bool wait =
@@ -875,6 +875,7 @@
       GiveUpExpiredRuns(worker, now_ms, out);
     }
   }
+  RetireEndedWorkers(out);
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -82,8 +82,10 @@
   // Sets whether the worker has said that it has left. Such a worker gets no
   // starts, because its next incarnation would carry them out.
   void SetDeparted(WorkerNumber number, bool departed);
-  // Removes a worker that has ended and reports its runs as finished. Starts
-  // that may be on their way stay open until the next incarnation with the same
+  // Handles that a worker is no longer in the committed state. It gets no more
+  // starts and leases, but stays here until its runs have certainly ended: it
+  // may go on with them for seconds after it said that it leaves. Starts that
+  // may be on their way then stay open until the next incarnation with the same
   // id is registered, which bars them, or until they are too late.
   void Remove(WorkerNumber number,
               std::int64_t now_ms,
@@ -203,7 +205,8 @@
   std::vector<WorkerNumber> TakeEndedWorkers() {
     return std::exchange(ended_workers_, {});
   }
-  // Returns what runs use that may go on although their workers have left.
+  // Returns what runs use that the next incarnations of workers may have
+  // started.
   std::vector<policy::AccountUse> DepartedUse() const;
   // Returns what the account uses by all runs except those whose starts are not
   // committed or not sent yet. Looks at all runs.
@@ -254,6 +257,14 @@
   std::int64_t StartExpiry(std::int64_t now_ms) const;
   // The same for a start that another incarnation may carry out.
   std::int64_t LatestStartExpiry(std::int64_t now_ms) const;
+  // Whether the reply shows that a removed worker runs nothing any more.
+  static bool HasEnded(const TrackedWorker& worker,
+                       const SentOrder& sent,
+                       const WorkerReply& reply);
+  // Forgets the removed workers that run nothing any more.
+  void RetireEndedWorkers(WorkerTrackerOutput& out);
+  // Finishes the runs of a removed worker that has ended, and forgets it.
+  void Retire(TrackedWorker& worker, WorkerTrackerOutput& out);
   // Moves runs of a worker whose starts may still arrive to its next
   // incarnation, which is registered now.
   void MoveDepartedRuns(TrackedWorker& worker);
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -259,7 +259,7 @@
 }
 
 void CellHarness::Report(const FakeWorker& worker) {
-  if (!worker.silent && !worker.gone) {
+  if (!worker.silent && !worker.gone && !worker.leaves) {
     ReportOnce(worker);
   }
   const auto n = static_cast<std::size_t>(&worker - workers.data());
@@ -523,7 +523,7 @@
   }
 }
 
-void CellHarness::Crash(FakeWorker& worker) {
+void CellHarness::Crash(FakeWorker& worker, OpenCalls open_calls) {
   worker.gone = true;
   EndAllRuns(worker);
   ForgetEnds(worker);
@@ -532,7 +532,7 @@
   worker.lease_until_ms = 0;
   worker.connected_born_ms = 0;
   worker.hold_connected_born_ms = 0;
-  EndOpenHolds(worker, OpenCalls::kDark);
+  EndOpenHolds(worker, open_calls);
 }
 
 void CellHarness::EndOpenHolds(const FakeWorker& worker, OpenCalls open_calls) {
@@ -586,8 +586,12 @@
   });
 }
 
-void CellHarness::Depart(FakeWorker& worker) {
-  Crash(worker);
+void CellHarness::Depart(FakeWorker& worker, OpenCalls open_calls) {
+  Crash(worker, open_calls);
+  Deregister(worker);
+}
+
+void CellHarness::Deregister(const FakeWorker& worker) {
   engine_.Handle(DepartureCall{worker.record.id, worker.record.born_ms,
                                [](const Result<void>&) {}},
                  Now());
@@ -615,9 +619,9 @@
   if (worker->loses_orders) {
     return;
   }
-  if (worker->gone) {
+  if (worker->gone && !worker->silent) {
     WorkerReply reply;
-    reply.answer = WorkerAnswer::kNotSent;
+    reply.answer = WorkerAnswer::kNoListener;
     Schedule(options_.network_ms, [this, id = sent.id, reply] {
       engine_.OnWorkerReply(id, reply, Now());
     });
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -75,7 +75,8 @@
   std::int64_t earlier_milli_cpus = 0;
   std::int64_t earlier_memory_mb = 0;
   bool capacity_changed = false;
-  bool gone = false;  // No process runs at its address.
+  bool gone = false;    // No process runs at its address.
+  bool leaves = false;  // Has said that it leaves, and reports nothing more.
 };
 
 struct HarnessOptions {
@@ -170,9 +171,11 @@
                    std::int64_t memory_mb);
   // Ends the worker's process, with its runs and unread ends, and the other
   // members of the gangs that worked on it.
-  void Crash(FakeWorker& worker);
+  void Crash(FakeWorker& worker, OpenCalls open_calls = OpenCalls::kDark);
   // Crashes the worker, and the leader is told that it has left.
-  void Depart(FakeWorker& worker);
+  void Depart(FakeWorker& worker, OpenCalls open_calls = OpenCalls::kDark);
+  // The leader is told that the worker has left, but the worker goes on.
+  void Deregister(const FakeWorker& worker);
   // Crashes the worker if it is not gone, and starts it again under the same id
   // with a later birth time.
   void Restart(FakeWorker& worker);
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -2,6 +2,8 @@
 // gives up what was about to start on them.
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 #include "cell_harness.h"
 
 using namespace cranberryshunt;        // NOLINT
@@ -17,6 +19,27 @@
   cell.Run(200);
 }
 
+// Submits a job of eight tasks that fills four of six workers, and returns one
+// of these.
+FakeWorker& StartTasks(CellHarness& cell, std::int64_t run_ms) {
+  StartCell(cell);
+  cell.Submit(1, "a", MakeJob(8, 16'000, run_ms));
+  cell.Run(2'000);
+  cr_assert_eq(cell.starts, 8);
+  const auto busy =
+      std::find_if(cell.workers.begin(), cell.workers.end(),
+                   [](const auto& it) { return it.runs.size() == 2; });
+  cr_assert(busy != cell.workers.end());
+  return *busy;
+}
+
+// The worker says that it leaves, and goes on.
+void Leave(CellHarness& cell, FakeWorker& worker, bool cut_off) {
+  cell.Deregister(worker);
+  worker.silent = cut_off;
+  worker.leaves = true;
+}
+
 void ExpectCompleted(CellHarness& cell, graph::JobId id) {
   cr_assert_eq(cell.jobs[id].code, 0);
   cr_expect(cell.StateOf(id) == wire::GraphJobState::kCompleted);
@@ -191,6 +214,141 @@
   }
 }
 
+// Guards against a task that runs twice: the acknowledgement of a departure is
+// lost, and the worker goes on for seconds, cut off or not, before it ends.
+Test(departed_worker, runs_nothing_twice_while_it_goes_on) {
+  for (const bool cut_off : {true, false}) {
+    for (std::int64_t ends_ms = 50; ends_ms <= 4'000; ends_ms += 350) {
+      CellHarness cell({.workers = 6});
+      auto& worker = StartTasks(cell, 12'000);
+      Leave(cell, worker, cut_off);
+      cell.Run(ends_ms);
+      cell.Crash(worker);
+      cell.Run(40'000);
+      ExpectCompleted(cell, 1);
+    }
+  }
+}
+
+// Guards against the same if the leader changes before or after the departure
+// is committed.
+Test(departed_worker, runs_nothing_twice_while_it_goes_on_and_leaders_change) {
+  for (std::int64_t change_ms = 0; change_ms <= 3'000; change_ms += 190) {
+    CellHarness cell({.workers = 6});
+    auto& worker = StartTasks(cell, 12'000);
+    Leave(cell, worker, true);
+    cell.Run(change_ms);
+    cell.ChangeLeader();
+    cell.Run(3'500 - change_ms);
+    cell.Crash(worker);
+    cell.Run(40'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
+// Guards against a task that runs twice, or is interrupted, because somebody
+// else has deregistered its worker, which goes on and reports again.
+Test(departed_worker, keeps_its_runs_if_it_did_not_leave) {
+  for (std::int64_t wait_ms = 0; wait_ms < 1'500; wait_ms += 130) {
+    CellHarness cell({.workers = 6});
+    const auto& worker = StartTasks(cell, 8'000);
+    cell.Run(wait_ms);
+    cell.Deregister(worker);
+    cell.Run(20'000);
+    ExpectCompleted(cell, 1);
+    cr_expect_eq(cell.starts, 8);
+  }
+}
+
+// Guards against members of a gang that start again while one of the former run
+// is still at work on a worker that leaves.
+Test(departed_worker, starts_no_gang_again_while_a_member_goes_on) {
+  for (std::int64_t ends_ms = 50; ends_ms <= 4'000; ends_ms += 350) {
+    CellHarness cell({.workers = 4});
+    StartCell(cell);
+    auto job = MakeJob(3, 20'000, 9'000);
+    job.steps[0].gang = true;
+    cell.Submit(1, "a", job);
+    cell.Run(2'000);
+    auto& worker =
+        *std::find_if(cell.workers.begin(), cell.workers.end(),
+                      [](const auto& it) { return !it.runs.empty(); });
+    cell.Deregister(worker);
+    worker.silent = true;
+    worker.leaves = true;
+    cell.Run(ends_ms);
+    cell.Crash(worker);
+    cell.Run(50'000);
+    ExpectCompleted(cell, 1);
+  }
+}
+
+// Guards against a cancelled task that goes on because its worker has left and
+// has not ended yet.
+Test(departed_worker, stops_cancelled_runs_while_it_goes_on) {
+  constexpr std::int64_t kStoppedMs = 1'000;
+  for (const std::int64_t wait_ms : {0, 10, 300, 1'000, 2'000}) {
+    CellHarness cell({.workers = 1});
+    StartCell(cell);
+    cell.Submit(1, "a", MakeJob(2, 8'000, 30'000));
+    cell.Run(2'000);
+    auto& worker = cell.workers[0];
+    cr_assert_eq(worker.runs.size(), 2);
+    Leave(cell, worker, false);
+    cell.Run(wait_ms);
+    cell.Cancel(1, "a");
+    cell.Run(kStoppedMs);
+    cr_expect(worker.runs.empty(), "%d", static_cast<int>(wait_ms));
+  }
+}
+
+namespace {
+
+// Returns the longest time from the departure of a worker with two tasks until
+// both run elsewhere.
+std::int64_t TimeToStartAgain(OpenCalls open_calls, bool host_answers) {
+  constexpr std::int64_t kMaxMs = 30'000;
+  std::int64_t longest_ms = 0;
+  for (std::int64_t wait_ms = 0; wait_ms < 1'000; wait_ms += 90) {
+    CellHarness cell({.workers = 6});
+    auto& worker = StartTasks(cell, 40'000);
+    cell.Run(wait_ms);
+    const auto left_ms = cell.now_ms();
+    cell.Depart(worker, open_calls);
+    worker.silent = !host_answers;
+    while (cell.starts < 10 && cell.now_ms() - left_ms < kMaxMs) {
+      cell.Run(1);
+    }
+    longest_ms = std::max(longest_ms, cell.now_ms() - left_ms);
+    for (const auto& it : cell.violations) {
+      cr_expect_fail("%s", it.c_str());
+    }
+  }
+  return longest_ms;
+}
+
+}  // namespace
+
+// Guards against tasks that wait for the end of a lease although their worker
+// has left and its host shows that its process has ended.
+Test(departed_worker, has_its_tasks_started_again_at_once_if_it_has_ended) {
+  // Urgent work starts within this time.
+  constexpr std::int64_t kUrgentStartMs = 1'100;
+  const auto ms = TimeToStartAgain(OpenCalls::kReset, true);
+  cr_log_info("started again after %d ms", static_cast<int>(ms));
+  cr_expect_leq(ms, kUrgentStartMs);
+}
+
+// Guards against tasks that wait for longer than any lease if the host of a
+// worker that has left answers nothing.
+Test(departed_worker, has_its_tasks_started_again_after_its_lease) {
+  // The longest lease on a clock that is 2% slow.
+  constexpr std::int64_t kMaxLeaseMs = 10'200;
+  const auto ms = TimeToStartAgain(OpenCalls::kDark, false);
+  cr_log_info("started again after %d ms", static_cast<int>(ms));
+  cr_expect_leq(ms, kMaxLeaseMs);
+}
+
 // Guards against a task that waits for ever for a worker that never returns.
 Test(departed_worker, gives_up_its_starts_if_it_does_not_return) {
   constexpr std::int64_t kNetworkMs = 100;
--- a/tests/cell/worker_tracker_test.cc
+++ b/tests/cell/worker_tracker_test.cc
@@ -909,21 +909,56 @@
   }
 }
 
-// Guards against runs that wait for the longest lease after a departure because
-// a reply was lost, although the worker that has left had confirmed them.
-Test(worker_tracker, ends_confirmed_runs_of_a_worker_that_has_left) {
+// Guards against runs that end too early after a departure: the worker that has
+// left had confirmed them, and may go on. Guards also against runs that wait
+// for the longest lease because a reply was lost, although the worker has
+// ended.
+Test(worker_tracker, ends_confirmed_runs_of_a_worker_that_has_ended) {
+  for (const auto answer :
+       {WorkerAnswer::kNoListener, WorkerAnswer::kOtherWorker,
+        WorkerAnswer::kNotSent, WorkerAnswer::kNoAnswer,
+        WorkerAnswer::kOverloaded}) {
+    auto tracker = MakeTracker(1'000);
+    const auto start = SendStart(tracker, 1'010);
+    WorkerReply reply;
+    reply.answer = WorkerAnswer::kDone;
+    reply.clock_ms = 1'015;
+    WorkerTrackerOutput out;
+    tracker.OnReply(start, 1'010, reply, 1'020, out);
+    SentOrder stop = start;
+    stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 2};
+    tracker.OnReply(stop, 1'020, WorkerReply(), 2'020, out);
+    tracker.Remove(1, 2'030, out);
+    cr_expect(out.finished.empty());
+    cr_assert_not_null(tracker.Find(1));
+    cr_expect_not(tracker.IsUsable(*tracker.Find(1), 2'030));
+    out = {};
+    tracker.Advance(2'040, out);
+    const auto hold = LastHold(out);
+    cr_expect_eq(std::get<HoldOrder>(hold.order).lease_until_ms, 0);
+    reply = {};
+    reply.answer = answer;
+    tracker.OnReply(hold, 2'040, reply, 2'050, out);
+    const bool has_ended = answer == WorkerAnswer::kNoListener ||
+                           answer == WorkerAnswer::kOtherWorker;
+    cr_expect_eq(out.finished.size(), has_ended ? 1U : 0U);
+    cr_expect_eq(tracker.Find(1) == nullptr, has_ended);
+  }
+}
+
+// Guards against a start that is given up although its order may still reach
+// the next incarnation of a worker that has left and ended.
+Test(worker_tracker, keeps_open_starts_of_a_worker_that_has_ended) {
   auto tracker = MakeTracker(1'000);
-  const auto start = SendStart(tracker, 1'010);
-  WorkerReply reply;
-  reply.answer = WorkerAnswer::kDone;
-  reply.clock_ms = 1'015;
+  SendStart(tracker, 1'010);
   WorkerTrackerOutput out;
-  tracker.OnReply(start, 1'010, reply, 1'020, out);
-  SentOrder stop = start;
-  stop.order = StopOrder{std::get<StartOrder>(start.order).fence, kTask, 2};
-  tracker.OnReply(stop, 1'020, WorkerReply(), 2'020, out);
-  tracker.Remove(1, 2'030, out);
-  cr_expect_eq(out.finished.size(), 1);
+  tracker.Remove(1, 1'020, out);
+  tracker.Advance(1'030, out);
+  WorkerReply reply;
+  reply.answer = WorkerAnswer::kNoListener;
+  tracker.OnReply(LastHold(out), 1'030, reply, 1'040, out);
+  cr_expect(out.finished.empty());
+  cr_expect(tracker.IsOpenAtDeparted(kTask, 1));
 }
 
 // Guards against a lease that ends too early: a worker left without an open
