cell: Take a worker for replaced only once the next one has answered

Cause: the leader removed every worker that had been born earlier at the address in a report, and gave up its runs. Anybody can write such a report. The state also counted a crash for the tasks on that worker.

A report only registers the worker that it names. The worker that had the address before is removed, and its runs are given up, when the later one has answered a hold there: that is a process with its id and birth. The true worker at the address refuses the holds for an id that somebody made up. The crash is counted with the removal. The same was true of a crash under a new id; what is new is one answer that the leader waits for.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -395,6 +395,10 @@
   for (auto& it : out.orders) {
     orders_.push_back(std::move(it));
   }
+  for (const auto it : out.replaced_workers) {
+    batch_.removed_workers.push_back(it);
+    batch_has_content_ = true;
+  }
   if (out.synchronized) {
     RecordListRead();
   }
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -423,14 +423,6 @@
        {"born_ms", record.born_ms},
        {"leaving", record.leaving ? "yes" : "no"},
        {"remaining_ms", waiting.back().report.remaining_ms}});
-  for (const auto& [other, it] : store_.workers()) {
-    // A worker with another id that was born earlier at the same address has
-    // ended.
-    if (it.address == record.address && it.id != record.id &&
-        it.born_ms < record.born_ms) {
-      batch_.removed_workers.push_back(other);
-    }
-  }
   batch_.workers.push_back(record);
   batch_has_content_ = true;
   continuations_.emplace_back([this, id = record.id](bool committed) {
--- a/libraries/cell/src/worker_departures.cc
+++ b/libraries/cell/src/worker_departures.cc
@@ -125,6 +125,26 @@
   worker.next_hold_ms = std::min(worker.next_hold_ms, now_ms);
 }
 
+void WorkerTracker::ReplaceWorkers(const TrackedWorker& worker,
+                                   std::int64_t now_ms,
+                                   WorkerTrackerOutput& out) {
+  const auto& address = worker.record.address;
+  for (auto entry = numbers_by_address_.lower_bound({address, 0});
+       entry != numbers_by_address_.end() && entry->first == address; ++entry) {
+    auto& it = workers_.at(entry->second);
+    if (!it.removed && graph::IsReplacedBy(it.record, worker.record)) {
+      Log(LogLevel::kInfo, "workers", "worker was replaced at its address",
+          {{"worker", it.record.id},
+           {"address", it.record.address},
+           {"next", worker.record.id},
+           {"runs", it.runs.size()}});
+      it.synced = false;
+      FinishAllRuns(it, "another worker answers at its address", now_ms, out);
+      out.replaced_workers.push_back(it.number);
+    }
+  }
+}
+
 bool WorkerTracker::HasEnded(const TrackedWorker& worker,
                              const SentOrder& sent,
                              const WorkerReply& reply) {
@@ -175,6 +195,7 @@
   // then has a lease on the former clock.
   departed_workers_[worker.record.id] = std::move(departed);
   numbers_by_id_.erase(worker.record.id);
+  numbers_by_address_.erase({worker.record.address, number});
   ended_workers_.push_back(number);
   workers_.erase(number);
 }
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -186,6 +186,7 @@
          {"ended", reply.ended.size()}});
     worker.synced = true;
     out.synchronized = true;
+    ReplaceWorkers(worker, now_ms, out);
     // Its fence bars orders for earlier incarnations from now on.
     if (worker.may_have_former_lease) {
       worker.inherited_lease_end_ms = LongestLeaseEnd(now_ms);
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -288,6 +288,8 @@
       previous->next_hold_ms = now_ms;
       previous->synced = false;
       MarkStartsUncertain(*previous);
+      numbers_by_address_.erase({previous->record.address, number});
+      numbers_by_address_.emplace(record.address, number);
     }
     previous->record = record;
     previous->full_capacity =
@@ -342,9 +344,11 @@
       AddRun(added, key, run);
     }
     ended_workers_.push_back(previous->number);
+    numbers_by_address_.erase({previous->record.address, previous->number});
     workers_.erase(previous->number);
   }
   numbers_by_id_[record.id] = number;
+  numbers_by_address_.emplace(record.address, number);
 }
 
 // The new incarnation takes orders that were meant for the previous one, and
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -56,6 +56,8 @@
   // Runs that a worker listed and that were unknown until then.
   std::vector<RunKey> unknown_runs;
   std::vector<SentOrder> orders;
+  // Workers that have ended, because a later one answers at their address.
+  std::vector<WorkerNumber> replaced_workers;
   // The list of a worker was read for the first time, so it can get starts.
   bool synchronized = false;
 };
@@ -257,6 +259,11 @@
   std::int64_t StartExpiry(std::int64_t now_ms) const;
   // The same for a start that another incarnation may carry out.
   std::int64_t LatestStartExpiry(std::int64_t now_ms) const;
+  // Finishes the runs of the workers that `worker` has replaced at its address.
+  // Its list proves that they have ended, whereas its report may be false.
+  void ReplaceWorkers(const TrackedWorker& worker,
+                      std::int64_t now_ms,
+                      WorkerTrackerOutput& out);
   // Whether the reply shows that a removed worker runs nothing any more.
   static bool HasEnded(const TrackedWorker& worker,
                        const SentOrder& sent,
@@ -377,6 +384,7 @@
   const std::int64_t started_ms_;
   std::map<WorkerNumber, TrackedWorker> workers_;
   std::map<std::string, WorkerNumber> numbers_by_id_;
+  std::set<std::pair<std::string, WorkerNumber>> numbers_by_address_;
   std::map<std::string, DepartedWorker> departed_workers_;
   // The runs of each job, by worker, task and run number.
   std::map<graph::JobId, std::set<std::pair<WorkerNumber, RunKey>>>
--- a/libraries/graph/include/cranberryshunt/graph/graph_store.h
+++ b/libraries/graph/include/cranberryshunt/graph/graph_store.h
@@ -86,6 +86,11 @@
   std::vector<CrashedRun> runs;
 };
 
+// Whether the second worker says that it was started at the address of the
+// first one, under another id, after the start of the first one.
+bool IsReplacedBy(const wire::CalledWorker& worker,
+                  const wire::CalledWorker& later);
+
 class Job {
  public:
   explicit Job(wire::AcceptedGraphJob accepted);
@@ -229,7 +234,7 @@
   void ApplyTable(const wire::RoutingTable& table);
   void IndexAccounts();
   void ApplyWorker(const wire::CalledWorker& worker, std::int64_t at_ms);
-  void ApplyRemoval(WorkerNumber number);
+  void ApplyRemoval(WorkerNumber number, std::int64_t at_ms);
   void ForgetIdleDepartedWorkers();
   // Moves the open runs of a worker to its next incarnation, which may have
   // carried out their starts. Only its list shows that they have ended.
--- a/libraries/graph/src/graph_store.cc
+++ b/libraries/graph/src/graph_store.cc
@@ -8,6 +8,12 @@
 
 namespace cranberryshunt::graph {
 
+bool IsReplacedBy(const wire::CalledWorker& worker,
+                  const wire::CalledWorker& later) {
+  return worker.address == later.address && worker.id != later.id &&
+         worker.born_ms < later.born_ms;
+}
+
 Result<void> GraphStore::Apply(std::string_view entry) {
   auto batch = wire::Decode<wire::GraphBatch>(entry);
   if (!batch) {
@@ -27,7 +33,7 @@
     ApplyWorker(it, batch.at_ms);
   }
   for (const auto it : batch.removed_workers) {
-    ApplyRemoval(it);
+    ApplyRemoval(it, batch.at_ms);
   }
   if (!batch.removed_workers.empty()) {
     ForgetIdleDepartedWorkers();
@@ -69,11 +75,19 @@
   }
 }
 
-void GraphStore::ApplyRemoval(WorkerNumber number) {
+void GraphStore::ApplyRemoval(WorkerNumber number, std::int64_t at_ms) {
   const auto worker = workers_.find(number);
   if (worker == workers_.end()) {
     return;
   }
+  // The platform may give the next incarnation at an address another id.
+  const bool replaced =
+      std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        return IsReplacedBy(worker->second, entry.second);
+      });
+  if (replaced) {
+    ApplyCrash(number, worker->second, at_ms);
+  }
   departed_workers_[worker->second.id] = number;
   workers_by_id_.erase(worker->second.id);
   workers_.erase(worker);
@@ -126,13 +140,6 @@
     MoveRuns(registered->second, next_worker_);
     workers_.erase(registered->second);
   }
-  for (const auto& [number, it] : workers_) {
-    // The platform may give the next incarnation at an address another id.
-    if (it.address == worker.address && it.id != worker.id &&
-        it.born_ms < worker.born_ms) {
-      ApplyCrash(number, it, at_ms);
-    }
-  }
   const WorkerNumber number = next_worker_++;
   if (const auto departed = departed_workers_.extract(worker.id);
       !departed.empty()) {
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -89,6 +89,16 @@
   return job;
 }
 
+FakeWorker& FillFourWorkers(CellHarness& cell, std::int64_t run_ms) {
+  cell.Run(200);
+  cell.Publish({MakeQueue("a", 1)});
+  cell.Run(200);
+  cell.Submit(1, "a", MakeJob(8, 16'000, run_ms));
+  cell.Run(2'000);
+  return *std::find_if(cell.workers.begin(), cell.workers.end(),
+                       [](const auto& it) { return it.runs.size() == 2; });
+}
+
 CellHarness::CellHarness(HarnessOptions options)
     : options_(options),
       random_(options.seed),
@@ -597,25 +607,47 @@
                  Now());
 }
 
-void CellHarness::Restart(FakeWorker& worker) {
+void CellHarness::Restart(FakeWorker& worker, const std::string& id) {
   constexpr std::int64_t kRestartMs = 50;
   Crash(worker);
   const auto number = static_cast<std::size_t>(&worker - workers.data());
-  Schedule(kRestartMs, [this, number] {
+  Schedule(kRestartMs, [this, number, id] {
     auto& restarted = workers[number];
     if (!restarted.gone) {
       return;  // Another restart came first.
     }
     restarted.gone = false;
+    restarted.record.id = id.empty() ? restarted.record.id : id;
     SetBirth(restarted);
     ReportOnce(restarted);
   });
 }
 
+// No process has the id in the order. The one at its address refuses it.
+void CellHarness::RefuseAsOther(const SentOrder& sent) {
+  const auto worker = std::find_if(
+      workers.begin(), workers.end(),
+      [&](const auto& it) { return it.record.address == sent.worker.address; });
+  if (worker == workers.end() || worker->silent || worker->unreachable) {
+    ReplyAfterTimeout(sent, false);
+    return;
+  }
+  WorkerReply reply;
+  reply.answer =
+      worker->gone ? WorkerAnswer::kNoListener : WorkerAnswer::kOtherWorker;
+  Schedule(2 * options_.network_ms, [this, id = sent.id, reply] {
+    engine_.OnWorkerReply(id, reply, Now());
+  });
+}
+
 void CellHarness::CarryOut(const SentOrder& sent) {
   const auto worker = std::find_if(
       workers.begin(), workers.end(),
       [&](const auto& it) { return it.record.id == sent.worker.id; });
+  if (worker == workers.end()) {
+    RefuseAsOther(sent);
+    return;
+  }
   if (worker->loses_orders) {
     return;
   }
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -177,8 +177,8 @@
   // The leader is told that the worker has left, but the worker goes on.
   void Deregister(const FakeWorker& worker);
   // Crashes the worker if it is not gone, and starts it again under the same id
-  // with a later birth time.
-  void Restart(FakeWorker& worker);
+  // or another one, with a later birth time.
+  void Restart(FakeWorker& worker, const std::string& id = "");
   // Commits an entry that no leader of this test has proposed.
   void Commit(const wire::GraphBatch& batch);
 
@@ -250,6 +250,7 @@
   void Propose(const Proposal& proposal);
   void CommitFirstProposal();
   void CarryOut(const SentOrder& sent);
+  void RefuseAsOther(const SentOrder& sent);
   void ReplyAfterTimeout(const SentOrder& sent, bool reused_connection);
   // Reports a reply unless the worker has been cut off meanwhile.
   void ReplyUnlessSilent(std::size_t worker,
@@ -324,6 +325,9 @@
                                 double weight,
                                 std::int64_t milli_cpus);
 wire::JobQueue MakeQueue(const std::string& name, std::int32_t priority);
+// Publishes a queue "a" and submits job 1, of eight tasks that fill four of six
+// workers. Returns one of these, with two tasks.
+FakeWorker& FillFourWorkers(CellHarness& cell, std::int64_t run_ms);
 // A job of one step.
 wire::GraphJob MakeJob(std::int32_t tasks,
                        std::int64_t milli_cpus,
--- a/tests/cell/departed_worker_test.cc
+++ b/tests/cell/departed_worker_test.cc
@@ -19,20 +19,6 @@
   cell.Run(200);
 }
 
-// Submits a job of eight tasks that fills four of six workers, and returns one
-// of these.
-FakeWorker& StartTasks(CellHarness& cell, std::int64_t run_ms) {
-  StartCell(cell);
-  cell.Submit(1, "a", MakeJob(8, 16'000, run_ms));
-  cell.Run(2'000);
-  cr_assert_eq(cell.starts, 8);
-  const auto busy =
-      std::find_if(cell.workers.begin(), cell.workers.end(),
-                   [](const auto& it) { return it.runs.size() == 2; });
-  cr_assert(busy != cell.workers.end());
-  return *busy;
-}
-
 // The worker says that it leaves, and goes on.
 void Leave(CellHarness& cell, FakeWorker& worker, bool cut_off) {
   cell.Deregister(worker);
@@ -220,7 +206,7 @@
   for (const bool cut_off : {true, false}) {
     for (std::int64_t ends_ms = 50; ends_ms <= 4'000; ends_ms += 350) {
       CellHarness cell({.workers = 6});
-      auto& worker = StartTasks(cell, 12'000);
+      auto& worker = FillFourWorkers(cell, 12'000);
       Leave(cell, worker, cut_off);
       cell.Run(ends_ms);
       cell.Crash(worker);
@@ -235,7 +221,7 @@
 Test(departed_worker, runs_nothing_twice_while_it_goes_on_and_leaders_change) {
   for (std::int64_t change_ms = 0; change_ms <= 3'000; change_ms += 190) {
     CellHarness cell({.workers = 6});
-    auto& worker = StartTasks(cell, 12'000);
+    auto& worker = FillFourWorkers(cell, 12'000);
     Leave(cell, worker, true);
     cell.Run(change_ms);
     cell.ChangeLeader();
@@ -251,7 +237,7 @@
 Test(departed_worker, keeps_its_runs_if_it_did_not_leave) {
   for (std::int64_t wait_ms = 0; wait_ms < 1'500; wait_ms += 130) {
     CellHarness cell({.workers = 6});
-    const auto& worker = StartTasks(cell, 8'000);
+    const auto& worker = FillFourWorkers(cell, 8'000);
     cell.Run(wait_ms);
     cell.Deregister(worker);
     cell.Run(20'000);
@@ -311,7 +297,7 @@
   std::int64_t longest_ms = 0;
   for (std::int64_t wait_ms = 0; wait_ms < 1'000; wait_ms += 90) {
     CellHarness cell({.workers = 6});
-    auto& worker = StartTasks(cell, 40'000);
+    auto& worker = FillFourWorkers(cell, 40'000);
     cell.Run(wait_ms);
     const auto left_ms = cell.now_ms();
     cell.Depart(worker, open_calls);
--- a/tests/graph/graph_store_test.cc
+++ b/tests/graph/graph_store_test.cc
@@ -252,7 +252,13 @@
   Register(store, "w", 30);
   cr_expect_eq(store.FindJob(kJob)->task(key).crashes, 2);
   StartOn(store, key, 3, "w");
+  const auto replaced = *store.FindWorker("w");
   Register(store, "v", 40);
+  // Somebody else may have reported "v".
+  cr_expect_eq(store.FindJob(kJob)->task(key).crashes, 2);
+  wire::GraphBatch removal;
+  removal.removed_workers.push_back(replaced);
+  store.Apply(removal);
   cr_expect_eq(store.FindJob(kJob)->task(key).crashes, 3);
   GraphStore other;
   cr_assert(other.Restore(store.Snapshot()).has_value());
