cell: Remove a later start of a worker that it never made

What callers saw: somebody else reports a live worker under its own id, with a later birth. The worker's reports were outdated from then on, its lists were ignored because they named its true birth, and its tasks never ended for the leader, although they did on the worker: jobs that had run were never completed.

Cause: the report alone made the leader replace the incarnation, and nothing took that back.

A hold for the later incarnation that is answered with an earlier birth shows that there is none: a process that has ended can't answer it. The record is removed then, and the true worker registers with its next report and keeps its runs.

worker_address::stays_in_use_after_a_false_report_of_its_restart failed before: the job was not completed 20 s later, in 12 of 12 cases.

--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -395,7 +395,7 @@
   for (auto& it : out.orders) {
     orders_.push_back(std::move(it));
   }
-  for (const auto it : out.replaced_workers) {
+  for (const auto it : out.workers_to_remove) {
     batch_.removed_workers.push_back(it);
     batch_has_content_ = true;
   }
--- a/libraries/cell/src/worker_departures.cc
+++ b/libraries/cell/src/worker_departures.cc
@@ -140,7 +140,7 @@
            {"runs", it.runs.size()}});
       it.synced = false;
       FinishAllRuns(it, "another worker answers at its address", now_ms, out);
-      out.replaced_workers.push_back(it.number);
+      out.workers_to_remove.push_back(it.number);
     }
   }
 }
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -118,6 +118,13 @@
         // after its report.
         worker->synced = false;
         worker->next_hold_ms = now_ms + kHoldRetryMs;
+        // An incarnation that has ended can't answer a hold for its successor,
+        // so somebody else has reported that one. The true one registers with
+        // its next report.
+        if (!was_for_former && !worker->removed && reply.born_ms != 0 &&
+            reply.born_ms < worker->record.born_ms) {
+          out.workers_to_remove.push_back(worker->number);
+        }
       }
     }
   } else if (other_incarnation) {
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -56,8 +56,9 @@
   // Runs that a worker listed and that were unknown until then.
   std::vector<RunKey> unknown_runs;
   std::vector<SentOrder> orders;
-  // Workers that have ended, because a later one answers at their address.
-  std::vector<WorkerNumber> replaced_workers;
+  // Workers that the committed state must not have any more: a later one
+  // answers at their address, or they were never there.
+  std::vector<WorkerNumber> workers_to_remove;
   // The list of a worker was read for the first time, so it can get starts.
   bool synchronized = false;
 };
--- a/tests/cell/worker_address_test.cc
+++ b/tests/cell/worker_address_test.cc
@@ -1,5 +1,5 @@
-// Tests what the leader concludes from a report that names the address of a
-// worker under another id.
+// Tests what the leader concludes from a report of a later start at the address
+// of a worker, under its id or another one.
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -92,6 +92,26 @@
   }
 }
 
+// Guards against a worker whose reports and lists are ignored for ever, and its
+// tasks with them, because somebody else has reported a later start of it.
+Test(worker_address, stays_in_use_after_a_false_report_of_its_restart) {
+  for (std::int64_t wait_ms = 0; wait_ms < 1'500; wait_ms += 130) {
+    CellHarness cell({.workers = 6});
+    const auto& worker = FillFourWorkers(cell, 8'000);
+    cell.Run(wait_ms);
+    auto record = worker.record;
+    record.born_ms = cell.WallMilliseconds();
+    cell.ReportRecord(record, 0);
+    cell.Run(20'000);
+    ExpectCompleted(cell);
+    cr_expect_eq(cell.starts, 8);
+    const auto number = cell.engine().store().FindWorker(worker.record.id);
+    cr_assert(number.has_value());
+    cr_expect_eq(cell.engine().store().workers().at(*number).born_ms,
+                 worker.record.born_ms);
+  }
+}
+
 // Guards against tasks that wait for the end of a lease although the worker has
 // restarted, under its id or another one.
 Test(worker_address, has_its_tasks_started_again_soon_after_a_restart) {
