--- a/libraries/cell/src/worker_departures.cc
+++ b/libraries/cell/src/worker_departures.cc
@@ -159,18 +159,6 @@
          reply.answer == WorkerAnswer::kOtherWorker;
 }
 
-void WorkerTracker::RetireEndedWorkers(WorkerTrackerOutput& out) {
-  std::vector<WorkerNumber> ended;
-  for (const auto& [number, worker] : workers_) {
-    if (worker.removed && (worker.runs.empty() || worker.leases_expired)) {
-      ended.push_back(number);
-    }
-  }
-  for (const auto it : ended) {
-    Retire(workers_.at(it), out);
-  }
-}
-
 void WorkerTracker::Retire(TrackedWorker& worker, WorkerTrackerOutput& out) {
   const auto number = worker.number;
   DepartedWorker departed{number,
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -853,6 +853,7 @@
   }
   scanned_ms_ = now_ms;
   ExpireDepartedRuns(now_ms, out);
+  std::vector<WorkerNumber> ended;
   for (auto& [number, worker] : workers_) {
     if (worker.hold_order == 0 && !worker.ends_commit_pending &&
         now_ms >= worker.next_hold_ms) {
@@ -878,8 +879,13 @@
     if (worker.has_expired_runs) {
       GiveUpExpiredRuns(worker, now_ms, out);
     }
+    if (worker.removed && (worker.runs.empty() || worker.leases_expired)) {
+      ended.push_back(number);
+    }
+  }
+  for (const auto it : ended) {
+    Retire(workers_.at(it), out);
   }
-  RetireEndedWorkers(out);
 }
 
 }  // namespace cranberryshunt::cell
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -269,8 +269,6 @@
   static bool HasEnded(const TrackedWorker& worker,
                        const SentOrder& sent,
                        const WorkerReply& reply);
-  // Forgets the removed workers that run nothing any more.
-  void RetireEndedWorkers(WorkerTrackerOutput& out);
   // Finishes the runs of a removed worker that has ended, and forgets it.
   void Retire(TrackedWorker& worker, WorkerTrackerOutput& out);
   // Moves runs of a worker whose starts may still arrive to its next
