--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -395,6 +395,10 @@
   for (auto& it : out.orders) {
     orders_.push_back(std::move(it));
   }
+  for (const auto it : out.workers_to_remove) {
+    batch_.removed_workers.push_back(it);
+    batch_has_content_ = true;
+  }
   if (out.synchronized) {
     RecordListRead();
   }
@@ -591,6 +595,7 @@
   WorkerTrackerOutput tracker_out;
   workers_.Advance(now_ms_, tracker_out);
   ApplyOutput(std::move(tracker_out));
+  ForgetEndedWorkers();
   HandleUncertainStarts();
   StopOverdueGangs();
   ApplyAdvice();
@@ -705,7 +710,8 @@
   for (const auto& [number, tracked_worker] : workers_.workers()) {
     const auto last_contact_ms =
         std::max(tracked_worker.last_answer_ms, tracked_worker.last_report_ms);
-    if (tracked_worker.leases_expired && tracked_worker.runs.empty() &&
+    if (!tracked_worker.removed && tracked_worker.leases_expired &&
+        tracked_worker.runs.empty() &&
         now_ms_ - last_contact_ms > kRemoveWorkerMs) {
       Log(LogLevel::kInfo, "workers", "silent worker is removed",
           {{"worker", tracked_worker.record.id}});
--- a/libraries/cell/src/worker_replies.cc
+++ b/libraries/cell/src/worker_replies.cc
@@ -73,8 +73,8 @@
   const bool other_incarnation =
       was_for_former || (reply.born_ms != 0 && worker->record.born_ms != 0 &&
                          reply.born_ms != worker->record.born_ms);
-  const bool answered = reply.answer != WorkerAnswer::kNoAnswer &&
-                        reply.answer != WorkerAnswer::kNotSent;
+  const bool answered =
+      reply.answer != WorkerAnswer::kNoAnswer && !WasNotSent(reply.answer);
   if (answered && !other_incarnation &&
       reply.answer != WorkerAnswer::kOtherWorker) {
     worker->last_answer_ms = now_ms;
@@ -118,6 +118,13 @@
         // after its report.
         worker->synced = false;
         worker->next_hold_ms = now_ms + kHoldRetryMs;
+        // An incarnation that has ended can't answer a hold for its successor,
+        // so somebody else has reported that one. The true one registers with
+        // its next report.
+        if (!was_for_former && !worker->removed && reply.born_ms != 0 &&
+            reply.born_ms < worker->record.born_ms) {
+          out.workers_to_remove.push_back(worker->number);
+        }
       }
     }
   } else if (other_incarnation) {
@@ -135,6 +142,9 @@
   } else if (const auto* stop = std::get_if<StopOrder>(&sent.order)) {
     OnStopReply(*worker, *stop, reply, now_ms);
   }
+  if (HasEnded(*worker, sent, reply)) {
+    Retire(*worker, out);
+  }
 }
 
 void WorkerTracker::OnHoldReply(TrackedWorker& worker,
@@ -148,9 +158,13 @@
       Log(LogLevel::kWarning, "workers", "worker does not answer holds",
           {{"worker", worker.record.id}, {"detail", reply.detail}});
     }
+    // The hold that was open when a worker left fails as the worker ends, so
+    // the next one follows at once.
+    const auto earlier_failures =
+        worker.removed ? worker.hold_failures : worker.hold_failures + 1;
     ++worker.hold_failures;
     worker.next_hold_ms =
-        now_ms + std::min(kHoldRetryMs * worker.hold_failures, kMaxHoldRetryMs);
+        now_ms + std::min(kHoldRetryMs * earlier_failures, kMaxHoldRetryMs);
     return;
   }
   if (worker.hold_failures > 0) {
@@ -179,6 +193,7 @@
          {"ended", reply.ended.size()}});
     worker.synced = true;
     out.synchronized = true;
+    ReplaceWorkers(worker, now_ms, out);
     // Its fence bars orders for earlier incarnations from now on.
     if (worker.may_have_former_lease) {
       worker.inherited_lease_end_ms = LongestLeaseEnd(now_ms);
@@ -385,6 +400,7 @@
       return;
     case WorkerAnswer::kOverloaded:
     case WorkerAnswer::kNotSent:
+    case WorkerAnswer::kNoListener:
     case WorkerAnswer::kNoCapacity:
       worker.avoid_until_ms = now_ms + kAvoidWorkerMs;
       break;
--- a/libraries/cell/src/worker_tracker.cc
+++ b/libraries/cell/src/worker_tracker.cc
@@ -70,6 +70,7 @@
     case WorkerAnswer::kTooLate:
     case WorkerAnswer::kOverloaded:
     case WorkerAnswer::kNotSent:
+    case WorkerAnswer::kNoListener:
     case WorkerAnswer::kOtherWorker:
       return 0;
     default:
@@ -287,6 +288,8 @@
       previous->next_hold_ms = now_ms;
       previous->synced = false;
       MarkStartsUncertain(*previous);
+      numbers_by_address_.erase({previous->record.address, number});
+      numbers_by_address_.emplace(record.address, number);
     }
     previous->record = record;
     previous->full_capacity =
@@ -341,9 +344,11 @@
       AddRun(added, key, run);
     }
     ended_workers_.push_back(previous->number);
+    numbers_by_address_.erase({previous->record.address, previous->number});
     workers_.erase(previous->number);
   }
   numbers_by_id_[record.id] = number;
+  numbers_by_address_.emplace(record.address, number);
 }
 
 // The new incarnation takes orders that were meant for the previous one, and
@@ -399,141 +404,10 @@
          kLeaseMarginMs;
 }
 
-void WorkerTracker::MoveDepartedRuns(TrackedWorker& worker) {
-  auto departed = departed_workers_.extract(worker.record.id);
-  if (departed.empty()) {
-    return;
-  }
-  for (auto& [key, it] : departed.mapped().runs) {
-    auto& run = it.run;
-    run.phase = RunPhase::kUncertain;
-    run.phase_confirmed_ms = 0;
-    run.stop_sent_ms = 0;
-    run.stops_sent = 0;
-    AddRun(worker, key, run);
-  }
-}
-
 std::int64_t WorkerTracker::LatestStartExpiry(std::int64_t now_ms) const {
   return LongestLeaseEnd(now_ms + kAnswerTimeoutMs);
 }
 
-void WorkerTracker::ExpireDepartedRuns(std::int64_t now_ms,
-                                       WorkerTrackerOutput& out) {
-  for (auto it = departed_workers_.begin(); it != departed_workers_.end();) {
-    auto& departed = it->second;
-    std::erase_if(departed.runs, [&](const auto& entry) {
-      const auto& [key, run] = entry;
-      if (now_ms < run.until_ms) {
-        return false;
-      }
-      FinishedRun finished;
-      finished.task = key.first;
-      finished.run = key.second;
-      finished.worker = departed.number;
-      finished.reason = "worker left and did not return";
-      out.finished.push_back(std::move(finished));
-      return true;
-    });
-    it = now_ms < departed.until_ms ? std::next(it)
-                                    : departed_workers_.erase(it);
-  }
-}
-
-void WorkerTracker::OnDepartedReply(const SentOrder& sent,
-                                    std::int64_t sent_ms,
-                                    const WorkerReply& reply,
-                                    WorkerTrackerOutput& out) {
-  const auto* start = std::get_if<StartOrder>(&sent.order);
-  const auto departed = departed_workers_.find(sent.worker.id);
-  if (departed == departed_workers_.end()) {
-    return;
-  }
-  if (!reply.reused_connection && reply.answer != WorkerAnswer::kNotSent) {
-    departed->second.unproven_connection = true;
-  }
-  if (start == nullptr) {
-    return;
-  }
-  auto& runs = departed->second.runs;
-  const auto it = runs.find({start->task, start->run});
-  if (it == runs.end() || it->second.run.phase != RunPhase::kSending) {
-    return;
-  }
-  if (reply.answer == WorkerAnswer::kNotSent) {
-    FinishedRun finished;
-    finished.task = start->task;
-    finished.run = start->run;
-    finished.how = wire::RunEnd::kNotStarted;
-    finished.worker = departed->second.number;
-    finished.reason = "worker left before the start was sent";
-    out.finished.push_back(std::move(finished));
-    runs.erase(it);
-    return;
-  }
-  // The order could reach only the process that has left.
-  if (reply.answer == WorkerAnswer::kNoAnswer && reply.reused_connection &&
-      !departed->second.unproven_connection) {
-    it->second.until_ms = StartExpiry(sent_ms);
-  }
-}
-
-void WorkerTracker::AddDeparted(WorkerNumber number,
-                                const std::string& id,
-                                std::int64_t now_ms) {
-  departed_workers_[id] = {number, LatestStartExpiry(now_ms), {}};
-}
-
-bool WorkerTracker::IsOpenAtDeparted(const TaskKey& task,
-                                     std::int32_t run) const {
-  return std::any_of(departed_workers_.begin(), departed_workers_.end(),
-                     [&](const auto& it) {
-                       return it.second.runs.contains({task, run});
-                     });
-}
-
-void WorkerTracker::Remove(WorkerNumber number,
-                           std::int64_t now_ms,
-                           WorkerTrackerOutput& out) {
-  const auto worker = workers_.find(number);
-  if (worker == workers_.end()) {
-    return;
-  }
-  // All its runs may be on its next incarnation if that one has answered.
-  const bool other_answers = worker->second.other_incarnation_answers;
-  DepartedWorker departed{number,
-                          LatestStartExpiry(now_ms),
-                          {},
-                          worker->second.unproven_connection_ms != 0};
-  for (auto it = worker->second.runs.begin();
-       it != worker->second.runs.end();) {
-    const auto next = std::next(it);
-    const auto phase = it->second.phase;
-    if (phase == RunPhase::kSending) {
-      uncertain_starts_.push_back(it->first);
-    }
-    if (phase == RunPhase::kSending || phase == RunPhase::kUncertain ||
-        (other_answers && phase != RunPhase::kProposed)) {
-      departed.runs[it->first] = {it->second, departed.until_ms};
-      EraseRun(worker->second, it);
-    }
-    it = next;
-  }
-  // Kept without runs, too: a hold may still reach the next incarnation, which
-  // then has a lease on the former clock.
-  departed_workers_[worker->second.record.id] = std::move(departed);
-  FinishAllRuns(worker->second, "worker left", 0, out);
-  auto it = worker->second.runs.begin();
-  while (it != worker->second.runs.end()) {
-    FinishRun(worker->second, it, wire::RunEnd::kNotStarted, "worker left", 0,
-              out);
-    it = worker->second.runs.begin();
-  }
-  numbers_by_id_.erase(worker->second.record.id);
-  ended_workers_.push_back(number);
-  workers_.erase(worker);
-}
-
 void WorkerTracker::AddInheritedRun(WorkerNumber number,
                                     const TaskKey& task,
                                     std::int32_t run,
@@ -665,7 +539,7 @@
   // If its relayed reply was lost, later orders reuse that connection.
   const bool opened_connection = reply.clock_ms < 0 &&
                                  !reply.reused_connection &&
-                                 reply.answer != WorkerAnswer::kNotSent;
+                                 !WasNotSent(reply.answer);
   worker.other_incarnation_answers |= from_other;
   if (from_other || opened_connection) {
     worker.unproven_connection_ms =
@@ -733,7 +607,7 @@
 bool WorkerTracker::IsUsable(const TrackedWorker& worker,
                              std::int64_t now_ms) const {
   return worker.synced && !worker.record.leaving && !worker.departed &&
-         !worker.leases_expired && worker.clock_ms >= 0 &&
+         !worker.removed && !worker.leases_expired && worker.clock_ms >= 0 &&
          now_ms - worker.last_answer_ms < HoldWaitMs() + kMaxSilenceMs &&
          worker.hold_failures == 0 && now_ms >= worker.avoid_until_ms;
 }
@@ -919,7 +793,7 @@
   const bool answers = worker.hold_failures == 0 ||
                        (worker.hold_failures <= kMaxUnansweredRenewals &&
                         worker.last_done_ms > worker.hold_sent_ms);
-  if (worker.clock_ms >= 0 && answers) {
+  if (worker.clock_ms >= 0 && answers && !worker.removed) {
     order.lease_until_ms = GrantLease(worker, now_ms);
   }
   const bool wait =
@@ -979,6 +853,7 @@
   }
   scanned_ms_ = now_ms;
   ExpireDepartedRuns(now_ms, out);
+  std::vector<WorkerNumber> ended;
   for (auto& [number, worker] : workers_) {
     if (worker.hold_order == 0 && !worker.ends_commit_pending &&
         now_ms >= worker.next_hold_ms) {
@@ -1004,6 +879,12 @@
     if (worker.has_expired_runs) {
       GiveUpExpiredRuns(worker, now_ms, out);
     }
+    if (worker.removed && (worker.runs.empty() || worker.leases_expired)) {
+      ended.push_back(number);
+    }
+  }
+  for (const auto it : ended) {
+    Retire(workers_.at(it), out);
   }
 }
 
--- a/libraries/cell/src/worker_tracker.h
+++ b/libraries/cell/src/worker_tracker.h
@@ -56,6 +56,9 @@
   // Runs that a worker listed and that were unknown until then.
   std::vector<RunKey> unknown_runs;
   std::vector<SentOrder> orders;
+  // Workers that the committed state must not have any more: a later one
+  // answers at their address, or they were never there.
+  std::vector<WorkerNumber> workers_to_remove;
   // The list of a worker was read for the first time, so it can get starts.
   bool synchronized = false;
 };
@@ -82,8 +85,10 @@
   // Sets whether the worker has said that it has left. Such a worker gets no
   // starts, because its next incarnation would carry them out.
   void SetDeparted(WorkerNumber number, bool departed);
-  // Removes a worker that has ended and reports its runs as finished. Starts
-  // that may be on their way stay open until the next incarnation with the same
+  // Handles that a worker is no longer in the committed state. It gets no more
+  // starts and leases, but stays here until its runs have certainly ended: it
+  // may go on with them for seconds after it said that it leaves. Starts that
+  // may be on their way then stay open until the next incarnation with the same
   // id is registered, which bars them, or until they are too late.
   void Remove(WorkerNumber number,
               std::int64_t now_ms,
@@ -203,7 +208,8 @@
   std::vector<WorkerNumber> TakeEndedWorkers() {
     return std::exchange(ended_workers_, {});
   }
-  // Returns what runs use that may go on although their workers have left.
+  // Returns what runs use that the next incarnations of workers may have
+  // started.
   std::vector<policy::AccountUse> DepartedUse() const;
   // Returns what the account uses by all runs except those whose starts are not
   // committed or not sent yet. Looks at all runs.
@@ -254,6 +260,17 @@
   std::int64_t StartExpiry(std::int64_t now_ms) const;
   // The same for a start that another incarnation may carry out.
   std::int64_t LatestStartExpiry(std::int64_t now_ms) const;
+  // Finishes the runs of the workers that `worker` has replaced at its address.
+  // Its list proves that they have ended, whereas its report may be false.
+  void ReplaceWorkers(const TrackedWorker& worker,
+                      std::int64_t now_ms,
+                      WorkerTrackerOutput& out);
+  // Whether the reply shows that a removed worker runs nothing any more.
+  static bool HasEnded(const TrackedWorker& worker,
+                       const SentOrder& sent,
+                       const WorkerReply& reply);
+  // Finishes the runs of a removed worker that has ended, and forgets it.
+  void Retire(TrackedWorker& worker, WorkerTrackerOutput& out);
   // Moves runs of a worker whose starts may still arrive to its next
   // incarnation, which is registered now.
   void MoveDepartedRuns(TrackedWorker& worker);
@@ -366,6 +383,7 @@
   const std::int64_t started_ms_;
   std::map<WorkerNumber, TrackedWorker> workers_;
   std::map<std::string, WorkerNumber> numbers_by_id_;
+  std::set<std::pair<std::string, WorkerNumber>> numbers_by_address_;
   std::map<std::string, DepartedWorker> departed_workers_;
   // The runs of each job, by worker, task and run number.
   std::map<graph::JobId, std::set<std::pair<WorkerNumber, RunKey>>>
--- a/tests/cell/cell_harness.cc
+++ b/tests/cell/cell_harness.cc
@@ -89,6 +89,16 @@
   return job;
 }
 
+FakeWorker& FillFourWorkers(CellHarness& cell, std::int64_t run_ms) {
+  cell.Run(200);
+  cell.Publish({MakeQueue("a", 1)});
+  cell.Run(200);
+  cell.Submit(1, "a", MakeJob(8, 16'000, run_ms));
+  cell.Run(2'000);
+  return *std::find_if(cell.workers.begin(), cell.workers.end(),
+                       [](const auto& it) { return it.runs.size() == 2; });
+}
+
 CellHarness::CellHarness(HarnessOptions options)
     : options_(options),
       random_(options.seed),
@@ -259,7 +269,7 @@
 }
 
 void CellHarness::Report(const FakeWorker& worker) {
-  if (!worker.silent && !worker.gone) {
+  if (!worker.silent && !worker.gone && !worker.leaves) {
     ReportOnce(worker);
   }
   const auto n = static_cast<std::size_t>(&worker - workers.data());
@@ -523,7 +533,7 @@
   }
 }
 
-void CellHarness::Crash(FakeWorker& worker) {
+void CellHarness::Crash(FakeWorker& worker, OpenCalls open_calls) {
   worker.gone = true;
   EndAllRuns(worker);
   ForgetEnds(worker);
@@ -532,7 +542,7 @@
   worker.lease_until_ms = 0;
   worker.connected_born_ms = 0;
   worker.hold_connected_born_ms = 0;
-  EndOpenHolds(worker, OpenCalls::kDark);
+  EndOpenHolds(worker, open_calls);
 }
 
 void CellHarness::EndOpenHolds(const FakeWorker& worker, OpenCalls open_calls) {
@@ -586,38 +596,64 @@
   });
 }
 
-void CellHarness::Depart(FakeWorker& worker) {
-  Crash(worker);
+void CellHarness::Depart(FakeWorker& worker, OpenCalls open_calls) {
+  Crash(worker, open_calls);
+  Deregister(worker);
+}
+
+void CellHarness::Deregister(const FakeWorker& worker) {
   engine_.Handle(DepartureCall{worker.record.id, worker.record.born_ms,
                                [](const Result<void>&) {}},
                  Now());
 }
 
-void CellHarness::Restart(FakeWorker& worker) {
+void CellHarness::Restart(FakeWorker& worker, const std::string& id) {
   constexpr std::int64_t kRestartMs = 50;
   Crash(worker);
   const auto number = static_cast<std::size_t>(&worker - workers.data());
-  Schedule(kRestartMs, [this, number] {
+  Schedule(kRestartMs, [this, number, id] {
     auto& restarted = workers[number];
     if (!restarted.gone) {
       return;  // Another restart came first.
     }
     restarted.gone = false;
+    restarted.record.id = id.empty() ? restarted.record.id : id;
     SetBirth(restarted);
     ReportOnce(restarted);
   });
 }
 
+// No process has the id in the order. The one at its address refuses it.
+void CellHarness::RefuseAsOther(const SentOrder& sent) {
+  const auto worker = std::find_if(
+      workers.begin(), workers.end(),
+      [&](const auto& it) { return it.record.address == sent.worker.address; });
+  if (worker == workers.end() || worker->silent || worker->unreachable) {
+    ReplyAfterTimeout(sent, false);
+    return;
+  }
+  WorkerReply reply;
+  reply.answer =
+      worker->gone ? WorkerAnswer::kNoListener : WorkerAnswer::kOtherWorker;
+  Schedule(2 * options_.network_ms, [this, id = sent.id, reply] {
+    engine_.OnWorkerReply(id, reply, Now());
+  });
+}
+
 void CellHarness::CarryOut(const SentOrder& sent) {
   const auto worker = std::find_if(
       workers.begin(), workers.end(),
       [&](const auto& it) { return it.record.id == sent.worker.id; });
+  if (worker == workers.end()) {
+    RefuseAsOther(sent);
+    return;
+  }
   if (worker->loses_orders) {
     return;
   }
-  if (worker->gone) {
+  if (worker->gone && !worker->silent) {
     WorkerReply reply;
-    reply.answer = WorkerAnswer::kNotSent;
+    reply.answer = WorkerAnswer::kNoListener;
     Schedule(options_.network_ms, [this, id = sent.id, reply] {
       engine_.OnWorkerReply(id, reply, Now());
     });
@@ -936,8 +972,8 @@
   const auto& table = engine_.store().table();
   if (table.version != accounts_version_) {
     accounts_version_ = table.version;
-    earlier_accounts_ = std::exchange(accounts_, table.accounts);
-    accounts_changed_ms_ = now_ms_;
+    earlier_accounts_.emplace_back(now_ms_,
+                                   std::exchange(accounts_, table.accounts));
   }
 }
 
@@ -959,9 +995,14 @@
            over(used.memory_mb, run.memory_mb, it->limit.memory_mb) ||
            over(used.accelerators, run.accelerators, it->limit.accelerators);
   };
-  // A start that arrives now was sent at most this long ago.
-  const bool recent = now_ms_ - accounts_changed_ms_ <= options_.network_ms + 1;
-  if (exceeds(accounts_) && (!recent || exceeds(earlier_accounts_))) {
+  // A start that arrives now was sent at most this long ago, under one of the
+  // tables since then.
+  std::erase_if(earlier_accounts_, [&](const auto& it) {
+    return now_ms_ - it.first > options_.network_ms + 1;
+  });
+  if (exceeds(accounts_) &&
+      std::all_of(earlier_accounts_.begin(), earlier_accounts_.end(),
+                  [&](const auto& it) { return exceeds(it.second); })) {
     violations.push_back("start over the limit of account " + account);
   }
 }
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -75,7 +75,8 @@
   std::int64_t earlier_milli_cpus = 0;
   std::int64_t earlier_memory_mb = 0;
   bool capacity_changed = false;
-  bool gone = false;  // No process runs at its address.
+  bool gone = false;    // No process runs at its address.
+  bool leaves = false;  // Has said that it leaves, and reports nothing more.
 };
 
 struct HarnessOptions {
@@ -170,12 +171,14 @@
                    std::int64_t memory_mb);
   // Ends the worker's process, with its runs and unread ends, and the other
   // members of the gangs that worked on it.
-  void Crash(FakeWorker& worker);
+  void Crash(FakeWorker& worker, OpenCalls open_calls = OpenCalls::kDark);
   // Crashes the worker, and the leader is told that it has left.
-  void Depart(FakeWorker& worker);
+  void Depart(FakeWorker& worker, OpenCalls open_calls = OpenCalls::kDark);
+  // The leader is told that the worker has left, but the worker goes on.
+  void Deregister(const FakeWorker& worker);
   // Crashes the worker if it is not gone, and starts it again under the same id
-  // with a later birth time.
-  void Restart(FakeWorker& worker);
+  // or another one, with a later birth time.
+  void Restart(FakeWorker& worker, const std::string& id = "");
   // Commits an entry that no leader of this test has proposed.
   void Commit(const wire::GraphBatch& batch);
 
@@ -247,6 +250,7 @@
   void Propose(const Proposal& proposal);
   void CommitFirstProposal();
   void CarryOut(const SentOrder& sent);
+  void RefuseAsOther(const SentOrder& sent);
   void ReplyAfterTimeout(const SentOrder& sent, bool reused_connection);
   // Reports a reply unless the worker has been cut off meanwhile.
   void ReplyUnlessSilent(std::size_t worker,
@@ -301,11 +305,11 @@
   std::map<std::string, wire::JobQueue> queues_;
   // The keys with which jobs were submitted, also used to cancel them.
   std::map<graph::JobId, std::string> keys_;
-  // The accounts of the former table, and when they were replaced: starts that
-  // were sent before may still arrive.
+  // The accounts of the table, and of former ones with the times at which they
+  // were replaced: starts that were sent before may still arrive.
   std::vector<wire::ClientAccount> accounts_;
-  std::vector<wire::ClientAccount> earlier_accounts_;
-  std::int64_t accounts_changed_ms_ = 0;
+  std::vector<std::pair<std::int64_t, std::vector<wire::ClientAccount>>>
+      earlier_accounts_;
   std::int64_t accounts_version_ = 0;
   struct PendingHold {
     std::size_t worker;
@@ -321,6 +325,9 @@
                                 double weight,
                                 std::int64_t milli_cpus);
 wire::JobQueue MakeQueue(const std::string& name, std::int32_t priority);
+// Publishes a queue "a" and submits job 1, of eight tasks that fill four of six
+// workers. Returns one of these, with two tasks.
+FakeWorker& FillFourWorkers(CellHarness& cell, std::int64_t run_ms);
 // A job of one step.
 wire::GraphJob MakeJob(std::int32_t tasks,
                        std::int64_t milli_cpus,
