--- a/review/support-3/rig.py
+++ b/review/support-3/rig.py
@@ -141,14 +141,14 @@
         if number == signal.SIGKILL:
             self.processes[name].wait()
 
-    def start_worker(self, n, labels=None, quiet=False, **options):
+    def start_worker(self, n, labels=None, quiet=False, program="worker.py", **options):
         known = self.workers.setdefault(n, {"labels": labels or f"a,r-{n // 8}", "options": options})
         name = f"worker-{n}"
         args = {"id": f"i-{n:04}", "ip": self.ip(100 + n), "port": 8080, "service": SERVICE, "zone": "mooloolaba",
                 "labels": known["labels"], "controllers": ",".join(f"{self.peers[it]}:{CONTROL}" for it in self.controllers),
                 "log": f"{self.folder}/{name}.events"}
         args.update(known["options"])
-        command = [sys.executable, os.path.join(HERE, "worker.py")]
+        command = [sys.executable, os.path.join(HERE, program)]
         for key, value in args.items():
             command += ["--" + key.replace("_", "-"), str(value)]
         log = open(f"{self.folder}/{name}.log", "ab")
@@ -286,7 +286,8 @@
     def write_record(self):
         lines = list(self.record_lines)
         for it in self.events():
-            if it["event"] in ("start", "stop", "end", "listed", "noted", "up", "draining", "draining_acked"):
+            if it["event"] in ("start", "stop", "end", "listed", "noted", "up", "draining", "draining_acked", "deregisters",
+                               "deregistration_answered", "deregistration_not_answered", "left"):
                 rest = " ".join(f"{k}={v}" for k, v in it.items() if k not in ("at_ms", "event", "worker"))
                 lines.append((it["at_ms"], f"{it['at_ms'] - self.begin:7d} ms  {it['worker']}: {it['event']} {rest}"))
         lines.sort(key=lambda it: it[0])
--- a/review/support-3/worker.py
+++ b/review/support-3/worker.py
@@ -156,7 +156,7 @@
         self.seq += 1
         a = self.args
         body = {
-            "service": a.service, "address": f"{a.ip}:{a.port}", "zone": a.zone, "version": "v1", "slots": 8,
+            "service": a.service, "address": a.announced or f"{a.ip}:{a.port}", "zone": a.zone, "version": "v1", "slots": 8,
             "state": "draining" if self.draining else "ready", "coldLeftMs": 0,
             "capacity": {"cpu": a.cpu, "memMb": a.mem, "gpu": 0}, "labels": a.labels.split(","),
             "clockMs": self.clock(), "seq": self.seq, "born": self.born, "machine": "m-" + a.id,
@@ -241,26 +241,24 @@
     request_queue_size = 128
 
 
-def main():
+def run(kind, signals):
+    """Runs a worker of this class. `signals` maps signals to functions of the worker."""
     parser = argparse.ArgumentParser()
     for name in ("id", "ip", "service", "zone", "labels", "controllers", "log"):
         parser.add_argument("--" + name, required=True)
     for name, value in (("port", 0), ("cpu", 32000), ("mem", 65536), ("heartbeat-ms", 1500), ("max-hold-ms", 10000),
                         ("clock-ms", 0), ("first-beat-ms", 0), ("remaining-ms", 4000)):
         parser.add_argument("--" + name, type=int, default=value)
-    worker = Worker(parser.parse_args())
+    parser.add_argument("--announced", default="")  # Reported in place of the worker's own address.
+    worker = kind(parser.parse_args())
     server = Server((worker.args.ip, worker.args.port), handler_of(worker))
     worker.log("up", born=worker.born)
-
-    def drain(*_):
-        worker.draining = True
-        worker.log("draining")
-
-    signal.signal(signal.SIGUSR1, drain)
+    for number, action in signals.items():
+        signal.signal(number, lambda *_, action=action: action(worker))
     threading.Thread(target=worker.advance, daemon=True).start()
     threading.Thread(target=worker.beat, daemon=True).start()
     server.serve_forever()
 
 
 if __name__ == "__main__":
-    main()
+    run(Worker, {})
