review: processes of a script end with it, also when it is killed

Cause: after SIGKILL to a script its programs and workers went on.

Done: each new process asks the kernel to be killed when its parent ends.

--- a/review/support-3/rig.py
+++ b/review/support-3/rig.py
@@ -1,5 +1,6 @@
 """Starts the system's programs and stand-ins on loopback addresses, and records what they do."""
 import atexit
+import ctypes
 import http.client
 import json
 import os
@@ -32,6 +33,15 @@
     pass
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def die_with_parent():
+    """Runs in a new process: it is killed when the script ends in any way."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Advice(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     wbufsize = 1 << 16
@@ -131,7 +141,7 @@
         command = "platform-controller" if name.startswith("core") else "platform-entry"
         log = open(f"{self.folder}/{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
-            [PROGRAM, command], cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+            [PROGRAM, command], cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL, preexec_fn=die_with_parent,
             env={"PATH": os.environ.get("PATH", ""), "HOME": self.folder, "LANG": "C",
                  "CRANBERRYSHUNT_SETTINGS": path})
 
@@ -152,7 +162,8 @@
         for key, value in args.items():
             command += ["--" + key.replace("_", "-"), str(value)]
         log = open(f"{self.folder}/{name}.log", "ab")
-        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                                preexec_fn=die_with_parent)
         if not quiet:
             self.note(f"{name} starts")
 
