consensus: report how long members have been silent

The membership of a cell is kept by the leader, which judged by the join requests that members send each second.

Raft::Contacts() tells for each other member whether it has replied to this leader at all and how long ago. Replica::membership_status() returns it with the membership and whether that is committed. Nothing uses it yet.

raft::reports_how_long_members_are_silent fails if the silence of another disk is taken over, or counts from anything but the last reply.

--- a/libraries/consensus/include/cranberryshunt/consensus/raft.h
+++ b/libraries/consensus/include/cranberryshunt/consensus/raft.h
@@ -42,6 +42,18 @@
 
 enum class Role { kFollower, kCandidate, kLeader, kLearner };
 
+// What a leader knows of the connection to another member.
+struct MemberContact {
+  std::string id;
+  // Whether the member has replied to this leader at all.
+  bool heard = false;
+  // Time in milliseconds since the last reply. Without one, since the member or
+  // its disk was added, or since this replica became the leader.
+  std::int64_t silent_ms = 0;
+
+  bool operator==(const MemberContact&) const = default;
+};
+
 struct RaftOptions {
   std::string id;
   std::string disk_identity;
@@ -147,6 +159,9 @@
   // entry that is both committed and durable on this replica.
   storage::HardState CurrentHardState() const;
   const wire::Membership& membership() const;
+  bool IsMembershipCommitted() const;
+  // Returns the contacts to all other members; empty unless this is the leader.
+  std::vector<MemberContact> Contacts() const;
   // Returns the members of the current membership, followed by the members that
   // only the membership received from the leader contains.
   wire::Membership KnownMembers() const;
@@ -162,6 +177,7 @@
   // The replication state of a peer, as known to the leader.
   struct Progress {
     std::string disk;
+    std::int64_t known_since = 0;
     ProgressState state = ProgressState::kProbe;
     std::int64_t match = 0;
     std::int64_t next = 1;
--- a/libraries/consensus/include/cranberryshunt/consensus/replica.h
+++ b/libraries/consensus/include/cranberryshunt/consensus/replica.h
@@ -29,6 +29,13 @@
   bool operator==(const RoleChange&) const = default;
 };
 
+struct MembershipStatus {
+  wire::Membership membership;
+  bool committed = false;
+  // The leader's contacts to the other members; empty on other replicas.
+  std::vector<MemberContact> contacts;
+};
+
 struct CommittedEntry {
   std::int64_t index = 0;
   std::int64_t term = 0;
@@ -142,6 +149,7 @@
   bool HasLease(std::int64_t term) const;
   RoleChange role() const;
   wire::Membership membership() const;
+  MembershipStatus membership_status() const;
   std::string disk_identity() const;
   ReplicaStats stats() const;
 
--- a/libraries/consensus/src/raft_membership.cc
+++ b/libraries/consensus/src/raft_membership.cc
@@ -7,6 +7,23 @@
 
 namespace cranberryshunt::consensus {
 
+bool Raft::IsMembershipCommitted() const {
+  return configs_.back().index <= commit_index_;
+}
+
+std::vector<MemberContact> Raft::Contacts() const {
+  std::vector<MemberContact> out;
+  if (role_ != Role::kLeader) {
+    return out;
+  }
+  for (const auto& [id, progress] : progress_) {
+    const bool heard = progress.last_reply_at != 0;
+    const auto since = heard ? progress.last_reply_at : progress.known_since;
+    out.push_back({id, heard, now_ - since});
+  }
+  return out;
+}
+
 Result<void> Raft::CheckMembershipChange() const {
   if (role_ != Role::kLeader) {
     return Fail(ResultCode::kNotLeader, "this controller is not the leader");
@@ -16,7 +33,7 @@
   if (!IsReadyLeader() || transfer_until_ != 0) {
     return Fail(ResultCode::kNotReady, "the leader is not ready yet");
   }
-  if (configs_.back().index > commit_index_) {
+  if (!IsMembershipCommitted()) {
     return Fail(ResultCode::kNotReady,
                 "another membership change is not committed yet");
   }
@@ -93,6 +110,7 @@
     }
     auto& progress = next[it.id];
     progress.disk = it.disk_identity;
+    progress.known_since = now_;
     progress.next = log_.last_index() + 1;
   }
   progress_ = std::move(next);
--- a/libraries/consensus/src/replica.cc
+++ b/libraries/consensus/src/replica.cc
@@ -63,6 +63,10 @@
   return implementation_->thread.membership();
 }
 
+MembershipStatus Replica::membership_status() const {
+  return implementation_->thread.membership_status();
+}
+
 std::string Replica::disk_identity() const {
   return implementation_->thread.disk_identity();
 }
--- a/libraries/consensus/src/replica_failures.cc
+++ b/libraries/consensus/src/replica_failures.cc
@@ -130,7 +130,8 @@
     LogMembership();
   }
   std::lock_guard lock(mutex_);
-  membership_ = raft_->membership();
+  membership_ = {raft_->membership(), raft_->IsMembershipCommitted(),
+                 raft_->Contacts()};
   stats_.term = raft_->term();
   stats_.commit_index = raft_->commit_index();
   stats_.last_index = raft_->log().last_index();
--- a/libraries/consensus/src/replica_thread.cc
+++ b/libraries/consensus/src/replica_thread.cc
@@ -109,6 +109,11 @@
 }
 
 wire::Membership ReplicaThread::membership() const {
+  std::lock_guard lock(mutex_);
+  return membership_.membership;
+}
+
+MembershipStatus ReplicaThread::membership_status() const {
   std::lock_guard lock(mutex_);
   return membership_;
 }
--- a/libraries/consensus/src/replica_thread.h
+++ b/libraries/consensus/src/replica_thread.h
@@ -73,6 +73,7 @@
   bool HasLease(std::int64_t term) const;
   RoleChange role() const;
   wire::Membership membership() const;
+  MembershipStatus membership_status() const;
   ReplicaStats stats() const;
   const std::string& disk_identity() const { return disk_identity_; }
   bool WaitForOtherLeader(std::chrono::milliseconds timeout) const;
@@ -132,7 +133,7 @@
   mutable std::mutex mutex_;
   mutable std::condition_variable role_changed_;
   RoleChange role_;
-  wire::Membership membership_;
+  MembershipStatus membership_;
   ReplicaStats stats_;
 
   std::atomic<bool> stopping_ = false;
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -219,6 +219,35 @@
   cr_assert_eq(raft.LeaseUntil(), 0);
 }
 
+// Guards against a member that counts as silent for less time than it is, which
+// keeps its vote, or for longer, which takes the vote from a live member. A
+// member that never replied to this leader is silent since the election.
+Test(raft, reports_how_long_members_are_silent) {
+  auto raft = MakeRaft(1, {});
+  cr_expect(raft.Contacts().empty());
+  Elect(raft);
+  raft.TakeOutput();
+  raft.MarkPersisted();
+  const auto now = kAfterElectionTimeoutMs;
+  raft.Step(Acknowledgement(raft, "b", 2, now), now);
+  cr_expect(raft.IsMembershipCommitted());
+  raft.Step(Acknowledgement(raft, "b", 2, now + 300), now + 300);
+  raft.Tick(now + 400);
+  const auto contacts = raft.Contacts();
+  cr_assert_eq(contacts.size(), 2);
+  cr_expect((contacts[0] == MemberContact{"b", true, 100}));
+  cr_expect(contacts[1].id == "c");
+  cr_expect_not(contacts[1].heard);
+  cr_expect_geq(contacts[1].silent_ms, 400);
+  // Another disk under the same id is another member.
+  wire::MembershipChange change;
+  change.member = raft.membership().members[1];
+  change.member.disk_identity = "disk-2";
+  cr_assert(raft.ChangeMembership(change).has_value());
+  cr_expect((raft.Contacts()[0] == MemberContact{"b", false, 0}));
+  cr_expect_not(raft.IsMembershipCommitted());
+}
+
 // Guards against a membership that stays in effect after its log entry was
 // overwritten.
 Test(raft, truncation_rolls_the_membership_back) {
