cell: take the vote of a replaced controller while another one is silent

Every request gets 503, the acknowledged configuration and all accepted jobs are out of reach.

Cause: the leader gave the successor a vote, which makes six voters with a majority of four, and removed the replaced one only while five voters were alive. With a second controller dark there were four, so the dead one kept its vote for as long as that lasted. The silence was counted from join requests, which come each second, anew by each leader, with 3 s to wait and 500 ms between two changes, though the settings say in catchUpS when the cell has to bear the next loss.

Now - a silent voter is removed first and another member gets the vote then. What bounds a removal is how many voters remain, not how many are alive: with four of five a majority is three as before, so the cell bears as many losses as it did and stores as many copies. The number of voters doesn't exceed five on the way, and a leader that takes over between the two steps needs to notice no silence. - a voter counts as silent once it hasn't replied to the leader for a quarter of the catch-up time, or for an eighth of it if it never replied to this leader. - a member that was removed must ask again before it is added again. - a surplus vote is taken away. - changes follow each other once committed, checked each 100 ms. - membership_changes_total counts them.

Without a member that can take its place, a silent voter keeps its vote as before.

Ruled out: that the successor had not caught up, or that the cell was busy; the script shows four voters of six, one of them dead for good, without any load.

With the former decisions removes_a_replaced_voter_while_another_is_silent, replaces_a_voter_that_is_gone_within_seconds (its bound is half the catch-up time now, which leaves the other half to a second leader), replaces_a_voter_that_a_new_leader_never_heard, keeps_a_voter_that_pauses, replaces_a_candidate_that_is_gone and makes_one_change_at_a_time fail. After: they pass. keeps_a_silent_voter_without_a_spare is unchanged in what it asks.

--- a/libraries/cell/include/cranberryshunt/cell/engine.h
+++ b/libraries/cell/include/cranberryshunt/cell/engine.h
@@ -44,6 +44,9 @@
   double far_run_factor = 1;
   // Number of voters in a complete cell.
   std::int64_t cell_size = 5;
+  // Time after which a controller that was started or is back counts as whole:
+  // then the cell must bear one loss more.
+  std::chrono::milliseconds catch_up_time{4'000};
 };
 
 // The engine's access to the leader lease, the membership and the wall clock.
@@ -52,7 +55,7 @@
   virtual ~EngineEnvironment() = default;
   // Whether this member leads in `term` and no other leader can exist now.
   virtual bool HasLease(std::int64_t term) const = 0;
-  virtual wire::Membership Membership() const = 0;
+  virtual consensus::MembershipStatus Members() const = 0;
   virtual std::int64_t WallMilliseconds() const = 0;
 };
 
--- a/libraries/cell/src/controller.cc
+++ b/libraries/cell/src/controller.cc
@@ -36,8 +36,8 @@
   bool HasLease(std::int64_t term) const override {
     return replica_->HasLease(term);
   }
-  wire::Membership Membership() const override {
-    return replica_->membership();
+  consensus::MembershipStatus Members() const override {
+    return replica_->membership_status();
   }
   std::int64_t WallMilliseconds() const override {
     return WallClockMilliseconds();
--- a/libraries/cell/src/leader.cc
+++ b/libraries/cell/src/leader.cc
@@ -35,6 +35,7 @@
 // quarantines expire.
 constexpr std::int64_t kMaxPlanIntervalMs = 50;
 constexpr std::int64_t kMaintenanceMs = 500;
+constexpr std::int64_t kMemberCheckMs = 100;
 // Interval at which the load of the cell is logged.
 constexpr std::int64_t kLoadLogMs = 2'000;
 // Advance() must run at least this often, because leases and polls expire
@@ -95,7 +96,10 @@
                          std::max(kMinAssumedCallers,
                                   store.workers().size() / kWorkersPerCaller),
                          term),
-      members_(options.cell_size, options.id, now_ms_),
+      members_({.cell_size = options.cell_size,
+                .own_id = options.id,
+                .catch_up_ms = options.catch_up_time.count()},
+               now_ms_),
       run_check_(store) {
   SyncAccounts();
   RebuildState(registered_ms, far_factors);
@@ -612,6 +616,9 @@
   if (now_ms_ - last_maintenance_ms_ >= kMaintenanceMs) {
     RunMaintenance(out);
   }
+  if (now_ms_ - last_member_check_ms_ >= kMemberCheckMs) {
+    CheckMembers(out);
+  }
   FailRunsWithoutOwner();
   advice_dispatcher_.Advance(now_ms_);
   Propose(out);
@@ -662,8 +669,7 @@
     LogQuestions();
     LogLongWaits();
   }
-  const auto membership = environment_.Membership();
-  out.membership_change = members_.NextChange(membership, now_ms_);
+  const auto membership = environment_.Members().membership;
   out.helpers.emplace();
   if (IsLargeCell()) {
     out.helpers = members_.LivePeerAddresses(membership, now_ms_);
@@ -675,6 +681,14 @@
   advice_dispatcher_.SetControllers(std::move(controllers));
 }
 
+void Leader::CheckMembers(EngineOutput& out) {
+  last_member_check_ms_ = now_ms_;
+  out.membership_change = members_.NextChange(environment_.Members(), now_ms_);
+  if (out.membership_change) {
+    ++metrics_.Counter("membership_changes_total");
+  }
+}
+
 void Leader::Propose(EngineOutput& out) {
   if (!batch_has_content_ || open_proposals_.size() >= kMaxOpenProposals ||
       now_ms_ < last_propose_ms_ + ProposeIntervalMs()) {
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -89,6 +89,7 @@
   void RefreshMovedRuns(graph::WorkerNumber number,
                         std::set<graph::JobId>& jobs);
   void RunMaintenance(EngineOutput& out);
+  void CheckMembers(EngineOutput& out);
   void Propose(EngineOutput& out);
   std::chrono::milliseconds MaxWait() const;
   bool IsLargeCell() const;
@@ -308,6 +309,7 @@
   bool has_read_most_lists_ = false;
   std::int64_t last_plan_ms_ = 0;
   std::int64_t last_maintenance_ms_ = 0;
+  std::int64_t last_member_check_ms_ = 0;
   std::int64_t last_load_log_ms_ = 0;
   std::int64_t last_run_check_ms_ = 0;
   std::int64_t last_usability_check_ms_ = 0;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -466,7 +466,7 @@
 bool Leader::IsForming() const {
   return store_.table().version == 0 &&
          now_ms_ - first_now_ms_ < kMaxFormationMs &&
-         !members_.HasAllVoters(environment_.Membership());
+         !members_.HasAllVoters(environment_.Members().membership);
 }
 
 void Leader::HandleHeldPublications() {
--- a/libraries/cell/src/membership_manager.h
+++ b/libraries/cell/src/membership_manager.h
@@ -1,5 +1,10 @@
-// Keeps the number of voters at the size of the cell: adds controllers that ask
-// to join, and removes silent voters once enough others are alive.
+// Decides on changes of the membership, so that the cell always bears as many
+// further losses as it is to bear, less those of the moment.
+//
+// A cell bears as many more losses as it has more live voters than a majority
+// needs. No change lowers this number. A controller that is lost counts as lost
+// until a new one has had the catch-up time, so the new one must have the vote
+// of the lost one by then, even if the leader was lost meanwhile.
 #ifndef CRANBERRYSHUNT_CELL_MEMBERSHIP_MANAGER_H_
 #define CRANBERRYSHUNT_CELL_MEMBERSHIP_MANAGER_H_
 
@@ -9,18 +14,20 @@
 #include <string>
 #include <vector>
 
+#include "cranberryshunt/consensus/replica.h"
 #include "wire_types.h"
 
 namespace cranberryshunt::cell {
 
+struct MembershipOptions {
+  std::int64_t cell_size = 5;  // Number of voters in a complete cell.
+  std::string own_id;
+  std::int64_t catch_up_ms = 4'000;
+};
+
 class MembershipManager {
  public:
-  MembershipManager(std::int64_t cell_size,
-                    std::string own_id,
-                    std::int64_t now_ms)
-      : cell_size_(cell_size),
-        own_id_(std::move(own_id)),
-        started_ms_(now_ms) {}
+  MembershipManager(MembershipOptions options, std::int64_t now_ms);
 
   // Records that `member` is alive and asks to be part of the cell.
   void OnJoinRequest(const wire::Member& member, std::int64_t now_ms);
@@ -33,10 +40,10 @@
   // of as many disks as it has to bear may leave no copy of an entry that was
   // committed.
   bool HasAllVoters(const wire::Membership& current) const;
-  // Returns the next change of the membership, if one is due. Changes are
-  // separated by a minimum pause.
+  // Returns the next change of the membership, if one is due and the last one
+  // is committed.
   std::optional<wire::MembershipChange> NextChange(
-      const wire::Membership& current,
+      const consensus::MembershipStatus& status,
       std::int64_t now_ms);
 
  private:
@@ -44,15 +51,22 @@
     wire::Member member;
     std::int64_t received_ms = 0;
   };
+  struct Census;
 
   bool IsAlive(const std::string& id, std::int64_t now_ms) const;
-  bool IsSilent(const std::string& id, std::int64_t now_ms) const;
+  Census Count(const consensus::MembershipStatus& status) const;
+  std::optional<wire::MembershipChange> RemoveMember(
+      const Census& census) const;
+  std::optional<wire::MembershipChange> AddVoter(const Census& census) const;
+  std::optional<wire::MembershipChange> AddMember(const Census& census,
+                                                  std::int64_t now_ms) const;
 
-  const std::int64_t cell_size_;
-  const std::string own_id_;
+  const MembershipOptions options_;
   const std::int64_t started_ms_;
   std::map<std::string, JoinRequest> join_requests_;
+  // Time of the last change, and the membership before it.
   std::int64_t changed_ms_ = 0;
+  wire::Membership before_change_;
 };
 
 }  // namespace cranberryshunt::cell
--- a/tests/cell/cell_harness.h
+++ b/tests/cell/cell_harness.h
@@ -119,7 +119,9 @@
   bool HasLease(std::int64_t term) const override {
     return has_lease && term == lease_term.value_or(term_);
   }
-  wire::Membership Membership() const override { return members; }
+  consensus::MembershipStatus Members() const override {
+    return {members, true, {}};
+  }
   std::int64_t WallMilliseconds() const override {
     return 1'700'000'000'000 + now_ms_ + wall_offset_ms;
   }
--- a/tests/cell/job_reads_test.cc
+++ b/tests/cell/job_reads_test.cc
@@ -16,7 +16,7 @@
   bool HasLease(std::int64_t term) const override {
     return has_lease && term == kTerm;
   }
-  wire::Membership Membership() const override { return {}; }
+  consensus::MembershipStatus Members() const override { return {}; }
   std::int64_t WallMilliseconds() const override { return 0; }
 
   bool has_lease = true;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -32,6 +32,7 @@
 maxHoldMs = 6000
 farX = 2.5
 graceS = 6
+catchUpS = 5
 )";
 
 constexpr char kConfiguration[] = R"({"version":7,
@@ -83,6 +84,7 @@
   cr_expect_eq(settings->gang_timeout.count(), 4'000);
   cr_expect_eq(settings->max_stop_time.count(), 350);
   cr_expect_eq(settings->far_run_factor, 2.5);
+  cr_expect_eq(settings->catch_up_time.count(), 5'000);
   cr_expect(settings->bootstrap);
 }
 
