cell: replace a controller that ends before it has ended

Its successor has been there for 8 s when it gets SIGTERM. 1 s after its end two others lose their disks, and the cell never has a leader again: 503 for everything, the configuration and all accepted jobs out of reach.

Cause: a controller that ends in an orderly way handed over the leadership only. It kept its vote until it had been silent for some time, while the successor, which had all entries, had none. Until then the cell bears one loss less than it has to.

The leader gives another member the vote and removes the leaving one then: it is alive, so the six voters in between bear as many losses as five. If nobody can take its place, the leader says so at once and the controller ends with its vote, as in a restart. If there is no leader, the controller asks until one was elected. A join request after a restart takes the announcement back.

Ruled out: a shorter bound for the silence alone. Whatever it is, two disks may be lost within it.

--- a/libraries/cell/include/cranberryshunt/cell/calls.h
+++ b/libraries/cell/include/cranberryshunt/cell/calls.h
@@ -33,6 +33,14 @@
   std::function<void(wire::Status)> reply;
 };
 
+// A controller reports that it is about to end. The reply is kOk once it has no
+// vote, kNotReady while another controller takes its place, or kUnavailable if
+// none can.
+struct LeaveCall {
+  wire::Member member;
+  std::function<void(wire::Status)> reply;
+};
+
 // The status that a worker reports about itself.
 struct WorkerReport {
   wire::CalledWorker worker;
@@ -71,6 +79,7 @@
 using Call = std::variant<GraphCall,
                           AdviceCall,
                           JoinCall,
+                          LeaveCall,
                           ReportCall,
                           DepartureCall,
                           PublishTableCall,
--- a/libraries/cell/src/call_handler.cc
+++ b/libraries/cell/src/call_handler.cc
@@ -80,6 +80,15 @@
   reply = result ? std::move(*result) : wire::ToStatus(result.error());
 }
 
+void CallHandler::Leave(wire::Status& reply, const wire::Member& member) {
+  auto result = PostAndWait<wire::Status>(
+      [&](auto done) {
+        return Call(LeaveCall{member, std::move(done)});
+      },
+      kJoinLimit);
+  reply = result ? std::move(*result) : wire::ToStatus(result.error());
+}
+
 void CallHandler::RelayOrders(const std::string& leader,
                               const std::vector<wire::RelayedOrder>& orders) {
   relay_.OnOrders(leader, orders);
--- a/libraries/cell/src/call_handler.h
+++ b/libraries/cell/src/call_handler.h
@@ -32,6 +32,7 @@
   void PollAdvice(wire::AdviceOrders& reply,
                   const wire::AdvicePoll& poll) override;
   void Join(wire::Status& reply, const wire::Member& member) override;
+  void Leave(wire::Status& reply, const wire::Member& member) override;
   void DeliverRaft(const std::vector<wire::RaftMessage>& messages) override;
   void RelayOrders(const std::string& leader,
                    const std::vector<wire::RelayedOrder>& orders) override;
--- a/libraries/cell/src/controller.cc
+++ b/libraries/cell/src/controller.cc
@@ -28,6 +28,9 @@
 constexpr std::chrono::milliseconds kJoinInterval{1'000};
 constexpr std::chrono::milliseconds kJoinTimeout{700};
 constexpr std::chrono::milliseconds kJoinAttemptTimeout{300};
+// Interval at which a member that is about to end asks whether it still has a
+// vote.
+constexpr std::chrono::milliseconds kLeaveInterval{50};
 
 class ReplicaHost final : public EngineEnvironment {
  public:
@@ -61,13 +64,42 @@
     thread_ = std::thread([this] { Run(); });
   }
 
-  ~JoinRequester() {
-    {
-      std::lock_guard lock(mutex_);
-      stopping_ = true;
+  ~JoinRequester() { Stop(); }
+
+  // Stops the reports and tells the leader that this member is about to end.
+  // Returns once it has no vote, if no other member can take its place, if no
+  // other leader answers, or at the deadline.
+  void Leave(std::chrono::steady_clock::time_point deadline) {
+    Stop();
+    if (replica_.role().role == consensus::Role::kLeader) {
+      return;
     }
-    changed_.notify_all();
-    thread_.join();
+    const auto begin = std::chrono::steady_clock::now();
+    auto code = ResultCode::kNotReady;
+    while (code == ResultCode::kNotReady &&
+           std::chrono::steady_clock::now() < deadline) {
+      // A cell that has just lost its leader elects another one meanwhile.
+      const auto remaining =
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              deadline - std::chrono::steady_clock::now());
+      const auto called =
+          client_.Run(remaining, kJoinAttemptTimeout, [&](auto& client) {
+            wire::Status status;
+            client.Leave(status, member_);
+            code = static_cast<ResultCode>(status.code);
+            return wire::CallStatus{status.code, status.leader};
+          });
+      if (!called) {
+        code = called.error().code();
+      }
+      if (code == ResultCode::kNotReady) {
+        std::this_thread::sleep_for(kLeaveInterval);
+      }
+    }
+    Log(LogLevel::kInfo, "cell", "member is about to end",
+        {{"code", static_cast<int>(code)},
+         {"waited_ms", ToMilliseconds(std::chrono::duration_cast<Duration>(
+                           std::chrono::steady_clock::now() - begin))}});
   }
 
   void AddContacts(const std::vector<std::string>& addresses) {
@@ -75,6 +107,17 @@
   }
 
  private:
+  void Stop() {
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    changed_.notify_all();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
   void Run() {
     std::unique_lock lock(mutex_);
     while (!stopping_) {
@@ -267,12 +310,15 @@
 
 void Controller::Shutdown() {
   auto& parts = *implementation_;
+  const auto limit = parts.options.shutdown_limit;
+  const auto deadline = std::chrono::steady_clock::now() + limit;
   if (parts.replica->HasLease()) {
-    const bool transferred =
-        parts.replica->TransferLeadership(parts.options.shutdown_limit / 2);
+    const bool transferred = parts.replica->TransferLeadership(limit / 2);
     Log(LogLevel::kInfo, "cell", "leadership handed over",
         {{"done", transferred ? "yes" : "no"}});
   }
+  // A member that has ended counts for the majority as long as it has its vote.
+  parts.join_requester->Leave(deadline);
   parts.decisions.StopServing();
 }
 
--- a/libraries/cell/src/engine.cc
+++ b/libraries/cell/src/engine.cc
@@ -284,6 +284,7 @@
       it.reply(std::move(reply));
     }
     void operator()(JoinCall& it) const { it.reply(status); }
+    void operator()(LeaveCall& it) const { it.reply(status); }
     void operator()(ReportCall& it) const { it.reply(tl::unexpected(error)); }
     void operator()(DepartureCall& it) const {
       it.reply(tl::unexpected(error));
--- a/libraries/cell/src/leader.h
+++ b/libraries/cell/src/leader.h
@@ -90,6 +90,7 @@
                         std::set<graph::JobId>& jobs);
   void RunMaintenance(EngineOutput& out);
   void CheckMembers(EngineOutput& out);
+  wire::Status HandleLeave(const std::string& id);
   void Propose(EngineOutput& out);
   std::chrono::milliseconds MaxWait() const;
   bool IsLargeCell() const;
--- a/libraries/cell/src/leader_calls.cc
+++ b/libraries/cell/src/leader_calls.cc
@@ -77,6 +77,9 @@
       leader.members_.OnJoinRequest(it.member, leader.now_ms_);
       it.reply({});
     }
+    void operator()(LeaveCall& it) const {
+      it.reply(leader.HandleLeave(it.member.id));
+    }
     void operator()(ReportCall& it) const {
       leader.HandleReport(std::move(it));
     }
@@ -463,6 +466,20 @@
       });
 }
 
+wire::Status Leader::HandleLeave(const std::string& id) {
+  switch (members_.OnLeaveRequest(id, environment_.Members(), now_ms_)) {
+    case LeaveProgress::kDone:
+      return {};
+    case LeaveProgress::kInProgress:
+      return wire::ToStatus(
+          Error(ResultCode::kNotReady, "another member is taking its place"));
+    case LeaveProgress::kNoReplacement:
+      break;
+  }
+  return wire::ToStatus(
+      Error(ResultCode::kUnavailable, "no other member can take its place"));
+}
+
 bool Leader::IsForming() const {
   return store_.table().version == 0 &&
          now_ms_ - first_now_ms_ < kMaxFormationMs &&
--- a/libraries/cell/src/membership_manager.cc
+++ b/libraries/cell/src/membership_manager.cc
@@ -43,12 +43,13 @@
 struct MembershipManager::Census {
   const wire::Membership* membership = nullptr;
   std::int64_t voters = 0;
-  // Voters and members that are being promoted, less those that are silent.
-  // Members that are being promoted count, because otherwise too many would be
-  // promoted.
+  // Voters and members that are being promoted, less those that are silent or
+  // leaving. Members that are being promoted count, because otherwise too many
+  // would be promoted.
   std::int64_t lasting_voters = 0;
   // The one that is silent for longest comes first.
   std::vector<const wire::Member*> silent_voters;
+  std::vector<const wire::Member*> leaving_voters;  // None of them is silent.
   // Silent members whose promotion was requested.
   std::vector<const wire::Member*> lost_candidates;
   // Members without a vote that reply, in the order of the membership.
@@ -64,6 +65,31 @@
 void MembershipManager::OnJoinRequest(const wire::Member& member,
                                       std::int64_t now_ms) {
   join_requests_[member.id] = {member, now_ms};
+  leaving_.erase(member.id);
+}
+
+LeaveProgress MembershipManager::OnLeaveRequest(
+    const std::string& id,
+    const consensus::MembershipStatus& status,
+    std::int64_t now_ms) {
+  leaving_.insert(id);
+  join_requests_.erase(id);
+  const auto* member = Find(status.membership, id);
+  if (member == nullptr || !member->voter) {
+    return status.committed ? LeaveProgress::kDone : LeaveProgress::kInProgress;
+  }
+  const auto census = Count(status);
+  const bool joins = std::any_of(
+      join_requests_.begin(), join_requests_.end(), [&](const auto& it) {
+        return IsAlive(it.first, now_ms) &&
+               Find(status.membership, it.first) == nullptr;
+      });
+  const bool may_be_replaced = !status.committed ||
+                               census.voters > options_.cell_size ||
+                               census.promotes || !census.spares.empty() ||
+                               joins || now_ms - started_ms_ < kFirstContactMs;
+  return may_be_replaced ? LeaveProgress::kInProgress
+                         : LeaveProgress::kNoReplacement;
 }
 
 bool MembershipManager::IsAlive(const std::string& id,
@@ -113,11 +139,14 @@
     const bool silent = !is_self && contact.silent_ms > max_silence_ms;
     const bool replies =
         is_self || (contact.heard && contact.silent_ms < kFirstContactMs);
+    const bool leaving = !is_self && leaving_.contains(it.id);
     if (it.voter) {
       ++out.voters;
       out.all_voters_reply = out.all_voters_reply && replies;
       if (silent) {
         silent_voters.emplace_back(-contact.silent_ms, &it);
+      } else if (leaving) {
+        out.leaving_voters.push_back(&it);
       }
     } else if (it.promote) {
       out.promotes = out.promotes || !silent;
@@ -125,11 +154,11 @@
       if (contact.silent_ms > options_.catch_up_ms) {
         out.lost_candidates.push_back(&it);
       }
-    } else if (replies) {
+    } else if (replies && !leaving) {
       out.spares.push_back(&it);
     }
     const bool counts = it.voter || it.promote;
-    out.lasting_voters += counts && !silent ? 1 : 0;
+    out.lasting_voters += counts && !silent && !leaving ? 1 : 0;
   }
   std::sort(silent_voters.begin(), silent_voters.end());
   for (const auto& [silent_ms, member] : silent_voters) {
@@ -169,7 +198,8 @@
 // more voters for a majority, and the next leader goes on with it without
 // noticing the silence anew. It keeps its vote if that would leave less than a
 // complete cell less one, since a majority of fewer voters stores fewer copies,
-// or if no other member can take its place, since it may come back.
+// or if no other member can take its place, since it may come back. A voter
+// that is leaving is still alive, so it is removed afterwards.
 std::optional<wire::MembershipChange> MembershipManager::RemoveMember(
     const Census& census) const {
   const bool surplus = census.voters > options_.cell_size;
@@ -178,6 +208,8 @@
   const wire::Member* removed = nullptr;
   if (!census.silent_voters.empty() && (surplus || (complete && replaceable))) {
     removed = census.silent_voters.front();
+  } else if (!census.leaving_voters.empty() && surplus) {
+    removed = census.leaving_voters.front();
   } else if (!census.lost_candidates.empty() && complete) {
     removed = census.lost_candidates.front();
   }
--- a/libraries/cell/src/membership_manager.h
+++ b/libraries/cell/src/membership_manager.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,12 +26,24 @@
   std::int64_t catch_up_ms = 4'000;
 };
 
+// How far a member that ends has given up its vote.
+enum class LeaveProgress {
+  kDone,           // It has no vote.
+  kInProgress,     // Another member is taking its place.
+  kNoReplacement,  // It keeps its vote, since no member can take its place.
+};
+
 class MembershipManager {
  public:
   MembershipManager(MembershipOptions options, std::int64_t now_ms);
 
   // Records that `member` is alive and asks to be part of the cell.
   void OnJoinRequest(const wire::Member& member, std::int64_t now_ms);
+  // Records that the process of the member is about to end. It counts as lost
+  // until its next join request.
+  LeaveProgress OnLeaveRequest(const std::string& id,
+                               const consensus::MembershipStatus& status,
+                               std::int64_t now_ms);
   // Returns the addresses of the other members that are alive. All members are
   // assumed to be alive until they have had time to send a join request to this
   // leader.
@@ -64,6 +77,7 @@
   const MembershipOptions options_;
   const std::int64_t started_ms_;
   std::map<std::string, JoinRequest> join_requests_;
+  std::set<std::string> leaving_;
   // Time of the last change, and the membership before it.
   std::int64_t changed_ms_ = 0;
   wire::Membership before_change_;
--- a/libraries/wire/src/controller_server.cc
+++ b/libraries/wire/src/controller_server.cc
@@ -216,6 +216,10 @@
     RequireAuthentication();
     handler_.Join(reply, member);
   }
+  void Leave(Status& reply, const Member& member) override {
+    RequireAuthentication();
+    handler_.Leave(reply, member);
+  }
 
  private:
   void RequireAuthentication() const {
--- a/libraries/wire/wire.thrift
+++ b/libraries/wire/wire.thrift
@@ -838,4 +838,7 @@
   void RelayReplies(1: list<RelayedReply> replies)
   // Adds a controller to the cell, or reports to the leader that the controller is alive.
   Status Join(1: Member member)
+  // Reports to the leader that the process of a member is about to end. The code of the reply is kOk once it has no
+  // vote, kNotReady while another member takes its place, and kUnavailable if none can. May be repeated.
+  Status Leave(1: Member member)
 }
--- a/tests/cell/membership_manager_test.cc
+++ b/tests/cell/membership_manager_test.cc
@@ -56,6 +56,9 @@
   }
   void Lose(const std::string& id) { lost_.insert(id); }
   void Return(const std::string& id) { lost_.erase(id); }
+  LeaveProgress Leave(const std::string& id) {
+    return manager_->OnLeaveRequest(id, Status(), now_ms_);
+  }
   // A member reports to the leader for the first time.
   void Join(const std::string& id) {
     manager_->OnJoinRequest(MakeMember(id, false), now_ms_);
@@ -67,7 +70,7 @@
       for (const auto& it : status_.membership.members) {
         if (it.id != "own" && !lost_.contains(it.id)) {
           last_reply_ms_[it.id] = now_ms_;
-          if (now_ms_ % 1'000 == 0) {
+          if (now_ms_ % 1'000 == 0 && !leaving.contains(it.id)) {
             manager_->OnJoinRequest(it, now_ms_);
           }
         }
@@ -89,6 +92,7 @@
     return out;
   }
 
+  std::set<std::string> leaving;  // Members that have ended their reports.
   int changes = 0;
 
  private:
@@ -193,6 +197,22 @@
   cr_expect(cell.Voters() == voters);
 }
 
+// Guards against a surplus vote of a voter that started again before it could
+// be removed: with six voters, a majority is one more than with five.
+Test(membership_manager, takes_a_surplus_vote_away) {
+  Cell cell({"spare"});
+  cell.RunFor(1'000);
+  cell.Leave("e");
+  cell.RunFor(kStepMs);
+  cr_assert_eq(cell.Voters().size(), 6);
+  cell.Join("e");
+  cell.RunFor(kReplacedMs);
+  cr_expect_eq(cell.Voters().size(), 5);
+  const auto changes = cell.changes;
+  cell.RunFor(30'000);
+  cr_expect_eq(cell.changes, changes);
+}
+
 // Guards against a voter that gets its full time again from each new leader,
 // while the time of its successor runs on.
 Test(membership_manager, replaces_a_voter_that_a_new_leader_never_heard) {
@@ -220,6 +240,76 @@
   cr_expect_eq(cell.changes, 0);
 }
 
+// Load pattern: a controller is replaced as planned, and two others lose their
+// disks 1 s after it has ended (review/12). Guards against a voter that ends
+// and keeps its vote until it has been silent for some time, while a caught-up
+// successor has none.
+Test(membership_manager, replaces_a_voter_before_it_ends) {
+  Cell cell({"successor"});
+  cell.RunFor(1'000);
+  cell.leaving.insert("e");
+  cr_expect(cell.Leave("e") == LeaveProgress::kInProgress);
+  cell.RunFor(1'000);
+  cr_expect(cell.Leave("e") == LeaveProgress::kDone);
+  cr_expect(cell.Voters() == Ids({"b", "c", "d", "own", "successor"}));
+}
+
+// Guards against a controller that delays its end although no other one can
+// take its place, and against losing its vote when it is only restarted.
+Test(membership_manager, keeps_a_leaving_voter_without_a_spare) {
+  Cell cell;
+  cell.RunFor(1'000);
+  cell.leaving.insert("e");
+  cr_expect(cell.Leave("e") == LeaveProgress::kNoReplacement);
+  cell.RunFor(1'000);
+  cr_expect(cell.Leave("e") == LeaveProgress::kNoReplacement);
+  cell.Lose("e");
+  cell.RunFor(1'000);
+  cell.leaving.clear();
+  cell.Return("e");
+  cell.RunFor(5'000);
+  cr_expect(cell.Voters() == Ids({"b", "c", "d", "e", "own"}));
+  cr_expect_eq(cell.changes, 0);
+}
+
+// Load pattern: a planned replacement whose successor starts just before the
+// end of the old controller. Guards against an end before the successor, which
+// has asked to join, could be given the vote.
+Test(membership_manager, waits_for_a_successor_that_asks_to_join) {
+  Cell cell;
+  cell.RunFor(1'000);
+  cell.Join("successor");
+  cell.leaving.insert("e");
+  cr_expect(cell.Leave("e") == LeaveProgress::kInProgress);
+  cell.RunFor(1'500);
+  cr_expect(cell.Leave("e") == LeaveProgress::kDone);
+  cr_expect(cell.Voters() == Ids({"b", "c", "d", "own", "successor"}));
+}
+
+// Guards against taking the vote from a member that started again after it had
+// announced its end.
+Test(membership_manager, forgets_the_end_of_a_member_that_is_back) {
+  Cell cell;
+  cell.RunFor(1'000);
+  cr_expect(cell.Leave("e") == LeaveProgress::kNoReplacement);
+  cell.RunFor(2'000);
+  cell.Join("spare");
+  cell.RunFor(5'000);
+  cr_expect(cell.Voters() == Ids({"b", "c", "d", "e", "own"}));
+}
+
+// Guards against an answer "no other member can take its place" of a leader
+// that has not yet heard from the members that can.
+Test(membership_manager, a_new_leader_waits_for_members_to_reply) {
+  Cell cell({"spare"});
+  cell.RunFor(1'000);
+  cell.StartLeader();
+  cr_expect(cell.Leave("e") == LeaveProgress::kInProgress);
+  cell.leaving.insert("e");
+  cell.RunFor(1'000);
+  cr_expect(cell.Leave("e") == LeaveProgress::kDone);
+}
+
 // Guards against a voter that lost its disk and doesn't come back: it waits for
 // a vote that it never gets, and nobody else gets it.
 Test(membership_manager, replaces_a_candidate_that_is_gone) {
