--- a/tests/cell/membership_simulation.cc
+++ b/tests/cell/membership_simulation.cc
@@ -121,7 +121,7 @@
 
 std::string MembershipSimulation::Replace(const std::string& id,
                                           std::int64_t delay_ms) {
-  const std::string successor = "c" + std::to_string(added_);
+  auto successor = "c" + std::to_string(added_);
   RecordEvent("replace " + id + " by " + successor + " after " +
               std::to_string(delay_ms) + " ms");
   Add(successor);
@@ -133,7 +133,7 @@
 
 std::string MembershipSimulation::ReplaceAsPlanned(const std::string& id,
                                                    std::int64_t delay_ms) {
-  const std::string successor = "c" + std::to_string(added_);
+  auto successor = "c" + std::to_string(added_);
   RecordEvent("replace " + id + " by " + successor + " as planned after " +
               std::to_string(delay_ms) + " ms");
   Start(Add(successor), false);
